--- /dev/null
+++ b/.dependency-cruiser.cjs
@@ -0,0 +1,56 @@
+/** Rules between packages; checked in the lint step. */
+module.exports = {
+  forbidden: [
+    {
+      name: 'one-door',
+      comment: 'A package is entered by its src/index.ts only, never by a deep path.',
+      severity: 'error',
+      from: { path: '^(packages/[^/]+|fakes|bench)/' },
+      to: {
+        path: '^(packages/[^/]+|fakes)/(src|dist)/',
+        pathNot: ['^$1/', '/(src|dist)/index\\.'],
+      },
+    },
+    {
+      name: 'decisions-know-no-encoder',
+      comment: 'Only wire modules encode messages.',
+      severity: 'error',
+      from: { path: '^packages/[^/]+/src/', pathNot: ['/wire[^/]*\\.ts$', '/frame[^/]*\\.ts$'] },
+      to: { path: 'node_modules/(cbor-x|eventsource-parser)/' },
+    },
+    {
+      name: 'peers-stand-apart',
+      comment: 'A peer package never imports another peer package.',
+      severity: 'error',
+      from: {
+        path: '^packages/(caller|engine|pool|service|weightStore|store|hostList|metrics|node)/',
+      },
+      to: {
+        path: '^packages/(caller|operator|engine|pool|service|weightStore|store|hostList|metrics|node|entry|gate|daemon|cli)/',
+        pathNot: '^packages/$1/',
+      },
+    },
+    {
+      name: 'product-starts-no-process',
+      comment: 'A process of the product starts no other.',
+      severity: 'error',
+      from: { path: '^packages/[^/]+/src/' },
+      to: { path: '^(node:)?(child_process|worker_threads|cluster)$' },
+    },
+    {
+      name: 'no-circle',
+      severity: 'error',
+      from: {},
+      to: { circular: true },
+    },
+  ],
+  options: {
+    doNotFollow: { path: ['node_modules', 'dist'] },
+    exclude: { path: ['/dist/', '/test/'] },
+    tsPreCompilationDeps: true,
+    enhancedResolveOptions: {
+      exportsFields: ['exports'],
+      conditionNames: ['import', 'types', 'default'],
+    },
+  },
+};
--- /dev/null
+++ b/bench/src/index.ts
@@ -0,0 +1,2 @@
+/** Load generator and experiments over real processes on loopback. */
+export {};
--- /dev/null
+++ b/cucumber.js
@@ -0,0 +1,15 @@
+export default {
+  paths: [
+    'packages/*/test/**/*.feature',
+    'fakes/test/**/*.feature',
+    'bench/test/**/*.feature',
+    'features/**/*.feature',
+  ],
+  import: [
+    'packages/*/test/**/*.ts',
+    'fakes/test/**/*.ts',
+    'bench/test/**/*.ts',
+    'features/**/*.ts',
+  ],
+  format: ['progress'],
+};
--- /dev/null
+++ b/fakes/src/index.ts
@@ -0,0 +1,2 @@
+/** Stand-ins of the systems that galenatiller serves, with faults on order. */
+export {};
--- /dev/null
+++ b/packages/caller/src/index.ts
@@ -0,0 +1,2 @@
+/** Serves callers over HTTP: requests, streams and refusals. */
+export {};
--- /dev/null
+++ b/packages/cli/src/index.ts
@@ -0,0 +1,2 @@
+/** The galenatiller binary: the operators' command line. */
+export {};
--- /dev/null
+++ b/packages/daemon/src/index.ts
@@ -0,0 +1,2 @@
+/** The galenatillerd binary: runs the entry or the gate role. */
+export {};
--- /dev/null
+++ b/packages/engine/src/index.ts
@@ -0,0 +1,2 @@
+/** Talks to model engines, and decides how much load one can take. */
+export {};
--- /dev/null
+++ b/packages/entry/src/index.ts
@@ -0,0 +1,2 @@
+/** The entry role: walks the stages of a call under one deadline. */
+export {};
--- /dev/null
+++ b/packages/hostList/src/index.ts
@@ -0,0 +1,2 @@
+/** Reads the platform list of live and leaving hosts. */
+export {};
--- /dev/null
+++ b/packages/logger/src/index.ts
@@ -0,0 +1,2 @@
+/** Loggers with a fixed prefix for each part. */
+export { createLogger, type LogOptions, type LogPart, type Logger } from './createLogger.js';
--- /dev/null
+++ b/packages/metrics/src/index.ts
@@ -0,0 +1,2 @@
+/** Sends metrics to a statsd server. */
+export {};
--- /dev/null
+++ b/packages/node/src/index.ts
@@ -0,0 +1,2 @@
+/** The link between entries and gates: frames, handshake, membership and routing. */
+export {};
--- /dev/null
+++ b/packages/operator/src/index.ts
@@ -0,0 +1,2 @@
+/** What operators write and ask: the rules file and its differences. */
+export {};
--- /dev/null
+++ b/packages/pool/src/index.ts
@@ -0,0 +1,2 @@
+/** Talks to encoder, retriever and reranker pools. */
+export {};
--- /dev/null
+++ b/packages/service/src/index.ts
@@ -0,0 +1,2 @@
+/** Talks to plain services whose calls may not be repeated. */
+export {};
--- /dev/null
+++ b/packages/settings/src/index.ts
@@ -0,0 +1,2 @@
+/** Reads and validates INI settings. */
+export {};
--- /dev/null
+++ b/packages/tasks/src/index.ts
@@ -0,0 +1,3 @@
+/** Mailboxes and task groups that connection tasks are written with. */
+export { Mailbox } from './mailbox.js';
+export { TaskGroup } from './taskGroup.js';
--- /dev/null
+++ b/packages/timeline/src/index.ts
@@ -0,0 +1,2 @@
+/** A bounded ring of typed events with hybrid logical clock stamps. */
+export {};
--- /dev/null
+++ b/packages/timer/src/index.ts
@@ -0,0 +1,11 @@
+/** The timer service that parts subscribe to, with a manual clock for tests. */
+export type { ArmOptions, Cancel, Clock } from './clock.js';
+export { ManualClock } from './manualClock.js';
+export { systemClock } from './systemClock.js';
+export {
+  type AfterOptions,
+  type EveryOptions,
+  type SleepOptions,
+  type TimeLimit,
+  TimerService,
+} from './timerService.js';
--- /dev/null
+++ b/packages/timer/src/timerService.ts
@@ -0,0 +1,101 @@
+import type { Cancel, Clock } from './clock.js';
+
+/** Options of {@link TimerService.after}. */
+export interface AfterOptions {
+  readonly delayMs: number;
+  readonly notify: () => void;
+}
+
+/** Options of {@link TimerService.every}. */
+export interface EveryOptions {
+  readonly intervalMs: number;
+  readonly notify: () => void;
+}
+
+/** Options of {@link TimerService.sleep}. */
+export interface SleepOptions {
+  readonly delayMs: number;
+  /** Ends the sleep early; the promise resolves all the same. */
+  readonly signal?: AbortSignal;
+}
+
+/** A signal that aborts when time is up; `release` frees its timer. */
+export interface TimeLimit {
+  readonly signal: AbortSignal;
+  readonly release: Cancel;
+}
+
+/** The one source of time of a process; parts subscribe to it. */
+export class TimerService {
+  private constructor(private readonly clock: Clock) {}
+
+  /** Makes a timer service on a clock. */
+  static create(opts: { readonly clock: Clock }): TimerService {
+    return new TimerService(opts.clock);
+  }
+
+  /** Monotonic time in milliseconds. */
+  nowMs(): number {
+    return this.clock.nowMs();
+  }
+
+  /** Unix time in milliseconds. */
+  wallMs(): number {
+    return this.clock.wallMs();
+  }
+
+  /** Notifies once after a delay. */
+  after(opts: AfterOptions): Cancel {
+    return this.clock.arm({ delayMs: opts.delayMs, wake: opts.notify });
+  }
+
+  /** Notifies again and again until cancelled. */
+  every(opts: EveryOptions): Cancel {
+    let cancel: Cancel = () => {};
+    const rearm = (): void => {
+      cancel = this.clock.arm({ delayMs: opts.intervalMs, wake: onWake });
+    };
+    const onWake = (): void => {
+      rearm();
+      opts.notify();
+    };
+    rearm();
+    return () => {
+      cancel();
+    };
+  }
+
+  /** Waits for a delay, or until the signal aborts. */
+  sleep(opts: SleepOptions): Promise<void> {
+    if (opts.signal?.aborted) {
+      return Promise.resolve();
+    }
+    return new Promise((resolve) => {
+      const cancel = this.clock.arm({ delayMs: opts.delayMs, wake: finish });
+      opts.signal?.addEventListener('abort', finish, { once: true });
+      function finish(): void {
+        cancel();
+        opts.signal?.removeEventListener('abort', finish);
+        resolve();
+      }
+    });
+  }
+
+  /** A signal that aborts after a time, or with the parent signal. */
+  limit(opts: { readonly limitMs: number; readonly parent?: AbortSignal }): TimeLimit {
+    const controller = new AbortController();
+    const abort = (): void => {
+      controller.abort();
+    };
+    const cancel = this.clock.arm({ delayMs: opts.limitMs, wake: abort });
+    opts.parent?.addEventListener('abort', abort, { once: true });
+    if (opts.parent?.aborted) {
+      abort();
+    }
+    const release = (): void => {
+      cancel();
+      opts.parent?.removeEventListener('abort', abort);
+    };
+    return { signal: controller.signal, release };
+  }
+}
--- /dev/null
+++ b/packages/types/src/timelineEvent.ts
@@ -0,0 +1,45 @@
+/** What happened, for the time line. */
+export type TimelineEventKind =
+  | 'process-started'
+  | 'process-stopping'
+  | 'request-accepted'
+  | 'request-refused'
+  | 'request-answered'
+  | 'request-cancelled'
+  | 'target-chosen'
+  | 'stage-sent'
+  | 'stage-queued'
+  | 'stage-started'
+  | 'stage-ended'
+  | 'stage-retried'
+  | 'stream-resumed'
+  | 'target-cold'
+  | 'target-ready'
+  | 'target-down'
+  | 'target-leaving'
+  | 'link-opened'
+  | 'link-closed'
+  | 'configuration-in-force'
+  | 'store-lost'
+  | 'store-found'
+  | 'version-stopped'
+  | 'version-moved'
+  | 'fingerprint-stopped'
+  | 'lease-gained'
+  | 'lease-lost';
+
+/** A hybrid logical clock stamp: orders events of all processes causally. */
+export interface HybridStamp {
+  readonly wallMs: number;
+  readonly counter: number;
+}
+
+/** One event of the time line. Empty strings stand for subjects that do not apply. */
+export interface TimelineEvent {
+  readonly stamp: HybridStamp;
+  readonly nodeName: string;
+  readonly kind: TimelineEventKind;
+  readonly requestId: string;
+  readonly subject: string;
+  readonly detail: string;
+}
--- /dev/null
+++ b/packages/weightStore/src/index.ts
@@ -0,0 +1,2 @@
+/** Talks to the weight store within its rate. */
+export {};
