--- a/packages/settings/src/index.ts
+++ b/packages/settings/src/index.ts
@@ -1,2 +1,2 @@
 /** Reads and validates INI settings. */
-export {};
+export type { EntrySettings, GateSettings, NodeSettings, TargetSettings } from './nodeSettings.js';
--- a/packages/types/src/host.ts
+++ b/packages/types/src/host.ts
@@ -8,7 +8,10 @@
 export interface Host {
   readonly name: string;
   readonly address: string;
+  /** TCP port of links between nodes. */
   readonly port: number;
+  /** HTTP port for operators. */
+  readonly operatorPort: number;
   readonly role: NodeRole;
   readonly availabilityZone: string;
   readonly state: HostState;
