Talk to engines, pools, services and the host list, with fakes behind them

Shared transport goes to a new package @galenatiller/http: only a failed connect or a stated refusal proves not-run.

Fakes run in process or by fakes/dist/main.js; answers are a function of the prompt, so that a checker can tell whole and uncrossed ones.

--- /dev/null
+++ b/fakes/src/fakeServer.ts
@@ -0,0 +1,107 @@
+import { once } from 'node:events';
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
+import type { AddressInfo } from 'node:net';
+
+/** One HTTP exchange as a fake handles it. */
+export interface FakeExchange {
+  readonly method: string;
+  readonly path: string;
+  readonly header: (name: string) => string;
+  readonly text: string;
+  readonly response: ServerResponse;
+  /** Aborts when the client goes away before the response is whole. */
+  readonly signal: AbortSignal;
+}
+
+/** Options of {@link FakeServer.listen}. */
+export interface FakeServerOptions {
+  /** 0 for any free port. */
+  readonly port: number;
+  readonly handle: (exchange: FakeExchange) => Promise<void>;
+}
+
+/** A small HTTP server that can go down and come back on the same port. */
+export class FakeServer {
+  private constructor(
+    private readonly server: Server,
+    readonly port: number,
+  ) {}
+
+  /** Listens on loopback. */
+  static async listen(opts: FakeServerOptions): Promise<FakeServer> {
+    const server = createServer((request, response) => {
+      serve({ request, response, handle: opts.handle }).catch(() => {
+        response.destroy();
+      });
+    });
+    await listenOn(server, opts.port);
+    return new FakeServer(server, (server.address() as AddressInfo).port);
+  }
+
+  /** Base URL. */
+  get url(): string {
+    return `http://127.0.0.1:${this.port}`;
+  }
+
+  /** Stops listening and cuts every connection, as a crash does. */
+  async down(): Promise<void> {
+    if (!this.server.listening) {
+      return;
+    }
+    const closed = once(this.server, 'close');
+    this.server.close();
+    this.server.closeAllConnections();
+    await closed;
+  }
+
+  /** Listens again on the same port. */
+  async up(): Promise<void> {
+    if (!this.server.listening) {
+      await listenOn(this.server, this.port);
+    }
+  }
+}
+
+/** Sends a JSON response, unless the connection is gone. */
+export function sendJson(
+  response: ServerResponse,
+  opts: { readonly status: number; readonly body: unknown },
+): void {
+  if (response.destroyed || response.headersSent) {
+    return;
+  }
+  response.writeHead(opts.status, { 'content-type': 'application/json' });
+  response.end(JSON.stringify(opts.body));
+}
+
+async function listenOn(server: Server, port: number): Promise<void> {
+  server.listen(port, '127.0.0.1');
+  await once(server, 'listening');
+}
+
+async function serve({
+  request,
+  response,
+  handle,
+}: {
+  readonly request: IncomingMessage;
+  readonly response: ServerResponse;
+  readonly handle: FakeServerOptions['handle'];
+}): Promise<void> {
+  const gone = new AbortController();
+  response.on('close', () => {
+    gone.abort();
+  });
+  const pieces: Buffer[] = [];
+  for await (const piece of request) {
+    pieces.push(piece as Buffer);
+  }
+  await handle({
+    method: request.method ?? 'GET',
+    path: (request.url ?? '/').split('?')[0] ?? '/',
+    header: (name) => String(request.headers[name] ?? ''),
+    text: Buffer.concat(pieces).toString('utf8'),
+    response,
+    signal: gone.signal,
+  });
+}
--- /dev/null
+++ b/fakes/src/faultBoard.ts
@@ -0,0 +1,103 @@
+import { uniformFloat64 } from 'pure-rand/distribution/uniformFloat64';
+import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
+import { z } from 'zod';
+
+const share = z.number().min(0).max(1);
+
+/** An order that changes how a fake behaves, as sent to `POST /faults`. */
+export const faultOrderSchema = z.discriminatedUnion('kind', [
+  z.object({ kind: z.literal('slow'), factor: z.number().positive() }),
+  z.object({ kind: z.literal('errors'), share }),
+  z.object({ kind: z.literal('refuse'), on: z.boolean() }),
+  z.object({ kind: z.literal('hang'), on: z.boolean() }),
+  z.object({ kind: z.literal('break'), afterTokens: z.int().nonnegative(), share }),
+  z.object({ kind: z.literal('lose-answer'), share }),
+  z.object({ kind: z.literal('crash') }),
+  z.object({ kind: z.literal('cold') }),
+  z.object({ kind: z.literal('clear') }),
+]);
+
+/** An order that changes how a fake behaves. */
+export type FaultOrder = z.infer<typeof faultOrderSchema>;
+
+/** The faults in force. */
+interface Faults {
+  readonly slowFactor: number;
+  readonly errorShare: number;
+  readonly refuse: boolean;
+  readonly hang: boolean;
+  readonly breakAfterTokens: number;
+  readonly breakShare: number;
+  readonly loseAnswerShare: number;
+}
+
+/** Options of {@link FaultBoard.create}. */
+export interface FaultBoardOptions {
+  readonly seed: number;
+  /** Carries out the orders that happen once. */
+  readonly onEvent: (kind: 'crash' | 'cold') => void;
+}
+
+const NO_FAULTS: Faults = {
+  slowFactor: 1,
+  errorShare: 0,
+  refuse: false,
+  hang: false,
+  breakAfterTokens: 0,
+  breakShare: 0,
+  loseAnswerShare: 0,
+};
+
+/** The faults that a fake has been ordered to show. */
+export class FaultBoard {
+  private faults = NO_FAULTS;
+
+  private readonly random;
+
+  private constructor(private readonly opts: FaultBoardOptions) {
+    this.random = xoroshiro128plus(opts.seed);
+  }
+
+  /** Makes a board without faults. */
+  static create(opts: FaultBoardOptions): FaultBoard {
+    return new FaultBoard(opts);
+  }
+
+  /** The faults in force. */
+  get current(): Faults {
+    return this.faults;
+  }
+
+  /** Puts an order into force. */
+  apply(order: FaultOrder): void {
+    if (order.kind === 'crash' || order.kind === 'cold') {
+      this.opts.onEvent(order.kind);
+      return;
+    }
+    this.faults = { ...this.faults, ...changeOf(order) };
+  }
+
+  /** Draws whether something happens that does so in a share of cases. */
+  draw(shareOfCases: number): boolean {
+    return shareOfCases > 0 && uniformFloat64(this.random) < shareOfCases;
+  }
+}
+
+function changeOf(order: Exclude<FaultOrder, { kind: 'crash' | 'cold' }>): Partial<Faults> {
+  switch (order.kind) {
+    case 'slow':
+      return { slowFactor: order.factor };
+    case 'errors':
+      return { errorShare: order.share };
+    case 'refuse':
+      return { refuse: order.on };
+    case 'hang':
+      return { hang: order.on };
+    case 'break':
+      return { breakAfterTokens: order.afterTokens, breakShare: order.share };
+    case 'lose-answer':
+      return { loseAnswerShare: order.share };
+    default:
+      return NO_FAULTS;
+  }
+}
--- /dev/null
+++ b/fakes/src/slots.ts
@@ -0,0 +1,36 @@
+/** Lets a fixed number of runs go on at once; others wait in order. */
+export class Slots {
+  private readonly waiting: (() => void)[] = [];
+
+  private constructor(private free: number) {}
+
+  /** Makes slots that are all free. */
+  static create(opts: { readonly count: number }): Slots {
+    return new Slots(opts.count);
+  }
+
+  /** Runs a function in a slot. */
+  async use(run: () => Promise<void>): Promise<void> {
+    if (this.free === 0) {
+      await new Promise<void>((resolve) => {
+        this.waiting.push(resolve);
+      });
+    } else {
+      this.free -= 1;
+    }
+    try {
+      await run();
+    } finally {
+      this.release();
+    }
+  }
+
+  private release(): void {
+    const next = this.waiting.shift();
+    if (next) {
+      next();
+    } else {
+      this.free += 1;
+    }
+  }
+}
--- a/packages/engine/src/index.ts
+++ b/packages/engine/src/index.ts
@@ -1,2 +1,2 @@
 /** Talks to model engines, and decides how much load one can take. */
-export {};
+export { runGeneration, type RunGenerationOptions } from './runGeneration.js';
--- /dev/null
+++ b/packages/hostList/src/followHosts.ts
@@ -0,0 +1,34 @@
+import type { GalenatillerError } from '@galenatiller/error';
+import type { TimerService } from '@galenatiller/timer';
+import type { Host } from '@galenatiller/types';
+
+import { readHosts } from './readHosts.js';
+
+/** Options of {@link followHosts}. */
+export interface FollowHostsOptions {
+  /** Base URL of the host list. */
+  readonly url: string;
+  readonly timer: TimerService;
+  /** Its abort ends the task. */
+  readonly signal: AbortSignal;
+  readonly intervalMs: number;
+  readonly onHosts: (hosts: readonly Host[]) => void;
+  /** Told of each read that failed; the last hosts stand. */
+  readonly onFailure?: (error: GalenatillerError) => void;
+}
+
+/** Reads the host list again and again until the signal aborts. */
+export async function followHosts(opts: FollowHostsOptions): Promise<void> {
+  const { timer, signal, intervalMs } = opts;
+  while (!signal.aborted) {
+    const limit = timer.limit({ limitMs: intervalMs, parent: signal });
+    const hosts = await readHosts({ url: opts.url, signal: limit.signal });
+    limit.release();
+    if (hosts.isOk) {
+      opts.onHosts(hosts.value);
+    } else if (!signal.aborted) {
+      opts.onFailure?.(hosts.error);
+    }
+    await timer.sleep({ delayMs: intervalMs, signal });
+  }
+}
--- a/packages/hostList/src/index.ts
+++ b/packages/hostList/src/index.ts
@@ -1,2 +1,3 @@
 /** Reads the platform list of live and leaving hosts. */
-export {};
+export { followHosts, type FollowHostsOptions } from './followHosts.js';
+export { readHosts, type ReadHostsOptions } from './readHosts.js';
--- /dev/null
+++ b/packages/hostList/src/readHosts.ts
@@ -0,0 +1,31 @@
+import type { GalenatillerError } from '@galenatiller/error';
+import { exchangeText, readStatus } from '@galenatiller/http';
+import type { Host } from '@galenatiller/types';
+import { Result } from 'true-myth';
+
+import { decodeHosts } from './wire.js';
+
+/** Options of {@link readHosts}. */
+export interface ReadHostsOptions {
+  /** Base URL of the host list. */
+  readonly url: string;
+  readonly signal: AbortSignal;
+}
+
+/** Reads the host list once. */
+export async function readHosts(
+  opts: ReadHostsOptions,
+): Promise<Result<readonly Host[], GalenatillerError>> {
+  const answer = await exchangeText({
+    url: opts.url,
+    path: '/v1/hosts',
+    method: 'GET',
+    headers: {},
+    body: '',
+    signal: opts.signal,
+  });
+  return answer.andThen(({ status, text }) => {
+    const failure = readStatus({ status, text });
+    return failure.isJust ? Result.err(failure.value) : decodeHosts(text);
+  });
+}
--- /dev/null
+++ b/packages/http/src/readStatus.ts
@@ -0,0 +1,23 @@
+import { GalenatillerError } from '@galenatiller/error';
+import { Maybe } from 'true-myth';
+
+import { decodeRefusal } from './wire.js';
+
+/** Answer of a target that does not take the work. */
+const SERVICE_UNAVAILABLE = 503;
+
+/** The error that a response other than 200 stands for. */
+export function readStatus(opts: {
+  readonly status: number;
+  readonly text: string;
+}): Maybe<GalenatillerError> {
+  if (opts.status === 200) {
+    return Maybe.nothing();
+  }
+  const refusal = opts.status === SERVICE_UNAVAILABLE ? decodeRefusal(opts.text) : Maybe.nothing();
+  return Maybe.just(
+    refusal.isJust
+      ? GalenatillerError.create({ name: 'target-refused', detail: refusal.value.code })
+      : GalenatillerError.create({ name: 'target-failed', detail: `status ${opts.status}` }),
+  );
+}
--- a/packages/pool/src/index.ts
+++ b/packages/pool/src/index.ts
@@ -1,2 +1,2 @@
 /** Talks to encoder, retriever and reranker pools. */
-export {};
+export { runPoolStage, type RunPoolStageOptions } from './runPoolStage.js';
--- /dev/null
+++ b/packages/pool/src/runPoolStage.ts
@@ -0,0 +1,43 @@
+import { GalenatillerError } from '@galenatiller/error';
+import { attemptHeaders, exchangeText, readStatus } from '@galenatiller/http';
+import type { StageOrder, StageResult } from '@galenatiller/types';
+import { Result } from 'true-myth';
+
+import { decodePoolAnswer, encodePoolRequest } from './wire.js';
+
+/** Options of {@link runPoolStage}. */
+export interface RunPoolStageOptions {
+  /** Base URL of the pool worker. */
+  readonly url: string;
+  readonly order: StageOrder;
+  readonly signal: AbortSignal;
+}
+
+/** Runs one encode, retrieve or rerank stage on a pool worker. */
+export async function runPoolStage(
+  opts: RunPoolStageOptions,
+): Promise<Result<StageResult, GalenatillerError>> {
+  const { order, signal } = opts;
+  const { input } = order;
+  if (input.kind === 'generate' || input.kind === 'call') {
+    return Result.err(
+      GalenatillerError.create({
+        name: 'target-refused',
+        detail: `a pool runs no ${input.kind} stage`,
+      }),
+    );
+  }
+  const { path, body } = encodePoolRequest(input);
+  const answer = await exchangeText({
+    url: opts.url,
+    path,
+    method: 'POST',
+    headers: attemptHeaders(order),
+    body,
+    signal,
+  });
+  return answer.andThen(({ status, text }) => {
+    const failure = readStatus({ status, text });
+    return failure.isJust ? Result.err(failure.value) : decodePoolAnswer({ input, text });
+  });
+}
--- /dev/null
+++ b/packages/pool/src/wire.ts
@@ -0,0 +1,108 @@
+/** Encodes the requests of pools and decodes their answers. */
+import { GalenatillerError } from '@galenatiller/error';
+import { decodeJson } from '@galenatiller/http';
+import type { Passage, StageInput, StageResult } from '@galenatiller/types';
+import { Result } from 'true-myth';
+import { z } from 'zod';
+
+/** Input of a stage that pools run. */
+export type PoolInput = Extract<StageInput, { kind: 'encode' | 'retrieve' | 'rerank' }>;
+
+/** A request in the form that it is sent in. */
+export interface EncodedPoolRequest {
+  readonly path: string;
+  readonly body: string;
+}
+
+/** Options of {@link decodePoolAnswer}. */
+export interface DecodePoolAnswerOptions {
+  readonly input: PoolInput;
+  readonly text: string;
+}
+
+type Decoded = Result<StageResult, GalenatillerError>;
+
+const embeddingsBody = z.object({
+  data: z.array(z.object({ index: z.int(), embedding: z.array(z.number()) })),
+});
+const passagesBody = z.object({
+  passages: z.array(z.object({ id: z.string(), text: z.string(), score: z.number() })),
+});
+const rerankBody = z.object({
+  results: z.array(z.object({ index: z.int(), relevance_score: z.number() })),
+});
+
+/** Encodes the input of a pool stage. */
+export function encodePoolRequest(input: PoolInput): EncodedPoolRequest {
+  switch (input.kind) {
+    case 'encode':
+      return { path: '/v1/embeddings', body: JSON.stringify({ input: input.texts }) };
+    case 'retrieve':
+      return {
+        path: '/v1/retrieve',
+        body: JSON.stringify({
+          query: input.query,
+          vector: input.vector,
+          limit: input.passageLimit,
+        }),
+      };
+    default:
+      return {
+        path: '/v1/rerank',
+        body: JSON.stringify({
+          query: input.query,
+          documents: input.passages.map(({ id, text }) => ({ id, text })),
+        }),
+      };
+  }
+}
+
+/** Decodes the answer and checks that it covers the whole input. */
+export function decodePoolAnswer({ input, text }: DecodePoolAnswerOptions): Decoded {
+  switch (input.kind) {
+    case 'encode':
+      return decodeVectors(input.texts, text);
+    case 'retrieve':
+      return decodeJson({ text, schema: passagesBody }).map(({ passages }) => ({
+        kind: 'retrieve',
+        passages: passages.slice(0, input.passageLimit),
+      }));
+    default:
+      return decodeRanking(input.passages, text);
+  }
+}
+
+function decodeVectors(texts: readonly string[], text: string): Decoded {
+  return decodeJson({ text, schema: embeddingsBody }).andThen(({ data }): Decoded => {
+    const vectors = new Map(data.map(({ index, embedding }) => [index, embedding]));
+    const ordered = texts.flatMap((_, index) => {
+      const vector = vectors.get(index);
+      return vector ? [vector] : [];
+    });
+    return ordered.length === texts.length
+      ? Result.ok({ kind: 'encode', vectors: ordered })
+      : incomplete('vectors', ordered.length, texts.length);
+  });
+}
+
+function decodeRanking(passages: readonly Passage[], text: string): Decoded {
+  return decodeJson({ text, schema: rerankBody }).andThen(({ results }): Decoded => {
+    const ranked = results.flatMap(({ index, relevance_score: score }) => {
+      const passage = passages[index];
+      return passage ? [{ ...passage, score }] : [];
+    });
+    const distinct = new Set(results.map(({ index }) => index)).size;
+    return ranked.length === passages.length && distinct === ranked.length
+      ? Result.ok({ kind: 'rerank', passages: ranked })
+      : incomplete('passages', distinct, passages.length);
+  });
+}
+
+function incomplete(what: string, found: number, expected: number): Decoded {
+  return Result.err(
+    GalenatillerError.create({
+      name: 'target-failed',
+      detail: `the answer has ${found} of ${expected} ${what}`,
+    }),
+  );
+}
--- a/packages/service/src/index.ts
+++ b/packages/service/src/index.ts
@@ -1,2 +1,2 @@
 /** Talks to plain services whose calls may not be repeated. */
-export {};
+export { runServiceCall, type RunServiceCallOptions } from './runServiceCall.js';
--- /dev/null
+++ b/packages/service/src/runServiceCall.ts
@@ -0,0 +1,53 @@
+import { GalenatillerError } from '@galenatiller/error';
+import { attemptHeaders, exchangeText, readStatus, type TextResponse } from '@galenatiller/http';
+import type { StageOrder, StageResult } from '@galenatiller/types';
+import { Result } from 'true-myth';
+
+import { decodeCallAnswer, encodeCall } from './wire.js';
+
+/** Options of {@link runServiceCall}. */
+export interface RunServiceCallOptions {
+  /** Base URL of the service. */
+  readonly url: string;
+  readonly order: StageOrder;
+  readonly signal: AbortSignal;
+}
+
+/** First status that says that the service, not the call, is at fault. */
+const FIRST_SERVER_ERROR = 500;
+
+/** Runs one call on a plain service; a client error of the service is an answer as well. */
+export async function runServiceCall(
+  opts: RunServiceCallOptions,
+): Promise<Result<StageResult, GalenatillerError>> {
+  const { order, signal } = opts;
+  const { input } = order;
+  if (input.kind !== 'call') {
+    return Result.err(
+      GalenatillerError.create({
+        name: 'target-refused',
+        detail: `a service runs no ${input.kind} stage`,
+      }),
+    );
+  }
+  const answer = await exchangeText({
+    url: opts.url,
+    path: '/v1/call',
+    method: 'POST',
+    headers: {
+      ...attemptHeaders(order),
+      ...(order.runKey === '' ? {} : { 'idempotency-key': order.runKey }),
+    },
+    body: encodeCall(input.body),
+    signal,
+  });
+  return answer.andThen(readAnswer);
+}
+
+function readAnswer({ status, text }: TextResponse): Result<StageResult, GalenatillerError> {
+  const failure = readStatus({ status, text });
+  if (failure.isJust && status >= FIRST_SERVER_ERROR) {
+    return Result.err(failure.value);
+  }
+  return decodeCallAnswer(text).map((body) => ({ kind: 'call', status, body }));
+}
