--- a/fakes/src/index.ts
+++ b/fakes/src/index.ts
@@ -19,3 +19,4 @@
 export { expectedPassages, expectedScore, expectedVector } from './expectedPoolResults.js';
 export type { FaultOrder } from './faultBoard.js';
 export type { RunEnd, RunRecord } from './runLedger.js';
+export { sampleOrder } from './sampleOrder.js';
--- /dev/null
+++ b/fakes/src/sampleOrder.ts
@@ -0,0 +1,20 @@
+import type { StageInput, StageOrder } from '@galenatiller/types';
+
+/** A stage order for tests that care about its input only. */
+export function sampleOrder(input: StageInput): StageOrder {
+  return {
+    requestId: 'request-1',
+    stageIndex: 0,
+    attempt: 1,
+    targetName: 'target-1',
+    organisation: 'lautoka',
+    route: 'assistant',
+    stage: 'draft',
+    priority: 'interactive',
+    remainingMs: 1_000,
+    idempotent: true,
+    runKey: '',
+    bodyDigest: '',
+    input,
+  };
+}
--- a/packages/engine/test/generation.steps.ts
+++ b/packages/engine/test/generation.steps.ts
@@ -8,9 +8,10 @@
   expectedAnswer,
   type FakeTarget,
   type FaultOrder,
+  sampleOrder,
 } from '@galenatiller/fakes';
 import { systemClock, TimerService } from '@galenatiller/timer';
-import type { StageOrder, StagePart, StageResult } from '@galenatiller/types';
+import type { StagePart, StageResult } from '@galenatiller/types';
 import type { Result } from 'true-myth';
 
 interface GenerationWorld {
@@ -122,7 +123,13 @@
   const prefix = expectedAnswer(opts.prompt, opts.deliveredTokens);
   const result = await runGeneration({
     url: world.fakeEngine.url,
-    order: orderOf(opts, prefix),
+    order: sampleOrder({
+      kind: 'generate',
+      prompt: opts.prompt,
+      maxTokens: opts.maxTokens,
+      deliveredText: prefix,
+      deliveredTokens: opts.deliveredTokens,
+    }),
     signal: giveUp.signal,
     onPart: (part) => {
       parts.push(part);
@@ -138,27 +145,3 @@
     generationResult: result,
   });
 }
-
-function orderOf(opts: GenerateOptions, prefix: string): StageOrder {
-  return {
-    requestId: 'r1',
-    stageIndex: 0,
-    attempt: 1,
-    targetName: 'engine',
-    organisation: 'lautoka',
-    route: 'assistant',
-    stage: 'draft',
-    priority: 'interactive',
-    remainingMs: 1000,
-    idempotent: true,
-    runKey: '',
-    bodyDigest: '',
-    input: {
-      kind: 'generate',
-      prompt: opts.prompt,
-      maxTokens: opts.maxTokens,
-      deliveredText: prefix,
-      deliveredTokens: opts.deliveredTokens,
-    },
-  };
-}
