Give the fake engine a batch, a cold phase, a prefix cache, orders and bad versions

The decisions about load, cold starts, poison prompts and version moves need an engine that shows these on order. Per-token time grows with the batch, a cold engine crashes, fails or refuses above its limit, cache events come late with gaps, the load lags, and orders carry a fencing number. A bad version shows at once or later, above a load or on one route only, for every kind of target.

--- a/fakes/src/createFakeEngine.ts
+++ b/fakes/src/createFakeEngine.ts
@@ -1,104 +1,80 @@
-import { Batch, type BatchSpeed } from './engine/batch.js';
-import { type CompletionRequest, completionRequestSchema } from './engine/completionRequest.js';
 import { createFakeTarget, type FakeTarget, type FakeTargetOptions } from './createFakeTarget.js';
-import { expectedWord } from './expectedAnswer.js';
-import { sendJson } from './fakeServer.js';
-import type { FakeRun } from './workDesk.js';
+import { EngineModel, type FakeEngineLoad } from './engine/engineModel.js';
+import { DEFAULT_ENGINE_SETTINGS, type FakeEngineSettings } from './engine/engineSettings.js';
+import { engineOrderSchema, type FakeEngineOrder } from './engine/orderDesk.js';
+import { type FakeExchange, sendJson } from './fakeServer.js';
 
-/** Options of {@link createFakeEngine}. */
-export interface FakeEngineOptions extends FakeTargetOptions {
-  readonly speed: BatchSpeed;
+/** Options of {@link createFakeEngine}; what is left out makes for a warm engine without faults. */
+export type FakeEngineOptions = FakeTargetOptions &
+  Pick<FakeEngineSettings, 'speed'> &
+  Partial<FakeEngineSettings>;
+
+/** A fake engine that runs. */
+export interface FakeEngine extends FakeTarget {
+  /** The load without the lag. */
+  readonly load: () => FakeEngineLoad;
+  /** The orders that were carried out. */
+  readonly orders: () => readonly FakeEngineOrder[];
 }
 
 /** Starts a fake model engine with OpenAI-style streamed completions. */
-export async function createFakeEngine(opts: FakeEngineOptions): Promise<FakeTarget> {
-  const batch = Batch.create({
-    timer: opts.timer,
-    speed: opts.speed,
-    slowFactor: () => target.faults.current.slowFactor,
-  });
+export async function createFakeEngine(opts: FakeEngineOptions): Promise<FakeEngine> {
+  const settings: FakeEngineSettings = { ...DEFAULT_ENGINE_SETTINGS, ...opts };
+  const model = EngineModel.create({ settings, target: () => target });
+  let seenLoad = model.load;
   const target: FakeTarget = await createFakeTarget({
-    ...opts,
+    ...settings,
     workPaths: new Set(['/v1/completions']),
-    run: (run) => complete({ run, batch, target }),
+    run: (run) => model.run(run),
+    handleOther: (exchange) => Promise.resolve(handleOther({ exchange, model, seenLoad })),
+    onCold: () => {
+      model.turnCold();
+    },
+    currentVersion: () => model.version,
   });
-  return target;
-}
-
-async function complete({
-  run,
-  batch,
-  target,
-}: {
-  readonly run: FakeRun;
-  readonly batch: Batch;
-  readonly target: FakeTarget;
-}): Promise<void> {
-  const { exchange, end } = run;
-  const parsed = completionRequestSchema.safeParse(JSON.parse(exchange.text));
-  if (!parsed.success) {
-    end('failed');
-    sendJson(exchange.response, { status: 400, body: {} });
-    return;
-  }
-  exchange.response.writeHead(200, {
-    'content-type': 'text/event-stream',
-    'x-engine-start-id': run.startId,
+  const stopLooking = settings.timer.every({
+    intervalMs: settings.loadLagMs,
+    notify: () => {
+      seenLoad = model.load;
+    },
   });
-  exchange.response.flushHeaders();
-  await streamAnswer({ run, batch, target, completion: parsed.data });
+  return {
+    ...target,
+    load: () => model.load,
+    orders: () => model.desk.obeyed,
+    close: () => {
+      stopLooking();
+      return target.close();
+    },
+  };
 }
 
-function streamAnswer({
-  run: { exchange, end },
-  batch,
-  target,
-  completion,
+function handleOther({
+  exchange: { path, method, text, response },
+  model,
+  seenLoad,
 }: {
-  readonly run: FakeRun;
-  readonly batch: Batch;
-  readonly target: FakeTarget;
-  readonly completion: CompletionRequest;
-}): Promise<void> {
-  const { response, signal } = exchange;
-  const { faults } = target;
-  const { prompt, max_tokens: maxTokens, resume_from: resume } = completion;
-  const breaks = faults.draw(faults.current.breakShare);
-  return new Promise((resolve) => {
-    signal.addEventListener('abort', () => resolve(), { once: true });
-    batch.submit({
-      priority: completion.priority,
-      prefillMs: 0,
-      tokens: Math.max(0, maxTokens - resume.tokens),
-      signal,
-      onToken: (index) => {
-        if (breaks && index >= faults.current.breakAfterTokens) {
-          end('failed', resume.tokens + index);
-          response.destroy();
-          return;
-        }
-        const position = resume.tokens + index;
-        sendChunk({ text: expectedWord(prompt, position), position, maxTokens });
-      },
-      onEnd: () => {
-        end('answered', maxTokens);
-        response.end('data: [DONE]\n\n');
-        resolve();
-      },
-    });
-  });
-
-  function sendChunk(chunk: {
-    readonly text: string;
-    readonly position: number;
-    readonly maxTokens: number;
-  }): void {
-    const choice = {
-      text: chunk.text,
-      token_count: 1,
-      token_offset: chunk.position,
-      finish_reason: chunk.position + 1 === chunk.maxTokens ? 'length' : null,
-    };
-    response.write(`data: ${JSON.stringify({ choices: [choice] })}\n\n`);
+  readonly exchange: FakeExchange;
+  readonly model: EngineModel;
+  readonly seenLoad: FakeEngineLoad;
+}): boolean {
+  if (path === '/load') {
+    sendJson(response, { status: 200, body: seenLoad });
+    return true;
+  }
+  if (path === '/cache-events') {
+    model.feed.subscribe(response);
+    return true;
+  }
+  if (path === '/orders' && method === 'POST') {
+    const obeyed = model.desk.obey(engineOrderSchema.parse(JSON.parse(text)));
+    const refusal = { error: { code: 'old-fencing-number' } };
+    sendJson(response, obeyed ? { status: 200, body: {} } : { status: 409, body: refusal });
+    return true;
+  }
+  if (path === '/orders') {
+    sendJson(response, { status: 200, body: { orders: model.desk.obeyed } });
+    return true;
   }
+  return false;
 }
--- a/fakes/src/createFakePool.ts
+++ b/fakes/src/createFakePool.ts
@@ -39,8 +39,8 @@
   });
   return target;
 
-  async function serve({ exchange, end }: FakeRun): Promise<void> {
-    const delayMs = opts.serviceMs * target.faults.current.slowFactor;
+  async function serve({ exchange, end, slowFactor }: FakeRun): Promise<void> {
+    const delayMs = opts.serviceMs * target.faults.current.slowFactor * slowFactor;
     await opts.timer.sleep({ delayMs, signal: exchange.signal });
     if (exchange.signal.aborted) {
       return;
--- a/fakes/src/createFakeService.ts
+++ b/fakes/src/createFakeService.ts
@@ -47,11 +47,12 @@
   });
   return { ...target, effects };
 
-  async function serve({ exchange, end }: FakeRun): Promise<void> {
+  async function serve({ exchange, end, slowFactor }: FakeRun): Promise<void> {
     const { faults } = target;
     const { signal, response, text } = exchange;
     const runKey = exchange.header('idempotency-key');
-    await timer.sleep({ delayMs: opts.serviceMs * faults.current.slowFactor, signal });
+    const delayMs = opts.serviceMs * faults.current.slowFactor * slowFactor;
+    await timer.sleep({ delayMs, signal });
     if (signal.aborted) {
       return;
     }
--- a/fakes/src/createFakeTarget.ts
+++ b/fakes/src/createFakeTarget.ts
@@ -15,6 +15,7 @@
   readonly seed: number;
   /** Time that a crashed target stays down. */
   readonly restartMs: number;
+  readonly version: string;
 }
 
 /** What a kind of target adds. */
@@ -26,6 +27,8 @@
   readonly handleOther?: (exchange: FakeExchange) => Promise<boolean>;
   /** Called at each start, and when an order turns the target cold. */
   readonly onCold?: () => void;
+  /** The version that runs now, when orders can change it. */
+  readonly currentVersion?: () => string;
 }
 
 /** A fake target that runs. */
@@ -36,6 +39,8 @@
   readonly ledger: RunLedger;
   /** Identity of the simulated process; changes at each restart. */
   readonly startId: () => string;
+  /** Runs that go on. */
+  readonly inFlight: () => number;
   /** Goes down, cutting every connection, and comes back cold. */
   readonly crash: () => void;
   readonly close: () => Promise<void>;
@@ -52,11 +57,16 @@
     seed,
     onEvent: (kind) => (kind === 'crash' ? crash() : behaviour.onCold?.()),
   });
-  const desk = WorkDesk.create({ ledger, faults, run, startId });
+  const version = behaviour.currentVersion ?? (() => behaviour.version);
+  const desk = WorkDesk.create({ ledger, faults, run, startId, version });
   const server = await FakeServer.listen({ port: behaviour.port, handle });
   behaviour.onCold?.();
 
-  return { port: server.port, url: server.url, faults, ledger, startId, crash, close };
+  return { port: server.port, url: server.url, faults, ledger, startId, inFlight, crash, close };
+
+  function inFlight(): number {
+    return desk.inFlight;
+  }
 
   function startId(): string {
     return `${server.port}-${firstWallMs}-${starts}`;
@@ -90,21 +100,29 @@
     if (exchange.method === 'POST' && workPaths.has(path)) {
       await desk.handle(exchange);
     } else if (path === '/faults') {
-      await order(exchange, faultOrderSchema.parse(JSON.parse(text)));
+      await obey({ response, order: faultOrderSchema.parse(JSON.parse(text)), faults });
     } else if (path === '/runs') {
       sendJson(response, { status: 200, body: { startId: startId(), runs: ledger.runs } });
     } else if (!(await behaviour.handleOther?.(exchange))) {
       sendJson(response, { status: 404, body: {} });
     }
   }
+}
 
-  async function order({ response }: FakeExchange, fault: FaultOrder): Promise<void> {
-    if (fault.kind === 'crash') {
-      // The order is answered before its connection is cut.
-      sendJson(response, { status: 200, body: {} });
-      await once(response, 'close');
-    }
-    faults.apply(fault);
+async function obey({
+  response,
+  order,
+  faults,
+}: {
+  readonly response: FakeExchange['response'];
+  readonly order: FaultOrder;
+  readonly faults: FaultBoard;
+}): Promise<void> {
+  if (order.kind === 'crash') {
+    // The order is answered before its connection is cut.
     sendJson(response, { status: 200, body: {} });
+    await once(response, 'close');
   }
+  faults.apply(order);
+  sendJson(response, { status: 200, body: {} });
 }
--- a/fakes/src/engine/batch.ts
+++ b/fakes/src/engine/batch.ts
@@ -17,6 +17,8 @@
   readonly prefillMs: number;
   /** Tokens still to generate. */
   readonly tokens: number;
+  /** Steps that one token takes. */
+  readonly stepsPerToken: number;
   readonly signal: AbortSignal;
   /** Called for each token, with its index from 0. */
   readonly onToken: (index: number) => void;
@@ -35,6 +37,8 @@
   readonly job: BatchJob;
   readonly readyAtMs: number;
   readonly done: number;
+  /** Steps done for the next token. */
+  readonly steps: number;
 }
 
 /** Continuous batching: each step gives every request of the batch one token. */
@@ -95,7 +99,7 @@
       }
       if (!job.signal.aborted) {
         const readyAtMs = timer.nowMs() + job.prefillMs * slowFactor();
-        this.running.push({ job, readyAtMs, done: 0 });
+        this.running.push({ job, readyAtMs, done: 0, steps: 0 });
       }
     }
   }
@@ -108,16 +112,20 @@
 
   private generate(entry: RunningJob): RunningJob {
     const { job, done } = entry;
+    const steps = entry.steps + 1;
     if (job.signal.aborted || this.opts.timer.nowMs() < entry.readyAtMs) {
       return entry;
     }
+    if (done < job.tokens && steps < job.stepsPerToken) {
+      return { ...entry, steps };
+    }
     if (done < job.tokens) {
       job.onToken(done);
     }
-    if (done + 1 >= job.tokens && !job.signal.aborted) {
+    if (done + 1 >= job.tokens) {
       job.onEnd();
     }
-    return { ...entry, done: done + 1 };
+    return { ...entry, done: done + 1, steps: 0 };
   }
 }
 
--- /dev/null
+++ b/fakes/src/engine/engineModel.ts
@@ -0,0 +1,179 @@
+import type { FakeTarget } from '../createFakeTarget.js';
+import { sendJson } from '../fakeServer.js';
+import type { FakeRun } from '../workDesk.js';
+import { Batch } from './batch.js';
+import { CacheEventFeed } from './cacheEventFeed.js';
+import { ColdPhase } from './coldPhase.js';
+import { completionRequestSchema } from './completionRequest.js';
+import type { FakeEngineSettings } from './engineSettings.js';
+import { type FakeEngineOrder, OrderDesk } from './orderDesk.js';
+import { PrefixMemory } from './prefixMemory.js';
+import { streamCompletion } from './streamCompletion.js';
+
+/** What is loaded on an engine. */
+interface Loaded {
+  readonly version: string;
+  readonly role: string;
+  readonly models: readonly string[];
+  readonly adapters: readonly string[];
+}
+
+/** The load of a fake engine, as `GET /load` tells it. */
+export interface FakeEngineLoad extends Loaded {
+  readonly running: number;
+  readonly waiting: number;
+  readonly cold: boolean;
+  readonly coldOverloads: number;
+  readonly cacheUsedShare: number;
+}
+
+/** Options of {@link EngineModel.create}. */
+export interface EngineModelOptions {
+  readonly settings: FakeEngineSettings;
+  /** The server around the model. */
+  readonly target: () => FakeTarget;
+}
+
+/** What a fake engine does with requests and orders. */
+export class EngineModel {
+  /** Cache events towards subscribers. */
+  readonly feed: CacheEventFeed;
+
+  /** Orders of operators' tools and gates. */
+  readonly desk: OrderDesk;
+
+  private readonly batch: Batch;
+
+  private readonly memory: PrefixMemory;
+
+  private readonly cold: ColdPhase;
+
+  private loaded: Loaded;
+
+  private constructor(private readonly opts: EngineModelOptions) {
+    const { settings, target } = opts;
+    const { timer } = settings;
+    this.loaded = { version: settings.version, role: 'both', models: [], adapters: [] };
+    this.cold = ColdPhase.create({ ...settings.cold, timer });
+    this.feed = CacheEventFeed.create({
+      timer,
+      lagMs: settings.cacheEventLagMs,
+      isLost: () => target().faults.draw(settings.cacheEventLossShare),
+      startId: () => target().startId(),
+    });
+    this.memory = PrefixMemory.create({
+      capacityBlocks: settings.cacheBlocks,
+      onChange: (change) => {
+        this.feed.publish(change);
+      },
+    });
+    this.batch = Batch.create({
+      timer,
+      speed: settings.speed,
+      slowFactor: () => target().faults.current.slowFactor,
+    });
+    this.desk = OrderDesk.create({
+      checksFencing: settings.checksFencing,
+      onOrder: (order) => {
+        this.carryOut(order);
+      },
+    });
+  }
+
+  /** Makes a model that has no requests. */
+  static create(opts: EngineModelOptions): EngineModel {
+    return new EngineModel(opts);
+  }
+
+  /** The version that runs now. */
+  get version(): string {
+    return this.loaded.version;
+  }
+
+  /** The load without any lag. */
+  get load(): FakeEngineLoad {
+    return {
+      ...this.loaded,
+      running: this.batch.runningCount,
+      waiting: this.batch.waitingCount,
+      cold: this.cold.isCold,
+      coldOverloads: this.cold.overloads,
+      cacheUsedShare: this.memory.usedShare,
+    };
+  }
+
+  /** Turns the engine cold, with an empty cache. */
+  turnCold(): void {
+    this.cold.begin();
+    this.memory.clear();
+  }
+
+  /** Runs one completion, or shows what the engine does instead. */
+  async run(run: FakeRun): Promise<void> {
+    const { settings, target } = this.opts;
+    const parsed = completionRequestSchema.safeParse(JSON.parse(run.exchange.text));
+    if (!parsed.success) {
+      answerFailure(run, 400);
+      return;
+    }
+    if (settings.poisonMarker !== '' && parsed.data.prompt.includes(settings.poisonMarker)) {
+      target().crash();
+      return;
+    }
+    if (this.batch.waitingCount >= settings.queueLimit) {
+      answerRefusal(run, 'overloaded');
+      return;
+    }
+    if (this.overloadsCold(run)) {
+      return;
+    }
+    const prefillMs = this.memory.use(parsed.data.prompt) * settings.prefillMsPerBlock;
+    run.exchange.response.writeHead(200, {
+      'content-type': 'text/event-stream',
+      'x-engine-start-id': run.startId,
+    });
+    run.exchange.response.flushHeaders();
+    const { faults } = target();
+    await streamCompletion({ run, batch: this.batch, faults, completion: parsed.data, prefillMs });
+  }
+
+  private overloadsCold(run: FakeRun): boolean {
+    const overload = this.cold.onRequest(this.opts.target().inFlight());
+    if (overload === 'crash') {
+      this.opts.target().crash();
+    } else if (overload === 'fail') {
+      answerFailure(run, 500);
+    } else if (overload === 'refuse') {
+      answerRefusal(run, 'cold');
+    }
+    return overload !== undefined;
+  }
+
+  private carryOut(order: FakeEngineOrder): void {
+    const { loaded } = this;
+    switch (order.kind) {
+      case 'load-model':
+        this.loaded = { ...loaded, models: [...loaded.models, order.name] };
+        return;
+      case 'load-adapter':
+        this.loaded = { ...loaded, adapters: [...loaded.adapters, order.name] };
+        return;
+      case 'load-version':
+        this.loaded = { ...loaded, version: order.name };
+        this.turnCold();
+        return;
+      default:
+        this.loaded = { ...loaded, role: order.name };
+    }
+  }
+}
+
+function answerFailure({ exchange, end }: FakeRun, status: number): void {
+  end('failed');
+  sendJson(exchange.response, { status, body: {} });
+}
+
+function answerRefusal({ exchange, end }: FakeRun, code: 'cold' | 'overloaded'): void {
+  end('refused');
+  sendJson(exchange.response, { status: 503, body: { error: { code } } });
+}
--- /dev/null
+++ b/fakes/src/engine/engineSettings.ts
@@ -0,0 +1,37 @@
+import type { FakeTargetOptions } from '../createFakeTarget.js';
+import type { BatchSpeed } from './batch.js';
+import type { ColdBehaviour } from './coldPhase.js';
+
+/** Every setting of a fake engine. */
+export interface FakeEngineSettings extends FakeTargetOptions {
+  readonly speed: BatchSpeed;
+  readonly cold: ColdBehaviour;
+  /** Requests that may wait for the batch; more are refused as overloaded. */
+  readonly queueLimit: number;
+  /** Blocks that the prefix cache holds. */
+  readonly cacheBlocks: number;
+  /** Time to compute one block of a prompt that is not in the cache. */
+  readonly prefillMsPerBlock: number;
+  readonly cacheEventLagMs: number;
+  /** Share of cache events that are lost. */
+  readonly cacheEventLossShare: number;
+  /** Time between looks at the load that `GET /load` tells. */
+  readonly loadLagMs: number;
+  /** Whether orders with an old fencing number are refused. */
+  readonly checksFencing: boolean;
+  /** A prompt that contains this text crashes the engine; empty for none. */
+  readonly poisonMarker: string;
+}
+
+/** Settings of an engine that is always warm and has no faults. */
+export const DEFAULT_ENGINE_SETTINGS = {
+  cold: { coldMs: 0, coldLimit: 1, overload: 'crash' },
+  queueLimit: 1_000,
+  cacheBlocks: 4_096,
+  prefillMsPerBlock: 0,
+  cacheEventLagMs: 0,
+  cacheEventLossShare: 0,
+  loadLagMs: 200,
+  checksFencing: true,
+  poisonMarker: '',
+} as const satisfies Partial<FakeEngineSettings>;
--- a/fakes/src/faultBoard.ts
+++ b/fakes/src/faultBoard.ts
@@ -4,6 +4,23 @@
 
 const share = z.number().min(0).max(1);
 
+/** How bad a version is, and when it shows. */
+export const versionQualitySchema = z.object({
+  /** The version that is bad. */
+  version: z.string(),
+  errorShare: share.default(0),
+  slowFactor: z.number().positive().default(1),
+  /** Runs that go well first. */
+  afterRuns: z.int().nonnegative().default(0),
+  /** Shows only while more runs than this go on. */
+  aboveLoad: z.int().nonnegative().default(0),
+  /** Shows on this route only; empty for every route. */
+  route: z.string().default(''),
+});
+
+/** How bad a version is. */
+export type VersionQuality = z.infer<typeof versionQualitySchema>;
+
 /** An order that changes how a fake behaves, as sent to `POST /faults`. */
 export const faultOrderSchema = z.discriminatedUnion('kind', [
   z.object({ kind: z.literal('slow'), factor: z.number().positive() }),
@@ -12,6 +29,7 @@
   z.object({ kind: z.literal('hang'), on: z.boolean() }),
   z.object({ kind: z.literal('break'), afterTokens: z.int().nonnegative(), share }),
   z.object({ kind: z.literal('lose-answer'), share }),
+  z.object({ kind: z.literal('version'), quality: versionQualitySchema }),
   z.object({ kind: z.literal('crash') }),
   z.object({ kind: z.literal('cold') }),
   z.object({ kind: z.literal('clear') }),
@@ -29,6 +47,8 @@
   readonly breakAfterTokens: number;
   readonly breakShare: number;
   readonly loseAnswerShare: number;
+  /** Missing while every version is good. */
+  readonly quality?: VersionQuality;
 }
 
 /** Options of {@link FaultBoard.create}. */
@@ -74,7 +94,7 @@
       this.opts.onEvent(order.kind);
       return;
     }
-    this.faults = { ...this.faults, ...changeOf(order) };
+    this.faults = order.kind === 'clear' ? NO_FAULTS : { ...this.faults, ...changeOf(order) };
   }
 
   /** Draws whether something happens that does so in a share of cases. */
@@ -83,7 +103,9 @@
   }
 }
 
-function changeOf(order: Exclude<FaultOrder, { kind: 'crash' | 'cold' }>): Partial<Faults> {
+function changeOf(
+  order: Exclude<FaultOrder, { kind: 'clear' | 'cold' | 'crash' }>,
+): Partial<Faults> {
   switch (order.kind) {
     case 'slow':
       return { slowFactor: order.factor };
@@ -98,6 +120,6 @@
     case 'lose-answer':
       return { loseAnswerShare: order.share };
     default:
-      return NO_FAULTS;
+      return { quality: order.quality };
   }
 }
--- a/fakes/src/index.ts
+++ b/fakes/src/index.ts
@@ -1,5 +1,9 @@
 /** Stand-ins of the systems that galenatiller serves, with faults on order. */
-export { createFakeEngine, type FakeEngineOptions } from './createFakeEngine.js';
+export { createFakeEngine, type FakeEngine, type FakeEngineOptions } from './createFakeEngine.js';
+export { Batch } from './engine/batch.js';
+export type { ColdBehaviour } from './engine/coldPhase.js';
+export type { FakeEngineLoad } from './engine/engineModel.js';
+export type { FakeEngineOrder } from './engine/orderDesk.js';
 export {
   createFakeHostList,
   type FakeHostList,
@@ -17,6 +21,6 @@
 export type { FakeTarget, FakeTargetOptions } from './createFakeTarget.js';
 export { expectedAnswer, expectedWord } from './expectedAnswer.js';
 export { expectedPassages, expectedScore, expectedVector } from './expectedPoolResults.js';
-export type { FaultOrder } from './faultBoard.js';
+export type { FaultOrder, VersionQuality } from './faultBoard.js';
 export type { RunEnd, RunRecord } from './runLedger.js';
 export { sampleOrder } from './sampleOrder.js';
--- a/fakes/src/main.ts
+++ b/fakes/src/main.ts
@@ -10,10 +10,15 @@
 import { createFakePool } from './createFakePool.js';
 import { createFakeService } from './createFakeService.js';
 import { createFakeStatsd } from './createFakeStatsd.js';
+import type { FakeTargetOptions } from './createFakeTarget.js';
+import type { FakeEngineSettings } from './engine/engineSettings.js';
 
 /** The kinds of fakes that run as a process. */
 const KINDS = ['engine', 'pool', 'service', 'hostList', 'statsd'] as const;
 
+/** What a cold engine does with too many requests. */
+const COLD_OVERLOADS = ['crash', 'fail', 'refuse'] as const;
+
 type Kind = (typeof KINDS)[number];
 
 /** A fake that runs. */
@@ -27,6 +32,18 @@
   port: z.coerce.number().int(),
   seed: z.coerce.number().int(),
   restartMs: z.coerce.number(),
+  version: z.string(),
+  coldMs: z.coerce.number(),
+  coldLimit: z.coerce.number().int(),
+  coldOverload: z.enum(COLD_OVERLOADS),
+  queueLimit: z.coerce.number().int(),
+  cacheBlocks: z.coerce.number().int(),
+  prefillMs: z.coerce.number(),
+  cacheEventLagMs: z.coerce.number(),
+  cacheEventLoss: z.coerce.number(),
+  loadLagMs: z.coerce.number(),
+  ignoresFencing: z.boolean().default(false),
+  poisonMarker: z.string(),
   baseMs: z.coerce.number(),
   slopeMs: z.coerce.number(),
   capacity: z.coerce.number().int().positive(),
@@ -42,6 +59,22 @@
   .option('--port <port>', 'port on loopback; 0 for any', '0')
   .option('--seed <seed>', 'seed of the random faults', '1')
   .option('--restart-ms <ms>', 'time that a crashed target stays down', '500')
+  .option('--version <version>', 'version that a target runs', '')
+  .option('--cold-ms <ms>', 'engine: time that it is cold after a start', '0')
+  .option('--cold-limit <requests>', 'engine: most requests at once while cold', '1')
+  .addOption(
+    new Option('--cold-overload <action>', 'engine: what it does with more while cold')
+      .choices(COLD_OVERLOADS)
+      .default('crash'),
+  )
+  .option('--queue-limit <requests>', 'engine: most requests that wait', '1000')
+  .option('--cache-blocks <blocks>', 'engine: size of the prefix cache', '4096')
+  .option('--prefill-ms <ms>', 'engine: time for one block that is not in the cache', '0')
+  .option('--cache-event-lag-ms <ms>', 'engine: time until a cache event shows', '0')
+  .option('--cache-event-loss <share>', 'engine: share of cache events that are lost', '0')
+  .option('--load-lag-ms <ms>', 'engine: time between looks at the load', '200')
+  .option('--ignores-fencing', 'engine: obeys orders with old fencing numbers')
+  .option('--poison-marker <text>', 'engine: a prompt with this text crashes it', '')
   .option('--base-ms <ms>', 'engine: time between tokens of a batch of one', '5')
   .option('--slope-ms <ms>', 'engine: time that each further request adds', '0.5')
   .option('--capacity <requests>', 'engine, pool, service: most requests at once', '16')
@@ -57,15 +90,16 @@
 
 function start(opts: Options): Promise<RunningFake> {
   const timer = TimerService.create({ clock: systemClock });
-  const target = { timer, port: opts.port, seed: opts.seed, restartMs: opts.restartMs };
-  const work = { ...target, serviceMs: opts.serviceMs, concurrency: opts.capacity };
-  const speed = {
-    baseMsPerToken: opts.baseMs,
-    slopeMsPerToken: opts.slopeMs,
-    capacity: opts.capacity,
+  const target = {
+    timer,
+    port: opts.port,
+    seed: opts.seed,
+    restartMs: opts.restartMs,
+    version: opts.version,
   };
+  const work = { ...target, serviceMs: opts.serviceMs, concurrency: opts.capacity };
   const starters: Readonly<Record<Kind, () => Promise<RunningFake>>> = {
-    engine: () => createFakeEngine({ ...target, speed }),
+    engine: () => createFakeEngine({ ...target, ...engineSettings(opts) }),
     pool: () => createFakePool(work),
     service: () => createFakeService(work),
     hostList: () => createFakeHostList({ timer, port: opts.port, lagMs: opts.lagMs }),
@@ -73,3 +107,22 @@
   };
   return starters[opts.kind]();
 }
+
+function engineSettings(opts: Options): Omit<FakeEngineSettings, keyof FakeTargetOptions> {
+  return {
+    speed: {
+      baseMsPerToken: opts.baseMs,
+      slopeMsPerToken: opts.slopeMs,
+      capacity: opts.capacity,
+    },
+    cold: { coldMs: opts.coldMs, coldLimit: opts.coldLimit, overload: opts.coldOverload },
+    queueLimit: opts.queueLimit,
+    cacheBlocks: opts.cacheBlocks,
+    prefillMsPerBlock: opts.prefillMs,
+    cacheEventLagMs: opts.cacheEventLagMs,
+    cacheEventLossShare: opts.cacheEventLoss,
+    loadLagMs: opts.loadLagMs,
+    checksFencing: !opts.ignoresFencing,
+    poisonMarker: opts.poisonMarker,
+  };
+}
--- a/fakes/src/workDesk.ts
+++ b/fakes/src/workDesk.ts
@@ -1,5 +1,5 @@
 import { type FakeExchange, sendJson } from './fakeServer.js';
-import type { FaultBoard } from './faultBoard.js';
+import type { FaultBoard, VersionQuality } from './faultBoard.js';
 import type { EndRun, RunLedger } from './runLedger.js';
 
 /** One run at a fake target. */
@@ -7,6 +7,8 @@
   readonly exchange: FakeExchange;
   readonly startId: string;
   readonly end: EndRun;
+  /** Factor on the times of this run. */
+  readonly slowFactor: number;
 }
 
 /** Options of {@link WorkDesk.create}. */
@@ -14,6 +16,7 @@
   readonly ledger: RunLedger;
   readonly faults: FaultBoard;
   readonly startId: () => string;
+  readonly version: () => string;
   readonly run: (run: FakeRun) => Promise<void>;
 }
 
@@ -21,6 +24,8 @@
 export class WorkDesk {
   private readonly running = new Set<EndRun>();
 
+  private runs = 0;
+
   private constructor(private readonly opts: WorkDeskOptions) {}
 
   /** Makes a desk without runs. */
@@ -28,6 +33,11 @@
     return new WorkDesk(opts);
   }
 
+  /** Runs that go on. */
+  get inFlight(): number {
+    return this.running.size;
+  }
+
   /** Runs one exchange to its end. */
   async handle(exchange: FakeExchange): Promise<void> {
     const { faults, startId } = this.opts;
@@ -37,8 +47,13 @@
     }
     const end = this.record(exchange);
     this.running.add(end);
+    this.runs += 1;
+    const bad = this.badness(exchange.header('x-route'));
     try {
-      await this.run({ exchange, end, startId: startId() });
+      await this.run({
+        run: { exchange, end, startId: startId(), slowFactor: bad?.slowFactor ?? 1 },
+        errorShare: Math.max(faults.current.errorShare, bad?.errorShare ?? 0),
+      });
     } finally {
       this.running.delete(end);
       end('cancelled');
@@ -64,9 +79,26 @@
     });
   }
 
-  private async run(run: FakeRun): Promise<void> {
+  /** The quality of the version, when it shows in a run. */
+  private badness(route: string): VersionQuality | undefined {
+    const { quality } = this.opts.faults.current;
+    const shows =
+      quality?.version === this.opts.version() &&
+      this.runs > quality.afterRuns &&
+      this.inFlight > quality.aboveLoad &&
+      (quality.route === '' || quality.route === route);
+    return shows ? quality : undefined;
+  }
+
+  private async run({
+    run,
+    errorShare,
+  }: {
+    readonly run: FakeRun;
+    readonly errorShare: number;
+  }): Promise<void> {
     const { faults } = this.opts;
-    if (faults.draw(faults.current.errorShare)) {
+    if (faults.draw(errorShare)) {
       run.end('failed');
       sendJson(run.exchange.response, { status: 500, body: {} });
       return;
--- a/packages/constants/src/index.ts
+++ b/packages/constants/src/index.ts
@@ -9,6 +9,9 @@
 /** Largest body of a caller's request, in bytes. */
 export const MAX_BODY_BYTES = 262_144;
 
+/** Size of the blocks by which prompt prefixes are hashed, in characters. */
+export const PREFIX_BLOCK_CHARS = 256;
+
 /** Longest deadline that a caller may ask for, in milliseconds. */
 export const MAX_DEADLINE_MS = 600_000;
 
--- a/packages/engine/test/generation.steps.ts
+++ b/packages/engine/test/generation.steps.ts
@@ -37,6 +37,7 @@
     port: 0,
     seed: 1,
     restartMs: 1,
+    version: 'v1',
     speed: { baseMsPerToken: 1, slopeMsPerToken: 0, capacity: 4 },
   });
 });
--- a/packages/pool/test/pool.steps.ts
+++ b/packages/pool/test/pool.steps.ts
@@ -22,6 +22,7 @@
     port: 0,
     seed: 1,
     restartMs: 1,
+    version: 'v1',
     serviceMs: 1,
     concurrency: 2,
   });
--- a/packages/service/test/service.steps.ts
+++ b/packages/service/test/service.steps.ts
@@ -24,6 +24,7 @@
     port: 0,
     seed: 1,
     restartMs: 1,
+    version: 'v1',
     serviceMs: 1,
     concurrency: 2,
   });
