Limit the load of a target in cold start by evidence

A target that restarts, or turns cold without a restart, bears only light load. The limit starts at the cold one and grows by half after as many good runs as the limit, each with at least half of the limit in use; it needs a warm-up time first, which doubles when a ramp proved too early. It falls back on a new identity, failures in a row, a latency jump or a cold refusal, and while the identity is stale or a connection broke.

--- /dev/null
+++ b/packages/engine/src/coldStart.ts
@@ -0,0 +1,281 @@
+/**
+ * Limits the load of a target that may be in cold start.
+ *
+ * The limit starts at what a cold target bears and grows only by evidence: runs that were started
+ * since the last cold turn, while at least half of the limit was in use, and answered in time.
+ * Restarts, failures in a row and a jump of latency take it back. A limit above the cold one also
+ * needs a fresh sign that the target has not restarted unseen.
+ */
+import type { TimerService } from '@galenatiller/timer';
+import type { TargetState } from '@galenatiller/types';
+
+import type { RunEnded, RunTicket, TargetLimit } from './targetLimit.js';
+
+/** Options of {@link ColdStart.create}. */
+export interface ColdStartOptions {
+  readonly timer: TimerService;
+  /** Most runs at once on a warm target. */
+  readonly inFlightLimit: number;
+  /** Most runs at once on a cold target. */
+  readonly coldInFlightLimit: number;
+  /** Least time that a target is taken for cold after a cold turn. */
+  readonly warmUpMs?: number;
+  /** Time to the first part that is always good enough. */
+  readonly expectedFirstPartMs?: number;
+  /** Age up to which the target's identity counts as known. */
+  readonly identityTtlMs?: number;
+  /** Told when the state changes. */
+  readonly onState?: (state: TargetState) => void;
+}
+
+const DEFAULTS = { warmUpMs: 2_000, expectedFirstPartMs: 370, identityTtlMs: 2_000 };
+
+/** Growth of the limit after as many good runs as the limit. */
+const GROWTH_FACTOR = 1.5;
+
+/** Latency over the usual one that counts as a jump. */
+const JUMP_FACTOR = 4;
+
+/** Slow runs in a row that are a jump of latency. */
+const SLOW_RUNS = 4;
+
+/** Failures in a row that make a target cold. */
+const FAILURES_IN_ROW = 3;
+
+/** Failed connects in a row that make a target down. */
+const UNREACHABLE_IN_ROW = 2;
+
+/** Weight of one run in the usual latency. */
+const LATENCY_WEIGHT = 0.1;
+
+/** Growth of the warm-up time after a cold turn that came during a ramp. */
+const WARM_UP_GROWTH = 2;
+
+/** Shrinkage of a grown warm-up time after a whole ramp. */
+const WARM_UP_SHRINKAGE = 0.75;
+
+/** Longest warm-up time, in multiples of the one in the options. */
+const MAX_WARM_UPS = 16;
+
+/** Warm-up times after which a slower latency is taken for the usual one. */
+const NEW_LATENCY_WARM_UPS = 4;
+
+/** A limit of load that grows by evidence. */
+export class ColdStart implements TargetLimit {
+  private readonly opts: ColdStartOptions & typeof DEFAULTS;
+
+  private turn = 0;
+
+  private inFlight = 0;
+
+  private grownLimit: number;
+
+  /** Whether the target has shown that it is warm since the last cold turn. */
+  private isWarm = false;
+
+  /** Good runs since the last cold turn. */
+  private goodRuns = 0;
+
+  /** Good runs since the limit last grew, while at least half of it was in use. */
+  private runsAtLimit = 0;
+
+  private failuresInRow = 0;
+
+  private slowInRow = 0;
+
+  private unreachableInRow = 0;
+
+  private warmUpMs: number;
+
+  private coldSinceMs: number;
+
+  /** Missing until the target has told it. */
+  private startId: string | undefined;
+
+  /** Missing while a restart is suspected. */
+  private identifiedAtMs: number | undefined;
+
+  /** Usual time to the first part; 0 until known. */
+  private usualFirstPartMs = 0;
+
+  private toldState: TargetState = 'cold';
+
+  private constructor(opts: ColdStartOptions) {
+    this.opts = { ...DEFAULTS, ...opts };
+    this.grownLimit = opts.coldInFlightLimit;
+    this.warmUpMs = this.opts.warmUpMs;
+    this.coldSinceMs = opts.timer.nowMs();
+  }
+
+  /** Makes the limit of a target that nothing is known of, so that is taken for cold. */
+  static create(opts: ColdStartOptions): ColdStart {
+    return new ColdStart(opts);
+  }
+
+  /** Most runs at once now. */
+  readonly limit = (): number => {
+    const { inFlightLimit, coldInFlightLimit } = this.opts;
+    const allowed = this.isIdentified() ? this.grownLimit : coldInFlightLimit;
+    return Math.min(allowed, inFlightLimit);
+  };
+
+  /** Whether the target takes work. */
+  readonly state = (): TargetState => {
+    if (this.unreachableInRow >= UNREACHABLE_IN_ROW) {
+      return 'down';
+    }
+    return this.isWarm ? 'ready' : 'cold';
+  };
+
+  /** Counts a run that starts. */
+  readonly onStarted = (): RunTicket => {
+    this.inFlight += 1;
+    return { turn: this.turn, inFlight: this.inFlight };
+  };
+
+  /**
+   * Takes in the identity that the target told; another one than before is a restart.
+   * Runs from before the first one prove nothing, as a restart may have come between.
+   */
+  readonly onStartId = (startId: string): void => {
+    if (this.startId !== startId) {
+      this.turnCold();
+    }
+    this.startId = startId;
+    this.identifiedAtMs = this.opts.timer.nowMs();
+    this.unreachableInRow = 0;
+    this.tellState();
+  };
+
+  /** Learns from the end of a run. */
+  readonly onEnded = (ended: RunEnded): void => {
+    this.inFlight -= 1;
+    switch (ended.how) {
+      case 'ok':
+        this.onOk(ended);
+        break;
+      case 'failed':
+        this.onFailure();
+        break;
+      case 'broken':
+        this.identifiedAtMs = undefined;
+        this.onFailure();
+        break;
+      case 'unreachable':
+        this.identifiedAtMs = undefined;
+        this.unreachableInRow += 1;
+        break;
+      case 'cold':
+        this.turnCold();
+        break;
+      default:
+    }
+    this.tellState();
+  };
+
+  private onOk({ ticket, firstPartMs }: RunEnded): void {
+    this.failuresInRow = 0;
+    if (ticket.turn !== this.turn) {
+      return;
+    }
+    if (!this.startId) {
+      // A target that has no identity shows with each answer that it is still there.
+      this.identifiedAtMs = this.opts.timer.nowMs();
+    }
+    if (firstPartMs > this.slowestGoodMs()) {
+      this.onSlow(firstPartMs);
+    } else {
+      this.onGood({ inFlight: ticket.inFlight, firstPartMs });
+    }
+  }
+
+  private onGood({
+    inFlight,
+    firstPartMs,
+  }: Pick<RunTicket & RunEnded, 'firstPartMs' | 'inFlight'>): void {
+    this.slowInRow = 0;
+    this.learnLatency(firstPartMs);
+    this.goodRuns += 1;
+    this.runsAtLimit += inFlight * 2 >= this.grownLimit ? 1 : 0;
+    this.isWarm ||= this.goodRuns >= this.opts.coldInFlightLimit && this.hasWarmedUp(1);
+    if (this.isWarm && this.runsAtLimit >= this.grownLimit) {
+      this.grow();
+    }
+  }
+
+  private onSlow(firstPartMs: number): void {
+    this.slowInRow += 1;
+    if (this.isWarm && this.slowInRow >= SLOW_RUNS) {
+      this.turnCold();
+    } else if (!this.isWarm && this.hasWarmedUp(NEW_LATENCY_WARM_UPS)) {
+      this.usualFirstPartMs = firstPartMs;
+    }
+  }
+
+  private onFailure(): void {
+    this.failuresInRow += 1;
+    if (this.failuresInRow >= FAILURES_IN_ROW) {
+      this.turnCold();
+    }
+  }
+
+  private grow(): void {
+    this.runsAtLimit = 0;
+    if (this.isFull()) {
+      return;
+    }
+    const grown = Math.ceil(this.grownLimit * GROWTH_FACTOR);
+    this.grownLimit = Math.min(grown, this.opts.inFlightLimit);
+    if (this.isFull()) {
+      this.warmUpMs = Math.max(this.opts.warmUpMs, this.warmUpMs * WARM_UP_SHRINKAGE);
+    }
+  }
+
+  /** Goes back to the cold limit; a turn during a ramp says that the ramp began too early. */
+  private turnCold(): void {
+    if (this.isWarm && !this.isFull()) {
+      const longest = this.opts.warmUpMs * MAX_WARM_UPS;
+      this.warmUpMs = Math.min(this.warmUpMs * WARM_UP_GROWTH, longest);
+    }
+    this.turn += 1;
+    this.grownLimit = this.opts.coldInFlightLimit;
+    this.isWarm = false;
+    this.goodRuns = 0;
+    this.runsAtLimit = 0;
+    this.failuresInRow = 0;
+    this.slowInRow = 0;
+    this.coldSinceMs = this.opts.timer.nowMs();
+  }
+
+  private learnLatency(firstPartMs: number): void {
+    const usual = this.usualFirstPartMs || firstPartMs;
+    this.usualFirstPartMs = usual + (firstPartMs - usual) * LATENCY_WEIGHT;
+  }
+
+  private slowestGoodMs(): number {
+    return Math.max(this.usualFirstPartMs * JUMP_FACTOR, this.opts.expectedFirstPartMs);
+  }
+
+  private hasWarmedUp(warmUps: number): boolean {
+    return this.opts.timer.nowMs() - this.coldSinceMs >= this.warmUpMs * warmUps;
+  }
+
+  private isIdentified(): boolean {
+    const { timer, identityTtlMs } = this.opts;
+    return (
+      this.identifiedAtMs !== undefined && timer.nowMs() - this.identifiedAtMs <= identityTtlMs
+    );
+  }
+
+  private isFull(): boolean {
+    return this.grownLimit >= this.opts.inFlightLimit;
+  }
+
+  private tellState(): void {
+    const state = this.state();
+    if (state !== this.toldState) {
+      this.toldState = state;
+      this.opts.onState?.(state);
+    }
+  }
+}
--- /dev/null
+++ b/packages/engine/test/coldStart.feature
@@ -0,0 +1,65 @@
+Feature: Load of a target in cold start
+  The limit grows by evidence only; restarts and their signs take it back.
+
+  Background:
+    Given a target that bears 16 runs warm and 2 cold, with a warm-up time of 100 ms
+
+  Scenario: The limit grows with good runs after the warm-up time
+    When the target answers 40 rounds of runs at its limit, each within 10 ms
+    Then the target is "ready" with a limit of 16
+
+  Scenario: Good runs within the warm-up time do not raise the limit
+    When the target answers 5 rounds of runs at its limit, each within 10 ms
+    Then the target is "cold" with a limit of 2
+
+  Scenario: Light load raises the limit only to a multiple of what was borne
+    When the target answers 200 single runs, each within 10 ms
+    Then the target is "ready" with a limit of 3
+
+  Scenario: A restart makes the target cold before its next run
+    When the target answers 40 rounds of runs at its limit, each within 10 ms
+    And the target restarts and tells its new identity
+    Then the target is "cold" with a limit of 2
+
+  Scenario: A broken connection holds the load down until the identity is known
+    When the target answers 40 rounds of runs at its limit, each within 10 ms
+    And a run on the target ends as "broken"
+    Then the target is "ready" with a limit of 2
+    When the target tells its identity
+    Then the target is "ready" with a limit of 16
+
+  Scenario: A target that was silent for long may have restarted unseen
+    When the target answers 40 rounds of runs at its limit, each within 10 ms
+    And the target is idle for 5000 ms
+    Then the target is "ready" with a limit of 2
+
+  Scenario Outline: Signs that a target turned cold without a restart
+    When the target answers 40 rounds of runs at its limit, each within 10 ms
+    And <signs> runs on the target end as "<how>" after <firstPartMs> ms
+    Then the target is "cold" with a limit of 2
+
+    Examples:
+      | signs | how    | firstPartMs |
+      | 3     | failed | 10          |
+      | 1     | cold   | 0           |
+      | 4     | ok     | 2000        |
+
+  Scenario: A slower latency is taken for the usual one after a long time
+    When the target answers 60 rounds of runs at its limit, each within 500 ms
+    Then the target is "ready" with a limit of 16
+
+  Scenario: A target that cannot be reached is down until it tells its identity
+    When a run on the target ends as "unreachable"
+    And a run on the target ends as "unreachable"
+    Then the target is "down" with a limit of 2
+    When the target tells its identity
+    Then the target is "cold" with a limit of 2
+
+  Scenario: A ramp that came too early makes the next one later
+    When the target answers 15 rounds of runs at its limit, each within 10 ms
+    And the target restarts and tells its new identity
+    And the target answers 15 rounds of runs at its limit, each within 10 ms
+    Then the target is "cold" with a limit of 2
+
+  Scenario: The limit never exceeds what the evidence allows
+    Then no history of 1000 raises the limit beyond its evidence
