Decide on crashing contents and on cached prefixes

A request that crashes each target that runs it is known by a fingerprint of its content. Crash records merge commutatively and idempotently, so that gates and entries can exchange them; two distinct targets stop the content. Prefix hashes of 256 characters and a belief for each block, which fades with age and with lost events, give the expected cached share of a prompt.

--- /dev/null
+++ b/packages/engine/src/crashLedger.ts
@@ -0,0 +1,124 @@
+/**
+ * Which contents crashed which targets.
+ *
+ * Gates and entries exchange the records, so that a request that crashes each target that runs it
+ * is stopped after two targets, whichever entries it comes through. Merging is commutative,
+ * associative and idempotent. Every request that was on a target when it crashed gets a record;
+ * the guilty one is told apart because a gate runs at most one `suspect` on a target at a time.
+ */
+import type { TimerService } from '@galenatiller/timer';
+import { groupBy } from 'fp-ts/lib/NonEmptyArray.js';
+
+/** A target that crashed while it ran a content. */
+export interface CrashRecord {
+  readonly fingerprint: string;
+  readonly targetName: string;
+  /** Unix time of the crash. */
+  readonly atWallMs: number;
+}
+
+/** Whether a content may run; a `suspect` was on one target when that crashed. */
+export type CrashVerdict = 'clear' | 'suspect' | 'stopped';
+
+/** Options of {@link CrashLedger.create}. */
+export interface CrashLedgerOptions {
+  readonly timer: TimerService;
+  /** Age up to which a record counts. */
+  readonly ttlMs?: number;
+  /** Records that are kept; the newest stay. */
+  readonly maxRecords?: number;
+}
+
+/** Time that a content stays stopped after its last crash. */
+const DEFAULT_TTL_MS = 3_600_000;
+
+/** Records that a ledger keeps by default; each takes about 150 bytes. */
+const DEFAULT_MAX_RECORDS = 4_096;
+
+/** Distinct targets whose crashes stop a content. */
+const STOPPING_TARGETS = 2;
+
+/** A mergeable ledger of crashes. */
+export class CrashLedger {
+  /** The newest record of each fingerprint and target. */
+  private newest: ReadonlyMap<string, CrashRecord> = new Map();
+
+  private byFingerprint: ReadonlyMap<string, readonly CrashRecord[]> = new Map();
+
+  private constructor(private readonly opts: Required<CrashLedgerOptions>) {}
+
+  /** Makes an empty ledger. */
+  static create(opts: CrashLedgerOptions): CrashLedger {
+    return new CrashLedger({ ttlMs: DEFAULT_TTL_MS, maxRecords: DEFAULT_MAX_RECORDS, ...opts });
+  }
+
+  /** Every record that counts, newest first. */
+  get records(): readonly CrashRecord[] {
+    return [...this.newest.values()].filter((record) => this.counts(record));
+  }
+
+  /** Records a crash now; returns the record for others to merge. */
+  record(crash: Omit<CrashRecord, 'atWallMs'>): CrashRecord {
+    const record = { ...crash, atWallMs: this.opts.timer.wallMs() };
+    this.merge([record]);
+    return record;
+  }
+
+  /** Takes in records of others; records that are known already change nothing. */
+  merge(records: readonly CrashRecord[]): void {
+    const news = records.filter((record) => this.isNews(record));
+    if (news.length === 0) {
+      return;
+    }
+    const merged = new Map(this.newest);
+    news.forEach((record) => {
+      const known = merged.get(keyOf(record));
+      if (!known || known.atWallMs < record.atWallMs) {
+        merged.set(keyOf(record), record);
+      }
+    });
+    const kept = [...merged].sort(([, left], [, right]) => compareRecords(left, right));
+    this.newest = new Map(kept.slice(0, this.opts.maxRecords));
+    this.byFingerprint = groupByFingerprint([...this.newest.values()]);
+  }
+
+  /** Whether a content may run. */
+  verdict(fingerprint: string): CrashVerdict {
+    const targets = this.recordsOf(fingerprint).length;
+    if (targets === 0) {
+      return 'clear';
+    }
+    return targets < STOPPING_TARGETS ? 'suspect' : 'stopped';
+  }
+
+  /** The records of one content, one for each target. */
+  recordsOf(fingerprint: string): readonly CrashRecord[] {
+    const records = this.byFingerprint.get(fingerprint) ?? [];
+    return records.filter((record) => this.counts(record));
+  }
+
+  private isNews(record: CrashRecord): boolean {
+    const known = this.newest.get(keyOf(record));
+    return this.counts(record) && (!known || known.atWallMs < record.atWallMs);
+  }
+
+  private counts({ atWallMs }: CrashRecord): boolean {
+    return this.opts.timer.wallMs() - atWallMs < this.opts.ttlMs;
+  }
+}
+
+function groupByFingerprint(
+  records: readonly CrashRecord[],
+): ReadonlyMap<string, readonly CrashRecord[]> {
+  const groups = groupBy(({ fingerprint }: CrashRecord) => fingerprint)([...records]);
+  return new Map(Object.entries(groups));
+}
+
+function keyOf({ fingerprint, targetName }: CrashRecord): string {
+  return `${fingerprint} ${targetName}`;
+}
+
+/** A total order, newest first, so that every ledger keeps the same records. */
+function compareRecords(left: CrashRecord, right: CrashRecord): number {
+  return right.atWallMs - left.atWallMs || (keyOf(left) < keyOf(right) ? -1 : 1);
+}
--- /dev/null
+++ b/packages/engine/test/crashLedger.feature
@@ -0,0 +1,29 @@
+Feature: Requests that crash the targets that run them
+  A content is stopped after two distinct targets, whichever entries it came through.
+
+  Scenario: Two crashes of one target only make a suspect
+    Given a crash ledger of gate "a" and one of gate "b"
+    When content "poison" crashes target "t1" at gate "a"
+    And content "poison" crashes target "t1" at gate "a"
+    Then content "poison" is "suspect" at gate "a" and "clear" at gate "b"
+
+  Scenario: Crashes seen by two gates stop the content once their records meet
+    Given a crash ledger of gate "a" and one of gate "b"
+    When content "poison" crashes target "t1" at gate "a"
+    And content "poison" crashes target "t2" at gate "b"
+    And the crash ledgers of both gates exchange their records
+    Then content "poison" is "stopped" at gate "a" and "stopped" at gate "b"
+
+  Scenario: Old crashes no longer count
+    Given a crash ledger of gate "a" and one of gate "b"
+    When content "poison" crashes target "t1" at gate "a"
+    And content "poison" crashes target "t2" at gate "a"
+    And 2000 ms pass for the crash ledgers
+    Then content "poison" is "clear" at gate "a" and "clear" at gate "b"
+
+  Scenario: Merging is commutative, associative and idempotent, also when ledgers are full
+    Then 500 ways to merge crash records agree
+
+  Scenario: A content has one fingerprint at each attempt, and different ones apart
+    Then a resumed attempt of the prompt "plan" has the fingerprint of its first attempt
+    And the texts "ab", "c" and the texts "a", "bc" have different fingerprints
--- /dev/null
+++ b/packages/engine/test/crashLedger.steps.ts
@@ -0,0 +1,106 @@
+import assert from 'node:assert/strict';
+
+import { Given, Then, When } from '@cucumber/cucumber';
+import { CrashLedger, type CrashRecord, fingerprint } from '@galenatiller/engine';
+import { sampleOrder } from '@galenatiller/fakes';
+import { ManualClock, TimerService } from '@galenatiller/timer';
+import fc from 'fast-check';
+
+interface LedgerWorld {
+  ledgerClock: ManualClock;
+  ledgers: ReadonlyMap<string, CrashLedger>;
+}
+
+/** Time that records count in these tests. */
+const TTL_MS = 1_000;
+
+Given(
+  'a crash ledger of gate {string} and one of gate {string}',
+  function given(this: LedgerWorld, first: string, second: string) {
+    this.ledgerClock = ManualClock.create({ startWallMs: 0 });
+    const timer = TimerService.create({ clock: this.ledgerClock });
+    this.ledgers = new Map(
+      [first, second].map((gate) => [gate, CrashLedger.create({ timer, ttlMs: TTL_MS })]),
+    );
+  },
+);
+
+When(
+  'content {string} crashes target {string} at gate {string}',
+  function when(this: LedgerWorld, content: string, targetName: string, gate: string) {
+    this.ledgers.get(gate)?.record({ fingerprint: content, targetName });
+  },
+);
+
+When('the crash ledgers of both gates exchange their records', function when(this: LedgerWorld) {
+  const records = [...this.ledgers.values()].map((ledger) => ledger.records);
+  this.ledgers.forEach((ledger) => {
+    records.forEach((others) => {
+      ledger.merge(others);
+    });
+  });
+});
+
+When('{int} ms pass for the crash ledgers', function when(this: LedgerWorld, byMs: number) {
+  return this.ledgerClock.advance({ byMs });
+});
+
+Then(
+  'content {string} is {string} at gate {string} and {string} at gate {string}',
+  function then(this: LedgerWorld, content, firstVerdict, first, secondVerdict, second) {
+    assert.equal(this.ledgers.get(first)?.verdict(content), firstVerdict);
+    assert.equal(this.ledgers.get(second)?.verdict(content), secondVerdict);
+  },
+);
+
+Then('{int} ways to merge crash records agree', (numRuns: number) => {
+  const record = fc.record(
+    {
+      fingerprint: fc.constantFrom('p', 'q', 'r'),
+      targetName: fc.constantFrom('t1', 't2', 't3'),
+      atWallMs: fc.nat({ max: 5 }),
+    },
+    { noNullPrototype: true },
+  );
+  const batch = fc.array(record, { maxLength: 8 });
+  const property = fc.property(batch, batch, batch, (first, second, third) => {
+    const expected = ledgerOf([first, second, third]).records;
+    const pair = ledgerOf([second, third]).records;
+    assert.deepEqual(ledgerOf([third, second, first]).records, expected);
+    assert.deepEqual(ledgerOf([first, pair]).records, expected);
+    assert.deepEqual(ledgerOf([first, second, third, first, pair]).records, expected);
+  });
+  fc.assert(property, { numRuns, seed: 11 });
+});
+
+Then(
+  'a resumed attempt of the prompt {string} has the fingerprint of its first attempt',
+  (prompt: string) => {
+    const input = { kind: 'generate', prompt, maxTokens: 9 } as const;
+    const first = sampleOrder({ ...input, deliveredText: '', deliveredTokens: 0 });
+    const resumed = sampleOrder({ ...input, deliveredText: 'w0 ', deliveredTokens: 1 });
+    assert.equal(
+      fingerprint({ ...resumed, attempt: 2, requestId: 'request-2' }),
+      fingerprint(first),
+    );
+  },
+);
+
+Then(
+  'the texts {string}, {string} and the texts {string}, {string} have different fingerprints',
+  (first: string, second: string, third: string, fourth: string) => {
+    const left = sampleOrder({ kind: 'encode', texts: [first, second] });
+    const right = sampleOrder({ kind: 'encode', texts: [third, fourth] });
+    assert.notEqual(fingerprint(left), fingerprint(right));
+  },
+);
+
+/** A small ledger, so that records are dropped too. */
+function ledgerOf(batches: readonly (readonly CrashRecord[])[]): CrashLedger {
+  const timer = TimerService.create({ clock: ManualClock.create({ startWallMs: 5 }) });
+  const ledger = CrashLedger.create({ timer, maxRecords: 4 });
+  batches.forEach((batch) => {
+    ledger.merge(batch);
+  });
+  return ledger;
+}
--- /dev/null
+++ b/packages/engine/test/prefixCache.steps.ts
@@ -0,0 +1,94 @@
+import assert from 'node:assert/strict';
+
+import { Given, Then, When } from '@cucumber/cucumber';
+import { type CacheEvent, PrefixCache, prefixHashes } from '@galenatiller/engine';
+import { ManualClock, TimerService } from '@galenatiller/timer';
+import fc from 'fast-check';
+
+interface PrefixWorld {
+  prefixClock: ManualClock;
+  prefixCache: PrefixCache;
+  promptHashes: readonly string[];
+}
+
+const BLOCK_CHARS = 256;
+
+Given('a prefix cache with a half-life of {int} ms', function given(this: PrefixWorld, halfLifeMs) {
+  this.prefixClock = ManualClock.create({ startWallMs: 0 });
+  const timer = TimerService.create({ clock: this.prefixClock });
+  this.prefixCache = PrefixCache.create({ timer, halfLifeMs: Number(halfLifeMs) });
+});
+
+When(
+  'target {string} stores the first {int} blocks of a prompt of {int} blocks as event {int}',
+  function when(this: PrefixWorld, targetName, stored: number, blocks: number, sequence) {
+    this.promptHashes = prefixHashes('x'.repeat(blocks * BLOCK_CHARS));
+    assert.equal(this.promptHashes.length, blocks);
+    const hashes = this.promptHashes.slice(0, stored);
+    tell(this, { targetName, sequence, startId: '1', kind: 'stored', hashes });
+  },
+);
+
+When(
+  'target {string} evicts other blocks as event {int}',
+  function when(this: PrefixWorld, targetName: string, sequence: number) {
+    tell(this, { targetName, sequence, startId: '1', kind: 'evicted', hashes: ['other'] });
+  },
+);
+
+When(
+  'target {string} evicts block {int} of the prompt as event {int}',
+  function when(this: PrefixWorld, targetName: string, block: number, sequence: number) {
+    const hashes = this.promptHashes.slice(block - 1, block);
+    tell(this, { targetName, sequence, startId: '1', kind: 'evicted', hashes });
+  },
+);
+
+When(
+  'target {string} restarts and evicts other blocks as event {int}',
+  function when(this: PrefixWorld, targetName: string, sequence: number) {
+    tell(this, { targetName, sequence, startId: '2', kind: 'evicted', hashes: ['other'] });
+  },
+);
+
+When('{int} ms pass for the prefix cache', function when(this: PrefixWorld, byMs: number) {
+  return this.prefixClock.advance({ byMs });
+});
+
+Then(
+  'the score of the prompt is {float} on target {string} and {float} on target {string}',
+  function then(this: PrefixWorld, firstScore, first: string, secondScore, second: string) {
+    const { prefixCache, promptHashes: hashes } = this;
+    assert.equal(prefixCache.score({ targetName: first, hashes }), firstScore);
+    assert.equal(prefixCache.score({ targetName: second, hashes }), secondScore);
+  },
+);
+
+Then('{int} histories of cache events give fitting scores', (numRuns: number) => {
+  const prompt = prefixHashes('y'.repeat(6 * BLOCK_CHARS));
+  const event = fc.record({
+    step: fc.integer({ min: 1, max: 3 }),
+    kind: fc.constantFrom<CacheEvent['kind']>('stored', 'evicted'),
+    block: fc.nat({ max: prompt.length - 1 }),
+  });
+  const property = fc.property(fc.array(event, { maxLength: 30 }), (events) => {
+    const timer = TimerService.create({ clock: ManualClock.create({ startWallMs: 0 }) });
+    const cache = PrefixCache.create({ timer });
+    let sequence = 0;
+    events.forEach(({ step, kind, block }) => {
+      sequence += step;
+      const hashes = prompt.slice(block, block + 1);
+      cache.onEvent({ targetName: 't', event: { sequence, startId: '1', kind, hashes } });
+    });
+    const before = cache.score({ targetName: 't', hashes: prompt });
+    assert.ok(before >= 0 && before <= 1);
+    cache.onPrompt({ targetName: 't', hashes: prompt });
+    assert.equal(cache.score({ targetName: 't', hashes: prompt }), 1);
+  });
+  fc.assert(property, { numRuns, seed: 13 });
+});
+
+function tell(world: PrefixWorld, opts: CacheEvent & { readonly targetName: string }): void {
+  const { targetName, ...event } = opts;
+  world.prefixCache.onEvent({ targetName, event });
+}
