Order engines through a fencing guard, and watch their load and cache

Some engines obey an order with an old fencing number, so the guard of a target refuses it for them, passes one order at a time, and passes none after its own restart until it knows the highest number. A generation that failed is now cancelled at the engine; one that is whole leaves its connection open for the next.

--- a/fakes/src/createFakeEngine.ts
+++ b/fakes/src/createFakeEngine.ts
@@ -26,7 +26,10 @@
     ...settings,
     workPaths: new Set(['/v1/completions']),
     run: (run) => model.run(run),
-    handleOther: (exchange) => Promise.resolve(handleOther({ exchange, model, seenLoad })),
+    handleOther: (exchange) => {
+      exchange.response.setHeader('x-engine-start-id', target.startId());
+      return Promise.resolve(handleOther({ exchange, model, seenLoad }));
+    },
     onCold: () => {
       model.turnCold();
     },
--- /dev/null
+++ b/packages/engine/src/followCacheEvents.ts
@@ -0,0 +1,59 @@
+import { GalenatillerError } from '@galenatiller/error';
+import { openExchange, transportError } from '@galenatiller/http';
+import type { TimerService } from '@galenatiller/timer';
+
+import type { CacheEvent } from './prefixCache.js';
+import { readCacheEvents } from './wireEngine.js';
+
+/** Options of {@link followCacheEvents}. */
+export interface FollowCacheEventsOptions {
+  /** Base URL of the engine. */
+  readonly url: string;
+  readonly timer: TimerService;
+  /** Its abort ends the task. */
+  readonly signal: AbortSignal;
+  /** Time between the end of a stream and the next try. */
+  readonly retryMs: number;
+  readonly onEvent: (event: CacheEvent) => void;
+  /** Told why a stream ended; events are lost until the next one. */
+  readonly onFailure: (error: GalenatillerError) => void;
+}
+
+/** Follows the cache events of an engine until the signal aborts. */
+export async function followCacheEvents(opts: FollowCacheEventsOptions): Promise<void> {
+  const { timer, signal, retryMs } = opts;
+  while (!signal.aborted) {
+    const failure = await followStream(opts);
+    if (!signal.aborted) {
+      opts.onFailure(failure);
+    }
+    await timer.sleep({ delayMs: retryMs, signal });
+  }
+}
+
+/** Reads one stream to its end; returns why it ended. */
+async function followStream(opts: FollowCacheEventsOptions): Promise<GalenatillerError> {
+  const { signal } = opts;
+  const opened = await openExchange({
+    url: opts.url,
+    path: '/cache-events',
+    method: 'GET',
+    headers: { accept: 'text/event-stream' },
+    body: '',
+    signal,
+  });
+  if (opened.isErr) {
+    return opened.error;
+  }
+  try {
+    for await (const event of readCacheEvents(opened.value.body)) {
+      if (event.isErr) {
+        return event.error;
+      }
+      opts.onEvent(event.value);
+    }
+  } catch (cause) {
+    return transportError({ cause, signal });
+  }
+  return GalenatillerError.create({ name: 'stream-broken', detail: 'the cache events ended' });
+}
--- a/packages/engine/src/runGeneration.ts
+++ b/packages/engine/src/runGeneration.ts
@@ -9,7 +9,7 @@
 import type { StageInput, StageOrder, StagePart, StageResult } from '@galenatiller/types';
 import { Result } from 'true-myth';
 
-import { encodeGeneration, type GenerationEvent, readGeneration } from './wire.js';
+import { encodeGeneration, type GenerationEvent, readGeneration } from './wireGeneration.js';
 
 /** Options of {@link runGeneration}. */
 export interface RunGenerationOptions {
@@ -23,6 +23,8 @@
   readonly onStartId?: (startId: string) => void;
 }
 
+type GenerationEvents = ReturnType<typeof readGeneration>;
+
 type GenerateInput = Extract<StageInput, { kind: 'generate' }>;
 
 /** How far a stream has come. */
@@ -80,15 +82,36 @@
     const refusal = readStatus({ status: response.status, text: await response.body.text() });
     return Result.err(refusal.unwrapOr(broken('the answer has no stream')));
   }
+  const events = readGeneration(response.body);
+  const answer = await readEvents({ events, input, onPart: opts.onPart });
+  if (answer.isErr) {
+    // Cancels what the engine may still do.
+    await events.return();
+  } else {
+    drain(events);
+  }
+  return answer;
+}
+
+async function readEvents({
+  events,
+  input,
+  onPart,
+}: {
+  readonly events: GenerationEvents;
+  readonly input: GenerateInput;
+  readonly onPart: (part: StagePart) => void;
+}): Promise<Result<StageResult, GalenatillerError>> {
   let position: StreamPosition = { tokens: input.deliveredTokens, finishReason: undefined };
-  for await (const read of readGeneration(response.body)) {
-    if (read.isErr) {
-      return Result.err(read.error);
+  for (let read = await events.next(); !read.done; read = await events.next()) {
+    const event = read.value;
+    if (event.isErr) {
+      return Result.err(event.error);
     }
-    if (read.value.kind === 'done') {
+    if (event.value.kind === 'done') {
       return endOf(position);
     }
-    const moved = advance({ position, event: read.value, onPart: opts.onPart });
+    const moved = advance({ position, event: event.value, onPart });
     if (moved.isErr) {
       return Result.err(moved.error);
     }
@@ -97,6 +120,13 @@
   return Result.err(broken('the stream ended without its end marker'));
 }
 
+/** Reads what follows the end marker, so that the connection can be used again. */
+function drain(events: GenerationEvents): void {
+  events.next().catch(() => {
+    // The answer is whole already.
+  });
+}
+
 function advance({
   position,
   event,
--- /dev/null
+++ b/packages/engine/src/sendEngineOrder.ts
@@ -0,0 +1,40 @@
+import { GalenatillerError } from '@galenatiller/error';
+import { exchangeText, readStatus } from '@galenatiller/http';
+import { Result } from 'true-myth';
+
+import type { EngineOrder } from './engineOrder.js';
+import { encodeOrder } from './wireEngine.js';
+
+/** Options of {@link sendEngineOrder}. */
+export interface SendEngineOrderOptions {
+  /** Base URL of the engine. */
+  readonly url: string;
+  readonly order: EngineOrder;
+  readonly signal: AbortSignal;
+}
+
+/** Answer of an engine that has seen a higher fencing number. */
+const CONFLICT = 409;
+
+/** Gives an engine one order; ok means that the engine has accepted it. */
+export async function sendEngineOrder(
+  opts: SendEngineOrderOptions,
+): Promise<Result<EngineOrder, GalenatillerError>> {
+  const { order } = opts;
+  const answer = await exchangeText({
+    url: opts.url,
+    path: '/orders',
+    method: 'POST',
+    headers: { 'content-type': 'application/json' },
+    body: encodeOrder(order),
+    signal: opts.signal,
+  });
+  return answer.andThen(({ status, text }) => {
+    if (status === CONFLICT) {
+      const detail = `the engine refused number ${order.fencingNumber}`;
+      return Result.err(GalenatillerError.create({ name: 'old-fencing-number', detail }));
+    }
+    const failure = readStatus({ status, text });
+    return failure.isJust ? Result.err(failure.value) : Result.ok(order);
+  });
+}
--- /dev/null
+++ b/packages/engine/src/watchEngine.ts
@@ -0,0 +1,59 @@
+import type { GalenatillerError } from '@galenatiller/error';
+import { exchangeText, readStatus } from '@galenatiller/http';
+import type { TimerService } from '@galenatiller/timer';
+import { Result } from 'true-myth';
+
+import type { EngineLoad } from './engineOrder.js';
+import { decodeLoad } from './wireEngine.js';
+
+/** Options of {@link watchEngine}. */
+export interface WatchEngineOptions {
+  /** Base URL of the engine. */
+  readonly url: string;
+  readonly timer: TimerService;
+  /** Its abort ends the task. */
+  readonly signal: AbortSignal;
+  readonly intervalMs: number;
+  /** Told the identity of the engine process at each look. */
+  readonly onStartId: (startId: string) => void;
+  readonly onLoad: (load: EngineLoad) => void;
+  readonly onFailure: (error: GalenatillerError) => void;
+}
+
+/** Looks at the load and identity of an engine again and again until the signal aborts. */
+export async function watchEngine(opts: WatchEngineOptions): Promise<void> {
+  const { timer, signal, intervalMs } = opts;
+  while (!signal.aborted) {
+    const limit = timer.limit({ limitMs: intervalMs, parent: signal });
+    const load = await readLoad(opts, limit.signal);
+    limit.release();
+    if (load.isOk) {
+      opts.onLoad(load.value);
+    } else if (!signal.aborted) {
+      opts.onFailure(load.error);
+    }
+    await timer.sleep({ delayMs: intervalMs, signal });
+  }
+}
+
+async function readLoad(
+  opts: WatchEngineOptions,
+  signal: AbortSignal,
+): Promise<Result<EngineLoad, GalenatillerError>> {
+  const answer = await exchangeText({
+    url: opts.url,
+    path: '/load',
+    method: 'GET',
+    headers: {},
+    body: '',
+    signal,
+  });
+  return answer.andThen(({ status, header, text }) => {
+    const failure = readStatus({ status, text });
+    if (failure.isJust) {
+      return Result.err(failure.value);
+    }
+    opts.onStartId(header('x-engine-start-id'));
+    return decodeLoad(text);
+  });
+}
--- a/packages/engine/src/wire.ts
+++ b/packages/engine/src/wireGeneration.ts
@@ -2,10 +2,11 @@
 import type { GalenatillerError } from '@galenatiller/error';
 import { decodeJson } from '@galenatiller/http';
 import type { Priority, StageInput } from '@galenatiller/types';
-import { createParser } from 'eventsource-parser';
 import { Result } from 'true-myth';
 import { z } from 'zod';
 
+import { readEventData } from './wireEvents.js';
+
 /** One event of a stream of text. */
 export type GenerationEvent =
   | {
@@ -54,14 +55,8 @@
 export async function* readGeneration(
   body: AsyncIterable<Uint8Array>,
 ): AsyncGenerator<Result<GenerationEvent, GalenatillerError>, void, void> {
-  const pending: string[] = [];
-  const parser = createParser({ onEvent: ({ data }) => pending.push(data) });
-  const decoder = new TextDecoder();
-  for await (const bytes of body) {
-    parser.feed(decoder.decode(bytes, { stream: true }));
-    for (const data of pending.splice(0)) {
-      yield decodeGenerationEvent(data);
-    }
+  for await (const data of readEventData(body)) {
+    yield decodeGenerationEvent(data);
   }
 }
 
--- /dev/null
+++ b/packages/engine/test/engineOrders.steps.ts
@@ -0,0 +1,147 @@
+import assert from 'node:assert/strict';
+
+import { After, Given, Then, When } from '@cucumber/cucumber';
+import {
+  type CacheEvent,
+  type EngineOrder,
+  FencingGuard,
+  followCacheEvents,
+  runGeneration,
+  sendEngineOrder,
+  watchEngine,
+} from '@galenatiller/engine';
+import { createFakeEngine, type FakeEngine, sampleOrder } from '@galenatiller/fakes';
+import { systemClock, TimerService } from '@galenatiller/timer';
+
+interface OrdersWorld {
+  orderedEngine: FakeEngine;
+  guard: FencingGuard;
+  orderEnds: readonly string[];
+  toldStartIds: Set<string>;
+  toldVersions: Set<string>;
+}
+
+const timer = TimerService.create({ clock: systemClock });
+
+Given(
+  /^an engine that (checks|ignores) fencing numbers, behind a guard$/,
+  async function given(this: OrdersWorld, habit: string) {
+    this.guard = FencingGuard.create();
+    this.orderedEngine = await createFakeEngine({
+      timer,
+      port: 0,
+      seed: 1,
+      restartMs: 1,
+      version: 'v1',
+      speed: { baseMsPerToken: 1, slopeMsPerToken: 0, capacity: 4 },
+      checksFencing: habit === 'checks',
+    });
+  },
+);
+
+After(function after(this: Partial<OrdersWorld>) {
+  return this.orderedEngine?.close();
+});
+
+Given('the guard has learnt fencing number {int}', function given(this: OrdersWorld, highest) {
+  this.guard.learn(Number(highest));
+});
+
+Given(
+  'the engine was given the order {string} with number {int} past the guard',
+  async function given(this: OrdersWorld, name: string, fencingNumber: number) {
+    assert.equal(await send(this, orderOf(name, fencingNumber)), 'ok');
+  },
+);
+
+When(
+  'the orders {string} with number {int} and {string} with number {int} are given at once',
+  async function when(this: OrdersWorld, first, firstNumber, second, secondNumber) {
+    const orders = [orderOf(first, firstNumber), orderOf(second, secondNumber)];
+    this.orderEnds = await Promise.all(
+      orders.map(async (order) => {
+        const passed = await this.guard.pass({
+          fencingNumber: order.fencingNumber,
+          send: () => sendOrder(this, order),
+        });
+        return passed.isOk ? 'ok' : passed.error.codeName;
+      }),
+    );
+  },
+);
+
+When(
+  'the engine is watched until it has told its load and {int} cache event',
+  async function when(this: OrdersWorld, count: number) {
+    const { url } = this.orderedEngine;
+    const stop = new AbortController();
+    const events: CacheEvent[] = [];
+    this.toldStartIds = new Set();
+    this.toldVersions = new Set();
+    const common = { url, timer, signal: stop.signal, onFailure: assert.fail };
+    const watching = watchEngine({
+      ...common,
+      intervalMs: 60_000,
+      onStartId: (startId) => this.toldStartIds.add(startId),
+      onLoad: ({ version }) => this.toldVersions.add(version),
+    });
+    const following = followCacheEvents({
+      ...common,
+      retryMs: 1,
+      onEvent: (event) => events.push(event),
+    });
+    for (let round = 0; events.length < count || this.toldVersions.size === 0; round += 1) {
+      await generate(url, String.fromCharCode(round).repeat(256));
+    }
+    stop.abort();
+    await Promise.all([watching, following]);
+  },
+);
+
+Then('the orders ended as {string}', function then(this: OrdersWorld, ends: string) {
+  assert.equal(this.orderEnds.join(), ends);
+});
+
+Then('the engine has carried out the orders {string}', function then(this: OrdersWorld, names) {
+  assert.equal(
+    this.orderedEngine
+      .orders()
+      .map(({ name }) => name)
+      .join(),
+    names,
+  );
+});
+
+Then(
+  'the watch has told the identity of the engine and its version {string}',
+  function then(this: OrdersWorld, version: string) {
+    assert.deepEqual([...this.toldStartIds], [this.orderedEngine.startId()]);
+    assert.deepEqual([...this.toldVersions], [version]);
+  },
+);
+
+function orderOf(name: string, fencingNumber: number): EngineOrder {
+  return { kind: 'load-version', name, fencingNumber };
+}
+
+function sendOrder(world: OrdersWorld, order: EngineOrder): ReturnType<typeof sendEngineOrder> {
+  const { signal } = new AbortController();
+  return sendEngineOrder({ url: world.orderedEngine.url, order, signal });
+}
+
+async function send(world: OrdersWorld, order: EngineOrder): Promise<string> {
+  const sent = await sendOrder(world, order);
+  return sent.isOk ? 'ok' : sent.error.codeName;
+}
+
+async function generate(url: string, prompt: string): Promise<void> {
+  const order = sampleOrder({
+    kind: 'generate',
+    prompt,
+    maxTokens: 1,
+    deliveredText: '',
+    deliveredTokens: 0,
+  });
+  const { signal } = new AbortController();
+  await runGeneration({ url, order, signal, onPart: () => {} });
+}
