Stay within the rate of the weight store

A token bucket spaces the calls and lets none pass while the store asks for a pause. The fake store refuses what is over its rate.

--- a/fakes/src/index.ts
+++ b/fakes/src/index.ts
@@ -19,6 +19,11 @@
 } from './createFakeService.js';
 export { createFakeStatsd, type FakeStatsd, type FakeStatsdOptions } from './createFakeStatsd.js';
 export type { FakeTarget, FakeTargetOptions } from './createFakeTarget.js';
+export {
+  createFakeWeightStore,
+  type FakeWeightStore,
+  type FakeWeightStoreOptions,
+} from './createFakeWeightStore.js';
 export { expectedAnswer, expectedWord } from './expectedAnswer.js';
 export { expectedPassages, expectedScore, expectedVector } from './expectedPoolResults.js';
 export type { FaultOrder, VersionQuality } from './faultBoard.js';
--- a/fakes/src/main.ts
+++ b/fakes/src/main.ts
@@ -11,10 +11,11 @@
 import { createFakeService } from './createFakeService.js';
 import { createFakeStatsd } from './createFakeStatsd.js';
 import type { FakeTargetOptions } from './createFakeTarget.js';
+import { createFakeWeightStore } from './createFakeWeightStore.js';
 import type { FakeEngineSettings } from './engine/engineSettings.js';
 
 /** The kinds of fakes that run as a process. */
-const KINDS = ['engine', 'pool', 'service', 'hostList', 'statsd'] as const;
+const KINDS = ['engine', 'pool', 'service', 'hostList', 'statsd', 'weightStore'] as const;
 
 /** What a cold engine does with too many requests. */
 const COLD_OVERLOADS = ['crash', 'fail', 'refuse'] as const;
@@ -48,6 +49,7 @@
   slopeMs: z.coerce.number(),
   capacity: z.coerce.number().int().positive(),
   serviceMs: z.coerce.number(),
+  callsPerSecond: z.coerce.number().positive(),
   lagMs: z.coerce.number(),
 });
 
@@ -79,6 +81,7 @@
   .option('--slope-ms <ms>', 'engine: time that each further request adds', '0.5')
   .option('--capacity <requests>', 'engine, pool, service: most requests at once', '16')
   .option('--service-ms <ms>', 'pool, service: time of one request', '5')
+  .option('--calls-per-second <calls>', 'weight store: its rate', '10')
   .option('--lag-ms <ms>', 'host list: time until a change shows', '0')
   .parse();
 
@@ -104,6 +107,8 @@
     service: () => createFakeService(work),
     hostList: () => createFakeHostList({ timer, port: opts.port, lagMs: opts.lagMs }),
     statsd: () => createFakeStatsd({ port: opts.port }),
+    weightStore: () =>
+      createFakeWeightStore({ timer, port: opts.port, callsPerSecond: opts.callsPerSecond }),
   };
   return starters[opts.kind]();
 }
--- a/packages/weightStore/src/index.ts
+++ b/packages/weightStore/src/index.ts
@@ -1,2 +1,4 @@
 /** Talks to the weight store within its rate. */
-export {};
+export { TokenBucket, type TokenBucketOptions } from './tokenBucket.js';
+export type { WeightManifest } from './weightManifest.js';
+export { type DescribeOptions, WeightStore, type WeightStoreOptions } from './weightStore.js';
--- /dev/null
+++ b/packages/weightStore/src/weightStore.ts
@@ -0,0 +1,77 @@
+import { GalenatillerError } from '@galenatiller/error';
+import { exchangeText, readStatus, type TextResponse } from '@galenatiller/http';
+import type { TimerService } from '@galenatiller/timer';
+import { Result } from 'true-myth';
+
+import { TokenBucket } from './tokenBucket.js';
+import type { WeightManifest } from './weightManifest.js';
+import { decodeManifest } from './wire.js';
+
+/** Options of {@link WeightStore.create}. */
+export interface WeightStoreOptions {
+  /** Base URL of the store. */
+  readonly url: string;
+  readonly timer: TimerService;
+  /** Share of the store's rate that this process may use. */
+  readonly ratePerSecond: number;
+  readonly burst: number;
+}
+
+/** Options of {@link WeightStore.describe}. */
+export interface DescribeOptions {
+  readonly name: string;
+  readonly signal: AbortSignal;
+}
+
+/** Answer of a store that gets too many calls. */
+const TOO_MANY_REQUESTS = 429;
+
+/** Pause after such an answer that names none, in milliseconds. */
+const DEFAULT_PAUSE_MS = 1_000;
+
+const MS_PER_SECOND = 1_000;
+
+/** A client of the weight store that stays within its rate. */
+export class WeightStore {
+  private readonly bucket: TokenBucket;
+
+  private constructor(private readonly opts: WeightStoreOptions) {
+    this.bucket = TokenBucket.create(opts);
+  }
+
+  /** Makes a client that has made no call. */
+  static create(opts: WeightStoreOptions): WeightStore {
+    return new WeightStore(opts);
+  }
+
+  /** Asks for the manifest of a set of weights; waits while the rate is used up. */
+  async describe(opts: DescribeOptions): Promise<Result<WeightManifest, GalenatillerError>> {
+    await this.bucket.take(opts.signal);
+    const answer = await exchangeText({
+      url: this.opts.url,
+      path: `/v1/weights/${encodeURIComponent(opts.name)}`,
+      method: 'GET',
+      headers: {},
+      body: '',
+      signal: opts.signal,
+    });
+    return answer.andThen((response) => this.read(response));
+  }
+
+  private read(response: TextResponse): Result<WeightManifest, GalenatillerError> {
+    const { status, text } = response;
+    if (status === TOO_MANY_REQUESTS) {
+      const retryAfterMs = pauseOf(response);
+      this.bucket.pause(retryAfterMs);
+      const detail = 'the weight store is over its rate';
+      return Result.err(GalenatillerError.create({ name: 'target-refused', detail, retryAfterMs }));
+    }
+    const failure = readStatus({ status, text });
+    return failure.isJust ? Result.err(failure.value) : decodeManifest(text);
+  }
+}
+
+function pauseOf({ header }: TextResponse): number {
+  const seconds = Number(header('retry-after'));
+  return seconds > 0 ? seconds * MS_PER_SECOND : DEFAULT_PAUSE_MS;
+}
