--- a/eslint.config.js
+++ b/eslint.config.js
@@ -45,6 +45,13 @@
       ],
       'import-x/extensions': ['error', 'always', { ignorePackages: true }],
       '@typescript-eslint/promise-function-async': 'off',
+      // TypeScript checks that a switch over a string union is complete.
+      'default-case': 'off',
+      'consistent-return': 'off',
+      '@typescript-eslint/switch-exhaustiveness-check': [
+        'error',
+        { considerDefaultExhaustiveForUnions: true },
+      ],
       'no-await-in-loop': 'off',
       'no-continue': 'off',
       'max-lines': ['error', { max: 300, skipBlankLines: true, skipComments: true }],
--- a/packages/caller/src/index.ts
+++ b/packages/caller/src/index.ts
@@ -1,2 +1,4 @@
 /** Serves callers over HTTP: requests, streams and refusals. */
-export {};
+export type * from './call.js';
+export { type CallerServer, serveCallers, type ServeCallersOptions } from './serveCallers.js';
+export { decodeRequest, type DecodedRequest, type DecodeRequestOptions } from './wire.js';
--- /dev/null
+++ b/packages/caller/src/serveCall.ts
@@ -0,0 +1,202 @@
+import { once } from 'node:events';
+import type { IncomingMessage, ServerResponse } from 'node:http';
+
+import { MAX_BODY_BYTES } from '@galenatiller/constants';
+import { findResultCode, GalenatillerError } from '@galenatiller/error';
+import type { Logger } from '@galenatiller/logger';
+import type { StagePart } from '@galenatiller/types';
+import { Result } from 'true-myth';
+
+import type { CallAnswer, FindOrganisation, RunCall } from './call.js';
+import {
+  type AnswerIdentity,
+  decodeRequest,
+  encodeAnswer,
+  encodePart,
+  encodeProblem,
+  encodeStreamEnd,
+  encodeStreamError,
+  hashBearerKey,
+  problemHeaders,
+} from './wire.js';
+
+/** Options of {@link serveCall}. */
+export interface ServeCallOptions {
+  readonly request: IncomingMessage;
+  readonly response: ServerResponse;
+  readonly logger: Logger;
+  readonly findOrganisation: FindOrganisation;
+  readonly createRequestId: () => string;
+  readonly runCall: RunCall;
+  readonly isReady: () => boolean;
+}
+
+const ROUTE_PATH = /^\/v1\/routes\/([^/?]+)$/;
+const COMPLETIONS_PATH = '/v1/completions';
+
+/** Serves one call from its first byte to its last. */
+export async function serveCall(opts: ServeCallOptions): Promise<void> {
+  const { request, response } = opts;
+  const requestId = opts.createRequestId();
+  const gone = new AbortController();
+  response.on('close', () => {
+    gone.abort();
+  });
+
+  const route = findRoute(request);
+  if (route.isErr) {
+    sendProblem(opts, requestId, route.error);
+    return;
+  }
+  const organisation = opts.findOrganisation(hashBearerKey(request.headers));
+  if (organisation === '') {
+    sendProblem(opts, requestId, create('unauthorized', 'no organisation has this key'));
+    return;
+  }
+  if (!opts.isReady()) {
+    sendProblem(opts, requestId, create('stopping', 'the entry takes no new calls'));
+    return;
+  }
+  const bytes = await readBody(request);
+  if (bytes.isErr) {
+    sendProblem(opts, requestId, bytes.error);
+    return;
+  }
+  const decoded = decodeRequest({
+    route: route.value,
+    headers: request.headers,
+    bytes: bytes.value,
+  });
+  if (decoded.isErr) {
+    sendProblem(opts, requestId, decoded.error);
+    return;
+  }
+
+  const call = { ...decoded.value.call, requestId, organisation, signal: gone.signal };
+  const identity = { requestId, route: call.route };
+  const answer = await opts.runCall(call, async (part) => {
+    if (decoded.value.stream) {
+      await sendPart(response, identity, part);
+    }
+  });
+  if (answer.isErr) {
+    sendFailure(opts, requestId, answer.error);
+    return;
+  }
+  sendAnswer(response, identity, answer.value, decoded.value.stream);
+}
+
+function findRoute(request: IncomingMessage): Result<string, GalenatillerError> {
+  const url = request.url ?? '';
+  if (request.method === 'POST' && url === COMPLETIONS_PATH) {
+    return Result.ok('');
+  }
+  const found = request.method === 'POST' ? ROUTE_PATH.exec(url) : null;
+  return found?.[1]
+    ? Result.ok(decodeComponent(found[1]))
+    : Result.err(create('unknown-path', `${request.method ?? ''} ${url}`));
+}
+
+function decodeComponent(text: string): string {
+  try {
+    return decodeURIComponent(text);
+  } catch {
+    return text;
+  }
+}
+
+async function readBody(request: IncomingMessage): Promise<Result<Buffer, GalenatillerError>> {
+  const chunks: Buffer[] = [];
+  let sizeBytes = 0;
+  try {
+    // The refusal of a large body still has to go out on this connection.
+    for await (const chunk of request.iterator({ destroyOnReturn: false })) {
+      sizeBytes += (chunk as Buffer).length;
+      if (sizeBytes > MAX_BODY_BYTES) {
+        return Result.err(create('body-too-large', `body of over ${MAX_BODY_BYTES} bytes`));
+      }
+      chunks.push(chunk as Buffer);
+    }
+  } catch {
+    return Result.err(create('headers-too-slow', 'the request broke off'));
+  }
+  return Result.ok(Buffer.concat(chunks));
+}
+
+async function sendPart(
+  response: ServerResponse,
+  identity: AnswerIdentity,
+  part: StagePart,
+): Promise<void> {
+  if (response.destroyed) {
+    return;
+  }
+  startStream(response, identity);
+  if (!response.write(encodePart(identity, part))) {
+    await Promise.race([once(response, 'drain'), once(response, 'close')]).catch(() => {});
+  }
+}
+
+function startStream(response: ServerResponse, identity: AnswerIdentity): void {
+  if (response.headersSent) {
+    return;
+  }
+  response.writeHead(200, {
+    'content-type': 'text/event-stream',
+    'cache-control': 'no-store',
+    'x-request-id': identity.requestId,
+  });
+}
+
+function sendAnswer(
+  response: ServerResponse,
+  identity: AnswerIdentity,
+  answer: CallAnswer,
+  stream: boolean,
+): void {
+  if (response.destroyed) {
+    return;
+  }
+  if (stream) {
+    startStream(response, identity);
+    response.end(encodeStreamEnd(identity, answer));
+    return;
+  }
+  response.writeHead(200, {
+    'content-type': 'application/json',
+    'x-request-id': identity.requestId,
+  });
+  response.end(encodeAnswer(identity, answer));
+}
+
+function sendFailure(opts: ServeCallOptions, requestId: string, error: GalenatillerError): void {
+  if (!opts.response.headersSent) {
+    sendProblem(opts, requestId, error);
+    return;
+  }
+  opts.response.end(encodeStreamError(requestId, error));
+}
+
+function sendProblem(opts: ServeCallOptions, requestId: string, error: GalenatillerError): void {
+  const { request, response } = opts;
+  opts.logger({ message: `Refused with ${error.code} ${error.codeName}.`, requestId });
+  if (response.destroyed) {
+    return;
+  }
+  const headers = problemHeaders(error);
+  // The rest of an unread body would be taken for the next request.
+  const connection = request.complete ? {} : { connection: 'close' };
+  response.writeHead(findResultCode(error.codeName).httpStatus, {
+    ...headers,
+    ...connection,
+    'x-request-id': requestId,
+  });
+  response.end(encodeProblem(requestId, error));
+}
+
+function create(
+  name: 'body-too-large' | 'headers-too-slow' | 'stopping' | 'unauthorized' | 'unknown-path',
+  detail: string,
+): GalenatillerError {
+  return GalenatillerError.create({ name, detail });
+}
--- /dev/null
+++ b/packages/caller/src/serveCallers.ts
@@ -0,0 +1,75 @@
+import { once } from 'node:events';
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
+
+import type { Logger } from '@galenatiller/logger';
+import type { TaskGroup } from '@galenatiller/tasks';
+
+import type { FindOrganisation, RunCall } from './call.js';
+import { serveCall } from './serveCall.js';
+
+/** Options of {@link serveCallers}. */
+export interface ServeCallersOptions {
+  readonly address: string;
+  readonly port: number;
+  readonly logger: Logger;
+  readonly tasks: TaskGroup;
+  readonly findOrganisation: FindOrganisation;
+  readonly createRequestId: () => string;
+  readonly runCall: RunCall;
+  /** Whether the balancer may send calls here. */
+  readonly isReady: () => boolean;
+}
+
+/** A listening caller port. */
+export interface CallerServer {
+  readonly port: number;
+  /** Stops accepting connections and closes idle ones; running calls go on. */
+  readonly stop: () => void;
+}
+
+/** Time for the headers of a request to arrive. */
+const HEADERS_TIMEOUT_MS = 10_000;
+
+/** Time for a whole request to arrive. */
+const REQUEST_TIMEOUT_MS = 30_000;
+
+/** Serves callers, health and readiness over HTTP; each request is one task. */
+export async function serveCallers(opts: ServeCallersOptions): Promise<CallerServer> {
+  const server = createServer(
+    { headersTimeout: HEADERS_TIMEOUT_MS, requestTimeout: REQUEST_TIMEOUT_MS, noDelay: true },
+    (request, response) => {
+      opts.tasks.start(() => serveRequest(opts, request, response));
+    },
+  );
+  server.listen(opts.port, opts.address);
+  await once(server, 'listening');
+  return { port: boundPort(server, opts.port), stop: () => stopServer(server) };
+}
+
+async function serveRequest(
+  opts: ServeCallersOptions,
+  request: IncomingMessage,
+  response: ServerResponse,
+): Promise<void> {
+  response.on('error', () => {});
+  if (request.method === 'GET' && request.url === '/healthz') {
+    response.writeHead(200).end('ok\n');
+    return;
+  }
+  if (request.method === 'GET' && request.url === '/readyz') {
+    const ready = opts.isReady();
+    response.writeHead(ready ? 200 : 503).end(ready ? 'ready\n' : 'not ready\n');
+    return;
+  }
+  await serveCall({ ...opts, request, response });
+}
+
+function boundPort(server: Server, asked: number): number {
+  const bound = server.address();
+  return typeof bound === 'object' && bound ? bound.port : asked;
+}
+
+function stopServer(server: Server): void {
+  server.close();
+  server.closeIdleConnections();
+}
--- /dev/null
+++ b/packages/entry/src/callContext.ts
@@ -0,0 +1,25 @@
+import type { Call, TakePart } from '@galenatiller/caller';
+import type { Logger } from '@galenatiller/logger';
+import type { TimerService } from '@galenatiller/timer';
+import type { Configuration, RouteRule } from '@galenatiller/types';
+
+import type { GateDirectory } from './gateDirectory.js';
+import type { EntryPolicy } from './policy.js';
+
+/** What a call needs for all its stages. */
+export interface CallContext {
+  readonly call: Call;
+  readonly route: RouteRule;
+  readonly configuration: Configuration;
+  /** Monotonic time of the deadline. */
+  readonly deadlineAtMs: number;
+  /** Aborts at the deadline or when the caller goes away. */
+  readonly signal: AbortSignal;
+  readonly directory: GateDirectory;
+  readonly policy: EntryPolicy;
+  readonly timer: TimerService;
+  readonly logger: Logger;
+  readonly random: () => number;
+  readonly ownAvailabilityZone: string;
+  readonly takePart: TakePart;
+}
--- /dev/null
+++ b/packages/entry/src/followGate.ts
@@ -0,0 +1,79 @@
+import type { Logger } from '@galenatiller/logger';
+import { type Link, type NodeIdentity, openLink } from '@galenatiller/node';
+import type { TimerService } from '@galenatiller/timer';
+
+import type { GateLink } from './gateLink.js';
+
+/** Options of {@link followGate}. */
+export interface FollowGateOptions {
+  readonly gate: GateLink;
+  readonly identity: NodeIdentity;
+  readonly keys: readonly string[];
+  readonly timer: TimerService;
+  readonly logger: Logger;
+  readonly random: () => number;
+  readonly readRevision: () => number;
+  /** Aborts when the gate is not wanted any more. */
+  readonly signal: AbortSignal;
+}
+
+/** First wait after a link could not be opened; doubles up to the longest. */
+const FIRST_BACKOFF_MS = 50;
+const LONGEST_BACKOFF_MS = 2_000;
+
+/** Time between pings on a link. */
+const PING_INTERVAL_MS = 1_000;
+
+/** A gate that has been silent for so long is taken for paused or cut off. */
+const SILENCE_LIMIT_MS = 3_500;
+
+/** Keeps the link to one gate: opens it, reads it to its end, and opens it again. */
+export async function followGate(opts: FollowGateOptions): Promise<void> {
+  const { gate, timer, logger, signal } = opts;
+  let backoffMs = FIRST_BACKOFF_MS;
+  while (!signal.aborted) {
+    const opened = await openLink({ ...opts, address: gate.host.address, port: gate.host.port });
+    if (opened.isErr) {
+      logger({ message: `Could not open the link to ${gate.host.name}: ${opened.error.message}.` });
+      await timer.sleep({ delayMs: backoffMs * (0.5 + opts.random()), signal });
+      backoffMs = Math.min(backoffMs * 2, LONGEST_BACKOFF_MS);
+      continue;
+    }
+    backoffMs = FIRST_BACKOFF_MS;
+    logger({ message: `Opened the link to ${gate.host.name}.` });
+    await readLink(opts, opened.value.link);
+    logger({ message: `The link to ${gate.host.name} has ended.` });
+    await timer.sleep({ delayMs: backoffMs * (0.5 + opts.random()), signal });
+  }
+}
+
+async function readLink(opts: FollowGateOptions, link: Link): Promise<void> {
+  const { gate, timer, signal } = opts;
+  const close = (): void => {
+    link.close();
+  };
+  signal.addEventListener('abort', close, { once: true });
+  const cancelPings = timer.every({
+    intervalMs: PING_INTERVAL_MS,
+    notify: () => {
+      if (gate.silentMs > SILENCE_LIMIT_MS) {
+        close();
+        return;
+      }
+      gate.send({ kind: 'ping', revision: opts.readRevision() });
+    },
+  });
+  gate.opened(link);
+  try {
+    for await (const frame of link.read()) {
+      gate.receive(frame);
+    }
+  } catch (error) {
+    opts.logger({ message: `Lost the link to ${gate.host.name}: ${String(error)}.` });
+  } finally {
+    cancelPings();
+    signal.removeEventListener('abort', close);
+    gate.closed();
+    link.close();
+  }
+}
--- /dev/null
+++ b/packages/entry/src/policy.ts
@@ -0,0 +1,67 @@
+import type {
+  Configuration,
+  Priority,
+  StageEnd,
+  StageInput,
+  StageRule,
+  TargetReport,
+} from '@galenatiller/types';
+import type { Maybe } from 'true-myth';
+
+/** A target as an entry sees it: the gate's last report and what the entry knows itself. */
+export interface TargetView {
+  readonly report: TargetReport;
+  readonly gateName: string;
+  readonly availabilityZone: string;
+  /** Age of the report. */
+  readonly reportAgeMs: number;
+  /** Attempts of this entry that have not ended. */
+  readonly ownInFlight: number;
+  /** Attempts of this entry that were sent after the report was made. */
+  readonly sentSinceReport: number;
+  /** False once the gate or its host says that it is leaving. */
+  readonly takesWork: boolean;
+}
+
+/** Options of {@link ChooseTarget}. */
+export interface ChooseTargetOptions {
+  /** Targets of the group of the stage. */
+  readonly candidates: readonly TargetView[];
+  /** Targets that attempts at this stage have used already. */
+  readonly used: readonly string[];
+  readonly stage: StageRule;
+  readonly route: string;
+  readonly input: StageInput;
+  readonly priority: Priority;
+  readonly remainingMs: number;
+  readonly ownAvailabilityZone: string;
+  readonly configuration: Configuration;
+  /** Uniform in [0, 1). */
+  readonly random: () => number;
+}
+
+/** Chooses the target of the next attempt; nothing when none may take the work. */
+export type ChooseTarget = (opts: ChooseTargetOptions) => Maybe<TargetView>;
+
+/** Options of {@link DecideRetry}. */
+export interface DecideRetryOptions {
+  readonly stage: StageRule;
+  readonly end: StageEnd;
+  /** Attempts so far, the ended one included. */
+  readonly attempts: number;
+  readonly remainingMs: number;
+  readonly random: () => number;
+}
+
+/** What follows a failed attempt. */
+export type RetryDecision =
+  { readonly kind: 'retry'; readonly delayMs: number } | { readonly kind: 'give-up' };
+
+/** Decides whether a failed attempt is followed by another. */
+export type DecideRetry = (opts: DecideRetryOptions) => RetryDecision;
+
+/** The decisions of an entry, passed in as functions. */
+export interface EntryPolicy {
+  readonly chooseTarget: ChooseTarget;
+  readonly decideRetry: DecideRetry;
+}
--- /dev/null
+++ b/packages/entry/src/runCall.ts
@@ -0,0 +1,107 @@
+import type { Call, CallAnswer, TakePart } from '@galenatiller/caller';
+import { GalenatillerError } from '@galenatiller/error';
+import type { Logger } from '@galenatiller/logger';
+import type { TimerService } from '@galenatiller/timer';
+import type { Configuration, StageRule } from '@galenatiller/types';
+import { Result } from 'true-myth';
+
+import type { CallContext } from './callContext.js';
+import type { GateDirectory } from './gateDirectory.js';
+import type { EntryPolicy } from './policy.js';
+import { runStage, type StageSuccess } from './runStage.js';
+import { addStageResult, NO_STAGE_DATA, type StageData } from './stageInput.js';
+
+/** What every call of an entry shares. */
+export interface RunCallOptions {
+  readonly readConfiguration: () => Configuration;
+  readonly directory: GateDirectory;
+  readonly policy: EntryPolicy;
+  readonly timer: TimerService;
+  readonly logger: Logger;
+  readonly random: () => number;
+  readonly ownAvailabilityZone: string;
+}
+
+/** Runs one call: walks the stages of its route under one deadline. */
+export async function runCall(
+  opts: RunCallOptions,
+  call: Call,
+  takePart: TakePart,
+): Promise<Result<CallAnswer, GalenatillerError>> {
+  const configuration = opts.readConfiguration();
+  const route = configuration.routes.get(call.route);
+  if (!route) {
+    return refuse('unknown-route', `no route ${call.route}`);
+  }
+  const stages = route.stages.map((name) => configuration.stages.get(name));
+  if (!stages.every((stage) => stage !== undefined)) {
+    return refuse('unknown-route', `route ${route.name} names an unknown stage`);
+  }
+  if (call.runKey === '' && stages.some((stage) => !stage.idempotent)) {
+    return refuse('key-required', `route ${route.name} may run at most once`);
+  }
+  const limitMs = call.deadlineMs === 0 ? route.deadlineMs : call.deadlineMs;
+  const limit = opts.timer.limit({ limitMs, parent: call.signal });
+  const deadlineAtMs = opts.timer.nowMs() + limitMs;
+  try {
+    return await walkStages(
+      { ...opts, call, route, configuration, deadlineAtMs, signal: limit.signal, takePart },
+      stages,
+    );
+  } finally {
+    limit.release();
+  }
+}
+
+async function walkStages(
+  context: CallContext,
+  stages: readonly StageRule[],
+): Promise<Result<CallAnswer, GalenatillerError>> {
+  let data: StageData = NO_STAGE_DATA;
+  let last: StageSuccess | undefined;
+  for (const [stageIndex, stage] of stages.entries()) {
+    const done = await runStage({ context, stage, stageIndex, data });
+    if (done.isErr) {
+      return Result.err(stageIndex === 0 ? done.error : afterOtherStages(done.error));
+    }
+    last = done.value;
+    data = addStageResult(data, last.result);
+  }
+  return Result.ok(buildAnswer(last));
+}
+
+/** The stages before have run, so the request as a whole is no longer `not-run`. */
+function afterOtherStages(error: GalenatillerError): GalenatillerError {
+  return GalenatillerError.create({
+    name: error.codeName,
+    detail: error.detail,
+    outcome: 'may-have-run',
+    retryAfterMs: error.retryAfterMs,
+  });
+}
+
+function buildAnswer(last: StageSuccess | undefined): CallAnswer {
+  const text = last?.delivered.text ?? '';
+  const tokens = last?.delivered.tokens ?? 0;
+  if (last?.result.kind === 'generate') {
+    return { text, tokens, finishReason: last.result.finishReason, body: null };
+  }
+  return { text, tokens, finishReason: 'stop', body: bodyOf(last) };
+}
+
+function bodyOf(last: StageSuccess | undefined): CallAnswer['body'] {
+  if (last?.result.kind === 'call') {
+    return last.result.body;
+  }
+  if (last?.result.kind === 'retrieve' || last?.result.kind === 'rerank') {
+    return last.result.passages.map((passage) => ({ ...passage }));
+  }
+  return last?.result.kind === 'encode' ? last.result.vectors : null;
+}
+
+function refuse(
+  name: 'key-required' | 'unknown-route',
+  detail: string,
+): Result<never, GalenatillerError> {
+  return Result.err(GalenatillerError.create({ name, detail }));
+}
--- /dev/null
+++ b/packages/entry/src/runStage.ts
@@ -0,0 +1,133 @@
+import {
+  findResultCodeByNumber,
+  GalenatillerError,
+  type ResultCodeName,
+} from '@galenatiller/error';
+import type { Outcome, StageEnd, StageOrder, StageResult, StageRule } from '@galenatiller/types';
+import { Result } from 'true-myth';
+
+import type { CallContext } from './callContext.js';
+import type { TargetView } from './policy.js';
+import { runAttempt } from './runAttempt.js';
+import { buildStageInput, type Delivered, type StageData } from './stageInput.js';
+
+/** Options of {@link runStage}. */
+export interface RunStageOptions {
+  readonly context: CallContext;
+  readonly stage: StageRule;
+  readonly stageIndex: number;
+  readonly data: StageData;
+}
+
+/** A stage that ran to its end. */
+export interface StageSuccess {
+  readonly result: StageResult;
+  readonly delivered: Delivered;
+}
+
+/** Runs one stage: attempts on one target after another until one ends whole. */
+export async function runStage(
+  opts: RunStageOptions,
+): Promise<Result<StageSuccess, GalenatillerError>> {
+  const { context, stage } = opts;
+  const { policy, timer, random } = context;
+  const used: string[] = [];
+  let delivered: Delivered = { text: '', tokens: 0 };
+  let proved: Outcome = 'not-run';
+  let last: StageEnd | undefined;
+
+  for (;;) {
+    if (context.signal.aborted) {
+      return Result.err(endedEarly(context, proved));
+    }
+    const order = buildOrder(opts, used.length, delivered);
+    const chosen = choose(opts, order, used);
+    if (!chosen) {
+      return Result.err(last ? errorOfEnd(last, proved) : noTarget(stage));
+    }
+    used.push(chosen.report.name);
+    const attempt = await runAttempt({
+      context,
+      gateName: chosen.gateName,
+      order: { ...order, targetName: chosen.report.name },
+      delivered,
+    });
+    delivered = attempt.delivered;
+    const { end } = attempt;
+    if (end.code === 0 && end.result) {
+      return Result.ok({ result: end.result, delivered });
+    }
+    last = end;
+    proved = end.outcome === 'not-run' ? proved : 'may-have-run';
+    const remainingMs = context.deadlineAtMs - timer.nowMs();
+    const decision = policy.decideRetry({ stage, end, attempts: used.length, remainingMs, random });
+    if (decision.kind === 'give-up') {
+      return Result.err(errorOfEnd(end, proved));
+    }
+    await timer.sleep({ delayMs: decision.delayMs, signal: context.signal });
+  }
+}
+
+function buildOrder(opts: RunStageOptions, attempt: number, delivered: Delivered): StageOrder {
+  const { context, stage, stageIndex, data } = opts;
+  const { call, route } = context;
+  return {
+    requestId: call.requestId,
+    stageIndex,
+    attempt,
+    targetName: '',
+    organisation: call.organisation,
+    route: route.name,
+    stage: stage.name,
+    priority: route.priority,
+    remainingMs: context.deadlineAtMs - context.timer.nowMs(),
+    idempotent: stage.idempotent,
+    runKey: call.runKey,
+    bodyDigest: call.bodyDigest,
+    input: buildStageInput({ call, stage, data, delivered }),
+  };
+}
+
+function choose(
+  opts: RunStageOptions,
+  order: StageOrder,
+  used: readonly string[],
+): TargetView | undefined {
+  const { context, stage } = opts;
+  return context.policy
+    .chooseTarget({
+      candidates: context.directory.targetsOf(stage.targetGroup),
+      used,
+      stage,
+      route: order.route,
+      input: order.input,
+      priority: order.priority,
+      remainingMs: order.remainingMs,
+      ownAvailabilityZone: context.ownAvailabilityZone,
+      configuration: context.configuration,
+      random: context.random,
+    })
+    .unwrapOr(undefined);
+}
+
+function endedEarly(context: CallContext, outcome: Outcome): GalenatillerError {
+  const name = context.call.signal.aborted ? 'cancelled' : 'deadline-exceeded';
+  return GalenatillerError.create({ name, detail: `route ${context.route.name}`, outcome });
+}
+
+function noTarget(stage: StageRule): GalenatillerError {
+  return GalenatillerError.create({
+    name: 'no-target',
+    detail: `group ${stage.targetGroup}`,
+    retryAfterMs: 1_000,
+  });
+}
+
+function errorOfEnd(end: StageEnd, outcome: Outcome): GalenatillerError {
+  return GalenatillerError.create({
+    name: findResultCodeByNumber(end.code).name as ResultCodeName,
+    detail: end.detail,
+    outcome,
+    retryAfterMs: end.retryAfterMs,
+  });
+}
--- /dev/null
+++ b/packages/gate/src/runRecordKeeper.ts
@@ -0,0 +1,17 @@
+import type { GalenatillerError } from '@galenatiller/error';
+import type { StageEnd, StageOrder } from '@galenatiller/types';
+import type { Result } from 'true-myth';
+
+/** What a run record says about an order that may run at most once. */
+export type RunClaim =
+  | { readonly kind: 'first' }
+  | { readonly kind: 'answered'; readonly end: StageEnd }
+  | { readonly kind: 'may-have-run' }
+  | { readonly kind: 'key-reused' };
+
+/** Keeps run records; `claim` must succeed with `first` before an order is sent to its target. */
+export interface RunRecordKeeper {
+  readonly claim: (order: StageOrder) => Promise<Result<RunClaim, GalenatillerError>>;
+  /** Keeps how a claimed order has ended; an order that proved `not-run` may be claimed again. */
+  readonly settle: (order: StageOrder, end: StageEnd) => Promise<void>;
+}
--- /dev/null
+++ b/packages/node/src/frames.ts
@@ -0,0 +1,81 @@
+import type {
+  AttemptId,
+  NodeRole,
+  StageEnd,
+  StageOrder,
+  StagePart,
+  TargetReport,
+} from '@galenatiller/types';
+
+/** Who a node is, as it says in the greeting of a link. */
+export interface NodeIdentity {
+  readonly nodeName: string;
+  readonly role: NodeRole;
+  readonly availabilityZone: string;
+  /** Differs for each start of the process. */
+  readonly incarnation: string;
+}
+
+/** First frame in both directions; `nonce` is random hex. */
+export interface HelloFrame extends NodeIdentity {
+  readonly kind: 'hello';
+  readonly protocolVersion: number;
+  readonly nonce: string;
+}
+
+/** Second frame in both directions: one proof (hex HMAC-SHA-256) for each key of the sender. */
+export interface ProofFrame {
+  readonly kind: 'proof';
+  readonly proofs: readonly string[];
+}
+
+/** Entry to gate: run a stage. */
+export interface StageRunFrame {
+  readonly kind: 'stage-run';
+  readonly order: StageOrder;
+}
+
+/** Entry to gate: the result is not wanted any more. */
+export interface StageCancelFrame {
+  readonly kind: 'stage-cancel';
+  readonly attempt: AttemptId;
+}
+
+/** Gate to entry: streamed text. */
+export interface StagePartFrame {
+  readonly kind: 'stage-part';
+  readonly attempt: AttemptId;
+  readonly part: StagePart;
+}
+
+/** Gate to entry: the attempt has ended; no frame of the attempt follows. */
+export interface StageEndFrame {
+  readonly kind: 'stage-end';
+  readonly attempt: AttemptId;
+  readonly end: StageEnd;
+}
+
+/** Gate to entry: the targets of the gate, and whether it is leaving. */
+export interface TargetsFrame {
+  readonly kind: 'targets';
+  readonly reports: readonly TargetReport[];
+  readonly leaving: boolean;
+}
+
+/** Both directions: shows that the peer runs; answered by `pong`. */
+export interface PingFrame {
+  readonly kind: 'ping' | 'pong';
+  /** Highest configuration revision in force at the sender. */
+  readonly revision: number;
+}
+
+/** Every frame on a link between nodes. */
+export type NodeFrame =
+  | HelloFrame
+  | ProofFrame
+  | StageRunFrame
+  | StageCancelFrame
+  | StagePartFrame
+  | StageEndFrame
+  | TargetsFrame
+  | PingFrame;
--- a/packages/node/src/index.ts
+++ b/packages/node/src/index.ts
@@ -1,2 +1,7 @@
 /** The link between entries and gates: frames, handshake, membership and routing. */
-export {};
+export { acceptLinks, type AcceptLinksOptions, type LinkServer } from './acceptLinks.js';
+export type * from './frames.js';
+export { type HandshakeOptions, shakeHands } from './handshake.js';
+export { Link } from './link.js';
+export { openLink, type OpenLinkOptions, type ProvedLink } from './openLink.js';
+export { encodeFrame, FrameDecoder } from './wireFrame.js';
