--- a/eslint.config.js
+++ b/eslint.config.js
@@ -48,10 +48,6 @@
       // TypeScript checks that a switch over a string union is complete.
       'default-case': 'off',
       'consistent-return': 'off',
-      '@typescript-eslint/switch-exhaustiveness-check': [
-        'error',
-        { considerDefaultExhaustiveForUnions: true },
-      ],
       'no-await-in-loop': 'off',
       'no-continue': 'off',
       'max-lines': ['error', { max: 300, skipBlankLines: true, skipComments: true }],
@@ -79,6 +75,12 @@
         tsconfigRootDir: process.cwd(),
       },
     },
+    rules: {
+      '@typescript-eslint/switch-exhaustiveness-check': [
+        'error',
+        { considerDefaultExhaustiveForUnions: true },
+      ],
+    },
   },
   {
     files: ['**/*.mjs', '**/*.cjs', 'eslint.config.js', 'cucumber.js'],
--- /dev/null
+++ b/packages/caller/test/badInput.steps.ts
@@ -0,0 +1,159 @@
+import assert from 'node:assert/strict';
+import { createHash } from 'node:crypto';
+import { once } from 'node:events';
+import { connect } from 'node:net';
+
+import { After, Given, Then, When } from '@cucumber/cucumber';
+import { type Call, type CallAnswer, type CallerServer, serveCallers } from '@galenatiller/caller';
+import { TaskGroup } from '@galenatiller/tasks';
+import { Result } from 'true-myth';
+import { type Dispatcher, request } from 'undici';
+
+interface CallerWorld {
+  server: CallerServer | undefined;
+  response: Dispatcher.ResponseData;
+  partCount: number;
+  held: Promise<void>;
+  started: Promise<void>;
+}
+
+const KEY = 'secret-key';
+const KEY_HASH = createHash('sha256').update(KEY).digest('hex');
+
+Given("a callers' port that echoes prompts", async function given(this: CallerWorld) {
+  this.partCount = 0;
+  let markStarted: () => void = () => {};
+  let markCancelled: () => void = () => {};
+  this.started = new Promise((resolve) => {
+    markStarted = resolve;
+  });
+  this.held = new Promise((resolve) => {
+    markCancelled = resolve;
+  });
+  this.server = await serveCallers({
+    address: '127.0.0.1',
+    port: 0,
+    logger: () => {},
+    tasks: TaskGroup.create({ onFailure: (error) => assert.fail(String(error)) }),
+    findOrganisation: (hash) => (hash === KEY_HASH ? 'lautoka-floor' : ''),
+    createRequestId: () => 'request-1',
+    isReady: () => true,
+    runCall: async (call, takePart) => {
+      if (call.prompt === 'hold') {
+        markStarted();
+        await once(call.signal, 'abort');
+        markCancelled();
+      }
+      for (let index = 0; index < this.partCount; index += 1) {
+        await takePart({ offsetTokens: index, tokens: 1, text: `w${index}` });
+      }
+      return Result.ok(echo(call));
+    },
+  });
+});
+
+const REQUESTS: Readonly<Record<string, () => Partial<SendOptions>>> = {
+  'malformed JSON': () => ({ body: '{"prompt":' }),
+  'an unknown field': () => ({ body: '{"promt":"x"}' }),
+  'a wrong key': () => ({ headers: { authorization: 'Bearer other' } }),
+  'no key': () => ({ headers: { authorization: '' } }),
+  'a body over the limit': () => ({ body: JSON.stringify({ prompt: 'x'.repeat(300_000) }) }),
+  'a negative deadline': () => ({ headers: { 'deadline-ms': '-5' } }),
+  'a huge deadline': () => ({ headers: { 'deadline-ms': '999999999' } }),
+  'a deadline of words': () => ({ headers: { 'deadline-ms': 'soon' } }),
+  'an unknown path': () => ({ path: '/v2/nothing' }),
+};
+
+When(
+  /^a caller sends (malformed JSON|an? .+|no key)$/,
+  async function when(this: CallerWorld, name: string) {
+    this.response = await send(this, REQUESTS[name]?.() ?? {});
+  },
+);
+
+When('a caller sends half a request and closes its side', async function when(this: CallerWorld) {
+  const socket = connect({ host: '127.0.0.1', port: this.server?.port ?? 0 });
+  await once(socket, 'connect');
+  socket.on('error', () => {});
+  socket.end('POST /v1/routes/echo HTTP/1.1\r\nHost: x\r\nContent-Length: 100\r\n\r\n{');
+  socket.resume();
+  await once(socket, 'close');
+});
+
+When(
+  'a caller asks for a stream of {int} parts',
+  async function when(this: CallerWorld, count: number) {
+    this.partCount = count;
+    this.response = await send(this, { body: '{"prompt":"x","stream":true}' });
+  },
+);
+
+When('a caller goes away in the middle of a call', async function when(this: CallerWorld) {
+  const gone = new AbortController();
+  const sent = send(this, { body: '{"prompt":"hold"}', signal: gone.signal });
+  await this.started;
+  gone.abort();
+  await assert.rejects(sent);
+});
+
+Then(
+  'the caller is refused with {int}, code {int} and outcome {string}',
+  async function then(this: CallerWorld, status: number, code: number, outcome: string) {
+    const problem = (await this.response.body.json()) as { code: number; outcome: string };
+    assert.equal(this.response.headers['content-type'], 'application/problem+json');
+    assert.deepEqual(
+      [this.response.statusCode, problem.code, problem.outcome],
+      [status, code, outcome],
+    );
+  },
+);
+
+Then('a good call is still answered', async function then(this: CallerWorld) {
+  const response = await send(this, {});
+  const answer = (await response.body.json()) as { choices: { text: string }[] };
+  assert.equal(answer.choices[0]?.text, 'good');
+});
+
+Then(
+  'the stream holds the {int} parts in order and ends with {string}',
+  async function then(this: CallerWorld, count: number, marker: string) {
+    const events = (await this.response.body.text())
+      .split('\n\n')
+      .filter((event) => event !== '')
+      .map((event) => event.replace('data: ', ''));
+    assert.equal(events.at(-1), marker);
+    const offsets = events
+      .slice(0, count)
+      .map((event) => (JSON.parse(event) as { offset_tokens: number }).offset_tokens);
+    assert.deepEqual(offsets, [...Array(count).keys()]);
+  },
+);
+
+Then('the call is cancelled', function then(this: CallerWorld) {
+  return this.held;
+});
+
+After(function after(this: CallerWorld) {
+  this.server?.stop();
+});
+
+interface SendOptions {
+  readonly path: string;
+  readonly body: string;
+  readonly headers: Record<string, string>;
+  readonly signal: AbortSignal;
+}
+
+function send(world: CallerWorld, opts: Partial<SendOptions>): Promise<Dispatcher.ResponseData> {
+  const url = `http://127.0.0.1:${world.server?.port ?? 0}${opts.path ?? '/v1/routes/echo'}`;
+  return request(url, {
+    method: 'POST',
+    body: opts.body ?? '{"prompt":"good"}',
+    headers: { authorization: `Bearer ${KEY}`, connection: 'close', ...opts.headers },
+    ...(opts.signal ? { signal: opts.signal } : {}),
+  });
+}
+
+function echo(call: Call): CallAnswer {
+  return { text: call.prompt, tokens: 0, finishReason: 'stop', body: null };
+}
