--- a/eslint.config.js
+++ b/eslint.config.js
@@ -13,6 +13,7 @@
   ...configs.base.typescript,
   rules.typescript.typescriptEslintStrict,
   {
+    settings: { n: { version: '>=20.19' } },
     rules: {
       // Prettier owns the layout.
       '@stylistic/arrow-parens': 'off',
--- a/packages/entry/src/followGate.ts
+++ b/packages/entry/src/followGate.ts
@@ -1,14 +1,16 @@
+import type { GalenatillerError } from '@galenatiller/error';
 import type { Logger } from '@galenatiller/logger';
-import { type Link, type NodeIdentity, openLink } from '@galenatiller/node';
+import type { Link, ProvedLink } from '@galenatiller/node';
 import type { TimerService } from '@galenatiller/timer';
+import type { Host } from '@galenatiller/types';
+import type { Result } from 'true-myth';
 
 import type { GateLink } from './gateLink.js';
 
 /** Options of {@link followGate}. */
 export interface FollowGateOptions {
   readonly gate: GateLink;
-  readonly identity: NodeIdentity;
-  readonly keys: readonly string[];
+  readonly openLink: (host: Host) => Promise<Result<ProvedLink, GalenatillerError>>;
   readonly timer: TimerService;
   readonly logger: Logger;
   readonly random: () => number;
@@ -32,7 +34,7 @@
   const { gate, timer, logger, signal } = opts;
   let backoffMs = FIRST_BACKOFF_MS;
   while (!signal.aborted) {
-    const opened = await openLink({ ...opts, address: gate.host.address, port: gate.host.port });
+    const opened = await opts.openLink(gate.host);
     if (opened.isErr) {
       logger({ message: `Could not open the link to ${gate.host.name}: ${opened.error.message}.` });
       await timer.sleep({ delayMs: backoffMs * (0.5 + opts.random()), signal });
--- a/packages/entry/src/index.ts
+++ b/packages/entry/src/index.ts
@@ -1,6 +1,7 @@
 /** The entry role: walks the stages of a call under one deadline. */
 export { chooseTarget } from './chooseTarget.js';
+export { createEntry, type CreateEntryOptions, type Entry } from './createEntry.js';
 export { decideRetry } from './decideRetry.js';
 export { naivePolicy } from './naivePolicy.js';
 export type * from './policy.js';
-export { type RunningEntry, startEntry, type StartEntryOptions } from './startEntry.js';
+export { runEntry, type RunEntryOptions } from './runEntry.js';
--- /dev/null
+++ b/packages/entry/src/runEntry.ts
@@ -0,0 +1,79 @@
+import { randomUUID } from 'node:crypto';
+
+import { type CallerServer, serveCallers } from '@galenatiller/caller';
+import { createLogger } from '@galenatiller/logger';
+import { type NodeIdentity, openLink } from '@galenatiller/node';
+import type { EntrySettings } from '@galenatiller/settings';
+import { TaskGroup, whenAborted } from '@galenatiller/tasks';
+import type { TimerService } from '@galenatiller/timer';
+
+import { createEntry, type CreateEntryOptions, type Entry } from './createEntry.js';
+import { OrganisationDirectory } from './organisationDirectory.js';
+
+/** Options of {@link runEntry}. */
+export interface RunEntryOptions {
+  readonly settings: EntrySettings;
+  readonly timer: TimerService;
+  /** Aborts to begin a graceful shutdown. */
+  readonly stop: AbortSignal;
+  readonly policy: CreateEntryOptions['policy'];
+  readonly random: () => number;
+  readonly followConfiguration: CreateEntryOptions['followConfiguration'];
+  readonly followHosts: CreateEntryOptions['followHosts'];
+  /** Told of the callers' port once it listens. */
+  readonly onListening?: (port: number) => void;
+}
+
+/** The balancer has so long to notice that the entry is not ready any more. */
+const READINESS_NOTICE_MS = 500;
+
+/** Runs an entry until its graceful shutdown is complete. */
+export async function runEntry(opts: RunEntryOptions): Promise<void> {
+  const { settings, timer } = opts;
+  const logger = createLogger('entry');
+  const identity: NodeIdentity = {
+    nodeName: settings.nodeName,
+    role: 'entry',
+    availabilityZone: settings.availabilityZone,
+    incarnation: randomUUID(),
+  };
+  const keys = settings.linkKeys;
+  const entry = createEntry({
+    ...opts,
+    identity,
+    openLink: (host) => openLink({ address: host.address, port: host.port, identity, keys, timer }),
+  });
+  const calls = TaskGroup.create({
+    onFailure: (error) => {
+      logger({ message: `A call failed: ${String(error)}.` });
+    },
+  });
+  const server = await openCallerPort(settings, entry, calls);
+  opts.onListening?.(server.port);
+  await whenAborted(opts.stop);
+  logger({ message: 'The graceful shutdown has begun.' });
+  entry.beginStop();
+  await timer.sleep({ delayMs: READINESS_NOTICE_MS });
+  server.stop();
+  await calls.drain();
+  await entry.finishStop();
+  logger({ message: 'The graceful shutdown is complete.' });
+}
+
+function openCallerPort(
+  settings: EntrySettings,
+  entry: Entry,
+  tasks: TaskGroup,
+): Promise<CallerServer> {
+  const organisations = OrganisationDirectory.create(entry);
+  return serveCallers({
+    address: settings.callerAddress,
+    port: settings.callerPort,
+    logger: createLogger('caller'),
+    tasks,
+    findOrganisation: (keyHash) => organisations.find(keyHash),
+    createRequestId: randomUUID,
+    runCall: entry.runCall,
+    isReady: entry.isReady,
+  });
+}
--- a/packages/gate/src/startGate.ts
+++ b/packages/gate/src/createGate.ts
@@ -1,9 +1,7 @@
-import { randomUUID } from 'node:crypto';
-
 import { indexRules } from '@galenatiller/configuration';
 import { createLogger } from '@galenatiller/logger';
-import { acceptLinks, type Link, type LinkServer } from '@galenatiller/node';
-import type { GateSettings } from '@galenatiller/settings';
+import type { Link, ProvedLink } from '@galenatiller/node';
+import type { TargetSettings } from '@galenatiller/settings';
 import { TaskGroup } from '@galenatiller/tasks';
 import type { TimerService } from '@galenatiller/timer';
 import type { Configuration, TargetReport } from '@galenatiller/types';
@@ -14,9 +12,10 @@
 import { serveEntry } from './serveEntry.js';
 import { TargetAdmission } from './targetAdmission.js';
 
-/** Options of {@link startGate}. */
-export interface StartGateOptions {
-  readonly settings: GateSettings;
+/** Options of {@link createGate}; every peer is reached by a function. */
+export interface CreateGateOptions {
+  readonly availabilityZone: string;
+  readonly targets: readonly TargetSettings[];
   readonly timer: TimerService;
   readonly runners: TargetRunners;
   readonly runRecords: RunRecordKeeper;
@@ -28,8 +27,11 @@
 }
 
 /** A gate that runs. */
-export interface RunningGate {
-  readonly linkPort: number;
+export interface Gate {
+  /** Serves the link from one entry until it ends. */
+  readonly serveLink: (proved: ProvedLink) => Promise<void>;
+  readonly readReports: () => readonly TargetReport[];
+  readonly readConfiguration: () => Configuration;
   /** Graceful shutdown: refuses new orders; resolves when every running order has ended. */
   readonly stop: () => Promise<void>;
 }
@@ -38,11 +40,11 @@
 const REPORT_INTERVAL_MS = 500;
 
 /** Entries are told of a graceful shutdown so long before the links end. */
-const LEAVING_NOTICE_MS = 200;
+const LEAVING_NOTICE_MS = 700;
 
-/** Starts the tasks of a gate: one for the store and one for each link from an entry. */
-export async function startGate(opts: StartGateOptions): Promise<RunningGate> {
-  const { settings, timer } = opts;
+/** Starts the tasks of a gate: one for the configuration; each link brings its own. */
+export function createGate(opts: CreateGateOptions): Gate {
+  const { timer } = opts;
   const logger = createLogger('gate');
   const onFailure = (error: unknown): void => {
     logger({ message: `A task failed: ${String(error)}.` });
@@ -50,6 +52,7 @@
   const orders = TaskGroup.create({ onFailure });
   const peers = TaskGroup.create({ onFailure });
   const stopping = new AbortController();
+  const links = new Set<Link>();
   let configuration = indexRules({ revision: 0, rules: [] });
 
   const context: GateContext = {
@@ -58,24 +61,35 @@
     runRecords: opts.runRecords,
     timer,
     logger,
-    availabilityZone: settings.availabilityZone,
+    availabilityZone: opts.availabilityZone,
     readConfiguration: () => configuration,
     isLeaving: () => stopping.signal.aborted,
   };
+  const readReports = (): readonly TargetReport[] =>
+    [...context.targets.values()].map((target) => target.report());
   peers.start(() =>
     opts.followConfiguration((next) => {
       configuration = next;
       logger({ message: `Revision ${next.revision} is in force.` });
     }, stopping.signal),
   );
-  const links = new Set<Link>();
-  const server = await openLinkPort({ settings, context, orders, peers, links });
   return {
-    linkPort: server.port,
+    readReports,
+    readConfiguration: context.readConfiguration,
+    serveLink: async (proved) => {
+      links.add(proved.link);
+      await serveEntry({
+        proved,
+        context,
+        tasks: orders,
+        readReports,
+        reportIntervalMs: REPORT_INTERVAL_MS,
+      });
+      links.delete(proved.link);
+    },
     stop: async () => {
       stopping.abort();
-      server.stop();
-      await timer.sleep({ delayMs: REPORT_INTERVAL_MS + LEAVING_NOTICE_MS });
+      await timer.sleep({ delayMs: LEAVING_NOTICE_MS });
       await orders.drain();
       links.forEach((link) => {
         link.end();
@@ -85,52 +99,12 @@
   };
 }
 
-function createTargets(opts: StartGateOptions): ReadonlyMap<string, TargetAdmission> {
-  const { settings, timer } = opts;
+function createTargets(opts: CreateGateOptions): ReadonlyMap<string, TargetAdmission> {
+  const { timer } = opts;
   return new Map(
-    settings.targets.map((target) => [
+    opts.targets.map((target) => [
       target.name,
       TargetAdmission.create({ settings: target, timer }),
     ]),
   );
 }
-
-interface OpenLinkPortOptions {
-  readonly settings: GateSettings;
-  readonly context: GateContext;
-  readonly orders: TaskGroup;
-  readonly peers: TaskGroup;
-  /** Open links, kept up to date by their tasks. */
-  readonly links: Set<Link>;
-}
-
-function openLinkPort(opts: OpenLinkPortOptions): Promise<LinkServer> {
-  const { settings, context, links } = opts;
-  const readReports = (): readonly TargetReport[] =>
-    [...context.targets.values()].map((target) => target.report());
-  return acceptLinks({
-    address: settings.linkAddress,
-    port: settings.linkPort,
-    identity: {
-      nodeName: settings.nodeName,
-      role: 'gate',
-      availabilityZone: settings.availabilityZone,
-      incarnation: randomUUID(),
-    },
-    keys: settings.linkKeys,
-    timer: context.timer,
-    logger: createLogger('link'),
-    tasks: opts.peers,
-    serve: async (proved) => {
-      links.add(proved.link);
-      await serveEntry({
-        proved,
-        context,
-        tasks: opts.orders,
-        readReports,
-        reportIntervalMs: REPORT_INTERVAL_MS,
-      });
-      links.delete(proved.link);
-    },
-  });
-}
--- a/packages/gate/src/index.ts
+++ b/packages/gate/src/index.ts
@@ -1,4 +1,5 @@
 /** The gate role: the only way to the targets of its host. */
+export { createGate, type CreateGateOptions, type Gate } from './createGate.js';
 export type * from './policy.js';
 export type * from './runRecordKeeper.js';
-export { type RunningGate, startGate, type StartGateOptions } from './startGate.js';
+export { runGate, type RunGateOptions } from './runGate.js';
--- /dev/null
+++ b/packages/gate/src/runGate.ts
@@ -0,0 +1,60 @@
+import { randomUUID } from 'node:crypto';
+
+import { createLogger } from '@galenatiller/logger';
+import { acceptLinks } from '@galenatiller/node';
+import type { GateSettings } from '@galenatiller/settings';
+import { TaskGroup, whenAborted } from '@galenatiller/tasks';
+import type { TimerService } from '@galenatiller/timer';
+
+import { createGate, type CreateGateOptions } from './createGate.js';
+
+/** Options of {@link runGate}. */
+export interface RunGateOptions {
+  readonly settings: GateSettings;
+  readonly timer: TimerService;
+  /** Aborts to begin a graceful shutdown. */
+  readonly stop: AbortSignal;
+  readonly runners: CreateGateOptions['runners'];
+  readonly runRecords: CreateGateOptions['runRecords'];
+  readonly followConfiguration: CreateGateOptions['followConfiguration'];
+  /** Told of the link port once it listens. */
+  readonly onListening?: (port: number) => void;
+}
+
+/** Runs a gate until its graceful shutdown is complete. */
+export async function runGate(opts: RunGateOptions): Promise<void> {
+  const { settings, timer } = opts;
+  const logger = createLogger('gate');
+  const gate = createGate({
+    ...opts,
+    availabilityZone: settings.availabilityZone,
+    targets: settings.targets,
+  });
+  const links = TaskGroup.create({
+    onFailure: (error) => {
+      logger({ message: `A link failed: ${String(error)}.` });
+    },
+  });
+  const server = await acceptLinks({
+    address: settings.linkAddress,
+    port: settings.linkPort,
+    identity: {
+      nodeName: settings.nodeName,
+      role: 'gate',
+      availabilityZone: settings.availabilityZone,
+      incarnation: randomUUID(),
+    },
+    keys: settings.linkKeys,
+    timer,
+    logger: createLogger('link'),
+    tasks: links,
+    serve: gate.serveLink,
+  });
+  opts.onListening?.(server.port);
+  await whenAborted(opts.stop);
+  logger({ message: 'The graceful shutdown has begun.' });
+  await gate.stop();
+  server.stop();
+  await links.drain();
+  logger({ message: 'The graceful shutdown is complete.' });
+}
--- a/packages/node/src/link.ts
+++ b/packages/node/src/link.ts
@@ -1,5 +1,5 @@
 import { once } from 'node:events';
-import type { Socket } from 'node:net';
+import type { Duplex } from 'node:stream';
 
 import type { GalenatillerError } from '@galenatiller/error';
 
@@ -9,21 +9,20 @@
 /** Unsent bytes above which a sender of streamed text waits. */
 const SEND_BUFFER_BYTES = 262_144;
 
-/** Frames in both directions over one socket. */
+/** Frames in both directions over one socket, or over one side of a pair of streams in tests. */
 export class Link {
   private corked = false;
 
   private readonly frames: AsyncGenerator<NodeFrame, void, void>;
 
-  private constructor(private readonly socket: Socket) {
-    socket.setNoDelay(true);
+  private constructor(private readonly socket: Duplex) {
     // An error is always followed by close, which ends the reader.
     socket.on('error', () => {});
     this.frames = readFrames(socket);
   }
 
-  /** Makes a link over a connected socket. */
-  static create(opts: { readonly socket: Socket }): Link {
+  /** Makes a link over a connected socket with Nagle's algorithm off. */
+  static create(opts: { readonly socket: Duplex }): Link {
     return new Link(opts.socket);
   }
 
@@ -84,7 +83,7 @@
   }
 }
 
-async function* readFrames(socket: Socket): AsyncGenerator<NodeFrame, void, void> {
+async function* readFrames(socket: Duplex): AsyncGenerator<NodeFrame, void, void> {
   const decoder = FrameDecoder.create();
   try {
     for await (const bytes of socket) {
--- a/packages/node/src/openLink.ts
+++ b/packages/node/src/openLink.ts
@@ -43,7 +43,7 @@
 
 function connectSocket(opts: OpenLinkOptions): Promise<Result<Socket, GalenatillerError>> {
   return new Promise((resolve) => {
-    const socket = connect({ host: opts.address, port: opts.port });
+    const socket = connect({ host: opts.address, port: opts.port, noDelay: true });
     const cancelLimit = opts.timer.after({
       delayMs: HANDSHAKE_TIMEOUT_MS,
       notify: () => {
--- /dev/null
+++ b/packages/tasks/src/whenAborted.ts
@@ -0,0 +1,10 @@
+/** Resolves when the signal aborts, at once if it has. */
+export function whenAborted(signal: AbortSignal): Promise<void> {
+  return new Promise((resolve) => {
+    if (signal.aborted) {
+      resolve();
+      return;
+    }
+    signal.addEventListener('abort', () => resolve(), { once: true });
+  });
+}
