--- /dev/null
+++ b/packages/settings/src/settingKey.ts
@@ -0,0 +1,137 @@
+import { isIP } from 'node:net';
+
+import { z } from 'zod';
+
+const MIN_KEY_BYTES = 32;
+const HEX_DIGITS_PER_BYTE = 2;
+const MAX_KEYS = 2;
+const MAX_PORT = 65_535;
+
+/** What names look like. */
+export const NAME = /^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$/;
+
+/** The same in words. */
+export const NAME_BOUNDS = '1 to 63 of A-Z a-z 0-9 . _ -, first a letter or digit';
+
+const HTTP_URL = z.url({ protocol: /^https?$/ });
+const HEX = /^([0-9a-f]{2})+$/;
+
+/** One key of the settings file; `defaultText` is absent when the key is required. */
+export interface SettingKey<Value> {
+  readonly section: string;
+  readonly key: string;
+  readonly meaning: string;
+  readonly unit: string;
+  readonly bounds: string;
+  readonly defaultText?: string;
+  /** Values of secret keys are never printed. */
+  readonly secret: boolean;
+  readonly schema: z.ZodType<Value, string>;
+}
+
+/** Keys indexed by the field of the settings that they fill. */
+export type KeyTable = Readonly<Record<string, SettingKey<unknown>>>;
+
+/** The settings that a table of keys fills. */
+export type ValuesOf<Table extends KeyTable> = {
+  readonly [Field in keyof Table]: Table[Field] extends SettingKey<infer Value> ? Value : never;
+};
+
+/** Place, meaning and default of a key, whatever its value is. */
+export interface KeyOptions {
+  readonly section: string;
+  readonly key: string;
+  readonly meaning: string;
+  readonly defaultText?: string;
+}
+
+/** Options of {@link integerKey}. */
+export interface IntegerKeyOptions extends KeyOptions {
+  readonly unit: string;
+  readonly min: number;
+  readonly max: number;
+}
+
+/** A key with a name as value. */
+export function nameKey(opts: KeyOptions): SettingKey<string> {
+  return {
+    ...opts,
+    unit: 'name',
+    bounds: NAME_BOUNDS,
+    secret: false,
+    schema: z.string().regex(NAME),
+  };
+}
+
+/** A key with a whole number as value. */
+export function integerKey(opts: IntegerKeyOptions): SettingKey<number> {
+  const { min, max, ...rest } = opts;
+  return {
+    ...rest,
+    bounds: `${min} to ${max}`,
+    secret: false,
+    schema: z.string().regex(/^\d+$/).transform(Number).pipe(z.number().int().min(min).max(max)),
+  };
+}
+
+/** A key with a TCP or UDP port as value. */
+export function portKey(opts: KeyOptions): SettingKey<number> {
+  return integerKey({ ...opts, unit: 'port', min: 1, max: MAX_PORT });
+}
+
+/** A key with an IP number as value; it may be empty only when its default is. */
+export function addressKey(opts: KeyOptions): SettingKey<string> {
+  const mayBeEmpty = opts.defaultText === '';
+  return {
+    ...opts,
+    unit: 'IP number',
+    bounds: mayBeEmpty ? 'IPv4, IPv6 or empty' : 'IPv4 or IPv6',
+    secret: false,
+    schema: z.string().refine((text) => isIP(text) !== 0 || (mayBeEmpty && text === '')),
+  };
+}
+
+/** A key with an HTTP address as value; it may be empty only when its default is. */
+export function urlKey(opts: KeyOptions): SettingKey<string> {
+  const mayBeEmpty = opts.defaultText === '';
+  return {
+    ...opts,
+    unit: 'URL',
+    bounds: mayBeEmpty ? 'http, https or empty' : 'http or https',
+    secret: false,
+    schema: mayBeEmpty ? z.union([HTTP_URL, z.literal('')]) : HTTP_URL,
+  };
+}
+
+/** A key with shared secrets as value, in hex and separated by commas. */
+export function secretsKey(opts: KeyOptions): SettingKey<readonly string[]> {
+  const minDigits = MIN_KEY_BYTES * HEX_DIGITS_PER_BYTE;
+  return {
+    ...opts,
+    unit: 'hex, separated by commas',
+    bounds: `1 to ${MAX_KEYS} keys of at least ${MIN_KEY_BYTES} bytes (${minDigits} hex digits)`,
+    secret: true,
+    schema: z
+      .string()
+      .transform(splitList)
+      .pipe(z.array(z.string().min(minDigits).regex(HEX)).min(1).max(MAX_KEYS)),
+  };
+}
+
+/** A key with one of some words as value. */
+export function choiceKey<const Choice extends string>(
+  opts: KeyOptions & { readonly choices: readonly Choice[] },
+): SettingKey<Choice> {
+  const { choices, ...rest } = opts;
+  return {
+    ...rest,
+    unit: 'word',
+    bounds: choices.join(', '),
+    secret: false,
+    schema: z.string().pipe(z.enum(choices) as z.ZodType<Choice, string>),
+  };
+}
+
+function splitList(text: string): string[] {
+  return text.split(',').map((part) => part.trim().toLowerCase());
+}
--- /dev/null
+++ b/packages/settings/src/settingsProblem.ts
@@ -0,0 +1,24 @@
+/** One thing that is wrong with a settings file. */
+export interface SettingsProblem {
+  readonly fileName: string;
+  /** Counts from 1; 0 when the problem is that something is missing. */
+  readonly line: number;
+  /** Empty when the problem concerns the whole file. */
+  readonly section: string;
+  /** Empty when the problem concerns the whole section. */
+  readonly key: string;
+  /** What the file says; never the value of a secret key. */
+  readonly found: string;
+  readonly expected: string;
+  /** Nearest known name, empty when none is near. */
+  readonly nearest: string;
+}
+
+/** One line for the operator: file, line, section, key, what was found and what was expected. */
+export function renderSettingsProblem(problem: SettingsProblem): string {
+  const place = problem.line > 0 ? `${problem.fileName}:${problem.line}` : problem.fileName;
+  const section = problem.section ? ` [${problem.section}]` : '';
+  const key = problem.key ? ` ${problem.key}` : '';
+  const hint = problem.nearest ? ` (did you mean ${problem.nearest}?)` : '';
+  return `${place}:${section}${key}: found ${problem.found}, expected ${problem.expected}${hint}`;
+}
