Run the daemon from its command line to its exit code

The roles are functions passed as arguments, so the whole path from command line to graceful shutdown, its bound and the second signal runs on the manual clock. A stop that the limit cut exits with 2, since requests were cut; a whole one with 0.

--- /dev/null
+++ b/packages/daemon/src/loadSettings.ts
@@ -0,0 +1,34 @@
+import { GalenatillerError } from '@galenatiller/error';
+import { type NodeSettings, readSettings, renderSettingsProblem } from '@galenatiller/settings';
+import { Result } from 'true-myth';
+
+import type { DaemonCommand } from './parseCommandLine.js';
+
+/** Reads the whole text of a file; rejects when it can't be read. */
+export type ReadText = (fileName: string) => Promise<string>;
+
+/** Options of {@link loadSettings}. */
+export interface LoadSettingsOptions {
+  readonly command: DaemonCommand;
+  readonly readText: ReadText;
+}
+
+/** The settings of the node; the detail of the error has a line for each problem. */
+export async function loadSettings(
+  opts: LoadSettingsOptions,
+): Promise<Result<NodeSettings, GalenatillerError>> {
+  const { role, settingsFile: fileName } = opts.command;
+  try {
+    const text = await opts.readText(fileName);
+    return readSettings({ role, fileName, text }).mapErr((problems) =>
+      settingsInvalid(problems.map(renderSettingsProblem).join('\n')),
+    );
+  } catch (error) {
+    const reason = error instanceof Error ? error.message : 'unknown reason';
+    return Result.err(settingsInvalid(`${fileName}: cannot be read: ${reason}`));
+  }
+}
+
+function settingsInvalid(detail: string): GalenatillerError {
+  return GalenatillerError.create({ name: 'settings-invalid', detail });
+}
--- /dev/null
+++ b/packages/daemon/test/daemon.feature
@@ -0,0 +1,53 @@
+Feature: The daemon from its command line to its exit code
+
+  Background:
+    Given a daemon whose node needs 40 ms for a graceful shutdown
+
+  Scenario Outline: The command line and the settings decide before the node starts
+    When the daemon is called with "<arguments>"
+    Then the daemon exits with <code>
+    And the daemon has written "<text>"
+    And its node has not started
+
+    Examples:
+      | arguments                           | code | text                                                    |
+      | --help                              | 0    | graceful shutdown, at most                              |
+      | entry --help                        | 0    | --settings <file>                                       |
+      | entry                               | 1    | required option                                         |
+      | gat --settings right.ini            | 1    | Did you mean gate                                       |
+      | entry --settings right.ini --check  | 0    | right.ini: no problem found.                            |
+      | gate --settings right.ini --check   | 6    | right.ini: found no target, expected a section          |
+      | entry --settings wrong.ini          | 6    | wrong.ini:2: [node] nam: found an unknown key           |
+      | entry --settings none.ini           | 6    | none.ini: cannot be read: no such file                  |
+
+  Scenario: A signal asks for a graceful shutdown
+    When the daemon is called with "entry --settings right.ini"
+    And the daemon gets SIGTERM
+    And 40 ms pass for the daemon
+    Then the daemon exits with 0
+
+  Scenario: The stop limit bounds the shutdown
+    Given a daemon whose node needs 900 ms for a graceful shutdown
+    When the daemon is called with "entry --settings right.ini"
+    And the daemon gets SIGTERM
+    And 499 ms pass for the daemon
+    Then the daemon still runs
+    When 1 ms pass for the daemon
+    Then the daemon exits with 2
+
+  Scenario Outline: A second signal ends at once
+    When the daemon is called with "entry --settings right.ini"
+    And the daemon gets SIGTERM
+    And the daemon gets <signal>
+    Then the daemon exits with <code>
+
+    Examples:
+      | signal  | code |
+      | SIGTERM | 143  |
+      | SIGINT  | 130  |
+
+  Scenario: A node that fails is told
+    Given a daemon whose node fails with "port taken"
+    When the daemon is called with "entry --settings right.ini"
+    Then the daemon exits with 9
+    And the daemon has written "The node failed: port taken"
--- a/packages/settings/src/settingsProblem.ts
+++ b/packages/settings/src/settingsProblem.ts
@@ -16,9 +16,11 @@
 
 /** One line for the operator: file, line, section, key, what was found and what was expected. */
 export function renderSettingsProblem(problem: SettingsProblem): string {
-  const place = problem.line > 0 ? `${problem.fileName}:${problem.line}` : problem.fileName;
-  const section = problem.section ? ` [${problem.section}]` : '';
-  const key = problem.key ? ` ${problem.key}` : '';
-  const hint = problem.nearest ? ` (did you mean ${problem.nearest}?)` : '';
-  return `${place}:${section}${key}: found ${problem.found}, expected ${problem.expected}${hint}`;
+  const { fileName, line, section, key, found, expected, nearest } = problem;
+  const place = [
+    line > 0 ? `${fileName}:${line}` : fileName,
+    [section && `[${section}]`, key].filter(Boolean).join(' '),
+  ];
+  const hint = nearest ? ` (did you mean ${nearest}?)` : '';
+  return `${place.filter(Boolean).join(': ')}: found ${found}, expected ${expected}${hint}`;
 }
