Record events on a bounded time line with hybrid clock stamps

A request crosses nodes whose wall clocks differ, so events carry hybrid logical clock stamps that are merged on receipt.

--- a/packages/timeline/src/index.ts
+++ b/packages/timeline/src/index.ts
@@ -1,2 +1,13 @@
 /** A bounded ring of typed events with hybrid logical clock stamps. */
-export {};
+export { compareStamps } from './compareStamps.js';
+export { explainRequest } from './explainRequest.js';
+export { HybridClock, MAX_DRIFT_MS } from './hybridClock.js';
+export { mergeTimelines } from './mergeTimelines.js';
+export { renderTimeline } from './renderTimeline.js';
+export {
+  MAX_DETAIL_LENGTH,
+  type RecordOptions,
+  Timeline,
+  type TimelineOptions,
+  type TimelineQuery,
+} from './timeline.js';
--- /dev/null
+++ b/packages/timeline/src/mergeTimelines.ts
@@ -0,0 +1,28 @@
+import type { TimelineEvent } from '@galenatiller/types';
+
+import { compareStamps } from './compareStamps.js';
+
+/** Events of several nodes in one causal order; an event that several lists hold comes once. */
+export function mergeTimelines(
+  lists: readonly (readonly TimelineEvent[])[],
+): readonly TimelineEvent[] {
+  return lists
+    .flat()
+    .sort(compareEvents)
+    .filter((event, index, all) => {
+      const before = all[index - 1];
+      return !before || compareEvents(before, event) !== 0;
+    });
+}
+
+/** Stamps of one node differ, so node and stamp together identify an event. */
+function compareEvents(left: TimelineEvent, right: TimelineEvent): number {
+  return compareStamps(left.stamp, right.stamp) || compareText(left.nodeName, right.nodeName);
+}
+
+function compareText(left: string, right: string): number {
+  if (left === right) {
+    return 0;
+  }
+  return left < right ? -1 : 1;
+}
