--- /dev/null
+++ b/packages/operator/test/rules.steps.ts
@@ -0,0 +1,118 @@
+import assert from 'node:assert/strict';
+import { readFile } from 'node:fs/promises';
+
+import { type DataTable, Then, When } from '@cucumber/cucumber';
+import {
+  diffRules,
+  formatProblem,
+  formatRule,
+  formatRules,
+  type ParsedRules,
+  parseRules,
+  type RuleProblem,
+} from '@galenatiller/operator';
+import type { Rule } from '@galenatiller/types';
+import fc from 'fast-check';
+import type { Result } from 'true-myth';
+
+import { consistentRules, damagedText } from './ruleArbitraries.js';
+
+interface RulesWorld {
+  parsed: Result<ParsedRules, readonly RuleProblem[]>;
+  before: readonly Rule[];
+  after: readonly Rule[];
+}
+
+When('the rules file {string} is parsed', async function when(this: RulesWorld, file: string) {
+  this.parsed = parseRules({ text: await readFile(file, 'utf8'), fileName: file });
+});
+
+When('these rule lines are parsed', function when(this: RulesWorld, text: string) {
+  this.parsed = parseRules({ text, fileName: 'f' });
+});
+
+When('two organisations are given the same key digest', function when(this: RulesWorld) {
+  const line = (name: string): string =>
+    `organisation ${name} key-sha256=${'0a'.repeat(32)} # asked by Mere\n`;
+  this.parsed = parseRules({ text: line('north') + line('south'), fileName: 'f' });
+});
+
+When('the rules before a change are', function when(this: RulesWorld, text: string) {
+  this.before = rulesOf(text);
+});
+
+When('the rules after it are', function when(this: RulesWorld, text: string) {
+  this.after = rulesOf(text);
+});
+
+Then('it has {int} rules and no problem', function then(this: RulesWorld, rules: number) {
+  assert.deepEqual(problemLines(this.parsed), []);
+  assert.equal(this.parsed.unwrapOr({ fileName: '', rules: [] }).rules.length, rules);
+});
+
+Then('its rules written out and parsed again are the same', function then(this: RulesWorld) {
+  const { rules } = this.parsed.unwrapOr({ fileName: '', rules: [] });
+  assert.deepEqual(rulesOf(formatRules(rules)), rules);
+});
+
+Then('the only problem is {string}', function then(this: RulesWorld, problem: string) {
+  assert.deepEqual(problemLines(this.parsed), [`f:${problem}`]);
+});
+
+Then('the problems are at', function then(this: RulesWorld, table: DataTable) {
+  const places = problemLines(this.parsed).map((line) => /^f:(\d+:\d+):/.exec(line)?.[1]);
+  assert.deepEqual(places, table.raw().flat());
+});
+
+Then(
+  '{int} random and damaged rules files are read or refused with places in their text',
+  (runs: number) => {
+    const damagedRules = fc
+      .tuple(consistentRules, damagedText, fc.nat())
+      .map(([rules, damage, at]) => {
+        const text = formatRules(rules);
+        const cut = at % text.length;
+        return text.slice(0, cut) + damage + text.slice(cut + 1);
+      });
+    fc.assert(
+      fc.property(fc.oneof(damagedText, damagedRules), (text) => {
+        const parsed = parseRules({ text, fileName: 'f' });
+        const lines = text.split(/\r\n|\r|\n/);
+        assert.ok(parsed.isOk || parsed.error.length > 0);
+        (parsed.isErr ? parsed.error : []).forEach(({ line, column }) => {
+          assert.ok(line >= 1 && column >= 1);
+          assert.ok(column <= (lines[line - 1]?.length ?? 0) + 1, `${line}:${column}`);
+        });
+      }),
+      { numRuns: runs, seed: 41 },
+    );
+  },
+);
+
+Then('{int} random sets of rules come back the same from their text', (runs: number) => {
+  fc.assert(
+    fc.property(consistentRules, (rules) => {
+      assert.deepEqual(rulesOf(formatRules(rules)), rules);
+    }),
+    { numRuns: runs, seed: 42 },
+  );
+});
+
+Then('the rule changes are', function then(this: RulesWorld, table: DataTable) {
+  const changes = diffRules({ before: this.before, after: this.after });
+  const lines = changes.map((change) => [
+    change.kind,
+    formatRule(change.kind === 'removed' ? change.before : change.after),
+  ]);
+  assert.deepEqual(lines, table.raw());
+});
+
+function rulesOf(text: string): readonly Rule[] {
+  const parsed = parseRules({ text, fileName: 'f' });
+  assert.deepEqual(problemLines(parsed), []);
+  return parsed.unwrapOr({ fileName: '', rules: [] }).rules;
+}
+
+function problemLines(parsed: Result<ParsedRules, readonly RuleProblem[]>): readonly string[] {
+  return parsed.isErr ? parsed.error.map(formatProblem) : [];
+}
