--- a/eslint.config.js
+++ b/eslint.config.js
@@ -45,6 +45,9 @@
       ],
       'import-x/extensions': ['error', 'always', { ignorePackages: true }],
       '@typescript-eslint/promise-function-async': 'off',
+      // TypeScript checks that a switch over a string union is complete.
+      'default-case': 'off',
+      'consistent-return': 'off',
       'no-await-in-loop': 'off',
       'no-continue': 'off',
       'max-lines': ['error', { max: 300, skipBlankLines: true, skipComments: true }],
@@ -72,6 +75,12 @@
         tsconfigRootDir: process.cwd(),
       },
     },
+    rules: {
+      '@typescript-eslint/switch-exhaustiveness-check': [
+        'error',
+        { considerDefaultExhaustiveForUnions: true },
+      ],
+    },
   },
   {
     files: ['**/*.mjs', '**/*.cjs', 'eslint.config.js', 'cucumber.js'],
