Serve a request end to end: caller, entry, gate, stand-in targets and back

A cucumber feature drives it over sockets: four stages streamed whole, a call made once, a broken stream resumed on another target, a graceful shutdown.

--- /dev/null
+++ b/features/path.steps.ts
@@ -0,0 +1,342 @@
+import assert from 'node:assert/strict';
+import { readFile } from 'node:fs/promises';
+
+import { After, Given, setDefaultTimeout, Then, When } from '@cucumber/cucumber';
+import { indexRules } from '@galenatiller/configuration';
+import { runGeneration } from '@galenatiller/engine';
+import { chooseTarget, decideRetry, runEntry } from '@galenatiller/entry';
+import {
+  createFakeEngine,
+  createFakePool,
+  createFakeService,
+  expectedAnswer,
+  expectedPassages,
+  expectedScore,
+  type FakeService,
+  type FakeTarget,
+} from '@galenatiller/fakes';
+import { createMemoryRunRecords, runGate } from '@galenatiller/gate';
+import { parseRules } from '@galenatiller/operator';
+import { runPoolStage } from '@galenatiller/pool';
+import { runServiceCall } from '@galenatiller/service';
+import type { TargetSettings } from '@galenatiller/settings';
+import { whenAborted } from '@galenatiller/tasks';
+import { systemClock, TimerService } from '@galenatiller/timer';
+import type { Configuration, Host, Passage, TargetKind } from '@galenatiller/types';
+import { type Dispatcher, request } from 'undici';
+
+interface PathWorld {
+  entryPort: number;
+  engines: FakeTarget[];
+  pools: FakeTarget[];
+  floor: FakeService;
+  stopEntry: AbortController;
+  stopGate: AbortController;
+  entryEnded: Promise<void>;
+  gateEnded: Promise<void>;
+  prompt: string;
+  route: string;
+  status: number;
+  text: string;
+  problem: { code: number; outcome: string };
+}
+
+setDefaultTimeout(20_000);
+
+const timer = TimerService.create({ clock: systemClock });
+/** Tokens of the stage `draft`, and passages that retrieval returns. */
+const DRAFT_TOKENS = 256;
+const PASSAGE_LIMIT = 8;
+
+const LINK_KEYS = ['a1'.repeat(32)];
+const common = {
+  stopLimitMs: 10_000,
+  linkAddress: '127.0.0.1',
+  linkPort: 0,
+  linkKeys: LINK_KEYS,
+  operatorAddress: '127.0.0.1',
+  operatorPort: 0,
+  operatorKeys: [],
+  storeUrl: '',
+  hostListUrl: '',
+  weightStoreUrl: '',
+  metricsAddress: '',
+  metricsPort: 0,
+};
+const fake = { timer, port: 0, seed: 1, restartMs: 50 };
+const speed = { baseMsPerToken: 1, slopeMsPerToken: 0.1, capacity: 16 };
+const work = { serviceMs: 1, concurrency: 16 };
+
+Given(
+  'an entry, a gate and stand-in targets with the rules {string}',
+  async function given(this: PathWorld, fileName: string) {
+    const text = await readFile(fileName, 'utf8');
+    const { rules } = parseRules({ text, fileName }).unwrapOrElse((problems) =>
+      assert.fail(JSON.stringify(problems)),
+    );
+    const configuration = indexRules({ revision: 1, rules });
+    this.engines = [
+      await createFakeEngine({ ...fake, speed }),
+      await createFakeEngine({ ...fake, speed }),
+    ];
+    this.pools = [await createFakePool({ ...fake, ...work })];
+    this.floor = await createFakeService({ ...fake, ...work });
+    this.stopEntry = new AbortController();
+    this.stopGate = new AbortController();
+    const linkPort = await startGate(this, configuration);
+    const host: Host = {
+      name: 'gate-1',
+      address: '127.0.0.1',
+      port: linkPort,
+      operatorPort: 0,
+      role: 'gate',
+      availabilityZone: 'north-a',
+      state: 'live',
+    };
+    this.entryPort = await startEntry(this, configuration, [host]);
+    await untilReady(this.entryPort);
+  },
+);
+
+Given(
+  'the first engine breaks each stream after {int} tokens',
+  function given(this: PathWorld, afterTokens: number) {
+    this.engines[0]?.faults.apply({ kind: 'break', afterTokens, share: 1 });
+  },
+);
+
+When(
+  '{string} streams route {string} with prompt {string}',
+  function when(this: PathWorld, organisation: string, route: string, prompt: string) {
+    return stream(this, { organisation, route, prompt });
+  },
+);
+
+When(
+  '{string} streams route {string} with prompt {string} while the entry is told to stop',
+  async function when(this: PathWorld, organisation: string, route: string, prompt: string) {
+    const streamed = stream(this, { organisation, route, prompt });
+    await untilRunning(this.engines);
+    this.stopEntry.abort();
+    await streamed;
+  },
+);
+
+When(
+  '{string} calls route {string} with prompt {string}',
+  async function when(this: PathWorld, organisation: string, route: string, prompt: string) {
+    this.prompt = prompt;
+    this.route = route;
+    await take(this, await send(this, { organisation, route, body: { prompt } }));
+  },
+);
+
+When(
+  '{string} calls route {string} with key {string}',
+  async function when(this: PathWorld, organisation: string, route: string, runKey: string) {
+    const body = { body: { batch: 7 } };
+    await take(this, await send(this, { organisation, route, runKey, body }));
+  },
+);
+
+When(
+  '{string} calls route {string} without a key',
+  async function when(this: PathWorld, organisation: string, route: string) {
+    await take(this, await send(this, { organisation, route, body: { body: { batch: 7 } } }));
+  },
+);
+
+Then('the streamed text is the whole answer of the engine', function then(this: PathWorld) {
+  assert.equal(this.text, wholeAnswer(this));
+});
+
+Then('the answer text is the whole answer of the engine', function then(this: PathWorld) {
+  assert.equal(this.text, wholeAnswer(this));
+});
+
+Then(
+  'the targets ran the stages encode, retrieve, rerank and generate once each',
+  function then(this: PathWorld) {
+    const runs = [...this.pools, ...this.engines].flatMap((target) => target.ledger.runs);
+    assert.deepEqual(
+      runs.map((run) => [run.stageIndex, run.attempt]),
+      [0, 1, 2, 3].map((stageIndex) => [stageIndex, 0]),
+    );
+    assert.equal(new Set(runs.map((run) => run.requestId)).size, 1);
+  },
+);
+
+Then('the call is answered', function then(this: PathWorld) {
+  assert.equal(this.status, 200);
+});
+
+Then(/^the floor service shows (\d+) effects?$/, function then(this: PathWorld, count: string) {
+  assert.equal(this.floor.effects.length, Number(count));
+});
+
+Then(
+  'the call is refused with code {int} and outcome {string}',
+  function then(this: PathWorld, code: number, outcome: string) {
+    assert.deepEqual([this.problem.code, this.problem.outcome], [code, outcome]);
+  },
+);
+
+Then('the entry has ended', function then(this: PathWorld) {
+  return this.entryEnded;
+});
+
+After(async function after(this: PathWorld) {
+  if (!this.stopEntry) {
+    return;
+  }
+  this.stopEntry.abort();
+  this.stopGate.abort();
+  await Promise.all([this.entryEnded, this.gateEnded]);
+  await Promise.all([...this.engines, ...this.pools, this.floor].map((target) => target.close()));
+});
+
+function startGate(world: PathWorld, configuration: Configuration): Promise<number> {
+  const [firstEngine, secondEngine] = world.engines;
+  const targets: readonly TargetSettings[] = [
+    target('engine-1', 'engine', 'drafter', firstEngine?.url),
+    target('engine-2', 'engine', 'drafter', secondEngine?.url),
+    target('encoder-1', 'pool', 'encoder', world.pools[0]?.url),
+    target('retriever-1', 'pool', 'retriever', world.pools[0]?.url),
+    target('reranker-1', 'pool', 'reranker', world.pools[0]?.url),
+    target('floor-1', 'service', 'floor', world.floor.url),
+  ];
+  return new Promise((resolve) => {
+    world.gateEnded = runGate({
+      settings: {
+        ...common,
+        role: 'gate',
+        nodeName: 'gate-1',
+        availabilityZone: 'north-a',
+        targets,
+      },
+      timer,
+      stop: world.stopGate.signal,
+      runners: { engine: runGeneration, pool: runPoolStage, service: runServiceCall },
+      runRecords: createMemoryRunRecords(),
+      followConfiguration: (onConfiguration, signal) => {
+        onConfiguration(configuration);
+        return whenAborted(signal);
+      },
+      onListening: resolve,
+    });
+  });
+}
+
+function startEntry(
+  world: PathWorld,
+  configuration: Configuration,
+  hosts: readonly Host[],
+): Promise<number> {
+  return new Promise((resolve) => {
+    world.entryEnded = runEntry({
+      settings: {
+        ...common,
+        role: 'entry',
+        nodeName: 'entry-1',
+        availabilityZone: 'north-a',
+        callerAddress: '127.0.0.1',
+        callerPort: 0,
+        linksPerGroup: 8,
+      },
+      timer,
+      stop: world.stopEntry.signal,
+      policy: { chooseTarget, decideRetry },
+      random: () => 0,
+      followConfiguration: (onConfiguration, signal) => {
+        onConfiguration(configuration);
+        return whenAborted(signal);
+      },
+      followHosts: (onHosts, signal) => {
+        onHosts(hosts);
+        return whenAborted(signal);
+      },
+      onListening: resolve,
+    });
+  });
+}
+
+function target(name: string, kind: TargetKind, group: string, url = ''): TargetSettings {
+  const limits = { inFlightLimit: 8, coldInFlightLimit: 8, queueLimit: 16 };
+  return { name, kind, group, version: 'v1', url, ...limits };
+}
+
+interface SendOptions {
+  readonly organisation: string;
+  readonly route: string;
+  readonly runKey?: string;
+  readonly body: object;
+}
+
+function send(world: PathWorld, opts: SendOptions): Promise<Dispatcher.ResponseData> {
+  return request(`http://127.0.0.1:${world.entryPort}/v1/routes/${opts.route}`, {
+    method: 'POST',
+    body: JSON.stringify(opts.body),
+    headers: {
+      authorization: `Bearer example-key-${opts.organisation}`,
+      connection: 'close',
+      ...(opts.runKey ? { 'idempotency-key': opts.runKey } : {}),
+    },
+  });
+}
+
+async function stream(
+  world: PathWorld,
+  opts: { organisation: string; route: string; prompt: string },
+): Promise<void> {
+  world.prompt = opts.prompt;
+  world.route = opts.route;
+  const response = await send(world, { ...opts, body: { prompt: opts.prompt, stream: true } });
+  const events = (await response.body.text()).split('\n\n').filter((event) => event !== '');
+  assert.equal(events.at(-1), 'data: [DONE]');
+  world.text = events
+    .slice(0, -1)
+    .map((event) => JSON.parse(event.replace('data: ', '')) as Completion)
+    .map((completion) => completion.choices[0]?.text ?? '')
+    .join('');
+}
+
+interface Completion {
+  readonly choices: readonly { readonly text: string }[];
+}
+
+async function take(world: PathWorld, response: Dispatcher.ResponseData): Promise<void> {
+  world.status = response.statusCode;
+  const body = (await response.body.json()) as Completion & PathWorld['problem'];
+  world.problem = body;
+  world.text = body.choices?.[0]?.text ?? '';
+}
+
+/** The stand-ins answer by pure functions of the prompt, so the whole answer is known beforehand. */
+function wholeAnswer(world: PathWorld): string {
+  const context = world.route === 'job-dossier' ? rankedPassages(world.prompt) : [];
+  const lines = context.map((passage) => `[${passage.id}] ${passage.text}\n`);
+  return expectedAnswer(`${lines.join('')}${world.prompt}`, DRAFT_TOKENS);
+}
+
+function rankedPassages(query: string): readonly Passage[] {
+  return expectedPassages(query, PASSAGE_LIMIT)
+    .map((passage) => ({ ...passage, score: expectedScore(query, passage.text) }))
+    .sort((left, right) => right.score - left.score);
+}
+
+async function untilReady(port: number): Promise<void> {
+  const { statusCode, body } = await request(`http://127.0.0.1:${port}/readyz`, {
+    headers: { connection: 'close' },
+  });
+  await body.dump();
+  if (statusCode !== 200) {
+    await timer.sleep({ delayMs: 10 });
+    await untilReady(port);
+  }
+}
+
+async function untilRunning(engines: readonly FakeTarget[]): Promise<void> {
+  while (engines.every((engine) => engine.ledger.runs.length === 0)) {
+    await timer.sleep({ delayMs: 5 });
+  }
+}
--- /dev/null
+++ b/packages/gate/src/createMemoryRunRecords.ts
@@ -0,0 +1,34 @@
+import { Result } from 'true-myth';
+
+import type { RunClaim, RunRecordKeeper } from './runRecordKeeper.js';
+
+interface MemoryRecord {
+  readonly bodyDigest: string;
+  readonly claim: RunClaim;
+}
+
+/** Run records that last as long as the process; the plain way that measurements compare with. */
+export function createMemoryRunRecords(): RunRecordKeeper {
+  const records = new Map<string, MemoryRecord>();
+  return {
+    claim: (order) => {
+      const key = `${order.organisation}/${order.runKey}`;
+      const record = records.get(key);
+      if (!record) {
+        records.set(key, { bodyDigest: order.bodyDigest, claim: { kind: 'may-have-run' } });
+        return Promise.resolve(Result.ok({ kind: 'first' }));
+      }
+      const reused = record.bodyDigest !== order.bodyDigest;
+      return Promise.resolve(Result.ok(reused ? { kind: 'key-reused' } : record.claim));
+    },
+    settle: (order, end) => {
+      const key = `${order.organisation}/${order.runKey}`;
+      if (end.outcome === 'not-run') {
+        records.delete(key);
+      } else if (end.outcome === 'ran') {
+        records.set(key, { bodyDigest: order.bodyDigest, claim: { kind: 'answered', end } });
+      }
+      return Promise.resolve();
+    },
+  };
+}
