--- a/eslint.config.js
+++ b/eslint.config.js
@@ -94,6 +94,11 @@
   },
   {
     files: TEST_FILES,
-    rules: { 'max-lines-per-function': 'off', 'import-x/no-extraneous-dependencies': 'off' },
+    rules: {
+      'max-lines-per-function': 'off',
+      'import-x/no-extraneous-dependencies': 'off',
+      // Cucumber steps share state in the world.
+      'no-param-reassign': ['error', { props: false }],
+    },
   },
 ];
--- a/features/path.steps.ts
+++ b/features/path.steps.ts
@@ -3,8 +3,6 @@
 
 import { After, Given, setDefaultTimeout, Then, When } from '@cucumber/cucumber';
 import { indexRules } from '@galenatiller/configuration';
-import { runGeneration } from '@galenatiller/engine';
-import { chooseTarget, decideRetry, runEntry } from '@galenatiller/entry';
 import {
   createFakeEngine,
   createFakePool,
@@ -12,28 +10,16 @@
   expectedAnswer,
   expectedPassages,
   expectedScore,
-  type FakeService,
   type FakeTarget,
 } from '@galenatiller/fakes';
-import { createMemoryRunRecords, runGate } from '@galenatiller/gate';
 import { parseRules } from '@galenatiller/operator';
-import { runPoolStage } from '@galenatiller/pool';
-import { runServiceCall } from '@galenatiller/service';
-import type { TargetSettings } from '@galenatiller/settings';
-import { whenAborted } from '@galenatiller/tasks';
-import { systemClock, TimerService } from '@galenatiller/timer';
-import type { Configuration, Host, Passage, TargetKind } from '@galenatiller/types';
+import type { Host, Passage } from '@galenatiller/types';
 import { type Dispatcher, request } from 'undici';
 
-interface PathWorld {
+import { type PathDeployment, startEntry, startGate, timer } from './support/pathDeployment.js';
+
+interface PathWorld extends PathDeployment {
   entryPort: number;
-  engines: FakeTarget[];
-  pools: FakeTarget[];
-  floor: FakeService;
-  stopEntry: AbortController;
-  stopGate: AbortController;
-  entryEnded: Promise<void>;
-  gateEnded: Promise<void>;
   prompt: string;
   route: string;
   status: number;
@@ -43,26 +29,10 @@
 
 setDefaultTimeout(20_000);
 
-const timer = TimerService.create({ clock: systemClock });
 /** Tokens of the stage `draft`, and passages that retrieval returns. */
 const DRAFT_TOKENS = 256;
 const PASSAGE_LIMIT = 8;
 
-const LINK_KEYS = ['a1'.repeat(32)];
-const common = {
-  stopLimitMs: 10_000,
-  linkAddress: '127.0.0.1',
-  linkPort: 0,
-  linkKeys: LINK_KEYS,
-  operatorAddress: '127.0.0.1',
-  operatorPort: 0,
-  operatorKeys: [],
-  storeUrl: '',
-  hostListUrl: '',
-  weightStoreUrl: '',
-  metricsAddress: '',
-  metricsPort: 0,
-};
 const fake = { timer, port: 0, seed: 1, restartMs: 50 };
 const speed = { baseMsPerToken: 1, slopeMsPerToken: 0.1, capacity: 16 };
 const work = { serviceMs: 1, concurrency: 16 };
@@ -195,76 +165,6 @@
   await Promise.all([...this.engines, ...this.pools, this.floor].map((target) => target.close()));
 });
 
-function startGate(world: PathWorld, configuration: Configuration): Promise<number> {
-  const [firstEngine, secondEngine] = world.engines;
-  const targets: readonly TargetSettings[] = [
-    target('engine-1', 'engine', 'drafter', firstEngine?.url),
-    target('engine-2', 'engine', 'drafter', secondEngine?.url),
-    target('encoder-1', 'pool', 'encoder', world.pools[0]?.url),
-    target('retriever-1', 'pool', 'retriever', world.pools[0]?.url),
-    target('reranker-1', 'pool', 'reranker', world.pools[0]?.url),
-    target('floor-1', 'service', 'floor', world.floor.url),
-  ];
-  return new Promise((resolve) => {
-    world.gateEnded = runGate({
-      settings: {
-        ...common,
-        role: 'gate',
-        nodeName: 'gate-1',
-        availabilityZone: 'north-a',
-        targets,
-      },
-      timer,
-      stop: world.stopGate.signal,
-      runners: { engine: runGeneration, pool: runPoolStage, service: runServiceCall },
-      runRecords: createMemoryRunRecords(),
-      followConfiguration: (onConfiguration, signal) => {
-        onConfiguration(configuration);
-        return whenAborted(signal);
-      },
-      onListening: resolve,
-    });
-  });
-}
-
-function startEntry(
-  world: PathWorld,
-  configuration: Configuration,
-  hosts: readonly Host[],
-): Promise<number> {
-  return new Promise((resolve) => {
-    world.entryEnded = runEntry({
-      settings: {
-        ...common,
-        role: 'entry',
-        nodeName: 'entry-1',
-        availabilityZone: 'north-a',
-        callerAddress: '127.0.0.1',
-        callerPort: 0,
-        linksPerGroup: 8,
-      },
-      timer,
-      stop: world.stopEntry.signal,
-      policy: { chooseTarget, decideRetry },
-      random: () => 0,
-      followConfiguration: (onConfiguration, signal) => {
-        onConfiguration(configuration);
-        return whenAborted(signal);
-      },
-      followHosts: (onHosts, signal) => {
-        onHosts(hosts);
-        return whenAborted(signal);
-      },
-      onListening: resolve,
-    });
-  });
-}
-
-function target(name: string, kind: TargetKind, group: string, url = ''): TargetSettings {
-  const limits = { inFlightLimit: 8, coldInFlightLimit: 8, queueLimit: 16 };
-  return { name, kind, group, version: 'v1', url, ...limits };
-}
-
 interface SendOptions {
   readonly organisation: string;
   readonly route: string;
--- /dev/null
+++ b/features/support/pathDeployment.ts
@@ -0,0 +1,112 @@
+/** An entry and a gate over real sockets, for the feature of the whole path. */
+import { runGeneration } from '@galenatiller/engine';
+import { chooseTarget, decideRetry, runEntry } from '@galenatiller/entry';
+import type { FakeService, FakeTarget } from '@galenatiller/fakes';
+import { createMemoryRunRecords, runGate } from '@galenatiller/gate';
+import { runPoolStage } from '@galenatiller/pool';
+import { runServiceCall } from '@galenatiller/service';
+import type { TargetSettings } from '@galenatiller/settings';
+import { whenAborted } from '@galenatiller/tasks';
+import { systemClock, TimerService } from '@galenatiller/timer';
+import type { Configuration, Host, TargetKind } from '@galenatiller/types';
+
+/** What the deployment is made of, and how its processes end. */
+export interface PathDeployment {
+  engines: FakeTarget[];
+  pools: FakeTarget[];
+  floor: FakeService;
+  stopEntry: AbortController;
+  stopGate: AbortController;
+  entryEnded: Promise<void>;
+  gateEnded: Promise<void>;
+}
+
+/** The clock of the machine; this feature runs over real sockets. */
+export const timer = TimerService.create({ clock: systemClock });
+
+const LINK_KEYS = ['a1'.repeat(32)];
+const common = {
+  stopLimitMs: 10_000,
+  linkAddress: '127.0.0.1',
+  linkPort: 0,
+  linkKeys: LINK_KEYS,
+  operatorAddress: '127.0.0.1',
+  operatorPort: 0,
+  operatorKeys: [],
+  storeUrl: '',
+  hostListUrl: '',
+  weightStoreUrl: '',
+  metricsAddress: '',
+  metricsPort: 0,
+};
+/** Starts a gate before every stand-in target; resolves with its link port. */
+export function startGate(world: PathDeployment, configuration: Configuration): Promise<number> {
+  const [firstEngine, secondEngine] = world.engines;
+  const targets: readonly TargetSettings[] = [
+    targetOf('engine-1', 'engine', 'drafter', firstEngine?.url),
+    targetOf('engine-2', 'engine', 'drafter', secondEngine?.url),
+    targetOf('encoder-1', 'pool', 'encoder', world.pools[0]?.url),
+    targetOf('retriever-1', 'pool', 'retriever', world.pools[0]?.url),
+    targetOf('reranker-1', 'pool', 'reranker', world.pools[0]?.url),
+    targetOf('floor-1', 'service', 'floor', world.floor.url),
+  ];
+  return new Promise((resolve) => {
+    world.gateEnded = runGate({
+      settings: {
+        ...common,
+        role: 'gate',
+        nodeName: 'gate-1',
+        availabilityZone: 'north-a',
+        targets,
+      },
+      timer,
+      stop: world.stopGate.signal,
+      runners: { engine: runGeneration, pool: runPoolStage, service: runServiceCall },
+      runRecords: createMemoryRunRecords(),
+      followConfiguration: (onConfiguration, signal) => {
+        onConfiguration(configuration);
+        return whenAborted(signal);
+      },
+      onListening: resolve,
+    });
+  });
+}
+
+/** Starts an entry; resolves with its callers' port. */
+export function startEntry(
+  world: PathDeployment,
+  configuration: Configuration,
+  hosts: readonly Host[],
+): Promise<number> {
+  return new Promise((resolve) => {
+    world.entryEnded = runEntry({
+      settings: {
+        ...common,
+        role: 'entry',
+        nodeName: 'entry-1',
+        availabilityZone: 'north-a',
+        callerAddress: '127.0.0.1',
+        callerPort: 0,
+        linksPerGroup: 8,
+      },
+      timer,
+      stop: world.stopEntry.signal,
+      policy: { chooseTarget, decideRetry },
+      random: () => 0,
+      followConfiguration: (onConfiguration, signal) => {
+        onConfiguration(configuration);
+        return whenAborted(signal);
+      },
+      followHosts: (onHosts, signal) => {
+        onHosts(hosts);
+        return whenAborted(signal);
+      },
+      onListening: resolve,
+    });
+  });
+}
+
+function targetOf(name: string, kind: TargetKind, group: string, url = ''): TargetSettings {
+  const limits = { inFlightLimit: 8, coldInFlightLimit: 8, queueLimit: 16 };
+  return { name, kind, group, version: 'v1', url, ...limits };
+}
