Add the typed store client, the lease holder and the stand-in store

Cause: what lasts lives in the platform's store, whose answers can be lost after a write. Change: an etcd v3 JSON client behind a transport function, with a call budget, counted calls, swaps that settle a lost answer by sending the same swap again, a resuming watch with jittered reopening, and a lease holder that counts from when a request was sent. The stand-in runs on the timer service and has an HTTP front with faults on order.

--- a/fakes/src/index.ts
+++ b/fakes/src/index.ts
@@ -1,2 +1,2 @@
 /** Stand-ins of the systems that galenatiller serves, with faults on order. */
-export {};
+export * from './store/index.js';
--- /dev/null
+++ b/fakes/src/store/etcdMessages.ts
@@ -0,0 +1,81 @@
+/** Messages of the etcd v3 JSON mapping, as far as the product uses them. */
+export interface EtcdKeyValue {
+  readonly key: string;
+  readonly value: string;
+  readonly create_revision: string;
+  readonly mod_revision: string;
+  readonly version: string;
+  readonly lease: string;
+}
+
+/** A range request. */
+export interface EtcdRange {
+  readonly key: string;
+  readonly range_end?: string;
+  readonly limit?: string;
+  readonly keys_only?: boolean;
+}
+
+/** A put request. */
+export interface EtcdPut {
+  readonly key: string;
+  readonly value: string;
+  readonly lease?: string;
+}
+
+/** One operation of a transaction. */
+export interface EtcdOperation {
+  readonly request_range?: EtcdRange;
+  readonly request_put?: EtcdPut;
+  readonly request_delete_range?: EtcdRange;
+}
+
+/** One comparison of a transaction; only equality of revisions is known. */
+export interface EtcdCompare {
+  readonly key: string;
+  readonly target: 'MOD' | 'CREATE';
+  readonly mod_revision?: string;
+  readonly create_revision?: string;
+}
+
+/** A transaction. */
+export interface EtcdTxn {
+  readonly compare?: readonly EtcdCompare[];
+  readonly success?: readonly EtcdOperation[];
+  readonly failure?: readonly EtcdOperation[];
+}
+
+/** A change, as watches report it. */
+export interface EtcdEvent {
+  readonly type: 'PUT' | 'DELETE';
+  readonly kv: EtcdKeyValue;
+}
+
+/** A watch request. */
+export interface EtcdWatch {
+  readonly create_request: {
+    readonly key: string;
+    readonly range_end: string;
+    readonly start_revision: string;
+  };
+}
+
+/** Answer to a range. */
+export interface EtcdRangeReply {
+  readonly kvs: readonly EtcdKeyValue[];
+  readonly more: boolean;
+  readonly count: string;
+}
+
+/** Answer to one operation of a transaction. */
+export interface EtcdOperationReply {
+  readonly response_range?: EtcdRangeReply;
+  readonly response_put?: object;
+  readonly response_delete_range?: { readonly deleted: string };
+}
+
+/** Answer to a transaction. */
+export interface EtcdTxnReply {
+  readonly succeeded: boolean;
+  readonly responses: readonly EtcdOperationReply[];
+}
--- /dev/null
+++ b/fakes/src/store/index.ts
@@ -0,0 +1,3 @@
+/** The stand-in of the platform's store. */
+export { createFakeStoreServer } from './createFakeStoreServer.js';
+export { FakeStore, type FakeStoreFaults, type FakeStoreOptions } from './fakeStore.js';
--- a/packages/store/src/index.ts
+++ b/packages/store/src/index.ts
@@ -1,2 +1,10 @@
 /** Talks to the platform key-value service: compare-and-swap, leases and watches. */
-export {};
+export { CallBudget, type CallBudgetOptions } from './callBudget.js';
+export type { CallCounts } from './callStore.js';
+export type { SwapOptions } from './compareAndSwap.js';
+export { createHttpTransport, type HttpTransport } from './createHttpTransport.js';
+export { jitteredDelayMs, type JitteredDelayOptions } from './jitteredDelayMs.js';
+export { StoreClient, type StoreClientOptions } from './storeClient.js';
+export { LeaseHolder, type LeaseHolderOptions } from './leaseHolder.js';
+export type * from './storeTypes.js';
+export type { WatchOptions } from './watchPrefix.js';
--- /dev/null
+++ b/packages/store/src/readPages.ts
@@ -0,0 +1,47 @@
+import type { GalenatillerError } from '@galenatiller/error';
+import { Result } from 'true-myth';
+
+import { type CallContext, callStore } from './callStore.js';
+import type { PrefixRead, StoreEntry } from './storeTypes.js';
+import { decodeRange, encodeRange } from './wire.js';
+
+/** Options of {@link readPages}. */
+export interface ReadPagesOptions {
+  readonly context: CallContext;
+  readonly prefix: string;
+  readonly pageSize?: number;
+  readonly keysOnly?: boolean;
+}
+
+const PAGE_SIZE = 16;
+
+/** The smallest key after a given one ends with this character. */
+const NEXT_KEY = '\0';
+
+/** Reads the keys of a prefix in pages; `revision` is that of the first page. */
+export async function readPages(
+  opts: ReadPagesOptions,
+): Promise<Result<PrefixRead, GalenatillerError>> {
+  const { context, prefix, pageSize = PAGE_SIZE, keysOnly = false } = opts;
+  const entries: StoreEntry[] = [];
+  let revision: number | undefined;
+  let from = prefix;
+  for (;;) {
+    const page = await callStore({
+      context,
+      kind: 'range',
+      body: encodeRange({ key: from, prefix, limit: pageSize, keysOnly }),
+      decode: decodeRange,
+    });
+    if (page.isErr) {
+      return Result.err(page.error.error);
+    }
+    revision ??= page.value.revision;
+    entries.push(...page.value.entries);
+    const last = entries[entries.length - 1];
+    if (!page.value.more || !last) {
+      return Result.ok({ entries, revision });
+    }
+    from = last.key + NEXT_KEY;
+  }
+}
--- /dev/null
+++ b/packages/store/test/storeClient.steps.ts
@@ -0,0 +1,310 @@
+import assert from 'node:assert/strict';
+import { once, setMaxListeners } from 'node:events';
+import type { Server } from 'node:http';
+import type { AddressInfo } from 'node:net';
+
+import { After, Given, Then, When } from '@cucumber/cucumber';
+import { createFakeStoreServer } from '@galenatiller/fakes';
+import {
+  CallBudget,
+  createHttpTransport,
+  type HttpTransport,
+  StoreClient,
+  type SwapAnswer,
+} from '@galenatiller/store';
+import fc from 'fast-check';
+import { request } from 'undici';
+
+import {
+  advanceUntil,
+  createBenchClient,
+  createStoreBench,
+  type StoreBench,
+} from './storeBench.js';
+
+interface StoreWorld {
+  bench: StoreBench;
+  store: StoreClient;
+  swap: string;
+  seen: string[];
+  reads: string[];
+  stop?: AbortController;
+  server?: Server;
+  http?: HttpTransport;
+  url: string;
+}
+
+function use(world: StoreWorld, store: StoreClient): void {
+  Object.assign(world, { store, seen: [], stop: new AbortController() });
+}
+
+async function swapFrom(
+  store: StoreClient,
+  opts: { readonly key: string; readonly value: string; readonly modRevision: number },
+): Promise<string> {
+  const { key, value, modRevision } = opts;
+  const answer = await store.compareAndSwap({
+    expected: [{ key, modRevision }],
+    puts: [{ key, value }],
+  });
+  return answer.match({
+    Ok: (swap: SwapAnswer) => swap.kind as string,
+    Err: (error) => error.codeName as string,
+  });
+}
+
+/** Writes into the stand-in as if another client did, also during an outage. */
+function writeBehind(bench: StoreBench, key: string, value: string): void {
+  const toBase64 = (text: string): string => Buffer.from(text).toString('base64');
+  bench.fake.core.txn({
+    success: [{ request_put: { key: toBase64(key), value: toBase64(`other\n${value}`) } }],
+  });
+}
+
+async function follow(world: StoreWorld, prefix: string): Promise<void> {
+  const signal = world.stop?.signal ?? AbortSignal.abort();
+  for await (const event of world.store.watch({ prefix, fromRevision: 1, signal })) {
+    const key = event.kind === 'put' ? event.entry.key : '';
+    world.seen.push(`${event.kind} ${key}`.trim());
+  }
+}
+
+Given('a store client of a stand-in store', function given(this: StoreWorld) {
+  this.bench = createStoreBench();
+  use(this, createBenchClient(this.bench));
+});
+
+Given(
+  'a store client with a budget of {int} calls a second',
+  function given(this: StoreWorld, callsPerSecond: number) {
+    this.bench = createStoreBench();
+    use(this, createBenchClient(this.bench, { callsPerSecond }));
+  },
+);
+
+Given(
+  'a watch of the store prefix {string}',
+  async function given(this: StoreWorld, prefix: string) {
+    follow(this, prefix).catch(() => {});
+    await this.bench.clock.advance({ byMs: 1 });
+  },
+);
+
+Given('{int} watches of one stand-in store', async function given(this: StoreWorld, count: number) {
+  this.bench = createStoreBench();
+  let seed = 7;
+  const random = (): number => {
+    seed = (seed * 16_807) % 2_147_483_647;
+    return seed / 2_147_483_647;
+  };
+  use(this, createBenchClient(this.bench, { random, callsPerSecond: 100_000 }));
+  setMaxListeners(count, this.stop?.signal as EventTarget);
+  Array.from({ length: count }).forEach(() => {
+    follow(this, 'w/').catch(() => {});
+  });
+  await this.bench.clock.advance({ byMs: 1 });
+});
+
+Given('a store client of a stand-in store over HTTP', async function given(this: StoreWorld) {
+  this.bench = createStoreBench();
+  this.server = createFakeStoreServer({ store: this.bench.fake });
+  this.server.listen(0, '127.0.0.1');
+  await once(this.server, 'listening');
+  this.url = `http://127.0.0.1:${(this.server.address() as AddressInfo).port}`;
+  this.http = createHttpTransport({ url: this.url });
+  const { timer } = this.bench;
+  const budget = CallBudget.create({ timer, callsPerSecond: 100, burstCalls: 100 });
+  // The manual clock runs ahead of the sockets here, so no call may run out of time.
+  const callLimitMs = 10_000_000;
+  use(this, StoreClient.create({ transport: this.http.call, timer, budget, callLimitMs }));
+});
+
+After(async function after(this: StoreWorld) {
+  this.stop?.abort();
+  await this.http?.close();
+  this.server?.closeAllConnections();
+  this.server?.close();
+});
+
+When('the next {int} store answers are lost', function when(this: StoreWorld, count: number) {
+  this.bench.fake.order({ loseAnswers: count });
+});
+
+When('the next {int} store requests are lost', function when(this: StoreWorld, count: number) {
+  this.bench.fake.order({ loseRequests: count });
+});
+
+When('the stand-in store is slow by {int} ms', function when(this: StoreWorld, slowMs: number) {
+  this.bench.fake.order({ slowMs });
+});
+
+When('the stand-in store has an outage', function when(this: StoreWorld) {
+  this.bench.fake.order({ outage: true });
+});
+
+When('the stand-in store comes back', function when(this: StoreWorld) {
+  this.bench.fake.order({ outage: false });
+});
+
+When('the stand-in store forgets its history', function when(this: StoreWorld) {
+  this.bench.fake.core.compact();
+});
+
+When(
+  'the store key {string} is swapped from absent to {string}',
+  async function when(this: StoreWorld, key: string, value: string) {
+    const swap = swapFrom(this.store, { key, value, modRevision: 0 });
+    this.swap = await advanceUntil(this.bench.clock, swap);
+  },
+);
+
+When(
+  'the store key {string} is swapped from absent to {string} while another client writes {string} over it',
+  async function when(this: StoreWorld, key: string, value: string, other: string) {
+    const swap = swapFrom(this.store, { key, value, modRevision: 0 });
+    await this.bench.clock.advance({ byMs: 1 });
+    writeBehind(this.bench, key, other);
+    this.swap = await advanceUntil(this.bench.clock, swap);
+  },
+);
+
+When(
+  'the store key {string} is written behind the client',
+  function when(this: StoreWorld, key: string) {
+    writeBehind(this.bench, key, 'other');
+  },
+);
+
+When('{int} ms pass at the store client', async function when(this: StoreWorld, byMs: number) {
+  await this.bench.clock.advance({ byMs });
+});
+
+When(
+  'the store client reads {int} times at once',
+  async function when(this: StoreWorld, count: number) {
+    const reads = await Promise.all(Array.from({ length: count }, () => this.store.read('a')));
+    this.reads = reads.map((read) => (read.isOk ? 'ok' : read.error.codeName));
+  },
+);
+
+When(
+  '{string} is ordered as {word} over HTTP',
+  async function when(this: StoreWorld, fault: string, value: string) {
+    const body = JSON.stringify({ [fault]: JSON.parse(value) as unknown });
+    const answer = await request(`${this.url}/faults`, { method: 'POST', body });
+    assert.equal(answer.statusCode, 200);
+    await answer.body.text();
+  },
+);
+
+Then('the swap is told as {string}', function then(this: StoreWorld, told: string) {
+  assert.equal(this.swap, told);
+});
+
+Then(
+  'the store key {string} holds {string} after {int} writes',
+  async function then(this: StoreWorld, key: string, value: string, writes: number) {
+    this.bench.fake.order({ slowMs: 0 });
+    const read = (await this.store.read(key)).unwrapOrElse((error) => assert.fail(error));
+    assert.equal(read.entry.map((entry) => entry.value).unwrapOr(''), value);
+    assert.equal(this.bench.fake.core.revision, 1 + writes);
+  },
+);
+
+Then(
+  'reading the store key {string} is told as {string}',
+  async function then(this: StoreWorld, key: string, told: string) {
+    const read = await advanceUntil(this.bench.clock, this.store.read(key));
+    assert.equal(read.isErr && read.error.codeName, told);
+  },
+);
+
+Then(
+  '{int} store reads were answered and {int} were told {string}',
+  function then(this: StoreWorld, answered: number, refused: number, told: string) {
+    assert.equal(this.reads.filter((read) => read === 'ok').length, answered);
+    assert.equal(this.reads.filter((read) => read === told).length, refused);
+  },
+);
+
+Then(
+  'the store client counts {int} {string} calls',
+  function then(this: StoreWorld, count: number, kind: 'range') {
+    assert.equal(this.store.callCounts()[kind], count);
+  },
+);
+
+Then('the watch has seen {string}', function then(this: StoreWorld, seen: string) {
+  assert.equal(this.seen.join(', '), seen);
+});
+
+Then(
+  'at most {int} store calls are made in each of the next {int} seconds',
+  async function then(this: StoreWorld, limit: number, seconds: number) {
+    let before = this.store.callCounts().watch;
+    for (let second = 0; second < seconds; second += 1) {
+      await this.bench.clock.advance({ byMs: 1_000 });
+      const after = this.store.callCounts().watch;
+      assert.ok(after - before <= limit, `${after - before} calls in second ${second}`);
+      before = after;
+    }
+  },
+);
+
+Then('{int} watches are open again', async function then(this: StoreWorld, count: number) {
+  writeBehind(this.bench, 'w/x', 'x');
+  await this.bench.clock.advance({ byMs: 1 });
+  assert.equal(this.seen.length, count);
+});
+
+Then(
+  'the HTTP stand-in has counted {int} {string} calls',
+  async function then(this: StoreWorld, count: number, kind: string) {
+    const answer = await request(`${this.url}/calls`);
+    assert.equal(((await answer.body.json()) as Record<string, number>)[kind], count);
+  },
+);
+
+const faultStep = fc.record({
+  loseAnswers: fc.nat(3),
+  loseRequests: fc.nat(3),
+  outage: fc.boolean(),
+  forMs: fc.nat(900),
+});
+
+/** Adds one to a counter some times over and tells how each went. */
+async function addOnes(bench: StoreBench, told: string[]): Promise<void> {
+  const store = createBenchClient(bench);
+  for (let turn = 0; turn < 4; turn += 1) {
+    const found = await store.read('n');
+    if (found.isOk) {
+      const modRevision = found.value.entry.map((entry) => entry.modRevision).unwrapOr(0);
+      const count = Number(found.value.entry.map((entry) => entry.value).unwrapOr('0'));
+      told.push(await swapFrom(store, { key: 'n', value: String(count + 1), modRevision }));
+    }
+    await bench.timer.sleep({ delayMs: 100 });
+  }
+}
+
+Then(
+  'over {int} seeded schedules of faults the counter stays within what its writers were told',
+  async (numRuns: number) => {
+    const property = fc.asyncProperty(fc.array(faultStep, { maxLength: 12 }), async (schedule) => {
+      const bench = createStoreBench();
+      const told: string[] = [];
+      const writers = [1, 2, 3].map(() => addOnes(bench, told));
+      for (const { forMs, ...faults } of schedule) {
+        bench.fake.order(faults);
+        await bench.clock.advance({ byMs: forMs });
+      }
+      bench.fake.order({ outage: false, loseAnswers: 0, loseRequests: 0 });
+      await advanceUntil(bench.clock, Promise.all(writers));
+      const last = (await createBenchClient(bench).read('n')).unwrapOrElse((e) => assert.fail(e));
+      const count = Number(last.entry.map((entry) => entry.value).unwrapOr('0'));
+      const swapped = told.filter((word) => word === 'swapped').length;
+      const unknown = told.filter((word) => word !== 'swapped' && word !== 'conflict').length;
+      assert.ok(swapped <= count && count <= swapped + unknown, `${swapped} ${count} ${unknown}`);
+    });
+    await fc.assert(property, { numRuns, seed: 11 });
+  },
+);
