--- a/fakes/src/index.ts
+++ b/fakes/src/index.ts
@@ -20,3 +20,4 @@
 export type { FaultOrder } from './faultBoard.js';
 export type { RunEnd, RunRecord } from './runLedger.js';
 export { sampleOrder } from './sampleOrder.js';
+export * from './store/index.js';
