Let operators ask a node for its status, time line and explanations

Operators need to see each node, and the command line needs an answer to whether a revision is in force there. A node serves them over HTTP with bearer keys compared by digest in constant time, two valid at once. What is reported comes from functions passed as arguments; only wire modules encode.

--- a/packages/operator/src/index.ts
+++ b/packages/operator/src/index.ts
@@ -1,5 +1,12 @@
-/** What operators write and ask: the rules file and its differences. */
+/** What operators write and ask: the rules file and its differences, and reports of nodes. */
+export { askNode, type AskNodeOptions } from './askNode.js';
 export { diffRules, type DiffRulesOptions, type RuleChange, ruleKey } from './diffRules.js';
 export { formatRule, formatRules } from './formatRule.js';
+export type * from './nodeReport.js';
 export { type ParsedRules, parseRules, type ParseRulesOptions } from './parseRules.js';
 export { formatProblem, type RuleProblem } from './ruleProblem.js';
+export {
+  type OperatorServer,
+  serveOperators,
+  type ServeOperatorsOptions,
+} from './serveOperators.js';
--- /dev/null
+++ b/packages/operator/src/serveOperators.ts
@@ -0,0 +1,119 @@
+import { createHash, timingSafeEqual } from 'node:crypto';
+import { once } from 'node:events';
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
+
+import { findResultCode, GalenatillerError } from '@galenatiller/error';
+import type { Logger } from '@galenatiller/logger';
+import { Result } from 'true-myth';
+
+import type {
+  NodeStatus,
+  OperatorRequest,
+  RequestExplanation,
+  TimelineQuery,
+  TimelineReply,
+} from './nodeReport.js';
+import {
+  decodeBearerKey,
+  decodeRequest,
+  encodeProblem,
+  encodeReply,
+  PROBLEM_TYPE,
+} from './wire.js';
+
+/** Options of {@link serveOperators}. */
+export interface ServeOperatorsOptions {
+  readonly address: string;
+  /** 0 takes any free port. */
+  readonly port: number;
+  /** Bearer keys that are valid; two while one replaces the other. */
+  readonly keys: readonly string[];
+  readonly logger: Logger;
+  readonly readStatus: () => NodeStatus;
+  readonly readTimeline: (query: TimelineQuery) => TimelineReply;
+  readonly explain: (requestId: string) => RequestExplanation;
+}
+
+/** A listening operator port. */
+export interface OperatorServer {
+  readonly port: number;
+  /** Stops accepting connections; resolves when the last answer is out. */
+  readonly stop: () => Promise<void>;
+}
+
+/** Time for a whole request to arrive. */
+const REQUEST_TIMEOUT_MS = 5_000;
+
+/** Serves operators over HTTP; every path needs an operator key. */
+export async function serveOperators(opts: ServeOperatorsOptions): Promise<OperatorServer> {
+  const server = createServer(
+    { headersTimeout: REQUEST_TIMEOUT_MS, requestTimeout: REQUEST_TIMEOUT_MS },
+    (request, response) => {
+      serveRequest(opts, request, response);
+    },
+  );
+  server.listen(opts.port, opts.address);
+  await once(server, 'listening');
+  return { port: boundPort(server, opts.port), stop: () => stopServer(server) };
+}
+
+function serveRequest(
+  opts: ServeOperatorsOptions,
+  request: IncomingMessage,
+  response: ServerResponse,
+): void {
+  response.on('error', () => {});
+  request.resume();
+  const reply = proveOperator(opts.keys, request)
+    .andThen(() => decodeRequest(request.method ?? '', request.url ?? ''))
+    .map((asked) => answer(opts, asked));
+  if (reply.isErr) {
+    const { error } = reply;
+    opts.logger({ message: `Refused an operator with ${error.code} ${error.codeName}.` });
+    response.writeHead(findResultCode(error.codeName).httpStatus, { 'content-type': PROBLEM_TYPE });
+    response.end(encodeProblem(error));
+    return;
+  }
+  response.writeHead(200, { 'content-type': 'application/json', 'cache-control': 'no-store' });
+  response.end(reply.value);
+}
+
+function answer(opts: ServeOperatorsOptions, asked: OperatorRequest): string {
+  switch (asked.kind) {
+    case 'status':
+      return encodeReply(opts.readStatus());
+    case 'timeline':
+      return encodeReply(opts.readTimeline(asked.query));
+    default:
+      return encodeReply(opts.explain(asked.requestId));
+  }
+}
+
+/** Compares digests, so that neither the length nor the content of a key shows in the time. */
+function proveOperator(
+  keys: readonly string[],
+  request: IncomingMessage,
+): Result<true, GalenatillerError> {
+  const given = digest(decodeBearerKey(request.headers));
+  const matches = keys.filter((key) => key !== '' && timingSafeEqual(digest(key), given));
+  const detail = 'the bearer key is no operator key of this node';
+  return matches.length > 0
+    ? Result.ok(true)
+    : Result.err(GalenatillerError.create({ name: 'unauthorized', detail }));
+}
+
+function digest(key: string): Buffer {
+  return createHash('sha256').update(key).digest();
+}
+
+function boundPort(server: Server, asked: number): number {
+  const bound = server.address();
+  return typeof bound === 'object' && bound ? bound.port : asked;
+}
+
+async function stopServer(server: Server): Promise<void> {
+  const closed = once(server, 'close');
+  server.close();
+  server.closeIdleConnections();
+  await closed;
+}
