Send metrics by one typed table of names, units and tags

The table drives the types of the calls (a metric takes just its own tags) and docs/METRICS.md, which a test checks. Tags have few values; none names an organisation.

--- /dev/null
+++ b/packages/metrics/test/metrics.steps.ts
@@ -0,0 +1,63 @@
+import assert from 'node:assert/strict';
+import { createSocket, type Socket } from 'node:dgram';
+import { once } from 'node:events';
+import { readFile } from 'node:fs/promises';
+
+import { Given, Then, When } from '@cucumber/cucumber';
+import { Metrics, METRICS } from '@galenatiller/metrics';
+
+interface MetricsWorld {
+  server: Socket;
+  received: string;
+  page: string[];
+  closed: boolean;
+}
+
+Given('a statsd server on loopback', async function given(this: MetricsWorld) {
+  this.server = createSocket('udp4');
+  this.server.bind(0, '127.0.0.1');
+  await once(this.server, 'listening');
+});
+
+When(
+  'a node named {string} sends a count, a gauge and a time',
+  async function when(this: MetricsWorld, nodeName: string) {
+    const { port } = this.server.address();
+    const message = once(this.server, 'message') as Promise<Buffer[]>;
+    const metrics = Metrics.create({ address: '127.0.0.1', port, nodeName, role: 'entry' });
+    metrics.count({ name: 'stage.ended', by: 2, tags: { kind: 'generate', outcome: 'ran' } });
+    metrics.gauge({ name: 'link.open', value: 7, tags: {} });
+    metrics.timing({ name: 'request.time', lastedMs: 12.5, tags: { priority: 'batch' } });
+    await metrics.close();
+    this.received = String((await message)[0]);
+    this.server.close();
+  },
+);
+
+Then('the statsd server has received', function then(this: MetricsWorld, lines: string) {
+  assert.equal(this.received.trim(), lines);
+});
+
+When('metrics without an address are sent and closed', async function when(this: MetricsWorld) {
+  const metrics = Metrics.create({ address: '', port: 1, nodeName: 'a', role: 'gate' });
+  metrics.count({ name: 'stream.resumed', tags: {} });
+  await metrics.close();
+  this.closed = true;
+});
+
+Then('closing them does not wait for a socket', function then(this: MetricsWorld) {
+  assert.equal(this.closed, true);
+});
+
+When('the page of metrics is read', async function when(this: MetricsWorld) {
+  const page = await readFile('docs/METRICS.md', 'utf8');
+  this.page = page.split('\n').map((line) => line.replace(/\s*\|\s*/g, '|'));
+});
+
+Then('it has a row for each metric', function then(this: MetricsWorld) {
+  const rows = METRICS.map((row) => {
+    const tags = row.tags.join(', ') || 'none';
+    return `|galenatiller.${row.name}|${row.type}|${row.unit}|${tags}|${row.role}|${row.meaning}|`;
+  });
+  assert.deepEqual(this.page.filter((line) => line.startsWith('|')).slice(2), rows);
+});
--- /dev/null
+++ b/scripts/metricsPage.mjs
@@ -0,0 +1,23 @@
+/** Writes docs/METRICS.md from the table in packages/metrics. */
+import { writeFileSync } from 'node:fs';
+
+import { METRICS } from '@galenatiller/metrics';
+
+const rows = METRICS.map(
+  ({ name, type, unit, tags, role, meaning }) =>
+    `| galenatiller.${name} | ${type} | ${unit} | ${tags.join(', ') || 'none'} | ${role} | ${meaning} |`,
+);
+const page = [
+  '# Metrics',
+  '',
+  'Nodes send statsd datagrams with tags in the `|#name:value` form to `[metrics] address` and `port`,',
+  'batched for a second. Each metric has the tags `node` and `role` besides its own. No tag names an',
+  'organisation, a request or a target; limits and questions about one of them go to `galenatiller`',
+  'and the time line. `node scripts/metricsPage.mjs` writes this page.',
+  '',
+  '| metric | type | unit | tags | role | meaning |',
+  '| --- | --- | --- | --- | --- | --- |',
+  ...rows,
+  '',
+];
+writeFileSync('docs/METRICS.md', page.join('\n'));
