--- a/eslint.config.js
+++ b/eslint.config.js
@@ -13,6 +13,7 @@
   ...configs.base.typescript,
   rules.typescript.typescriptEslintStrict,
   {
+    settings: { n: { version: '>=20.19' } },
     rules: {
       // Prettier owns the layout.
       '@stylistic/arrow-parens': 'off',
@@ -45,6 +46,9 @@
       ],
       'import-x/extensions': ['error', 'always', { ignorePackages: true }],
       '@typescript-eslint/promise-function-async': 'off',
+      // TypeScript checks that a switch over a string union is complete.
+      'default-case': 'off',
+      'consistent-return': 'off',
       'no-await-in-loop': 'off',
       'no-continue': 'off',
       'max-lines': ['error', { max: 300, skipBlankLines: true, skipComments: true }],
@@ -72,6 +76,12 @@
         tsconfigRootDir: process.cwd(),
       },
     },
+    rules: {
+      '@typescript-eslint/switch-exhaustiveness-check': [
+        'error',
+        { considerDefaultExhaustiveForUnions: true },
+      ],
+    },
   },
   {
     files: ['**/*.mjs', '**/*.cjs', 'eslint.config.js', 'cucumber.js'],
--- a/packages/entry/src/index.ts
+++ b/packages/entry/src/index.ts
@@ -1,2 +1,7 @@
 /** The entry role: walks the stages of a call under one deadline. */
-export {};
+export { chooseTarget } from './chooseTarget.js';
+export { createEntry, type CreateEntryOptions, type Entry } from './createEntry.js';
+export { decideRetry } from './decideRetry.js';
+export { naivePolicy } from './naivePolicy.js';
+export type * from './policy.js';
+export { runEntry, type RunEntryOptions } from './runEntry.js';
