--- a/features/support/pathDeployment.ts
+++ b/features/support/pathDeployment.ts
@@ -1,6 +1,6 @@
 /** An entry and a gate over real sockets, for the feature of the whole path. */
 import { runGeneration } from '@galenatiller/engine';
-import { chooseTarget, decideRetry, runEntry } from '@galenatiller/entry';
+import { runEntry, standardPolicy } from '@galenatiller/entry';
 import type { FakeService, FakeTarget } from '@galenatiller/fakes';
 import { createMemoryRunRecords, runGate } from '@galenatiller/gate';
 import { runPoolStage } from '@galenatiller/pool';
@@ -38,6 +38,7 @@
   weightStoreUrl: '',
   metricsAddress: '',
   metricsPort: 0,
+  policy: 'standard' as const,
 };
 /** Starts a gate before every stand-in target; resolves with its link port. */
 export function startGate(world: PathDeployment, configuration: Configuration): Promise<number> {
@@ -91,7 +92,7 @@
       },
       timer,
       stop: world.stopEntry.signal,
-      policy: { chooseTarget, decideRetry },
+      policy: standardPolicy,
       random: () => 0,
       followConfiguration: (onConfiguration, signal) => {
         onConfiguration(configuration);
--- /dev/null
+++ b/packages/daemon/src/runEntryRole.ts
@@ -0,0 +1,21 @@
+import { naivePolicy, runEntry, standardPolicy } from '@galenatiller/entry';
+import type { EntrySettings } from '@galenatiller/settings';
+
+import { connectPlatform } from './connectPlatform.js';
+import type { RunRoleOptions } from './runDaemon.js';
+
+/** Runs an entry against the platform that its settings name. */
+export async function runEntryRole(opts: RunRoleOptions<EntrySettings>): Promise<void> {
+  const platform = connectPlatform({ ...opts, readPeerOffers: () => Promise.resolve([]) });
+  try {
+    await runEntry({
+      ...opts,
+      policy: opts.settings.policy === 'naive' ? naivePolicy : standardPolicy,
+      random: Math.random,
+      followConfiguration: platform.followConfiguration,
+      followHosts: platform.followHosts,
+    });
+  } finally {
+    await platform.close();
+  }
+}
--- a/packages/entry/src/index.ts
+++ b/packages/entry/src/index.ts
@@ -4,4 +4,5 @@
 export { decideRetry } from './decideRetry.js';
 export { naivePolicy } from './naivePolicy.js';
 export type * from './policy.js';
+export { standardPolicy } from './standardPolicy.js';
 export { runEntry, type RunEntryOptions } from './runEntry.js';
--- a/packages/node/src/acceptLinks.ts
+++ b/packages/node/src/acceptLinks.ts
@@ -7,7 +7,7 @@
 
 import type { NodeIdentity } from './frames.js';
 import { shakeHands } from './handshake.js';
-import { Link } from './link.js';
+import { SocketLink } from './link.js';
 import type { ProvedLink } from './openLink.js';
 
 /** Options of {@link acceptLinks}. */
@@ -55,7 +55,7 @@
   };
 
   async function serveConnection(socket: Socket): Promise<void> {
-    const link = Link.create({ socket });
+    const link = SocketLink.create({ socket });
     try {
       unproved += 1;
       const peer = await shakeHands({ link, ...opts }).finally(() => {
--- a/packages/node/src/index.ts
+++ b/packages/node/src/index.ts
@@ -2,6 +2,6 @@
 export { acceptLinks, type AcceptLinksOptions, type LinkServer } from './acceptLinks.js';
 export type * from './frames.js';
 export { type HandshakeOptions, shakeHands } from './handshake.js';
-export { Link } from './link.js';
+export { type Link, SocketLink } from './link.js';
 export { openLink, type OpenLinkOptions, type ProvedLink } from './openLink.js';
 export { encodeFrame, FrameDecoder } from './wireFrame.js';
--- a/packages/node/src/link.ts
+++ b/packages/node/src/link.ts
@@ -9,8 +9,24 @@
 /** Unsent bytes above which a sender of streamed text waits. */
 const SEND_BUFFER_BYTES = 262_144;
 
-/** Frames in both directions over one socket, or over one side of a pair of streams in tests. */
-export class Link {
+/** Frames in both directions between two nodes. */
+export interface Link {
+  /** Takes the next frame; undefined when the link has ended. Throws GalenatillerError when the stream is lost. */
+  readonly next: () => Promise<NodeFrame | undefined>;
+  /** Reads frames until the link ends. */
+  readonly read: () => AsyncGenerator<NodeFrame, void, void>;
+  /** Sends a frame; false when it could not be sent and so never reaches the peer. */
+  readonly send: (frame: NodeFrame) => boolean;
+  /** Waits until a slow peer has taken most of what was sent. */
+  readonly drained: () => Promise<void>;
+  /** Ends the link at once. */
+  readonly close: () => void;
+  /** Sends what is left, then ends the link. */
+  readonly end: () => void;
+}
+
+/** A link over one socket. */
+export class SocketLink implements Link {
   private corked = false;
 
   private readonly frames: AsyncGenerator<NodeFrame, void, void>;
@@ -22,8 +38,8 @@
   }
 
   /** Makes a link over a connected socket with Nagle's algorithm off. */
-  static create(opts: { readonly socket: Duplex }): Link {
-    return new Link(opts.socket);
+  static create(opts: { readonly socket: Duplex }): SocketLink {
+    return new SocketLink(opts.socket);
   }
 
   /** Takes the next frame; undefined when the link has ended. Throws GalenatillerError when the stream is lost. */
--- a/packages/node/src/openLink.ts
+++ b/packages/node/src/openLink.ts
@@ -7,7 +7,7 @@
 
 import type { NodeIdentity } from './frames.js';
 import { shakeHands } from './handshake.js';
-import { Link } from './link.js';
+import { type Link, SocketLink } from './link.js';
 
 /** Options of {@link openLink}. */
 export interface OpenLinkOptions {
@@ -32,7 +32,7 @@
   if (socket.isErr) {
     return Result.err(socket.error);
   }
-  const link = Link.create({ socket: socket.value });
+  const link = SocketLink.create({ socket: socket.value });
   const peer = await shakeHands({ link, ...opts });
   if (peer.isErr) {
     link.close();
--- a/packages/settings/src/nodeSettings.ts
+++ b/packages/settings/src/nodeSettings.ts
@@ -24,6 +24,8 @@
   /** statsd server, `[metrics] address` and `port`; an empty address sends none. */
   readonly metricsAddress: string;
   readonly metricsPort: number;
+  /** Decisions of the node, `[routing] policy`. */
+  readonly policy: 'standard' | 'naive';
 }
 
 /** Settings of an entry. */
--- a/packages/settings/src/settingKeys.ts
+++ b/packages/settings/src/settingKeys.ts
@@ -98,6 +98,13 @@
     meaning: 'UDP port of the statsd server.',
     defaultText: '8125',
   }),
+  policy: choiceKey({
+    section: 'routing',
+    key: 'policy',
+    meaning: 'Decisions of the node; the naive ones are for measurements only.',
+    choices: ['standard', 'naive'],
+    defaultText: 'standard',
+  }),
 } satisfies KeyTable;
 
 /** Keys of the entry role only. */
