Keep the configuration in shards under one head, and follow it

Cause: 36,000 organisations pass one megabyte value, and an accepted change must reach every node within seconds and never revert, also over lost answers and outages. Change: publishConfiguration writes only changed shards and decides by one swap of the head, which carries the newest deltas; followConfiguration reads the head and follows it; a node that starts during an outage adopts the highest revision of its peers. Old shards go once no head names them. The watch tells lost and found as events. The bench of the stand-in moves to fakes, for all tests.

--- a/packages/store/test/storeBench.ts
+++ b/fakes/src/store/storeBench.ts
@@ -1,7 +1,8 @@
-import { FakeStore } from '@galenatiller/fakes';
 import { CallBudget, StoreClient } from '@galenatiller/store';
 import { ManualClock, TimerService } from '@galenatiller/timer';
 
+import { FakeStore } from './fakeStore.js';
+
 /** A stand-in store on a manual clock. */
 export interface StoreBench {
   readonly clock: ManualClock;
--- /dev/null
+++ b/packages/configuration/src/adoptFromPeer.ts
@@ -0,0 +1,37 @@
+import type { GalenatillerError } from '@galenatiller/error';
+import { Result } from 'true-myth';
+
+import type { ShardReader, ShardReference } from './headTypes.js';
+import type { Advance, HeldConfiguration } from './heldConfiguration.js';
+
+/** The revision that is in force on another node, and a way to read its shards. */
+export interface PeerOffer {
+  readonly revision: number;
+  readonly shards: readonly ShardReference[];
+  readonly readShards: ShardReader;
+}
+
+/** Options of {@link adoptFromPeer}. */
+export interface AdoptFromPeerOptions {
+  readonly held: HeldConfiguration;
+  readonly offers: readonly PeerOffer[];
+}
+
+/**
+ * Takes the highest revision that another node offers; a node holds accepted revisions only. When
+ * that node fails, the next highest is taken. The error is that of the last node tried.
+ */
+export async function adoptFromPeer(
+  opts: AdoptFromPeerOptions,
+): Promise<Result<Advance, GalenatillerError>> {
+  const { held } = opts;
+  const highestFirst = [...opts.offers].sort((left, right) => right.revision - left.revision);
+  let answer: Result<Advance, GalenatillerError> = Result.ok('not-newer');
+  for (const { revision, shards, readShards } of highestFirst) {
+    answer = await held.advance({ view: { revision, shards, deltas: [] }, readShards });
+    if (answer.isOk) {
+      return answer;
+    }
+  }
+  return answer;
+}
--- a/packages/configuration/src/index.ts
+++ b/packages/configuration/src/index.ts
@@ -1,2 +1,18 @@
 /** Keeps the configuration in the store in shards under one revision, and follows it. */
+export { adoptFromPeer, type AdoptFromPeerOptions, type PeerOffer } from './adoptFromPeer.js';
+export { followConfiguration, type FollowConfigurationOptions } from './followConfiguration.js';
+export type * from './headTypes.js';
+export {
+  type Advance,
+  type AdvanceOptions,
+  HeldConfiguration,
+  type HeldConfigurationOptions,
+} from './heldConfiguration.js';
 export { indexRules, type IndexRulesOptions } from './indexRules.js';
+export {
+  publishConfiguration,
+  type PublishConfigurationOptions,
+  type Published,
+  type PublishRefusal,
+} from './publishConfiguration.js';
+export { readHead } from './readHead.js';
--- a/packages/store/src/compareAndSwap.ts
+++ b/packages/store/src/compareAndSwap.ts
@@ -12,7 +12,10 @@
 } from './storeTypes.js';
 import { decodeTxn, encodeTxn, type TxnAnswer } from './wire.js';
 
-/** Options of a compare-and-swap; every key written or deleted is among the expected ones. */
+/**
+ * Options of a compare-and-swap. At least one of the keys written is among the expected ones: a lost
+ * answer is recognised by the write token there.
+ */
 export interface SwapOptions {
   readonly expected: readonly KeyExpectation[];
   readonly puts: readonly KeyWrite[];
--- a/packages/store/src/storeTypes.ts
+++ b/packages/store/src/storeTypes.ts
@@ -81,8 +81,11 @@
   readonly ttlMs: number;
 }
 
-/** A change seen by a watch; after `gap` changes may be missing and state has to be read anew. */
+/**
+ * What a watch sees. After `gap` changes may be missing and state has to be read anew. `lost` comes
+ * with each failed try to open the watch, `found` once it is open again.
+ */
 export type WatchEvent =
   | { readonly kind: 'put'; readonly entry: StoreEntry }
   | { readonly kind: 'delete'; readonly key: string; readonly modRevision: number }
-  | { readonly kind: 'gap' };
+  | { readonly kind: 'gap' | 'lost' | 'found' };
--- a/packages/store/src/watchPrefix.ts
+++ b/packages/store/src/watchPrefix.ts
@@ -10,8 +10,6 @@
   /** First revision of the store to be reported. */
   readonly fromRevision: number;
   readonly signal: AbortSignal;
-  /** Told when the store does not answer, and again when it does. */
-  readonly onReachable?: (reachable: boolean) => void;
 }
 
 /** Options of {@link watchPrefix}. */
@@ -35,6 +33,7 @@
   const { signal, context } = opts;
   let { fromRevision } = opts;
   let failures = 0;
+  let lost = false;
   while (!signal.aborted) {
     let silent = false;
     for await (const message of openOnce({ ...opts, fromRevision })) {
@@ -42,7 +41,10 @@
         silent = true;
         continue;
       }
-      opts.onReachable?.(true);
+      if (lost) {
+        yield { kind: 'found' };
+      }
+      lost = false;
       failures = 0;
       fromRevision = Math.max(fromRevision, message.seenRevision + 1);
       if (message.cancelled) {
@@ -51,7 +53,8 @@
       yield* message.events;
     }
     if (!silent && !signal.aborted) {
-      opts.onReachable?.(false);
+      lost = true;
+      yield { kind: 'lost' };
       await context.timer.sleep({ delayMs: reopenDelayMs(opts, failures), signal });
       failures += 1;
     }
--- a/packages/store/test/leaseHolder.steps.ts
+++ b/packages/store/test/leaseHolder.steps.ts
@@ -1,10 +1,9 @@
 import assert from 'node:assert/strict';
 
 import { After, Given, Then, When } from '@cucumber/cucumber';
+import { createStoreBench, type StoreBench } from '@galenatiller/fakes';
 import { CallBudget, LeaseHolder, StoreClient, type StoreTransport } from '@galenatiller/store';
 
-import { createStoreBench, type StoreBench } from './storeBench.js';
-
 interface Contender {
   readonly holder: LeaseHolder;
   paused: boolean;
