--- a/fakes/test/fakeEngine.feature
+++ b/fakes/test/fakeEngine.feature
@@ -1,3 +1,4 @@
+@fakes
 Feature: A fake engine
   It behaves as the brief says of engines, so that tests and the bench can rely on it.
 
--- a/features/path.feature
+++ b/features/path.feature
@@ -1,3 +1,4 @@
+@features
 Feature: The whole path
   A caller's request goes through an entry and a gate to stand-in targets over sockets, and the
   streamed answer comes back.
--- a/features/path.steps.ts
+++ b/features/path.steps.ts
@@ -33,7 +33,7 @@
 const DRAFT_TOKENS = 256;
 const PASSAGE_LIMIT = 8;
 
-const fake = { timer, port: 0, seed: 1, restartMs: 50 };
+const fake = { timer, port: 0, seed: 1, restartMs: 50, version: 'v1' };
 const speed = { baseMsPerToken: 1, slopeMsPerToken: 0.1, capacity: 16 };
 const work = { serviceMs: 1, concurrency: 16 };
 
@@ -155,7 +155,7 @@
   return this.entryEnded;
 });
 
-After(async function after(this: PathWorld) {
+After({ tags: '@features' }, async function after(this: PathWorld) {
   if (!this.stopEntry) {
     return;
   }
--- a/packages/caller/test/badInput.feature
+++ b/packages/caller/test/badInput.feature
@@ -1,3 +1,4 @@
+@caller
 Feature: Bad input from callers
   Every refusal is numbered, says that nothing ran, and disturbs nobody else.
 
--- a/packages/configuration/test/configuration.feature
+++ b/packages/configuration/test/configuration.feature
@@ -1,3 +1,4 @@
+@configuration
 Feature: Configuration in the store
   An accepted configuration comes into force on every node within seconds and never reverts.
 
--- a/packages/daemon/test/daemon.feature
+++ b/packages/daemon/test/daemon.feature
@@ -1,3 +1,4 @@
+@daemon
 Feature: The daemon from its command line to its exit code
 
   Background:
--- a/packages/engine/test/coldStart.feature
+++ b/packages/engine/test/coldStart.feature
@@ -1,3 +1,4 @@
+@engine
 Feature: Load of a target in cold start
   The limit grows by evidence only; restarts and their signs take it back.
 
--- a/packages/engine/test/generation.feature
+++ b/packages/engine/test/generation.feature
@@ -1,3 +1,4 @@
+@engine
 Feature: Generation on an engine
   A generation is whole or its failure says what is proved about execution.
 
--- a/packages/error/test/resultCodes.feature
+++ b/packages/error/test/resultCodes.feature
@@ -1,3 +1,4 @@
+@error
 Feature: Result codes
   Scenario: The documented table and the code are the same
     When the documented table of result codes is read
--- a/packages/hostList/test/hostList.feature
+++ b/packages/hostList/test/hostList.feature
@@ -1,3 +1,4 @@
+@hostList
 Feature: Following the host list
   The list lags; the last hosts stand while it cannot be read.
 
--- a/packages/metrics/test/metrics.feature
+++ b/packages/metrics/test/metrics.feature
@@ -1,3 +1,4 @@
+@metrics
 Feature: Metrics by statsd datagrams
 
   Scenario: Metrics arrive with their type and tags
--- a/packages/node/test/frames.feature
+++ b/packages/node/test/frames.feature
@@ -1,3 +1,4 @@
+@node
 Feature: Frames on a link between nodes
 
   Scenario: Frames survive any cut of the byte stream
--- a/packages/operator/test/askNode.feature
+++ b/packages/operator/test/askNode.feature
@@ -1,3 +1,4 @@
+@operator
 @ask-node
 Feature: Operators ask nodes
   A node answers operators who have one of its keys, and nobody else.
--- a/packages/operator/test/rules.feature
+++ b/packages/operator/test/rules.feature
@@ -1,3 +1,4 @@
+@operator
 Feature: Rules file
   One line for each rule, each ending in a comment that says who asked.
 
--- a/packages/pool/test/pool.feature
+++ b/packages/pool/test/pool.feature
@@ -1,3 +1,4 @@
+@pool
 Feature: Stages on a pool
   A pool answers each stage whole, or the failure says what is proved about execution.
 
--- a/packages/service/test/service.feature
+++ b/packages/service/test/service.feature
@@ -1,3 +1,4 @@
+@service
 Feature: Calls of a plain service
   A lost answer is never taken for a call that did not run.
 
--- a/packages/store/test/leaseHolder.feature
+++ b/packages/store/test/leaseHolder.feature
@@ -1,3 +1,4 @@
+@store
 Feature: Lease holder
   A holder stops acting before the store can give its lease to another.
 
--- a/packages/store/test/storeClient.feature
+++ b/packages/store/test/storeClient.feature
@@ -1,3 +1,4 @@
+@store
 Feature: Store client
   Lost answers, outages and gaps of the platform's store never change what a caller is told.
 
--- a/packages/timeline/test/timeline.feature
+++ b/packages/timeline/test/timeline.feature
@@ -1,3 +1,4 @@
+@timeline
 Feature: Time line of events over all processes
 
   Scenario: Stamps of a hybrid clock grow whatever the wall clock does
--- a/packages/timer/test/timer.feature
+++ b/packages/timer/test/timer.feature
@@ -1,3 +1,4 @@
+@timer
 Feature: Timer service
   Parts subscribe to one timer service; tests move its clock by hand.
 
