Add run records: claims written to the store in groups before dispatch

Cause: a request that may not be repeated runs at most once, also over lost answers and outages, and the store takes several hundred writes a second for everything. Change: RunRecords claims a run by creating its key; GroupCommit joins the claims, answers and releases of a window into one transaction. A claim that is not known to be written is refused as not-run, and released or taken over later by its claim id. Records of an hour share one lease. The stand-in refuses unknown leases and doubled keys as the real store does.

--- a/fakes/src/store/fakeStore.ts
+++ b/fakes/src/store/fakeStore.ts
@@ -126,7 +126,7 @@
       case 'range':
         return this.reply(core.range(request as EtcdRange));
       case 'txn': {
-        const refusal = refuseTxn(call.body, request as EtcdTxn);
+        const refusal = refuseTxn({ core, body: call.body, txn: request as EtcdTxn });
         return refusal ?? this.reply(core.txn(request as EtcdTxn));
       }
       case 'lease-grant': {
@@ -233,18 +233,34 @@
   return call.kind !== 'range' && call.kind !== 'watch';
 }
 
-function refuseTxn(body: string, txn: EtcdTxn): StoreAnswer | undefined {
+function refuseTxn(opts: {
+  readonly core: StoreCore;
+  readonly body: string;
+  readonly txn: EtcdTxn;
+}): StoreAnswer | undefined {
+  const { core, body, txn } = opts;
   const operations = txn.success ?? [];
   const sizes = [operations.length, txn.compare?.length ?? 0, txn.failure?.length ?? 0];
+  const writtenKeys = operations.map(
+    (operation) => (operation.request_put ?? operation.request_delete_range)?.key,
+  );
   if (Math.max(...sizes) > MAX_TXN_OPERATIONS) {
-    return answer(HTTP_BAD_REQUEST, '{"error":"too many operations in txn request"}');
+    return refuse('too many operations in txn request');
+  }
+  if (new Set(writtenKeys).size < writtenKeys.length) {
+    return refuse('duplicate key given in txn request');
+  }
+  if (operations.some(({ request_put: put }) => !core.hasLease(put?.lease ?? '0'))) {
+    return refuse('requested lease not found');
   }
   const tooLarge = operations.some(
     ({ request_put: put }) => Buffer.byteLength(put?.value ?? '', 'base64') > MAX_VALUE_BYTES,
   );
-  return tooLarge || body.length > MAX_CALL_BYTES
-    ? answer(HTTP_BAD_REQUEST, '{"error":"request is too large"}')
-    : undefined;
+  return tooLarge || body.length > MAX_CALL_BYTES ? refuse('request is too large') : undefined;
+}
+
+function refuse(error: string): StoreAnswer {
+  return answer(HTTP_BAD_REQUEST, JSON.stringify({ error }));
 }
 
 function answer(status: number, text: string): StoreAnswer {
--- a/fakes/src/store/storeCore.ts
+++ b/fakes/src/store/storeCore.ts
@@ -67,6 +67,11 @@
     return { succeeded, responses };
   }
 
+  /** Whether a lease exists; id 0 stands for none. */
+  hasLease(leaseId: string): boolean {
+    return leaseId === '0' || this.leases.has(leaseId);
+  }
+
   /** Grants a lease and gives its id. */
   grantLease(ttlMs: number): string {
     const leaseId = String(this.nextLeaseId);
--- a/packages/store/src/index.ts
+++ b/packages/store/src/index.ts
@@ -6,5 +6,7 @@
 export { jitteredDelayMs, type JitteredDelayOptions } from './jitteredDelayMs.js';
 export { StoreClient, type StoreClientOptions } from './storeClient.js';
 export { LeaseHolder, type LeaseHolderOptions } from './leaseHolder.js';
+export type { Claim, RunCompletion, RunName, RunRequest } from './runRecordTypes.js';
+export { RUN_REMEMBERED_MS, RunRecords, type RunRecordsOptions } from './runRecords.js';
 export type * from './storeTypes.js';
 export type { WatchOptions } from './watchPrefix.js';
--- /dev/null
+++ b/packages/store/test/runRecords.steps.ts
@@ -0,0 +1,262 @@
+import assert from 'node:assert/strict';
+import { setMaxListeners } from 'node:events';
+
+import { After, Given, Then, When } from '@cucumber/cucumber';
+import {
+  advanceUntil,
+  createBenchClient,
+  createStoreBench,
+  type StoreBench,
+} from '@galenatiller/fakes';
+import { type Claim, RunRecords } from '@galenatiller/store';
+import type { StageEnd } from '@galenatiller/types';
+import fc from 'fast-check';
+
+interface RunWorld {
+  runBench: StoreBench;
+  gates: Map<string, RunRecords>;
+  runStop?: AbortController;
+  told: string;
+  repeat: Promise<string>;
+  claims: string[];
+  transactions: number;
+}
+
+const WINDOW_MS = 5;
+
+function createGate(
+  bench: StoreBench,
+  opts: { readonly nodeName: string; readonly signal: AbortSignal; readonly windowMs?: number },
+): RunRecords {
+  const { nodeName, signal, windowMs: groupWindowMs = WINDOW_MS } = opts;
+  const records = RunRecords.create({
+    store: createBenchClient(bench, { callsPerSecond: 100_000 }),
+    timer: bench.timer,
+    nodeName,
+    incarnation: `${nodeName} 1`,
+    groupWindowMs,
+  });
+  records.run({ signal }).catch(() => {});
+  return records;
+}
+
+function makeEnd(detail: string): StageEnd {
+  return { outcome: 'ran', code: 0, detail, retryAfterMs: 0, queueMs: 0, runMs: 1 };
+}
+
+async function claim(records: RunRecords, runKey: string, bodyDigest = 'b'): Promise<string> {
+  const claimed = await records.claim({ organisation: 'o', runKey, bodyDigest, requestId: 'r' });
+  return claimed.match({
+    Ok: (answer: Claim) =>
+      answer.kind === 'answered' ? `answered ${answer.end.detail}` : (answer.kind as string),
+    Err: (error) => `${error.codeName}, ${error.outcome}`,
+  });
+}
+
+function gateOf(world: RunWorld, name: string): RunRecords {
+  const gate = world.gates.get(name);
+  assert.ok(gate);
+  return gate;
+}
+
+Given(
+  'the gates {string} and {string} with run records',
+  function given(this: RunWorld, first: string, second: string) {
+    this.runBench = createStoreBench();
+    this.runStop = new AbortController();
+    const { signal } = this.runStop;
+    this.gates = new Map(
+      [first, second].map((nodeName) => [
+        nodeName,
+        createGate(this.runBench, { nodeName, signal }),
+      ]),
+    );
+  },
+);
+
+After(function after(this: RunWorld) {
+  this.runStop?.abort();
+});
+
+When(
+  'gate {string} claims the run {string} for the body {string}',
+  async function when(this: RunWorld, name: string, runKey: string, body: string) {
+    this.told = await advanceUntil(this.runBench.clock, claim(gateOf(this, name), runKey, body));
+  },
+);
+
+When('gate {string} has claimed a run before', async function when(this: RunWorld, name: string) {
+  await advanceUntil(this.runBench.clock, claim(gateOf(this, name), 'before'));
+});
+
+When(
+  'a repeat of the run {string} waits at gate {string}',
+  async function when(this: RunWorld, runKey: string, name: string) {
+    this.repeat = claim(gateOf(this, name), runKey);
+    await this.runBench.clock.advance({ byMs: 50 });
+  },
+);
+
+When(
+  'gate {string} completes the run {string} with the detail {string}',
+  async function when(this: RunWorld, name: string, runKey: string, detail: string) {
+    const run = { organisation: 'o', runKey, bodyDigest: 'b', end: makeEnd(detail) };
+    await advanceUntil(this.runBench.clock, gateOf(this, name).complete(run));
+  },
+);
+
+When(
+  'gate {string} releases the run {string}',
+  async function when(this: RunWorld, name: string, runKey: string) {
+    const released = gateOf(this, name).releaseNotRun({ organisation: 'o', runKey });
+    await advanceUntil(this.runBench.clock, released);
+  },
+);
+
+When(
+  'the next {int} answers to run records are lost',
+  function when(this: RunWorld, count: number) {
+    this.runBench.fake.order({ loseAnswers: count });
+  },
+);
+
+When('the store of the run records goes away', function when(this: RunWorld) {
+  this.runBench.fake.order({ outage: true });
+});
+
+When('the store of the run records comes back', function when(this: RunWorld) {
+  this.runBench.fake.order({ outage: false });
+});
+
+When('{int} ms pass at the run records', async function when(this: RunWorld, byMs: number) {
+  await this.runBench.clock.advance({ byMs });
+});
+
+When(
+  'gate {string} claims {int} runs at once',
+  async function when(this: RunWorld, name: string, count: number) {
+    const before = this.runBench.fake.calls().txn ?? 0;
+    const gate = gateOf(this, name);
+    const claims = Array.from({ length: count }, (_, number) => claim(gate, `k${number}`));
+    this.claims = await advanceUntil(this.runBench.clock, Promise.all(claims));
+    this.transactions = (this.runBench.fake.calls().txn ?? 0) - before;
+  },
+);
+
+Then('the claim is told as {string}', function then(this: RunWorld, told: string) {
+  assert.equal(this.told, told);
+});
+
+Then('the repeat is told as {string}', async function then(this: RunWorld, told: string) {
+  assert.equal(await advanceUntil(this.runBench.clock, this.repeat), told);
+});
+
+Then(
+  '{int} of the claims are told as {string} after {int} transactions',
+  function then(this: RunWorld, count: number, told: string, transactions: number) {
+    assert.equal(this.claims.filter((word) => word === told).length, count);
+    assert.equal(this.transactions, transactions);
+  },
+);
+
+const runStep = fc.record({
+  loseAnswers: fc.nat(5),
+  loseRequests: fc.nat(5),
+  outage: fc.boolean(),
+  slowMs: fc.constantFrom(0, 0, 3, 1_200),
+  claims: fc.array(fc.record({ gate: fc.nat(2), run: fc.nat(2), ends: fc.nat(2) }), {
+    maxLength: 4,
+  }),
+  forMs: fc.nat(1_500),
+});
+
+type Ending = 'complete' | 'release' | 'abandon';
+
+Then(
+  'over {int} seeded schedules no run is dispatched twice and no answer is of another run',
+  async (numRuns: number) => {
+    const property = fc.asyncProperty(fc.array(runStep, { maxLength: 10 }), async (schedule) => {
+      const bench = createStoreBench();
+      const stop = new AbortController();
+      const gates = ['A', 'B', 'C'].map((nodeName) =>
+        createGate(bench, { nodeName, signal: stop.signal }),
+      );
+      const dispatched = new Map<string, number>();
+      const tasks: Promise<void>[] = [];
+      const request = async (
+        records: RunRecords,
+        runKey: string,
+        ending: Ending,
+      ): Promise<void> => {
+        const told = await claim(records, runKey);
+        assert.ok(!told.startsWith('answered') || told === `answered ${runKey}`);
+        if (told !== 'first') {
+          return;
+        }
+        const name = { organisation: 'o', runKey, bodyDigest: 'b' };
+        if (ending === 'release') {
+          await records.releaseNotRun(name);
+          return;
+        }
+        dispatched.set(runKey, (dispatched.get(runKey) ?? 0) + 1);
+        await bench.timer.sleep({ delayMs: 30 });
+        if (ending === 'complete') {
+          await records.complete({ ...name, end: makeEnd(runKey) });
+        } else {
+          records.abandon(name);
+        }
+      };
+      for (const { forMs, claims, ...faults } of schedule) {
+        bench.fake.order(faults);
+        claims.forEach(({ gate, run, ends }) => {
+          const ending = (['complete', 'release', 'abandon'] as const)[ends] ?? 'complete';
+          tasks.push(request(gates[gate] as RunRecords, `run ${run}`, ending));
+        });
+        await bench.clock.advance({ byMs: forMs });
+      }
+      bench.fake.order({ outage: false, loseAnswers: 0, loseRequests: 0, slowMs: 0 });
+      await advanceUntil(bench.clock, Promise.all(tasks));
+      // After the faults every run is asked for once more.
+      const repeats = gates.flatMap((records) =>
+        [0, 1, 2].map((run) => request(records, `run ${run}`, 'complete')),
+      );
+      await advanceUntil(bench.clock, Promise.all(repeats));
+      stop.abort();
+      dispatched.forEach((times, runKey) => {
+        assert.equal(times, 1, runKey);
+      });
+    });
+    await fc.assert(property, { numRuns, seed: 31 });
+  },
+);
+
+Then(
+  '{int} % of {int} requests a second over {int} gates in windows of {int} ms take at most {float} calls a request',
+  async (share: number, perSecond: number, gateCount: number, windowMs: number, limit: number) => {
+    const bench = createStoreBench();
+    const stop = new AbortController();
+    const { signal } = stop;
+    setMaxListeners(gateCount, signal);
+    const gates = Array.from({ length: gateCount }, (_, number) =>
+      createGate(bench, { nodeName: `gate ${number}`, signal, windowMs }),
+    );
+    const requests = (perSecond * share) / 100;
+    const runs = Array.from({ length: requests }, async (_, number) => {
+      // Arrivals are spread evenly over a second and dealt out to the gates in a scattered order.
+      await bench.timer.sleep({ delayMs: (number * 1_000) / requests });
+      const records = gates[(number * 7) % gateCount] as RunRecords;
+      assert.equal(await claim(records, `k${number}`), 'first');
+      await bench.timer.sleep({ delayMs: 40 });
+      const run = { organisation: 'o', runKey: `k${number}`, bodyDigest: 'b', end: makeEnd('x') };
+      assert.equal((await records.complete(run)).isOk, true);
+    });
+    await advanceUntil(bench.clock, Promise.all(runs), 100);
+    stop.abort();
+    const calls = Object.values(bench.fake.calls()).reduce((sum, count) => sum + count, 0);
+    const perRequest = calls / perSecond;
+    process.stdout.write(
+      `\n${share} % at ${gateCount} gates, ${windowMs} ms: ${calls} calls a second, ${perRequest} a request\n`,
+    );
+    assert.ok(perRequest <= limit, `${perRequest} calls a request`);
+  },
+);
