Add the operators' commands as functions from an invocation to a report

Operators need one tool to check, compare and apply rules, take zones out, move versions and see what happened. Each command gives a typed report or failure; text and JSON are two front ends of it. A change is published against the revision read, and reported only once every live node has it in force. What a store or host list outage hides is said. The settings gain a section [cli]; its key is never printed.

--- /dev/null
+++ b/packages/cli/src/cliCommand.ts
@@ -0,0 +1,75 @@
+/** What the command line asks for, tagged by the command. */
+export type CliCommand =
+  | { readonly kind: 'check'; readonly fileName: string }
+  | { readonly kind: 'diff'; readonly fileName: string }
+  | { readonly kind: 'show' }
+  | { readonly kind: 'status' }
+  | { readonly kind: 'rollout-status' }
+  | { readonly kind: 'completion' }
+  | ApplyCommand
+  | ZoneCommand
+  | RolloutStartCommand
+  | RolloutTakeBackCommand
+  | TimelineCommand
+  | { readonly kind: 'explain'; readonly requestId: string }
+  | TopCommand;
+
+/** `apply FILE`. */
+export interface ApplyCommand {
+  readonly kind: 'apply';
+  readonly fileName: string;
+  readonly baseRevision: number;
+  readonly waitMs: number;
+}
+
+/** `zone in|out NAME`. */
+export interface ZoneCommand {
+  readonly kind: 'zone';
+  readonly state: 'in' | 'out';
+  readonly zone: string;
+  readonly askedBy: string;
+  readonly waitMs: number;
+}
+
+/** `rollout start GROUP`; values are as in the rules file. */
+export interface RolloutStartCommand {
+  readonly kind: 'rollout-start';
+  readonly targetGroup: string;
+  readonly from: string;
+  readonly to: string;
+  readonly by: string;
+  readonly unprovenShare: string;
+  readonly askedBy: string;
+  readonly waitMs: number;
+}
+
+/** `rollout take-back GROUP`. */
+export interface RolloutTakeBackCommand {
+  readonly kind: 'rollout-take-back';
+  readonly targetGroup: string;
+  readonly askedBy: string;
+  readonly waitMs: number;
+}
+
+/** `timeline`; empty strings match all. */
+export interface TimelineCommand {
+  readonly kind: 'timeline';
+  readonly requestId: string;
+  readonly target: string;
+  readonly zone: string;
+  readonly follow: boolean;
+}
+
+/** `top`; 0 rounds go on until the command is stopped. */
+export interface TopCommand {
+  readonly kind: 'top';
+  readonly intervalMs: number;
+  readonly rounds: number;
+}
+
+/** A command with the options that every command has. */
+export interface Invocation {
+  readonly command: CliCommand;
+  readonly settingsFile: string;
+  readonly json: boolean;
+}
--- a/packages/cli/src/index.ts
+++ b/packages/cli/src/index.ts
@@ -1,2 +1,5 @@
 /** The galenatiller binary: the operators' command line. */
-export {};
+export type { CommandFailure } from './commandFailure.js';
+export type * from './commandReport.js';
+export type * from './platform.js';
+export { type PlatformConnection, runCli, type RunCliOptions } from './runCli.js';
--- /dev/null
+++ b/packages/cli/src/readTimelines.ts
@@ -0,0 +1,55 @@
+import type { TimelineReply } from '@galenatiller/operator';
+import { mergeTimelines } from '@galenatiller/timeline';
+import type { HybridStamp, TimelineEvent } from '@galenatiller/types';
+import { Result } from 'true-myth';
+
+import { type CommandFailure, fail } from './commandFailure.js';
+import type { TimelineReport } from './commandReport.js';
+import type { Platform } from './platform.js';
+import { type HostAnswer, readFleet, silentHosts } from './readFleet.js';
+
+/** Which events are wanted; empty strings match all. */
+export interface TimelineFilter {
+  readonly requestId: string;
+  readonly target: string;
+  readonly zone: string;
+}
+
+/** Options of {@link readTimelines}. */
+export interface ReadTimelinesOptions extends TimelineFilter {
+  readonly platform: Platform;
+  /** Latest stamp that is known of each node; only later events are wanted. */
+  readonly known: ReadonlyMap<string, HybridStamp>;
+}
+
+/** Most events that one node is asked for. */
+const MAX_EVENTS = 1_000;
+
+const BEFORE_ALL: HybridStamp = { wallMs: 0, counter: 0 };
+
+/** Asks every node for its events and brings them into one causal order. */
+export async function readTimelines(
+  opts: ReadTimelinesOptions,
+): Promise<Result<TimelineReport, CommandFailure>> {
+  const { platform, requestId, target, zone, known } = opts;
+  const fleet = await readFleet({
+    readHosts: platform.readHosts,
+    zone,
+    ask: (host) => {
+      const after = known.get(host.name) ?? BEFORE_ALL;
+      return platform.askTimeline(host, { requestId, target, after, maxEvents: MAX_EVENTS });
+    },
+  });
+  if (fleet.isErr) {
+    return fail(fleet.error, ['Not known: which nodes there are, and so what they did.']);
+  }
+  return Result.ok({
+    command: 'timeline',
+    events: mergeTimelines(fleet.value.map(eventsOf)),
+    unknown: silentHosts(fleet.value),
+  });
+}
+
+function eventsOf({ answer }: HostAnswer<TimelineReply>): readonly TimelineEvent[] {
+  return answer.isOk ? answer.value.events : [];
+}
--- /dev/null
+++ b/packages/cli/src/runCli.ts
@@ -0,0 +1,150 @@
+import { GalenatillerError } from '@galenatiller/error';
+import { type CliSettings, readCliSettings, renderSettingsProblem } from '@galenatiller/settings';
+import { Result } from 'true-myth';
+import { Unit } from 'true-myth/unit';
+
+import type { CliCommand, Invocation } from './cliCommand.js';
+import { type CommandFailure, fail } from './commandFailure.js';
+import type { CommandReport } from './commandReport.js';
+import { completionScript } from './completionScript.js';
+import { createProgram } from './createProgram.js';
+import { EXIT_OK, exitCodeOf } from './exitCode.js';
+import { loadRules, type ReadText } from './loadRules.js';
+import { parseCommandLine, type ParseCommandLineOptions } from './parseCommandLine.js';
+import type { Platform } from './platform.js';
+import { renderReport } from './renderReport.js';
+import { createPaint, renderFailure } from './renderText.js';
+import { type PlatformCommand, runCommand } from './runCommand.js';
+import { encodeFailure, encodeReport } from './wire.js';
+
+/** A platform with its connections. */
+export interface PlatformConnection {
+  readonly platform: Platform;
+  readonly close: () => Promise<void>;
+}
+
+/** Options of {@link runCli}. */
+export interface RunCliOptions extends ParseCommandLineOptions {
+  readonly readText: ReadText;
+  readonly connect: (settings: CliSettings) => PlatformConnection;
+  readonly colours: boolean;
+  /** Ends commands that go on until they are stopped. */
+  readonly stop: AbortSignal;
+}
+
+/** The command line from its arguments to its exit code. */
+export async function runCli(opts: RunCliOptions): Promise<number> {
+  const invocation = parseCommandLine(opts);
+  if (invocation.isErr) {
+    return invocation.error;
+  }
+  const { json } = invocation.value;
+  const paint = createPaint({ colours: opts.colours && !json });
+  let exitCode = EXIT_OK;
+  const emit = (report: CommandReport): void => {
+    const lines = json ? [encodeReport(report)] : renderReport(report, paint);
+    opts.writeOut(`${lines.join('\n')}\n`);
+    report.unknown.forEach((error) => opts.writeError(`${paint.bad(error.message)}\n`));
+    exitCode ||= report.unknown[0] ? exitCodeOf(report.unknown[0]) : EXIT_OK;
+  };
+  const done = await runInvocation(opts, invocation.value, emit);
+  if (done.isOk) {
+    return exitCode;
+  }
+  const failure = done.error;
+  if (json) {
+    opts.writeOut(`${encodeFailure(failure)}\n`);
+  } else {
+    opts.writeError(`${renderFailure(failure, paint).join('\n')}\n`);
+  }
+  return exitCodeOf(failure.error);
+}
+
+type Emit = (report: CommandReport) => void;
+
+async function runInvocation(
+  opts: RunCliOptions,
+  { command, settingsFile }: Invocation,
+  emit: Emit,
+): Promise<Result<Unit, CommandFailure>> {
+  if (isLocal(command)) {
+    return (await reportLocally(opts, command)).map((report) => {
+      emit(report);
+      return Unit;
+    });
+  }
+  const settings = await loadSettings(opts, settingsFile);
+  return settings.isErr
+    ? Result.err(settings.error)
+    : runConnected(opts, { command, settings: settings.value, emit });
+}
+
+type LocalCommand = Exclude<CliCommand, PlatformCommand>;
+
+function isLocal(command: CliCommand): command is LocalCommand {
+  return command.kind === 'check' || command.kind === 'completion';
+}
+
+async function reportLocally(
+  opts: RunCliOptions,
+  command: LocalCommand,
+): Promise<Result<CommandReport, CommandFailure>> {
+  if (command.kind === 'completion') {
+    const script = completionScript(createProgram({ ...opts, onCommand: () => {} }));
+    return Result.ok({ command: 'completion', unknown: [], script });
+  }
+  const { fileName } = command;
+  const parsed = await loadRules({ fileName, readText: opts.readText });
+  return parsed.map(({ rules }) => ({
+    command: 'check',
+    unknown: [],
+    fileName,
+    rules: rules.length,
+  }));
+}
+
+async function loadSettings(
+  opts: RunCliOptions,
+  fileName: string,
+): Promise<Result<CliSettings, CommandFailure>> {
+  try {
+    const text = await opts.readText(fileName);
+    return readCliSettings({ fileName, text }).mapErr((problems) => ({
+      error: settingsInvalid(`${fileName} has ${problems.length} problems`),
+      details: problems.map(renderSettingsProblem),
+    }));
+  } catch (error) {
+    const reason = error instanceof Error ? error.message : 'unknown reason';
+    return fail(settingsInvalid(`${fileName}: found no text (${reason}), expected settings`));
+  }
+}
+
+interface RunConnectedOptions {
+  readonly command: PlatformCommand;
+  readonly settings: CliSettings;
+  readonly emit: Emit;
+}
+
+async function runConnected(
+  opts: RunCliOptions,
+  { command, settings, emit }: RunConnectedOptions,
+): Promise<Result<Unit, CommandFailure>> {
+  const { platform, close } = opts.connect(settings);
+  try {
+    const context = {
+      platform,
+      author: settings.author,
+      readText: opts.readText,
+      stop: opts.stop,
+      emit,
+      onProgress: (message: string) => opts.writeError(`${message}\n`),
+    };
+    return await runCommand(context, command);
+  } finally {
+    await close();
+  }
+}
+
+function settingsInvalid(detail: string): GalenatillerError {
+  return GalenatillerError.create({ name: 'settings-invalid', detail });
+}
--- /dev/null
+++ b/packages/cli/src/runCommand.ts
@@ -0,0 +1,107 @@
+import { Result } from 'true-myth';
+import { Unit } from 'true-myth/unit';
+
+import { applyFile } from './applyFile.js';
+import { startRollout, takeRolloutBack } from './changeRollout.js';
+import type { CliCommand, TopCommand } from './cliCommand.js';
+import { type CommandFailure, failWithoutStore } from './commandFailure.js';
+import type { CommandReport, OnProgress } from './commandReport.js';
+import { diffFile } from './diffFile.js';
+import { explainOne } from './explainOne.js';
+import { followTimelines } from './followTimelines.js';
+import type { ReadText } from './loadRules.js';
+import type { Platform } from './platform.js';
+import { readLoad } from './readLoad.js';
+import { readRollouts } from './readRollouts.js';
+import { readStatus } from './readStatus.js';
+import { readTimelines } from './readTimelines.js';
+import { setZone } from './setZone.js';
+
+/** A command that asks the platform or the nodes. */
+export type PlatformCommand = Exclude<CliCommand, { kind: 'check' | 'completion' }>;
+
+/** Options of {@link runCommand}. */
+export interface RunCommandOptions {
+  readonly platform: Platform;
+  readonly author: string;
+  readonly readText: ReadText;
+  /** Ends commands that go on until they are stopped. */
+  readonly stop: AbortSignal;
+  readonly emit: (report: CommandReport) => void;
+  readonly onProgress: OnProgress;
+}
+
+/** Runs a command; its reports are emitted, mostly one. */
+export async function runCommand(
+  opts: RunCommandOptions,
+  command: PlatformCommand,
+): Promise<Result<Unit, CommandFailure>> {
+  switch (command.kind) {
+    case 'top':
+      return repeatLoad(opts, command);
+    case 'timeline':
+      if (command.follow) {
+        return followTimelines({ ...opts, ...command });
+      }
+      break;
+    default:
+  }
+  const report = await reportOnce(opts, command);
+  return report.map((value) => {
+    opts.emit(value);
+    return Unit;
+  });
+}
+
+function reportOnce(
+  opts: RunCommandOptions,
+  command: Exclude<PlatformCommand, TopCommand>,
+): Promise<Result<CommandReport, CommandFailure>> {
+  switch (command.kind) {
+    case 'apply':
+      return applyFile({ ...opts, ...command });
+    case 'diff':
+      return diffFile({ ...opts, ...command });
+    case 'explain':
+      return explainOne({ ...opts, ...command });
+    case 'rollout-start':
+      return startRollout({ ...opts, ...command });
+    case 'rollout-status':
+      return readRollouts(opts).then(succeed);
+    case 'rollout-take-back':
+      return takeRolloutBack({ ...opts, ...command });
+    case 'show':
+      return showRules(opts);
+    case 'status':
+      return readStatus(opts).then(succeed);
+    case 'timeline':
+      return readTimelines({ ...opts, ...command, known: new Map() });
+    default:
+      return setZone({ ...opts, ...command });
+  }
+}
+
+function succeed(report: CommandReport): Result<CommandReport, CommandFailure> {
+  return Result.ok(report);
+}
+
+async function showRules(opts: RunCommandOptions): Promise<Result<CommandReport, CommandFailure>> {
+  const stored = await opts.platform.readConfiguration();
+  return stored.isErr
+    ? failWithoutStore(stored.error, 'which rules are accepted; status asks the nodes')
+    : Result.ok({ command: 'show', unknown: [], ...stored.value });
+}
+
+async function repeatLoad(
+  opts: RunCommandOptions,
+  command: TopCommand,
+): Promise<Result<Unit, CommandFailure>> {
+  for (let round = 1; !opts.stop.aborted; round += 1) {
+    opts.emit(await readLoad(opts));
+    if (round === command.rounds) {
+      break;
+    }
+    await opts.platform.timer.sleep({ delayMs: command.intervalMs, signal: opts.stop });
+  }
+  return Result.ok();
+}
--- /dev/null
+++ b/packages/cli/test/cli.steps.ts
@@ -0,0 +1,224 @@
+import assert from 'node:assert/strict';
+
+import { After, Before, type DataTable, Given, Then, When } from '@cucumber/cucumber';
+import { runCli } from '@galenatiller/cli';
+import type { ResultCodeName } from '@galenatiller/error';
+import type { TimelineEventKind } from '@galenatiller/types';
+
+import {
+  createMemoryPlatform,
+  type MemoryNode,
+  type MemoryPlatform,
+  rulesFrom,
+  storedText,
+} from './memoryPlatform.js';
+
+interface CliWorld {
+  platform: MemoryPlatform;
+  files: Map<string, string>;
+  output: string;
+  everything: string;
+  exitCode: number;
+  connections: number;
+}
+
+const OPERATOR_KEY = 'c0ffee'.repeat(12);
+const SETTINGS = `[cli]\nstore-url = http://127.0.0.1:1\nhost-list-url = http://127.0.0.1:2\nauthor = Mere\n`;
+const STEP_MS = 100;
+
+Before({ tags: '@operator-cli' }, function before(this: CliWorld) {
+  this.files = new Map([
+    ['galenatiller.ini', `${SETTINGS}operator-key = ${OPERATOR_KEY}\n`],
+    ['bad.ini', `${SETTINGS}operator-key = ${OPERATOR_KEY}zz\n`],
+  ]);
+  this.everything = '';
+  this.connections = 0;
+});
+
+After({ tags: '@operator-cli' }, function after(this: CliWorld) {
+  assert.ok(
+    !this.everything.toLowerCase().includes(OPERATOR_KEY.slice(0, 12)),
+    'a key was printed',
+  );
+  assert.ok(!this.everything.includes('\u001b'), 'colours outside a terminal');
+});
+
+Given(
+  'a platform with nodes {string} and these accepted rules',
+  function given(this: CliWorld, names: string, text: string) {
+    this.platform = createMemoryPlatform(names.split(', '));
+    this.platform.stored = { ...this.platform.stored, rules: rulesFrom(text) };
+  },
+);
+
+Given("an operators' file {string}", function given(this: CliWorld, name: string, text: string) {
+  this.files.set(name, text);
+});
+
+Given(
+  'node {string} is stuck and node {string} answers {string}',
+  function given(this: CliWorld, stuck: string, failing: string, code: ResultCodeName) {
+    node(this, stuck).stuck = true;
+    node(this, failing).failure = code;
+  },
+);
+
+Given('node {string} is stuck and leaving', function given(this: CliWorld, name: string) {
+  Object.assign(node(this, name), { stuck: true, draining: true });
+});
+
+Given(
+  '{string} publishes revision {int} right before the operator does',
+  function given(this: CliWorld, author: string, revision: number, text: string) {
+    this.platform.racing = { author, revision, rules: rulesFrom(text) };
+  },
+);
+
+Given(
+  'the store answers operators with {string}',
+  function given(this: CliWorld, code: ResultCodeName) {
+    this.platform.storeFailure = code;
+  },
+);
+
+Given('the host list does not answer operators', function given(this: CliWorld) {
+  this.platform.hostListDown = true;
+});
+
+Given(
+  'node {string} has stopped the move of {word} from {word} to {word}',
+  function given(this: CliWorld, name: string, targetGroup: string, from: string, to: string) {
+    const reason = `fails more often than ${from}`;
+    const versions = { targetGroup, fromVersion: from, toVersion: to };
+    node(this, name).moves = [{ ...versions, state: 'stopped', share: 0, reason }];
+  },
+);
+
+Given('these events at nodes', function given(this: CliWorld, table: DataTable) {
+  table.hashes().forEach((row) => record(this, row));
+});
+
+When('the operator runs {string}', async function when(this: CliWorld, line: string) {
+  await run(this, line);
+});
+
+When(
+  'the operator follows the time line and node {string} records {string} later',
+  async function when(this: CliWorld, name: string, kind: string) {
+    await run(this, 'timeline --follow', async (stop) => {
+      record(this, { node: name, at: '9000', kind, request: '', subject: 't-9' });
+      await this.platform.clock.advance({ byMs: 3_000 });
+      stop();
+    });
+  },
+);
+
+Then('galenatiller exits with {int}', function then(this: CliWorld, exitCode: number) {
+  assert.equal(this.exitCode, exitCode, this.output);
+});
+
+Then('galenatiller prints {string}', function then(this: CliWorld, text: string) {
+  assert.ok(this.output.includes(text), this.output);
+});
+
+Then(
+  'galenatiller prints {string} {int} times',
+  function then(this: CliWorld, text: string, times: number) {
+    assert.equal(this.output.split(text).length - 1, times, this.output);
+  },
+);
+
+Then('galenatiller does not print {string}', function then(this: CliWorld, text: string) {
+  assert.ok(!this.output.includes(text), this.output);
+});
+
+Then(
+  'the output lines have in order {string}, {string}, {string}',
+  function then(this: CliWorld, first: string, second: string, third: string) {
+    const places = [first, second, third].map((text) => this.output.indexOf(text));
+    assert.ok(!places.includes(-1), this.output);
+    assert.deepEqual(
+      places,
+      [...places].sort((left, right) => left - right),
+    );
+  },
+);
+
+Then('the platform was not connected', function then(this: CliWorld) {
+  assert.equal(this.connections, 0);
+});
+
+Then(
+  'revision {int} by {string} stays',
+  function then(this: CliWorld, revision: number, author: string) {
+    assert.equal(this.platform.stored.revision, revision);
+    assert.equal(this.platform.stored.author, author);
+  },
+);
+
+Then('the accepted rules have the line {string}', function then(this: CliWorld, line: string) {
+  assert.ok(storedText(this.platform).split('\n').includes(line), storedText(this.platform));
+});
+
+Then(
+  'each output line is a JSON document with {string}',
+  function then(this: CliWorld, field: string) {
+    const documents = this.output
+      .split('\n')
+      .filter((line) => line.startsWith('{'))
+      .map((line) => JSON.parse(line) as object);
+    assert.ok(documents.length > 0 && documents.every((each) => field in each), this.output);
+  },
+);
+
+async function run(
+  world: CliWorld,
+  line: string,
+  meanwhile?: (stop: () => void) => Promise<void>,
+): Promise<void> {
+  const { platform } = world;
+  const stop = new AbortController();
+  const output: string[] = [];
+  const write = (text: string): void => {
+    output.push(text);
+  };
+  let running = true;
+  const exit = runCli({
+    args: line.split(' '),
+    writeOut: write,
+    writeError: write,
+    readText: async (name) => world.files.get(name) ?? Promise.reject(new Error('no such file')),
+    connect: () => {
+      world.connections += 1;
+      return { platform, close: async () => {} };
+    },
+    colours: false,
+    stop: stop.signal,
+  }).finally(() => {
+    running = false;
+  });
+  await meanwhile?.(() => stop.abort());
+  while (running) {
+    await platform.clock.advance({ byMs: STEP_MS });
+  }
+  world.exitCode = await exit;
+  world.output = output.join('');
+  world.everything += world.output;
+}
+
+function node(world: CliWorld, name: string): MemoryNode {
+  const found = world.platform.nodes.find(({ host }) => host.name === name);
+  assert.ok(found, name);
+  return found;
+}
+
+function record(world: CliWorld, row: Record<string, string>): void {
+  node(world, row.node ?? '').events.push({
+    stamp: { wallMs: Number(row.at), counter: 0 },
+    nodeName: row.node ?? '',
+    kind: row.kind as TimelineEventKind,
+    requestId: row.request ?? '',
+    subject: row.subject ?? '',
+    detail: '',
+  });
+}
--- a/packages/operator/src/index.ts
+++ b/packages/operator/src/index.ts
@@ -10,3 +10,5 @@
   serveOperators,
   type ServeOperatorsOptions,
 } from './serveOperators.js';
+export { durationForm, formatInstant, formatShare, type ValueForm } from './ruleValues.js';
+export { nearestName, type NearestNameOptions } from './nearestName.js';
--- a/packages/operator/test/rules.feature
+++ b/packages/operator/test/rules.feature
@@ -3,7 +3,7 @@
 
   Scenario Outline: The example files are read and written back
     When the rules file "<file>" is parsed
-    Then it has <rules> rules and no problem
+    Then the rules file has <rules> rules and no problem
     And its rules written out and parsed again are the same
 
     Examples:
@@ -19,7 +19,7 @@
       stage once call on floor at-most-once # asked by Mere
       <line>
       """
-    Then the only problem is "<problem>"
+    Then the only rules problem is "<problem>"
 
     Examples:
       | line                                                    | problem                                                                                       |
@@ -45,7 +45,7 @@
 
   Scenario: Two organisations may not share a key
     When two organisations are given the same key digest
-    Then the only problem is "2:31: found a digest that north has, expected a digest that is used once"
+    Then the only rules problem is "2:31: found a digest that north has, expected a digest that is used once"
 
   Scenario: Every problem is told at once and in order
     When these rule lines are parsed
@@ -54,7 +54,7 @@
       route r = nowhere deadline=0s
       limit lab in-flight=none # asked by Mere
       """
-    Then the problems are at
+    Then the rules problems are at
       | 1:7 |
       | 1:7 |
       | 2:11 |
--- a/packages/operator/test/rules.steps.ts
+++ b/packages/operator/test/rules.steps.ts
@@ -45,21 +45,24 @@
   this.after = rulesOf(text);
 });
 
-Then('it has {int} rules and no problem', function then(this: RulesWorld, rules: number) {
-  assert.deepEqual(problemLines(this.parsed), []);
-  assert.equal(this.parsed.unwrapOr({ fileName: '', rules: [] }).rules.length, rules);
-});
+Then(
+  'the rules file has {int} rules and no problem',
+  function then(this: RulesWorld, rules: number) {
+    assert.deepEqual(problemLines(this.parsed), []);
+    assert.equal(this.parsed.unwrapOr({ fileName: '', rules: [] }).rules.length, rules);
+  },
+);
 
 Then('its rules written out and parsed again are the same', function then(this: RulesWorld) {
   const { rules } = this.parsed.unwrapOr({ fileName: '', rules: [] });
   assert.deepEqual(rulesOf(formatRules(rules)), rules);
 });
 
-Then('the only problem is {string}', function then(this: RulesWorld, problem: string) {
+Then('the only rules problem is {string}', function then(this: RulesWorld, problem: string) {
   assert.deepEqual(problemLines(this.parsed), [`f:${problem}`]);
 });
 
-Then('the problems are at', function then(this: RulesWorld, table: DataTable) {
+Then('the rules problems are at', function then(this: RulesWorld, table: DataTable) {
   const places = problemLines(this.parsed).map((line) => /^f:(\d+:\d+):/.exec(line)?.[1]);
   assert.deepEqual(places, table.raw().flat());
 });
--- a/packages/settings/src/index.ts
+++ b/packages/settings/src/index.ts
@@ -4,3 +4,9 @@
 export type { KeyTable, SettingKey } from './settingKey.js';
 export { COMMON_KEYS, ENTRY_KEYS, TARGET_KEYS } from './settingKeys.js';
 export { renderSettingsProblem, type SettingsProblem } from './settingsProblem.js';
+export {
+  CLI_KEYS,
+  type CliSettings,
+  readCliSettings,
+  type ReadCliSettingsOptions,
+} from './readCliSettings.js';
--- a/packages/timeline/src/index.ts
+++ b/packages/timeline/src/index.ts
@@ -1,5 +1,6 @@
 /** A bounded ring of typed events with hybrid logical clock stamps. */
 export { compareStamps } from './compareStamps.js';
+export { describeEvent } from './describeEvent.js';
 export { explainRequest } from './explainRequest.js';
 export { HybridClock, MAX_DRIFT_MS } from './hybridClock.js';
 export { mergeTimelines } from './mergeTimelines.js';
