Decide the order of waiting work and refuse early what can't be in time

The queue of a target puts interactive work before batch, which keeps a tenth of the work while it waits; start-time fair queueing divides it between organisations by weight; the earliest deadline goes first within one. A full queue sheds from the organisation furthest over its share. Admission estimates the wait slot by slot from smoothed run times, and an estimate without new runs fades, so that refusals can't keep themselves up. First in, first out without refusal stands beside it with the same function types.

The step of the metrics tests keeps its socket under a name of its own, since hooks of other packages close this.server.

--- /dev/null
+++ b/packages/gate/test/deadlineEstimate.feature
@@ -0,0 +1,40 @@
+Feature: Estimate of the completion time and early refusal
+
+  Scenario Outline: An order is refused when the orders before it leave no time
+    Given a target that runs <limit> at once with runs that end in "<running>" ms
+    And orders ahead that run for "<ahead>" ms
+    When an order of <run> ms with <left> ms left asks for admission
+    Then the admission decision is "<decision>"
+
+    Examples:
+      | limit | running  | ahead    | run | left | decision                 |
+      | 2     |          |          | 100 | 100  | admit after 0 ms         |
+      | 2     | 50       |          | 100 | 100  | admit after 0 ms         |
+      | 2     | 50,80    |          | 100 | 150  | admit after 50 ms        |
+      | 2     | 50,80    |          | 100 | 149  | refuse, retry after 1 ms |
+      | 2     | 50,80    | 100,100  | 100 | 250  | admit after 150 ms       |
+      | 2     | 50,80    | 100,100  | 100 | 200  | refuse, retry after 50 ms |
+      | 1     | 50,80    |          | 100 | 200  | admit after 80 ms        |
+      | 1     | -5       |          | 100 | 100  | admit after 0 ms         |
+      | 8     |          |          | 100 | 99   | refuse, retry after 0 ms |
+      | 8     |          |          | 0   | 1    | admit after 0 ms         |
+
+  Scenario: The naive policy refuses nothing
+    Given a target that runs 1 at once with runs that end in "900" ms
+    And orders ahead that run for "900" ms
+    When an order of 100 ms with 1 ms left asks for admission
+    Then the naive admission decision is "admit after 0 ms"
+
+  Scenario: The estimated wait is the wait when every run is as expected
+    Given any running and waiting orders of a target
+    Then a run of the target in virtual time starts the new order at the estimated wait
+
+  Scenario: Run times follow stage and tokens
+    Given runs of the stage "draft" that take 40 ms and 2 ms for each token
+    Then a run of "draft" with 100 tokens is expected to take 240 ms
+    And a run of "draft" with 500 tokens is expected to take 1040 ms
+    And a run of "lookup" with 0 tokens is expected to take 0 ms
+
+  Scenario: An estimate that is not renewed fades, so that refusals end
+    Given runs of the stage "draft" that take 40 ms and 2 ms for each token
+    Then a run of "draft" with 100 tokens is expected to take 60 ms when the last is 30 s old
--- /dev/null
+++ b/packages/gate/test/deadlineEstimate.steps.ts
@@ -0,0 +1,125 @@
+import assert from 'node:assert/strict';
+
+import { Given, Then, When } from '@cucumber/cucumber';
+import fc from 'fast-check';
+
+import { decideByDeadline } from '../src/deadlineEstimate.js';
+import { naiveQueuePolicy } from '../src/naivePolicy.js';
+import type { AdmissionDecision, DecideAdmissionOptions } from '../src/queuePolicy.js';
+import { RunTimes } from '../src/runTimes.js';
+
+interface EstimateWorld {
+  opts: DecideAdmissionOptions;
+  runTimes: RunTimes;
+}
+
+const PROPERTY = { seed: 20261204, numRuns: 300 };
+const NOW_MS = 7_000;
+
+Given(
+  'a target that runs {int} at once with runs that end in {string} ms',
+  function given(this: EstimateWorld, inFlightLimit: number, running: string) {
+    this.opts = {
+      nowMs: NOW_MS,
+      deadlineAtMs: 0,
+      expectedRunMs: 0,
+      inFlightRemainingMs: toNumbers(running),
+      inFlightLimit,
+      aheadRunMs: [],
+    };
+  },
+);
+
+Given('orders ahead that run for {string} ms', function given(this: EstimateWorld, ahead: string) {
+  this.opts = { ...this.opts, aheadRunMs: toNumbers(ahead) };
+});
+
+When(
+  'an order of {int} ms with {int} ms left asks for admission',
+  function when(this: EstimateWorld, expectedRunMs: number, leftMs: number) {
+    this.opts = { ...this.opts, expectedRunMs, deadlineAtMs: NOW_MS + leftMs };
+  },
+);
+
+Then('the admission decision is {string}', function then(this: EstimateWorld, decision: string) {
+  assert.equal(describe(decideByDeadline(this.opts)), decision);
+});
+
+Then(
+  'the naive admission decision is {string}',
+  function then(this: EstimateWorld, decision: string) {
+    assert.equal(describe(naiveQueuePolicy.decideAdmission(this.opts)), decision);
+  },
+);
+
+Given('any running and waiting orders of a target', () => {});
+
+Then('a run of the target in virtual time starts the new order at the estimated wait', () => {
+  const anyTimes = fc.array(fc.nat(50), { maxLength: 12 });
+  fc.assert(
+    fc.property(anyTimes, anyTimes, fc.integer({ min: 1, max: 6 }), (running, ahead, limit) => {
+      const decision = decideByDeadline({
+        nowMs: NOW_MS,
+        deadlineAtMs: Infinity,
+        expectedRunMs: 1,
+        inFlightRemainingMs: running,
+        inFlightLimit: limit,
+        aheadRunMs: ahead,
+      });
+      assert.ok(decision.kind === 'admit');
+      assert.equal(decision.waitMs, simulateWait(running, ahead, limit));
+    }),
+    PROPERTY,
+  );
+});
+
+Given(
+  'runs of the stage {string} that take {int} ms and {int} ms for each token',
+  function given(this: EstimateWorld, stage: string, baseMs: number, tokenMs: number) {
+    this.runTimes = RunTimes.create();
+    [20, 400, 90, 250, 30, 300].forEach((tokens) => {
+      this.runTimes.observe({ stage, tokens, runMs: baseMs + tokens * tokenMs, nowMs: NOW_MS });
+    });
+  },
+);
+
+Then(
+  'a run of {string} with {int} tokens is expected to take {int} ms',
+  function then(this: EstimateWorld, stage: string, tokens: number, runMs: number) {
+    assert.equal(Math.round(this.runTimes.expect({ stage, tokens, nowMs: NOW_MS })), runMs);
+  },
+);
+
+Then(
+  'a run of {string} with {int} tokens is expected to take {int} ms when the last is {int} s old',
+  function then(this: EstimateWorld, stage: string, tokens: number, runMs: number, ageS: number) {
+    const nowMs = NOW_MS + ageS * 1_000;
+    assert.equal(Math.round(this.runTimes.expect({ stage, tokens, nowMs })), runMs);
+  },
+);
+
+/** Steps through virtual time by the millisecond and starts orders as slots allow. */
+function simulateWait(running: readonly number[], ahead: readonly number[], limit: number): number {
+  const endsAtMs = [...running];
+  const waiting = [...ahead];
+  for (let timeMs = 0; ; timeMs += 1) {
+    const countBusy = (): number => endsAtMs.filter((endMs) => endMs > timeMs).length;
+    while (countBusy() < limit) {
+      const runMs = waiting.shift();
+      if (runMs === undefined) {
+        return timeMs;
+      }
+      endsAtMs.push(timeMs + runMs);
+    }
+  }
+}
+
+function toNumbers(text: string): number[] {
+  return text.split(',').filter(Boolean).map(Number);
+}
+
+function describe(decision: AdmissionDecision): string {
+  return decision.kind === 'admit'
+    ? `admit after ${decision.waitMs} ms`
+    : `refuse, retry after ${decision.retryAfterMs} ms`;
+}
--- /dev/null
+++ b/packages/gate/test/stageQueue.steps.ts
@@ -0,0 +1,129 @@
+import assert from 'node:assert/strict';
+
+import { type DataTable, Given, Then, When } from '@cucumber/cucumber';
+import type { Priority } from '@galenatiller/types';
+
+import { deadlineQueuePolicy } from '../src/deadlinePolicy.js';
+import { naiveQueuePolicy } from '../src/naivePolicy.js';
+import type { OrderQueue, QueuedOrder } from '../src/queuePolicy.js';
+import { StageQueue } from '../src/stageQueue.js';
+import { drainQueue } from './drainQueue.js';
+
+interface QueueWorld {
+  queues: Record<'deadline' | 'naive', OrderQueue<QueuedOrder>>;
+}
+
+const weightOf = (): number => 1;
+
+Given(
+  '{int} orders of {int} ms from {string} in the queue',
+  function given(this: QueueWorld, count: number, runMs: number, organisation: string) {
+    this.queues = {
+      deadline: deadlineQueuePolicy.createQueue({ weightOf }),
+      naive: naiveQueuePolicy.createQueue({ weightOf }),
+    };
+    pushTo(Object.values(this.queues), { organisation, runMs, count });
+  },
+);
+
+When(
+  '{string} sends {int} orders of {int} ms',
+  function when(this: QueueWorld, organisation: string, count: number, runMs: number) {
+    pushTo(Object.values(this.queues), { organisation, runMs, count });
+  },
+);
+
+Then(
+  /^in the (stage|naive) queue the last order of "(.*)" waits for (\d+) ms of others$/,
+  function then(this: QueueWorld, which: string, organisation: string, waitMs: string) {
+    const ran = drainQueue(which === 'stage' ? this.queues.deadline : this.queues.naive);
+    const last = ran.map((order) => order.organisation).lastIndexOf(organisation);
+    const others = ran.slice(0, last).filter((order) => order.organisation !== organisation);
+    assert.equal(sumCost(others), Number(waitMs));
+  },
+);
+
+Given(
+  '{string} has run {int} orders of {int} ms alone in the stage queue',
+  function given(this: QueueWorld, organisation: string, count: number, runMs: number) {
+    const queue = StageQueue.create<QueuedOrder>({ weightOf });
+    this.queues = { deadline: queue, naive: queue };
+    pushTo([queue], { organisation, runMs, count });
+    assert.equal(drainQueue(queue).length, count);
+  },
+);
+
+When(
+  '{string} and {string} both send {int} orders of {int} ms',
+  function when(this: QueueWorld, first: string, second: string, count: number, runMs: number) {
+    pushTo([this.queues.deadline], { organisation: first, runMs, count });
+    pushTo([this.queues.deadline], { organisation: second, runMs, count });
+  },
+);
+
+Then(
+  'the stage queue runs at most {int} orders of {string} in the next {int}',
+  function then(this: QueueWorld, most: number, organisation: string, count: number) {
+    const next = drainQueue(this.queues.deadline).slice(0, count);
+    const own = next.filter((order) => order.organisation === organisation);
+    assert.ok(own.length <= most, `${own.length}`);
+  },
+);
+
+Given('a stage queue with these orders', function given(this: QueueWorld, table: DataTable) {
+  const rows = table.hashes();
+  const weights = new Map(rows.map((row) => [row.organisation, Number(row.weight)]));
+  const queue = StageQueue.create<QueuedOrder>({ weightOf: (name) => weights.get(name) ?? 1 });
+  this.queues = { deadline: queue, naive: queue };
+  rows.forEach((row) => {
+    queue.push({
+      organisation: row.organisation ?? '',
+      priority: row.priority as Priority,
+      deadlineAtMs: Number(row.deadline),
+      expectedRunMs: Number(row.cost),
+    });
+  });
+});
+
+Then(
+  'shedding to {int} orders gives up that of {string} with the deadline {int}',
+  function then(this: QueueWorld, limit: number, organisation: string, deadlineAtMs: number) {
+    const shed = this.queues.deadline.shed({ limit });
+    assert.deepEqual(
+      shed.map((order) => [order.organisation, order.deadlineAtMs]),
+      [[organisation, deadlineAtMs]],
+    );
+  },
+);
+
+Then(
+  'at {int} ms the order with the deadline {int} expires',
+  function then(this: QueueWorld, nowMs: number, deadlineAtMs: number) {
+    const before = this.queues.deadline.expire({ nowMs: nowMs - 1 });
+    const expired = this.queues.deadline.expire({ nowMs });
+    assert.deepEqual(
+      [before.length, ...expired.map((order) => order.deadlineAtMs)],
+      [0, deadlineAtMs],
+    );
+  },
+);
+
+function pushTo(
+  queues: readonly OrderQueue<QueuedOrder>[],
+  opts: { readonly organisation: string; readonly runMs: number; readonly count: number },
+): void {
+  Array.from({ length: opts.count }).forEach((_, index) => {
+    queues.forEach((queue) => {
+      queue.push({
+        organisation: opts.organisation,
+        priority: 'interactive',
+        deadlineAtMs: index,
+        expectedRunMs: opts.runMs,
+      });
+    });
+  });
+}
+
+function sumCost(orders: readonly QueuedOrder[]): number {
+  return orders.reduce((sum, order) => sum + order.expectedRunMs, 0);
+}
--- a/packages/metrics/test/metrics.steps.ts
+++ b/packages/metrics/test/metrics.steps.ts
@@ -7,30 +7,30 @@
 import { Metrics, METRICS } from '@galenatiller/metrics';
 
 interface MetricsWorld {
-  server: Socket;
+  statsd: Socket;
   received: string;
   page: string[];
   closed: boolean;
 }
 
 Given('a statsd server on loopback', async function given(this: MetricsWorld) {
-  this.server = createSocket('udp4');
-  this.server.bind(0, '127.0.0.1');
-  await once(this.server, 'listening');
+  this.statsd = createSocket('udp4');
+  this.statsd.bind(0, '127.0.0.1');
+  await once(this.statsd, 'listening');
 });
 
 When(
   'a node named {string} sends a count, a gauge and a time',
   async function when(this: MetricsWorld, nodeName: string) {
-    const { port } = this.server.address();
-    const message = once(this.server, 'message') as Promise<Buffer[]>;
+    const { port } = this.statsd.address();
+    const message = once(this.statsd, 'message') as Promise<Buffer[]>;
     const metrics = Metrics.create({ address: '127.0.0.1', port, nodeName, role: 'entry' });
     metrics.count({ name: 'stage.ended', by: 2, tags: { kind: 'generate', outcome: 'ran' } });
     metrics.gauge({ name: 'link.open', value: 7, tags: {} });
     metrics.timing({ name: 'request.time', lastedMs: 12.5, tags: { priority: 'batch' } });
     await metrics.close();
     this.received = String((await message)[0]);
-    this.server.close();
+    this.statsd.close();
   },
 );
 
