--- /dev/null
+++ b/features/support/fleet/targetModel.ts
@@ -0,0 +1,132 @@
+import { GalenatillerError } from '@galenatiller/error';
+import type { CallEffect, TargetRun } from '@galenatiller/bench';
+import { expectedReceipt, expectedWord } from '@galenatiller/fakes';
+import type { RunOnTargetOptions } from '@galenatiller/gate';
+import type { TimerService } from '@galenatiller/timer';
+import type { StageResult } from '@galenatiller/types';
+import { Result } from 'true-myth';
+
+/** Faults that a simulated target shows. */
+export interface TargetFaults {
+  readonly slowFactor: number;
+  /** Number of answers to come that are lost after the effect. */
+  readonly loseAnswers: number;
+  /** Streams to come that break after two tokens. */
+  readonly breakStreams: number;
+}
+
+/** A prompt with this mark crashes the engine that runs it. */
+export const POISON_MARK = 'poison';
+
+const TOKEN_MS = 8;
+const CALL_MS = 20;
+const NO_FAULTS: TargetFaults = { slowFactor: 1, loseAnswers: 0, breakStreams: 0 };
+
+/** The targets of one simulated host: an engine and a service that keeps every effect. */
+export class TargetModel {
+  /** Runs that have started, in their order. */
+  readonly runs: TargetRun[] = [];
+
+  /** Effects of calls, in their order. */
+  readonly effects: CallEffect[] = [];
+
+  private faults = NO_FAULTS;
+
+  private crash = new AbortController();
+
+  private isDown = false;
+
+  private constructor(
+    private readonly timer: TimerService,
+    private readonly host: { readonly name: string; readonly availabilityZone: string },
+  ) {}
+
+  /** Makes targets that are up. */
+  static create(opts: {
+    readonly timer: TimerService;
+    readonly name: string;
+    readonly availabilityZone: string;
+  }): TargetModel {
+    return new TargetModel(opts.timer, opts);
+  }
+
+  /** Changes the given faults and leaves the others. */
+  order(faults: Partial<TargetFaults>): void {
+    this.faults = { ...this.faults, ...faults };
+  }
+
+  /** Ends every run and is down for a time. */
+  goDown(forMs: number): void {
+    this.crash.abort();
+    this.isDown = true;
+    this.timer.after({
+      delayMs: forMs,
+      notify: () => {
+        this.crash = new AbortController();
+        this.isDown = false;
+      },
+    });
+  }
+
+  /** Runs a generation; cut off at the gate or by a crash it breaks. */
+  async generate(opts: RunOnTargetOptions): Promise<Result<StageResult, GalenatillerError>> {
+    const { input } = opts.order;
+    if (this.isDown || input.kind !== 'generate') {
+      return fail('target-unreachable');
+    }
+    this.record(opts);
+    const { signal: crashed } = this.crash;
+    const breaks = this.takeFault('breakStreams');
+    for (let index = input.deliveredTokens; index < input.maxTokens; index += 1) {
+      await this.timer.sleep({ delayMs: TOKEN_MS * this.faults.slowFactor, signal: opts.signal });
+      if (input.prompt.includes(POISON_MARK)) {
+        this.goDown(500);
+      }
+      if (opts.signal.aborted || crashed.aborted || (breaks && index === input.deliveredTokens + 2)) {
+        return fail('stream-broken');
+      }
+      opts.onPart({ offsetTokens: index, tokens: 1, text: expectedWord(input.prompt, index) });
+    }
+    return Result.ok({ kind: 'generate', tokens: input.maxTokens, finishReason: 'stop' });
+  }
+
+  /** Makes a call; the effect stays when the answer is lost. */
+  async call(opts: RunOnTargetOptions): Promise<Result<StageResult, GalenatillerError>> {
+    const { order } = opts;
+    if (this.isDown || order.input.kind !== 'call') {
+      return fail('target-unreachable');
+    }
+    this.record(opts);
+    const { signal: crashed } = this.crash;
+    await this.timer.sleep({ delayMs: CALL_MS * this.faults.slowFactor, signal: crashed });
+    if (crashed.aborted) {
+      return fail('target-failed');
+    }
+    const { requestId, runKey } = order;
+    this.effects.push({ requestId, runKey, atWallMs: this.timer.wallMs() });
+    if (opts.signal.aborted || this.takeFault('loseAnswers')) {
+      return fail('target-failed');
+    }
+    const receipt = expectedReceipt(runKey, JSON.stringify(order.input.body));
+    return Result.ok({ kind: 'call', status: 200, body: { receipt } });
+  }
+
+  private takeFault(name: 'breakStreams' | 'loseAnswers'): boolean {
+    const left = this.faults[name];
+    this.order({ [name]: Math.max(0, left - 1) });
+    return left > 0;
+  }
+
+  private record({ order }: RunOnTargetOptions): void {
+    const { requestId, stageIndex, attempt } = order;
+    const { name, availabilityZone } = this.host;
+    const startedWallMs = this.timer.wallMs();
+    this.runs.push({ requestId, stageIndex, attempt, startedWallMs, targetName: name, availabilityZone });
+  }
+}
+
+function fail(
+  name: 'stream-broken' | 'target-failed' | 'target-unreachable',
+): Result<never, GalenatillerError> {
+  return Result.err(GalenatillerError.create({ name, detail: 'simulated target' }));
+}
