--- /dev/null
+++ b/bench/src/launcher/deployment.ts
@@ -0,0 +1,103 @@
+/** The two deployments that the bench starts, and the words for their parts. */
+import type { TargetKind } from '@galenatiller/types';
+
+/** Names of the deployments. */
+export type DeploymentName = 'lautoka' | 'rekvisitlanet';
+
+/** One group of like targets. */
+export interface GroupPlan {
+  readonly kind: TargetKind;
+  readonly group: string;
+  readonly count: number;
+}
+
+/** What a deployment is made of. */
+export interface Deployment {
+  readonly name: DeploymentName;
+  readonly rulesFile: string;
+  readonly availabilityZones: readonly string[];
+  /** Groups; the engines come first and set the number of target hosts. */
+  readonly groups: readonly GroupPlan[];
+  readonly entryCount: number;
+}
+
+/** One target as the bench plans it. */
+export interface TargetPlan {
+  readonly name: string;
+  readonly kind: TargetKind;
+  readonly group: string;
+  readonly version: string;
+}
+
+/** One target host: a gate with its targets. */
+export interface TargetHostPlan {
+  readonly name: string;
+  readonly availabilityZone: string;
+  readonly targets: readonly TargetPlan[];
+}
+
+/** Version that every engine starts with. */
+const FIRST_VERSION = 'v1';
+
+const WORKERS_PER_GROUP = 3;
+const ENTRY_COUNT = 3;
+const POOLS = ['encoder', 'retriever', 'reranker'] as const;
+
+/** The deployments by name. */
+export const DEPLOYMENTS: Readonly<Record<DeploymentName, Deployment>> = {
+  lautoka: {
+    name: 'lautoka',
+    rulesFile: 'examples/lautoka.rules',
+    availabilityZones: ['north-a', 'north-b', 'north-c'],
+    groups: groupsOf(8, ['floor', 'measurement', 'shipping', 'inventory']),
+    entryCount: ENTRY_COUNT,
+  },
+  rekvisitlanet: {
+    name: 'rekvisitlanet',
+    rulesFile: 'examples/rekvisitlanet.rules',
+    availabilityZones: ['east-a', 'east-b', 'west-a'],
+    groups: groupsOf(13, ['booking', 'member', 'transport', 'workshop']),
+    entryCount: ENTRY_COUNT,
+  },
+};
+
+/** Spreads the targets over hosts: one engine for each host, every group over every zone. */
+export function planTargetHosts(deployment: Deployment): readonly TargetHostPlan[] {
+  const { availabilityZones, groups } = deployment;
+  const hostCount = Math.max(...groups.map((group) => group.count));
+  const hosts = Array.from({ length: hostCount }, (_, index) => ({
+    name: `target-host-${index + 1}`,
+    availabilityZone: availabilityZones[index % availabilityZones.length] ?? '',
+    targets: [] as TargetPlan[],
+  }));
+  groups.forEach((group) => {
+    Array.from({ length: group.count }, (_, worker) => worker).forEach((worker) => {
+      const zone = availabilityZones[worker % availabilityZones.length] ?? '';
+      const host = group.kind === 'engine' ? hosts[worker] : leastLoaded(hosts, zone);
+      host?.targets.push({
+        name: `${group.group}-${worker + 1}`,
+        kind: group.kind,
+        group: group.group,
+        version: FIRST_VERSION,
+      });
+    });
+  });
+  return hosts;
+}
+
+function leastLoaded<Host extends TargetHostPlan>(
+  hosts: readonly Host[],
+  availabilityZone: string,
+): Host | undefined {
+  return hosts
+    .filter((host) => host.availabilityZone === availabilityZone)
+    .sort((left, right) => left.targets.length - right.targets.length)[0];
+}
+
+function groupsOf(engineCount: number, services: readonly string[]): readonly GroupPlan[] {
+  return [
+    { kind: 'engine', group: 'drafter', count: engineCount },
+    ...POOLS.map((group) => ({ kind: 'pool' as const, group, count: WORKERS_PER_GROUP })),
+    ...services.map((group) => ({ kind: 'service' as const, group, count: WORKERS_PER_GROUP })),
+  ];
+}
--- /dev/null
+++ b/bench/src/launcher/processGroup.ts
@@ -0,0 +1,138 @@
+/** Starts child processes, watches them and ends each by its id. */
+import { type ChildProcess, spawn } from 'node:child_process';
+import { once } from 'node:events';
+import { open, readFile } from 'node:fs/promises';
+import { join } from 'node:path';
+
+import type { TimerService } from '@galenatiller/timer';
+
+/** What a process is for. */
+export type ProcessRole = 'entry' | 'gate' | 'fakes';
+
+/** Options of {@link ProcessGroup.start}. */
+export interface StartProcessOptions {
+  readonly name: string;
+  readonly role: ProcessRole;
+  /** Arguments of Node.js, the script first. */
+  readonly args: readonly string[];
+}
+
+/** CPU time and memory of one process. */
+export interface ProcessUsage {
+  readonly name: string;
+  readonly role: ProcessRole;
+  readonly cpuMs: number;
+  readonly rssBytes: number;
+}
+
+interface StartedProcess extends StartProcessOptions {
+  readonly child: ChildProcess;
+}
+
+/** Options of {@link ProcessGroup.create}. */
+export interface ProcessGroupOptions {
+  /** Folder of the processes' logs. */
+  readonly folder: string;
+  readonly timer: TimerService;
+}
+
+/** Time for a graceful shutdown before a process is killed. */
+const STOP_LIMIT_MS = 12_000;
+
+/** Clock ticks of `/proc`, in milliseconds. */
+const MS_PER_TICK = 10;
+
+const BYTES_PER_KB = 1_024;
+
+/** The processes of one deployment. */
+export class ProcessGroup {
+  private readonly started = new Map<string, StartedProcess>();
+
+  private constructor(private readonly opts: ProcessGroupOptions) {}
+
+  /** Makes a group without processes. */
+  static create(opts: ProcessGroupOptions): ProcessGroup {
+    return new ProcessGroup(opts);
+  }
+
+  /** Starts a process; its output goes to a log file. A name may be started again after its end. */
+  async start(opts: StartProcessOptions): Promise<void> {
+    const log = await open(join(this.opts.folder, `${opts.name}.log`), 'a');
+    const child = spawn(process.execPath, opts.args, { stdio: ['ignore', log.fd, log.fd] });
+    await log.close();
+    this.started.set(opts.name, { ...opts, child });
+  }
+
+  /** Names of the processes that ended by themselves or were killed. */
+  get ended(): readonly string[] {
+    return [...this.started.values()].filter(hasEnded).map(({ name }) => name);
+  }
+
+  /** Sends a signal to one process. */
+  signal(name: string, signal: 'SIGKILL' | 'SIGTERM' | 'SIGSTOP' | 'SIGCONT'): void {
+    this.started.get(name)?.child.kill(signal);
+  }
+
+  /** Starts a process again with the arguments that it had. */
+  async restart(name: string): Promise<void> {
+    const before = this.started.get(name);
+    if (before && hasEnded(before)) {
+      await this.start(before);
+    }
+  }
+
+  /** Asks one process for a graceful shutdown; resolves with its exit code, or -1 when killed. */
+  async stop(name: string): Promise<number> {
+    const process = this.started.get(name);
+    return process ? this.end(process) : 0;
+  }
+
+  /** Stops the nodes first and then what they talk to. */
+  async stopAll(): Promise<void> {
+    const all = [...this.started.values()];
+    for (const role of ['entry', 'gate', 'fakes'] as const) {
+      await Promise.all(
+        all.filter((process) => process.role === role).map((process) => this.end(process)),
+      );
+    }
+  }
+
+  /** CPU time and memory of every process that runs. */
+  usage(): Promise<readonly ProcessUsage[]> {
+    const running = [...this.started.values()].filter((process) => !hasEnded(process));
+    return Promise.all(running.map(readUsage));
+  }
+
+  private async end(process: StartedProcess): Promise<number> {
+    const { child } = process;
+    if (hasEnded(process)) {
+      return child.exitCode ?? -1;
+    }
+    const exit = once(child, 'exit');
+    const cancelKill = this.opts.timer.after({
+      delayMs: STOP_LIMIT_MS,
+      notify: () => child.kill('SIGKILL'),
+    });
+    // A paused process takes the signal only when it goes on.
+    child.kill('SIGCONT');
+    child.kill('SIGTERM');
+    await exit;
+    cancelKill();
+    return child.exitCode ?? -1;
+  }
+}
+
+function hasEnded({ child }: StartedProcess): boolean {
+  return child.exitCode !== null || child.signalCode !== null;
+}
+
+async function readUsage({ name, role, child }: StartedProcess): Promise<ProcessUsage> {
+  const [stat, status] = await Promise.all(
+    ['stat', 'status'].map((file) => readFile(`/proc/${child.pid}/${file}`, 'utf8')),
+  );
+  const fields = (stat ?? '').slice((stat ?? '').lastIndexOf(')') + 2).split(' ');
+  // Fields 14 and 15 of proc(5) are user and system time; two stand before the cut.
+  const ticks = Number(fields[11]) + Number(fields[12]);
+  const rssKb = Number(/^VmRSS:\s+(\d+) kB$/m.exec(status ?? '')?.[1] ?? 0);
+  return { name, role, cpuMs: ticks * MS_PER_TICK, rssBytes: rssKb * BYTES_PER_KB };
+}
