Start a deployment as processes and send it an open-loop load

Cause: the product is proved over real processes on loopback, with the requests of its users. Change: a launcher for both deployments (fakes in three processes, a gate for each target host, three entries, rules published through the store) and a seeded load generator with repeated keys.

--- /dev/null
+++ b/bench/src/launcher/collectLedgers.ts
@@ -0,0 +1,93 @@
+/** Reads what the fakes have seen. */
+import type { ServiceEffect } from '@galenatiller/fakes';
+import type { TargetKind } from '@galenatiller/types';
+import { request } from 'undici';
+import { z } from 'zod';
+
+import type { TargetRun } from '../checker/history.js';
+
+/** A fake target as the launcher placed it. */
+export interface PlacedFake {
+  readonly name: string;
+  readonly kind: TargetKind;
+  readonly group: string;
+  readonly url: string;
+  readonly availabilityZone: string;
+}
+
+/** A run with its place and length; the length is 0 while it goes on. */
+export interface LedgerRun extends TargetRun {
+  readonly group: string;
+  readonly runMs: number;
+}
+
+/** What the fakes of a deployment have seen. */
+export interface Ledgers {
+  readonly runs: readonly LedgerRun[];
+  readonly effects: readonly ServiceEffect[];
+  readonly coldOverloads: number;
+}
+
+const runsSchema = z.object({
+  runs: z.array(
+    z.object({
+      requestId: z.string(),
+      stageIndex: z.number(),
+      attempt: z.number(),
+      startedWallMs: z.number(),
+      ended: z.object({ atWallMs: z.number() }).optional(),
+    }),
+  ),
+});
+
+const effectsSchema = z.object({
+  effects: z.array(
+    z.object({
+      requestId: z.string(),
+      runKey: z.string(),
+      bodyDigest: z.string(),
+      atWallMs: z.number(),
+    }),
+  ),
+});
+
+const loadSchema = z.object({ coldOverloads: z.number() });
+
+/** Collects the ledgers of every fake target. */
+export async function collectLedgers(fakes: readonly PlacedFake[]): Promise<Ledgers> {
+  const [runs, effects, overloads] = await Promise.all([
+    Promise.all(fakes.map(readRuns)),
+    Promise.all(fakes.filter(({ kind }) => kind === 'service').map(readEffects)),
+    Promise.all(fakes.filter(({ kind }) => kind === 'engine').map(readOverloads)),
+  ]);
+  return {
+    runs: runs.flat(),
+    effects: effects.flat(),
+    coldOverloads: overloads.reduce((sum, count) => sum + count, 0),
+  };
+}
+
+async function readRuns(fake: PlacedFake): Promise<readonly LedgerRun[]> {
+  const { runs } = runsSchema.parse(await readJson(`${fake.url}/runs`));
+  const { name: targetName, group, availabilityZone } = fake;
+  return runs.map(({ ended, ...run }) => ({
+    ...run,
+    targetName,
+    group,
+    availabilityZone,
+    runMs: ended ? ended.atWallMs - run.startedWallMs : 0,
+  }));
+}
+
+async function readEffects({ url }: PlacedFake): Promise<readonly ServiceEffect[]> {
+  return effectsSchema.parse(await readJson(`${url}/ledger`)).effects;
+}
+
+async function readOverloads({ url }: PlacedFake): Promise<number> {
+  return loadSchema.parse(await readJson(`${url}/load`)).coldOverloads;
+}
+
+async function readJson(url: string): Promise<unknown> {
+  const { body } = await request(url);
+  return body.json();
+}
--- a/bench/src/launcher/renderSettings.ts
+++ b/bench/src/launcher/renderSettings.ts
@@ -2,7 +2,7 @@
 import type { TargetPlan } from './deployment.js';
 
 /** Whether an entry decides by the product's policy or by the naive baseline. */
-export type RoutingPolicy = 'default' | 'naive';
+export type RoutingPolicy = 'standard' | 'naive';
 
 /** What every node's settings hold. */
 export interface NodeSettingsText {
@@ -42,14 +42,13 @@
 
 /** The settings file of an entry. */
 export function renderEntrySettings(opts: EntrySettingsText): string {
-  const policy = opts.routingPolicy === 'default' ? [] : [`policy = ${opts.routingPolicy}`];
   return [
     ...commonLines(opts),
     '[caller]',
     `listen-port = ${opts.callerPort}`,
     '[routing]',
     'links-per-group = 16',
-    ...policy,
+    `policy = ${opts.routingPolicy}`,
     '',
   ].join('\n');
 }
--- /dev/null
+++ b/bench/src/launcher/rulesPublisher.ts
@@ -0,0 +1,63 @@
+import { indexRules, publishConfiguration } from '@galenatiller/configuration';
+import { CallBudget, createHttpTransport, StoreClient } from '@galenatiller/store';
+import type { TimerService } from '@galenatiller/timer';
+import type { Configuration, Rule, ZoneRule } from '@galenatiller/types';
+
+/** Options of {@link createRulesPublisher}. */
+export interface RulesPublisherOptions {
+  readonly storeUrl: string;
+  readonly timer: TimerService;
+  readonly rules: readonly Rule[];
+}
+
+/** Publishes rules as an operator does. */
+export interface RulesPublisher {
+  /** The rules last accepted. */
+  readonly configuration: () => Configuration;
+  /** Publishes changed rules; rejects when they are refused. */
+  readonly publish: (change: (rules: readonly Rule[]) => readonly Rule[]) => Promise<void>;
+  readonly close: () => Promise<void>;
+}
+
+const AUTHOR = 'bench';
+const CALLS_PER_SECOND = 100;
+
+/** Makes a publisher that has published nothing yet. */
+export function createRulesPublisher(opts: RulesPublisherOptions): RulesPublisher {
+  const { timer } = opts;
+  const transport = createHttpTransport({ url: opts.storeUrl });
+  const store = StoreClient.create({
+    transport: transport.call,
+    timer,
+    budget: CallBudget.create({
+      timer,
+      callsPerSecond: CALLS_PER_SECOND,
+      burstCalls: CALLS_PER_SECOND,
+    }),
+  });
+  let configuration = indexRules({ revision: 0, rules: [] });
+  let current = opts.rules;
+
+  return { configuration: () => configuration, publish, close: transport.close };
+
+  async function publish(change: (rules: readonly Rule[]) => readonly Rule[]): Promise<void> {
+    const rules = change(current);
+    const baseRevision = configuration.revision;
+    const done = await publishConfiguration({ store, timer, author: AUTHOR, baseRevision, rules });
+    if (done.isErr) {
+      throw new Error(`the rules were refused: ${done.error.error.detail}`);
+    }
+    current = rules;
+    configuration = indexRules({ revision: done.value.revision, rules });
+  }
+}
+
+/** The rules with one availability zone taken out or in. */
+export function withZone(
+  rules: readonly Rule[],
+  zone: Pick<ZoneRule, 'name' | 'state'>,
+): readonly Rule[] {
+  return rules.map((rule) =>
+    rule.kind === 'zone' && rule.name === zone.name ? { ...rule, state: zone.state } : rule,
+  );
+}
--- /dev/null
+++ b/bench/src/load/expectedResult.ts
@@ -0,0 +1,46 @@
+import {
+  expectedAnswer,
+  expectedPassages,
+  expectedReceipt,
+  expectedScore,
+} from '@galenatiller/fakes';
+import type { Configuration, Passage, StageRule } from '@galenatiller/types';
+
+import type { PlannedRequest } from './plannedRequest.js';
+
+/** Passages that an entry asks retrieval for. */
+const PASSAGE_LIMIT = 8;
+
+/** The text, or the receipt of a call, that the fakes give when every stage is right. */
+export function expectedResult(configuration: Configuration, planned: PlannedRequest): string {
+  let passages: readonly Passage[] = [];
+  for (const name of planned.route.stages) {
+    const stage = configuration.stages.get(name);
+    switch (stage?.work) {
+      case 'retrieve':
+        passages = expectedPassages(planned.prompt, PASSAGE_LIMIT);
+        break;
+      case 'rerank':
+        passages = rank(planned.prompt, passages);
+        break;
+      case 'generate':
+        return generate(planned.prompt, passages, stage);
+      case 'call':
+        return expectedReceipt(planned.runKey, JSON.stringify(planned.body));
+      default:
+        break;
+    }
+  }
+  return '';
+}
+
+function rank(query: string, passages: readonly Passage[]): readonly Passage[] {
+  return passages
+    .map((passage) => ({ ...passage, score: expectedScore(query, passage.text) }))
+    .sort((left, right) => right.score - left.score);
+}
+
+function generate(prompt: string, passages: readonly Passage[], stage: StageRule): string {
+  const lines = passages.map((passage) => `[${passage.id}] ${passage.text}\n`);
+  return expectedAnswer(`${lines.join('')}${prompt}`, stage.maxTokens);
+}
--- /dev/null
+++ b/bench/src/load/plannedRequest.ts
@@ -0,0 +1,74 @@
+import type { Configuration, JsonValue, RouteRule } from '@galenatiller/types';
+import { uniformFloat64 } from 'pure-rand/distribution/uniformFloat64';
+import type { RandomGenerator } from 'pure-rand/types/RandomGenerator';
+
+import type { RouteShare } from './requestMix.js';
+
+/** One request that is to be sent. */
+export interface PlannedRequest {
+  readonly organisation: string;
+  readonly route: RouteRule;
+  readonly stream: boolean;
+  readonly atMostOnce: boolean;
+  /** Idempotency key; empty for a route without stages that run at most once. */
+  readonly runKey: string;
+  readonly prompt: string;
+  readonly body: JsonValue;
+}
+
+/** Options of {@link planRequest}. */
+export interface PlanRequestOptions {
+  readonly configuration: Configuration;
+  readonly mix: readonly RouteShare[];
+  readonly random: RandomGenerator;
+  /** Tells this request from every other of the run. */
+  readonly number: number;
+  /** Text that the prompt begins with; some scenarios mark their prompts. */
+  readonly promptStart: string;
+}
+
+/** Prompts share their beginnings, as the dossiers and catalogues behind them do. */
+const SHARED_PROMPTS = 12;
+const SHARED_PROMPT_REPEATS = 20;
+
+/** Draws one request: organisations by their weight, routes by the mix. */
+export function planRequest(opts: PlanRequestOptions): PlannedRequest {
+  const { configuration, mix, random, number } = opts;
+  const organisation = drawWeighted([...configuration.organisations.values()], random);
+  const share = drawWeighted(mix, random);
+  const route = configuration.routes.get(share.route);
+  if (!route) {
+    throw new Error(`the rules have no route ${share.route}`);
+  }
+  const stages = route.stages.map((name) => configuration.stages.get(name));
+  const atMostOnce = stages.some((stage) => stage?.idempotent === false);
+  const isCall = stages.at(-1)?.work === 'call';
+  const shared = Math.floor(uniformFloat64(random) * SHARED_PROMPTS);
+  const sharedText = `${route.name} terms ${shared}. `.repeat(SHARED_PROMPT_REPEATS);
+  return {
+    organisation: organisation.name,
+    route,
+    stream: uniformFloat64(random) < share.streamShare,
+    atMostOnce,
+    runKey: atMostOnce ? `${organisation.name}-${route.name}-${number}` : '',
+    prompt: isCall ? '' : `${opts.promptStart}${sharedText}Request ${number}.`,
+    body: isCall ? { order: number, note: `${route.name} of ${organisation.name}` } : null,
+  };
+}
+
+function drawWeighted<Item extends { readonly weight: number }>(
+  items: readonly Item[],
+  random: RandomGenerator,
+): Item {
+  const total = items.reduce((sum, { weight }) => sum + weight, 0);
+  let left = uniformFloat64(random) * total;
+  const drawn = items.find(({ weight }) => {
+    left -= weight;
+    return left < 0;
+  });
+  const chosen = drawn ?? items.at(-1);
+  if (!chosen) {
+    throw new Error('there is nothing to draw from');
+  }
+  return chosen;
+}
--- /dev/null
+++ b/bench/src/load/receivedAnswer.ts
@@ -0,0 +1,51 @@
+/** What a caller has received of one answer, as it comes in. */
+export class ReceivedAnswer {
+  /** Id in the headers of the response. */
+  requestId = '';
+
+  /** Id in the body of the response. */
+  bodyRequestId = '';
+
+  /** Text or receipt so far. */
+  text = '';
+
+  /** Time until the first piece of a stream; -1 when there was none. */
+  firstTokenMs = -1;
+
+  /** Times between pieces of a stream. */
+  readonly tokenGapsMs: number[] = [];
+
+  private lastMs = 0;
+
+  private constructor() {}
+
+  /** Makes an answer of which nothing has come. */
+  static create(): ReceivedAnswer {
+    return new ReceivedAnswer();
+  }
+
+  /** Takes the id in the headers. */
+  takeHead(requestId: string): void {
+    this.requestId = requestId;
+  }
+
+  /** Takes a whole body, or a problem, whose text is empty. */
+  takeBody(requestId: string, text: string): void {
+    this.bodyRequestId = requestId;
+    this.text += text;
+  }
+
+  /** Takes a piece of a stream at a time since the issue. */
+  takePiece(requestId: string, text: string, atMs: number): void {
+    this.takeBody(requestId, text);
+    if (text === '') {
+      return;
+    }
+    if (this.firstTokenMs < 0) {
+      this.firstTokenMs = atMs;
+    } else {
+      this.tokenGapsMs.push(atMs - this.lastMs);
+    }
+    this.lastMs = atMs;
+  }
+}
--- /dev/null
+++ b/bench/src/load/runLoad.ts
@@ -0,0 +1,94 @@
+import type { TimerService } from '@galenatiller/timer';
+import type { Configuration } from '@galenatiller/types';
+import { uniformFloat64 } from 'pure-rand/distribution/uniformFloat64';
+import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
+import type { RandomGenerator } from 'pure-rand/types/RandomGenerator';
+import { Agent } from 'undici';
+
+import { expectedResult } from './expectedResult.js';
+import { type PlannedRequest, planRequest } from './plannedRequest.js';
+import type { RouteShare } from './requestMix.js';
+import { sendRequest, type TimedRequest } from './sendRequest.js';
+
+/** Options of {@link runLoad}. */
+export interface RunLoadOptions {
+  readonly timer: TimerService;
+  readonly seed: number;
+  readonly durationMs: number;
+  /** Arrivals per second at a time since the start. */
+  readonly ratePerSecond: (elapsedMs: number) => number;
+  readonly mix: readonly RouteShare[];
+  /** Share of at-most-once requests that are sent a second time with their key. */
+  readonly repeatShare: number;
+  /** Text before the prompt at a time since the start. */
+  readonly promptStart: (elapsedMs: number, random: () => number) => string;
+  readonly configuration: () => Configuration;
+  readonly entryUrls: readonly string[];
+  /** Told of each request that has ended. */
+  readonly onEnded?: (request: TimedRequest) => void;
+}
+
+const MS_PER_SECOND = 1_000;
+
+/** Longest wait before a request is repeated. */
+const REPEAT_WITHIN_MS = 400;
+
+/** Connections to one entry. */
+const CONNECTIONS = 512;
+
+/** Sends an open-loop load: arrivals do not wait for answers. Resolves when every request ended. */
+export async function runLoad(opts: RunLoadOptions): Promise<readonly TimedRequest[]> {
+  const { timer, durationMs } = opts;
+  const random = xoroshiro128plus(opts.seed);
+  const dispatcher = new Agent({ connections: CONNECTIONS });
+  const running: Promise<TimedRequest>[] = [];
+  const startMs = timer.nowMs();
+  const send = (planned: PlannedRequest, entryUrl: string): void => {
+    const expected = expectedResult(opts.configuration(), planned);
+    const sent = sendRequest({ planned, expected, entryUrl, dispatcher, timer });
+    running.push(sent);
+    sent.then(opts.onEnded).catch(() => {});
+  };
+  let number = 0;
+  let nextMs = 0;
+  for (;;) {
+    const ratePerSecond = opts.ratePerSecond(nextMs);
+    nextMs += (-Math.log(1 - uniformFloat64(random)) / ratePerSecond) * MS_PER_SECOND;
+    if (nextMs > durationMs) {
+      break;
+    }
+    number += 1;
+    const planned = planRequest({
+      ...opts,
+      configuration: opts.configuration(),
+      random,
+      number,
+      promptStart: opts.promptStart(nextMs, () => uniformFloat64(random)),
+    });
+    const { first, second, repeatAfterMs } = drawEntries(opts, random);
+    await timer.sleep({ delayMs: startMs + nextMs - timer.nowMs() });
+    send(planned, first);
+    if (planned.atMostOnce && uniformFloat64(random) < opts.repeatShare) {
+      timer.after({ delayMs: repeatAfterMs, notify: () => send(planned, second) });
+    }
+  }
+  await timer.sleep({ delayMs: REPEAT_WITHIN_MS });
+  const ended = await Promise.all(running);
+  await dispatcher.close();
+  return ended;
+}
+
+interface DrawnEntries {
+  readonly first: string;
+  readonly second: string;
+  readonly repeatAfterMs: number;
+}
+
+function drawEntries({ entryUrls }: RunLoadOptions, random: RandomGenerator): DrawnEntries {
+  const index = Math.floor(uniformFloat64(random) * entryUrls.length);
+  return {
+    first: entryUrls[index] ?? '',
+    second: entryUrls[(index + 1) % entryUrls.length] ?? '',
+    repeatAfterMs: uniformFloat64(random) * REPEAT_WITHIN_MS,
+  };
+}
--- /dev/null
+++ b/bench/src/load/sendRequest.ts
@@ -0,0 +1,147 @@
+import type { TimerService } from '@galenatiller/timer';
+import { createParser, type EventSourceMessage } from 'eventsource-parser';
+import { type Dispatcher, request } from 'undici';
+import { z } from 'zod';
+
+import type { RequestEnd, RequestRecord } from '../checker/history.js';
+import type { PlannedRequest } from './plannedRequest.js';
+import { ReceivedAnswer } from './receivedAnswer.js';
+
+/** A request with its times, from its issue. */
+export interface TimedRequest extends RequestRecord {
+  readonly priority: string;
+  readonly stream: boolean;
+  readonly deadlineMs: number;
+  readonly durationMs: number;
+  /** Time until the first piece of a stream; -1 when there was none. */
+  readonly firstTokenMs: number;
+  readonly tokenGapsMs: readonly number[];
+}
+
+/** Options of {@link sendRequest}. */
+export interface SendRequestOptions {
+  readonly planned: PlannedRequest;
+  readonly expected: string;
+  readonly entryUrl: string;
+  readonly dispatcher: Dispatcher;
+  readonly timer: TimerService;
+}
+
+/** Time after the deadline at which the caller gives up. */
+const GRACE_MS = 10_000;
+
+const HTTP_OK = 200;
+
+const answerSchema = z.object({
+  id: z.string(),
+  choices: z.array(z.object({ text: z.string() })),
+  result: z.object({ receipt: z.string() }).nullish(),
+});
+
+const problemSchema = z.object({
+  code: z.number(),
+  outcome: z.enum(['not-run', 'ran', 'may-have-run']),
+  requestId: z.string(),
+});
+
+/** Sends one request and records how it ended; never rejects. */
+export async function sendRequest(opts: SendRequestOptions): Promise<TimedRequest> {
+  const { planned, timer, expected } = opts;
+  const issuedWallMs = timer.wallMs();
+  const issuedMs = timer.nowMs();
+  const answer = ReceivedAnswer.create();
+  const limit = timer.limit({ limitMs: planned.route.deadlineMs + GRACE_MS });
+  let end: RequestEnd;
+  try {
+    end = await exchangeWith(opts, answer, limit.signal);
+  } catch (error) {
+    end = { kind: 'unanswered', detail: error instanceof Error ? error.message : String(error) };
+  } finally {
+    limit.release();
+  }
+  return {
+    requestId: answer.requestId,
+    bodyRequestId: answer.bodyRequestId,
+    text: answer.text,
+    firstTokenMs: answer.firstTokenMs,
+    tokenGapsMs: answer.tokenGapsMs,
+    organisation: planned.organisation,
+    route: planned.route.name,
+    runKey: planned.runKey,
+    atMostOnce: planned.atMostOnce,
+    issuedWallMs,
+    expected,
+    end,
+    priority: planned.route.priority,
+    stream: planned.stream,
+    deadlineMs: planned.route.deadlineMs,
+    durationMs: timer.nowMs() - issuedMs,
+  };
+}
+
+async function exchangeWith(
+  opts: SendRequestOptions,
+  answer: ReceivedAnswer,
+  signal: AbortSignal,
+): Promise<RequestEnd> {
+  const { planned, entryUrl, dispatcher, timer } = opts;
+  const startedMs = timer.nowMs();
+  const { route, stream, prompt, body, runKey } = planned;
+  const response = await request(`${entryUrl}/v1/routes/${route.name}`, {
+    method: 'POST',
+    dispatcher,
+    signal,
+    headers: {
+      authorization: `Bearer example-key-${planned.organisation}`,
+      'content-type': 'application/json',
+      ...(runKey === '' ? {} : { 'idempotency-key': runKey }),
+    },
+    body: JSON.stringify({ prompt, stream, ...(body === null ? {} : { body }) }),
+  });
+  answer.takeHead(String(response.headers['x-request-id'] ?? ''));
+  if (response.statusCode !== HTTP_OK) {
+    return readProblem(await response.body.json(), answer);
+  }
+  if (stream) {
+    return readStream(response.body, answer, () => timer.nowMs() - startedMs);
+  }
+  const { id, choices, result } = answerSchema.parse(await response.body.json());
+  answer.takeBody(id, result?.receipt ?? choices[0]?.text ?? '');
+  return { kind: 'answered' };
+}
+
+function readProblem(body: unknown, answer: ReceivedAnswer): RequestEnd {
+  const { code, outcome, requestId } = problemSchema.parse(body);
+  answer.takeBody(requestId, '');
+  return { kind: 'refused', code, outcome };
+}
+
+async function readStream(
+  chunks: AsyncIterable<Buffer>,
+  answer: ReceivedAnswer,
+  elapsedMs: () => number,
+): Promise<RequestEnd> {
+  const decoder = new TextDecoder();
+  let end: RequestEnd = { kind: 'unanswered', detail: 'the stream broke off' };
+  const parser = createParser({
+    onEvent: (event) => {
+      end = takeEvent(event) ?? end;
+    },
+  });
+  for await (const chunk of chunks) {
+    parser.feed(decoder.decode(chunk, { stream: true }));
+  }
+  return end;
+
+  function takeEvent(event: EventSourceMessage): RequestEnd | undefined {
+    if (event.data === '[DONE]') {
+      return { kind: 'answered' };
+    }
+    if (event.event === 'error') {
+      return readProblem(JSON.parse(event.data), answer);
+    }
+    const { id, choices } = answerSchema.parse(JSON.parse(event.data));
+    answer.takePiece(id, choices[0]?.text ?? '', elapsedMs());
+    return undefined;
+  }
+}
