--- a/fakes/src/index.ts
+++ b/fakes/src/index.ts
@@ -29,3 +29,4 @@
 export type { FaultOrder, VersionQuality } from './faultBoard.js';
 export type { RunEnd, RunRecord } from './runLedger.js';
 export { sampleOrder } from './sampleOrder.js';
+export * from './store/index.js';
--- a/packages/store/src/index.ts
+++ b/packages/store/src/index.ts
@@ -1,2 +1,12 @@
 /** Talks to the platform key-value service: compare-and-swap, leases and watches. */
-export {};
+export { CallBudget, type CallBudgetOptions } from './callBudget.js';
+export type { CallCounts } from './callStore.js';
+export type { SwapOptions } from './compareAndSwap.js';
+export { createHttpTransport, type HttpTransport } from './createHttpTransport.js';
+export { jitteredDelayMs, type JitteredDelayOptions } from './jitteredDelayMs.js';
+export { StoreClient, type StoreClientOptions } from './storeClient.js';
+export { LeaseHolder, type LeaseHolderOptions } from './leaseHolder.js';
+export type { Claim, RunCompletion, RunName, RunRequest } from './runRecordTypes.js';
+export { RUN_REMEMBERED_MS, RunRecords, type RunRecordsOptions } from './runRecords.js';
+export type * from './storeTypes.js';
+export type { WatchOptions } from './watchPrefix.js';
