--- /dev/null
+++ b/features/support/fleet/fleetRules.ts
@@ -0,0 +1,30 @@
+import type { Rule } from '@galenatiller/types';
+
+/** Availability zone of each simulated host. */
+export const ZONES: readonly string[] = ['east-a', 'east-b', 'west-a'];
+
+/** Tokens that a draft has. */
+export const DRAFT_TOKENS = 20;
+
+const askedBy = 'the fleet';
+
+/** Rules of the simulated fleet with some zones taken out. */
+export function fleetRules(zonesOut: readonly string[]): readonly Rule[] {
+  const stage = { kind: 'stage', maxTokens: DRAFT_TOKENS, askedBy } as const;
+  const route = { kind: 'route', deadlineMs: 5_000, priority: 'interactive', askedBy } as const;
+  return [
+    { kind: 'organisation', name: 'booking-desk', keyHashes: [], weight: 1, askedBy },
+    { ...stage, name: 'draft', work: 'generate', targetGroup: 'drafter', idempotent: true },
+    { ...stage, name: 'reserve', work: 'call', targetGroup: 'booking', idempotent: false },
+    { ...stage, name: 'look-up', work: 'call', targetGroup: 'booking', idempotent: true },
+    { ...route, name: 'draft', stages: ['draft'] },
+    { ...route, name: 'reserve', stages: ['reserve'] },
+    { ...route, name: 'look-up', stages: ['look-up'] },
+    ...ZONES.map((name): Rule => ({
+      kind: 'zone',
+      name,
+      state: zonesOut.includes(name) ? 'out' : 'in',
+      askedBy,
+    })),
+  ];
+}
--- a/features/support/fleet/memoryLink.ts
+++ b/features/support/fleet/memoryLink.ts
@@ -37,7 +37,11 @@
     opts.near.timer.after({ delayMs: opts.delayMs(), notify: () => toNear.close() });
     opts.far.timer.after({ delayMs: opts.delayMs(), notify: () => toFar.close() });
   };
-  const createSide = (inbox: Mailbox<NodeFrame>, outbox: Mailbox<NodeFrame>, to: TimerService): Link => {
+  const createSide = (
+    inbox: Mailbox<NodeFrame>,
+    outbox: Mailbox<NodeFrame>,
+    to: TimerService,
+  ): Link => {
     let arrivesAtMs = 0;
     const frames = inbox.read();
     return {
--- a/features/support/fleet/targetModel.ts
+++ b/features/support/fleet/targetModel.ts
@@ -82,7 +82,11 @@
       if (input.prompt.includes(POISON_MARK)) {
         this.goDown(500);
       }
-      if (opts.signal.aborted || crashed.aborted || (breaks && index === input.deliveredTokens + 2)) {
+      if (
+        opts.signal.aborted ||
+        crashed.aborted ||
+        (breaks && index === input.deliveredTokens + 2)
+      ) {
         return fail('stream-broken');
       }
       opts.onPart({ offsetTokens: index, tokens: 1, text: expectedWord(input.prompt, index) });
@@ -121,7 +125,14 @@
     const { requestId, stageIndex, attempt } = order;
     const { name, availabilityZone } = this.host;
     const startedWallMs = this.timer.wallMs();
-    this.runs.push({ requestId, stageIndex, attempt, startedWallMs, targetName: name, availabilityZone });
+    this.runs.push({
+      requestId,
+      stageIndex,
+      attempt,
+      startedWallMs,
+      targetName: name,
+      availabilityZone,
+    });
   }
 }
 
--- a/packages/daemon/src/galenatillerd.ts
+++ b/packages/daemon/src/galenatillerd.ts
@@ -1,4 +1,3 @@
-#!/usr/bin/env node
 /** The galenatillerd binary. */
 import { readFile } from 'node:fs/promises';
 
--- a/packages/daemon/src/runGateRole.ts
+++ b/packages/daemon/src/runGateRole.ts
@@ -1,20 +1,33 @@
+import { randomUUID } from 'node:crypto';
+
 import { runGeneration } from '@galenatiller/engine';
-import { createMemoryRunRecords, runGate } from '@galenatiller/gate';
+import { createStoreRunRecords, runGate } from '@galenatiller/gate';
 import { runPoolStage } from '@galenatiller/pool';
 import { runServiceCall } from '@galenatiller/service';
 import type { GateSettings } from '@galenatiller/settings';
+import { RunRecords } from '@galenatiller/store';
 
 import { connectPlatform } from './connectPlatform.js';
 import type { RunRoleOptions } from './runDaemon.js';
 
+/** Time that a claim waits for others, so that one store call carries them all. */
+const RUN_RECORD_WINDOW_MS = 4;
+
 /** Runs a gate against the platform and the targets that its settings name. */
 export async function runGateRole(opts: RunRoleOptions<GateSettings>): Promise<void> {
   const platform = connectPlatform({ ...opts, readPeerOffers: () => Promise.resolve([]) });
+  const records = RunRecords.create({
+    store: platform.store,
+    timer: opts.timer,
+    nodeName: opts.settings.nodeName,
+    incarnation: randomUUID(),
+    groupWindowMs: RUN_RECORD_WINDOW_MS,
+  });
   try {
     await runGate({
       ...opts,
       runners: { engine: runGeneration, pool: runPoolStage, service: runServiceCall },
-      runRecords: createMemoryRunRecords(),
+      runRecords: createStoreRunRecords({ records }),
       followConfiguration: platform.followConfiguration,
     });
   } finally {
--- a/packages/gate/src/createGate.ts
+++ b/packages/gate/src/createGate.ts
@@ -59,6 +59,7 @@
     targets: createTargets(opts),
     runners: opts.runners,
     runRecords: opts.runRecords,
+    tasks: orders,
     timer,
     logger,
     availabilityZone: opts.availabilityZone,
@@ -73,6 +74,8 @@
       logger({ message: `Revision ${next.revision} is in force.` });
     }, stopping.signal),
   );
+  const ending = new AbortController();
+  peers.start(() => opts.runRecords.keep(ending.signal));
   return {
     readReports,
     readConfiguration: context.readConfiguration,
@@ -81,7 +84,6 @@
       await serveEntry({
         proved,
         context,
-        tasks: orders,
         readReports,
         reportIntervalMs: REPORT_INTERVAL_MS,
       });
@@ -91,6 +93,7 @@
       stopping.abort();
       await timer.sleep({ delayMs: LEAVING_NOTICE_MS });
       await orders.drain();
+      ending.abort();
       links.forEach((link) => {
         link.end();
       });
--- a/packages/gate/src/createMemoryRunRecords.ts
+++ b/packages/gate/src/createMemoryRunRecords.ts
@@ -30,5 +30,6 @@
       }
       return Promise.resolve();
     },
+    keep: () => Promise.resolve(),
   };
 }
--- a/packages/gate/src/index.ts
+++ b/packages/gate/src/index.ts
@@ -1,6 +1,7 @@
 /** The gate role: the only way to the targets of its host. */
 export { createGate, type CreateGateOptions, type Gate } from './createGate.js';
 export { createMemoryRunRecords } from './createMemoryRunRecords.js';
+export { createStoreRunRecords } from './createStoreRunRecords.js';
 export type * from './policy.js';
 export type * from './runRecordKeeper.js';
 export { runGate, type RunGateOptions } from './runGate.js';
--- a/packages/gate/src/runOrder.ts
+++ b/packages/gate/src/runOrder.ts
@@ -1,5 +1,6 @@
 import { GalenatillerError, type ResultCodeName } from '@galenatiller/error';
 import type { Logger } from '@galenatiller/logger';
+import type { TaskGroup } from '@galenatiller/tasks';
 import type { TimerService } from '@galenatiller/timer';
 import type { Configuration, StageEnd, StageOrder, StagePart } from '@galenatiller/types';
 
@@ -12,6 +13,8 @@
   readonly targets: ReadonlyMap<string, TargetAdmission>;
   readonly runners: TargetRunners;
   readonly runRecords: RunRecordKeeper;
+  /** Tasks that a graceful shutdown waits for. */
+  readonly tasks: TaskGroup;
   readonly timer: TimerService;
   readonly logger: Logger;
   readonly availabilityZone: string;
@@ -73,7 +76,7 @@
   if (order.idempotent) {
     return runOnce(opts, target, remainingMs);
   }
-  const claim = await context.runRecords.claim(order);
+  const claim = await context.runRecords.claim(order, opts.signal);
   if (claim.isErr) {
     return endOf(claim.error);
   }
@@ -86,7 +89,8 @@
       return refuse('key-reused', `key of ${order.organisation}`);
     case 'first': {
       const end = await runOnce(opts, target, remainingMs);
-      await context.runRecords.settle(order, end);
+      // The caller need not wait until the store has the answer.
+      context.tasks.start(() => context.runRecords.settle(order, end));
       return end;
     }
   }
--- a/packages/gate/src/runRecordKeeper.ts
+++ b/packages/gate/src/runRecordKeeper.ts
@@ -11,7 +11,12 @@
 
 /** Keeps run records; `claim` must succeed with `first` before an order is sent to its target. */
 export interface RunRecordKeeper {
-  readonly claim: (order: StageOrder) => Promise<Result<RunClaim, GalenatillerError>>;
+  readonly claim: (
+    order: StageOrder,
+    signal: AbortSignal,
+  ) => Promise<Result<RunClaim, GalenatillerError>>;
   /** Keeps how a claimed order has ended; an order that proved `not-run` may be claimed again. */
   readonly settle: (order: StageOrder, end: StageEnd) => Promise<void>;
+  /** The task that keeps records until the signal aborts. */
+  readonly keep: (signal: AbortSignal) => Promise<void>;
 }
--- a/packages/gate/src/serveEntry.ts
+++ b/packages/gate/src/serveEntry.ts
@@ -1,5 +1,4 @@
 import type { NodeFrame, ProvedLink } from '@galenatiller/node';
-import type { TaskGroup } from '@galenatiller/tasks';
 import type { AttemptId, StageOrder, StagePart, TargetReport } from '@galenatiller/types';
 
 import { type GateContext, runOrder } from './runOrder.js';
@@ -8,7 +7,6 @@
 export interface ServeEntryOptions {
   readonly proved: ProvedLink;
   readonly context: GateContext;
-  readonly tasks: TaskGroup;
   readonly readReports: () => readonly TargetReport[];
   /** Time between reports while the link is idle. */
   readonly reportIntervalMs: number;
@@ -64,7 +62,7 @@
     }
     const cancel = new AbortController();
     running.set(key, cancel);
-    opts.tasks.start(() => answerOrder(order, cancel.signal).finally(() => running.delete(key)));
+    context.tasks.start(() => answerOrder(order, cancel.signal).finally(() => running.delete(key)));
   }
 
   async function answerOrder(order: StageOrder, signal: AbortSignal): Promise<void> {
