--- a/bench/src/launcher/processGroup.ts
+++ b/bench/src/launcher/processGroup.ts
@@ -52,7 +52,18 @@
 
   /** Makes a group without processes. */
   static create(opts: ProcessGroupOptions): ProcessGroup {
-    return new ProcessGroup(opts);
+    const group = new ProcessGroup(opts);
+    process.once('exit', () => {
+      group.terminateAll();
+    });
+    (['SIGINT', 'SIGTERM'] as const).forEach((signal) => {
+      process.once(signal, () => {
+        group.terminateAll();
+        // The handler is gone by now, so this ends the process as the first signal would have.
+        process.kill(process.pid, signal);
+      });
+    });
+    return group;
   }
 
   /** Starts a process; its output goes to a log file. A name may be started again after its end. */
@@ -83,8 +94,16 @@
 
   /** Asks one process for a graceful shutdown; resolves with its exit code, or -1 when killed. */
   async stop(name: string): Promise<number> {
-    const process = this.started.get(name);
-    return process ? this.end(process) : 0;
+    const started = this.started.get(name);
+    return started ? this.end(started) : 0;
+  }
+
+  /** Waits for the end of one process. */
+  async untilEnd(name: string): Promise<void> {
+    const started = this.started.get(name);
+    if (started && !hasEnded(started)) {
+      await once(started.child, 'exit');
+    }
   }
 
   /** Stops the nodes first and then what they talk to. */
@@ -92,20 +111,26 @@
     const all = [...this.started.values()];
     for (const role of ['entry', 'gate', 'fakes'] as const) {
       await Promise.all(
-        all.filter((process) => process.role === role).map((process) => this.end(process)),
+        all.filter((started) => started.role === role).map((started) => this.end(started)),
       );
     }
   }
 
   /** CPU time and memory of every process that runs. */
   usage(): Promise<readonly ProcessUsage[]> {
-    const running = [...this.started.values()].filter((process) => !hasEnded(process));
+    const running = [...this.started.values()].filter((started) => !hasEnded(started));
     return Promise.all(running.map(readUsage));
   }
 
-  private async end(process: StartedProcess): Promise<number> {
-    const { child } = process;
-    if (hasEnded(process)) {
+  private terminateAll(): void {
+    this.started.forEach(({ child }) => {
+      child.kill('SIGTERM');
+    });
+  }
+
+  private async end(started: StartedProcess): Promise<number> {
+    const { child } = started;
+    if (hasEnded(started)) {
       return child.exitCode ?? -1;
     }
     const exit = once(child, 'exit');
--- /dev/null
+++ b/bench/src/report/percentiles.ts
@@ -0,0 +1,23 @@
+import { build } from 'hdr-histogram-js';
+
+/** Percentiles of some times, in milliseconds; all 0 when there were none. */
+export interface Percentiles {
+  readonly count: number;
+  readonly p50: number;
+  readonly p95: number;
+  readonly p99: number;
+}
+
+/** The histogram counts in hundredths of a millisecond. */
+const STEPS_PER_MS = 100;
+
+/** Percentiles of times in milliseconds, to three digits. */
+export function percentilesOf(timesMs: readonly number[]): Percentiles {
+  const histogram = build({ numberOfSignificantValueDigits: 3 });
+  timesMs.forEach((timeMs) => {
+    histogram.recordValue(Math.max(0, Math.round(timeMs * STEPS_PER_MS)));
+  });
+  const at = (percentile: number): number =>
+    timesMs.length === 0 ? 0 : histogram.getValueAtPercentile(percentile) / STEPS_PER_MS;
+  return { count: timesMs.length, p50: at(50), p95: at(95), p99: at(99) };
+}
--- /dev/null
+++ b/bench/src/report/routeTable.ts
@@ -0,0 +1,106 @@
+import Table from 'cli-table3';
+import { pipe } from 'fp-ts/lib/function.js';
+import * as NEA from 'fp-ts/lib/NonEmptyArray.js';
+import * as RA from 'fp-ts/lib/ReadonlyArray.js';
+
+import type { TimedRequest } from '../load/sendRequest.js';
+import { type Percentiles, percentilesOf } from './percentiles.js';
+
+/** What is measured of the requests of one route. */
+export interface RouteFigures {
+  readonly route: string;
+  readonly priority: string;
+  readonly deadlineMs: number;
+  readonly sent: number;
+  readonly answered: number;
+  readonly refusedNotRun: number;
+  readonly refusedOther: number;
+  /** Share of the requests sent that were answered within their deadline. */
+  readonly attainment: number;
+  readonly durationMs: Percentiles;
+  readonly firstTokenMs: Percentiles;
+  readonly tokenGapMs: Percentiles;
+}
+
+const PERCENT = 100;
+
+/** The figures of each route, in the order of their names. */
+export function routeFigures(requests: readonly TimedRequest[]): readonly RouteFigures[] {
+  const byRoute = pipe(
+    requests,
+    RA.toArray,
+    NEA.groupBy(({ route }) => route),
+  );
+  return Object.keys(byRoute)
+    .sort()
+    .flatMap((route) => figuresOf(route, byRoute[route] ?? []));
+}
+
+/** The figures as a table for a terminal. */
+export function renderRouteTable(figures: readonly RouteFigures[]): string {
+  const table = new Table({
+    head: [
+      'route',
+      'sent',
+      'answered',
+      'not-run',
+      'other',
+      'in time',
+      'end ms',
+      'first ms',
+      'gap ms',
+    ],
+    style: { head: [], border: [] },
+  });
+  figures.forEach((row) => {
+    table.push([
+      row.route,
+      row.sent,
+      row.answered,
+      row.refusedNotRun,
+      row.refusedOther,
+      `${(row.attainment * PERCENT).toFixed(1)} %`,
+      renderPercentiles(row.durationMs),
+      renderPercentiles(row.firstTokenMs),
+      renderPercentiles(row.tokenGapMs),
+    ]);
+  });
+  return `${table.toString()}\nTimes are p50/p95/p99; "in time" is the share of those sent.`;
+}
+
+/** Whether a request was answered whole within its deadline. */
+export function isInTime(request: TimedRequest): boolean {
+  const { end, text, expected, durationMs, deadlineMs } = request;
+  return end.kind === 'answered' && text === expected && durationMs <= deadlineMs;
+}
+
+function figuresOf(route: string, requests: readonly TimedRequest[]): readonly RouteFigures[] {
+  const [first] = requests;
+  if (!first) {
+    return [];
+  }
+  const answered = requests.filter(({ end }) => end.kind === 'answered');
+  const outcomes = requests.flatMap(({ end }) => (end.kind === 'refused' ? [end.outcome] : []));
+  const notRun = outcomes.filter((outcome) => outcome === 'not-run').length;
+  return [
+    {
+      route,
+      priority: first.priority,
+      deadlineMs: first.deadlineMs,
+      sent: requests.length,
+      answered: answered.length,
+      refusedNotRun: notRun,
+      refusedOther: outcomes.length - notRun,
+      attainment: requests.filter(isInTime).length / requests.length,
+      durationMs: percentilesOf(answered.map(({ durationMs }) => durationMs)),
+      firstTokenMs: percentilesOf(
+        requests.map(({ firstTokenMs }) => firstTokenMs).filter((timeMs) => timeMs >= 0),
+      ),
+      tokenGapMs: percentilesOf(requests.flatMap(({ tokenGapsMs }) => tokenGapsMs)),
+    },
+  ];
+}
+
+function renderPercentiles({ count, p50, p95, p99 }: Percentiles): string {
+  return count === 0 ? '' : [p50, p95, p99].map((value) => value.toFixed(0)).join('/');
+}
