--- a/bench/src/launcher/collectLedgers.ts
+++ b/bench/src/launcher/collectLedgers.ts
@@ -15,9 +15,10 @@
   readonly availabilityZone: string;
 }
 
-/** A run with its place and length; the length is 0 while it goes on. */
+/** A run with its place, its end and its length; the length is 0 while it goes on. */
 export interface LedgerRun extends TargetRun {
   readonly group: string;
+  readonly how: string;
   readonly runMs: number;
 }
 
@@ -35,7 +36,7 @@
       stageIndex: z.number(),
       attempt: z.number(),
       startedWallMs: z.number(),
-      ended: z.object({ atWallMs: z.number() }).optional(),
+      ended: z.object({ how: z.string(), atWallMs: z.number() }).optional(),
     }),
   ),
 });
@@ -75,6 +76,7 @@
     targetName,
     group,
     availabilityZone,
+    how: ended?.how ?? 'running',
     runMs: ended ? ended.atWallMs - run.startedWallMs : 0,
   }));
 }
--- a/bench/src/launcher/deployment.ts
+++ b/bench/src/launcher/deployment.ts
@@ -19,6 +19,8 @@
   /** Groups; the engines come first and set the number of target hosts. */
   readonly groups: readonly GroupPlan[];
   readonly entryCount: number;
+  /** A small organisation that sends far more than its share in the scenario `flood`. */
+  readonly floodOrganisation: string;
 }
 
 /** One target as the bench plans it. */
@@ -51,6 +53,7 @@
     availabilityZones: ['north-a', 'north-b', 'north-c'],
     groups: groupsOf(8, ['floor', 'measurement', 'shipping', 'inventory']),
     entryCount: ENTRY_COUNT,
+    floodOrganisation: 'lautoka-training',
   },
   rekvisitlanet: {
     name: 'rekvisitlanet',
@@ -58,6 +61,7 @@
     availabilityZones: ['east-a', 'east-b', 'west-a'],
     groups: groupsOf(13, ['booking', 'member', 'transport', 'workshop']),
     entryCount: ENTRY_COUNT,
+    floodOrganisation: 'workshop-crew',
   },
 };
 
--- a/bench/src/load/plannedRequest.ts
+++ b/bench/src/load/plannedRequest.ts
@@ -23,18 +23,27 @@
   readonly random: RandomGenerator;
   /** Tells this request from every other of the run. */
   readonly number: number;
-  /** Text that the prompt begins with; some scenarios mark their prompts. */
-  readonly promptStart: string;
+  /** Text that crashes engines, and the share of prompts that begin with it. */
+  readonly poisonMarker: string;
+  readonly poisonShare: number;
+  /** Organisation that sends far more than its share; empty for none. */
+  readonly floodOrganisation: string;
 }
 
 /** Prompts share their beginnings, as the dossiers and catalogues behind them do. */
 const SHARED_PROMPTS = 12;
 const SHARED_PROMPT_REPEATS = 20;
 
+/** Prompts that crash engines; their callers send them again and again. */
+const POISON_PROMPTS = 2;
+
+/** Requests of a flooding organisation for each one of its share. */
+const FLOOD_FACTOR = 20;
+
 /** Draws one request: organisations by their weight, routes by the mix. */
 export function planRequest(opts: PlanRequestOptions): PlannedRequest {
   const { configuration, mix, random, number } = opts;
-  const organisation = drawWeighted([...configuration.organisations.values()], random);
+  const organisation = drawWeighted(callersOf(opts), random);
   const share = drawWeighted(mix, random);
   const route = configuration.routes.get(share.route);
   if (!route) {
@@ -45,17 +54,28 @@
   const isCall = stages.at(-1)?.work === 'call';
   const shared = Math.floor(uniformFloat64(random) * SHARED_PROMPTS);
   const sharedText = `${route.name} terms ${shared}. `.repeat(SHARED_PROMPT_REPEATS);
+  const poisoned = uniformFloat64(random) < opts.poisonShare;
+  const prompt = poisoned
+    ? `${opts.poisonMarker}Request ${number % POISON_PROMPTS}.`
+    : `${sharedText}Request ${number}.`;
   return {
     organisation: organisation.name,
     route,
     stream: uniformFloat64(random) < share.streamShare,
     atMostOnce,
     runKey: atMostOnce ? `${organisation.name}-${route.name}-${number}` : '',
-    prompt: isCall ? '' : `${opts.promptStart}${sharedText}Request ${number}.`,
+    prompt: isCall ? '' : prompt,
     body: isCall ? { order: number, note: `${route.name} of ${organisation.name}` } : null,
   };
 }
 
+function callersOf(opts: PlanRequestOptions): readonly { name: string; weight: number }[] {
+  return [...opts.configuration.organisations.values()].map(({ name, weight }) => ({
+    name,
+    weight: name === opts.floodOrganisation ? weight * FLOOD_FACTOR : weight,
+  }));
+}
+
 function drawWeighted<Item extends { readonly weight: number }>(
   items: readonly Item[],
   random: RandomGenerator,
--- a/bench/src/load/runLoad.ts
+++ b/bench/src/load/runLoad.ts
@@ -20,8 +20,9 @@
   readonly mix: readonly RouteShare[];
   /** Share of at-most-once requests that are sent a second time with their key. */
   readonly repeatShare: number;
-  /** Text before the prompt at a time since the start. */
-  readonly promptStart: (elapsedMs: number, random: () => number) => string;
+  readonly poisonMarker: string;
+  readonly poisonShare: number;
+  readonly floodOrganisation: string;
   readonly configuration: () => Configuration;
   readonly entryUrls: readonly string[];
   /** Told of each request that has ended. */
@@ -63,7 +64,6 @@
       configuration: opts.configuration(),
       random,
       number,
-      promptStart: opts.promptStart(nextMs, () => uniformFloat64(random)),
     });
     const { first, second, repeatAfterMs } = drawEntries(opts, random);
     await timer.sleep({ delayMs: startMs + nextMs - timer.nowMs() });
--- /dev/null
+++ b/bench/src/report/benchReport.ts
@@ -0,0 +1,153 @@
+/** What a run of the bench has measured. */
+import { pipe } from 'fp-ts/lib/function.js';
+import * as NEA from 'fp-ts/lib/NonEmptyArray.js';
+import * as RA from 'fp-ts/lib/ReadonlyArray.js';
+
+import type { Verdict } from '../checker/history.js';
+import type { LedgerRun } from '../launcher/collectLedgers.js';
+import type { ProcessRole, ProcessUsage } from '../launcher/processGroup.js';
+import type { TimedRequest } from '../load/sendRequest.js';
+import { isInTime, type RouteFigures, routeFigures } from './routeTable.js';
+
+/** Share of requests answered within their deadline, of one class or organisation. */
+export interface Attainment {
+  readonly name: string;
+  readonly sent: number;
+  readonly attainment: number;
+}
+
+/** How often a refusal was given. */
+export interface RefusalCount {
+  readonly code: number;
+  readonly outcome: string;
+  readonly count: number;
+}
+
+/** What the targets of one group have spent. */
+export interface StageCost {
+  readonly group: string;
+  readonly runs: number;
+  /** Runs that did not end in an answer. */
+  readonly wastedRuns: number;
+  readonly crashes: number;
+  readonly busyMs: number;
+  /** Busy time for each request that was answered in time. */
+  readonly busyMsPerInTime: number;
+}
+
+/** CPU and memory of the processes of one role. */
+export interface RoleUsage {
+  readonly role: ProcessRole;
+  readonly processes: number;
+  /** Mean share of a core during the load. */
+  readonly meanCoreShare: number;
+  readonly maxCoreShare: number;
+  readonly maxRssMb: number;
+}
+
+/** Options of {@link buildReport}. */
+export interface BuildReportOptions {
+  readonly requests: readonly TimedRequest[];
+  readonly runs: readonly LedgerRun[];
+  readonly verdict: Verdict;
+  readonly usageBefore: readonly ProcessUsage[];
+  readonly usageAfter: readonly ProcessUsage[];
+  readonly elapsedMs: number;
+  readonly storeCalls: number;
+}
+
+/** What a run of the bench has measured. */
+export interface BenchReport {
+  readonly routes: readonly RouteFigures[];
+  readonly classes: readonly Attainment[];
+  readonly organisations: readonly Attainment[];
+  readonly refusals: readonly RefusalCount[];
+  readonly costs: readonly StageCost[];
+  readonly usage: readonly RoleUsage[];
+  readonly storeCallsPerSecond: number;
+  readonly verdict: Verdict;
+}
+
+const MS_PER_SECOND = 1_000;
+const BYTES_PER_MB = 1_048_576;
+const ROLES: readonly ProcessRole[] = ['entry', 'gate', 'fakes'];
+
+/** Works the figures of a run out. */
+export function buildReport(opts: BuildReportOptions): BenchReport {
+  const { requests } = opts;
+  return {
+    routes: routeFigures(requests),
+    classes: attainments(requests, ({ priority }) => priority),
+    organisations: attainments(requests, ({ organisation }) => organisation),
+    refusals: countRefusals(requests),
+    costs: costsOf(opts.runs, requests.filter(isInTime).length),
+    usage: ROLES.map((role) => usageOf(role, opts)),
+    storeCallsPerSecond: (opts.storeCalls / opts.elapsedMs) * MS_PER_SECOND,
+    verdict: opts.verdict,
+  };
+}
+
+function attainments(
+  requests: readonly TimedRequest[],
+  nameOf: (request: TimedRequest) => string,
+): readonly Attainment[] {
+  const groups = pipe(requests, RA.toArray, NEA.groupBy(nameOf));
+  const all: readonly (readonly [string, readonly TimedRequest[]])[] = [
+    ...Object.entries(groups),
+    ['all', requests],
+  ];
+  return all.map(([name, group]) => ({
+    name,
+    sent: group.length,
+    attainment: group.filter(isInTime).length / Math.max(1, group.length),
+  }));
+}
+
+function countRefusals(requests: readonly TimedRequest[]): readonly RefusalCount[] {
+  const refusals = requests.flatMap(({ end }) => (end.kind === 'refused' ? [end] : []));
+  const groups = pipe(
+    refusals,
+    NEA.groupBy(({ code, outcome }) => `${code} ${outcome}`),
+  );
+  return Object.values(groups).map((group) => ({
+    code: group[0].code,
+    outcome: group[0].outcome,
+    count: group.length,
+  }));
+}
+
+function costsOf(runs: readonly LedgerRun[], inTime: number): readonly StageCost[] {
+  const groups = pipe(
+    runs,
+    RA.toArray,
+    NEA.groupBy(({ group }) => group),
+  );
+  return Object.entries(groups).map(([group, ofGroup]) => {
+    const busyMs = ofGroup.reduce((sum, { runMs }) => sum + runMs, 0);
+    return {
+      group,
+      runs: ofGroup.length,
+      wastedRuns: ofGroup.filter(({ how }) => how !== 'answered').length,
+      crashes: ofGroup.filter(({ how }) => how === 'crashed').length,
+      busyMs,
+      busyMsPerInTime: busyMs / Math.max(1, inTime),
+    };
+  });
+}
+
+function usageOf(role: ProcessRole, opts: BuildReportOptions): RoleUsage {
+  const before = new Map(opts.usageBefore.map(({ name, cpuMs }) => [name, cpuMs]));
+  const ofRole = opts.usageAfter.filter((usage) => usage.role === role);
+  // A process that was started again meanwhile has spent less than before.
+  const shares = ofRole.map(
+    ({ name, cpuMs }) => Math.max(0, cpuMs - (before.get(name) ?? 0)) / opts.elapsedMs,
+  );
+  const maxRssBytes = Math.max(0, ...ofRole.map(({ rssBytes }) => rssBytes));
+  return {
+    role,
+    processes: ofRole.length,
+    meanCoreShare: shares.reduce((sum, share) => sum + share, 0) / Math.max(1, shares.length),
+    maxCoreShare: Math.max(0, ...shares),
+    maxRssMb: maxRssBytes / BYTES_PER_MB,
+  };
+}
--- /dev/null
+++ b/bench/src/report/renderReport.ts
@@ -0,0 +1,76 @@
+import Table from 'cli-table3';
+
+import type { BenchReport } from './benchReport.js';
+import { renderRouteTable } from './routeTable.js';
+
+const PERCENT = 100;
+
+/** Violations that are printed of each run; the report file has all. */
+const SHOWN_VIOLATIONS = 20;
+
+/** A report for a terminal. */
+export function renderReport(report: BenchReport): string {
+  const { verdict } = report;
+  return [
+    renderRouteTable(report.routes),
+    renderTable(
+      ['answered in time', 'sent', 'share'],
+      [...report.classes, ...report.organisations.slice(0, -1)].map((row) => [
+        row.name,
+        row.sent,
+        percent(row.attainment),
+      ]),
+    ),
+    renderTable(
+      ['refusal', 'outcome', 'count'],
+      report.refusals.map((row) => [row.code, row.outcome, row.count]),
+    ),
+    renderTable(
+      ['group', 'runs', 'wasted', 'crashes', 'busy ms', 'busy ms for one in time'],
+      report.costs.map((row) => [
+        row.group,
+        row.runs,
+        row.wastedRuns,
+        row.crashes,
+        row.busyMs.toFixed(0),
+        row.busyMsPerInTime.toFixed(1),
+      ]),
+    ),
+    renderTable(
+      ['role', 'processes', 'mean core', 'max core', 'max RSS MB'],
+      report.usage.map((row) => [
+        row.role,
+        row.processes,
+        percent(row.meanCoreShare),
+        percent(row.maxCoreShare),
+        row.maxRssMb.toFixed(0),
+      ]),
+    ),
+    `${report.storeCallsPerSecond.toFixed(1)} store calls a second`,
+    ...verdict.violations
+      .slice(0, SHOWN_VIOLATIONS)
+      .map(({ kind, requestId, detail }) => `${kind}: request ${requestId}: ${detail}`),
+    `${verdict.violations.length} violations`,
+  ].join('\n');
+}
+
+/** The line that says what came of every request. */
+export function renderCounts(
+  verdict: Pick<BenchReport['verdict'], 'answered' | 'crossed' | 'doubled' | 'lost' | 'refused'>,
+): string {
+  const { answered, refused, lost, doubled, crossed } = verdict;
+  return `${answered} answered, ${refused} refused, ${lost} lost, ${doubled} doubled, ${crossed} crossed`;
+}
+
+function renderTable(
+  head: readonly string[],
+  rows: readonly (readonly (number | string)[])[],
+): string {
+  const table = new Table({ head: [...head], style: { head: [], border: [] } });
+  table.push(...rows.map((row) => [...row]));
+  return table.toString();
+}
+
+function percent(share: number): string {
+  return `${(share * PERCENT).toFixed(1)} %`;
+}
--- /dev/null
+++ b/bench/src/scenario/runScenario.ts
@@ -0,0 +1,101 @@
+import type { TimerService } from '@galenatiller/timer';
+
+import { checkHistory } from '../checker/checkHistory.js';
+import type { Deployment } from '../launcher/deployment.js';
+import { DEFAULT_SPEED } from '../launcher/fakePlan.js';
+import type { RoutingPolicy } from '../launcher/renderSettings.js';
+import { type RunningDeployment, startDeployment } from '../launcher/startDeployment.js';
+import { REQUEST_MIXES } from '../load/requestMix.js';
+import { runLoad } from '../load/runLoad.js';
+import { type BenchReport, buildReport } from '../report/benchReport.js';
+import { describeOrder, runOrders } from './runOrders.js';
+import type { Scenario } from './scenario.js';
+
+/** Options of {@link runScenario}. */
+export interface RunScenarioOptions {
+  readonly deployment: Deployment;
+  readonly scenario: Scenario;
+  readonly timer: TimerService;
+  readonly seed: number;
+  readonly durationMs: number;
+  readonly routingPolicy: RoutingPolicy;
+  /** Prints one line of progress. */
+  readonly say: (text: string) => void;
+  /** Called before the deployment is stopped. */
+  readonly beforeStop?: (deployment: RunningDeployment) => Promise<void>;
+}
+
+/** Share of at-most-once requests that are sent a second time with their key. */
+const REPEAT_SHARE = 0.2;
+
+const PROGRESS_INTERVAL_MS = 3_000;
+
+/** Runs that a caller gave up on end at their targets a little later. */
+const LEDGER_SETTLE_MS = 500;
+
+/** Starts a deployment, runs a scenario on it, stops it and reports. */
+export async function runScenario(opts: RunScenarioOptions): Promise<BenchReport> {
+  const { scenario, say, deployment: plan } = opts;
+  say('starting');
+  const speed = { ...DEFAULT_SPEED, ...scenario.speed };
+  const deployment = await startDeployment({ ...opts, speed });
+  try {
+    say(`${deployment.entryUrls.length} entries, ${deployment.gateNames.length} gates`);
+    const report = await measure(opts, deployment, plan);
+    await opts.beforeStop?.(deployment);
+    return report;
+  } finally {
+    await deployment.stop();
+  }
+}
+
+async function measure(
+  opts: RunScenarioOptions,
+  deployment: RunningDeployment,
+  plan: Deployment,
+): Promise<BenchReport> {
+  const { timer, scenario, durationMs, seed, say } = opts;
+  let ended = 0;
+  const stopProgress = timer.every({
+    intervalMs: PROGRESS_INTERVAL_MS,
+    notify: () => say(`${ended} requests have ended`),
+  });
+  const usageBefore = await deployment.usage();
+  const callsBefore = await countStoreCalls(deployment);
+  const startMs = timer.nowMs();
+  const [requests] = await Promise.all([
+    runLoad({
+      ...scenario,
+      ...{ timer, seed, durationMs },
+      mix: REQUEST_MIXES[plan.name],
+      repeatShare: REPEAT_SHARE,
+      poisonMarker: scenario.speed.poisonMarker ?? '',
+      configuration: deployment.configuration,
+      entryUrls: deployment.entryUrls,
+      onEnded: () => {
+        ended += 1;
+      },
+    }),
+    runOrders({
+      ...{ deployment, timer, durationMs },
+      orders: scenario.orders,
+      onOrder: (order) => say(describeOrder(order)),
+    }),
+  ]);
+  const elapsedMs = timer.nowMs() - startMs;
+  stopProgress();
+  const usageAfter = await deployment.usage();
+  const storeCalls = (await countStoreCalls(deployment)) - callsBefore;
+  await timer.sleep({ delayMs: LEDGER_SETTLE_MS });
+  const ledgers = await deployment.collect();
+  const verdict = checkHistory({ requests, ...ledgers, zoneOrders: deployment.zoneOrders });
+  const { runs } = ledgers;
+  return buildReport({
+    ...{ requests, runs, verdict, usageBefore, usageAfter, elapsedMs, storeCalls },
+  });
+}
+
+async function countStoreCalls(deployment: RunningDeployment): Promise<number> {
+  const calls = await deployment.storeCalls();
+  return Object.values(calls).reduce((sum, count) => sum + count, 0);
+}
--- a/bench/src/scenario/scenario.ts
+++ b/bench/src/scenario/scenario.ts
@@ -1,7 +1,6 @@
 /** A scenario: a load, and orders that bring faults about while it runs. */
 import type { FaultOrder } from '@galenatiller/fakes';
 
-import type { Deployment } from '../launcher/deployment.js';
 import type { FakeSpeed } from '../launcher/fakePlan.js';
 import type { StoreFaults } from '../launcher/startDeployment.js';
 
@@ -26,14 +25,6 @@
   readonly order: BenchOrder;
 }
 
-/** What a scenario draws its parts from. */
-export interface ScenarioContext {
-  readonly deployment: Deployment;
-  readonly durationMs: number;
-  /** Arrivals per second that the deployment bears well. */
-  readonly steadyRate: number;
-}
-
 /** A load and the orders during it. */
 export interface Scenario {
   readonly ratePerSecond: (elapsedMs: number) => number;
--- /dev/null
+++ b/bench/src/scenario/scenarios.ts
@@ -0,0 +1,154 @@
+/** The scenarios by name: short lists of load and fault orders. */
+import type { Deployment } from '../launcher/deployment.js';
+import type { BenchOrder, Scenario, ScheduledOrder } from './scenario.js';
+
+/** Names of the scenarios that send the mixed load. */
+export const SCENARIO_NAMES = [
+  'steady',
+  'overload',
+  'burst',
+  'flood',
+  'cold',
+  'zone',
+  'badversion',
+  'poison',
+  'gatecrash',
+  'storeoutage',
+  'slowstage',
+] as const;
+
+/** Name of a scenario that sends the mixed load. */
+export type ScenarioName = (typeof SCENARIO_NAMES)[number];
+
+/** Text that crashes an engine in the scenario `poison`. */
+const POISON_MARKER = '[poison] ';
+
+/** Arrivals per second that each deployment bears well. */
+const STEADY_RATE = 30;
+
+const STEADY: Scenario = {
+  ratePerSecond: () => STEADY_RATE,
+  orders: [],
+  speed: {},
+  poisonShare: 0,
+  floodOrganisation: '',
+};
+
+const NEW_VERSION = 'v2';
+const NEW_VERSION_ENGINES = ['drafter-1', 'drafter-2'];
+
+/** What a scenario is made from. */
+interface ScenarioContext {
+  readonly deployment: Deployment;
+  /** Time of the load. */
+  readonly durationMs: number;
+}
+
+const SCENARIOS: Readonly<Record<ScenarioName, (context: ScenarioContext) => Scenario>> = {
+  steady: () => STEADY,
+  overload: () => ({ ...STEADY, ratePerSecond: () => 4 * STEADY_RATE }),
+  burst: ({ durationMs }) => ({
+    ...STEADY,
+    ratePerSecond: (elapsedMs) =>
+      isBetween(elapsedMs / durationMs, 0.4, 0.55) ? 4 * STEADY_RATE : STEADY_RATE,
+  }),
+  flood: ({ deployment }) => ({
+    ...STEADY,
+    ratePerSecond: () => 3 * STEADY_RATE,
+    floodOrganisation: deployment.floodOrganisation,
+  }),
+  cold: () => ({ ...STEADY, ratePerSecond: () => 1.5 * STEADY_RATE, orders: coldOrders() }),
+  zone: ({ deployment }) => ({
+    ...STEADY,
+    orders: zoneOrders(deployment.availabilityZones[0] ?? ''),
+  }),
+  badversion: () => ({ ...STEADY, orders: badVersionOrders() }),
+  poison: () => ({ ...STEADY, poisonShare: 0.02, speed: { poisonMarker: POISON_MARKER } }),
+  gatecrash: () => ({ ...STEADY, orders: gateCrashOrders() }),
+  storeoutage: () => ({ ...STEADY, orders: storeOutageOrders() }),
+  slowstage: () => ({ ...STEADY, orders: slowStageOrders() }),
+};
+
+/** Makes a scenario for a deployment. */
+export function scenarioOf(name: ScenarioName, context: ScenarioContext): Scenario {
+  return SCENARIOS[name](context);
+}
+
+function isBetween(value: number, from: number, to: number): boolean {
+  return value >= from && value < to;
+}
+
+function at(atShare: number, order: BenchOrder): ScheduledOrder {
+  return { atShare, order };
+}
+
+function coldOrders(): readonly ScheduledOrder[] {
+  const turn = (targetName: string): BenchOrder => ({
+    kind: 'fault',
+    targetName,
+    fault: { kind: 'cold' },
+  });
+  return [
+    at(0.2, turn('drafter-1')),
+    at(0.35, turn('drafter-2')),
+    at(0.35, turn('drafter-3')),
+    at(0.5, { kind: 'fault', targetName: 'drafter-4', fault: { kind: 'crash' } }),
+    at(0.7, turn('drafter-1')),
+  ];
+}
+
+function zoneOrders(availabilityZone: string): readonly ScheduledOrder[] {
+  return [
+    at(0.3, { kind: 'zone', availabilityZone, state: 'out' }),
+    at(0.7, { kind: 'zone', availabilityZone, state: 'in' }),
+  ];
+}
+
+function badVersionOrders(): readonly ScheduledOrder[] {
+  const bad = { version: NEW_VERSION, errorShare: 0.5, slowFactor: 1 };
+  const quality = { ...bad, afterRuns: 0, aboveLoad: 0, route: '' };
+  return [
+    ...NEW_VERSION_ENGINES.map((targetName) =>
+      at(0.1, { kind: 'fault', targetName, fault: { kind: 'version', quality } }),
+    ),
+    at(0.15, {
+      kind: 'move',
+      targetGroup: 'drafter',
+      toVersion: NEW_VERSION,
+      targetNames: NEW_VERSION_ENGINES,
+    }),
+  ];
+}
+
+function gateCrashOrders(): readonly ScheduledOrder[] {
+  return [
+    at(0.3, { kind: 'kill-gate', gateName: 'target-host-1' }),
+    at(0.45, { kind: 'kill-gate', gateName: 'target-host-2' }),
+    at(0.6, { kind: 'restart-gate', gateName: 'target-host-1' }),
+    at(0.7, { kind: 'restart-gate', gateName: 'target-host-2' }),
+  ];
+}
+
+/** A gate is replaced meanwhile: it has to start without the store. */
+function storeOutageOrders(): readonly ScheduledOrder[] {
+  return [
+    at(0.2, { kind: 'store', faults: { outage: true } }),
+    at(0.3, { kind: 'kill-gate', gateName: 'target-host-1' }),
+    at(0.4, { kind: 'restart-gate', gateName: 'target-host-1' }),
+    at(0.7, { kind: 'store', faults: { outage: false } }),
+  ];
+}
+
+function slowStageOrders(): readonly ScheduledOrder[] {
+  const slow = (targetName: string, factor: number): BenchOrder => ({
+    kind: 'fault',
+    targetName,
+    fault: { kind: 'slow', factor },
+  });
+  return [
+    at(0.25, slow('encoder-1', 60)),
+    at(0.25, slow('drafter-3', 8)),
+    at(0.7, slow('encoder-1', 1)),
+    at(0.7, slow('drafter-3', 1)),
+  ];
+}
