--- a/packages/gate/test/queueProperties.steps.ts
+++ b/packages/gate/test/queueProperties.steps.ts
@@ -37,7 +37,7 @@
 Then('the work of any two that both wait differs by at most one order of each, by weight', () => {
   const anyStep = fc.oneof({ weight: 2, arbitrary: anyOrder }, fc.constant('take' as const));
   fc.assert(
-    fc.property(fc.array(anyStep, { maxLength: 120 }), (steps) => {
+    fc.property(fc.array(anyStep, { maxLength: 200, size: 'max' }), (steps) => {
       const queue = StageQueue.create<QueuedOrder>({ weightOf });
       const waiting = new Map<string, number>();
       const gaps = new Map<string, GapWatch>();
@@ -112,7 +112,7 @@
       fc.nat(10).map((limit) => ({ kind: 'shed' as const, limit })),
     );
     fc.assert(
-      fc.property(fc.array(anyStep, { maxLength: 80 }), (steps) => {
+      fc.property(fc.array(anyStep, { maxLength: 80, size: 'max' }), (steps) => {
         const queue = this.policy.createQueue<QueuedOrder>({ weightOf });
         const pushed: QueuedOrder[] = [];
         const waiting = new Set<QueuedOrder>();
@@ -151,17 +151,22 @@
 
 Then('the orders ahead of a new one are those that are taken before it', () => {
   fc.assert(
-    fc.property(fc.array(anyOrderOfBoth), fc.nat(20), anyOrderOfBoth, (orders, takes, last) => {
-      const queue = StageQueue.create<QueuedOrder>({ weightOf });
-      orders.forEach((order) => {
-        queue.push(order);
-      });
-      Array.from({ length: takes }).forEach(() => queue.take());
-      const ahead = queue.ordersAhead(last);
-      queue.push(last);
-      const ran = drainQueue(queue);
-      assert.deepEqual(ahead, ran.slice(0, ran.indexOf(last)));
-    }),
+    fc.property(
+      fc.array(anyOrderOfBoth, { size: 'large' }),
+      fc.nat(20),
+      anyOrderOfBoth,
+      (orders, takes, last) => {
+        const queue = StageQueue.create<QueuedOrder>({ weightOf });
+        orders.forEach((order) => {
+          queue.push(order);
+        });
+        Array.from({ length: takes }).forEach(() => queue.take());
+        const ahead = queue.ordersAhead(last);
+        queue.push(last);
+        const ran = drainQueue(queue);
+        assert.deepEqual(ahead, ran.slice(0, ran.indexOf(last)));
+      },
+    ),
     PROPERTY,
   );
 });
--- a/packages/gate/test/stageQueue.feature
+++ b/packages/gate/test/stageQueue.feature
@@ -45,6 +45,13 @@
       | small        | 1      | interactive | 700      | 50   |
     Then shedding to 2 orders gives up that of "small" with the deadline 700
 
+  Scenario: Batch orders of an organisation give way before its interactive ones
+    Given a stage queue with these orders
+      | organisation | weight | priority    | deadline | cost |
+      | large        | 1      | interactive | 900      | 300  |
+      | large        | 1      | batch       | 700      | 300  |
+    Then shedding to 1 orders gives up that of "large" with the deadline 700
+
   Scenario: Orders that can't be in time leave the queue before they run
     Given a stage queue with these orders
       | organisation | weight | priority    | deadline | cost |
