--- a/packages/pool/test/pool.steps.ts
+++ b/packages/pool/test/pool.steps.ts
@@ -22,12 +22,13 @@
     port: 0,
     seed: 1,
     restartMs: 1,
+    version: 'v1',
     serviceMs: 1,
     concurrency: 2,
   });
 });
 
-After(function after(this: Partial<PoolWorld>) {
+After({ tags: '@pool' }, function after(this: Partial<PoolWorld>) {
   return this.fakePool?.close();
 });
 
--- a/packages/service/test/service.steps.ts
+++ b/packages/service/test/service.steps.ts
@@ -24,12 +24,13 @@
     port: 0,
     seed: 1,
     restartMs: 1,
+    version: 'v1',
     serviceMs: 1,
     concurrency: 2,
   });
 });
 
-After(function after(this: Partial<ServiceWorld>) {
+After({ tags: '@service' }, function after(this: Partial<ServiceWorld>) {
   return this.fakeService?.close();
 });
 
