Look ahead in the queue in linear time, and bound its length to 1000

A queue's look ahead copied the orders of an organisation for each one taken. It now steps over them.

--- a/packages/gate/src/fairShares.ts
+++ b/packages/gate/src/fairShares.ts
@@ -9,8 +9,9 @@
 /** The waiting orders of one organisation. */
 interface Share<Order> {
   readonly organisation: string;
-  /** Sorted by deadline, the earliest first. */
+  /** Sorted by deadline, the earliest first; those before `taken` have left. */
   readonly orders: readonly Order[];
+  readonly taken: number;
   /** Virtual time at which the next order starts: cost served so far over weight. */
   readonly startTag: number;
 }
@@ -34,35 +35,36 @@
 
   /** Every waiting order. */
   get orders(): readonly Order[] {
-    return [...this.shares.values()].flatMap((share) => share.orders);
+    return [...this.shares.values()].flatMap(waitingOf);
   }
 
   /** The order that `take` takes. */
   get next(): Maybe<Order> {
-    return Maybe.of(this.firstShare()?.orders[0]);
+    return Maybe.of(headOf(this.firstShare()));
   }
 
   /** Adds an order. */
   push(order: Order): void {
     const { organisation } = order;
-    const share = this.shares.get(organisation) ?? { organisation, orders: [], startTag: 0 };
+    const share = this.shares.get(organisation);
+    const waiting = share ? waitingOf(share) : [];
+    const lastTag = share?.startTag ?? 0;
     // An organisation that did not wait earns no credit for the time that it was away.
-    const startTag =
-      share.orders.length === 0 ? Math.max(share.startTag, this.virtualTime) : share.startTag;
-    const orders = insertByDeadline(share.orders, order);
-    this.shares.set(organisation, { organisation, orders, startTag });
+    const startTag = waiting.length === 0 ? Math.max(lastTag, this.virtualTime) : lastTag;
+    const orders = insertByDeadline(waiting, order);
+    this.shares.set(organisation, { organisation, orders, taken: 0, startTag });
   }
 
   /** Takes the next order and charges its organisation for it. */
   take(): Maybe<Order> {
     const share = this.firstShare();
-    const [order, ...orders] = share?.orders ?? [];
+    const order = headOf(share);
     if (!share || !order) {
       return Maybe.nothing();
     }
     this.virtualTime = share.startTag;
     const startTag = share.startTag + costOf(order) / this.weightOf(share.organisation);
-    this.shares.set(share.organisation, { ...share, orders, startTag });
+    this.shares.set(share.organisation, { ...share, taken: share.taken + 1, startTag });
     this.forgetIdle();
     return Maybe.just(order);
   }
@@ -70,11 +72,12 @@
   /** Takes one order out without charge; false when it does not wait. */
   remove(order: Order): boolean {
     const share = this.shares.get(order.organisation);
-    if (!share?.orders.includes(order)) {
+    const waiting = share ? waitingOf(share) : [];
+    if (!share || !waiting.includes(order)) {
       return false;
     }
-    const orders = share.orders.filter((other) => other !== order);
-    this.shares.set(share.organisation, { ...share, orders });
+    const orders = waiting.filter((other) => other !== order);
+    this.shares.set(share.organisation, { ...share, orders, taken: 0 });
     this.forgetIdle();
     return true;
   }
@@ -87,7 +90,7 @@
   private firstShare(): Share<Order> | undefined {
     let first: Share<Order> | undefined;
     this.shares.forEach((share) => {
-      if (share.orders.length > 0 && (!first || goesBefore(share, first))) {
+      if (headOf(share) && (!first || goesBefore(share, first))) {
         first = share;
       }
     });
@@ -97,7 +100,7 @@
   /** A share without orders whose tag has been passed is as good as a new one. */
   private forgetIdle(): void {
     this.shares.forEach((share, organisation) => {
-      if (share.orders.length === 0 && share.startTag <= this.virtualTime) {
+      if (!headOf(share) && share.startTag <= this.virtualTime) {
         this.shares.delete(organisation);
       }
     });
@@ -113,11 +116,19 @@
   return Math.max(MIN_COST_MS, order.expectedRunMs);
 }
 
+function headOf<Order>(share: Share<Order> | undefined): Order | undefined {
+  return share?.orders[share.taken];
+}
+
+function waitingOf<Order>(share: Share<Order>): readonly Order[] {
+  return share.orders.slice(share.taken);
+}
+
 function goesBefore<Order extends QueuedOrder>(left: Share<Order>, right: Share<Order>): boolean {
   if (left.startTag !== right.startTag) {
     return left.startTag < right.startTag;
   }
-  return (left.orders[0]?.deadlineAtMs ?? 0) < (right.orders[0]?.deadlineAtMs ?? 0);
+  return (headOf(left)?.deadlineAtMs ?? 0) < (headOf(right)?.deadlineAtMs ?? 0);
 }
 
 /** Orders with the same deadline stay in the order of their arrival. */
--- a/packages/settings/src/settingKeys.ts
+++ b/packages/settings/src/settingKeys.ts
@@ -176,7 +176,7 @@
     meaning: 'Most requests that wait at the gate for the target.',
     unit: 'requests',
     min: 0,
-    max: 100_000,
+    max: 1_000,
     defaultText: '64',
   }),
 } satisfies KeyTable;
