--- a/fakes/src/main.ts
+++ b/fakes/src/main.ts
@@ -1,5 +1,6 @@
 /** Runs one fake as a process: `node fakes/dist/main.js --kind engine --port 9001`. */
 import { once } from 'node:events';
+import type { AddressInfo } from 'node:net';
 
 import { systemClock, TimerService } from '@galenatiller/timer';
 import { Command, Option } from 'commander';
@@ -13,9 +14,11 @@
 import type { FakeTargetOptions } from './createFakeTarget.js';
 import { createFakeWeightStore } from './createFakeWeightStore.js';
 import type { FakeEngineSettings } from './engine/engineSettings.js';
+import { createFakeStoreServer } from './store/createFakeStoreServer.js';
+import { FakeStore } from './store/fakeStore.js';
 
 /** The kinds of fakes that run as a process. */
-const KINDS = ['engine', 'pool', 'service', 'hostList', 'statsd', 'weightStore'] as const;
+const KINDS = ['engine', 'pool', 'service', 'hostList', 'statsd', 'store', 'weightStore'] as const;
 
 /** What a cold engine does with too many requests. */
 const COLD_OVERLOADS = ['crash', 'fail', 'refuse'] as const;
@@ -107,12 +110,30 @@
     service: () => createFakeService(work),
     hostList: () => createFakeHostList({ timer, port: opts.port, lagMs: opts.lagMs }),
     statsd: () => createFakeStatsd({ port: opts.port }),
+    store: () => startStore({ timer, port: opts.port }),
     weightStore: () =>
       createFakeWeightStore({ timer, port: opts.port, callsPerSecond: opts.callsPerSecond }),
   };
   return starters[opts.kind]();
 }
 
+async function startStore(opts: {
+  readonly timer: TimerService;
+  readonly port: number;
+}): Promise<RunningFake> {
+  const server = createFakeStoreServer({ store: FakeStore.create({ timer: opts.timer }) });
+  server.listen(opts.port, '127.0.0.1');
+  await once(server, 'listening');
+  return {
+    url: `http://127.0.0.1:${(server.address() as AddressInfo).port}`,
+    close: async () => {
+      server.close();
+      server.closeAllConnections();
+      await once(server, 'close');
+    },
+  };
+}
+
 function engineSettings(opts: Options): Omit<FakeEngineSettings, keyof FakeTargetOptions> {
   return {
     speed: {
--- a/packages/engine/test/crashLedger.feature
+++ b/packages/engine/test/crashLedger.feature
@@ -1,3 +1,4 @@
+@engine
 Feature: Requests that crash the targets that run them
   A content is stopped after two distinct targets, whichever entries it came through.
 
--- a/packages/engine/test/engineOrders.feature
+++ b/packages/engine/test/engineOrders.feature
@@ -1,3 +1,4 @@
+@engine
 Feature: Orders to engines, their load and their cache events
   Orders of former lease holders are refused, also by engines that obey any.
 
--- a/packages/engine/test/engineOrders.steps.ts
+++ b/packages/engine/test/engineOrders.steps.ts
@@ -39,7 +39,7 @@
   },
 );
 
-After(function after(this: Partial<OrdersWorld>) {
+After({ tags: '@engine' }, function after(this: Partial<OrdersWorld>) {
   return this.orderedEngine?.close();
 });
 
--- a/packages/engine/test/prefixCache.feature
+++ b/packages/engine/test/prefixCache.feature
@@ -1,3 +1,4 @@
+@engine
 Feature: Expected prefix caches
   Late and gappy events give a belief that fades with age and with lost events.
 
--- a/packages/weightStore/test/weightStore.feature
+++ b/packages/weightStore/test/weightStore.feature
@@ -1,3 +1,4 @@
+@weightStore
 Feature: The weight store within its rate
   The client waits its turn, and pauses when the store says that it has had enough.
 
--- a/packages/weightStore/test/weightStore.steps.ts
+++ b/packages/weightStore/test/weightStore.steps.ts
@@ -54,7 +54,7 @@
   },
 );
 
-After(function after(this: Partial<WeightWorld>) {
+After({ tags: '@weightStore' }, function after(this: Partial<WeightWorld>) {
   return this.fakeWeightStore?.close();
 });
 
