--- a/packages/daemon/src/galenatillerd.ts
+++ b/packages/daemon/src/galenatillerd.ts
@@ -22,6 +22,8 @@
     process.stderr.write(text);
   },
 });
+// Whatever still runs has been cut by now; open handles must not hold the process.
+// eslint-disable-next-line n/no-process-exit
 process.exit(exitCode);
 
 function onSignal(notify: (signal: StopSignal) => void): Cancel {
