Wire cold-start limits, fair deadline queues and crash records into the gate

Every order for a target passes one admission: an early, true refusal, the queue by class, organisation and deadline, and a limit that grows by evidence. Crash records are flooded over the links, so that a content that crashed two targets is stopped at every entry and gate. Events go to the time line.

--- a/features/schedules.steps.ts
+++ b/features/schedules.steps.ts
@@ -2,7 +2,11 @@
 
 import { Then } from '@cucumber/cucumber';
 import { standardPolicy } from '@galenatiller/entry';
-import { createMemoryRunRecords, createStoreRunRecords } from '@galenatiller/gate';
+import {
+  createMemoryRunRecords,
+  createStoreRunRecords,
+  standardPolicy as gatePolicy,
+} from '@galenatiller/gate';
 import { RunRecords } from '@galenatiller/store';
 import fc from 'fast-check';
 import { uniformFloat64 } from 'pure-rand/distribution/uniformFloat64';
@@ -13,6 +17,7 @@
 
 const STANDARD: FleetMechanisms = {
   policy: standardPolicy,
+  gatePolicy,
   createRunRecords: (opts) =>
     createStoreRunRecords({ records: RunRecords.create({ ...opts, groupWindowMs: 4 }) }),
 };
--- a/features/support/fleet/fleetNodes.ts
+++ b/features/support/fleet/fleetNodes.ts
@@ -114,6 +114,9 @@
       service: (opts) => onClock(timer, target?.call(opts)),
       pool: unused,
     },
+    probeTarget: () => Promise.resolve(target?.isUp === false ? 'crashed' : 'alive'),
+    policy: world.mechanisms.gatePolicy,
+    record: () => {},
     runRecords: world.mechanisms.createRunRecords({ store, ...identity, timer }),
     followConfiguration: follow(world, timer, store),
   });
@@ -138,6 +141,7 @@
     identity,
     timer,
     policy: world.mechanisms.policy,
+    record: () => {},
     random: world.random,
     openLink: (host) => openLink(world, node, host),
     followConfiguration: follow(world, timer, store),
--- a/features/support/fleet/fleetTypes.ts
+++ b/features/support/fleet/fleetTypes.ts
@@ -1,5 +1,5 @@
 import type { EntryPolicy } from '@galenatiller/entry';
-import type { RunRecordKeeper } from '@galenatiller/gate';
+import type { GatePolicy, RunRecordKeeper } from '@galenatiller/gate';
 import type { StoreClient } from '@galenatiller/store';
 import type { TimerService } from '@galenatiller/timer';
 
@@ -54,5 +54,6 @@
 /** The mechanisms that a run uses; tests swap one for a plain one to see the checker refute it. */
 export interface FleetMechanisms {
   readonly policy: EntryPolicy;
+  readonly gatePolicy: GatePolicy;
   readonly createRunRecords: (opts: CreateRunRecordsOptions) => RunRecordKeeper;
 }
--- a/features/support/fleet/targetModel.ts
+++ b/features/support/fleet/targetModel.ts
@@ -50,6 +50,11 @@
     return new TargetModel(opts.timer, opts);
   }
 
+  /** False after a crash until the restart. */
+  get isUp(): boolean {
+    return !this.isDown;
+  }
+
   /** Changes the given faults and leaves the others. */
   order(faults: Partial<TargetFaults>): void {
     this.faults = { ...this.faults, ...faults };
--- a/features/support/pathDeployment.ts
+++ b/features/support/pathDeployment.ts
@@ -2,7 +2,8 @@
 import { runGeneration } from '@galenatiller/engine';
 import { runEntry, standardPolicy } from '@galenatiller/entry';
 import type { FakeService, FakeTarget } from '@galenatiller/fakes';
-import { createMemoryRunRecords, runGate } from '@galenatiller/gate';
+import { createMemoryRunRecords, runGate, standardPolicy as gatePolicy } from '@galenatiller/gate';
+import { probeIdentity } from '@galenatiller/http';
 import { runPoolStage } from '@galenatiller/pool';
 import { runServiceCall } from '@galenatiller/service';
 import type { TargetSettings } from '@galenatiller/settings';
@@ -62,6 +63,9 @@
       },
       timer,
       stop: world.stopGate.signal,
+      policy: gatePolicy,
+      probeTarget: probeIdentity,
+      record: () => {},
       runners: { engine: runGeneration, pool: runPoolStage, service: runServiceCall },
       runRecords: createMemoryRunRecords(),
       followConfiguration: (onConfiguration, signal) => {
@@ -93,6 +97,7 @@
       timer,
       stop: world.stopEntry.signal,
       policy: standardPolicy,
+      record: () => {},
       random: () => 0,
       followConfiguration: (onConfiguration, signal) => {
         onConfiguration(configuration);
--- a/packages/engine/src/crashLedger.ts
+++ b/packages/engine/src/crashLedger.ts
@@ -64,11 +64,11 @@
     return record;
   }
 
-  /** Takes in records of others; records that are known already change nothing. */
-  merge(records: readonly CrashRecord[]): void {
+  /** Takes in records of others and returns those that were news; known ones change nothing. */
+  merge(records: readonly CrashRecord[]): readonly CrashRecord[] {
     const news = records.filter((record) => this.isNews(record));
     if (news.length === 0) {
-      return;
+      return news;
     }
     const merged = new Map(this.newest);
     news.forEach((record) => {
@@ -80,6 +80,7 @@
     const kept = [...merged].sort(([, left], [, right]) => compareRecords(left, right));
     this.newest = new Map(kept.slice(0, this.opts.maxRecords));
     this.byFingerprint = groupByFingerprint([...this.newest.values()]);
+    return news;
   }
 
   /** Whether a content may run. */
--- a/packages/entry/src/callContext.ts
+++ b/packages/entry/src/callContext.ts
@@ -1,5 +1,6 @@
 import type { Call, TakePart } from '@galenatiller/caller';
-import type { Logger } from '@galenatiller/logger';
+import type { CrashLedger } from '@galenatiller/engine';
+import type { RecordOptions } from '@galenatiller/timeline';
 import type { TimerService } from '@galenatiller/timer';
 import type { Configuration, RouteRule } from '@galenatiller/types';
 
@@ -18,7 +19,8 @@
   readonly directory: GateDirectory;
   readonly policy: EntryPolicy;
   readonly timer: TimerService;
-  readonly logger: Logger;
+  readonly record: (event: RecordOptions) => void;
+  readonly crashes: CrashLedger;
   readonly random: () => number;
   readonly ownAvailabilityZone: string;
   readonly takePart: TakePart;
--- a/packages/entry/src/createEntry.ts
+++ b/packages/entry/src/createEntry.ts
@@ -1,9 +1,11 @@
 import type { Call, CallAnswer, TakePart } from '@galenatiller/caller';
 import { indexRules } from '@galenatiller/configuration';
+import { CrashLedger } from '@galenatiller/engine';
 import type { GalenatillerError } from '@galenatiller/error';
 import { createLogger } from '@galenatiller/logger';
-import type { NodeIdentity, ProvedLink } from '@galenatiller/node';
+import type { NodeFrame, NodeIdentity, ProvedLink } from '@galenatiller/node';
 import { TaskGroup } from '@galenatiller/tasks';
+import type { RecordOptions } from '@galenatiller/timeline';
 import type { TimerService } from '@galenatiller/timer';
 import type { Configuration, Host } from '@galenatiller/types';
 import type { Result } from 'true-myth';
@@ -20,6 +22,8 @@
   readonly policy: EntryPolicy;
   /** Uniform in [0, 1). */
   readonly random: () => number;
+  /** Records an event of the time line. */
+  readonly record: (event: RecordOptions) => void;
   readonly openLink: (host: Host) => Promise<Result<ProvedLink, GalenatillerError>>;
   /** Follows the configuration until the signal aborts. */
   readonly followConfiguration: (
@@ -61,11 +65,13 @@
   const ending = new AbortController();
   let configuration = indexRules({ revision: 0, rules: [] });
   const readConfiguration = (): Configuration => configuration;
-  const directory = createDirectory(opts, peers, readConfiguration);
+  const crashes = CrashLedger.create({ timer: opts.timer });
+  const directory = createDirectory({ ...opts, crashes, tasks: peers, readConfiguration });
 
   peers.start(() =>
     opts.followConfiguration((next) => {
       configuration = next;
+      opts.record({ kind: 'configuration-in-force', subject: String(next.revision) });
       logger({ message: `Revision ${next.revision} is in force.` });
     }, ending.signal),
   );
@@ -76,12 +82,10 @@
   );
 
   const shared = {
+    ...opts,
     readConfiguration,
     directory,
-    policy: opts.policy,
-    timer: opts.timer,
-    logger,
-    random: opts.random,
+    crashes,
     ownAvailabilityZone: opts.identity.availabilityZone,
   };
   return {
@@ -101,18 +105,27 @@
   };
 }
 
-function createDirectory(
-  opts: CreateEntryOptions,
-  tasks: TaskGroup,
-  readConfiguration: () => Configuration,
-): GateDirectory {
-  const { timer, random, openLink } = opts;
+interface CreateDirectoryOptions extends CreateEntryOptions {
+  readonly crashes: CrashLedger;
+  readonly tasks: TaskGroup;
+  readonly readConfiguration: () => Configuration;
+}
+
+function createDirectory(opts: CreateDirectoryOptions): GateDirectory {
   const logger = createLogger('link');
-  const readRevision = (): number => readConfiguration().revision;
-  return GateDirectory.create({
-    timer,
-    tasks,
-    follow: (gate, signal) =>
-      followGate({ gate, openLink, timer, logger, random, readRevision, signal }),
+  const readRevision = (): number => opts.readConfiguration().revision;
+  const directory = GateDirectory.create({
+    timer: opts.timer,
+    tasks: opts.tasks,
+    follow: (gate, signal) => followGate({ ...opts, gate, logger, readRevision, onFrame, signal }),
   });
+  return directory;
+
+  /** What one gate tells of crashes the others must know too. */
+  function onFrame(frame: NodeFrame): void {
+    const news = frame.kind === 'crashes' ? opts.crashes.merge(frame.records) : [];
+    if (news.length > 0) {
+      directory.gates.forEach((gate) => gate.send({ kind: 'crashes', records: news }));
+    }
+  }
 }
--- a/packages/entry/src/followGate.ts
+++ b/packages/entry/src/followGate.ts
@@ -1,6 +1,8 @@
+import type { CrashLedger } from '@galenatiller/engine';
 import type { GalenatillerError } from '@galenatiller/error';
 import type { Logger } from '@galenatiller/logger';
-import type { Link, ProvedLink } from '@galenatiller/node';
+import type { Link, NodeFrame, ProvedLink } from '@galenatiller/node';
+import type { RecordOptions } from '@galenatiller/timeline';
 import type { TimerService } from '@galenatiller/timer';
 import type { Host } from '@galenatiller/types';
 import type { Result } from 'true-myth';
@@ -15,6 +17,10 @@
   readonly logger: Logger;
   readonly random: () => number;
   readonly readRevision: () => number;
+  readonly crashes: CrashLedger;
+  readonly record: (event: RecordOptions) => void;
+  /** Takes frames that belong to no attempt. */
+  readonly onFrame: (frame: NodeFrame) => void;
   /** Aborts when the gate is not wanted any more. */
   readonly signal: AbortSignal;
 }
@@ -66,9 +72,12 @@
     },
   });
   gate.opened(link);
+  opts.record({ kind: 'link-opened', subject: gate.host.name });
+  gate.send({ kind: 'crashes', records: opts.crashes.records });
   try {
     for await (const frame of link.read()) {
       gate.receive(frame);
+      opts.onFrame(frame);
     }
   } catch (error) {
     opts.logger({ message: `Lost the link to ${gate.host.name}: ${String(error)}.` });
@@ -76,6 +85,7 @@
     cancelPings();
     signal.removeEventListener('abort', close);
     gate.closed();
+    opts.record({ kind: 'link-closed', subject: gate.host.name });
     link.close();
   }
 }
--- a/packages/entry/src/gateLink.ts
+++ b/packages/entry/src/gateLink.ts
@@ -1,5 +1,5 @@
 import { GalenatillerError } from '@galenatiller/error';
-import type { Link, NodeFrame } from '@galenatiller/node';
+import { endOfError, type Link, type NodeFrame } from '@galenatiller/node';
 import { Mailbox } from '@galenatiller/tasks';
 import type { TimerService } from '@galenatiller/timer';
 import type {
@@ -11,8 +11,6 @@
   TargetReport,
 } from '@galenatiller/types';
 
-import { endOfError } from './endOfError.js';
-
 /** What an attempt yields: parts in order, then one end. */
 export type StageProgress =
   | { readonly kind: 'part'; readonly part: StagePart }
--- a/packages/entry/src/runAttempt.ts
+++ b/packages/entry/src/runAttempt.ts
@@ -1,8 +1,8 @@
 import { GalenatillerError } from '@galenatiller/error';
+import { endOfError } from '@galenatiller/node';
 import type { StageEnd, StageOrder, StagePart } from '@galenatiller/types';
 
 import type { CallContext } from './callContext.js';
-import { endOfError } from './endOfError.js';
 import type { GateLink } from './gateLink.js';
 import type { Delivered } from './stageInput.js';
 
--- a/packages/entry/src/runCall.ts
+++ b/packages/entry/src/runCall.ts
@@ -1,6 +1,7 @@
 import type { Call, CallAnswer, TakePart } from '@galenatiller/caller';
 import { GalenatillerError } from '@galenatiller/error';
-import type { Logger } from '@galenatiller/logger';
+import type { CrashLedger } from '@galenatiller/engine';
+import type { RecordOptions } from '@galenatiller/timeline';
 import type { TimerService } from '@galenatiller/timer';
 import type { Configuration, StageRule } from '@galenatiller/types';
 import { Result } from 'true-myth';
@@ -17,7 +18,8 @@
   readonly directory: GateDirectory;
   readonly policy: EntryPolicy;
   readonly timer: TimerService;
-  readonly logger: Logger;
+  readonly record: (event: RecordOptions) => void;
+  readonly crashes: CrashLedger;
   readonly random: () => number;
   readonly ownAvailabilityZone: string;
 }
--- a/packages/entry/src/runEntry.ts
+++ b/packages/entry/src/runEntry.ts
@@ -18,6 +18,7 @@
   readonly stop: AbortSignal;
   readonly policy: CreateEntryOptions['policy'];
   readonly random: () => number;
+  readonly record: CreateEntryOptions['record'];
   readonly followConfiguration: CreateEntryOptions['followConfiguration'];
   readonly followHosts: CreateEntryOptions['followHosts'];
   /** Told of the callers' port once it listens. */
--- a/packages/entry/src/runStage.ts
+++ b/packages/entry/src/runStage.ts
@@ -1,3 +1,4 @@
+import { fingerprint } from '@galenatiller/engine';
 import {
   findResultCodeByNumber,
   GalenatillerError,
@@ -41,11 +42,15 @@
       return Result.err(endedEarly(context, proved));
     }
     const order = buildOrder(opts, used.length, delivered);
+    if (context.crashes.verdict(fingerprint(order)) === 'stopped') {
+      return Result.err(stoppedContent(stage, proved));
+    }
     const chosen = choose(opts, order, used);
     if (!chosen) {
       return Result.err(last ? errorOfEnd(last, proved) : noTarget(stage));
     }
     used.push(chosen.report.name);
+    recordAttempt(context, order, chosen);
     const attempt = await runAttempt({
       context,
       gateName: chosen.gateName,
@@ -55,9 +60,11 @@
     delivered = attempt.delivered;
     const { end } = attempt;
     if (end.code === 0 && end.result) {
+      recordEnd(context, order, end);
       return Result.ok({ result: end.result, delivered });
     }
     last = end;
+    recordEnd(context, order, end);
     proved = end.outcome === 'not-run' ? proved : 'may-have-run';
     const remainingMs = context.deadlineAtMs - timer.nowMs();
     const decision = policy.decideRetry({ stage, end, attempts: used.length, remainingMs, random });
@@ -110,6 +117,29 @@
     .unwrapOr(undefined);
 }
 
+function recordAttempt(context: CallContext, order: StageOrder, chosen: TargetView): void {
+  const { report } = chosen;
+  context.record({
+    kind: order.attempt === 0 ? 'stage-sent' : 'stage-retried',
+    requestId: order.requestId,
+    subject: report.name,
+    detail: `${order.stage}, attempt ${order.attempt}, ${report.inFlight} of ${report.inFlightLimit} running, ${Math.round(order.remainingMs)} ms left`,
+  });
+}
+
+function recordEnd(context: CallContext, order: StageOrder, end: StageEnd): void {
+  context.record({
+    kind: 'stage-ended',
+    requestId: order.requestId,
+    subject: order.stage,
+    detail: `${end.outcome} ${end.code} ${end.detail}, queue ${Math.round(end.queueMs)} ms, run ${Math.round(end.runMs)} ms`,
+  });
+}
+
+function stoppedContent(stage: StageRule, outcome: Outcome): GalenatillerError {
+  return GalenatillerError.create({ name: 'fingerprint-stopped', detail: stage.name, outcome });
+}
+
 function endedEarly(context: CallContext, outcome: Outcome): GalenatillerError {
   const name = context.call.signal.aborted ? 'cancelled' : 'deadline-exceeded';
   return GalenatillerError.create({ name, detail: `route ${context.route.name}`, outcome });
--- a/packages/gate/src/createGate.ts
+++ b/packages/gate/src/createGate.ts
@@ -1,12 +1,15 @@
 import { indexRules } from '@galenatiller/configuration';
-import { createLogger } from '@galenatiller/logger';
+import { CrashLedger, type CrashRecord } from '@galenatiller/engine';
+import { createLogger, type Logger } from '@galenatiller/logger';
 import type { Link, ProvedLink } from '@galenatiller/node';
 import type { TargetSettings } from '@galenatiller/settings';
 import { TaskGroup } from '@galenatiller/tasks';
+import type { RecordOptions } from '@galenatiller/timeline';
 import type { TimerService } from '@galenatiller/timer';
 import type { Configuration, TargetReport } from '@galenatiller/types';
 
-import type { TargetRunners } from './policy.js';
+import { CrashGuard } from './crashGuard.js';
+import type { GatePolicy, ProbeTarget, TargetRunners } from './policy.js';
 import type { GateContext } from './runOrder.js';
 import type { RunRecordKeeper } from './runRecordKeeper.js';
 import { serveEntry } from './serveEntry.js';
@@ -18,6 +21,10 @@
   readonly targets: readonly TargetSettings[];
   readonly timer: TimerService;
   readonly runners: TargetRunners;
+  readonly probeTarget: ProbeTarget;
+  readonly policy: GatePolicy;
+  /** Records an event of the time line. */
+  readonly record: (event: RecordOptions) => void;
   readonly runRecords: RunRecordKeeper;
   /** Follows the configuration until the signal aborts. */
   readonly followConfiguration: (
@@ -46,24 +53,23 @@
 export function createGate(opts: CreateGateOptions): Gate {
   const { timer } = opts;
   const logger = createLogger('gate');
-  const onFailure = (error: unknown): void => {
-    logger({ message: `A task failed: ${String(error)}.` });
-  };
-  const orders = TaskGroup.create({ onFailure });
-  const peers = TaskGroup.create({ onFailure });
+  const orders = createTasks(logger);
+  const peers = createTasks(logger);
   const stopping = new AbortController();
   const links = new Set<Link>();
   let configuration = indexRules({ revision: 0, rules: [] });
 
+  const readConfiguration = (): Configuration => configuration;
+  const ledger = CrashLedger.create({ timer });
+  const share = (records: readonly CrashRecord[]): void => {
+    links.forEach((link) => link.send({ kind: 'crashes', records }));
+  };
   const context: GateContext = {
-    targets: createTargets(opts),
-    runners: opts.runners,
-    runRecords: opts.runRecords,
+    ...opts,
+    targets: createTargets(opts, readConfiguration),
+    crashGuard: CrashGuard.create({ ledger, share }),
     tasks: orders,
-    timer,
-    logger,
-    availabilityZone: opts.availabilityZone,
-    readConfiguration: () => configuration,
+    readConfiguration,
     isLeaving: () => stopping.signal.aborted,
   };
   const readReports = (): readonly TargetReport[] =>
@@ -71,22 +77,26 @@
   peers.start(() =>
     opts.followConfiguration((next) => {
       configuration = next;
+      opts.record({ kind: 'configuration-in-force', subject: String(next.revision) });
       logger({ message: `Revision ${next.revision} is in force.` });
     }, stopping.signal),
   );
+  const session = {
+    context,
+    readReports,
+    reportIntervalMs: REPORT_INTERVAL_MS,
+    crashes: ledger,
+    shareCrashes: share,
+    logger,
+  };
   const ending = new AbortController();
   peers.start(() => opts.runRecords.keep(ending.signal));
   return {
     readReports,
-    readConfiguration: context.readConfiguration,
+    readConfiguration,
     serveLink: async (proved) => {
       links.add(proved.link);
-      await serveEntry({
-        proved,
-        context,
-        readReports,
-        reportIntervalMs: REPORT_INTERVAL_MS,
-      });
+      await serveEntry({ ...session, proved });
       links.delete(proved.link);
     },
     stop: async () => {
@@ -94,20 +104,37 @@
       await timer.sleep({ delayMs: LEAVING_NOTICE_MS });
       await orders.drain();
       ending.abort();
-      links.forEach((link) => {
-        link.end();
-      });
+      links.forEach((link) => link.end());
       await peers.drain();
     },
   };
 }
 
-function createTargets(opts: CreateGateOptions): ReadonlyMap<string, TargetAdmission> {
-  const { timer } = opts;
+function createTasks(logger: Logger): TaskGroup {
+  return TaskGroup.create({
+    onFailure: (error) => {
+      logger({ message: `A task failed: ${String(error)}.` });
+    },
+  });
+}
+
+function createTargets(
+  opts: CreateGateOptions,
+  readConfiguration: () => Configuration,
+): ReadonlyMap<string, TargetAdmission> {
+  const { timer, policy } = opts;
+  const weightOf = (organisation: string): number =>
+    readConfiguration().organisations.get(organisation)?.weight ?? 1;
   return new Map(
-    opts.targets.map((target) => [
-      target.name,
-      TargetAdmission.create({ settings: target, timer }),
+    opts.targets.map((settings) => [
+      settings.name,
+      TargetAdmission.create({
+        settings,
+        timer,
+        queuePolicy: policy.queue,
+        limit: policy.createLimit({ settings, timer }),
+        weightOf,
+      }),
     ]),
   );
 }
--- a/packages/gate/src/index.ts
+++ b/packages/gate/src/index.ts
@@ -5,3 +5,5 @@
 export type * from './policy.js';
 export type * from './runRecordKeeper.js';
 export { runGate, type RunGateOptions } from './runGate.js';
+export { naivePolicy, standardPolicy } from './standardPolicy.js';
+export type * from './queuePolicy.js';
--- a/packages/gate/src/policy.ts
+++ b/packages/gate/src/policy.ts
@@ -1,7 +1,12 @@
+import type { TargetLimit } from '@galenatiller/engine';
 import type { GalenatillerError } from '@galenatiller/error';
 import type { StageOrder, StagePart, StageResult, TargetKind } from '@galenatiller/types';
+import type { TargetSettings } from '@galenatiller/settings';
+import type { TimerService } from '@galenatiller/timer';
 import type { Result } from 'true-myth';
 
+import type { QueuePolicy } from './queuePolicy.js';
+
 /** Options of {@link RunOnTarget}. */
 export interface RunOnTargetOptions {
   readonly url: string;
@@ -10,6 +15,8 @@
   readonly signal: AbortSignal;
   /** Takes streamed text; only engines stream. */
   readonly onPart: (part: StagePart) => void;
+  /** Told the identity of the target's process, which changes when the target restarts. */
+  readonly onStartId: (startId: string) => void;
 }
 
 /** Runs a stage on a target of one kind. */
@@ -19,3 +26,27 @@
 
 /** How to run a stage on each kind of target. */
 export type TargetRunners = Readonly<Record<TargetKind, RunOnTarget>>;
+
+/** Options of {@link ProbeTarget}. */
+export interface ProbeTargetOptions {
+  readonly url: string;
+  /** Identity that the target told last; empty when it has told none. */
+  readonly knownStartId: string;
+  readonly signal: AbortSignal;
+}
+
+/** Finds out after a broken run whether the target's process has ended. */
+export type ProbeTarget = (opts: ProbeTargetOptions) => Promise<'alive' | 'crashed'>;
+
+/** Options of {@link GatePolicy.createLimit}. */
+export interface CreateLimitOptions {
+  readonly settings: TargetSettings;
+  readonly timer: TimerService;
+}
+
+/** The decisions of a gate, passed in as functions. */
+export interface GatePolicy {
+  readonly queue: QueuePolicy;
+  /** Decides how many runs a target bears at once. */
+  readonly createLimit: (opts: CreateLimitOptions) => TargetLimit;
+}
--- /dev/null
+++ b/packages/gate/src/runEndKind.ts
@@ -0,0 +1,23 @@
+import type { RunEndKind } from '@galenatiller/engine';
+import { findResultCodeByNumber, type ResultCodeName } from '@galenatiller/error';
+import type { StageEnd } from '@galenatiller/types';
+
+/** Names of ends that tell something about the target. */
+const KINDS: Readonly<Partial<Record<ResultCodeName, RunEndKind>>> = {
+  ok: 'ok',
+  'stream-broken': 'broken',
+  'target-failed': 'failed',
+  'target-unreachable': 'unreachable',
+};
+
+/** Detail of a refusal by a target in cold start. */
+const COLD_DETAIL = 'cold';
+
+/** What the end of a run tells about its target. */
+export function runEndKind(end: StageEnd): RunEndKind {
+  const name = findResultCodeByNumber(end.code).name as ResultCodeName;
+  if (name === 'target-refused' && end.detail === COLD_DETAIL) {
+    return 'cold';
+  }
+  return KINDS[name] ?? 'no-evidence';
+}
--- a/packages/gate/src/runGate.ts
+++ b/packages/gate/src/runGate.ts
@@ -15,6 +15,9 @@
   /** Aborts to begin a graceful shutdown. */
   readonly stop: AbortSignal;
   readonly runners: CreateGateOptions['runners'];
+  readonly probeTarget: CreateGateOptions['probeTarget'];
+  readonly policy: CreateGateOptions['policy'];
+  readonly record: CreateGateOptions['record'];
   readonly runRecords: CreateGateOptions['runRecords'];
   readonly followConfiguration: CreateGateOptions['followConfiguration'];
   /** Told of the link port once it listens. */
--- a/packages/gate/src/runOrder.ts
+++ b/packages/gate/src/runOrder.ts
@@ -1,22 +1,28 @@
 import { GalenatillerError, type ResultCodeName } from '@galenatiller/error';
-import type { Logger } from '@galenatiller/logger';
+import { endOfError } from '@galenatiller/node';
 import type { TaskGroup } from '@galenatiller/tasks';
+import type { RecordOptions } from '@galenatiller/timeline';
 import type { TimerService } from '@galenatiller/timer';
 import type { Configuration, StageEnd, StageOrder, StagePart } from '@galenatiller/types';
 
+import type { CrashGuard } from './crashGuard.js';
+import type { ProbeTarget, TargetRunners } from './policy.js';
+import { runClaimed } from './runClaimed.js';
+import { runEndKind } from './runEndKind.js';
 import type { RunRecordKeeper } from './runRecordKeeper.js';
-import type { TargetRunners } from './policy.js';
-import type { TargetAdmission } from './targetAdmission.js';
+import type { Admission, TargetAdmission } from './targetAdmission.js';
 
 /** What every order at a gate shares. */
 export interface GateContext {
   readonly targets: ReadonlyMap<string, TargetAdmission>;
   readonly runners: TargetRunners;
+  readonly probeTarget: ProbeTarget;
   readonly runRecords: RunRecordKeeper;
+  readonly crashGuard: CrashGuard;
   /** Tasks that a graceful shutdown waits for. */
   readonly tasks: TaskGroup;
   readonly timer: TimerService;
-  readonly logger: Logger;
+  readonly record: (event: RecordOptions) => void;
   readonly availabilityZone: string;
   readonly readConfiguration: () => Configuration;
   readonly isLeaving: () => boolean;
@@ -31,7 +37,10 @@
   readonly onPart: (part: StagePart) => void;
 }
 
-/** Runs one order: refuses it, or waits for its turn, claims its run record and runs it. */
+/** Time for a target to show after a broken run whether it still lives. */
+const PROBE_LIMIT_MS = 100;
+
+/** Runs one order: refuses it, or waits for its turn and runs it. */
 export async function runOrder(opts: RunOrderOptions): Promise<StageEnd> {
   const { context, order, signal } = opts;
   const { timer } = context;
@@ -45,18 +54,12 @@
     return refuse(refusal, order.targetName);
   }
   const admitted = await target.enter(order, signal);
-  const startedAtMs = timer.nowMs();
-  const queueMs = startedAtMs - receivedAtMs;
+  const queueMs = timer.nowMs() - receivedAtMs;
   if (admitted.isErr) {
-    return { ...endOf(admitted.error), queueMs, report: target.report() };
-  }
-  let end = refuse('internal', 'the run broke off');
-  try {
-    end = await runAdmitted(opts, target, order.remainingMs - queueMs);
-  } finally {
-    target.release({ runMs: timer.nowMs() - startedAtMs, ok: end.code === 0 });
+    return { ...endOfError(admitted.error), queueMs, report: target.report() };
   }
-  return { ...end, queueMs, runMs: timer.nowMs() - startedAtMs, report: target.report() };
+  const end = await runGuarded(opts, target, admitted.value, order.remainingMs - queueMs);
+  return { ...end, queueMs, report: target.report() };
 }
 
 function findRefusal(context: GateContext): ResultCodeName | undefined {
@@ -67,80 +70,80 @@
   return zone?.state === 'out' ? 'zone-out' : undefined;
 }
 
-async function runAdmitted(
+/** Runs an admitted order unless its content is known to crash targets. */
+async function runGuarded(
   opts: RunOrderOptions,
   target: TargetAdmission,
+  admission: Admission,
   remainingMs: number,
 ): Promise<StageEnd> {
   const { context, order } = opts;
-  if (order.idempotent) {
-    return runOnce(opts, target, remainingMs);
+  const decision = context.crashGuard.started(order);
+  if (decision !== 'run') {
+    target.leave(order, admission, { how: 'no-evidence', firstPartMs: 0, runMs: 0 });
+    return decision === 'stopped'
+      ? refuse('fingerprint-stopped', order.stage)
+      : refuse('overloaded', `another suspect content runs on ${order.targetName}`);
   }
-  const claim = await context.runRecords.claim(order, opts.signal);
-  if (claim.isErr) {
-    return endOf(claim.error);
-  }
-  switch (claim.value.kind) {
-    case 'answered':
-      return claim.value.end;
-    case 'may-have-run':
-      return refuse('run-unknown', `key of ${order.organisation}`);
-    case 'key-reused':
-      return refuse('key-reused', `key of ${order.organisation}`);
-    case 'first': {
-      const end = await runOnce(opts, target, remainingMs);
-      // The caller need not wait until the store has the answer.
-      context.tasks.start(() => context.runRecords.settle(order, end));
-      return end;
-    }
+  let end = refuse('internal', 'the run broke off');
+  let firstPartAtMs = 0;
+  try {
+    const onPart = (part: StagePart): void => {
+      firstPartAtMs ||= context.timer.nowMs();
+      opts.onPart(part);
+    };
+    end = await runAdmitted({ ...opts, onPart }, target, remainingMs);
+  } finally {
+    const endedAtMs = context.timer.nowMs();
+    target.leave(order, admission, {
+      how: runEndKind(end),
+      firstPartMs: (firstPartAtMs || endedAtMs) - admission.startedAtMs,
+      runMs: endedAtMs - admission.startedAtMs,
+    });
+    context.crashGuard.ended(order, await hasCrashed(context, target, end));
   }
+  return { ...end, runMs: context.timer.nowMs() - admission.startedAtMs };
 }
 
-async function runOnce(
+function runAdmitted(
   opts: RunOrderOptions,
   target: TargetAdmission,
   remainingMs: number,
 ): Promise<StageEnd> {
-  const { context, order, onPart } = opts;
-  const limit = context.timer.limit({ limitMs: remainingMs, parent: opts.signal });
-  try {
-    if (limit.signal.aborted || remainingMs <= 0) {
-      return refuse('deadline-unreachable', `${Math.round(remainingMs)} ms left`);
-    }
-    const run = context.runners[target.settings.kind];
-    const ran = await run({ url: target.settings.url, order, signal: limit.signal, onPart });
-    return endOfRun(ran);
-  } finally {
-    limit.release();
+  const { context, order } = opts;
+  // The zone may have been taken out, or the shutdown begun, while the order waited.
+  const refusal = findRefusal(context);
+  if (refusal) {
+    return Promise.resolve(refuse(refusal, order.targetName));
   }
-}
-
-function endOfRun(ran: Awaited<ReturnType<TargetRunners['engine']>>): StageEnd {
-  return ran.match({
-    Ok: (result) => ({
-      outcome: 'ran' as const,
-      code: 0,
-      detail: '',
-      result,
-      retryAfterMs: 0,
-      queueMs: 0,
-      runMs: 0,
-    }),
-    Err: endOf,
+  context.record({
+    kind: 'stage-started',
+    requestId: order.requestId,
+    subject: order.targetName,
+    detail: order.stage,
   });
+  return runClaimed({ ...opts, target, remainingMs });
 }
 
-function endOf(error: GalenatillerError): StageEnd {
-  return {
-    outcome: error.outcome,
-    code: error.code,
-    detail: error.detail,
-    retryAfterMs: error.retryAfterMs,
-    queueMs: 0,
-    runMs: 0,
-  };
+/** A broken run is a crash when the target is gone or has another identity. */
+async function hasCrashed(
+  context: GateContext,
+  target: TargetAdmission,
+  end: StageEnd,
+): Promise<boolean> {
+  if (runEndKind(end) !== 'broken') {
+    return false;
+  }
+  const limit = context.timer.limit({ limitMs: PROBE_LIMIT_MS });
+  const found = await context.probeTarget({
+    url: target.settings.url,
+    knownStartId: target.startId,
+    signal: limit.signal,
+  });
+  limit.release();
+  return found === 'crashed';
 }
 
 function refuse(name: ResultCodeName, detail: string): StageEnd {
-  return endOf(GalenatillerError.create({ name, detail }));
+  return endOfError(GalenatillerError.create({ name, detail }));
 }
--- a/packages/gate/src/serveEntry.ts
+++ b/packages/gate/src/serveEntry.ts
@@ -1,3 +1,5 @@
+import type { CrashLedger, CrashRecord } from '@galenatiller/engine';
+import type { Logger } from '@galenatiller/logger';
 import type { NodeFrame, ProvedLink } from '@galenatiller/node';
 import type { AttemptId, StageOrder, StagePart, TargetReport } from '@galenatiller/types';
 
@@ -10,70 +12,99 @@
   readonly readReports: () => readonly TargetReport[];
   /** Time between reports while the link is idle. */
   readonly reportIntervalMs: number;
+  readonly crashes: CrashLedger;
+  /** Tells every entry of crashes. */
+  readonly shareCrashes: (records: readonly CrashRecord[]) => void;
+  readonly logger: Logger;
+}
+
+interface Session extends ServeEntryOptions {
+  /** Attempts that run, by their key. */
+  readonly running: Map<string, AbortController>;
 }
 
 /** Serves the link from one entry: reads its frames to the end, one task for each order. */
 export async function serveEntry(opts: ServeEntryOptions): Promise<void> {
   const { link, peer } = opts.proved;
-  const { context } = opts;
-  const running = new Map<string, AbortController>();
-  const sendReports = (): void => {
-    link.send({ kind: 'targets', reports: opts.readReports(), leaving: context.isLeaving() });
-  };
-  const cancelReports = context.timer.every({
+  const session: Session = { ...opts, running: new Map() };
+  const cancelReports = opts.context.timer.every({
     intervalMs: opts.reportIntervalMs,
-    notify: sendReports,
+    notify: () => sendReports(session),
   });
-  context.logger({ message: `Entry ${peer.nodeName} has opened a link.` });
-  sendReports();
+  opts.logger({ message: `Entry ${peer.nodeName} has opened a link.` });
+  sendReports(session);
+  link.send({ kind: 'crashes', records: opts.crashes.records });
   try {
     for await (const frame of link.read()) {
-      takeFrame(frame);
+      takeFrame(session, frame);
     }
   } finally {
     cancelReports();
-    running.forEach((cancel) => {
+    session.running.forEach((cancel) => {
       cancel.abort();
     });
-    context.logger({ message: `The link from entry ${peer.nodeName} has ended.` });
+    opts.logger({ message: `The link from entry ${peer.nodeName} has ended.` });
   }
+}
 
-  function takeFrame(frame: NodeFrame): void {
-    switch (frame.kind) {
-      case 'stage-run':
-        startOrder(frame.order);
-        break;
-      case 'stage-cancel':
-        running.get(keyOf(frame.attempt))?.abort();
-        break;
-      case 'ping':
-        link.send({ kind: 'pong', revision: context.readConfiguration().revision });
-        break;
-      default:
-        context.logger({ message: `Entry ${peer.nodeName} sent a frame of kind ${frame.kind}.` });
-    }
+function sendReports({ proved, context, readReports }: Session): void {
+  proved.link.send({ kind: 'targets', reports: readReports(), leaving: context.isLeaving() });
+}
+
+function takeFrame(session: Session, frame: NodeFrame): void {
+  const { context, proved } = session;
+  switch (frame.kind) {
+    case 'stage-run':
+      startOrder(session, frame.order);
+      break;
+    case 'stage-cancel':
+      session.running.get(keyOf(frame.attempt))?.abort();
+      break;
+    case 'crashes':
+      takeCrashes(session, frame.records);
+      break;
+    case 'ping':
+      proved.link.send({ kind: 'pong', revision: context.readConfiguration().revision });
+      break;
+    default:
+      session.logger({ message: `${proved.peer.nodeName} sent a frame of kind ${frame.kind}.` });
   }
+}
 
-  function startOrder(order: StageOrder): void {
-    const key = keyOf(order);
-    if (running.has(key)) {
-      // The same attempt again would be a second run.
-      return;
-    }
-    const cancel = new AbortController();
-    running.set(key, cancel);
-    context.tasks.start(() => answerOrder(order, cancel.signal).finally(() => running.delete(key)));
+/** A node passes on what is new to it, so that every entry learns of a crash. */
+function takeCrashes(session: Session, records: readonly CrashRecord[]): void {
+  const news = session.crashes.merge(records);
+  if (news.length > 0) {
+    session.shareCrashes(news);
   }
+}
 
-  async function answerOrder(order: StageOrder, signal: AbortSignal): Promise<void> {
-    const { requestId, stageIndex, attempt } = order;
-    const attemptId: AttemptId = { requestId, stageIndex, attempt };
-    const onPart = (part: StagePart): void => {
-      link.send({ kind: 'stage-part', attempt: attemptId, part });
-    };
-    const end = await runOrder({ context, order, signal, onPart });
-    link.send({ kind: 'stage-end', attempt: attemptId, end });
+function startOrder(session: Session, order: StageOrder): void {
+  const { running, context } = session;
+  const key = keyOf(order);
+  if (running.has(key)) {
+    // The same attempt again would be a second run.
+    return;
   }
+  const cancel = new AbortController();
+  running.set(key, cancel);
+  context.tasks.start(() =>
+    answerOrder(session, order, cancel.signal).finally(() => running.delete(key)),
+  );
+}
+
+async function answerOrder(
+  { proved, context }: Session,
+  order: StageOrder,
+  signal: AbortSignal,
+): Promise<void> {
+  const { requestId, stageIndex } = order;
+  const attempt: AttemptId = { requestId, stageIndex, attempt: order.attempt };
+  const onPart = (part: StagePart): void => {
+    proved.link.send({ kind: 'stage-part', attempt, part });
+  };
+  const end = await runOrder({ context, order, signal, onPart });
+  proved.link.send({ kind: 'stage-end', attempt, end });
 }
 
 function keyOf(attempt: AttemptId): string {
--- a/packages/gate/src/targetAdmission.ts
+++ b/packages/gate/src/targetAdmission.ts
@@ -1,111 +1,204 @@
+import type { RunEnded, RunTicket, TargetLimit } from '@galenatiller/engine';
 import { GalenatillerError } from '@galenatiller/error';
 import type { TargetSettings } from '@galenatiller/settings';
 import type { TimerService } from '@galenatiller/timer';
 import type { StageOrder, TargetReport } from '@galenatiller/types';
 import { Result } from 'true-myth';
-import type { Unit } from 'true-myth/unit';
+
+import type { OrderQueue, QueuedOrder, QueuePolicy } from './queuePolicy.js';
+import { RunTimes } from './runTimes.js';
 
 /** Weight of the last run in the smoothed run time. */
 const SMOOTHING = 0.2;
 
-interface WaitingOrder {
-  readonly order: StageOrder;
-  readonly admit: (admitted: Result<Unit, GalenatillerError>) => void;
+/** Options of {@link TargetAdmission.create}. */
+export interface TargetAdmissionOptions {
+  readonly settings: TargetSettings;
+  readonly timer: TimerService;
+  readonly queuePolicy: QueuePolicy;
+  readonly limit: TargetLimit;
+  readonly weightOf: (organisation: string) => number;
+}
+
+/** The right to run one order; it must be given back by `leave`. */
+export interface Admission {
+  readonly ticket: RunTicket;
+  readonly startedAtMs: number;
+  readonly expectedRunMs: number;
+}
+
+/** How an admitted run has ended. */
+export interface AdmissionEnd extends Pick<RunEnded, 'firstPartMs' | 'how'> {
+  readonly runMs: number;
+}
+
+interface WaitingOrder extends QueuedOrder {
+  readonly admit: (admitted: Result<Admission, GalenatillerError>) => void;
 }
 
 /** Decides when orders may run on one target; every order for the target passes here. */
 export class TargetAdmission {
-  private inFlight = 0;
+  private readonly queue: OrderQueue<WaitingOrder>;
+
+  private readonly running = new Set<Admission>();
+
+  private readonly runTimes = RunTimes.create();
 
   private runMs = 0;
 
-  private readonly waiting: WaitingOrder[] = [];
+  private knownStartId = '';
 
-  private constructor(
-    /** Settings of the target. */
-    readonly settings: TargetSettings,
-    private readonly timer: TimerService,
-  ) {}
+  private constructor(private readonly opts: TargetAdmissionOptions) {
+    this.queue = opts.queuePolicy.createQueue<WaitingOrder>({ weightOf: opts.weightOf });
+  }
 
   /** Makes the admission of an idle target. */
-  static create(opts: {
-    readonly settings: TargetSettings;
-    readonly timer: TimerService;
-  }): TargetAdmission {
-    return new TargetAdmission(opts.settings, opts.timer);
+  static create(opts: TargetAdmissionOptions): TargetAdmission {
+    return new TargetAdmission(opts);
   }
 
-  /** Waits until the order may run; the caller must call `release` after a success. */
-  async enter(order: StageOrder, signal: AbortSignal): Promise<Result<Unit, GalenatillerError>> {
-    if (this.inFlight < this.settings.inFlightLimit) {
-      this.inFlight += 1;
-      return Result.ok();
-    }
-    if (this.waiting.length >= this.settings.queueLimit) {
-      return Result.err(
-        GalenatillerError.create({
-          name: 'overloaded',
-          detail: `${this.waiting.length} orders wait for ${this.settings.name}`,
-          retryAfterMs: this.runMs,
-        }),
-      );
+  /** Settings of the target. */
+  get settings(): TargetSettings {
+    return this.opts.settings;
+  }
+
+  /** Identity that the target told last; empty when it has told none. */
+  get startId(): string {
+    return this.knownStartId;
+  }
+
+  /** Waits until the order may run; a success must be followed by `leave`. */
+  async enter(
+    order: StageOrder,
+    signal: AbortSignal,
+  ): Promise<Result<Admission, GalenatillerError>> {
+    const nowMs = this.opts.timer.nowMs();
+    const deadlineAtMs = nowMs + order.remainingMs;
+    const expectedRunMs = this.runTimes.expect({
+      stage: order.stage,
+      tokens: tokensOf(order),
+      nowMs,
+    });
+    const { organisation, priority } = order;
+    const queued = { organisation, priority, deadlineAtMs, expectedRunMs };
+    const decision = this.decide(queued);
+    if (decision.kind === 'refuse') {
+      return refuse('deadline-unreachable', this.settings.name, decision.retryAfterMs);
     }
-    return this.wait(order, signal);
+    return this.wait(queued, signal);
   }
 
-  /** Tells that a run has ended, and lets the next order run. */
-  release(opts: { readonly runMs: number; readonly ok: boolean }): void {
-    this.inFlight -= 1;
-    if (opts.ok) {
-      this.runMs = this.runMs === 0 ? opts.runMs : smooth(this.runMs, opts.runMs);
+  /** Tells how an admitted run has ended, and lets the next orders run. */
+  leave(order: StageOrder, admission: Admission, end: AdmissionEnd): void {
+    this.running.delete(admission);
+    const { how, firstPartMs, runMs } = end;
+    this.opts.limit.onEnded({ ticket: admission.ticket, how, firstPartMs });
+    if (how === 'ok') {
+      const nowMs = this.opts.timer.nowMs();
+      this.runTimes.observe({ stage: order.stage, tokens: tokensOf(order), runMs, nowMs });
+      this.runMs = this.runMs === 0 ? runMs : this.runMs + SMOOTHING * (runMs - this.runMs);
     }
     this.admitNext();
   }
 
+  /** The target has told the identity of its process. */
+  identify(startId: string): void {
+    this.knownStartId = startId;
+    this.opts.limit.onStartId(startId);
+    this.admitNext();
+  }
+
   /** The target as entries are told of it. */
   report(): TargetReport {
+    const { name, kind, group, version } = this.settings;
     return {
-      name: this.settings.name,
-      kind: this.settings.kind,
-      group: this.settings.group,
-      version: this.settings.version,
-      state: 'ready',
-      inFlight: this.inFlight,
-      queued: this.waiting.length,
-      inFlightLimit: this.settings.inFlightLimit,
+      name,
+      kind,
+      group,
+      version,
+      state: this.opts.limit.state(),
+      inFlight: this.running.size,
+      queued: this.queue.size,
+      inFlightLimit: this.opts.limit.limit(),
       runMs: this.runMs,
       prefixHashes: [],
     };
   }
 
-  private wait(order: StageOrder, signal: AbortSignal): Promise<Result<Unit, GalenatillerError>> {
+  private decide(queued: QueuedOrder): ReturnType<QueuePolicy['decideAdmission']> {
+    const nowMs = this.opts.timer.nowMs();
+    const probe: WaitingOrder = { ...queued, admit: () => {} };
+    return this.opts.queuePolicy.decideAdmission({
+      nowMs,
+      deadlineAtMs: queued.deadlineAtMs,
+      expectedRunMs: queued.expectedRunMs,
+      inFlightRemainingMs: [...this.running].map(
+        (run) => run.startedAtMs + run.expectedRunMs - nowMs,
+      ),
+      inFlightLimit: this.opts.limit.limit(),
+      aheadRunMs: this.queue.ordersAhead(probe).map((ahead) => ahead.expectedRunMs),
+    });
+  }
+
+  private wait(
+    queued: QueuedOrder,
+    signal: AbortSignal,
+  ): Promise<Result<Admission, GalenatillerError>> {
     return new Promise((resolve) => {
-      const limit = this.timer.limit({ limitMs: order.remainingMs, parent: signal });
-      const waiting = { order, admit: finish };
-      const abandon = (): void => {
-        this.waiting.splice(this.waiting.indexOf(waiting), 1);
-        const name = signal.aborted ? 'cancelled' : 'deadline-unreachable';
-        const detail = `still waiting for ${this.settings.name}`;
-        finish(Result.err(GalenatillerError.create({ name, detail, outcome: 'not-run' })));
-      };
-      limit.signal.addEventListener('abort', abandon, { once: true });
-      this.waiting.push(waiting);
-      function finish(admitted: Result<Unit, GalenatillerError>): void {
+      const limitMs = queued.deadlineAtMs - this.opts.timer.nowMs();
+      const limit = this.opts.timer.limit({ limitMs, parent: signal });
+      const finish = (admitted: Result<Admission, GalenatillerError>): void => {
         limit.release();
         limit.signal.removeEventListener('abort', abandon);
         resolve(admitted);
-      }
+      };
+      const waiting: WaitingOrder = { ...queued, admit: finish };
+      const abandon = (): void => {
+        this.queue.remove(waiting);
+        finish(
+          refuse(signal.aborted ? 'cancelled' : 'deadline-unreachable', this.settings.name, 0),
+        );
+      };
+      limit.signal.addEventListener('abort', abandon, { once: true });
+      this.queue.push(waiting);
+      this.admitNext();
     });
   }
 
+  /** Orders run while slots are free; what can't end in time or is over the limit is refused. */
   private admitNext(): void {
-    while (this.inFlight < this.settings.inFlightLimit && this.waiting.length > 0) {
-      this.inFlight += 1;
-      this.waiting.shift()?.admit(Result.ok());
+    const { timer, limit, settings } = this.opts;
+    this.queue.expire({ nowMs: timer.nowMs() }).forEach((late) => {
+      late.admit(refuse('deadline-unreachable', settings.name, 0));
+    });
+    while (this.running.size < limit.limit() && this.queue.size > 0) {
+      const next = this.queue.take().unwrapOr(undefined);
+      if (!next) {
+        break;
+      }
+      const admission: Admission = {
+        ticket: limit.onStarted(),
+        startedAtMs: timer.nowMs(),
+        expectedRunMs: next.expectedRunMs,
+      };
+      this.running.add(admission);
+      next.admit(Result.ok(admission));
     }
+    this.queue.shed({ limit: settings.queueLimit }).forEach((shed) => {
+      shed.admit(refuse('overloaded', settings.name, Math.ceil(this.runMs)));
+    });
   }
 }
 
-function smooth(before: number, last: number): number {
-  return before + SMOOTHING * (last - before);
+function tokensOf({ input }: StageOrder): number {
+  return input.kind === 'generate' ? input.maxTokens - input.deliveredTokens : 0;
+}
+
+function refuse(
+  name: 'cancelled' | 'deadline-unreachable' | 'overloaded',
+  targetName: string,
+  retryAfterMs: number,
+): Result<never, GalenatillerError> {
+  const detail = `target ${targetName}`;
+  return Result.err(GalenatillerError.create({ name, detail, outcome: 'not-run', retryAfterMs }));
 }
--- /dev/null
+++ b/packages/http/src/probeIdentity.ts
@@ -0,0 +1,30 @@
+import { openExchange } from './openExchange.js';
+
+/** Options of {@link probeIdentity}. */
+export interface ProbeIdentityOptions {
+  /** Base URL of the target. */
+  readonly url: string;
+  /** Identity that the target told last; empty when it has told none. */
+  readonly knownStartId: string;
+  readonly signal: AbortSignal;
+}
+
+/** Finds out whether the process behind a target has ended: it is gone or has another identity. */
+export async function probeIdentity(opts: ProbeIdentityOptions): Promise<'alive' | 'crashed'> {
+  const { url, signal, knownStartId } = opts;
+  const answer = await openExchange({
+    url,
+    path: '/load',
+    method: 'GET',
+    headers: {},
+    body: '',
+    signal,
+  });
+  if (answer.isErr) {
+    // No answer in time proves nothing; a refused connection does.
+    return answer.error.codeName === 'target-unreachable' ? 'crashed' : 'alive';
+  }
+  await answer.value.body.dump();
+  const startId = answer.value.header('x-engine-start-id');
+  return startId !== '' && knownStartId !== '' && startId !== knownStartId ? 'crashed' : 'alive';
+}
--- a/packages/node/src/frames.ts
+++ b/packages/node/src/frames.ts
@@ -69,6 +69,20 @@
   readonly revision: number;
 }
 
+/** A target that crashed while it ran a content, as nodes tell each other. */
+export interface CrashNotice {
+  readonly fingerprint: string;
+  readonly targetName: string;
+  /** Unix time of the crash. */
+  readonly atWallMs: number;
+}
+
+/** Both directions: crashes that the receiver may not know; a node passes on what is new to it. */
+export interface CrashesFrame {
+  readonly kind: 'crashes';
+  readonly records: readonly CrashNotice[];
+}
+
 /** Every frame on a link between nodes. */
 export type NodeFrame =
   | HelloFrame
@@ -78,4 +92,5 @@
   | StagePartFrame
   | StageEndFrame
   | TargetsFrame
+  | CrashesFrame
   | PingFrame;
--- a/packages/node/src/wireSchema.ts
+++ b/packages/node/src/wireSchema.ts
@@ -96,6 +96,12 @@
   z.object({ kind: z.literal('stage-run'), order }),
   z.object({ kind: z.literal('stage-cancel'), attempt }),
   z.object({ kind: z.literal('targets'), reports: z.array(report), leaving: z.boolean() }),
+  z.object({
+    kind: z.literal('crashes'),
+    records: z.array(
+      z.object({ fingerprint: z.string(), targetName: z.string(), atWallMs: z.number() }),
+    ),
+  }),
   z.object({ kind: z.literal('ping'), revision: count }),
   z.object({ kind: z.literal('pong'), revision: count }),
   hello,
