--- a/fakes/src/store/fakeStore.ts
+++ b/fakes/src/store/fakeStore.ts
@@ -18,6 +18,8 @@
   readonly outage: boolean;
   /** Time before a call takes effect, in milliseconds. */
   readonly slowMs: number;
+  /** Time between the effect of a call and its answer, in milliseconds. */
+  readonly slowAnswerMs: number;
   /** Number of writes to come whose answer is lost after they took effect. */
   readonly loseAnswers: number;
   /** Number of writes to come that are lost on their way to the store. */
@@ -33,7 +35,13 @@
 
 type StoreAnswer = Result<StoreReply, TransportFailure>;
 
-const NO_FAULTS: FakeStoreFaults = { outage: false, slowMs: 0, loseAnswers: 0, loseRequests: 0 };
+const NO_FAULTS: FakeStoreFaults = {
+  outage: false,
+  slowMs: 0,
+  slowAnswerMs: 0,
+  loseAnswers: 0,
+  loseRequests: 0,
+};
 
 const BROKEN: StoreAnswer = Result.err({ kind: 'broken', detail: 'the connection broke' });
 
@@ -115,6 +123,9 @@
       this.faults = { ...this.faults, loseAnswers: this.faults.loseAnswers - 1 };
       return BROKEN;
     }
+    if (this.faults.slowAnswerMs > 0) {
+      await this.opts.timer.sleep({ delayMs: this.faults.slowAnswerMs });
+    }
     // A caller that has gone away gets no answer, though the call took effect.
     return call.signal.aborted ? BROKEN : answered;
   }
--- a/packages/configuration/test/configuration.feature
+++ b/packages/configuration/test/configuration.feature
@@ -79,3 +79,4 @@
     And "ann" publishes 36000 organisations with weight 2 for the organisation 7 on revision 1
     Then within 100 ms every node has revision 2 with weight 2 for the organisation 7
     And the change took at most 6 calls and 140000 bytes of writes, and 12000 bytes for each node
+    And the configuration takes at most 40 MB on a node that starts now
--- /dev/null
+++ b/packages/configuration/test/configurationMemory.steps.ts
@@ -0,0 +1,33 @@
+import assert from 'node:assert/strict';
+import { setFlagsFromString } from 'node:v8';
+import { runInNewContext } from 'node:vm';
+
+import { Then } from '@cucumber/cucumber';
+
+import { type ConfigurationBench, startNode } from './configurationBench.js';
+
+const BYTES_PER_MB = 1_048_576;
+
+/** Bytes of live objects, after a full collection. */
+function liveBytes(): number {
+  setFlagsFromString('--expose-gc');
+  const collect = runInNewContext('gc') as () => void;
+  collect();
+  return process.memoryUsage().heapUsed;
+}
+
+Then(
+  'the configuration takes at most {int} MB on a node that starts now',
+  async function then(this: { configuration: ConfigurationBench }, limitMb: number) {
+    const bench = this.configuration;
+    const before = liveBytes();
+    const node = startNode(bench);
+    await bench.clock.advance({ byMs: 100 });
+    const usedMb = (liveBytes() - before) / BYTES_PER_MB;
+    const { organisations } = node.held.current();
+    assert.equal(organisations.size, 36_000);
+    const { range } = node.store.callCounts();
+    process.stdout.write(`\n36,000 organisations: ${usedMb.toFixed(1)} MB, ${range} reads\n`);
+    assert.ok(usedMb <= limitMb);
+  },
+);
