Let the followers of a node share one watch

Cause: the store counts a waiting watch as a call, and a node will follow more than the head. Change: WatchHub deals the events of one watch out by prefix; followConfiguration takes the watch as a function. The head moves under the watched prefix.

--- a/fakes/src/store/fakeStore.ts
+++ b/fakes/src/store/fakeStore.ts
@@ -96,6 +96,11 @@
     });
   }
 
+  /** Number of open watches. */
+  openWatches(): number {
+    return this.watches.size;
+  }
+
   /** Calls made so far, by kind; a call that broke before the store saw it is not counted. */
   calls(): Readonly<Partial<Record<StoreCallKind, number>>> {
     return Object.fromEntries(this.counts);
--- a/packages/configuration/src/configurationKeys.ts
+++ b/packages/configuration/src/configurationKeys.ts
@@ -1,7 +1,10 @@
 /** Keys of the configuration in the store. */
 
-/** The head; nodes watch this key only. */
-export const HEAD_KEY = 'galenatiller/head';
+/** Prefix of the keys that nodes watch. */
+export const WATCHED_PREFIX = 'galenatiller/watched/';
+
+/** The head. */
+export const HEAD_KEY = `${WATCHED_PREFIX}head`;
 
 /** Prefix of the shards. */
 export const SHARD_PREFIX = 'galenatiller/shards/';
--- a/packages/configuration/src/followConfiguration.ts
+++ b/packages/configuration/src/followConfiguration.ts
@@ -19,6 +19,8 @@
   readonly signal: AbortSignal;
   /** Asks other nodes for their revisions while the store is away. */
   readonly readPeerOffers: () => Promise<readonly PeerOffer[]>;
+  /** Watches through the one watch of the node; without it a watch of its own is opened. */
+  readonly watch?: StoreClient['watch'];
   /** Told when the store is lost and found again. */
   readonly onStore?: (state: 'lost' | 'found') => void;
   /** Uniform number from 0 to 1, for jitter. */
@@ -70,8 +72,8 @@
 
 /** Follows the head until it has to be read anew. */
 async function followHead(opts: FollowConfigurationOptions, fromRevision: number): Promise<void> {
-  const { store, signal } = opts;
-  for await (const event of store.watch({ prefix: HEAD_KEY, fromRevision, signal })) {
+  const { store, signal, watch = (options) => store.watch(options) } = opts;
+  for await (const event of watch({ prefix: HEAD_KEY, fromRevision, signal })) {
     if (event.kind === 'lost' || event.kind === 'found') {
       setStore(opts, event.kind);
     }
--- a/packages/configuration/src/index.ts
+++ b/packages/configuration/src/index.ts
@@ -1,5 +1,6 @@
 /** Keeps the configuration in the store in shards under one revision, and follows it. */
 export { adoptFromPeer, type AdoptFromPeerOptions, type PeerOffer } from './adoptFromPeer.js';
+export { WATCHED_PREFIX } from './configurationKeys.js';
 export { followConfiguration, type FollowConfigurationOptions } from './followConfiguration.js';
 export type * from './headTypes.js';
 export {
--- a/packages/store/src/index.ts
+++ b/packages/store/src/index.ts
@@ -9,4 +9,5 @@
 export type { Claim, RunCompletion, RunName, RunRequest } from './runRecordTypes.js';
 export { RUN_REMEMBERED_MS, RunRecords, type RunRecordsOptions } from './runRecords.js';
 export type * from './storeTypes.js';
+export { WatchHub, type WatchHubOptions } from './watchHub.js';
 export type { WatchOptions } from './watchPrefix.js';
--- a/packages/store/test/storeClient.feature
+++ b/packages/store/test/storeClient.feature
@@ -76,6 +76,21 @@
     And 10 ms pass at the store client
     Then the watch has seen "lost, found, gap, put w/b"
 
+  Scenario: Several prefixes share one watch
+    Given a store client of a stand-in store
+    And a watch hub of the store prefix "w/"
+    When the store key "w/a/1" is written behind the client
+    And the watch hub follows "w/a/"
+    And the watch hub follows "w/b/"
+    And the store key "w/b/1" is written behind the client
+    And the store key "w/a/2" is written behind the client
+    And the stand-in store has an outage
+    And the store key "w/a/3" is written behind the client
+    And the stand-in store comes back
+    And 10000 ms pass at the store client
+    Then the watch has seen "put w/a/1, put w/b/1, put w/a/2, lost, found, put w/a/3"
+    And the stand-in store has 1 watch open
+
   Scenario: 340 watches come back without a stampede
     Given 340 watches of one stand-in store
     When the stand-in store has an outage
