Wire the command line to the store, the host list and the nodes

The commands ran on a platform in memory only. The binary now reads and publishes through the configuration package, reads the host list and asks nodes over HTTP, all in connectPlatform.ts.

--- a/packages/cli/src/index.ts
+++ b/packages/cli/src/index.ts
@@ -2,4 +2,5 @@
 export type { CommandFailure } from './commandFailure.js';
 export type * from './commandReport.js';
 export type * from './platform.js';
+export { connectPlatform, type ConnectPlatformOptions } from './connectPlatform.js';
 export { type PlatformConnection, runCli, type RunCliOptions } from './runCli.js';
--- /dev/null
+++ b/packages/cli/test/connectPlatform.feature
@@ -0,0 +1,38 @@
+@cli-over-http
+Feature: The command line over the real protocols
+  The store, the host list and a node answer on loopback; the node follows the store.
+
+  Background:
+    Given a store, a host list and a node that operators reach on loopback
+
+  Scenario Outline: An example file is accepted, in force and read back the same
+    When operator "Mere" runs "apply <file>" over HTTP
+    Then it ends over HTTP with 0 and prints "Revision 1 is accepted and in force at all 1 live nodes."
+    When operator "Mere" runs "diff <file>" over HTTP
+    Then it ends over HTTP with 0 and prints "No difference from revision 1 by Mere."
+    When operator "Mere" runs "status" over HTTP
+    Then it ends over HTTP with 0 and prints "Newest revision: 1."
+
+    Examples:
+      | file                         |
+      | examples/lautoka.rules       |
+      | examples/rekvisitlanet.rules |
+
+  Scenario: A lost answer to a change makes no second change
+    Given the store loses the next answer to an operator
+    When operator "Mere" runs "apply examples/lautoka.rules" over HTTP
+    Then it ends over HTTP with 0 and prints "Revision 1 is accepted"
+
+  Scenario: Of two operators with one base one is told of the other
+    When operator "Mere" runs "apply examples/lautoka.rules" over HTTP
+    And operators "Ana" and "Jone" take out "north-a" and "north-b" from revision 1 at once
+    Then one of them is told of the other, and the other's change stays
+
+  Scenario: In an outage of the store nothing is changed and nodes still answer
+    When operator "Mere" runs "apply examples/lautoka.rules" over HTTP
+    Given the store is out of reach of operators
+    When operator "Mere" runs "zone out north-a --asked-by Mere" over HTTP
+    Then it ends over HTTP with 4 and prints "nothing was changed"
+    When operator "Mere" runs "status" over HTTP
+    Then it ends over HTTP with 4 and prints "the newest revision is not known"
+    And it ends over HTTP with 4 and prints "north-a"
--- /dev/null
+++ b/packages/cli/test/connectPlatform.steps.ts
@@ -0,0 +1,188 @@
+import assert from 'node:assert/strict';
+import { once } from 'node:events';
+import { readFile } from 'node:fs/promises';
+import type { Server } from 'node:http';
+
+import { After, Given, Then, When } from '@cucumber/cucumber';
+import { connectPlatform, runCli } from '@galenatiller/cli';
+import { followConfiguration, HeldConfiguration } from '@galenatiller/configuration';
+import {
+  createBenchClient,
+  createFakeHostList,
+  createFakeStoreServer,
+  type FakeHostList,
+  FakeStore,
+} from '@galenatiller/fakes';
+import { type OperatorServer, serveOperators } from '@galenatiller/operator';
+import { TaskGroup } from '@galenatiller/tasks';
+import { ManualClock, TimerService } from '@galenatiller/timer';
+
+interface Ended {
+  readonly author: string;
+  readonly exitCode: number;
+  readonly output: string;
+}
+
+interface OverHttpWorld {
+  clock: ManualClock;
+  timer: TimerService;
+  fakeStore: FakeStore;
+  storeServer: Server;
+  hostList: FakeHostList;
+  operatorServer: OperatorServer;
+  stopNode: AbortController;
+  node: TaskGroup;
+  ended: Ended;
+  pair: readonly [Ended, Ended];
+}
+
+const OPERATOR_KEY = 'ab'.repeat(32);
+
+/** Small, so that many turns of the event loop go by before a call on loopback times out. */
+const STEP_MS = 2;
+
+Given(
+  'a store, a host list and a node that operators reach on loopback',
+  async function given(this: OverHttpWorld) {
+    this.clock = ManualClock.create({ startWallMs: 0 });
+    this.timer = TimerService.create({ clock: this.clock });
+    this.fakeStore = FakeStore.create({ timer: this.timer });
+    this.storeServer = createFakeStoreServer({ store: this.fakeStore });
+    this.storeServer.listen(0, '127.0.0.1');
+    await once(this.storeServer, 'listening');
+    this.hostList = await createFakeHostList({ timer: this.timer, port: 0, lagMs: 0 });
+    await startNode(this);
+  },
+);
+
+Given('the store loses the next answer to an operator', function given(this: OverHttpWorld) {
+  this.fakeStore.order({ loseAnswers: 1 });
+});
+
+Given('the store is out of reach of operators', function given(this: OverHttpWorld) {
+  this.fakeStore.order({ outage: true });
+});
+
+When(
+  'operator {string} runs {string} over HTTP',
+  async function when(this: OverHttpWorld, author: string, line: string) {
+    this.ended = await run(this, author, line, (name) => readFile(name, 'utf8'));
+  },
+);
+
+When(
+  'operators {string} and {string} take out {string} and {string} from revision 1 at once',
+  async function when(
+    this: OverHttpWorld,
+    author: string,
+    otherAuthor: string,
+    zone: string,
+    otherZone: string,
+  ) {
+    const text = await readFile('examples/lautoka.rules', 'utf8');
+    const without = (name: string) => (): Promise<string> =>
+      Promise.resolve(text.replace(`zone ${name} in`, `zone ${name} out`));
+    this.pair = await Promise.all([
+      run(this, author, 'apply edited.rules --base 1', without(zone)),
+      run(this, otherAuthor, 'apply edited.rules --base 1', without(otherZone)),
+    ]);
+  },
+);
+
+Then(
+  'it ends over HTTP with {int} and prints {string}',
+  function then(this: OverHttpWorld, exitCode: number, text: string) {
+    assert.equal(this.ended.exitCode, exitCode, this.ended.output);
+    assert.ok(this.ended.output.includes(text), this.ended.output);
+  },
+);
+
+Then(
+  "one of them is told of the other, and the other's change stays",
+  async function then(this: OverHttpWorld) {
+    const winner = this.pair.find(({ exitCode }) => exitCode === 0);
+    const loser = this.pair.find(({ exitCode }) => exitCode === 4);
+    assert.ok(winner && loser, JSON.stringify(this.pair));
+    assert.ok(loser.output.includes(`revision 2 by ${winner.author} came after revision 1`));
+    const shown = await run(this, 'Mere', 'show', () => Promise.resolve(''));
+    assert.ok(shown.output.startsWith(`# revision 2 by ${winner.author}`), shown.output);
+  },
+);
+
+After({ tags: '@cli-over-http' }, async function after(this: OverHttpWorld) {
+  this.stopNode?.abort();
+  this.storeServer?.closeAllConnections();
+  this.storeServer?.close();
+  await this.hostList?.close();
+  await this.operatorServer?.stop();
+});
+
+async function startNode(world: OverHttpWorld): Promise<void> {
+  const { timer } = world;
+  let revision = 0;
+  world.stopNode = new AbortController();
+  world.node = TaskGroup.create({ onFailure: (error) => assert.fail(String(error)) });
+  const store = createBenchClient({ clock: world.clock, timer, fake: world.fakeStore });
+  const follow = {
+    store,
+    timer,
+    signal: world.stopNode.signal,
+    held: HeldConfiguration.create({
+      onConfiguration: (configuration) => {
+        revision = configuration.revision;
+      },
+    }),
+    readPeerOffers: () => Promise.resolve([]),
+  };
+  world.node.start(() => followConfiguration(follow));
+  const place = { name: 'entry-1', role: 'entry', availabilityZone: 'north-a' } as const;
+  world.operatorServer = await serveOperators({
+    address: '127.0.0.1',
+    port: 0,
+    keys: [OPERATOR_KEY],
+    logger: () => {},
+    readStatus: () => ({
+      ...{ nodeName: place.name, role: place.role, availabilityZone: place.availabilityZone },
+      ...{ incarnation: 'i', configurationRevision: revision, storeReachable: true },
+      ...{ targets: [], links: [], moves: [], inFlight: 0, draining: false },
+    }),
+    readTimeline: () => ({ events: [] }),
+    explain: (requestId) => ({ requestId, events: [] }),
+  });
+  const { port: operatorPort } = world.operatorServer;
+  world.hostList.set([{ ...place, address: '127.0.0.1', port: 1, operatorPort, state: 'live' }]);
+}
+
+async function run(
+  world: OverHttpWorld,
+  author: string,
+  line: string,
+  readRules: (name: string) => Promise<string>,
+): Promise<Ended> {
+  const address = world.storeServer.address();
+  const storePort = typeof address === 'object' ? (address?.port ?? 0) : 0;
+  const settings = [
+    '[cli]',
+    `store-url = http://127.0.0.1:${storePort}`,
+    `host-list-url = ${world.hostList.url}`,
+    `operator-key = ${OPERATOR_KEY}`,
+    `author = ${author}`,
+  ].join('\n');
+  const output: string[] = [];
+  let running = true;
+  const exit = runCli({
+    args: line.split(' '),
+    writeOut: (text) => output.push(text),
+    writeError: (text) => output.push(text),
+    readText: (name) => (name.endsWith('.ini') ? Promise.resolve(settings) : readRules(name)),
+    connect: (cli) => connectPlatform({ settings: cli, timer: world.timer }),
+    colours: false,
+    stop: new AbortController().signal,
+  }).finally(() => {
+    running = false;
+  });
+  while (running) {
+    await world.clock.advance({ byMs: STEP_MS });
+  }
+  return { author, exitCode: await exit, output: output.join('') };
+}
--- a/packages/configuration/src/index.ts
+++ b/packages/configuration/src/index.ts
@@ -15,4 +15,5 @@
   type Published,
   type PublishRefusal,
 } from './publishConfiguration.js';
+export { type AcceptedRules, readConfiguration } from './readConfiguration.js';
 export { readHead } from './readHead.js';
