--- /dev/null
+++ b/bench/src/quickstart.ts
@@ -0,0 +1,99 @@
+/** Starts both deployments, sends real requests while faults happen, and checks what came of it. */
+import { systemClock, TimerService } from '@galenatiller/timer';
+import { Command } from 'commander';
+
+import type { Verdict } from './checker/history.js';
+import { type DeploymentName, DEPLOYMENTS } from './launcher/deployment.js';
+import type { RunningDeployment } from './launcher/startDeployment.js';
+import { renderCounts } from './report/renderReport.js';
+import { renderRouteTable } from './report/routeTable.js';
+import { runScenario } from './scenario/runScenario.js';
+import type { Scenario } from './scenario/scenario.js';
+
+const DEPLOYMENT_NAMES: readonly DeploymentName[] = ['lautoka', 'rekvisitlanet'];
+const RATE_PER_SECOND = 20;
+const MS_PER_SECOND = 1_000;
+
+const options = new Command('quickstart')
+  .description('Serves requests on two deployments while an engine dies and a zone is taken out.')
+  .option('--seconds <s>', 'time of the load on each deployment', '15')
+  .option('--seed <seed>', 'seed of the load', '1')
+  .option('--keep', 'leave the last deployment up until Ctrl-C')
+  .parse()
+  .opts<{ readonly seconds: string; readonly seed: string; readonly keep?: true }>();
+const timer = TimerService.create({ clock: systemClock });
+
+const verdicts: Verdict[] = [];
+for (const name of DEPLOYMENT_NAMES) {
+  verdicts.push(await serve(name));
+}
+const total = addUp(verdicts);
+say(renderCounts(total));
+process.exitCode = total.lost + total.doubled + total.crossed === 0 ? 0 : 1;
+
+async function serve(name: DeploymentName): Promise<Verdict> {
+  const keeps = options.keep && name === DEPLOYMENT_NAMES.at(-1);
+  const report = await runScenario({
+    deployment: DEPLOYMENTS[name],
+    scenario: scenarioFor(name),
+    timer,
+    seed: Number(options.seed),
+    durationMs: Number(options.seconds) * MS_PER_SECOND,
+    routingPolicy: 'standard',
+    say: (text) => say(`${name}: ${text}`),
+    ...(keeps ? { beforeStop: keepUp } : {}),
+  });
+  say(renderRouteTable(report.routes));
+  report.verdict.violations.forEach(({ kind, requestId, detail }) => {
+    say(`${name}: ${kind}: request ${requestId}: ${detail}`);
+  });
+  return report.verdict;
+}
+
+/** An engine dies early; then a zone is taken out, and comes back before the end. */
+function scenarioFor(name: DeploymentName): Scenario {
+  const availabilityZone = DEPLOYMENTS[name].availabilityZones[0] ?? '';
+  return {
+    ratePerSecond: () => RATE_PER_SECOND,
+    speed: {},
+    poisonShare: 0,
+    floodOrganisation: '',
+    orders: [
+      {
+        atShare: 0.15,
+        order: { kind: 'fault', targetName: 'drafter-2', fault: { kind: 'crash' } },
+      },
+      { atShare: 0.4, order: { kind: 'zone', availabilityZone, state: 'out' } },
+      { atShare: 0.85, order: { kind: 'zone', availabilityZone, state: 'in' } },
+    ],
+  };
+}
+
+async function keepUp(deployment: RunningDeployment): Promise<void> {
+  const [organisation] = deployment.configuration().organisations.keys();
+  say(
+    [
+      'The deployment stays up until Ctrl-C. Try:',
+      `curl -N ${deployment.entryUrls[0] ?? ''}/v1/routes/packing-list \\`,
+      `  -H 'Authorization: Bearer example-key-${organisation ?? ''}' \\`,
+      `  -d '{"prompt": "two chandeliers and a throne", "stream": true}'`,
+    ].join('\n'),
+  );
+  await deployment.processes.untilEnd('entry-1');
+}
+
+function addUp(all: readonly Verdict[]): Omit<Verdict, 'violations'> {
+  const sum = (count: (verdict: Verdict) => number): number =>
+    all.reduce((before, verdict) => before + count(verdict), 0);
+  return {
+    answered: sum(({ answered }) => answered),
+    refused: sum(({ refused }) => refused),
+    lost: sum(({ lost }) => lost),
+    doubled: sum(({ doubled }) => doubled),
+    crossed: sum(({ crossed }) => crossed),
+  };
+}
+
+function say(text: string): void {
+  process.stdout.write(`${text}\n`);
+}
--- a/fakes/src/main.ts
+++ b/fakes/src/main.ts
@@ -1,5 +1,6 @@
 /** Runs one fake as a process: `node fakes/dist/main.js --kind engine --port 9001`. */
 import { once } from 'node:events';
+import type { AddressInfo } from 'node:net';
 
 import { systemClock, TimerService } from '@galenatiller/timer';
 import { Command, Option } from 'commander';
@@ -11,10 +12,13 @@
 import { createFakeService } from './createFakeService.js';
 import { createFakeStatsd } from './createFakeStatsd.js';
 import type { FakeTargetOptions } from './createFakeTarget.js';
+import { createFakeWeightStore } from './createFakeWeightStore.js';
 import type { FakeEngineSettings } from './engine/engineSettings.js';
+import { createFakeStoreServer } from './store/createFakeStoreServer.js';
+import { FakeStore } from './store/fakeStore.js';
 
 /** The kinds of fakes that run as a process. */
-const KINDS = ['engine', 'pool', 'service', 'hostList', 'statsd'] as const;
+const KINDS = ['engine', 'pool', 'service', 'hostList', 'statsd', 'store', 'weightStore'] as const;
 
 /** What a cold engine does with too many requests. */
 const COLD_OVERLOADS = ['crash', 'fail', 'refuse'] as const;
@@ -48,6 +52,7 @@
   slopeMs: z.coerce.number(),
   capacity: z.coerce.number().int().positive(),
   serviceMs: z.coerce.number(),
+  callsPerSecond: z.coerce.number().positive(),
   lagMs: z.coerce.number(),
 });
 
@@ -79,6 +84,7 @@
   .option('--slope-ms <ms>', 'engine: time that each further request adds', '0.5')
   .option('--capacity <requests>', 'engine, pool, service: most requests at once', '16')
   .option('--service-ms <ms>', 'pool, service: time of one request', '5')
+  .option('--calls-per-second <calls>', 'weight store: its rate', '10')
   .option('--lag-ms <ms>', 'host list: time until a change shows', '0')
   .parse();
 
@@ -104,10 +110,30 @@
     service: () => createFakeService(work),
     hostList: () => createFakeHostList({ timer, port: opts.port, lagMs: opts.lagMs }),
     statsd: () => createFakeStatsd({ port: opts.port }),
+    store: () => startStore({ timer, port: opts.port }),
+    weightStore: () =>
+      createFakeWeightStore({ timer, port: opts.port, callsPerSecond: opts.callsPerSecond }),
   };
   return starters[opts.kind]();
 }
 
+async function startStore(opts: {
+  readonly timer: TimerService;
+  readonly port: number;
+}): Promise<RunningFake> {
+  const server = createFakeStoreServer({ store: FakeStore.create({ timer: opts.timer }) });
+  server.listen(opts.port, '127.0.0.1');
+  await once(server, 'listening');
+  return {
+    url: `http://127.0.0.1:${(server.address() as AddressInfo).port}`,
+    close: async () => {
+      server.close();
+      server.closeAllConnections();
+      await once(server, 'close');
+    },
+  };
+}
+
 function engineSettings(opts: Options): Omit<FakeEngineSettings, keyof FakeTargetOptions> {
   return {
     speed: {
