--- a/fakes/src/createFakeEngine.ts
+++ b/fakes/src/createFakeEngine.ts
@@ -21,7 +21,6 @@
 export async function createFakeEngine(opts: FakeEngineOptions): Promise<FakeEngine> {
   const settings: FakeEngineSettings = { ...DEFAULT_ENGINE_SETTINGS, ...opts };
   const model = EngineModel.create({ settings, target: () => target });
-  let seenLoad = model.load;
   const target: FakeTarget = await createFakeTarget({
     ...settings,
     workPaths: new Set(['/v1/completions']),
@@ -31,10 +30,11 @@
       return Promise.resolve(handleOther({ exchange, model, seenLoad }));
     },
     onCold: () => {
-      model.turnCold();
+      model.clearCache();
     },
     currentVersion: () => model.version,
   });
+  let seenLoad = model.load;
   const stopLooking = settings.timer.every({
     intervalMs: settings.loadLagMs,
     notify: () => {
--- a/fakes/src/index.ts
+++ b/fakes/src/index.ts
@@ -1,7 +1,7 @@
 /** Stand-ins of the systems that galenatiller serves, with faults on order. */
 export { createFakeEngine, type FakeEngine, type FakeEngineOptions } from './createFakeEngine.js';
 export { Batch } from './engine/batch.js';
-export type { ColdBehaviour } from './engine/coldPhase.js';
+export type { ColdBehaviour, ColdOverload } from './coldPhase.js';
 export type { FakeEngineLoad } from './engine/engineModel.js';
 export type { FakeEngineOrder } from './engine/orderDesk.js';
 export {
--- a/fakes/test/fakeEngine.feature
+++ b/fakes/test/fakeEngine.feature
@@ -18,6 +18,12 @@
     Then the runs at the fake engine ended as "crashed,crashed"
     And the fake engine counts 1 cold overload and has started 2 times
 
+  Scenario: A cold engine that refuses is overloaded, and stays up
+    Given a fake engine that refuses more than 1 request for 60000 ms after its start
+    When a second request comes to the fake engine while the first hangs
+    Then the runs at the fake engine ended as "cancelled,refused"
+    And the fake engine counts 1 cold overload and has started 1 times
+
   Scenario: A poison prompt crashes the engine
     Given a fake engine that the prompt "poison" crashes
     When the fake engine gets the prompt "a poison prompt"
--- a/packages/engine/src/coldStart.ts
+++ b/packages/engine/src/coldStart.ts
@@ -45,6 +45,9 @@
 /** Failed connects in a row that make a target down. */
 const UNREACHABLE_IN_ROW = 2;
 
+/** Runs at once that find out whether a target that is down is back. */
+const PROBE_LIMIT = 1;
+
 /** Weight of one run in the usual latency. */
 const LATENCY_WEIGHT = 0.1;
 
@@ -115,13 +118,16 @@
   /** Most runs at once now. */
   readonly limit = (): number => {
     const { inFlightLimit, coldInFlightLimit } = this.opts;
+    if (this.isDown()) {
+      return PROBE_LIMIT;
+    }
     const allowed = this.isIdentified() ? this.grownLimit : coldInFlightLimit;
     return Math.min(allowed, inFlightLimit);
   };
 
   /** Whether the target takes work. */
   readonly state = (): TargetState => {
-    if (this.unreachableInRow >= UNREACHABLE_IN_ROW) {
+    if (this.isDown()) {
       return 'down';
     }
     return this.isWarm ? 'ready' : 'cold';
@@ -267,6 +273,10 @@
     );
   }
 
+  private isDown(): boolean {
+    return this.unreachableInRow >= UNREACHABLE_IN_ROW;
+  }
+
   private isFull(): boolean {
     return this.grownLimit >= this.opts.inFlightLimit;
   }
