Wait for crashed fakes when the bench orders and collects

Cause: scenario cold ended with ECONNREFUSED: cold engines had crashed under too much load, and the bench did not wait for them to come back. Change: every question to a fake is tried again for 10 s; reports show the lag of the load generator's event loop, below which times say nothing.

--- a/bench/src/launcher/collectLedgers.ts
+++ b/bench/src/launcher/collectLedgers.ts
@@ -1,10 +1,11 @@
 /** Reads what the fakes have seen. */
 import type { ServiceEffect } from '@galenatiller/fakes';
+import type { TimerService } from '@galenatiller/timer';
 import type { TargetKind } from '@galenatiller/types';
-import { request } from 'undici';
 import { z } from 'zod';
 
 import type { TargetRun } from '../checker/history.js';
+import { askFake } from './askFake.js';
 
 /** A fake target as the launcher placed it. */
 export interface PlacedFake {
@@ -54,12 +55,27 @@
 
 const loadSchema = z.object({ coldOverloads: z.number() });
 
+/** Options of {@link collectLedgers}. */
+export interface CollectLedgersOptions {
+  readonly fakes: readonly PlacedFake[];
+  readonly timer: TimerService;
+}
+
+/** Reads JSON from a fake. */
+type ReadJson = (url: string) => Promise<unknown>;
+
 /** Collects the ledgers of every fake target. */
-export async function collectLedgers(fakes: readonly PlacedFake[]): Promise<Ledgers> {
+export async function collectLedgers(opts: CollectLedgersOptions): Promise<Ledgers> {
+  const { fakes } = opts;
+  const readJson: ReadJson = (url) => askFake({ timer: opts.timer, url });
   const [runs, effects, overloads] = await Promise.all([
-    Promise.all(fakes.map(readRuns)),
-    Promise.all(fakes.filter(({ kind }) => kind === 'service').map(readEffects)),
-    Promise.all(fakes.filter(({ kind }) => kind === 'engine').map(readOverloads)),
+    Promise.all(fakes.map((fake) => readRuns(fake, readJson))),
+    Promise.all(
+      fakes.filter(({ kind }) => kind === 'service').map((fake) => readEffects(fake, readJson)),
+    ),
+    Promise.all(
+      fakes.filter(({ kind }) => kind === 'engine').map((fake) => readOverloads(fake, readJson)),
+    ),
   ]);
   return {
     runs: runs.flat(),
@@ -68,7 +84,7 @@
   };
 }
 
-async function readRuns(fake: PlacedFake): Promise<readonly LedgerRun[]> {
+async function readRuns(fake: PlacedFake, readJson: ReadJson): Promise<readonly LedgerRun[]> {
   const { runs } = runsSchema.parse(await readJson(`${fake.url}/runs`));
   const { name: targetName, group, availabilityZone } = fake;
   return runs.map(({ ended, ...run }) => ({
@@ -81,15 +97,13 @@
   }));
 }
 
-async function readEffects({ url }: PlacedFake): Promise<readonly ServiceEffect[]> {
+async function readEffects(
+  { url }: PlacedFake,
+  readJson: ReadJson,
+): Promise<readonly ServiceEffect[]> {
   return effectsSchema.parse(await readJson(`${url}/ledger`)).effects;
 }
 
-async function readOverloads({ url }: PlacedFake): Promise<number> {
+async function readOverloads({ url }: PlacedFake, readJson: ReadJson): Promise<number> {
   return loadSchema.parse(await readJson(`${url}/load`)).coldOverloads;
 }
-
-async function readJson(url: string): Promise<unknown> {
-  const { body } = await request(url);
-  return body.json();
-}
--- a/bench/src/launcher/startDeployment.ts
+++ b/bench/src/launcher/startDeployment.ts
@@ -8,6 +8,7 @@
 import { request } from 'undici';
 
 import type { ZoneOrder } from '../checker/history.js';
+import { askFake } from './askFake.js';
 import { collectLedgers, type Ledgers, type PlacedFake } from './collectLedgers.js';
 import type { Deployment } from './deployment.js';
 import type { FakeSpeed } from './fakePlan.js';
@@ -99,7 +100,7 @@
     `${placed.hostListUrl}/v1/hosts`,
     ...placed.fakes.map(({ url }) => `${url}/runs`),
   ]);
-  await putHosts(placed);
+  await putHosts(placed, timer);
   await publisher.publish((rules) => rules);
   await startNodes(opts);
   await untilAnswering(
@@ -170,17 +171,20 @@
       zoneOrders.push({ availabilityZone: name, state, atWallMs: timer.wallMs() });
     },
     publish: publisher.publish,
-    orderFault: (targetName, order) => {
+    orderFault: async (targetName, order) => {
       const url = placed.fakes.find(({ name }) => name === targetName)?.url ?? '';
-      return send(`${url}/faults`, 'POST', order);
+      await askFake({ timer, url: `${url}/faults`, method: 'POST', body: order });
     },
-    orderStore: (faults) => send(`${placed.storeUrl}/faults`, 'POST', faults),
-    storeCalls: async () => {
-      const { body } = await request(`${placed.storeUrl}/calls`);
-      return (await body.json()) as Readonly<Record<string, number>>;
+    orderStore: async (faults) => {
+      const url = `${placed.storeUrl}/faults`;
+      await askFake({ timer, url, method: 'POST', body: faults });
     },
+    storeCalls: async () =>
+      (await askFake({ timer, url: `${placed.storeUrl}/calls` })) as Readonly<
+        Record<string, number>
+      >,
     usage: () => processes.usage(),
-    collect: () => collectLedgers(placed.fakes),
+    collect: () => collectLedgers({ fakes: placed.fakes, timer }),
     stop: opts.stop,
   };
 }
@@ -193,7 +197,8 @@
   return parsed.value.rules;
 }
 
-async function putHosts({ hostListUrl, entries, gates }: PlacedDeployment): Promise<void> {
+async function putHosts(placed: PlacedDeployment, timer: TimerService): Promise<void> {
+  const { hostListUrl, entries, gates } = placed;
   const hosts: readonly Host[] = [...entries, ...gates].map((node) => ({
     name: node.nodeName,
     address: '127.0.0.1',
@@ -203,15 +208,7 @@
     availabilityZone: node.availabilityZone,
     state: 'live',
   }));
-  await send(`${hostListUrl}/v1/hosts`, 'PUT', { hosts });
-}
-
-async function send(url: string, method: 'POST' | 'PUT', body: object): Promise<void> {
-  const response = await request(url, { method, body: JSON.stringify(body) });
-  await response.body.dump();
-  if (response.statusCode !== 200) {
-    throw new Error(`${method} ${url} answered ${response.statusCode}`);
-  }
+  await askFake({ timer, url: `${hostListUrl}/v1/hosts`, method: 'PUT', body: { hosts } });
 }
 
 async function untilAnswering(timer: TimerService, urls: readonly string[]): Promise<void> {
--- a/bench/src/report/benchReport.ts
+++ b/bench/src/report/benchReport.ts
@@ -54,6 +54,7 @@
   readonly usageAfter: readonly ProcessUsage[];
   readonly elapsedMs: number;
   readonly storeCalls: number;
+  readonly loadLagP99Ms: number;
 }
 
 /** What a run of the bench has measured. */
@@ -65,6 +66,8 @@
   readonly costs: readonly StageCost[];
   readonly usage: readonly RoleUsage[];
   readonly storeCallsPerSecond: number;
+  /** Lag of the load generator's own event loop; times below it say nothing. */
+  readonly loadLagP99Ms: number;
   readonly verdict: Verdict;
 }
 
@@ -83,6 +86,7 @@
     costs: costsOf(opts.runs, requests.filter(isInTime).length),
     usage: ROLES.map((role) => usageOf(role, opts)),
     storeCallsPerSecond: (opts.storeCalls / opts.elapsedMs) * MS_PER_SECOND,
+    loadLagP99Ms: opts.loadLagP99Ms,
     verdict: opts.verdict,
   };
 }
--- a/bench/src/report/renderReport.ts
+++ b/bench/src/report/renderReport.ts
@@ -47,6 +47,7 @@
       ]),
     ),
     `${report.storeCallsPerSecond.toFixed(1)} store calls a second`,
+    `${report.loadLagP99Ms.toFixed(1)} ms lag of the load generator (p99)`,
     ...verdict.violations
       .slice(0, SHOWN_VIOLATIONS)
       .map(({ kind, requestId, detail }) => `${kind}: request ${requestId}: ${detail}`),
--- a/bench/src/scenario/runOrders.ts
+++ b/bench/src/scenario/runOrders.ts
@@ -1,6 +1,6 @@
 import type { TimerService } from '@galenatiller/timer';
-import { request } from 'undici';
 
+import { askFake } from '../launcher/askFake.js';
 import type { RunningDeployment } from '../launcher/startDeployment.js';
 import type { BenchOrder, ScheduledOrder } from './scenario.js';
 
@@ -79,17 +79,14 @@
   await Promise.all(
     deployment.fakes
       .filter(({ name }) => move.targetNames.includes(name))
-      .map(async ({ url }) => {
-        const { body } = await request(`${url}/orders`, {
+      .map(({ url }) =>
+        askFake({
+          timer,
+          url: `${url}/orders`,
           method: 'POST',
-          body: JSON.stringify({
-            kind: 'load-version',
-            name: move.toVersion,
-            fencing_number: FENCING_NUMBER,
-          }),
-        });
-        await body.dump();
-      }),
+          body: { kind: 'load-version', name: move.toVersion, fencing_number: FENCING_NUMBER },
+        }),
+      ),
   );
   await deployment.publish((rules) => [
     ...rules,
--- a/bench/src/scenario/runScenario.ts
+++ b/bench/src/scenario/runScenario.ts
@@ -1,3 +1,5 @@
+import { monitorEventLoopDelay } from 'node:perf_hooks';
+
 import type { TimerService } from '@galenatiller/timer';
 
 import { checkHistory } from '../checker/checkHistory.js';
@@ -29,6 +31,8 @@
 const REPEAT_SHARE = 0.2;
 
 const PROGRESS_INTERVAL_MS = 3_000;
+const LOOP_RESOLUTION_MS = 5;
+const NS_PER_MS = 1_000_000;
 
 /** Runs that a caller gave up on end at their targets a little later. */
 const LEDGER_SETTLE_MS = 500;
@@ -62,6 +66,8 @@
   });
   const usageBefore = await deployment.usage();
   const callsBefore = await countStoreCalls(deployment);
+  const loopDelay = monitorEventLoopDelay({ resolution: LOOP_RESOLUTION_MS });
+  loopDelay.enable();
   const startMs = timer.nowMs();
   const [requests] = await Promise.all([
     runLoad({
@@ -83,6 +89,7 @@
     }),
   ]);
   const elapsedMs = timer.nowMs() - startMs;
+  loopDelay.disable();
   stopProgress();
   const usageAfter = await deployment.usage();
   const storeCalls = (await countStoreCalls(deployment)) - callsBefore;
@@ -92,6 +99,7 @@
   const { runs } = ledgers;
   return buildReport({
     ...{ requests, runs, verdict, usageBefore, usageAfter, elapsedMs, storeCalls },
+    loadLagP99Ms: loopDelay.percentile(99) / NS_PER_MS,
   });
 }
 
