--- a/packages/operator/test/rules.feature
+++ b/packages/operator/test/rules.feature
@@ -12,6 +12,10 @@
       | examples/lautoka.rules      | 29    |
       | examples/rekvisitlanet.rules | 34   |
 
+  Scenario: The page for operators shows rules that are accepted
+    When the rules on the page "docs/operators/rules.md" are parsed
+    Then the rules file has 11 rules and no problem
+
   Scenario Outline: A bad line is refused with its place
     When these rule lines are parsed
       """
--- a/packages/operator/test/rules.steps.ts
+++ b/packages/operator/test/rules.steps.ts
@@ -27,6 +27,14 @@
   this.parsed = parseRules({ text: await readFile(file, 'utf8'), fileName: file });
 });
 
+When(
+  'the rules on the page {string} are parsed',
+  async function when(this: RulesWorld, page: string) {
+    const [, text = ''] = /```rules\n(.*?)```/s.exec(await readFile(page, 'utf8')) ?? [];
+    this.parsed = parseRules({ text, fileName: page });
+  },
+);
+
 When('these rule lines are parsed', function when(this: RulesWorld, text: string) {
   this.parsed = parseRules({ text, fileName: 'f' });
 });
