Learn the warm-up time of a target, and want its usual latency at light load

A ramp that began too early triples the warm-up time of the target, up to 16 times the one in the settings; a target that answers slower than usual at light load stays cold.

--- a/packages/engine/src/coldStart.ts
+++ b/packages/engine/src/coldStart.ts
@@ -51,11 +51,17 @@
 /** Weight of one run in the usual latency. */
 const LATENCY_WEIGHT = 0.1;
 
-/** Growth of the warm-up time after a cold turn that came during a ramp. */
-const WARM_UP_GROWTH = 2;
+/** Weight of one run in the latency while cold. */
+const COLD_LATENCY_WEIGHT = 0.3;
 
-/** Shrinkage of a grown warm-up time after a whole ramp. */
-const WARM_UP_SHRINKAGE = 0.75;
+/** Latency at light load, in multiples of the usual one, up to which a target counts as warm. */
+const WARM_FACTOR = 2;
+
+/** Latency on top of that which the machine may add, in milliseconds. */
+const WARM_SLACK_MS = 10;
+
+/** Growth of the warm-up time when a ramp began too early. */
+const WARM_UP_GROWTH = 3;
 
 /** Longest warm-up time, in multiples of the one in the options. */
 const MAX_WARM_UPS = 16;
@@ -92,15 +98,21 @@
 
   private coldSinceMs: number;
 
+  /** When the limit first grew since the last cold turn. */
+  private rampSinceMs: number | undefined;
+
   /** Missing until the target has told it. */
   private startId: string | undefined;
 
   /** Missing while a restart is suspected. */
   private identifiedAtMs: number | undefined;
 
-  /** Usual time to the first part; 0 until known. */
+  /** Usual time to the first part of a warm target; 0 until known. */
   private usualFirstPartMs = 0;
 
+  /** Smoothed time to the first part since the last cold turn; 0 until known. */
+  private coldFirstPartMs = 0;
+
   private toldState: TargetState = 'cold';
 
   private constructor(opts: ColdStartOptions) {
@@ -200,15 +212,30 @@
     firstPartMs,
   }: Pick<RunTicket & RunEnded, 'firstPartMs' | 'inFlight'>): void {
     this.slowInRow = 0;
-    this.learnLatency(firstPartMs);
     this.goodRuns += 1;
     this.runsAtLimit += inFlight * 2 >= this.grownLimit ? 1 : 0;
-    this.isWarm ||= this.goodRuns >= this.opts.coldInFlightLimit && this.hasWarmedUp(1);
-    if (this.isWarm && this.runsAtLimit >= this.grownLimit) {
+    this.coldFirstPartMs = smooth(this.coldFirstPartMs, firstPartMs, COLD_LATENCY_WEIGHT);
+    this.isWarm ||= this.showsWarmth();
+    if (!this.isWarm) {
+      return;
+    }
+    this.usualFirstPartMs = smooth(this.usualFirstPartMs, firstPartMs, LATENCY_WEIGHT);
+    if (this.runsAtLimit >= this.grownLimit) {
       this.grow();
     }
   }
 
+  /** Whether enough runs, for long enough, were as fast as a warm target answers. */
+  private showsWarmth(): boolean {
+    if (this.goodRuns < this.opts.coldInFlightLimit || !this.hasWarmedUp(1)) {
+      return false;
+    }
+    const isFast =
+      this.usualFirstPartMs === 0 ||
+      this.coldFirstPartMs <= this.usualFirstPartMs * WARM_FACTOR + WARM_SLACK_MS;
+    return isFast || this.hasWarmedUp(NEW_LATENCY_WARM_UPS);
+  }
+
   private onSlow(firstPartMs: number): void {
     this.slowInRow += 1;
     if (this.isWarm && this.slowInRow >= SLOW_RUNS) {
@@ -232,30 +259,26 @@
     }
     const grown = Math.ceil(this.grownLimit * GROWTH_FACTOR);
     this.grownLimit = Math.min(grown, this.opts.inFlightLimit);
-    if (this.isFull()) {
-      this.warmUpMs = Math.max(this.opts.warmUpMs, this.warmUpMs * WARM_UP_SHRINKAGE);
-    }
+    this.rampSinceMs ??= this.opts.timer.nowMs();
   }
 
-  /** Goes back to the cold limit; a turn during a ramp says that the ramp began too early. */
+  /** Goes back to the cold limit; a turn soon after the ramp began says that it began too early. */
   private turnCold(): void {
-    if (this.isWarm && !this.isFull()) {
-      const longest = this.opts.warmUpMs * MAX_WARM_UPS;
-      this.warmUpMs = Math.min(this.warmUpMs * WARM_UP_GROWTH, longest);
+    const nowMs = this.opts.timer.nowMs();
+    if (this.rampSinceMs !== undefined && nowMs - this.rampSinceMs <= this.warmUpMs) {
+      const longestMs = this.opts.warmUpMs * MAX_WARM_UPS;
+      this.warmUpMs = Math.min(this.warmUpMs * WARM_UP_GROWTH, longestMs);
     }
     this.turn += 1;
     this.grownLimit = this.opts.coldInFlightLimit;
     this.isWarm = false;
+    this.coldFirstPartMs = 0;
     this.goodRuns = 0;
     this.runsAtLimit = 0;
     this.failuresInRow = 0;
     this.slowInRow = 0;
-    this.coldSinceMs = this.opts.timer.nowMs();
-  }
-
-  private learnLatency(firstPartMs: number): void {
-    const usual = this.usualFirstPartMs || firstPartMs;
-    this.usualFirstPartMs = usual + (firstPartMs - usual) * LATENCY_WEIGHT;
+    this.rampSinceMs = undefined;
+    this.coldSinceMs = nowMs;
   }
 
   private slowestGoodMs(): number {
@@ -289,3 +312,7 @@
     }
   }
 }
+
+function smooth(beforeMs: number, lastMs: number, weight: number): number {
+  return beforeMs === 0 ? lastMs : beforeMs + (lastMs - beforeMs) * weight;
+}
--- a/packages/engine/src/crashLedger.ts
+++ b/packages/engine/src/crashLedger.ts
@@ -52,7 +52,7 @@
     return new CrashLedger({ ttlMs: DEFAULT_TTL_MS, maxRecords: DEFAULT_MAX_RECORDS, ...opts });
   }
 
-  /** Every record that counts, newest first. */
+  /** Every record that counts. */
   get records(): readonly CrashRecord[] {
     return [...this.newest.values()].filter((record) => this.counts(record));
   }
@@ -77,8 +77,7 @@
         merged.set(keyOf(record), record);
       }
     });
-    const kept = [...merged].sort(([, left], [, right]) => compareRecords(left, right));
-    this.newest = new Map(kept.slice(0, this.opts.maxRecords));
+    this.newest = newestOf(merged, this.opts.maxRecords);
     this.byFingerprint = groupByFingerprint([...this.newest.values()]);
   }
 
@@ -118,7 +117,17 @@
   return `${fingerprint} ${targetName}`;
 }
 
-/** A total order, newest first, so that every ledger keeps the same records. */
-function compareRecords(left: CrashRecord, right: CrashRecord): number {
-  return right.atWallMs - left.atWallMs || (keyOf(left) < keyOf(right) ? -1 : 1);
+/** The newest records by a total order, so that every ledger keeps the same ones. */
+function newestOf(
+  records: ReadonlyMap<string, CrashRecord>,
+  limit: number,
+): ReadonlyMap<string, CrashRecord> {
+  if (records.size <= limit) {
+    return records;
+  }
+  const sorted = [...records].sort(
+    ([leftKey, left], [rightKey, right]) =>
+      right.atWallMs - left.atWallMs || (leftKey < rightKey ? -1 : 1),
+  );
+  return new Map(sorted.slice(0, limit));
 }
--- a/packages/engine/test/coldStart.feature
+++ b/packages/engine/test/coldStart.feature
@@ -49,6 +49,14 @@
     When the target answers 60 rounds of runs at its limit, each within 500 ms
     Then the target is "ready" with a limit of 16
 
+  Scenario: A target that answers slower than usual at light load is still cold
+    When the target answers 40 rounds of runs at its limit, each within 20 ms
+    And the target restarts and tells its new identity
+    And the target answers 20 rounds of runs at its limit, each within 80 ms
+    Then the target is "cold" with a limit of 2
+    When the target answers 40 rounds of runs at its limit, each within 20 ms
+    Then the target is "ready" with a limit of 16
+
   Scenario: A target that cannot be reached is down until it tells its identity
     When a run on the target ends as "unreachable"
     And a run on the target ends as "unreachable"
