--- a/features/support/fleet/targetModel.ts
+++ b/features/support/fleet/targetModel.ts
@@ -50,6 +50,11 @@
     return new TargetModel(opts.timer, opts);
   }
 
+  /** False after a crash until the restart. */
+  get isUp(): boolean {
+    return !this.isDown;
+  }
+
   /** Changes the given faults and leaves the others. */
   order(faults: Partial<TargetFaults>): void {
     this.faults = { ...this.faults, ...faults };
@@ -82,7 +87,11 @@
       if (input.prompt.includes(POISON_MARK)) {
         this.goDown(500);
       }
-      if (opts.signal.aborted || crashed.aborted || (breaks && index === input.deliveredTokens + 2)) {
+      if (
+        opts.signal.aborted ||
+        crashed.aborted ||
+        (breaks && index === input.deliveredTokens + 2)
+      ) {
         return fail('stream-broken');
       }
       opts.onPart({ offsetTokens: index, tokens: 1, text: expectedWord(input.prompt, index) });
@@ -121,7 +130,14 @@
     const { requestId, stageIndex, attempt } = order;
     const { name, availabilityZone } = this.host;
     const startedWallMs = this.timer.wallMs();
-    this.runs.push({ requestId, stageIndex, attempt, startedWallMs, targetName: name, availabilityZone });
+    this.runs.push({
+      requestId,
+      stageIndex,
+      attempt,
+      startedWallMs,
+      targetName: name,
+      availabilityZone,
+    });
   }
 }
 
