--- a/features/support/pathDeployment.ts
+++ b/features/support/pathDeployment.ts
@@ -72,7 +72,7 @@
         onConfiguration(configuration);
         return whenAborted(signal);
       },
-      onListening: resolve,
+      onListening: ({ port }) => resolve(port),
     });
   });
 }
@@ -107,7 +107,7 @@
         onHosts(hosts);
         return whenAborted(signal);
       },
-      onListening: resolve,
+      onListening: ({ port }) => resolve(port),
     });
   });
 }
--- a/packages/daemon/src/runEntryRole.ts
+++ b/packages/daemon/src/runEntryRole.ts
@@ -1,24 +1,51 @@
-import { naivePolicy, runEntry, standardPolicy } from '@galenatiller/entry';
+import { type ListeningEntry, naivePolicy, runEntry, standardPolicy } from '@galenatiller/entry';
+import type { NodeStatus, OperatorServer } from '@galenatiller/operator';
 import type { EntrySettings } from '@galenatiller/settings';
 
-import { connectPlatform } from './connectPlatform.js';
+import { connectPlatform, type Platform } from './connectPlatform.js';
 import { createTimeline } from './createTimeline.js';
 import type { RunRoleOptions } from './runDaemon.js';
+import { serveNodeOperators } from './serveNodeOperators.js';
 
 /** Runs an entry against the platform that its settings name. */
 export async function runEntryRole(opts: RunRoleOptions<EntrySettings>): Promise<void> {
+  const { settings } = opts;
   const timeline = createTimeline(opts);
   const platform = connectPlatform({ ...opts, readPeerOffers: () => Promise.resolve([]) });
+  const servers: Promise<OperatorServer>[] = [];
   try {
     await runEntry({
       ...opts,
-      policy: opts.settings.policy === 'naive' ? naivePolicy : standardPolicy,
+      policy: settings.policy === 'naive' ? naivePolicy : standardPolicy,
       random: Math.random,
       record: (event) => timeline.record(event),
       followConfiguration: platform.followConfiguration,
       followHosts: platform.followHosts,
+      onListening: (listening) => {
+        const readStatus = (): NodeStatus => describeEntry(listening, platform);
+        servers.push(serveNodeOperators({ settings, timeline, readStatus }));
+      },
     });
   } finally {
+    const open = await Promise.all(servers);
+    await Promise.all(open.map((server) => server.stop()));
     await platform.close();
   }
 }
+
+function describeEntry(listening: ListeningEntry, platform: Platform): NodeStatus {
+  const { entry, identity } = listening;
+  return {
+    ...identity,
+    configurationRevision: entry.readConfiguration().revision,
+    storeReachable: platform.isStoreReachable(),
+    targets: entry.directory.gates.flatMap((gate) => gate.targets),
+    links: entry.directory.gates.map((gate) => ({
+      peerName: gate.host.name,
+      state: gate.isOpen ? 'open' : 'opening',
+    })),
+    moves: [],
+    inFlight: listening.countCalls(),
+    draining: !entry.isReady(),
+  };
+}
--- a/packages/daemon/src/runGateRole.ts
+++ b/packages/daemon/src/runGateRole.ts
@@ -1,42 +1,74 @@
 import { randomUUID } from 'node:crypto';
 
 import { runGeneration } from '@galenatiller/engine';
-import { createStoreRunRecords, naivePolicy, runGate, standardPolicy } from '@galenatiller/gate';
+import {
+  createStoreRunRecords,
+  type ListeningGate,
+  naivePolicy,
+  runGate,
+  standardPolicy,
+} from '@galenatiller/gate';
 import { probeIdentity } from '@galenatiller/http';
+import type { NodeStatus, OperatorServer } from '@galenatiller/operator';
 import { runPoolStage } from '@galenatiller/pool';
 import { runServiceCall } from '@galenatiller/service';
 import type { GateSettings } from '@galenatiller/settings';
 import { RunRecords } from '@galenatiller/store';
 
-import { connectPlatform } from './connectPlatform.js';
+import { connectPlatform, type Platform } from './connectPlatform.js';
 import { createTimeline } from './createTimeline.js';
 import type { RunRoleOptions } from './runDaemon.js';
+import { serveNodeOperators } from './serveNodeOperators.js';
 
 /** Time that a claim waits for others, so that one store call carries them all. */
 const RUN_RECORD_WINDOW_MS = 4;
 
 /** Runs a gate against the platform and the targets that its settings name. */
 export async function runGateRole(opts: RunRoleOptions<GateSettings>): Promise<void> {
+  const { settings } = opts;
   const timeline = createTimeline(opts);
   const platform = connectPlatform({ ...opts, readPeerOffers: () => Promise.resolve([]) });
-  const records = RunRecords.create({
-    store: platform.store,
-    timer: opts.timer,
-    nodeName: opts.settings.nodeName,
-    incarnation: randomUUID(),
-    groupWindowMs: RUN_RECORD_WINDOW_MS,
-  });
+  const servers: Promise<OperatorServer>[] = [];
   try {
     await runGate({
       ...opts,
-      policy: opts.settings.policy === 'naive' ? naivePolicy : standardPolicy,
+      policy: settings.policy === 'naive' ? naivePolicy : standardPolicy,
       probeTarget: probeIdentity,
       record: (event) => timeline.record(event),
       runners: { engine: runGeneration, pool: runPoolStage, service: runServiceCall },
-      runRecords: createStoreRunRecords({ records }),
+      runRecords: createStoreRunRecords({ records: createRecords(opts, platform) }),
       followConfiguration: platform.followConfiguration,
+      onListening: (listening) => {
+        const readStatus = (): NodeStatus => describeGate(listening, platform);
+        servers.push(serveNodeOperators({ settings, timeline, readStatus }));
+      },
     });
   } finally {
+    const open = await Promise.all(servers);
+    await Promise.all(open.map((server) => server.stop()));
     await platform.close();
   }
 }
+
+function createRecords(opts: RunRoleOptions<GateSettings>, platform: Platform): RunRecords {
+  return RunRecords.create({
+    store: platform.store,
+    timer: opts.timer,
+    nodeName: opts.settings.nodeName,
+    incarnation: randomUUID(),
+    groupWindowMs: RUN_RECORD_WINDOW_MS,
+  });
+}
+
+function describeGate({ gate, identity }: ListeningGate, platform: Platform): NodeStatus {
+  return {
+    ...identity,
+    configurationRevision: gate.readConfiguration().revision,
+    storeReachable: platform.isStoreReachable(),
+    targets: gate.readReports(),
+    links: gate.listEntries().map((peerName) => ({ peerName, state: 'open' })),
+    moves: [],
+    inFlight: gate.countOrders(),
+    draining: gate.isLeaving(),
+  };
+}
--- /dev/null
+++ b/packages/daemon/src/serveNodeOperators.ts
@@ -0,0 +1,37 @@
+import { createLogger } from '@galenatiller/logger';
+import { type NodeStatus, type OperatorServer, serveOperators } from '@galenatiller/operator';
+import type { NodeSettings } from '@galenatiller/settings';
+import type { Timeline } from '@galenatiller/timeline';
+import type { TimelineEvent } from '@galenatiller/types';
+
+/** Options of {@link serveNodeOperators}. */
+export interface ServeNodeOperatorsOptions {
+  readonly settings: NodeSettings;
+  readonly timeline: Timeline;
+  readonly readStatus: () => NodeStatus;
+}
+
+/** Serves operators on a node from its status and its time line. */
+export function serveNodeOperators(opts: ServeNodeOperatorsOptions): Promise<OperatorServer> {
+  const { settings, timeline } = opts;
+  return serveOperators({
+    address: settings.operatorAddress,
+    port: settings.operatorPort,
+    keys: settings.operatorKeys,
+    logger: createLogger('operator'),
+    readStatus: opts.readStatus,
+    readTimeline: ({ requestId, target, after, maxEvents }) => {
+      const events = timeline.query({
+        ...(requestId === '' ? {} : { requestId }),
+        ...(target === '' ? {} : { subject: target }),
+        sinceStamp: after,
+      });
+      return { events: newest(events, maxEvents) };
+    },
+    explain: (requestId) => ({ requestId, events: timeline.query({ requestId }) }),
+  });
+}
+
+function newest(events: readonly TimelineEvent[], count: number): readonly TimelineEvent[] {
+  return events.slice(Math.max(0, events.length - count));
+}
--- a/packages/entry/src/index.ts
+++ b/packages/entry/src/index.ts
@@ -5,4 +5,4 @@
 export { naivePolicy } from './naivePolicy.js';
 export type * from './policy.js';
 export { standardPolicy } from './standardPolicy.js';
-export { runEntry, type RunEntryOptions } from './runEntry.js';
+export { type ListeningEntry, runEntry, type RunEntryOptions } from './runEntry.js';
--- a/packages/entry/src/runEntry.ts
+++ b/packages/entry/src/runEntry.ts
@@ -21,8 +21,17 @@
   readonly record: CreateEntryOptions['record'];
   readonly followConfiguration: CreateEntryOptions['followConfiguration'];
   readonly followHosts: CreateEntryOptions['followHosts'];
-  /** Told of the callers' port once it listens. */
-  readonly onListening?: (port: number) => void;
+  /** Told once the callers' port listens. */
+  readonly onListening?: (listening: ListeningEntry) => void;
+}
+
+/** An entry that takes calls, for those that watch it. */
+export interface ListeningEntry {
+  readonly port: number;
+  readonly identity: NodeIdentity;
+  readonly entry: Entry;
+  /** Calls that run. */
+  readonly countCalls: () => number;
 }
 
 /** The balancer has so long to notice that the entry is not ready any more. */
@@ -50,7 +59,7 @@
     },
   });
   const server = await openCallerPort(settings, entry, calls);
-  opts.onListening?.(server.port);
+  opts.onListening?.({ port: server.port, identity, entry, countCalls: () => calls.size });
   await whenAborted(opts.stop);
   logger({ message: 'The graceful shutdown has begun.' });
   entry.beginStop();
--- a/packages/gate/src/createGate.ts
+++ b/packages/gate/src/createGate.ts
@@ -10,7 +10,7 @@
 
 import { CrashGuard } from './crashGuard.js';
 import type { GatePolicy, ProbeTarget, TargetRunners } from './policy.js';
-import type { GateContext } from './runOrder.js';
+import type { GateContext } from './gateContext.js';
 import type { RunRecordKeeper } from './runRecordKeeper.js';
 import { serveEntry } from './serveEntry.js';
 import { TargetAdmission } from './targetAdmission.js';
@@ -39,6 +39,11 @@
   readonly serveLink: (proved: ProvedLink) => Promise<void>;
   readonly readReports: () => readonly TargetReport[];
   readonly readConfiguration: () => Configuration;
+  /** Names of the entries with an open link. */
+  readonly listEntries: () => readonly string[];
+  /** Orders that run or wait. */
+  readonly countOrders: () => number;
+  readonly isLeaving: () => boolean;
   /** Graceful shutdown: refuses new orders; resolves when every running order has ended. */
   readonly stop: () => Promise<void>;
 }
@@ -56,13 +61,13 @@
   const orders = createTasks(logger);
   const peers = createTasks(logger);
   const stopping = new AbortController();
-  const links = new Set<Link>();
+  const links = new Map<Link, string>();
   let configuration = indexRules({ revision: 0, rules: [] });
 
   const readConfiguration = (): Configuration => configuration;
   const ledger = CrashLedger.create({ timer });
   const share = (records: readonly CrashRecord[]): void => {
-    links.forEach((link) => link.send({ kind: 'crashes', records }));
+    links.forEach((_, link) => link.send({ kind: 'crashes', records }));
   };
   const context: GateContext = {
     ...opts,
@@ -78,7 +83,6 @@
     opts.followConfiguration((next) => {
       configuration = next;
       opts.record({ kind: 'configuration-in-force', subject: String(next.revision) });
-      logger({ message: `Revision ${next.revision} is in force.` });
     }, stopping.signal),
   );
   const session = {
@@ -94,8 +98,11 @@
   return {
     readReports,
     readConfiguration,
+    listEntries: () => [...links.values()],
+    countOrders: () => orders.size,
+    isLeaving: context.isLeaving,
     serveLink: async (proved) => {
-      links.add(proved.link);
+      links.set(proved.link, proved.peer.nodeName);
       await serveEntry({ ...session, proved });
       links.delete(proved.link);
     },
@@ -104,7 +111,7 @@
       await timer.sleep({ delayMs: LEAVING_NOTICE_MS });
       await orders.drain();
       ending.abort();
-      links.forEach((link) => link.end());
+      links.forEach((_, link) => link.end());
       await peers.drain();
     },
   };
--- /dev/null
+++ b/packages/gate/src/gateContext.ts
@@ -0,0 +1,34 @@
+import type { TaskGroup } from '@galenatiller/tasks';
+import type { RecordOptions } from '@galenatiller/timeline';
+import type { TimerService } from '@galenatiller/timer';
+import type { Configuration, StageOrder, StagePart } from '@galenatiller/types';
+
+import type { CrashGuard } from './crashGuard.js';
+import type { ProbeTarget, TargetRunners } from './policy.js';
+import type { RunRecordKeeper } from './runRecordKeeper.js';
+import type { TargetAdmission } from './targetAdmission.js';
+
+/** What every order at a gate shares. */
+export interface GateContext {
+  readonly targets: ReadonlyMap<string, TargetAdmission>;
+  readonly runners: TargetRunners;
+  readonly probeTarget: ProbeTarget;
+  readonly runRecords: RunRecordKeeper;
+  readonly crashGuard: CrashGuard;
+  /** Tasks that a graceful shutdown waits for. */
+  readonly tasks: TaskGroup;
+  readonly timer: TimerService;
+  readonly record: (event: RecordOptions) => void;
+  readonly availabilityZone: string;
+  readonly readConfiguration: () => Configuration;
+  readonly isLeaving: () => boolean;
+}
+
+/** Options of {@link runOrder}. */
+export interface RunOrderOptions {
+  readonly context: GateContext;
+  readonly order: StageOrder;
+  /** Aborts when the entry cancels the attempt or its link ends. */
+  readonly signal: AbortSignal;
+  readonly onPart: (part: StagePart) => void;
+}
--- a/packages/gate/src/index.ts
+++ b/packages/gate/src/index.ts
@@ -4,6 +4,6 @@
 export { createStoreRunRecords } from './createStoreRunRecords.js';
 export type * from './policy.js';
 export type * from './runRecordKeeper.js';
-export { runGate, type RunGateOptions } from './runGate.js';
+export { type ListeningGate, runGate, type RunGateOptions } from './runGate.js';
 export { naivePolicy, standardPolicy } from './standardPolicy.js';
 export type * from './queuePolicy.js';
--- a/packages/gate/src/runClaimed.ts
+++ b/packages/gate/src/runClaimed.ts
@@ -2,7 +2,7 @@
 import { endOfError } from '@galenatiller/node';
 import type { StageEnd, StageResult } from '@galenatiller/types';
 
-import type { RunOrderOptions } from './runOrder.js';
+import type { RunOrderOptions } from './gateContext.js';
 import type { TargetAdmission } from './targetAdmission.js';
 
 /** Options of {@link runClaimed}. */
--- a/packages/gate/src/runGate.ts
+++ b/packages/gate/src/runGate.ts
@@ -1,12 +1,12 @@
 import { randomUUID } from 'node:crypto';
 
 import { createLogger } from '@galenatiller/logger';
-import { acceptLinks } from '@galenatiller/node';
+import { acceptLinks, type NodeIdentity } from '@galenatiller/node';
 import type { GateSettings } from '@galenatiller/settings';
 import { TaskGroup, whenAborted } from '@galenatiller/tasks';
 import type { TimerService } from '@galenatiller/timer';
 
-import { createGate, type CreateGateOptions } from './createGate.js';
+import { createGate, type CreateGateOptions, type Gate } from './createGate.js';
 
 /** Options of {@link runGate}. */
 export interface RunGateOptions {
@@ -20,14 +20,27 @@
   readonly record: CreateGateOptions['record'];
   readonly runRecords: CreateGateOptions['runRecords'];
   readonly followConfiguration: CreateGateOptions['followConfiguration'];
-  /** Told of the link port once it listens. */
-  readonly onListening?: (port: number) => void;
+  /** Told once the link port listens. */
+  readonly onListening?: (listening: ListeningGate) => void;
+}
+
+/** A gate that takes links, for those that watch it. */
+export interface ListeningGate {
+  readonly port: number;
+  readonly identity: NodeIdentity;
+  readonly gate: Gate;
 }
 
 /** Runs a gate until its graceful shutdown is complete. */
 export async function runGate(opts: RunGateOptions): Promise<void> {
   const { settings, timer } = opts;
   const logger = createLogger('gate');
+  const identity: NodeIdentity = {
+    nodeName: settings.nodeName,
+    role: 'gate',
+    availabilityZone: settings.availabilityZone,
+    incarnation: randomUUID(),
+  };
   const gate = createGate({
     ...opts,
     availabilityZone: settings.availabilityZone,
@@ -41,19 +54,14 @@
   const server = await acceptLinks({
     address: settings.linkAddress,
     port: settings.linkPort,
-    identity: {
-      nodeName: settings.nodeName,
-      role: 'gate',
-      availabilityZone: settings.availabilityZone,
-      incarnation: randomUUID(),
-    },
+    identity,
     keys: settings.linkKeys,
     timer,
     logger: createLogger('link'),
     tasks: links,
     serve: gate.serveLink,
   });
-  opts.onListening?.(server.port);
+  opts.onListening?.({ port: server.port, identity, gate });
   await whenAborted(opts.stop);
   logger({ message: 'The graceful shutdown has begun.' });
   await gate.stop();
--- a/packages/gate/src/runOrder.ts
+++ b/packages/gate/src/runOrder.ts
@@ -1,42 +1,12 @@
 import { GalenatillerError, type ResultCodeName } from '@galenatiller/error';
 import { endOfError } from '@galenatiller/node';
-import type { TaskGroup } from '@galenatiller/tasks';
-import type { RecordOptions } from '@galenatiller/timeline';
-import type { TimerService } from '@galenatiller/timer';
-import type { Configuration, StageEnd, StageOrder, StagePart } from '@galenatiller/types';
+import type { StageEnd, StagePart } from '@galenatiller/types';
 
-import type { CrashGuard } from './crashGuard.js';
-import type { ProbeTarget, TargetRunners } from './policy.js';
+import type { GateContext, RunOrderOptions } from './gateContext.js';
 import { runClaimed } from './runClaimed.js';
 import { runEndKind } from './runEndKind.js';
-import type { RunRecordKeeper } from './runRecordKeeper.js';
 import type { Admission, TargetAdmission } from './targetAdmission.js';
 
-/** What every order at a gate shares. */
-export interface GateContext {
-  readonly targets: ReadonlyMap<string, TargetAdmission>;
-  readonly runners: TargetRunners;
-  readonly probeTarget: ProbeTarget;
-  readonly runRecords: RunRecordKeeper;
-  readonly crashGuard: CrashGuard;
-  /** Tasks that a graceful shutdown waits for. */
-  readonly tasks: TaskGroup;
-  readonly timer: TimerService;
-  readonly record: (event: RecordOptions) => void;
-  readonly availabilityZone: string;
-  readonly readConfiguration: () => Configuration;
-  readonly isLeaving: () => boolean;
-}
-
-/** Options of {@link runOrder}. */
-export interface RunOrderOptions {
-  readonly context: GateContext;
-  readonly order: StageOrder;
-  /** Aborts when the entry cancels the attempt or its link ends. */
-  readonly signal: AbortSignal;
-  readonly onPart: (part: StagePart) => void;
-}
-
 /** Time for a target to show after a broken run whether it still lives. */
 const PROBE_LIMIT_MS = 100;
 
--- a/packages/gate/src/serveEntry.ts
+++ b/packages/gate/src/serveEntry.ts
@@ -3,7 +3,8 @@
 import type { NodeFrame, ProvedLink } from '@galenatiller/node';
 import type { AttemptId, StageOrder, StagePart, TargetReport } from '@galenatiller/types';
 
-import { type GateContext, runOrder } from './runOrder.js';
+import type { GateContext } from './gateContext.js';
+import { runOrder } from './runOrder.js';
 
 /** Options of {@link serveEntry}. */
 export interface ServeEntryOptions {
--- a/packages/logger/src/createLogger.ts
+++ b/packages/logger/src/createLogger.ts
@@ -11,6 +11,7 @@
   | 'host-list'
   | 'link'
   | 'metrics'
+  | 'operator'
   | 'pool'
   | 'service'
   | 'store'
