Bound the time of a claim, survive lapsed leases and tell a failed shard write as not run

Cause: a claim could hang for the time limits of four sends; a lapsed lease failed every claim until the next bucket; a lost answer to a shard write was told as may-have-run although no head names it. Change: a swap has a time limit; a lapsed lease is told as lease-lost and replaced; shard writes that fail are store-unavailable.

--- a/packages/configuration/src/writeShards.ts
+++ b/packages/configuration/src/writeShards.ts
@@ -1,4 +1,4 @@
-import type { GalenatillerError } from '@galenatiller/error';
+import { GalenatillerError } from '@galenatiller/error';
 import type { KeyWrite, StoreClient } from '@galenatiller/store';
 import { Result } from 'true-myth';
 
@@ -59,7 +59,7 @@
     puts: batch,
   });
   if (swap.isErr) {
-    return Result.err(swap.error);
+    return Result.err(notPublished(swap.error));
   }
   if (swap.value.kind === 'swapped') {
     return Result.ok(undefined);
@@ -69,3 +69,9 @@
   const missing = batch.filter(({ key }) => !present.has(key));
   return missing.length === 0 ? Result.ok(undefined) : writeBatch(store, missing);
 }
+
+/** Shards without a head are never read, so a write that may have happened changes nothing. */
+function notPublished(error: GalenatillerError): GalenatillerError {
+  const { detail, retryAfterMs } = error;
+  return GalenatillerError.create({ name: 'store-unavailable', detail, retryAfterMs });
+}
--- a/packages/store/src/callStore.ts
+++ b/packages/store/src/callStore.ts
@@ -10,6 +10,7 @@
   StoreTransport,
   TransportFailure,
 } from './storeTypes.js';
+import { saysLeaseLapsed } from './wire.js';
 
 /** Number of calls made, by kind. */
 export type CallCounts = Record<StoreCallKind, number>;
@@ -29,6 +30,8 @@
   readonly kind: StoreCallKind;
   readonly body: string;
   readonly decode: (text: string) => Answer;
+  /** Shorter time limit than that of the client, in milliseconds. */
+  readonly limitMs?: number;
 }
 
 const HTTP_OK = 200;
@@ -40,7 +43,8 @@
   opts: CallStoreOptions<Answer>,
 ): Promise<Result<Answer, CallFailure>> {
   const { context } = opts;
-  const limit = context.timer.limit({ limitMs: context.callLimitMs });
+  const limitMs = Math.min(opts.limitMs ?? Infinity, context.callLimitMs);
+  const limit = context.timer.limit({ limitMs });
   try {
     const opened = await openCall({ ...opts, signal: limit.signal });
     if (opened.isErr) {
@@ -77,7 +81,11 @@
   }
   // A client error is an answer: the store looked at the call and did nothing.
   const refused = status >= HTTP_BAD_REQUEST && status < HTTP_SERVER_ERROR;
-  const detail = `status ${status}: ${await readAll(sent.value.chunks).catch(() => '')}`;
+  const text = await readAll(sent.value.chunks).catch(() => '');
+  if (refused && saysLeaseLapsed(text)) {
+    return Result.err({ kind: 'not-sent', error: leaseLapsed() });
+  }
+  const detail = `status ${status}: ${text}`;
   return Result.err(toCallFailure({ kind: refused ? 'not-sent' : 'broken', detail }));
 }
 
@@ -94,6 +102,11 @@
   return { kind: failure.kind, error };
 }
 
+function leaseLapsed(): GalenatillerError {
+  const detail = 'the lease of a write has lapsed';
+  return GalenatillerError.create({ name: 'lease-lost', detail });
+}
+
 function budgetSpent(retryAfterMs: number): GalenatillerError {
   return GalenatillerError.create({
     name: 'call-budget-spent',
--- a/packages/store/src/compareAndSwap.ts
+++ b/packages/store/src/compareAndSwap.ts
@@ -20,6 +20,8 @@
   readonly expected: readonly KeyExpectation[];
   readonly puts: readonly KeyWrite[];
   readonly deletes?: readonly string[];
+  /** Time after which a lost answer is given up, in milliseconds. */
+  readonly limitMs?: number;
 }
 
 /** Options of {@link compareAndSwap}. */
@@ -45,9 +47,14 @@
 ): Promise<Result<SwapAnswer, GalenatillerError>> {
   const { context, random, swap, writeToken } = opts;
   const body = encodeTxn({ deletes: [], ...swap, writeToken });
+  const untilMs = context.timer.nowMs() + (swap.limitMs ?? Infinity);
   let answerLost = false;
   for (let sends = 0; sends < MAX_SENDS; sends += 1) {
-    const sent = await callStore({ context, kind: 'txn', body, decode: decodeTxn });
+    const limitMs = untilMs - context.timer.nowMs();
+    if (limitMs <= 0) {
+      break;
+    }
+    const sent = await callStore({ context, kind: 'txn', body, decode: decodeTxn, limitMs });
     if (sent.isOk) {
       return Result.ok(judge({ answer: sent.value, answerLost, swap, writeToken }));
     }
--- a/packages/store/src/groupCommit.ts
+++ b/packages/store/src/groupCommit.ts
@@ -4,6 +4,7 @@
 import type { TimerService } from '@galenatiller/timer';
 import { Maybe, Result } from 'true-myth';
 
+import type { SwapOptions } from './compareAndSwap.js';
 import type { StoreClient } from './storeClient.js';
 import type { StoreEntry } from './storeTypes.js';
 
@@ -13,6 +14,8 @@
   readonly timer: TimerService;
   /** Time that a write waits for others, in milliseconds. */
   readonly windowMs: number;
+  /** Time after which the answer to a transaction is given up, in milliseconds. */
+  readonly limitMs: number;
 }
 
 /** A write of one key if it has the expected revision. */
@@ -93,7 +96,7 @@
 
   /** Sends one transaction, answers what it settles, and gives the writes to be sent again. */
   private async commitOnce(group: readonly WaitingWrite[]): Promise<readonly WaitingWrite[]> {
-    const swap = await this.opts.store.compareAndSwap(toSwap(group));
+    const swap = await this.opts.store.compareAndSwap(toSwap(group, this.opts.limitMs));
     if (swap.isErr) {
       group.forEach(({ answer }) => {
         answer(Result.err(swap.error));
@@ -140,8 +143,9 @@
   return groups;
 }
 
-function toSwap(group: readonly WaitingWrite[]): Parameters<StoreClient['compareAndSwap']>[0] {
+function toSwap(group: readonly WaitingWrite[], limitMs: number): SwapOptions {
   return {
+    limitMs,
     expected: group.map(({ write: { key, modRevision } }) => ({ key, modRevision })),
     puts: group.flatMap(({ write: { key, put } }) => (put ? [{ key, ...put }] : [])),
     deletes: group.flatMap(({ write: { key, put } }) => (put ? [] : [key])),
--- a/packages/store/src/localRun.ts
+++ b/packages/store/src/localRun.ts
@@ -11,7 +11,6 @@
 /** How the store holds a claim. */
 export interface ClaimedOptions {
   readonly modRevision: number;
-  readonly leaseId: string;
   /** Of an earlier claim of this node that is taken over. */
   readonly claimId?: string;
 }
@@ -27,8 +26,6 @@
   /** Revision of the record. */
   modRevision = 0;
 
-  leaseId = '';
-
   /** An answer whose write failed and that is to be written again. */
   private lateAnswer: StageEnd | undefined;
 
@@ -55,7 +52,6 @@
   /** Notes that the store holds the claim. */
   claimed(opts: ClaimedOptions): void {
     this.modRevision = opts.modRevision;
-    this.leaseId = opts.leaseId;
     this.claimId = opts.claimId ?? this.claimId;
   }
 
--- a/packages/store/src/runLease.ts
+++ b/packages/store/src/runLease.ts
@@ -39,16 +39,20 @@
     return this.grant;
   }
 
-  /** Asks for a new lease at the next claim, after the store refused a write. */
-  forget(): void {
-    this.grant = undefined;
+  /** Asks for a new lease at the next write, after the store said that this one has lapsed. */
+  async forget(leaseId: string): Promise<void> {
+    const { grant } = this;
+    const current = await grant;
+    if (grant === this.grant && current?.isOk && current.value === leaseId) {
+      this.grant = undefined;
+    }
   }
 
   private async ask(): Promise<LeaseId> {
     const { store, rememberMs, bucketMs } = this.opts;
     const granted = await store.grantLease({ ttlMs: rememberMs + bucketMs });
     if (granted.isErr) {
-      this.forget();
+      this.grant = undefined;
       return Result.err(granted.error);
     }
     return Result.ok(granted.value.leaseId);
--- a/packages/store/src/runRecords.ts
+++ b/packages/store/src/runRecords.ts
@@ -22,6 +22,16 @@
   readonly incarnation: string;
   /** Time that a write waits for others, in milliseconds. */
   readonly groupWindowMs: number;
+  /** Time for a claim to be written, in milliseconds. */
+  readonly writeLimitMs?: number;
+}
+
+interface WriteRecordOptions {
+  readonly key: string;
+  readonly modRevision: number;
+  readonly record: RunRecord;
+  /** Whether a lapsed lease is an error. */
+  readonly isLast?: boolean;
 }
 
 /** Time for which a key is remembered at least. */
@@ -33,6 +43,8 @@
 const MAX_RECORD_CHARS = 262_144;
 const MAX_ROUNDS = 3;
 
+const WRITE_LIMIT_MS = 800;
+
 /** Claims and answers whose write failed and that are tried again; more are left as they are. */
 const MAX_PENDING = 1_000;
 
@@ -54,8 +66,8 @@
   private readonly lease: RunLease;
 
   private constructor(private readonly opts: RunRecordsOptions) {
-    const { store, timer, groupWindowMs: windowMs } = opts;
-    this.group = GroupCommit.create({ store, timer, windowMs });
+    const { store, timer, groupWindowMs: windowMs, writeLimitMs: limitMs = WRITE_LIMIT_MS } = opts;
+    this.group = GroupCommit.create({ store, timer, windowMs, limitMs });
     const times = { rememberMs: RUN_REMEMBERED_MS, bucketMs: LEASE_BUCKET_MS };
     this.lease = RunLease.create({ store, timer, ...times });
   }
@@ -144,31 +156,41 @@
     run: LocalRun,
   ): Promise<Result<Claim, GalenatillerError>> {
     for (let round = 0; round < MAX_ROUNDS; round += 1) {
-      const leaseId = await this.lease.current();
-      if (leaseId.isErr) {
-        return Result.err(asNotRun(leaseId.error));
-      }
-      const put = { value: encodeRunRecord(this.toRecord(run)), leaseId: leaseId.value };
-      const written = await this.group.write({ key, modRevision: 0, put });
+      const written = await this.writeRecord({ key, modRevision: 0, record: this.toRecord(run) });
       if (written.isErr) {
         this.noteFailedClaim(key, run, written.error);
         return Result.err(asNotRun(written.error));
       }
       if (written.value.kind === 'written') {
-        run.claimed({ modRevision: written.value.revision, leaseId: leaseId.value });
+        run.claimed({ modRevision: written.value.revision });
         return Result.ok({ kind: 'first' });
       }
       if (written.value.current.isJust) {
-        return Result.ok(this.judge({ key, run, leaseId, entry: written.value.current.value }));
+        return Result.ok(this.judge({ key, run, entry: written.value.current.value }));
       }
     }
     return Result.err(contended());
   }
 
+  /** Writes a record under the present lease, and once more when that lease has lapsed. */
+  private async writeRecord(opts: WriteRecordOptions): ReturnType<GroupCommit['write']> {
+    const { key, modRevision, record } = opts;
+    const leaseId = await this.lease.current();
+    if (leaseId.isErr) {
+      return Result.err(leaseId.error);
+    }
+    const put = { value: encodeRunRecord(record), leaseId: leaseId.value };
+    const written = await this.group.write({ key, modRevision, put });
+    if (written.isOk || written.error.codeName !== 'lease-lost') {
+      return written;
+    }
+    await this.lease.forget(leaseId.value);
+    return opts.isLast ? written : this.writeRecord({ ...opts, isLast: true });
+  }
+
   private judge(opts: {
     readonly key: string;
     readonly run: LocalRun;
-    readonly leaseId: Result<string, GalenatillerError>;
     readonly entry: StoreEntry;
   }): Claim {
     const { key, run, entry } = opts;
@@ -188,16 +210,11 @@
     }
     // This node wrote the record, never learned so and never dispatched: the run is still to come.
     this.undispatched.delete(key);
-    run.claimed({
-      modRevision: entry.modRevision,
-      claimId: record.claimId,
-      leaseId: opts.leaseId.unwrapOr(''),
-    });
+    run.claimed({ modRevision: entry.modRevision, claimId: record.claimId });
     return { kind: 'first' };
   }
 
   private noteFailedClaim(key: string, run: LocalRun, error: GalenatillerError): void {
-    this.lease.forget();
     if (error.codeName === 'store-ambiguous') {
       this.rememberUndispatched(key, run.claimId);
     }
@@ -214,13 +231,13 @@
     run: LocalRun,
     end: StageEnd,
   ): Promise<Result<void, GalenatillerError>> {
-    const value = encodeRunRecord({ ...this.toRecord(run), state: 'answered', end });
-    if (value.length > MAX_RECORD_CHARS) {
+    const record: RunRecord = { ...this.toRecord(run), state: 'answered', end };
+    const chars = encodeRunRecord(record).length;
+    if (chars > MAX_RECORD_CHARS) {
       this.runs.delete(key);
-      return Result.err(answerTooLarge(value.length));
+      return Result.err(answerTooLarge(chars));
     }
-    const put = { value, leaseId: run.leaseId };
-    const written = await this.group.write({ key, modRevision: run.modRevision, put });
+    const written = await this.writeRecord({ key, modRevision: run.modRevision, record });
     if (written.isErr && this.runs.size < MAX_PENDING) {
       run.keepForLater(end);
     } else {
--- a/packages/store/src/wire.ts
+++ b/packages/store/src/wire.ts
@@ -146,6 +146,11 @@
   return z.object({ result: lease }).parse(JSON.parse(text)).result.TTL * MS_PER_S;
 }
 
+/** Whether a refusal says that a write names a lease that has lapsed. */
+export function saysLeaseLapsed(text: string): boolean {
+  return text.includes('requested lease not found');
+}
+
 /** Encodes a watch of a prefix from a revision on. */
 export function encodeWatch(opts: {
   readonly prefix: string;
--- a/packages/store/test/runRecords.feature
+++ b/packages/store/test/runRecords.feature
@@ -69,6 +69,21 @@
     And gate "A" claims the run "k" for the body "b"
     Then the claim is told as "store-unavailable, not-run"
 
+  Scenario: A store that hangs holds a claim up for a bounded time
+    Given the gates "A" and "B" with run records
+    When gate "A" has claimed a run before
+    And the store of the run records hangs
+    And gate "A" claims the run "k" for the body "b"
+    Then the claim is told as "store-ambiguous, not-run" within 850 ms
+
+  Scenario: Claims go on after a lease has lapsed
+    Given the gates "A" and "B" with run records
+    When gate "A" claims the run "k" for the body "b"
+    And the leases of the run records lapse
+    And gate "A" completes the run "k" with the detail "done"
+    And gate "A" claims the run "l" for the body "b"
+    Then the claim is told as "first"
+
   Scenario: An answer that could not be written is written after the outage
     Given the gates "A" and "B" with run records
     When gate "A" claims the run "k" for the body "b"
--- a/packages/store/test/runRecords.steps.ts
+++ b/packages/store/test/runRecords.steps.ts
@@ -17,6 +17,7 @@
   gates: Map<string, RunRecords>;
   runStop?: AbortController;
   told: string;
+  tookMs: number;
   repeat: Promise<string>;
   claims: string[];
   transactions: number;
@@ -81,7 +82,9 @@
 When(
   'gate {string} claims the run {string} for the body {string}',
   async function when(this: RunWorld, name: string, runKey: string, body: string) {
+    const startMs = this.runBench.timer.nowMs();
     this.told = await advanceUntil(this.runBench.clock, claim(gateOf(this, name), runKey, body));
+    this.tookMs = this.runBench.timer.nowMs() - startMs;
   },
 );
 
@@ -124,6 +127,14 @@
   this.runBench.fake.order({ outage: true });
 });
 
+When('the store of the run records hangs', function when(this: RunWorld) {
+  this.runBench.fake.order({ slowMs: 60_000 });
+});
+
+When('the leases of the run records lapse', function when(this: RunWorld) {
+  this.runBench.fake.core.lapseLeases();
+});
+
 When('the store of the run records comes back', function when(this: RunWorld) {
   this.runBench.fake.order({ outage: false });
 });
@@ -147,6 +158,14 @@
   assert.equal(this.told, told);
 });
 
+Then(
+  'the claim is told as {string} within {int} ms',
+  function then(this: RunWorld, told: string, limitMs: number) {
+    assert.equal(this.told, told);
+    assert.ok(this.tookMs <= limitMs, `${this.tookMs} ms`);
+  },
+);
+
 Then('the repeat is told as {string}', async function then(this: RunWorld, told: string) {
   assert.equal(await advanceUntil(this.runBench.clock, this.repeat), told);
 });
