--- a/packages/gate/src/deadlineEstimate.ts
+++ b/packages/gate/src/deadlineEstimate.ts
@@ -1,10 +1,14 @@
 import type { AdmissionDecision, DecideAdmissionOptions } from './queuePolicy.js';
 
-/** Refuses an order that would not end by its deadline if the orders before it run as expected. */
+/**
+ * Refuses an order that would not end by its deadline if the orders before it run as expected.
+ * One that must wait needs its margin too; on an idle slot the run itself is worth the try.
+ */
 export function decideByDeadline(opts: DecideAdmissionOptions): AdmissionDecision {
   const waitMs = estimateWait(opts);
   const budgetMs = opts.deadlineAtMs - opts.nowMs;
-  const lateMs = waitMs + opts.expectedRunMs - budgetMs;
+  const marginMs = waitMs > 0 ? opts.marginMs : 0;
+  const lateMs = waitMs + opts.expectedRunMs + marginMs - budgetMs;
   if (lateMs <= 0) {
     return { kind: 'admit', waitMs };
   }
--- a/packages/gate/src/queuePolicy.ts
+++ b/packages/gate/src/queuePolicy.ts
@@ -9,6 +9,8 @@
   readonly deadlineAtMs: number;
   /** Expected time of the run; 0 when unknown. */
   readonly expectedRunMs: number;
+  /** How much longer than expected a run may easily take. */
+  readonly marginMs: number;
 }
 
 /**
@@ -22,7 +24,7 @@
   readonly take: () => Maybe<Order>;
   /** Takes one order out, for instance a cancelled one; false when it does not wait. */
   readonly remove: (order: Order) => boolean;
-  /** Takes out the orders that can't meet their deadline any more, to be refused as not run. */
+  /** Takes out the orders that are not to run in time any more, to be refused as not run. */
   readonly expire: (opts: { readonly nowMs: number }) => readonly Order[];
   /** Takes out the orders over the limit, to be refused as not run. */
   readonly shed: (opts: { readonly limit: number }) => readonly Order[];
@@ -41,6 +43,7 @@
   readonly nowMs: number;
   readonly deadlineAtMs: number;
   readonly expectedRunMs: number;
+  readonly marginMs: number;
   /** Expected time until each running order ends. */
   readonly inFlightRemainingMs: readonly number[];
   readonly inFlightLimit: number;
--- a/packages/gate/src/runTimes.ts
+++ b/packages/gate/src/runTimes.ts
@@ -7,16 +7,28 @@
 /** Spread of token counts, in tokens squared, under which no slope can be told. */
 const MIN_VARIANCE = 1;
 
-/** A run that ended; `tokens` is what its order asked for, 0 when it generates nothing. */
-export interface ObservedRun {
+/** Standard deviations of a run that make its margin. */
+const MARGIN_DEVIATIONS = 1.5;
+
+/** A run to come; `tokens` is what its order asks for, 0 when it generates nothing. */
+export interface RunToCome {
   readonly stage: string;
   readonly tokens: number;
-  readonly runMs: number;
   readonly nowMs: number;
 }
 
-/** A run to come. */
-export type RunToCome = Omit<ObservedRun, 'runMs'>;
+/** A run that ended by itself, or was cut after `runMs`, for instance at its deadline. */
+export interface ObservedRun extends RunToCome {
+  readonly runMs: number;
+  readonly ending: 'whole' | 'cut';
+}
+
+/** What is expected of a run; both are 0 when nothing is known. */
+export interface RunEstimate {
+  readonly expectedRunMs: number;
+  /** How much longer a run may easily take. */
+  readonly marginMs: number;
+}
 
 /** Smoothed sums of the runs of one stage. */
 interface StageRuns {
@@ -24,6 +36,8 @@
   readonly meanMs: number;
   readonly variance: number;
   readonly covariance: number;
+  /** Mean square of the error, in milliseconds squared. */
+  readonly squareErrorMs2: number;
   readonly seenAtMs: number;
 }
 
@@ -38,21 +52,27 @@
     return new RunTimes();
   }
 
-  /** Takes note of a run that ended well. */
+  /** Takes note of a run; of a cut one only if it shows that runs have become longer. */
   observe(run: ObservedRun): void {
     const before = this.stages.get(run.stage);
+    if (run.ending === 'cut' && run.runMs <= this.expect(run).expectedRunMs) {
+      return;
+    }
     this.stages.set(run.stage, before ? smooth(before, run) : firstRun(run));
   }
 
-  /** Expected time of a run in milliseconds; 0 when nothing is known. */
-  expect(run: RunToCome): number {
+  /** What is expected of a run. */
+  expect(run: RunToCome): RunEstimate {
     const runs = this.stages.get(run.stage);
     if (!runs) {
-      return 0;
+      return { expectedRunMs: 0, marginMs: 0 };
     }
     const ageMs = Math.max(0, run.nowMs - runs.seenAtMs);
     const freshness = ageMs <= HALF_LIFE_MS ? 1 : 2 ** (1 - ageMs / HALF_LIFE_MS);
-    return Math.max(0, runs.meanMs + slopeOf(runs) * (run.tokens - runs.meanTokens)) * freshness;
+    return {
+      expectedRunMs: expectedOf(runs, run) * freshness,
+      marginMs: Math.sqrt(runs.squareErrorMs2) * MARGIN_DEVIATIONS * freshness,
+    };
   }
 }
 
@@ -62,22 +82,31 @@
     meanMs: run.runMs,
     variance: 0,
     covariance: 0,
+    squareErrorMs2: 0,
     seenAtMs: run.nowMs,
   };
 }
 
-/** Exponentially weighted means, variance and covariance. */
+/** Exponentially weighted means, variance and covariance, and the error that they leave. */
 function smooth(before: StageRuns, run: ObservedRun): StageRuns {
   const tokensOff = run.tokens - before.meanTokens;
   const timeOffMs = run.runMs - before.meanMs;
   const keep = 1 - SMOOTHING;
-  return {
+  const runs = {
     meanTokens: before.meanTokens + SMOOTHING * tokensOff,
     meanMs: before.meanMs + SMOOTHING * timeOffMs,
     variance: keep * (before.variance + SMOOTHING * tokensOff * tokensOff),
     covariance: keep * (before.covariance + SMOOTHING * tokensOff * timeOffMs),
+    squareErrorMs2: before.squareErrorMs2,
     seenAtMs: run.nowMs,
   };
+  // The first expectations are guesses; only what the sums can't explain is an error.
+  const errorMs = run.runMs - expectedOf(runs, run);
+  return { ...runs, squareErrorMs2: keep * before.squareErrorMs2 + SMOOTHING * errorMs * errorMs };
+}
+
+function expectedOf(runs: StageRuns, run: RunToCome): number {
+  return Math.max(0, runs.meanMs + slopeOf(runs) * (run.tokens - runs.meanTokens));
 }
 
 /** Milliseconds for a token. */
--- a/packages/gate/src/stageQueue.ts
+++ b/packages/gate/src/stageQueue.ts
@@ -74,11 +74,15 @@
     return removed;
   }
 
-  /** Takes out the orders whose expected run no longer ends by their deadline. */
+  /**
+   * Takes out the orders whose expected run no longer ends by their deadline. Those that may
+   * easily be late give way too while safer ones wait: a late run takes the slot from them.
+   */
   expire(opts: { readonly nowMs: number }): readonly Order[] {
-    const late = this.listOrders().filter(
-      (order) => order.deadlineAtMs < opts.nowMs + costOf(order),
-    );
+    const orders = this.listOrders();
+    const slackOf = (order: Order): number => order.deadlineAtMs - opts.nowMs - costOf(order);
+    const someSafe = orders.some((order) => slackOf(order) >= order.marginMs);
+    const late = orders.filter((order) => slackOf(order) < (someSafe ? order.marginMs : 0));
     late.forEach((order) => {
       this.remove(order);
     });
--- a/packages/gate/test/deadlineEstimate.feature
+++ b/packages/gate/test/deadlineEstimate.feature
@@ -38,3 +38,16 @@
   Scenario: An estimate that is not renewed fades, so that refusals end
     Given runs of the stage "draft" that take 40 ms and 2 ms for each token
     Then a run of "draft" with 100 tokens is expected to take 60 ms when the last is 30 s old
+
+  Scenario: A run that was cut counts only when it was longer than expected
+    Given runs of the stage "draft" that take 40 ms and 0 ms for each token
+    When a run of "draft" is cut after 30 ms
+    Then a run of "draft" with 100 tokens is expected to take 40 ms
+    When a run of "draft" is cut after 140 ms
+    Then a run of "draft" with 100 tokens is expected to take 50 ms
+
+  Scenario: The margin follows how far runs stray from what is expected
+    Given runs of the stage "draft" that take 40 ms and 0 ms for each token
+    Then the margin of a run of "draft" is 0 ms
+    When 200 runs of "draft" take 140 ms and 40 ms in turn
+    Then the margin of a run of "draft" is between 70 and 85 ms
--- a/packages/gate/test/deadlineEstimate.steps.ts
+++ b/packages/gate/test/deadlineEstimate.steps.ts
@@ -23,6 +23,7 @@
       nowMs: NOW_MS,
       deadlineAtMs: 0,
       expectedRunMs: 0,
+      marginMs: 0,
       inFlightRemainingMs: toNumbers(running),
       inFlightLimit,
       aheadRunMs: [],
@@ -62,6 +63,7 @@
         nowMs: NOW_MS,
         deadlineAtMs: Infinity,
         expectedRunMs: 1,
+        marginMs: 0,
         inFlightRemainingMs: running,
         inFlightLimit: limit,
         aheadRunMs: ahead,
@@ -78,7 +80,13 @@
   function given(this: EstimateWorld, stage: string, baseMs: number, tokenMs: number) {
     this.runTimes = RunTimes.create();
     [20, 400, 90, 250, 30, 300].forEach((tokens) => {
-      this.runTimes.observe({ stage, tokens, runMs: baseMs + tokens * tokenMs, nowMs: NOW_MS });
+      this.runTimes.observe({
+        stage,
+        tokens,
+        runMs: baseMs + tokens * tokenMs,
+        nowMs: NOW_MS,
+        ending: 'whole',
+      });
     });
   },
 );
@@ -86,7 +94,10 @@
 Then(
   'a run of {string} with {int} tokens is expected to take {int} ms',
   function then(this: EstimateWorld, stage: string, tokens: number, runMs: number) {
-    assert.equal(Math.round(this.runTimes.expect({ stage, tokens, nowMs: NOW_MS })), runMs);
+    assert.equal(
+      Math.round(this.runTimes.expect({ stage, tokens, nowMs: NOW_MS }).expectedRunMs),
+      runMs,
+    );
   },
 );
 
@@ -94,10 +105,46 @@
   'a run of {string} with {int} tokens is expected to take {int} ms when the last is {int} s old',
   function then(this: EstimateWorld, stage: string, tokens: number, runMs: number, ageS: number) {
     const nowMs = NOW_MS + ageS * 1_000;
-    assert.equal(Math.round(this.runTimes.expect({ stage, tokens, nowMs })), runMs);
+    assert.equal(Math.round(this.runTimes.expect({ stage, tokens, nowMs }).expectedRunMs), runMs);
+  },
+);
+
+When(
+  'a run of {string} is cut after {int} ms',
+  function when(this: EstimateWorld, stage: string, runMs: number) {
+    this.runTimes.observe({ stage, tokens: 100, runMs, nowMs: NOW_MS, ending: 'cut' });
+  },
+);
+
+When(
+  '{int} runs of {string} take {int} ms and {int} ms in turn',
+  function when(this: EstimateWorld, count: number, stage: string, oddMs: number, evenMs: number) {
+    Array.from({ length: count }).forEach((_, index) => {
+      const runMs = index % 2 === 0 ? oddMs : evenMs;
+      this.runTimes.observe({ stage, tokens: 100, runMs, nowMs: NOW_MS, ending: 'whole' });
+    });
   },
 );
 
+Then(
+  'the margin of a run of {string} is {int} ms',
+  function then(this: EstimateWorld, stage: string, marginMs: number) {
+    assert.equal(Math.round(marginOf(this.runTimes, stage)), marginMs);
+  },
+);
+
+Then(
+  'the margin of a run of {string} is between {int} and {int} ms',
+  function then(this: EstimateWorld, stage: string, leastMs: number, mostMs: number) {
+    const marginMs = marginOf(this.runTimes, stage);
+    assert.ok(marginMs >= leastMs && marginMs <= mostMs, `${marginMs}`);
+  },
+);
+
+function marginOf(runTimes: RunTimes, stage: string): number {
+  return runTimes.expect({ stage, tokens: 100, nowMs: NOW_MS }).marginMs;
+}
+
 /** Steps through virtual time by the millisecond and starts orders as slots allow. */
 function simulateWait(running: readonly number[], ahead: readonly number[], limit: number): number {
   const endsAtMs = [...running];
--- a/packages/gate/test/queueProperties.steps.ts
+++ b/packages/gate/test/queueProperties.steps.ts
@@ -27,6 +27,7 @@
   priority: fc.constant<Priority>('interactive'),
   deadlineAtMs: fc.nat(1_000),
   expectedRunMs: fc.integer({ min: 1, max: 100 }),
+  marginMs: fc.nat(100),
 });
 const anyOrderOfBoth = fc
   .tuple(anyOrder, fc.constantFrom<Priority>('interactive', 'batch'))
@@ -223,7 +224,7 @@
     fc.property(anyCosts(200), anyCosts(20), (interactive, batch) => {
       const queue = StageQueue.create<QueuedOrder>({ weightOf });
       const push = (priority: Priority, expectedRunMs: number): void => {
-        queue.push({ organisation: 'a', priority, deadlineAtMs: 0, expectedRunMs });
+        queue.push({ organisation: 'a', priority, deadlineAtMs: 0, expectedRunMs, marginMs: 0 });
       };
       interactive.forEach((costMs) => {
         push('interactive', costMs);
--- a/packages/gate/test/stageQueue.feature
+++ b/packages/gate/test/stageQueue.feature
@@ -58,3 +58,11 @@
       | large        | 1      | interactive | 900      | 300  |
       | large        | 1      | batch       | 500      | 100  |
     Then at 401 ms the order with the deadline 500 expires
+
+  Scenario: An order that may easily be late gives way while a safer one waits
+    Given a stage queue with these orders
+      | organisation | weight | priority    | deadline | cost | margin |
+      | large        | 1      | interactive | 500      | 100  | 50     |
+      | large        | 1      | interactive | 900      | 100  | 50     |
+    Then at 351 ms the order with the deadline 500 expires
+    And at 801 ms the order with the deadline 900 expires
--- a/packages/gate/test/stageQueue.steps.ts
+++ b/packages/gate/test/stageQueue.steps.ts
@@ -81,6 +81,7 @@
       priority: row.priority as Priority,
       deadlineAtMs: Number(row.deadline),
       expectedRunMs: Number(row.cost),
+      marginMs: Number(row.margin ?? 0),
     });
   });
 });
@@ -119,6 +120,7 @@
         priority: 'interactive',
         deadlineAtMs: index,
         expectedRunMs: opts.runMs,
+        marginMs: 0,
       });
     });
   });
