--- a/fakes/src/main.ts
+++ b/fakes/src/main.ts
@@ -1,5 +1,6 @@
 /** Runs one fake as a process: `node fakes/dist/main.js --kind engine --port 9001`. */
 import { once } from 'node:events';
+import type { AddressInfo } from 'node:net';
 
 import { systemClock, TimerService } from '@galenatiller/timer';
 import { Command, Option } from 'commander';
@@ -13,9 +14,11 @@
 import type { FakeTargetOptions } from './createFakeTarget.js';
 import { createFakeWeightStore } from './createFakeWeightStore.js';
 import type { FakeEngineSettings } from './engine/engineSettings.js';
+import { createFakeStoreServer } from './store/createFakeStoreServer.js';
+import { FakeStore } from './store/fakeStore.js';
 
 /** The kinds of fakes that run as a process. */
-const KINDS = ['engine', 'pool', 'service', 'hostList', 'statsd', 'weightStore'] as const;
+const KINDS = ['engine', 'pool', 'service', 'hostList', 'statsd', 'store', 'weightStore'] as const;
 
 /** What a cold engine does with too many requests. */
 const COLD_OVERLOADS = ['crash', 'fail', 'refuse'] as const;
@@ -36,6 +39,7 @@
   version: z.string(),
   coldMs: z.coerce.number(),
   coldLimit: z.coerce.number().int(),
+  coldSlowFactor: z.coerce.number().positive(),
   coldOverload: z.enum(COLD_OVERLOADS),
   queueLimit: z.coerce.number().int(),
   cacheBlocks: z.coerce.number().int(),
@@ -62,10 +66,11 @@
   .option('--seed <seed>', 'seed of the random faults', '1')
   .option('--restart-ms <ms>', 'time that a crashed target stays down', '500')
   .option('--version <version>', 'version that a target runs', '')
-  .option('--cold-ms <ms>', 'engine: time that it is cold after a start', '0')
-  .option('--cold-limit <requests>', 'engine: most requests at once while cold', '1')
+  .option('--cold-ms <ms>', 'target: time that it is cold after a start', '0')
+  .option('--cold-limit <requests>', 'target: most requests at once while cold', '1')
+  .option('--cold-slow-factor <factor>', 'target: factor on its times while cold', '1')
   .addOption(
-    new Option('--cold-overload <action>', 'engine: what it does with more while cold')
+    new Option('--cold-overload <action>', 'target: what it does with more while cold')
       .choices(COLD_OVERLOADS)
       .default('crash'),
   )
@@ -99,6 +104,12 @@
     seed: opts.seed,
     restartMs: opts.restartMs,
     version: opts.version,
+    cold: {
+      coldMs: opts.coldMs,
+      coldLimit: opts.coldLimit,
+      overload: opts.coldOverload,
+      slowFactor: opts.coldSlowFactor,
+    },
   };
   const work = { ...target, serviceMs: opts.serviceMs, concurrency: opts.capacity };
   const starters: Readonly<Record<Kind, () => Promise<RunningFake>>> = {
@@ -107,12 +118,30 @@
     service: () => createFakeService(work),
     hostList: () => createFakeHostList({ timer, port: opts.port, lagMs: opts.lagMs }),
     statsd: () => createFakeStatsd({ port: opts.port }),
+    store: () => startStore({ timer, port: opts.port }),
     weightStore: () =>
       createFakeWeightStore({ timer, port: opts.port, callsPerSecond: opts.callsPerSecond }),
   };
   return starters[opts.kind]();
 }
 
+async function startStore(opts: {
+  readonly timer: TimerService;
+  readonly port: number;
+}): Promise<RunningFake> {
+  const server = createFakeStoreServer({ store: FakeStore.create({ timer: opts.timer }) });
+  server.listen(opts.port, '127.0.0.1');
+  await once(server, 'listening');
+  return {
+    url: `http://127.0.0.1:${(server.address() as AddressInfo).port}`,
+    close: async () => {
+      server.close();
+      server.closeAllConnections();
+      await once(server, 'close');
+    },
+  };
+}
+
 function engineSettings(opts: Options): Omit<FakeEngineSettings, keyof FakeTargetOptions> {
   return {
     speed: {
@@ -120,7 +149,6 @@
       slopeMsPerToken: opts.slopeMs,
       capacity: opts.capacity,
     },
-    cold: { coldMs: opts.coldMs, coldLimit: opts.coldLimit, overload: opts.coldOverload },
     queueLimit: opts.queueLimit,
     cacheBlocks: opts.cacheBlocks,
     prefillMsPerBlock: opts.prefillMs,
--- a/packages/configuration/src/index.ts
+++ b/packages/configuration/src/index.ts
@@ -1,5 +1,6 @@
 /** Keeps the configuration in the store in shards under one revision, and follows it. */
 export { adoptFromPeer, type AdoptFromPeerOptions, type PeerOffer } from './adoptFromPeer.js';
+export { WATCHED_PREFIX } from './configurationKeys.js';
 export { followConfiguration, type FollowConfigurationOptions } from './followConfiguration.js';
 export type * from './headTypes.js';
 export {
@@ -15,4 +16,5 @@
   type Published,
   type PublishRefusal,
 } from './publishConfiguration.js';
+export { type AcceptedRules, readConfiguration } from './readConfiguration.js';
 export { readHead } from './readHead.js';
