--- a/packages/gate/src/targetAdmission.ts
+++ b/packages/gate/src/targetAdmission.ts
@@ -74,13 +74,13 @@
   ): Promise<Result<Admission, GalenatillerError>> {
     const nowMs = this.opts.timer.nowMs();
     const deadlineAtMs = nowMs + order.remainingMs;
-    const expectedRunMs = this.runTimes.expect({
+    const estimate = this.runTimes.expect({
       stage: order.stage,
       tokens: tokensOf(order),
       nowMs,
     });
     const { organisation, priority } = order;
-    const queued = { organisation, priority, deadlineAtMs, expectedRunMs };
+    const queued = { organisation, priority, deadlineAtMs, ...estimate };
     const decision = this.decide(queued);
     if (decision.kind === 'refuse') {
       return refuse('deadline-unreachable', this.settings.name, decision.retryAfterMs);
@@ -93,9 +93,12 @@
     this.running.delete(admission);
     const { how, firstPartMs, runMs } = end;
     this.opts.limit.onEnded({ ticket: admission.ticket, how, firstPartMs });
-    if (how === 'ok') {
+    if (how === 'ok' || how === 'no-evidence') {
       const nowMs = this.opts.timer.nowMs();
-      this.runTimes.observe({ stage: order.stage, tokens: tokensOf(order), runMs, nowMs });
+      const ending = how === 'ok' ? 'whole' : 'cut';
+      this.runTimes.observe({ stage: order.stage, tokens: tokensOf(order), runMs, nowMs, ending });
+    }
+    if (how === 'ok') {
       this.runMs = this.runMs === 0 ? runMs : this.runMs + SMOOTHING * (runMs - this.runMs);
     }
     this.admitNext();
@@ -132,6 +135,7 @@
       nowMs,
       deadlineAtMs: queued.deadlineAtMs,
       expectedRunMs: queued.expectedRunMs,
+      marginMs: queued.marginMs,
       inFlightRemainingMs: [...this.running].map(
         (run) => run.startedAtMs + run.expectedRunMs - nowMs,
       ),
