Keep retries to a budget and organisations to their limits

A retry beyond a late view of the fleet costs a tenth of a first attempt. Each entry enforces its part of a limit, so that the whole holds over all entries. After a lost link an at-most-once call may be tried again, as its run record decides.

--- a/packages/caller/src/index.ts
+++ b/packages/caller/src/index.ts
@@ -1,4 +1,9 @@
 /** Serves callers over HTTP: requests, streams and refusals. */
 export type * from './call.js';
+export {
+  type LimitDecision,
+  OrganisationLimiter,
+  type OrganisationLimiterOptions,
+} from './organisationLimiter.js';
 export { type CallerServer, serveCallers, type ServeCallersOptions } from './serveCallers.js';
 export { decodeRequest, type DecodedRequest, type DecodeRequestOptions } from './wire.js';
--- a/packages/entry/src/callContext.ts
+++ b/packages/entry/src/callContext.ts
@@ -6,6 +6,7 @@
 
 import type { GateDirectory } from './gateDirectory.js';
 import type { EntryPolicy } from './policy.js';
+import type { RetryBudget } from './retryBudget.js';
 
 /** What a call needs for all its stages. */
 export interface CallContext {
@@ -21,6 +22,7 @@
   readonly timer: TimerService;
   readonly record: (event: RecordOptions) => void;
   readonly crashes: CrashLedger;
+  readonly retryBudget: RetryBudget;
   readonly random: () => number;
   readonly ownAvailabilityZone: string;
   readonly takePart: TakePart;
--- a/packages/entry/src/createEntry.ts
+++ b/packages/entry/src/createEntry.ts
@@ -1,4 +1,9 @@
-import type { Call, CallAnswer, TakePart } from '@galenatiller/caller';
+import {
+  type Call,
+  type CallAnswer,
+  OrganisationLimiter,
+  type TakePart,
+} from '@galenatiller/caller';
 import { indexRules } from '@galenatiller/configuration';
 import { CrashLedger } from '@galenatiller/engine';
 import type { GalenatillerError } from '@galenatiller/error';
@@ -13,6 +18,7 @@
 import { followGate } from './followGate.js';
 import { GateDirectory } from './gateDirectory.js';
 import type { EntryPolicy } from './policy.js';
+import { RetryBudget } from './retryBudget.js';
 import { runCall } from './runCall.js';
 
 /** Options of {@link createEntry}; every peer is reached by a function. */
@@ -63,6 +69,7 @@
   });
   const stopping = new AbortController();
   const ending = new AbortController();
+  let entryCount = 1;
   let configuration = indexRules({ revision: 0, rules: [] });
   const readConfiguration = (): Configuration => configuration;
   const crashes = CrashLedger.create({ timer: opts.timer });
@@ -77,6 +84,7 @@
   );
   peers.start(() =>
     opts.followHosts((hosts) => {
+      entryCount = hosts.filter(isLiveEntry).length;
       directory.update(hosts);
     }, ending.signal),
   );
@@ -86,6 +94,12 @@
     readConfiguration,
     directory,
     crashes,
+    retryBudget: RetryBudget.create(),
+    limiter: OrganisationLimiter.create({
+      timer: opts.timer,
+      findLimit: (organisation) => configuration.limits.get(organisation),
+      countEntries: () => entryCount,
+    }),
     ownAvailabilityZone: opts.identity.availabilityZone,
   };
   return {
@@ -105,6 +119,10 @@
   };
 }
 
+function isLiveEntry(host: Host): boolean {
+  return host.role === 'entry' && host.state === 'live';
+}
+
 interface CreateDirectoryOptions extends CreateEntryOptions {
   readonly crashes: CrashLedger;
   readonly tasks: TaskGroup;
--- a/packages/entry/src/decideRetry.ts
+++ b/packages/entry/src/decideRetry.ts
@@ -17,16 +17,30 @@
   'run-unknown',
 ]);
 
-/** Retries refused work always, and other failures only where the stage is idempotent. */
+/** Codes that only show that the entry's view of the fleet is late; such a retry costs nothing. */
+const LATE_VIEW_CODES: ReadonlySet<string> = new Set([
+  'link-unopened',
+  'target-leaving',
+  'unknown-target',
+  'zone-out',
+]);
+
+/**
+ * Retries refused work, and failed work where a second run is harmless: the stage is idempotent,
+ * or the link was lost, after which the run record decides whether the work may still run.
+ */
 export function decideRetry(opts: DecideRetryOptions): RetryDecision {
   const { name } = findResultCodeByNumber(opts.end.code);
   if (opts.attempts >= MAX_ATTEMPTS || FINAL_CODES.has(name)) {
     return { kind: 'give-up' };
   }
-  const safe = opts.end.outcome === 'not-run' || opts.stage.idempotent;
+  const safe = opts.end.outcome === 'not-run' || opts.stage.idempotent || name === 'link-lost';
   const delayMs = opts.random() * FIRST_BACKOFF_MS * 2 ** (opts.attempts - 1);
   if (!safe || delayMs >= opts.remainingMs) {
     return { kind: 'give-up' };
   }
+  if (!LATE_VIEW_CODES.has(name) && !opts.spendRetry()) {
+    return { kind: 'give-up' };
+  }
   return { kind: 'retry', delayMs };
 }
--- a/packages/entry/src/index.ts
+++ b/packages/entry/src/index.ts
@@ -5,4 +5,5 @@
 export { naivePolicy } from './naivePolicy.js';
 export type * from './policy.js';
 export { standardPolicy } from './standardPolicy.js';
+export { RetryBudget } from './retryBudget.js';
 export { type ListeningEntry, runEntry, type RunEntryOptions } from './runEntry.js';
--- a/packages/entry/src/policy.ts
+++ b/packages/entry/src/policy.ts
@@ -51,6 +51,8 @@
   readonly attempts: number;
   readonly remainingMs: number;
   readonly random: () => number;
+  /** Spends a retry of the budget; false when none is left. */
+  readonly spendRetry: () => boolean;
 }
 
 /** What follows a failed attempt. */
--- a/packages/entry/src/runCall.ts
+++ b/packages/entry/src/runCall.ts
@@ -1,14 +1,15 @@
-import type { Call, CallAnswer, TakePart } from '@galenatiller/caller';
+import type { Call, CallAnswer, OrganisationLimiter, TakePart } from '@galenatiller/caller';
 import { GalenatillerError } from '@galenatiller/error';
 import type { CrashLedger } from '@galenatiller/engine';
 import type { RecordOptions } from '@galenatiller/timeline';
 import type { TimerService } from '@galenatiller/timer';
-import type { Configuration, StageRule } from '@galenatiller/types';
+import type { Configuration, RouteRule, StageRule } from '@galenatiller/types';
 import { Result } from 'true-myth';
 
 import type { CallContext } from './callContext.js';
 import type { GateDirectory } from './gateDirectory.js';
 import type { EntryPolicy } from './policy.js';
+import type { RetryBudget } from './retryBudget.js';
 import { runStage, type StageSuccess } from './runStage.js';
 import { addStageResult, NO_STAGE_DATA, type StageData } from './stageInput.js';
 
@@ -20,6 +21,8 @@
   readonly timer: TimerService;
   readonly record: (event: RecordOptions) => void;
   readonly crashes: CrashLedger;
+  readonly retryBudget: RetryBudget;
+  readonly limiter: OrganisationLimiter;
   readonly random: () => number;
   readonly ownAvailabilityZone: string;
 }
@@ -42,14 +45,36 @@
   if (call.runKey === '' && stages.some((stage) => !stage.idempotent)) {
     return refuse('key-required', `route ${route.name} may run at most once`);
   }
+  const admitted = opts.limiter.enter(call.organisation);
+  if (admitted.kind === 'refuse') {
+    const { reason, retryAfterMs } = admitted;
+    return refuse('organisation-limit', `limit of ${reason}`, retryAfterMs);
+  }
+  try {
+    return await runAdmitted(opts, { call, route, stages, configuration, takePart });
+  } finally {
+    opts.limiter.leave(call.organisation);
+  }
+}
+
+interface AdmittedCall {
+  readonly call: Call;
+  readonly route: RouteRule;
+  readonly stages: readonly StageRule[];
+  readonly configuration: Configuration;
+  readonly takePart: TakePart;
+}
+
+async function runAdmitted(
+  opts: RunCallOptions,
+  admitted: AdmittedCall,
+): Promise<Result<CallAnswer, GalenatillerError>> {
+  const { call, route, stages } = admitted;
   const limitMs = call.deadlineMs === 0 ? route.deadlineMs : call.deadlineMs;
   const limit = opts.timer.limit({ limitMs, parent: call.signal });
   const deadlineAtMs = opts.timer.nowMs() + limitMs;
   try {
-    return await walkStages(
-      { ...opts, call, route, configuration, deadlineAtMs, signal: limit.signal, takePart },
-      stages,
-    );
+    return await walkStages({ ...opts, ...admitted, deadlineAtMs, signal: limit.signal }, stages);
   } finally {
     limit.release();
   }
@@ -102,8 +127,9 @@
 }
 
 function refuse(
-  name: 'key-required' | 'unknown-route',
+  name: 'key-required' | 'organisation-limit' | 'unknown-route',
   detail: string,
+  retryAfterMs = 0,
 ): Result<never, GalenatillerError> {
-  return Result.err(GalenatillerError.create({ name, detail }));
+  return Result.err(GalenatillerError.create({ name, detail, retryAfterMs }));
 }
--- a/packages/entry/src/runStage.ts
+++ b/packages/entry/src/runStage.ts
@@ -36,6 +36,7 @@
   let delivered: Delivered = { text: '', tokens: 0 };
   let proved: Outcome = 'not-run';
   let last: StageEnd | undefined;
+  context.retryBudget.earn(stage.targetGroup);
 
   for (;;) {
     if (context.signal.aborted) {
@@ -67,7 +68,14 @@
     recordEnd(context, order, end);
     proved = end.outcome === 'not-run' ? proved : 'may-have-run';
     const remainingMs = context.deadlineAtMs - timer.nowMs();
-    const decision = policy.decideRetry({ stage, end, attempts: used.length, remainingMs, random });
+    const decision = policy.decideRetry({
+      stage,
+      end,
+      attempts: used.length,
+      remainingMs,
+      random,
+      spendRetry: () => context.retryBudget.spend(stage.targetGroup),
+    });
     if (decision.kind === 'give-up') {
       return Result.err(errorOfEnd(end, proved));
     }
--- /dev/null
+++ b/packages/entry/test/decisions.steps.ts
@@ -0,0 +1,173 @@
+import assert from 'node:assert/strict';
+
+import { Then, When } from '@cucumber/cucumber';
+import { indexRules } from '@galenatiller/configuration';
+import {
+  chooseTarget,
+  type ChooseTargetOptions,
+  decideRetry,
+  RetryBudget,
+  type RetryDecision,
+  type TargetView,
+} from '@galenatiller/entry';
+import type { Outcome, StageRule, TargetReport } from '@galenatiller/types';
+import fc from 'fast-check';
+
+interface DecisionsWorld {
+  decision: RetryDecision;
+  allowed: number;
+  chosen: string;
+}
+
+const RUNS = { seed: 20261204, numRuns: 500 };
+const ZONES = ['east-a', 'east-b', 'west-a'];
+const askedBy = 'test';
+const stage: StageRule = {
+  kind: 'stage',
+  name: 'draft',
+  work: 'generate',
+  targetGroup: 'drafter',
+  idempotent: true,
+  maxTokens: 8,
+  askedBy,
+};
+const report: TargetReport = {
+  name: 'engine-1',
+  kind: 'engine',
+  group: 'drafter',
+  version: 'v1',
+  state: 'ready',
+  inFlight: 0,
+  queued: 0,
+  inFlightLimit: 8,
+  runMs: 10,
+  prefixHashes: [],
+};
+
+When(
+  /^an attempt at (an idempotent|an at-most-once) ended with (\d+) and outcome "(.*)"$/,
+  function when(this: DecisionsWorld, kind: string, code: string, outcome: Outcome) {
+    this.decision = decideRetry({
+      stage: { ...stage, idempotent: kind === 'an idempotent' },
+      end: { outcome, code: Number(code), detail: '', retryAfterMs: 0, queueMs: 0, runMs: 0 },
+      attempts: 1,
+      remainingMs: 1_000,
+      random: () => 0.5,
+      spendRetry: () => true,
+    });
+  },
+);
+
+When(
+  'a retry budget sees {int} first attempts that all fail and want a retry',
+  function when(this: DecisionsWorld, attempts: number) {
+    const budget = RetryBudget.create();
+    const allowed = Array.from({ length: attempts }, () => {
+      budget.earn('drafter');
+      return budget.spend('drafter');
+    });
+    this.allowed = allowed.filter(Boolean).length;
+  },
+);
+
+When(
+  'the entry chooses between a full target at home and an idle one in another zone',
+  function when(this: DecisionsWorld) {
+    const full = viewOf({ ...report, name: 'full', inFlight: 8, queued: 4 }, 'east-a');
+    const idle = viewOf({ ...report, name: 'idle' }, 'west-a');
+    this.chosen = choose({ candidates: [full, idle] });
+  },
+);
+
+Then(/^the entry decides to (retry|give-up)$/, function then(this: DecisionsWorld, kind: string) {
+  assert.equal(this.decision.kind, kind);
+});
+
+Then(
+  'the budget allowed at least {int} and at most {int} retries',
+  function then(this: DecisionsWorld, least: number, most: number) {
+    assert.ok(this.allowed >= least && this.allowed <= most, String(this.allowed));
+  },
+);
+
+Then('it chooses the idle one', function then(this: DecisionsWorld) {
+  assert.equal(this.chosen, 'idle');
+});
+
+Then(
+  'over random fleets the chosen target is ready or cold, unused and in a zone that is in',
+  () => {
+    const views = fc.array(
+      fc.record({
+        state: fc.constantFrom(
+          'ready' as const,
+          'cold' as const,
+          'down' as const,
+          'leaving' as const,
+        ),
+        zone: fc.constantFrom(...ZONES),
+        load: fc.nat({ max: 20 }),
+        takesWork: fc.boolean(),
+      }),
+      { maxLength: 8 },
+    );
+    fc.assert(
+      fc.property(
+        views,
+        fc.array(fc.nat({ max: 7 })),
+        fc.double({ max: 0.99, min: 0 }),
+        (fleet, used, random) => {
+          const candidates = fleet.map((each, index) => ({
+            ...viewOf(
+              { ...report, name: `t${index}`, state: each.state, inFlight: each.load },
+              each.zone,
+            ),
+            takesWork: each.takesWork,
+          }));
+          const usedNames = used.map((index) => `t${index}`);
+          const chosen = choose({ candidates, used: usedNames, random: () => random });
+          const view = candidates.find(({ report: { name } }) => name === chosen);
+          const allowed = candidates.filter(
+            (each) =>
+              each.takesWork &&
+              ['ready', 'cold'].includes(each.report.state) &&
+              each.availabilityZone !== 'east-b' &&
+              !usedNames.includes(each.report.name),
+          );
+          assert.equal(view !== undefined, allowed.length > 0);
+          assert.ok(view === undefined || allowed.includes(view));
+        },
+      ),
+      RUNS,
+    );
+  },
+);
+
+function choose(opts: Partial<ChooseTargetOptions>): string {
+  const rules = [{ kind: 'zone', name: 'east-b', state: 'out', askedBy } as const];
+  return chooseTarget({
+    candidates: [],
+    used: [],
+    stage,
+    route: 'draft',
+    input: { kind: 'generate', prompt: '', maxTokens: 8, deliveredText: '', deliveredTokens: 0 },
+    priority: 'interactive',
+    remainingMs: 1_000,
+    ownAvailabilityZone: 'east-a',
+    configuration: indexRules({ revision: 1, rules }),
+    random: () => 0,
+    ...opts,
+  }).match({ Just: (view) => view.report.name, Nothing: () => '' });
+}
+
+function viewOf(targetReport: TargetReport, availabilityZone: string): TargetView {
+  return {
+    report: targetReport,
+    gateName: 'gate-1',
+    availabilityZone,
+    reportAgeMs: 0,
+    ownInFlight: 0,
+    sentSinceReport: 0,
+    takesWork: true,
+  };
+}
