Settle a lost race and a lost answer also when the change is too large for a delta

Cause: the head dropped the delta of a large change and with it the change id, so that a lost race of two first publications could be told as store-ambiguous. Change: the head holds the change id of its revision; a proved conflict is told at once.

--- a/packages/configuration/src/headTypes.ts
+++ b/packages/configuration/src/headTypes.ts
@@ -36,6 +36,8 @@
 export interface ConfigurationHead extends RevisionView {
   readonly author: string;
   readonly wallMs: number;
+  /** That of the delta of this revision, which may be too large to be kept. */
+  readonly changeId: string;
   /** Shards that this revision replaced; they stay until the next one for readers on their way. */
   readonly retiredKeys: readonly string[];
 }
--- a/packages/configuration/src/publishConfiguration.ts
+++ b/packages/configuration/src/publishConfiguration.ts
@@ -44,7 +44,6 @@
 interface Change {
   readonly base: StoredHead;
   readonly head: ConfigurationHead;
-  readonly changeId: string;
   /** Shards that go into the same swap as the head. */
   readonly puts: readonly KeyWrite[];
 }
@@ -115,10 +114,9 @@
   const written = await writeShards({ store, revision, shards: changedShards });
   return written.map((puts) => ({
     base,
-    changeId,
     puts,
     head: {
-      ...{ revision, author, wallMs },
+      ...{ revision, author, wallMs, changeId },
       shards: newReferences({ base: base.head, changedShards, revision }),
       retiredKeys: replaced.map(({ key }) => key),
       deltas: keepDeltas([...base.head.deltas, delta]),
@@ -151,24 +149,38 @@
   if (swap.isOk && swap.value.kind === 'swapped') {
     return Result.ok({ kind: 'published', revision: head.revision });
   }
+  if (swap.isOk && swap.value.kind === 'conflict') {
+    return tellConflict(opts);
+  }
   if (swap.isErr && swap.error.codeName !== 'store-ambiguous') {
     return refuse(swap.error);
   }
   return settle(opts, change);
 }
 
-/** Finds out from the deltas of the head whose change became the next revision. */
+async function tellConflict(
+  opts: PublishConfigurationOptions,
+): Promise<Result<Published, PublishRefusal>> {
+  const read = await readHead(opts.store);
+  if (read.isOk) {
+    return refuseConflict(opts, read.value.head);
+  }
+  const detail = 'another change was accepted; the store does not say which';
+  return refuse(GalenatillerError.create({ name: 'revision-conflict', detail }));
+}
+
+/** Finds out from the head and its deltas whose change became the next revision. */
 async function settle(
   opts: PublishConfigurationOptions,
   change: Change,
 ): Promise<Result<Published, PublishRefusal>> {
-  const { revision } = change.head;
+  const { revision, changeId } = change.head;
   for (let reads = 0; reads < SETTLE_READS; reads += 1) {
     const read = await readHead(opts.store);
     const next = read
-      .map(({ head }) => head.deltas.find((delta) => delta.revision === revision))
+      .map(({ head }) => [head, ...head.deltas].find((view) => view.revision === revision))
       .unwrapOr(undefined);
-    if (next?.changeId === change.changeId) {
+    if (next?.changeId === changeId) {
       return Result.ok({ kind: 'published', revision });
     }
     if (read.isOk && next) {
@@ -186,7 +198,7 @@
 ): Result<Published, PublishRefusal> {
   const error = GalenatillerError.create({
     name: 'revision-conflict',
-    detail: `revision ${head.revision} by ${head.author} came after revision ${opts.baseRevision}`,
+    detail: `revision ${head.revision} by ${head.author} is in force, not revision ${opts.baseRevision}`,
   });
   const otherChanges = head.deltas.filter((delta) => delta.revision > opts.baseRevision);
   return Result.err({ error, otherChanges });
--- a/packages/configuration/src/readHead.ts
+++ b/packages/configuration/src/readHead.ts
@@ -10,6 +10,7 @@
   revision: 0,
   author: '',
   wallMs: 0,
+  changeId: '',
   shards: [],
   retiredKeys: [],
   deltas: [],
--- a/packages/configuration/src/wire.ts
+++ b/packages/configuration/src/wire.ts
@@ -60,6 +60,7 @@
   revision: z.number().int().positive(),
   author: z.string(),
   wallMs: z.number(),
+  changeId: z.string(),
   shards: z.array(z.object({ index: z.number().int(), key: z.string() })),
   retiredKeys: z.array(z.string()),
   deltas: z.array(
--- a/packages/configuration/test/configuration.feature
+++ b/packages/configuration/test/configuration.feature
@@ -24,10 +24,22 @@
   Scenario: Two operators race
     Given 1 nodes follow the configuration of a stand-in store
     When "ann" publishes 20 organisations on revision 0
-    And "ann" and "bob" publish different weights for the organisation 3 on revision 1 at once
+    And "ann" and "bob" publish 20 organisations with different weights for the organisation 3 on revision 1 at once
     Then one is told as published and the other as "revision-conflict" with the change of the first
     And within 100 ms every node has the weight of the first for the organisation 3
 
+  Scenario: Two operators race with changes too large for a delta
+    Given 1 nodes follow the configuration of a stand-in store
+    When "ann" and "bob" publish 2000 organisations with different weights for the organisation 3 on revision 0 at once
+    Then the race is told as "published 1, revision-conflict"
+    And within 100 ms every node has the weight of the first for the organisation 3
+
+  Scenario: Every answer lost to a change too large for a delta
+    Given 1 nodes follow the configuration of a stand-in store
+    When the next 4 answers to publications are lost
+    And "ann" publishes 2000 organisations on revision 0
+    Then the publication is told as "published 1"
+
   Scenario: An edit of an old revision shows what came between
     Given 1 nodes follow the configuration of a stand-in store
     When "ann" publishes 20 organisations on revision 0
--- a/packages/configuration/test/configuration.steps.ts
+++ b/packages/configuration/test/configuration.steps.ts
@@ -99,11 +99,12 @@
 );
 
 When(
-  '{string} and {string} publish different weights for the organisation {int} on revision {int} at once',
+  '{string} and {string} publish {int} organisations with different weights for the organisation {int} on revision {int} at once',
   async function when(
     this: ConfigurationWorld,
     first: string,
     second: string,
+    count: number,
     number: number,
     baseRevision: number,
   ) {
@@ -112,7 +113,7 @@
       publishAs(bench, {
         author,
         baseRevision,
-        rules: makeOrganisations(20, { [number]: 11 + index }),
+        rules: makeOrganisations(count, { [number]: 11 + index }),
       }),
     );
     this.raced = await advanceUntil(bench.clock, Promise.all(both));
@@ -210,6 +211,10 @@
   },
 );
 
+Then('the race is told as {string}', function then(this: ConfigurationWorld, told: string) {
+  assert.equal(this.raced.map(tellPublication).sort().join(', '), told);
+});
+
 Then(
   'one is told as published and the other as {string} with the change of the first',
   function then(this: ConfigurationWorld, told: string) {
