Take the identity of an idle target for known for a shorter time than a restart

A crash while the target was idle, or between two bursts, went unseen within the 2 s that the identity was trusted, and the next burst overloaded the cold target. The identity of a busy target stands on its open connections; an idle one is trusted for 300 ms. A target that has no identity turns cold on a broken connection.

--- a/packages/engine/src/coldStart.ts
+++ b/packages/engine/src/coldStart.ts
@@ -22,13 +22,13 @@
   readonly warmUpMs?: number;
   /** Time to the first part that is always good enough. */
   readonly expectedFirstPartMs?: number;
-  /** Age up to which the target's identity counts as known. */
+  /** Age up to which the identity of an idle target counts as known; no restart is faster. */
   readonly identityTtlMs?: number;
   /** Told when the state changes. */
   readonly onState?: (state: TargetState) => void;
 }
 
-const DEFAULTS = { warmUpMs: 2_000, expectedFirstPartMs: 370, identityTtlMs: 2_000 };
+const DEFAULTS = { warmUpMs: 2_000, expectedFirstPartMs: 370, identityTtlMs: 300 };
 
 /** Growth of the limit after as many good runs as the limit. */
 const GROWTH_FACTOR = 1.5;
@@ -77,6 +77,9 @@
 
   private inFlight = 0;
 
+  /** Since when the target has not been idle. */
+  private busySinceMs = 0;
+
   private grownLimit: number;
 
   /** Whether the target has shown that it is warm since the last cold turn. */
@@ -147,6 +150,9 @@
 
   /** Counts a run that starts. */
   readonly onStarted = (): RunTicket => {
+    if (this.inFlight === 0) {
+      this.busySinceMs = this.opts.timer.nowMs();
+    }
     this.inFlight += 1;
     return { turn: this.turn, inFlight: this.inFlight };
   };
@@ -176,12 +182,12 @@
         this.onFailure();
         break;
       case 'broken':
-        this.identifiedAtMs = undefined;
         this.onFailure();
+        this.suspectRestart();
         break;
       case 'unreachable':
-        this.identifiedAtMs = undefined;
         this.unreachableInRow += 1;
+        this.suspectRestart();
         break;
       case 'cold':
         this.turnCold();
@@ -196,8 +202,8 @@
     if (ticket.turn !== this.turn) {
       return;
     }
-    if (!this.startId) {
-      // A target that has no identity shows with each answer that it is still there.
+    if (!this.startId || this.identifiedAtMs !== undefined) {
+      // The process that began the run has ended it.
       this.identifiedAtMs = this.opts.timer.nowMs();
     }
     if (firstPartMs > this.slowestGoodMs()) {
@@ -245,6 +251,14 @@
     }
   }
 
+  /** Waits for the identity of the target; one that has none may always have restarted. */
+  private suspectRestart(): void {
+    this.identifiedAtMs = undefined;
+    if (!this.startId) {
+      this.turnCold();
+    }
+  }
+
   private onFailure(): void {
     this.failuresInRow += 1;
     if (this.failuresInRow >= FAILURES_IN_ROW) {
@@ -289,11 +303,14 @@
     return this.opts.timer.nowMs() - this.coldSinceMs >= this.warmUpMs * warmUps;
   }
 
+  /** A restart would have broken a run, so the identity of a busy target is known. */
   private isIdentified(): boolean {
     const { timer, identityTtlMs } = this.opts;
-    return (
-      this.identifiedAtMs !== undefined && timer.nowMs() - this.identifiedAtMs <= identityTtlMs
-    );
+    if (this.identifiedAtMs === undefined) {
+      return false;
+    }
+    const hasBeenBusy = this.inFlight > 0 && this.busySinceMs <= this.identifiedAtMs;
+    return hasBeenBusy || timer.nowMs() - this.identifiedAtMs <= identityTtlMs;
   }
 
   private isDown(): boolean {
--- a/packages/engine/test/coldStart.feature
+++ b/packages/engine/test/coldStart.feature
@@ -72,3 +72,7 @@
 
   Scenario: The limit never exceeds what the evidence allows
     Then no history of 1000 raises the limit beyond its evidence
+
+  Scenario: No crash, idleness or burst overloads a target that is cold no longer than the warm-up
+    Then 100 histories with crashes overload no target behind a cold start limit
+    And the naive fixed limit overloads the target in each of them
--- /dev/null
+++ b/packages/engine/test/simulateTarget.ts
@@ -0,0 +1,102 @@
+import type { RunTicket, TargetLimit } from '@galenatiller/engine';
+import { TimerService } from '@galenatiller/timer';
+
+/** What happens to a simulated target. */
+export interface TargetHistory {
+  /** Times at which the target crashes, unless it is down. */
+  readonly crashesAtMs: readonly number[];
+  /** Lengths of alternating times with more demand than the target bears, and without demand. */
+  readonly demandMs: readonly number[];
+  readonly createLimit: (timer: TimerService) => TargetLimit;
+}
+
+/** Counts of a simulation. */
+export interface SimulationCounts {
+  readonly overloads: number;
+  readonly answers: number;
+}
+
+interface SimulatedRun {
+  readonly ticket: RunTicket;
+  readonly endsAtMs: number;
+}
+
+export const COLD_MS = 400;
+export const COLD_LIMIT = 2;
+export const IN_FLIGHT_LIMIT = 16;
+const RESTART_MS = 350;
+const RUN_MS = 30;
+const STEP_MS = 5;
+const SIMULATED_MS = 10_000;
+
+/** Drives a target that crashes when overloaded in cold start, always up to the limit. */
+export function simulateTarget(history: TargetHistory): SimulationCounts {
+  let nowMs = 0;
+  const clock = { nowMs: () => nowMs, wallMs: () => nowMs, arm: () => () => {} };
+  const limit = history.createLimit(TimerService.create({ clock }));
+  let running: readonly SimulatedRun[] = [];
+  let starts = 1;
+  let upAtMs = 0;
+  let overloads = 0;
+  let answers = 0;
+  for (; nowMs < SIMULATED_MS; nowMs += STEP_MS) {
+    if (nowMs >= upAtMs && history.crashesAtMs.some((atMs) => isDue(atMs))) {
+      crash();
+    }
+    if (running.length > 0) {
+      limit.onStartId(String(starts));
+    }
+    endRuns();
+    startRuns();
+  }
+  return { overloads, answers };
+
+  function isDue(atMs: number): boolean {
+    return atMs >= nowMs && atMs < nowMs + STEP_MS;
+  }
+
+  function crash(): void {
+    starts += 1;
+    upAtMs = nowMs + RESTART_MS;
+    const broken = running;
+    running = [];
+    broken.forEach(({ ticket }) => {
+      limit.onEnded({ ticket, how: 'broken', firstPartMs: 0 });
+    });
+  }
+
+  function endRuns(): void {
+    const ended = running.filter(({ endsAtMs }) => endsAtMs <= nowMs);
+    running = running.filter(({ endsAtMs }) => endsAtMs > nowMs);
+    answers += ended.length;
+    ended.forEach(({ ticket }) => {
+      limit.onEnded({ ticket, how: 'ok', firstPartMs: STEP_MS });
+    });
+  }
+
+  function startRuns(): void {
+    while (hasDemand(history.demandMs, nowMs) && running.length < limit.limit()) {
+      const ticket = limit.onStarted();
+      if (nowMs < upAtMs) {
+        limit.onEnded({ ticket, how: 'unreachable', firstPartMs: 0 });
+        return;
+      }
+      running = [...running, { ticket, endsAtMs: nowMs + RUN_MS }];
+      if (nowMs < upAtMs + COLD_MS && running.length > COLD_LIMIT) {
+        overloads += 1;
+        crash();
+        return;
+      }
+    }
+  }
+}
+
+function hasDemand(lengthsMs: readonly number[], atMs: number): boolean {
+  const cycleMs = lengthsMs.reduce((sum, lengthMs) => sum + lengthMs, 0);
+  let leftMs = atMs % cycleMs;
+  const index = lengthsMs.findIndex((lengthMs) => {
+    leftMs -= lengthMs;
+    return leftMs < 0;
+  });
+  return index % 2 === 0;
+}
