Give the admission of a target the margin and the ending of its runs

Cut runs now reach the estimate, which counts one only when it was longer than what is known of the stage.

--- a/packages/gate/src/runTimes.ts
+++ b/packages/gate/src/runTimes.ts
@@ -55,7 +55,7 @@
   /** Takes note of a run; of a cut one only if it shows that runs have become longer. */
   observe(run: ObservedRun): void {
     const before = this.stages.get(run.stage);
-    if (run.ending === 'cut' && run.runMs <= this.expect(run).expectedRunMs) {
+    if (run.ending === 'cut' && (!before || run.runMs <= this.expect(run).expectedRunMs)) {
       return;
     }
     this.stages.set(run.stage, before ? smooth(before, run) : firstRun(run));
--- a/packages/gate/src/targetAdmission.ts
+++ b/packages/gate/src/targetAdmission.ts
@@ -74,13 +74,9 @@
   ): Promise<Result<Admission, GalenatillerError>> {
     const nowMs = this.opts.timer.nowMs();
     const deadlineAtMs = nowMs + order.remainingMs;
-    const expectedRunMs = this.runTimes.expect({
-      stage: order.stage,
-      tokens: tokensOf(order),
-      nowMs,
-    });
+    const estimate = this.runTimes.expect({ stage: order.stage, tokens: tokensOf(order), nowMs });
     const { organisation, priority } = order;
-    const queued = { organisation, priority, deadlineAtMs, expectedRunMs };
+    const queued = { organisation, priority, deadlineAtMs, ...estimate };
     const decision = this.decide(queued);
     if (decision.kind === 'refuse') {
       return refuse('deadline-unreachable', this.settings.name, decision.retryAfterMs);
@@ -93,9 +89,14 @@
     this.running.delete(admission);
     const { how, firstPartMs, runMs } = end;
     this.opts.limit.onEnded({ ticket: admission.ticket, how, firstPartMs });
+    this.runTimes.observe({
+      stage: order.stage,
+      tokens: tokensOf(order),
+      nowMs: this.opts.timer.nowMs(),
+      runMs,
+      ending: how === 'ok' ? 'whole' : 'cut',
+    });
     if (how === 'ok') {
-      const nowMs = this.opts.timer.nowMs();
-      this.runTimes.observe({ stage: order.stage, tokens: tokensOf(order), runMs, nowMs });
       this.runMs = this.runMs === 0 ? runMs : this.runMs + SMOOTHING * (runMs - this.runMs);
     }
     this.admitNext();
@@ -132,6 +133,7 @@
       nowMs,
       deadlineAtMs: queued.deadlineAtMs,
       expectedRunMs: queued.expectedRunMs,
+      marginMs: queued.marginMs,
       inFlightRemainingMs: [...this.running].map(
         (run) => run.startedAtMs + run.expectedRunMs - nowMs,
       ),
