Keep an interactive order in the queue where only batch orders are safer

An interactive order that may be late gave way as soon as any safer order waited. Batch orders have late deadlines and are nearly always safe, so a batch backlog gave up interactive work that would mostly have been in time.

--- a/packages/gate/src/stageQueue.ts
+++ b/packages/gate/src/stageQueue.ts
@@ -79,10 +79,17 @@
    * easily be late give way too while safer ones wait: a late run takes the slot from them.
    */
   expire(opts: { readonly nowMs: number }): readonly Order[] {
-    const orders = this.listOrders();
     const slackOf = (order: Order): number => order.deadlineAtMs - opts.nowMs - costOf(order);
-    const someSafe = orders.some((order) => slackOf(order) >= order.marginMs);
-    const late = orders.filter((order) => slackOf(order) < (someSafe ? order.marginMs : 0));
+    const isSafe = (order: Order): boolean => slackOf(order) >= order.marginMs;
+    const { interactive, batch } = this.classes;
+    const safeInteractive = interactive.orders.some(isSafe);
+    // A safe batch order is no reason to give up an interactive one.
+    const safeAny = safeInteractive || batch.orders.some(isSafe);
+    const isLate = (order: Order): boolean => {
+      const safeWaits = order.priority === 'interactive' ? safeInteractive : safeAny;
+      return slackOf(order) < (safeWaits ? order.marginMs : 0);
+    };
+    const late = this.listOrders().filter(isLate);
     late.forEach((order) => {
       this.remove(order);
     });
--- a/packages/gate/test/stageQueue.feature
+++ b/packages/gate/test/stageQueue.feature
@@ -66,3 +66,10 @@
       | large        | 1      | interactive | 900      | 100  | 50     |
     Then at 351 ms the order with the deadline 500 expires
     And at 801 ms the order with the deadline 900 expires
+
+  Scenario: A safe batch order is no reason to give up an interactive one
+    Given a stage queue with these orders
+      | organisation | weight | priority    | deadline | cost | margin |
+      | large        | 1      | interactive | 500      | 100  | 50     |
+      | large        | 1      | batch       | 9000     | 100  | 50     |
+    Then at 401 ms the order with the deadline 500 expires
