Measure what entries and gates add, and what one entry carries

The bench had no figures for the product's own cost. 'overhead' sends the same streams straight at the engines and through entries and gates; 'capacity' opens 1,000 streams both ways and then runs short requests through one entry. The gates' limits follow the capacity of the fakes.

--- a/bench/src/launcher/placeDeployment.ts
+++ b/bench/src/launcher/placeDeployment.ts
@@ -10,7 +10,7 @@
   readonly storeUrl: string;
   readonly hostListUrl: string;
   readonly fakes: readonly (FakeTargetPlan & PlacedFake)[];
-  readonly gates: readonly GateSettingsText[];
+  readonly gates: readonly Omit<GateSettingsText, 'coldInFlightLimit' | 'inFlightLimit'>[];
   readonly entries: readonly Omit<EntrySettingsText, 'routingPolicy'>[];
 }
 
--- a/bench/src/launcher/renderSettings.ts
+++ b/bench/src/launcher/renderSettings.ts
@@ -24,6 +24,9 @@
 /** Settings of one gate. */
 export interface GateSettingsText extends NodeSettingsText {
   readonly targets: readonly PlacedTarget[];
+  /** Limits that fit what the fakes can bear. */
+  readonly inFlightLimit: number;
+  readonly coldInFlightLimit: number;
 }
 
 /** A target with its address. */
@@ -37,9 +40,6 @@
 /** The operators' key of a deployment on loopback. */
 export const LOOPBACK_OPERATOR_KEY = 'b2'.repeat(32);
 
-const IN_FLIGHT_LIMIT = 16;
-const COLD_IN_FLIGHT_LIMIT = 4;
-
 /** The settings file of an entry. */
 export function renderEntrySettings(opts: EntrySettingsText): string {
   return [
@@ -61,8 +61,8 @@
     `group = ${target.group}`,
     `version = ${target.version}`,
     `url = ${target.url}`,
-    `in-flight-limit = ${IN_FLIGHT_LIMIT}`,
-    `cold-in-flight-limit = ${COLD_IN_FLIGHT_LIMIT}`,
+    `in-flight-limit = ${opts.inFlightLimit}`,
+    `cold-in-flight-limit = ${opts.coldInFlightLimit}`,
   ]);
   return [...commonLines(opts), ...sections, ''].join('\n');
 }
--- a/bench/src/launcher/startDeployment.ts
+++ b/bench/src/launcher/startDeployment.ts
@@ -128,12 +128,13 @@
 }
 
 async function startNodes(opts: StartProcessesOptions): Promise<void> {
-  const { placed, processes, folder, routingPolicy } = opts;
+  const { placed, processes, folder, routingPolicy, speed } = opts;
+  const limits = { inFlightLimit: speed.capacity, coldInFlightLimit: speed.coldLimit };
   const nodes = [
     ...placed.gates.map((gate) => ({
       name: gate.nodeName,
       role: 'gate' as const,
-      text: renderGateSettings(gate),
+      text: renderGateSettings({ ...gate, ...limits }),
     })),
     ...placed.entries.map((entry) => ({
       name: entry.nodeName,
--- a/bench/src/load/sendRequest.ts
+++ b/bench/src/load/sendRequest.ts
@@ -23,6 +23,8 @@
   readonly planned: PlannedRequest;
   readonly expected: string;
   readonly entryUrl: string;
+  /** Asks an engine at the URL instead of an entry, for so many tokens. */
+  readonly straight?: { readonly maxTokens: number };
   readonly dispatcher: Dispatcher;
   readonly timer: TimerService;
 }
@@ -33,7 +35,8 @@
 const HTTP_OK = 200;
 
 const answerSchema = z.object({
-  id: z.string(),
+  // An engine that is asked straight gives no id.
+  id: z.string().default(''),
   choices: z.array(z.object({ text: z.string() })),
   result: z.object({ receipt: z.string() }).nullish(),
 });
@@ -86,8 +89,8 @@
 ): Promise<RequestEnd> {
   const { planned, entryUrl, dispatcher, timer } = opts;
   const startedMs = timer.nowMs();
-  const { route, stream, prompt, body, runKey } = planned;
-  const response = await request(`${entryUrl}/v1/routes/${route.name}`, {
+  const { stream, runKey } = planned;
+  const response = await request(entryUrl + pathOf(opts), {
     method: 'POST',
     dispatcher,
     signal,
@@ -96,7 +99,7 @@
       'content-type': 'application/json',
       ...(runKey === '' ? {} : { 'idempotency-key': runKey }),
     },
-    body: JSON.stringify({ prompt, stream, ...(body === null ? {} : { body }) }),
+    body: encodeBody(opts),
   });
   answer.takeHead(String(response.headers['x-request-id'] ?? ''));
   if (response.statusCode !== HTTP_OK) {
@@ -110,6 +113,20 @@
   return { kind: 'answered' };
 }
 
+function pathOf({ planned, straight }: SendRequestOptions): string {
+  return straight ? '/v1/completions' : `/v1/routes/${planned.route.name}`;
+}
+
+function encodeBody({ planned, straight }: SendRequestOptions): string {
+  const { prompt, stream, body } = planned;
+  return JSON.stringify({
+    prompt,
+    stream,
+    ...(straight ? { max_tokens: straight.maxTokens } : {}),
+    ...(body === null ? {} : { body }),
+  });
+}
+
 function readProblem(body: unknown, answer: ReceivedAnswer): RequestEnd {
   const { code, outcome, requestId } = problemSchema.parse(body);
   answer.takeBody(requestId, '');
--- a/bench/src/main.ts
+++ b/bench/src/main.ts
@@ -5,12 +5,17 @@
 import { Command, Option } from 'commander';
 
 import { type DeploymentName, DEPLOYMENTS } from './launcher/deployment.js';
+import type { BenchReport } from './report/benchReport.js';
+import { renderCapacity } from './report/renderCapacity.js';
+import { renderOverhead } from './report/renderOverhead.js';
 import { renderCounts, renderReport } from './report/renderReport.js';
+import { type CapacityReport, measureCapacity } from './scenario/measureCapacity.js';
+import { measureOverhead, type OverheadReport } from './scenario/measureOverhead.js';
 import { runScenario } from './scenario/runScenario.js';
 import { SCENARIO_NAMES, type ScenarioName, scenarioOf } from './scenario/scenarios.js';
 
 interface BenchOptions {
-  readonly scenario: ScenarioName;
+  readonly scenario: ScenarioName | 'capacity' | 'overhead';
   readonly deployment: DeploymentName;
   readonly seed: string;
   readonly seconds: string;
@@ -18,13 +23,21 @@
   readonly json?: string;
 }
 
+/** A report, and how many invariants were broken. */
+interface Ran {
+  readonly report: BenchReport | CapacityReport | OverheadReport;
+  readonly violations: number;
+}
+
 const MS_PER_SECOND = 1_000;
 const JSON_INDENT = 2;
 
 const options = new Command('bench')
   .description('Runs one scenario over real processes on loopback and checks its history.')
   .addOption(
-    new Option('--scenario <name>', 'what happens').choices(SCENARIO_NAMES).default('steady'),
+    new Option('--scenario <name>', 'what happens')
+      .choices([...SCENARIO_NAMES, 'overhead', 'capacity'])
+      .default('steady'),
   )
   .addOption(
     new Option('--deployment <name>', 'whose system')
@@ -43,23 +56,50 @@
 const seed = Number(options.seed);
 const routingPolicy = options.baseline ?? 'standard';
 const title = `${options.scenario} on ${options.deployment}, seed ${seed}, ${routingPolicy}`;
-const report = await runScenario({
-  deployment,
-  scenario: scenarioOf(options.scenario, { deployment, durationMs }),
-  timer: TimerService.create({ clock: systemClock }),
-  seed,
-  durationMs,
-  routingPolicy,
-  say: (text) => say(`${title}: ${text}`),
-});
-say(renderReport(report));
-say(`${title}: ${renderCounts(report.verdict)}`);
+const timer = TimerService.create({ clock: systemClock });
+const progress = (text: string): void => say(`${title}: ${text}`);
+const ran = await run(options.scenario);
 if (options.json) {
   const { scenario, seconds } = options;
   const named = { scenario, deployment: options.deployment, seed, seconds, routingPolicy };
-  await writeFile(options.json, `${JSON.stringify({ ...named, ...report }, null, JSON_INDENT)}\n`);
+  const text = JSON.stringify({ ...named, ...ran.report }, null, JSON_INDENT);
+  await writeFile(options.json, `${text}\n`);
+}
+process.exitCode = ran.violations === 0 ? 0 : 1;
+
+function run(scenario: BenchOptions['scenario']): Promise<Ran> {
+  switch (scenario) {
+    case 'overhead':
+      return runOverhead();
+    case 'capacity':
+      return runCapacity();
+    default:
+      return runMixed(scenario);
+  }
+}
+
+async function runMixed(scenario: ScenarioName): Promise<Ran> {
+  const report = await runScenario({
+    ...{ deployment, timer, seed, durationMs, routingPolicy },
+    scenario: scenarioOf(scenario, { deployment, durationMs }),
+    say: progress,
+  });
+  say(renderReport(report));
+  progress(renderCounts(report.verdict));
+  return { report, violations: report.verdict.violations.length };
+}
+
+async function runOverhead(): Promise<Ran> {
+  const report = await measureOverhead({ deployment, timer, seed, durationMs, say: progress });
+  say(renderOverhead(report));
+  return { report, violations: report.violations };
+}
+
+async function runCapacity(): Promise<Ran> {
+  const report = await measureCapacity({ deployment, timer, seed, durationMs, say: progress });
+  say(renderCapacity(report));
+  return { report, violations: 0 };
 }
-process.exitCode = report.verdict.violations.length === 0 ? 0 : 1;
 
 function say(text: string): void {
   process.stdout.write(`${text}\n`);
--- a/bench/src/report/benchReport.ts
+++ b/bench/src/report/benchReport.ts
@@ -5,9 +5,10 @@
 
 import type { Verdict } from '../checker/history.js';
 import type { LedgerRun } from '../launcher/collectLedgers.js';
-import type { ProcessRole, ProcessUsage } from '../launcher/processGroup.js';
+import type { ProcessUsage } from '../launcher/processGroup.js';
 import type { TimedRequest } from '../load/sendRequest.js';
 import { isInTime, type RouteFigures, routeFigures } from './routeTable.js';
+import { type RoleUsage, usageByRole } from './usageByRole.js';
 
 /** Share of requests answered within their deadline, of one class or organisation. */
 export interface Attainment {
@@ -35,16 +36,6 @@
   readonly busyMsPerInTime: number;
 }
 
-/** CPU and memory of the processes of one role. */
-export interface RoleUsage {
-  readonly role: ProcessRole;
-  readonly processes: number;
-  /** Mean share of a core during the load. */
-  readonly meanCoreShare: number;
-  readonly maxCoreShare: number;
-  readonly maxRssMb: number;
-}
-
 /** Options of {@link buildReport}. */
 export interface BuildReportOptions {
   readonly requests: readonly TimedRequest[];
@@ -72,8 +63,6 @@
 }
 
 const MS_PER_SECOND = 1_000;
-const BYTES_PER_MB = 1_048_576;
-const ROLES: readonly ProcessRole[] = ['entry', 'gate', 'fakes'];
 
 /** Works the figures of a run out. */
 export function buildReport(opts: BuildReportOptions): BenchReport {
@@ -84,7 +73,11 @@
     organisations: attainments(requests, ({ organisation }) => organisation),
     refusals: countRefusals(requests),
     costs: costsOf(opts.runs, requests.filter(isInTime).length),
-    usage: ROLES.map((role) => usageOf(role, opts)),
+    usage: usageByRole({
+      before: opts.usageBefore,
+      after: opts.usageAfter,
+      elapsedMs: opts.elapsedMs,
+    }),
     storeCallsPerSecond: (opts.storeCalls / opts.elapsedMs) * MS_PER_SECOND,
     loadLagP99Ms: opts.loadLagP99Ms,
     verdict: opts.verdict,
@@ -138,20 +131,3 @@
     };
   });
 }
-
-function usageOf(role: ProcessRole, opts: BuildReportOptions): RoleUsage {
-  const before = new Map(opts.usageBefore.map(({ name, cpuMs }) => [name, cpuMs]));
-  const ofRole = opts.usageAfter.filter((usage) => usage.role === role);
-  // A process that was started again meanwhile has spent less than before.
-  const shares = ofRole.map(
-    ({ name, cpuMs }) => Math.max(0, cpuMs - (before.get(name) ?? 0)) / opts.elapsedMs,
-  );
-  const maxRssBytes = Math.max(0, ...ofRole.map(({ rssBytes }) => rssBytes));
-  return {
-    role,
-    processes: ofRole.length,
-    meanCoreShare: shares.reduce((sum, share) => sum + share, 0) / Math.max(1, shares.length),
-    maxCoreShare: Math.max(0, ...shares),
-    maxRssMb: maxRssBytes / BYTES_PER_MB,
-  };
-}
--- /dev/null
+++ b/bench/src/report/renderOverhead.ts
@@ -0,0 +1,35 @@
+import type { OverheadReport, PathFigures } from '../scenario/measureOverhead.js';
+import type { Percentiles } from './percentiles.js';
+import { renderUsage } from './renderReport.js';
+import { renderTable } from './renderTable.js';
+
+/** The measured overhead for a terminal. */
+export function renderOverhead(report: OverheadReport): string {
+  const { p50, p95, p99 } = report.addedFirstTokenMs;
+  const entryUs = report.entryCpuUsPerToken.toFixed(0);
+  const gateUs = report.gateCpuUsPerToken.toFixed(0);
+  return [
+    renderTable(
+      ['path', 'answered', 'first ms', 'gap ms', 'tokens/s of a stream'],
+      [rowOf('engine', report.direct), rowOf('entry and gate', report.served)],
+    ),
+    `first token ${p50.toFixed(1)}/${p95.toFixed(1)}/${p99.toFixed(1)} ms later (p50/p95/p99)`,
+    `${entryUs} us of entry CPU and ${gateUs} us of gate CPU for each token, all work counted`,
+    renderUsage(report.usage),
+    `${report.violations} violations`,
+  ].join('\n');
+}
+
+function rowOf(path: string, figures: PathFigures): readonly (number | string)[] {
+  return [
+    path,
+    figures.answered,
+    render(figures.firstTokenMs),
+    render(figures.tokenGapMs),
+    figures.tokensPerSecond.toFixed(0),
+  ];
+}
+
+function render({ p50, p95, p99 }: Percentiles): string {
+  return [p50, p95, p99].map((value) => value.toFixed(1)).join('/');
+}
--- a/bench/src/report/renderReport.ts
+++ b/bench/src/report/renderReport.ts
@@ -1,9 +1,7 @@
-import Table from 'cli-table3';
-
 import type { BenchReport } from './benchReport.js';
 import { renderRouteTable } from './routeTable.js';
-
-const PERCENT = 100;
+import { percent, renderTable } from './renderTable.js';
+import type { RoleUsage } from './usageByRole.js';
 
 /** Violations that are printed of each run; the report file has all. */
 const SHOWN_VIOLATIONS = 20;
@@ -36,16 +34,7 @@
         row.busyMsPerInTime.toFixed(1),
       ]),
     ),
-    renderTable(
-      ['role', 'processes', 'mean core', 'max core', 'max RSS MB'],
-      report.usage.map((row) => [
-        row.role,
-        row.processes,
-        percent(row.meanCoreShare),
-        percent(row.maxCoreShare),
-        row.maxRssMb.toFixed(0),
-      ]),
-    ),
+    renderUsage(report.usage),
     `${report.storeCallsPerSecond.toFixed(1)} store calls a second`,
     `${report.loadLagP99Ms.toFixed(1)} ms lag of the load generator (p99)`,
     ...verdict.violations
@@ -55,6 +44,20 @@
   ].join('\n');
 }
 
+/** CPU and memory by role, as a table. */
+export function renderUsage(usage: readonly RoleUsage[]): string {
+  return renderTable(
+    ['role', 'processes', 'mean core', 'max core', 'max RSS MB'],
+    usage.map((row) => [
+      row.role,
+      row.processes,
+      percent(row.meanCoreShare),
+      percent(row.maxCoreShare),
+      row.maxRssMb.toFixed(0),
+    ]),
+  );
+}
+
 /** The line that says what came of every request. */
 export function renderCounts(
   verdict: Pick<BenchReport['verdict'], 'answered' | 'crossed' | 'doubled' | 'lost' | 'refused'>,
@@ -62,16 +65,3 @@
   const { answered, refused, lost, doubled, crossed } = verdict;
   return `${answered} answered, ${refused} refused, ${lost} lost, ${doubled} doubled, ${crossed} crossed`;
 }
-
-function renderTable(
-  head: readonly string[],
-  rows: readonly (readonly (number | string)[])[],
-): string {
-  const table = new Table({ head: [...head], style: { head: [], border: [] } });
-  table.push(...rows.map((row) => [...row]));
-  return table.toString();
-}
-
-function percent(share: number): string {
-  return `${(share * PERCENT).toFixed(1)} %`;
-}
--- /dev/null
+++ b/bench/src/report/renderTable.ts
@@ -0,0 +1,18 @@
+import Table from 'cli-table3';
+
+/** A table for a terminal. */
+export function renderTable(
+  head: readonly string[],
+  rows: readonly (readonly (number | string)[])[],
+): string {
+  const table = new Table({ head: [...head], style: { head: [], border: [] } });
+  table.push(...rows.map((row) => [...row]));
+  return table.toString();
+}
+
+const PERCENT = 100;
+
+/** A share in percent. */
+export function percent(share: number): string {
+  return `${(share * PERCENT).toFixed(1)} %`;
+}
--- /dev/null
+++ b/bench/src/scenario/findRouteOf.ts
@@ -0,0 +1,18 @@
+import type { Configuration, RouteRule, StageRule } from '@galenatiller/types';
+
+/** Options of {@link findRouteOf}. */
+export interface FindRouteOfOptions extends Pick<Configuration, 'routes' | 'stages'> {
+  readonly work: StageRule['work'];
+}
+
+/** A route with one idempotent stage of a kind of work. */
+export function findRouteOf({ routes, stages, work }: FindRouteOfOptions): RouteRule {
+  const found = [...routes.values()].find((route) => {
+    const stage = stages.get(route.stages[0] ?? '');
+    return route.stages.length === 1 && stage?.work === work && stage.idempotent;
+  });
+  if (!found) {
+    throw new Error(`the rules have no route with one idempotent stage of ${work}`);
+  }
+  return found;
+}
--- /dev/null
+++ b/bench/src/scenario/measureCapacity.ts
@@ -0,0 +1,177 @@
+/** Measures what one entry carries: many open streams at once, then many short requests. */
+import type { TimerService } from '@galenatiller/timer';
+import type { RouteRule } from '@galenatiller/types';
+import { Agent } from 'undici';
+
+import type { Deployment } from '../launcher/deployment.js';
+import { DEFAULT_SPEED } from '../launcher/fakePlan.js';
+import { type RunningDeployment, startDeployment } from '../launcher/startDeployment.js';
+import { readStreamLength } from '../load/readStreamLength.js';
+import { type RoleUsage, usageByRole } from '../report/usageByRole.js';
+import { findRouteOf } from './findRouteOf.js';
+
+/** Options of {@link measureCapacity}. */
+export interface MeasureCapacityOptions {
+  readonly deployment: Deployment;
+  readonly timer: TimerService;
+  readonly seed: number;
+  /** Time of each of the loads. */
+  readonly durationMs: number;
+  readonly say: (text: string) => void;
+}
+
+/** What one load got through and what it cost. */
+export interface LoadFigures {
+  readonly whole: number;
+  readonly refused: number;
+  readonly torn: number;
+  /** Events a second of streams, or answers a second of short requests. */
+  readonly perSecond: number;
+  /** The same for each second of CPU time that the busiest entry spent. */
+  readonly perEntryCoreSecond: number;
+  /** Share of a core that the load generator used. */
+  readonly generatorCoreShare: number;
+  readonly usage: readonly RoleUsage[];
+}
+
+/** The same streams straight at the engines and through one entry, and short requests. */
+export interface CapacityReport {
+  readonly directStreams: LoadFigures;
+  readonly servedStreams: LoadFigures;
+  readonly shortRequests: LoadFigures;
+}
+
+interface Counts {
+  whole: number;
+  refused: number;
+  torn: number;
+  events: number;
+}
+
+const OPEN_STREAMS = 1_000;
+const SHORT_CALLERS = 64;
+const US_PER_MS = 1_000;
+const MS_PER_SECOND = 1_000;
+
+/** Engines batch all streams together and keep one pace, so that nothing waits for a slot. */
+const WIDE_SPEED = {
+  ...DEFAULT_SPEED,
+  baseMsPerToken: 20,
+  slopeMsPerToken: 0,
+  capacity: OPEN_STREAMS,
+  coldMs: 0,
+  coldLimit: OPEN_STREAMS,
+};
+
+/** Loads one entry with streams and short requests, and the engines with the same streams. */
+export async function measureCapacity(opts: MeasureCapacityOptions): Promise<CapacityReport> {
+  const deployment = await startDeployment({
+    ...opts,
+    speed: WIDE_SPEED,
+    routingPolicy: 'standard',
+  });
+  try {
+    const { routes, stages } = deployment.configuration();
+    const streamed = findRouteOf({ routes, stages, work: 'generate' });
+    const short = findRouteOf({ routes, stages, work: 'call' });
+    const maxTokens = stages.get(streamed.stages[0] ?? '')?.maxTokens ?? 0;
+    const engines = deployment.fakes.filter(({ kind }) => kind === 'engine');
+    const [entryUrl = ''] = deployment.entryUrls;
+    opts.say(`${OPEN_STREAMS} streams straight at the engines`);
+    const directStreams = await load(opts, deployment, {
+      urls: engines.map(({ url }) => `${url}/v1/completions`),
+      callers: OPEN_STREAMS,
+      stream: true,
+      body: { prompt: 'capacity', stream: true, max_tokens: maxTokens },
+    });
+    opts.say(`${OPEN_STREAMS} streams through one entry`);
+    const servedStreams = await load(opts, deployment, {
+      urls: [urlOf(entryUrl, streamed)],
+      callers: OPEN_STREAMS,
+      stream: true,
+      body: { prompt: 'capacity', stream: true },
+    });
+    opts.say(`${SHORT_CALLERS} callers of short requests through one entry`);
+    const shortRequests = await load(opts, deployment, {
+      urls: [urlOf(entryUrl, short)],
+      callers: SHORT_CALLERS,
+      stream: false,
+      body: { body: { note: 'capacity' } },
+    });
+    return { directStreams, servedStreams, shortRequests };
+  } finally {
+    await deployment.stop();
+  }
+}
+
+function urlOf(entryUrl: string, route: RouteRule): string {
+  return `${entryUrl}/v1/routes/${route.name}`;
+}
+
+interface LoadPlan {
+  readonly urls: readonly string[];
+  /** Callers that each send one request after another. */
+  readonly callers: number;
+  readonly stream: boolean;
+  readonly body: Readonly<Record<string, unknown>>;
+}
+
+async function load(
+  opts: MeasureCapacityOptions,
+  deployment: RunningDeployment,
+  plan: LoadPlan,
+): Promise<LoadFigures> {
+  const { timer, durationMs } = opts;
+  const counts: Counts = { whole: 0, refused: 0, torn: 0, events: 0 };
+  const usageBefore = await deployment.usage();
+  const cpuBefore = process.cpuUsage();
+  const startMs = timer.nowMs();
+  const callers = runCallers({ opts, deployment, plan, counts, untilMs: startMs + durationMs });
+  await timer.sleep({ delayMs: durationMs });
+  const elapsedMs = timer.nowMs() - startMs;
+  const { user, system } = process.cpuUsage(cpuBefore);
+  const after = await deployment.usage();
+  const done = plan.stream ? counts.events : counts.whole;
+  await callers;
+  const usage = usageByRole({ before: usageBefore, after, elapsedMs });
+  const entryShare = usage.find(({ role }) => role === 'entry')?.maxCoreShare ?? 0;
+  const perSecond = (done / elapsedMs) * MS_PER_SECOND;
+  return {
+    whole: counts.whole,
+    refused: counts.refused,
+    torn: counts.torn,
+    perSecond,
+    perEntryCoreSecond: entryShare === 0 ? 0 : perSecond / entryShare,
+    generatorCoreShare: (user + system) / US_PER_MS / elapsedMs,
+    usage,
+  };
+}
+
+async function runCallers(run: {
+  readonly opts: MeasureCapacityOptions;
+  readonly deployment: RunningDeployment;
+  readonly plan: LoadPlan;
+  readonly counts: Counts;
+  readonly untilMs: number;
+}): Promise<void> {
+  const { opts, plan, counts } = run;
+  const dispatcher = new Agent({ headersTimeout: 0, bodyTimeout: 0 });
+  const organisations = [...run.deployment.configuration().organisations.keys()];
+  const callOn = async (caller: number): Promise<void> => {
+    while (opts.timer.nowMs() < run.untilMs) {
+      const end = await readStreamLength({
+        dispatcher,
+        url: plan.urls[caller % plan.urls.length] ?? '',
+        organisation: organisations[caller % organisations.length] ?? '',
+        body: JSON.stringify(plan.body),
+        onEvents: (events) => {
+          counts.events += events;
+        },
+      });
+      // A short answer is no stream and so has no end marker.
+      counts[end === 'torn' && !plan.stream ? 'whole' : end] += 1;
+    }
+  };
+  await Promise.all(Array.from({ length: plan.callers }, (_, caller) => callOn(caller)));
+  await dispatcher.close();
+}
--- /dev/null
+++ b/bench/src/scenario/measureOverhead.ts
@@ -0,0 +1,156 @@
+import type { TimerService } from '@galenatiller/timer';
+import { Agent } from 'undici';
+
+import { checkHistory } from '../checker/checkHistory.js';
+import type { Deployment } from '../launcher/deployment.js';
+import { DEFAULT_SPEED } from '../launcher/fakePlan.js';
+import { type RunningDeployment, startDeployment } from '../launcher/startDeployment.js';
+import { expectedResult } from '../load/expectedResult.js';
+import type { PlannedRequest } from '../load/plannedRequest.js';
+import { sendRequest, type TimedRequest } from '../load/sendRequest.js';
+import { type Percentiles, percentilesOf } from '../report/percentiles.js';
+import { type RoleUsage, usageByRole } from '../report/usageByRole.js';
+import { findRouteOf } from './findRouteOf.js';
+
+/** Options of {@link measureOverhead}. */
+export interface MeasureOverheadOptions {
+  readonly deployment: Deployment;
+  readonly timer: TimerService;
+  readonly seed: number;
+  /** Time of each of the two loads. */
+  readonly durationMs: number;
+  readonly say: (text: string) => void;
+}
+
+/** What one load saw. */
+export interface PathFigures {
+  readonly answered: number;
+  readonly firstTokenMs: Percentiles;
+  readonly tokenGapMs: Percentiles;
+  readonly tokensPerSecond: number;
+}
+
+/** The same load straight at the engines and through entries and gates. */
+export interface OverheadReport {
+  readonly direct: PathFigures;
+  readonly served: PathFigures;
+  /** Difference of the first-token times, in milliseconds. */
+  readonly addedFirstTokenMs: { readonly p50: number; readonly p95: number; readonly p99: number };
+  readonly usage: readonly RoleUsage[];
+  /** CPU time of an entry and of a gate for each token that it passed on. */
+  readonly entryCpuUsPerToken: number;
+  readonly gateCpuUsPerToken: number;
+  readonly violations: number;
+}
+
+const REQUESTS_PER_SECOND = 10;
+const MS_PER_SECOND = 1_000;
+const US_PER_MS = 1_000;
+
+/** Measures what the entries and gates add to the engines' own times. */
+export async function measureOverhead(opts: MeasureOverheadOptions): Promise<OverheadReport> {
+  opts.say('starting');
+  const deployment = await startDeployment({
+    ...opts,
+    speed: DEFAULT_SPEED,
+    routingPolicy: 'standard',
+  });
+  try {
+    const engineUrls = deployment.fakes
+      .filter(({ kind }) => kind === 'engine')
+      .map(({ url }) => url);
+    opts.say('straight at the engines');
+    const direct = await sendEvenly(opts, deployment, engineUrls, 'engine');
+    opts.say('through entries and gates');
+    const usageBefore = await deployment.usage();
+    const startMs = opts.timer.nowMs();
+    const served = await sendEvenly(opts, deployment, deployment.entryUrls, 'entry');
+    const elapsedMs = opts.timer.nowMs() - startMs;
+    const usage = usageByRole({ before: usageBefore, after: await deployment.usage(), elapsedMs });
+    return describe({ direct, served, usage, elapsedMs });
+  } finally {
+    await deployment.stop();
+  }
+}
+
+/** Sends streams at a fixed pace, to each URL in turn. */
+async function sendEvenly(
+  opts: MeasureOverheadOptions,
+  deployment: RunningDeployment,
+  urls: readonly string[],
+  at: 'engine' | 'entry',
+): Promise<readonly TimedRequest[]> {
+  const { timer, durationMs } = opts;
+  const configuration = deployment.configuration();
+  const route = findRouteOf({ ...configuration, work: 'generate' });
+  const dispatcher = new Agent();
+  const running: Promise<TimedRequest>[] = [];
+  const count = (durationMs / MS_PER_SECOND) * REQUESTS_PER_SECOND;
+  const [organisation = ''] = configuration.organisations.keys();
+  const maxTokens = configuration.stages.get(route.stages[0] ?? '')?.maxTokens ?? 0;
+  for (let number = 0; number < count; number += 1) {
+    const planned: PlannedRequest = {
+      ...{ organisation, route, stream: true, atMostOnce: false, runKey: '', body: null },
+      prompt: `${at} request ${opts.seed} ${number}`,
+    };
+    const expected = expectedResult(configuration, planned);
+    const url = urls[number % urls.length] ?? '';
+    running.push(
+      sendRequest({
+        ...{ planned, expected, dispatcher, timer },
+        entryUrl: url,
+        ...(at === 'engine' ? { straight: { maxTokens } } : {}),
+      }),
+    );
+    await timer.sleep({ delayMs: MS_PER_SECOND / REQUESTS_PER_SECOND });
+  }
+  const requests = await Promise.all(running);
+  await dispatcher.close();
+  return requests;
+}
+
+function describe(opts: {
+  readonly direct: readonly TimedRequest[];
+  readonly served: readonly TimedRequest[];
+  readonly usage: readonly RoleUsage[];
+  readonly elapsedMs: number;
+}): OverheadReport {
+  const { usage, elapsedMs } = opts;
+  const direct = figuresOf(opts.direct);
+  const served = figuresOf(opts.served);
+  const added = (key: 'p50' | 'p95' | 'p99'): number =>
+    served.firstTokenMs[key] - direct.firstTokenMs[key];
+  const tokens = opts.served.reduce((sum, request) => sum + tokensOf(request), 0);
+  const cpuUsPerToken = (role: RoleUsage['role']): number => {
+    const ofRole = usage.find((row) => row.role === role);
+    const cpuMs = (ofRole?.meanCoreShare ?? 0) * (ofRole?.processes ?? 0) * elapsedMs;
+    return (cpuMs / Math.max(1, tokens)) * US_PER_MS;
+  };
+  const history = { runs: [], effects: [], zoneOrders: [], coldOverloads: 0 };
+  return {
+    direct,
+    served,
+    addedFirstTokenMs: { p50: added('p50'), p95: added('p95'), p99: added('p99') },
+    usage,
+    entryCpuUsPerToken: cpuUsPerToken('entry'),
+    gateCpuUsPerToken: cpuUsPerToken('gate'),
+    violations: checkHistory({ ...history, requests: [...opts.direct, ...opts.served] }).violations
+      .length,
+  };
+}
+
+function figuresOf(requests: readonly TimedRequest[]): PathFigures {
+  const answered = requests.filter(({ end }) => end.kind === 'answered');
+  return {
+    answered: answered.length,
+    firstTokenMs: percentilesOf(answered.map(({ firstTokenMs }) => firstTokenMs)),
+    tokenGapMs: percentilesOf(answered.flatMap(({ tokenGapsMs }) => tokenGapsMs)),
+    tokensPerSecond:
+      answered.reduce((sum, request) => sum + tokensOf(request), 0) /
+      Math.max(1, answered.reduce((sum, { durationMs }) => sum + durationMs, 0) / MS_PER_SECOND),
+  };
+}
+
+function tokensOf({ tokenGapsMs, firstTokenMs }: TimedRequest): number {
+  return firstTokenMs < 0 ? 0 : tokenGapsMs.length + 1;
+}
