--- a/features/support/fleet/fleetNodes.ts
+++ b/features/support/fleet/fleetNodes.ts
@@ -114,6 +114,7 @@
       service: (opts) => onClock(timer, target?.call(opts)),
       pool: unused,
     },
+    watchTarget: () => Promise.resolve(),
     probeTarget: () => Promise.resolve(target?.isUp === false ? 'crashed' : 'alive'),
     policy: world.mechanisms.gatePolicy,
     record: () => {},
--- a/features/support/pathDeployment.ts
+++ b/features/support/pathDeployment.ts
@@ -65,6 +65,7 @@
       stop: world.stopGate.signal,
       policy: gatePolicy,
       probeTarget: probeIdentity,
+      watchTarget: () => Promise.resolve(),
       record: () => {},
       runners: { engine: runGeneration, pool: runPoolStage, service: runServiceCall },
       runRecords: createMemoryRunRecords(),
--- a/packages/daemon/src/runEntryRole.ts
+++ b/packages/daemon/src/runEntryRole.ts
@@ -1,4 +1,10 @@
-import { type ListeningEntry, naivePolicy, runEntry, standardPolicy } from '@galenatiller/entry';
+import {
+  type Entry,
+  type ListeningEntry,
+  naivePolicy,
+  runEntry,
+  standardPolicy,
+} from '@galenatiller/entry';
 import type { NodeStatus, OperatorServer } from '@galenatiller/operator';
 import type { EntrySettings } from '@galenatiller/settings';
 
@@ -44,8 +50,19 @@
       peerName: gate.host.name,
       state: gate.isOpen ? 'open' : 'opening',
     })),
-    moves: [],
+    moves: describeMoves(entry),
     inFlight: listening.countCalls(),
     draining: !entry.isReady(),
   };
 }
+
+function describeMoves(entry: Entry): NodeStatus['moves'] {
+  const { moves, routes, stages } = entry.readConfiguration();
+  return [...moves.values()].flatMap((move) =>
+    [...routes.values()]
+      .filter((route) =>
+        route.stages.some((name) => stages.get(name)?.targetGroup === move.targetGroup),
+      )
+      .map((route) => ({ ...move, ...entry.versions.progress(move, route.name) })),
+  );
+}
--- a/packages/daemon/src/runGateRole.ts
+++ b/packages/daemon/src/runGateRole.ts
@@ -1,12 +1,13 @@
 import { randomUUID } from 'node:crypto';
 
-import { runGeneration } from '@galenatiller/engine';
+import { runGeneration, watchEngine } from '@galenatiller/engine';
 import {
   createStoreRunRecords,
   type ListeningGate,
   naivePolicy,
   runGate,
   standardPolicy,
+  type WatchTargetOptions,
 } from '@galenatiller/gate';
 import { probeIdentity } from '@galenatiller/http';
 import type { NodeStatus, OperatorServer } from '@galenatiller/operator';
@@ -23,6 +24,9 @@
 /** Time that a claim waits for others, so that one store call carries them all. */
 const RUN_RECORD_WINDOW_MS = 4;
 
+/** Time between looks at an engine; an identity older than 300 ms does not count. */
+const ENGINE_LOOK_INTERVAL_MS = 200;
+
 /** Runs a gate against the platform and the targets that its settings name. */
 export async function runGateRole(opts: RunRoleOptions<GateSettings>): Promise<void> {
   const { settings } = opts;
@@ -34,6 +38,7 @@
       ...opts,
       policy: settings.policy === 'naive' ? naivePolicy : standardPolicy,
       probeTarget: probeIdentity,
+      watchTarget: (watch) => watchTarget(opts, watch),
       record: (event) => timeline.record(event),
       runners: { engine: runGeneration, pool: runPoolStage, service: runServiceCall },
       runRecords: createStoreRunRecords({ records: createRecords(opts, platform) }),
@@ -50,6 +55,25 @@
   }
 }
 
+/** Only engines tell their identity; an idle one is looked at to see a restart. */
+function watchTarget(
+  { timer }: RunRoleOptions<GateSettings>,
+  { settings, onStartId, signal }: WatchTargetOptions,
+): Promise<void> {
+  if (settings.kind !== 'engine') {
+    return Promise.resolve();
+  }
+  return watchEngine({
+    url: settings.url,
+    timer,
+    signal,
+    intervalMs: ENGINE_LOOK_INTERVAL_MS,
+    onStartId,
+    onLoad: () => {},
+    onFailure: () => {},
+  });
+}
+
 function createRecords(opts: RunRoleOptions<GateSettings>, platform: Platform): RunRecords {
   return RunRecords.create({
     store: platform.store,
--- a/packages/entry/src/createEntry.ts
+++ b/packages/entry/src/createEntry.ts
@@ -8,11 +8,11 @@
 import { CrashLedger } from '@galenatiller/engine';
 import type { GalenatillerError } from '@galenatiller/error';
 import { createLogger } from '@galenatiller/logger';
-import type { NodeFrame, NodeIdentity, ProvedLink } from '@galenatiller/node';
+import { FleetNews, type NodeFrame, type NodeIdentity, type ProvedLink } from '@galenatiller/node';
 import { TaskGroup } from '@galenatiller/tasks';
 import type { RecordOptions } from '@galenatiller/timeline';
 import type { TimerService } from '@galenatiller/timer';
-import type { Configuration, Host } from '@galenatiller/types';
+import type { Configuration, Host, LimitRule } from '@galenatiller/types';
 import type { Result } from 'true-myth';
 
 import { followGate } from './followGate.js';
@@ -20,6 +20,7 @@
 import type { EntryPolicy } from './policy.js';
 import { RetryBudget } from './retryBudget.js';
 import { runCall } from './runCall.js';
+import { VersionMoves } from './versionMoves.js';
 
 /** Options of {@link createEntry}; every peer is reached by a function. */
 export interface CreateEntryOptions {
@@ -51,6 +52,7 @@
   ) => Promise<Result<CallAnswer, GalenatillerError>>;
   readonly readConfiguration: () => Configuration;
   readonly directory: GateDirectory;
+  readonly versions: VersionMoves;
   /** False before the first configuration and during shutdown. */
   readonly isReady: () => boolean;
   /** Starts refusing calls. */
@@ -62,24 +64,29 @@
 /** Starts the tasks of an entry: one for the configuration, the host list and each gate. */
 export function createEntry(opts: CreateEntryOptions): Entry {
   const logger = createLogger('entry');
-  const peers = TaskGroup.create({
-    onFailure: (error) => {
-      logger({ message: `A task failed: ${String(error)}.` });
-    },
-  });
+  const onFailure = (error: unknown): void =>
+    logger({ message: `A task failed: ${String(error)}.` });
+  const peers = TaskGroup.create({ onFailure });
   const stopping = new AbortController();
   const ending = new AbortController();
   let entryCount = 1;
   let configuration = indexRules({ revision: 0, rules: [] });
   const readConfiguration = (): Configuration => configuration;
   const crashes = CrashLedger.create({ timer: opts.timer });
-  const directory = createDirectory({ ...opts, crashes, tasks: peers, readConfiguration });
+  const versions = VersionMoves.create({
+    wallMs: () => opts.timer.wallMs(),
+    random: opts.random,
+    share: (notices) => news.shareVersions(notices),
+  });
+  const news = createNews(opts, crashes, versions, (frame) => {
+    directory.gates.forEach((gate) => gate.send(frame));
+  });
+  const directory = createDirectory({ ...opts, news, tasks: peers, readConfiguration });
 
   peers.start(() =>
     opts.followConfiguration((next) => {
       configuration = next;
       opts.record({ kind: 'configuration-in-force', subject: String(next.revision) });
-      logger({ message: `Revision ${next.revision} is in force.` });
     }, ending.signal),
   );
   peers.start(() =>
@@ -94,18 +101,16 @@
     readConfiguration,
     directory,
     crashes,
+    versions,
     retryBudget: RetryBudget.create(),
-    limiter: OrganisationLimiter.create({
-      timer: opts.timer,
-      findLimit: (organisation) => configuration.limits.get(organisation),
-      countEntries: () => entryCount,
-    }),
+    limiter: createLimiter(opts, readConfiguration, () => entryCount),
     ownAvailabilityZone: opts.identity.availabilityZone,
   };
   return {
     runCall: (call, takePart) => runCall(shared, call, takePart),
     readConfiguration,
     directory,
+    versions,
     isReady: () => !stopping.signal.aborted && configuration.revision > 0,
     beginStop: () => {
       stopping.abort();
@@ -123,8 +128,37 @@
   return host.role === 'entry' && host.state === 'live';
 }
 
+function createLimiter(
+  { timer }: CreateEntryOptions,
+  readConfiguration: () => Configuration,
+  countEntries: () => number,
+): OrganisationLimiter {
+  const findLimit = (organisation: string): LimitRule | undefined =>
+    readConfiguration().limits.get(organisation);
+  return OrganisationLimiter.create({ timer, findLimit, countEntries });
+}
+
+function createNews(
+  opts: CreateEntryOptions,
+  crashes: CrashLedger,
+  versions: VersionMoves,
+  sendToAll: (frame: NodeFrame) => void,
+): FleetNews {
+  return FleetNews.create({
+    crashes: { all: () => crashes.records, merge: (records) => crashes.merge(records) },
+    versions: { all: () => versions.notices, merge: (notices) => versions.merge(notices) },
+    sendToAll,
+    onVersionsStopped: (notices) => {
+      notices.forEach(({ targetGroup, version, reason }) => {
+        const subject = `${targetGroup} ${version}`;
+        opts.record({ kind: 'version-stopped', subject, detail: reason });
+      });
+    },
+  });
+}
+
 interface CreateDirectoryOptions extends CreateEntryOptions {
-  readonly crashes: CrashLedger;
+  readonly news: FleetNews;
   readonly tasks: TaskGroup;
   readonly readConfiguration: () => Configuration;
 }
@@ -132,18 +166,9 @@
 function createDirectory(opts: CreateDirectoryOptions): GateDirectory {
   const logger = createLogger('link');
   const readRevision = (): number => opts.readConfiguration().revision;
-  const directory = GateDirectory.create({
+  return GateDirectory.create({
     timer: opts.timer,
     tasks: opts.tasks,
-    follow: (gate, signal) => followGate({ ...opts, gate, logger, readRevision, onFrame, signal }),
+    follow: (gate, signal) => followGate({ ...opts, gate, logger, readRevision, signal }),
   });
-  return directory;
-
-  /** What one gate tells of crashes the others must know too. */
-  function onFrame(frame: NodeFrame): void {
-    const news = frame.kind === 'crashes' ? opts.crashes.merge(frame.records) : [];
-    if (news.length > 0) {
-      directory.gates.forEach((gate) => gate.send({ kind: 'crashes', records: news }));
-    }
-  }
 }
--- a/packages/entry/src/followGate.ts
+++ b/packages/entry/src/followGate.ts
@@ -1,7 +1,6 @@
-import type { CrashLedger } from '@galenatiller/engine';
 import type { GalenatillerError } from '@galenatiller/error';
 import type { Logger } from '@galenatiller/logger';
-import type { Link, NodeFrame, ProvedLink } from '@galenatiller/node';
+import type { FleetNews, Link, ProvedLink } from '@galenatiller/node';
 import type { RecordOptions } from '@galenatiller/timeline';
 import type { TimerService } from '@galenatiller/timer';
 import type { Host } from '@galenatiller/types';
@@ -17,10 +16,8 @@
   readonly logger: Logger;
   readonly random: () => number;
   readonly readRevision: () => number;
-  readonly crashes: CrashLedger;
+  readonly news: FleetNews;
   readonly record: (event: RecordOptions) => void;
-  /** Takes frames that belong to no attempt. */
-  readonly onFrame: (frame: NodeFrame) => void;
   /** Aborts when the gate is not wanted any more. */
   readonly signal: AbortSignal;
 }
@@ -73,11 +70,11 @@
   });
   gate.opened(link);
   opts.record({ kind: 'link-opened', subject: gate.host.name });
-  gate.send({ kind: 'crashes', records: opts.crashes.records });
+  opts.news.greeting().forEach((frame) => gate.send(frame));
   try {
     for await (const frame of link.read()) {
       gate.receive(frame);
-      opts.onFrame(frame);
+      opts.news.take(frame);
     }
   } catch (error) {
     opts.logger({ message: `Lost the link to ${gate.host.name}: ${String(error)}.` });
--- a/packages/entry/src/index.ts
+++ b/packages/entry/src/index.ts
@@ -7,3 +7,10 @@
 export { standardPolicy } from './standardPolicy.js';
 export { RetryBudget } from './retryBudget.js';
 export { type ListeningEntry, runEntry, type RunEntryOptions } from './runEntry.js';
+export {
+  type MoveProgress,
+  type MoveRun,
+  VersionMoves,
+  type VersionMovesOptions,
+} from './versionMoves.js';
+export { type TrialRun, type TrialVerdict, VersionTrial } from './versionTrial.js';
--- a/packages/entry/src/runCall.ts
+++ b/packages/entry/src/runCall.ts
@@ -12,6 +12,7 @@
 import type { RetryBudget } from './retryBudget.js';
 import { runStage, type StageSuccess } from './runStage.js';
 import { addStageResult, NO_STAGE_DATA, type StageData } from './stageInput.js';
+import type { VersionMoves } from './versionMoves.js';
 
 /** What every call of an entry shares. */
 export interface RunCallOptions {
@@ -22,6 +23,7 @@
   readonly record: (event: RecordOptions) => void;
   readonly crashes: CrashLedger;
   readonly retryBudget: RetryBudget;
+  readonly versions: VersionMoves;
   readonly limiter: OrganisationLimiter;
   readonly random: () => number;
   readonly ownAvailabilityZone: string;
--- a/packages/entry/src/runStage.ts
+++ b/packages/entry/src/runStage.ts
@@ -60,12 +60,12 @@
     });
     delivered = attempt.delivered;
     const { end } = attempt;
+    recordEnd(context, order, end);
+    observeVersion(opts, chosen, order, end);
     if (end.code === 0 && end.result) {
-      recordEnd(context, order, end);
       return Result.ok({ result: end.result, delivered });
     }
     last = end;
-    recordEnd(context, order, end);
     proved = end.outcome === 'not-run' ? proved : 'may-have-run';
     const remainingMs = context.deadlineAtMs - timer.nowMs();
     const decision = policy.decideRetry({
@@ -111,7 +111,7 @@
   const { context, stage } = opts;
   return context.policy
     .chooseTarget({
-      candidates: context.directory.targetsOf(stage.targetGroup),
+      candidates: listCandidates(opts),
       used,
       stage,
       route: order.route,
@@ -125,6 +125,37 @@
     .unwrapOr(undefined);
 }
 
+/** Targets of the group; of a group that moves, those of the version that is to run. */
+function listCandidates({ context, stage }: RunStageOptions): readonly TargetView[] {
+  const views = context.directory.targetsOf(stage.targetGroup);
+  const move = context.configuration.moves.get(stage.targetGroup);
+  return move ? context.versions.choose(move, context.route.name, views) : views;
+}
+
+function observeVersion(
+  { context, stage }: RunStageOptions,
+  chosen: TargetView,
+  order: StageOrder,
+  end: StageEnd,
+): void {
+  const move = context.configuration.moves.get(stage.targetGroup);
+  const { name } = findResultCodeByNumber(end.code);
+  if (!move || end.outcome === 'not-run' || name === 'cancelled' || name === 'link-lost') {
+    return;
+  }
+  context.versions.observe({
+    move,
+    route: context.route.name,
+    targetVersion: chosen.report.version,
+    failed: end.code !== 0,
+    runMs: end.runMs / Math.max(1, tokensToRun(order)),
+  });
+}
+
+function tokensToRun({ input }: StageOrder): number {
+  return input.kind === 'generate' ? input.maxTokens - input.deliveredTokens : 1;
+}
+
 function recordAttempt(context: CallContext, order: StageOrder, chosen: TargetView): void {
   const { report } = chosen;
   context.record({
--- /dev/null
+++ b/packages/entry/test/versions.steps.ts
@@ -0,0 +1,205 @@
+import assert from 'node:assert/strict';
+
+import { Then, When } from '@cucumber/cucumber';
+import { type TargetView, VersionMoves } from '@galenatiller/entry';
+import type { VersionNotice } from '@galenatiller/node';
+import type { MoveRule } from '@galenatiller/types';
+import { uniformFloat64 } from 'pure-rand/distribution/uniformFloat64';
+import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
+
+interface VersionsWorld {
+  moves: VersionMoves;
+  notices: VersionNotice[];
+  nowMs: number;
+  badRuns: number;
+  newRuns: number;
+  allRuns: number;
+}
+
+/** A run of the new version, from its number and route. */
+type Quality = (run: { readonly index: number; readonly route: string }) => {
+  readonly failed: boolean;
+  readonly runMs: number;
+  readonly bad: boolean;
+};
+
+const MOVE: MoveRule = {
+  kind: 'move',
+  targetGroup: 'drafter',
+  fromVersion: 'v1',
+  toVersion: 'v2',
+  byWallMs: 3_600_000,
+  unprovenShare: 0.05,
+  askedBy: 'test',
+};
+const ROUTES = ['draft', 'question', 'list'];
+const GOOD = { failed: false, runMs: 10, bad: false };
+const VIEWS = ['v1', 'v2'].map(viewOf);
+
+When(
+  /^a new version that is bad (at once|by slowing) takes a share of 5 percent$/,
+  function when(this: VersionsWorld, how: string) {
+    const bad = { failed: how === 'at once', runMs: how === 'at once' ? 10 : 40, bad: true };
+    start(this, 1);
+    drive(this, { requests: 20_000, stepMs: 1, random: randomOf(1), quality: () => bad });
+  },
+);
+
+When(
+  'a new version turns bad after {int} good runs',
+  function when(this: VersionsWorld, good: number) {
+    start(this, 2);
+    const quality: Quality = ({ index }) =>
+      index < good ? GOOD : { failed: index % 2 === 0, runMs: 10, bad: true };
+    drive(this, { requests: 40_000, stepMs: 50, random: randomOf(2), quality });
+  },
+);
+
+When(
+  'a new version is bad on one of {int} routes',
+  function when(this: VersionsWorld, routes: number) {
+    assert.equal(routes, ROUTES.length);
+    start(this, 3);
+    const quality: Quality = ({ route }) =>
+      route === 'list' ? { failed: true, runMs: 10, bad: true } : GOOD;
+    drive(this, { requests: 20_000, stepMs: 1, random: randomOf(3), quality });
+  },
+);
+
+When(
+  'a good version runs until {int} percent of the time has passed',
+  function when(this: VersionsWorld, percent: number) {
+    start(this, 4);
+    const requests = 20_000;
+    const stepMs = (MOVE.byWallMs * percent) / 100 / requests;
+    drive(this, { requests, stepMs, random: randomOf(4), quality: () => GOOD });
+  },
+);
+
+When('one entry finds a version bad and tells another', function when(this: VersionsWorld) {
+  start(this, 5);
+  drive(this, {
+    requests: 20_000,
+    stepMs: 1,
+    random: randomOf(5),
+    quality: () => ({ ...GOOD, failed: true, bad: true }),
+  });
+  const told = this.notices;
+  start(this, 6);
+  assert.deepEqual(this.moves.merge(told), told);
+  assert.deepEqual(this.moves.merge(told), []);
+});
+
+Then(
+  'it is stopped within {int} of its bad runs, and its share was never over {int} percent of traffic',
+  function then(this: VersionsWorld, runs: number, percent: number) {
+    assert.equal(this.notices.length, 1);
+    assert.ok(this.badRuns <= runs, `${this.badRuns} bad runs`);
+    assert.ok(this.newRuns / this.allRuns <= percent / 100);
+  },
+);
+
+Then(
+  'it is stopped within {int} of its bad runs',
+  function then(this: VersionsWorld, runs: number) {
+    assert.equal(this.notices.length, 1);
+    assert.ok(this.badRuns <= runs, `${this.badRuns} bad runs`);
+  },
+);
+
+Then('it takes no traffic once it is stopped', function then(this: VersionsWorld) {
+  assertNoTraffic(this.moves);
+});
+
+Then('the other sends it no traffic', function then(this: VersionsWorld) {
+  assertNoTraffic(this.moves);
+});
+
+Then('its share is {int} percent', function then(this: VersionsWorld, percent: number) {
+  const progress = ROUTES.map((route) => this.moves.progress(MOVE, route));
+  assert.deepEqual(
+    progress.map(({ state, share }) => [state, share]),
+    ROUTES.map(() => ['done', percent / 100]),
+  );
+});
+
+Then(
+  'in {int} seeded runs of {int} requests no version with {int} percent of failures is stopped',
+  function then(this: VersionsWorld, runs: number, requests: number, percent: number) {
+    for (let seed = 100; seed < 100 + runs; seed += 1) {
+      const random = randomOf(seed);
+      start(this, seed);
+      const quality: Quality = () => ({ ...GOOD, failed: random() < percent / 100 });
+      drive(this, { requests, stepMs: 200, random, quality });
+      assert.deepEqual(this.notices, [], `seed ${seed}`);
+    }
+  },
+);
+
+function start(world: VersionsWorld, seed: number): void {
+  world.notices = [];
+  world.nowMs = 0;
+  world.badRuns = 0;
+  world.newRuns = 0;
+  world.allRuns = 0;
+  world.moves = VersionMoves.create({
+    wallMs: () => world.nowMs,
+    random: randomOf(seed + 1_000),
+    share: (notices) => world.notices.push(...notices),
+  });
+}
+
+interface DriveOptions {
+  readonly requests: number;
+  readonly stepMs: number;
+  readonly random: () => number;
+  readonly quality: Quality;
+}
+
+/** Sends requests over the routes until they end or the version is stopped. */
+function drive(world: VersionsWorld, opts: DriveOptions): void {
+  for (let index = 0; index < opts.requests && world.notices.length === 0; index += 1) {
+    world.nowMs += opts.stepMs;
+    const route = ROUTES[Math.floor(opts.random() * ROUTES.length)] ?? '';
+    const targetVersion = world.moves.choose(MOVE, route, VIEWS)[0]?.report.version ?? '';
+    const isNew = targetVersion === 'v2';
+    const { bad, ...run } = isNew ? opts.quality({ index: world.newRuns, route }) : GOOD;
+    world.allRuns += 1;
+    world.newRuns += isNew ? 1 : 0;
+    world.badRuns += bad ? 1 : 0;
+    world.moves.observe({ move: MOVE, route, targetVersion, ...run });
+  }
+}
+
+function assertNoTraffic(moves: VersionMoves): void {
+  const versions = Array.from({ length: 1_000 }, () => moves.choose(MOVE, 'draft', VIEWS)[0]);
+  assert.deepEqual(new Set(versions.map((view) => view?.report.version)), new Set(['v1']));
+}
+
+function randomOf(seed: number): () => number {
+  const generator = xoroshiro128plus(seed);
+  return () => uniformFloat64(generator);
+}
+
+function viewOf(version: string): TargetView {
+  return {
+    report: {
+      name: `engine-${version}`,
+      kind: 'engine',
+      group: 'drafter',
+      version,
+      state: 'ready',
+      inFlight: 0,
+      queued: 0,
+      inFlightLimit: 8,
+      runMs: 10,
+      prefixHashes: [],
+    },
+    gateName: 'gate-1',
+    availabilityZone: 'north-a',
+    reportAgeMs: 0,
+    ownInFlight: 0,
+    sentSinceReport: 0,
+    takesWork: true,
+  };
+}
--- a/packages/gate/src/crashGuard.ts
+++ b/packages/gate/src/crashGuard.ts
@@ -1,11 +1,12 @@
-import { type CrashLedger, type CrashRecord, fingerprint } from '@galenatiller/engine';
+import { type CrashLedger, fingerprint } from '@galenatiller/engine';
+import type { FleetNews } from '@galenatiller/node';
 import type { StageOrder } from '@galenatiller/types';
 
 /** Options of {@link CrashGuard.create}. */
 export interface CrashGuardOptions {
   readonly ledger: CrashLedger;
   /** Tells other nodes of new records. */
-  readonly share: (records: readonly CrashRecord[]) => void;
+  readonly news: Pick<FleetNews, 'shareCrashes'>;
 }
 
 /** Whether an order may run on a target. */
@@ -50,7 +51,7 @@
     if (!crashed || (suspect !== undefined && suspect !== content)) {
       return;
     }
-    this.opts.share([
+    this.opts.news.shareCrashes([
       this.opts.ledger.record({ fingerprint: content, targetName: order.targetName }),
     ]);
   }
--- a/packages/gate/src/createGate.ts
+++ b/packages/gate/src/createGate.ts
@@ -1,7 +1,7 @@
 import { indexRules } from '@galenatiller/configuration';
-import { CrashLedger, type CrashRecord } from '@galenatiller/engine';
+import { CrashLedger } from '@galenatiller/engine';
 import { createLogger, type Logger } from '@galenatiller/logger';
-import type { Link, ProvedLink } from '@galenatiller/node';
+import { FleetNews, type Link, type ProvedLink } from '@galenatiller/node';
 import type { TargetSettings } from '@galenatiller/settings';
 import { TaskGroup } from '@galenatiller/tasks';
 import type { RecordOptions } from '@galenatiller/timeline';
@@ -9,10 +9,11 @@
 import type { Configuration, TargetReport } from '@galenatiller/types';
 
 import { CrashGuard } from './crashGuard.js';
-import type { GatePolicy, ProbeTarget, TargetRunners } from './policy.js';
+import type { GatePolicy, ProbeTarget, TargetRunners, WatchTarget } from './policy.js';
 import type { GateContext } from './gateContext.js';
 import type { RunRecordKeeper } from './runRecordKeeper.js';
 import { serveEntry } from './serveEntry.js';
+import { StoppedVersions } from './stoppedVersions.js';
 import { TargetAdmission } from './targetAdmission.js';
 
 /** Options of {@link createGate}; every peer is reached by a function. */
@@ -22,6 +23,7 @@
   readonly timer: TimerService;
   readonly runners: TargetRunners;
   readonly probeTarget: ProbeTarget;
+  readonly watchTarget: WatchTarget;
   readonly policy: GatePolicy;
   /** Records an event of the time line. */
   readonly record: (event: RecordOptions) => void;
@@ -61,19 +63,23 @@
   const orders = createTasks(logger);
   const peers = createTasks(logger);
   const stopping = new AbortController();
+  const ending = new AbortController();
   const links = new Map<Link, string>();
   let configuration = indexRules({ revision: 0, rules: [] });
-
   const readConfiguration = (): Configuration => configuration;
-  const ledger = CrashLedger.create({ timer });
-  const share = (records: readonly CrashRecord[]): void => {
-    links.forEach((_, link) => link.send({ kind: 'crashes', records }));
-  };
+  const crashes = CrashLedger.create({ timer });
+  const versions = StoppedVersions.create();
+  const news = FleetNews.create({
+    crashes: { all: () => crashes.records, merge: (records) => crashes.merge(records) },
+    versions: { all: () => versions.notices, merge: (notices) => versions.merge(notices) },
+    sendToAll: (frame) => links.forEach((_, link) => link.send(frame)),
+  });
   const context: GateContext = {
     ...opts,
     targets: createTargets(opts, readConfiguration),
-    crashGuard: CrashGuard.create({ ledger, share }),
+    crashGuard: CrashGuard.create({ ledger: crashes, news }),
     tasks: orders,
+    versions,
     readConfiguration,
     isLeaving: () => stopping.signal.aborted,
   };
@@ -85,16 +91,9 @@
       opts.record({ kind: 'configuration-in-force', subject: String(next.revision) });
     }, stopping.signal),
   );
-  const session = {
-    context,
-    readReports,
-    reportIntervalMs: REPORT_INTERVAL_MS,
-    crashes: ledger,
-    shareCrashes: share,
-    logger,
-  };
-  const ending = new AbortController();
+  const session = { context, readReports, reportIntervalMs: REPORT_INTERVAL_MS, news, logger };
   peers.start(() => opts.runRecords.keep(ending.signal));
+  watchTargets(opts, context, peers, ending.signal);
   return {
     readReports,
     readConfiguration,
@@ -117,6 +116,18 @@
   };
 }
 
+function watchTargets(
+  opts: CreateGateOptions,
+  context: GateContext,
+  tasks: TaskGroup,
+  signal: AbortSignal,
+): void {
+  context.targets.forEach((target) => {
+    const onStartId = (startId: string): void => target.identify(startId);
+    tasks.start(() => opts.watchTarget({ settings: target.settings, onStartId, signal }));
+  });
+}
+
 function createTasks(logger: Logger): TaskGroup {
   return TaskGroup.create({
     onFailure: (error) => {
--- a/packages/gate/src/gateContext.ts
+++ b/packages/gate/src/gateContext.ts
@@ -6,6 +6,7 @@
 import type { CrashGuard } from './crashGuard.js';
 import type { ProbeTarget, TargetRunners } from './policy.js';
 import type { RunRecordKeeper } from './runRecordKeeper.js';
+import type { StoppedVersions } from './stoppedVersions.js';
 import type { TargetAdmission } from './targetAdmission.js';
 
 /** What every order at a gate shares. */
@@ -15,6 +16,7 @@
   readonly probeTarget: ProbeTarget;
   readonly runRecords: RunRecordKeeper;
   readonly crashGuard: CrashGuard;
+  readonly versions: StoppedVersions;
   /** Tasks that a graceful shutdown waits for. */
   readonly tasks: TaskGroup;
   readonly timer: TimerService;
--- a/packages/gate/src/policy.ts
+++ b/packages/gate/src/policy.ts
@@ -50,3 +50,14 @@
   /** Decides how many runs a target bears at once. */
   readonly createLimit: (opts: CreateLimitOptions) => TargetLimit;
 }
+
+/** Options of {@link WatchTarget}. */
+export interface WatchTargetOptions {
+  readonly settings: TargetSettings;
+  /** Told the identity of the target's process at each look. */
+  readonly onStartId: (startId: string) => void;
+  readonly signal: AbortSignal;
+}
+
+/** The task that looks at one target until the signal aborts. */
+export type WatchTarget = (opts: WatchTargetOptions) => Promise<void>;
--- a/packages/gate/src/runClaimed.ts
+++ b/packages/gate/src/runClaimed.ts
@@ -11,32 +11,42 @@
   readonly remainingMs: number;
 }
 
+/** The end of an admitted order, and whether its target ran it. */
+export interface ClaimedEnd {
+  readonly end: StageEnd;
+  readonly source: 'target' | 'run-record' | 'refusal';
+}
+
 /** Runs an admitted order; one that may run at most once is claimed in its run record first. */
-export async function runClaimed(opts: RunClaimedOptions): Promise<StageEnd> {
+export async function runClaimed(opts: RunClaimedOptions): Promise<ClaimedEnd> {
   const { context, order } = opts;
   if (order.idempotent) {
-    return runOnce(opts);
+    return { end: await runOnce(opts), source: 'target' };
   }
   const claim = await context.runRecords.claim(order, opts.signal);
   if (claim.isErr) {
-    return endOfError(claim.error);
+    return fromRecord(endOfError(claim.error));
   }
   switch (claim.value.kind) {
     case 'answered':
-      return claim.value.end;
+      return fromRecord(claim.value.end);
     case 'may-have-run':
-      return refuse('run-unknown', `key of ${order.organisation}`);
+      return fromRecord(refuse('run-unknown', `key of ${order.organisation}`));
     case 'key-reused':
-      return refuse('key-reused', `key of ${order.organisation}`);
+      return fromRecord(refuse('key-reused', `key of ${order.organisation}`));
     case 'first': {
       const end = await runOnce(opts);
       // The caller need not wait until the store has the answer.
       context.tasks.start(() => context.runRecords.settle(order, end));
-      return end;
+      return { end, source: 'target' };
     }
   }
 }
 
+function fromRecord(end: StageEnd): ClaimedEnd {
+  return { end, source: 'run-record' };
+}
+
 async function runOnce(opts: RunClaimedOptions): Promise<StageEnd> {
   const { context, order, target, onPart } = opts;
   const limit = context.timer.limit({ limitMs: opts.remainingMs, parent: opts.signal });
--- a/packages/gate/src/runGate.ts
+++ b/packages/gate/src/runGate.ts
@@ -16,6 +16,7 @@
   readonly stop: AbortSignal;
   readonly runners: CreateGateOptions['runners'];
   readonly probeTarget: CreateGateOptions['probeTarget'];
+  readonly watchTarget: CreateGateOptions['watchTarget'];
   readonly policy: CreateGateOptions['policy'];
   readonly record: CreateGateOptions['record'];
   readonly runRecords: CreateGateOptions['runRecords'];
--- a/packages/gate/src/runOrder.ts
+++ b/packages/gate/src/runOrder.ts
@@ -3,7 +3,7 @@
 import type { StageEnd, StagePart } from '@galenatiller/types';
 
 import type { GateContext, RunOrderOptions } from './gateContext.js';
-import { runClaimed } from './runClaimed.js';
+import { type ClaimedEnd, runClaimed } from './runClaimed.js';
 import { runEndKind } from './runEndKind.js';
 import type { Admission, TargetAdmission } from './targetAdmission.js';
 
@@ -19,7 +19,7 @@
   if (!target) {
     return refuse('unknown-target', order.targetName);
   }
-  const refusal = findRefusal(context);
+  const refusal = findRefusal(context, target);
   if (refusal) {
     return refuse(refusal, order.targetName);
   }
@@ -32,10 +32,13 @@
   return { ...end, queueMs, report: target.report() };
 }
 
-function findRefusal(context: GateContext): ResultCodeName | undefined {
+function findRefusal(context: GateContext, target: TargetAdmission): ResultCodeName | undefined {
   if (context.isLeaving()) {
     return 'target-leaving';
   }
+  if (context.versions.has(target.settings.group, target.settings.version)) {
+    return 'version-stopped';
+  }
   const zone = context.readConfiguration().zones.get(context.availabilityZone);
   return zone?.state === 'out' ? 'zone-out' : undefined;
 }
@@ -55,36 +58,38 @@
       ? refuse('fingerprint-stopped', order.stage)
       : refuse('overloaded', `another suspect content runs on ${order.targetName}`);
   }
-  let end = refuse('internal', 'the run broke off');
+  let claimed: ClaimedEnd = { end: refuse('internal', 'the run broke off'), source: 'target' };
   let firstPartAtMs = 0;
   try {
     const onPart = (part: StagePart): void => {
       firstPartAtMs ||= context.timer.nowMs();
       opts.onPart(part);
     };
-    end = await runAdmitted({ ...opts, onPart }, target, remainingMs);
+    claimed = await runAdmitted({ ...opts, onPart }, target, remainingMs);
   } finally {
     const endedAtMs = context.timer.nowMs();
     target.leave(order, admission, {
-      how: runEndKind(end),
+      // An answer from a run record says nothing of the target.
+      how: claimed.source === 'target' ? runEndKind(claimed.end) : 'no-evidence',
       firstPartMs: (firstPartAtMs || endedAtMs) - admission.startedAtMs,
       runMs: endedAtMs - admission.startedAtMs,
     });
-    context.crashGuard.ended(order, await hasCrashed(context, target, end));
+    context.crashGuard.ended(order, await hasCrashed(context, target, claimed.end));
   }
-  return { ...end, runMs: context.timer.nowMs() - admission.startedAtMs };
+  return { ...claimed.end, runMs: context.timer.nowMs() - admission.startedAtMs };
 }
 
 function runAdmitted(
   opts: RunOrderOptions,
   target: TargetAdmission,
   remainingMs: number,
-): Promise<StageEnd> {
+): Promise<ClaimedEnd> {
   const { context, order } = opts;
   // The zone may have been taken out, or the shutdown begun, while the order waited.
-  const refusal = findRefusal(context);
+  const refusal = findRefusal(context, target);
   if (refusal) {
-    return Promise.resolve(refuse(refusal, order.targetName));
+    const end = refuse(refusal, order.targetName);
+    return Promise.resolve({ end, source: 'refusal' });
   }
   context.record({
     kind: 'stage-started',
--- a/packages/gate/src/serveEntry.ts
+++ b/packages/gate/src/serveEntry.ts
@@ -1,6 +1,5 @@
-import type { CrashLedger, CrashRecord } from '@galenatiller/engine';
 import type { Logger } from '@galenatiller/logger';
-import type { NodeFrame, ProvedLink } from '@galenatiller/node';
+import type { FleetNews, NodeFrame, ProvedLink } from '@galenatiller/node';
 import type { AttemptId, StageOrder, StagePart, TargetReport } from '@galenatiller/types';
 
 import type { GateContext } from './gateContext.js';
@@ -13,9 +12,7 @@
   readonly readReports: () => readonly TargetReport[];
   /** Time between reports while the link is idle. */
   readonly reportIntervalMs: number;
-  readonly crashes: CrashLedger;
-  /** Tells every entry of crashes. */
-  readonly shareCrashes: (records: readonly CrashRecord[]) => void;
+  readonly news: FleetNews;
   readonly logger: Logger;
 }
 
@@ -34,7 +31,7 @@
   });
   opts.logger({ message: `Entry ${peer.nodeName} has opened a link.` });
   sendReports(session);
-  link.send({ kind: 'crashes', records: opts.crashes.records });
+  opts.news.greeting().forEach((frame) => link.send(frame));
   try {
     for await (const frame of link.read()) {
       takeFrame(session, frame);
@@ -62,7 +59,8 @@
       session.running.get(keyOf(frame.attempt))?.abort();
       break;
     case 'crashes':
-      takeCrashes(session, frame.records);
+    case 'versions-stopped':
+      session.news.take(frame);
       break;
     case 'ping':
       proved.link.send({ kind: 'pong', revision: context.readConfiguration().revision });
@@ -72,14 +70,6 @@
   }
 }
 
-/** A node passes on what is new to it, so that every entry learns of a crash. */
-function takeCrashes(session: Session, records: readonly CrashRecord[]): void {
-  const news = session.crashes.merge(records);
-  if (news.length > 0) {
-    session.shareCrashes(news);
-  }
-}
-
 function startOrder(session: Session, order: StageOrder): void {
   const { running, context } = session;
   const key = keyOf(order);
--- a/packages/node/src/frames.ts
+++ b/packages/node/src/frames.ts
@@ -83,6 +83,22 @@
   readonly records: readonly CrashNotice[];
 }
 
+/** A version that was found bad, as nodes tell each other. */
+export interface VersionNotice {
+  readonly targetGroup: string;
+  readonly version: string;
+  /** The evidence in words. */
+  readonly reason: string;
+  /** Unix time of the finding. */
+  readonly atWallMs: number;
+}
+
+/** Both directions: bad versions that the receiver may not know; passed on like crashes. */
+export interface VersionsStoppedFrame {
+  readonly kind: 'versions-stopped';
+  readonly notices: readonly VersionNotice[];
+}
+
 /** Every frame on a link between nodes. */
 export type NodeFrame =
   | HelloFrame
@@ -93,4 +109,5 @@
   | StageEndFrame
   | TargetsFrame
   | CrashesFrame
+  | VersionsStoppedFrame
   | PingFrame;
--- a/packages/node/src/index.ts
+++ b/packages/node/src/index.ts
@@ -1,6 +1,7 @@
 /** The link between entries and gates: frames, handshake, membership and routing. */
 export { acceptLinks, type AcceptLinksOptions, type LinkServer } from './acceptLinks.js';
 export { endOfError } from './endOfError.js';
+export { type FactSet, FleetNews, type FleetNewsOptions } from './fleetNews.js';
 export type * from './frames.js';
 export { type HandshakeOptions, shakeHands } from './handshake.js';
 export { type Link, SocketLink } from './link.js';
--- a/packages/node/src/wireSchema.ts
+++ b/packages/node/src/wireSchema.ts
@@ -96,6 +96,17 @@
   z.object({ kind: z.literal('stage-run'), order }),
   z.object({ kind: z.literal('stage-cancel'), attempt }),
   z.object({ kind: z.literal('targets'), reports: z.array(report), leaving: z.boolean() }),
+  z.object({
+    kind: z.literal('versions-stopped'),
+    notices: z.array(
+      z.object({
+        targetGroup: z.string(),
+        version: z.string(),
+        reason: z.string(),
+        atWallMs: z.number(),
+      }),
+    ),
+  }),
   z.object({
     kind: z.literal('crashes'),
     records: z.array(
