Test a watch over HTTP

Cause: the HTTP scenario covered single answers only. Change: a watch over undici and the front of the stand-in sees a change.

--- a/packages/store/test/storeClient.feature
+++ b/packages/store/test/storeClient.feature
@@ -108,5 +108,8 @@
     And the store key "a" is swapped from absent to "one"
     Then the swap is told as "swapped"
     And the HTTP stand-in has counted 2 "txn" calls
+    When the store key "w/a" is written behind the client
+    And a watch of the store prefix "w/"
+    Then the watch over HTTP comes to see "put w/a"
     When "outage" is ordered as true over HTTP
     Then reading the store key "a" is told as "store-unavailable"
--- a/packages/store/test/storeClient.steps.ts
+++ b/packages/store/test/storeClient.steps.ts
@@ -256,6 +256,16 @@
   },
 );
 
+Then(
+  'the watch over HTTP comes to see {string}',
+  async function then(this: StoreWorld, seen: string) {
+    while (this.seen.length === 0) {
+      await this.bench.clock.advance({ byMs: 0 });
+    }
+    assert.equal(this.seen.join(', '), seen);
+  },
+);
+
 Then('the watch has seen {string}', function then(this: StoreWorld, seen: string) {
   assert.equal(this.seen.join(', '), seen);
 });
