Refuse rules that the store cannot hold before anything is written

Cause: a shard over one megabyte was told as store-unavailable, which invites a retry. Change: publishConfiguration refuses it as rules-invalid and names the sizes.

--- a/packages/configuration/src/publishConfiguration.ts
+++ b/packages/configuration/src/publishConfiguration.ts
@@ -1,5 +1,6 @@
 import { randomUUID } from 'node:crypto';
 
+import { MAX_STORE_VALUE_BYTES } from '@galenatiller/constants';
 import { GalenatillerError } from '@galenatiller/error';
 import type { KeyWrite, StoreClient } from '@galenatiller/store';
 import type { TimerService } from '@galenatiller/timer';
@@ -48,6 +49,9 @@
   readonly puts: readonly KeyWrite[];
 }
 
+/** Leaves room for the write token in a value. */
+const MAX_SHARD_BYTES = MAX_STORE_VALUE_BYTES - 64;
+
 /** Reads of the head to settle whether a change was accepted. */
 const SETTLE_READS = 5;
 const SETTLE_DELAY_MS = 200;
@@ -72,6 +76,10 @@
   if (changedShards.length === 0) {
     return Result.ok({ kind: 'unchanged', revision: opts.baseRevision });
   }
+  const tooLarge = changedShards.find(({ text }) => Buffer.byteLength(text) > MAX_SHARD_BYTES);
+  if (tooLarge) {
+    return refuse(shardTooLarge(tooLarge));
+  }
   const change = await prepare({ ...opts, base: base.value, changedShards });
   if (change.isErr) {
     return refuse(change.error);
@@ -192,6 +200,13 @@
   return refuse(GalenatillerError.create({ name: 'store-ambiguous', detail }));
 }
 
+function shardTooLarge({ index, text }: Shard): GalenatillerError {
+  return GalenatillerError.create({
+    name: 'rules-invalid',
+    detail: `shard ${index} has ${Buffer.byteLength(text)} bytes, at most ${MAX_SHARD_BYTES} fit`,
+  });
+}
+
 function refuseConflict(
   opts: PublishConfigurationOptions,
   head: ConfigurationHead,
--- a/packages/configuration/test/configuration.feature
+++ b/packages/configuration/test/configuration.feature
@@ -15,6 +15,11 @@
     And "ann" publishes 20 organisations on revision 1
     Then the publication is told as "unchanged 1"
 
+  Scenario: Rules that the store cannot hold are refused
+    Given 1 nodes follow the configuration of a stand-in store
+    When "ann" publishes an organisation with a name of 1100000 letters on revision 0
+    Then the publication is told as "rules-invalid"
+
   Scenario: An answer lost after the head was written
     Given 1 nodes follow the configuration of a stand-in store
     When the next 4 answers to publications are lost
--- a/packages/configuration/test/configuration.steps.ts
+++ b/packages/configuration/test/configuration.steps.ts
@@ -73,6 +73,14 @@
   },
 );
 
+When(
+  '{string} publishes an organisation with a name of {int} letters on revision {int}',
+  async function when(this: ConfigurationWorld, author: string, letters: number, base: number) {
+    const rules = makeOrganisations(1, {}, 'x'.repeat(letters));
+    await publish(this, { author, baseRevision: base, rules });
+  },
+);
+
 When(
   '{string} publishes {int} other organisations on revision {int}',
   async function when(this: ConfigurationWorld, author: string, count: number, base: number) {
