Bound the search for nearest names, and order rules as they are read

A file with 36,000 unknown organisations made the check run for over four minutes: each unknown name was compared with every known one. Hints now go to the first 20 unknown names of a kind. Rules come back from the store by shard; show and diff now order them by kind and name. A reader that closes the pipe ends the command; an empty time line says so.

--- a/packages/cli/src/galenatiller.ts
+++ b/packages/cli/src/galenatiller.ts
@@ -9,6 +9,8 @@
 const timer = TimerService.create({ clock: systemClock });
 const stop = new AbortController();
 process.once('SIGINT', () => stop.abort());
+// A reader such as `head` may close the pipe early.
+process.stdout.on('error', () => stop.abort());
 
 process.exitCode = await runCli({
   args: process.argv.slice(2),
--- a/packages/cli/src/renderReport.ts
+++ b/packages/cli/src/renderReport.ts
@@ -123,6 +123,9 @@
 }
 
 function renderEvents(report: TimelineReport): readonly string[] {
+  if (report.events.length === 0) {
+    return ['No event is known.'];
+  }
   return report.events.map((event) => {
     const request = event.requestId === '' ? '' : ` [${event.requestId}]`;
     return `${new Date(event.stamp.wallMs).toISOString()} ${describeEvent(event)}${request}`;
--- a/packages/cli/src/runCommand.ts
+++ b/packages/cli/src/runCommand.ts
@@ -1,3 +1,4 @@
+import { sortRules } from '@galenatiller/operator';
 import { Result } from 'true-myth';
 import { Unit } from 'true-myth/unit';
 
@@ -89,7 +90,12 @@
   const stored = await opts.platform.readConfiguration();
   return stored.isErr
     ? failWithoutStore(stored.error, 'which rules are accepted; status asks the nodes')
-    : Result.ok({ command: 'show', unknown: [], ...stored.value });
+    : Result.ok({
+        ...stored.value,
+        command: 'show',
+        unknown: [],
+        rules: sortRules(stored.value.rules),
+      });
 }
 
 async function repeatLoad(
--- a/packages/operator/src/checkRules.ts
+++ b/packages/operator/src/checkRules.ts
@@ -21,6 +21,9 @@
 
 type LineOf<Kind extends RuleKind> = RuleLine & { readonly rule: Extract<Rule, { kind: Kind }> };
 
+/** Nearest names are sought for the first unknown names only: each search reads all names. */
+const MAX_HINTS = 20;
+
 /** Stage kinds that may follow each kind, whose result they need or accept. */
 const NEXT_KINDS: Record<StageKind | 'start', readonly StageKind[]> = {
   start: ['encode', 'generate', 'call'],
@@ -75,19 +78,15 @@
 }
 
 function findUnknownStages(opts: CheckRulesOptions): readonly LocalProblem[] {
-  const names = opts.declared.get('stage') ?? new Set();
-  return opts.lines.flatMap(({ syntax: { body } }) =>
-    body.kind === 'route'
-      ? body.stages.flatMap((token) => unknownName(token, 'a stage', names))
-      : [],
+  const tokens = opts.lines.flatMap(({ syntax: { body } }) =>
+    body.kind === 'route' ? body.stages : [],
   );
+  return unknownNames(tokens, 'a stage', opts.declared.get('stage') ?? new Set());
 }
 
 function findUnknownOrganisations(opts: CheckRulesOptions): readonly LocalProblem[] {
-  const names = opts.declared.get('organisation') ?? new Set();
-  return ofKind(opts.lines, 'limit').flatMap(({ syntax }) =>
-    unknownName(syntax.body.name, 'an organisation', names),
-  );
+  const tokens = ofKind(opts.lines, 'limit').map(({ syntax }) => syntax.body.name);
+  return unknownNames(tokens, 'an organisation', opts.declared.get('organisation') ?? new Set());
 }
 
 function findBrokenChains(lines: readonly RuleLine[]): readonly LocalProblem[] {
@@ -124,26 +123,28 @@
 
 function findBadMoves(lines: readonly RuleLine[]): readonly LocalProblem[] {
   const groups = new Set(ofKind(lines, 'stage').map(({ rule }) => rule.targetGroup));
-  return ofKind(lines, 'move').flatMap(({ rule, syntax }) => {
+  const moves = ofKind(lines, 'move');
+  const tokens = moves.map(({ syntax }) => syntax.body.name);
+  const stillMoves = moves.flatMap(({ rule, syntax }) => {
     const to = syntax.items.find((item) => item.name.image === 'to')?.values[0];
-    const same = to && rule.fromVersion === rule.toVersion;
-    return [
-      ...unknownName(syntax.body.name, 'a target group', groups),
-      ...(same ? [problemAt(to, `\`${to.image}\``, 'a version other than `from`')] : []),
-    ];
+    return to && rule.fromVersion === rule.toVersion
+      ? [problemAt(to, `\`${to.image}\``, 'a version other than `from`')]
+      : [];
   });
+  return [...unknownNames(tokens, 'a target group', groups), ...stillMoves];
 }
 
-function unknownName(
-  token: IToken,
+function unknownNames(
+  tokens: readonly IToken[],
   what: string,
   names: ReadonlySet<string>,
 ): readonly LocalProblem[] {
-  if (names.has(token.image)) {
-    return [];
-  }
-  const nearest = nearestName({ found: token.image, names });
-  return [problemAt(token, `\`${token.image}\``, `${what} of this file`, nearest)];
+  return tokens
+    .filter((token) => !names.has(token.image))
+    .map((token, index) => {
+      const nearest = index < MAX_HINTS ? nearestName({ found: token.image, names }) : '';
+      return problemAt(token, `\`${token.image}\``, `${what} of this file`, nearest);
+    });
 }
 
 function problemAt(token: IToken, found: string, expected: string, nearest = ''): LocalProblem {
--- a/packages/operator/src/diffRules.ts
+++ b/packages/operator/src/diffRules.ts
@@ -1,6 +1,8 @@
 import type { Rule } from '@galenatiller/types';
 
 import { formatRule } from './formatRule.js';
+import { ruleKey } from './ruleKey.js';
+import { sortRules } from './sortRules.js';
 
 /** One difference between two sets of rules. */
 export type RuleChange =
@@ -18,25 +20,13 @@
 export function diffRules(opts: DiffRulesOptions): readonly RuleChange[] {
   const before = new Map(opts.before.map((rule) => [ruleKey(rule), rule]));
   const afterKeys = new Set(opts.after.map(ruleKey));
-  const removed = opts.before
+  const removed = sortRules(opts.before)
     .filter((rule) => !afterKeys.has(ruleKey(rule)))
     .map((rule): RuleChange => ({ kind: 'removed', before: rule }));
   const written = opts.after.flatMap((rule) => changeOf(before.get(ruleKey(rule)), rule));
   return [...removed, ...written];
 }
 
-/** Kind and name of a rule, which two rules of a file never share. */
-export function ruleKey(rule: Rule): string {
-  switch (rule.kind) {
-    case 'limit':
-      return `limit ${rule.organisation}`;
-    case 'move':
-      return `move ${rule.targetGroup}`;
-    default:
-      return `${rule.kind} ${rule.name}`;
-  }
-}
-
 function changeOf(before: Rule | undefined, after: Rule): readonly RuleChange[] {
   if (!before) {
     return [{ kind: 'added', after }];
--- a/packages/operator/src/index.ts
+++ b/packages/operator/src/index.ts
@@ -1,6 +1,6 @@
 /** What operators write and ask: the rules file and its differences, and reports of nodes. */
 export { askNode, type AskNodeOptions } from './askNode.js';
-export { diffRules, type DiffRulesOptions, type RuleChange, ruleKey } from './diffRules.js';
+export { diffRules, type DiffRulesOptions, type RuleChange } from './diffRules.js';
 export { formatRule, formatRules } from './formatRule.js';
 export type * from './nodeReport.js';
 export { type ParsedRules, parseRules, type ParseRulesOptions } from './parseRules.js';
@@ -12,3 +12,5 @@
 } from './serveOperators.js';
 export { durationForm, formatInstant, formatShare, type ValueForm } from './ruleValues.js';
 export { nearestName, type NearestNameOptions } from './nearestName.js';
+export { ruleKey } from './ruleKey.js';
+export { sortRules } from './sortRules.js';
--- a/packages/operator/src/nearestName.ts
+++ b/packages/operator/src/nearestName.ts
@@ -7,8 +7,14 @@
 /** A name may differ from the nearest one by a half of its letters. */
 const LETTERS_PER_EDIT = 2;
 
+/** Longer words are no slips of the pen. */
+const MAX_COMPARED_LENGTH = 64;
+
 /** The known name that is nearest to a misspelt one; empty when none is near. */
 export function nearestName(opts: NearestNameOptions): string {
+  if (opts.found.length > MAX_COMPARED_LENGTH) {
+    return '';
+  }
   let nearest = '';
   let leastEdits = Math.floor(opts.found.length / LETTERS_PER_EDIT) + 1;
   for (const name of opts.names) {
--- a/packages/operator/test/rules.feature
+++ b/packages/operator/test/rules.feature
@@ -1,3 +1,4 @@
+@rules-file
 @operator
 Feature: Rules file
   One line for each rule, each ending in a comment that says who asked.
