--- a/packages/gate/src/stageQueue.ts
+++ b/packages/gate/src/stageQueue.ts
@@ -74,11 +74,22 @@
     return removed;
   }
 
-  /** Takes out the orders whose expected run no longer ends by their deadline. */
+  /**
+   * Takes out the orders whose expected run no longer ends by their deadline. Those that may
+   * easily be late give way too while safer ones wait: a late run takes the slot from them.
+   */
   expire(opts: { readonly nowMs: number }): readonly Order[] {
-    const late = this.listOrders().filter(
-      (order) => order.deadlineAtMs < opts.nowMs + costOf(order),
-    );
+    const slackOf = (order: Order): number => order.deadlineAtMs - opts.nowMs - costOf(order);
+    const isSafe = (order: Order): boolean => slackOf(order) >= order.marginMs;
+    const { interactive, batch } = this.classes;
+    const safeInteractive = interactive.orders.some(isSafe);
+    // A safe batch order is no reason to give up an interactive one.
+    const safeAny = safeInteractive || batch.orders.some(isSafe);
+    const isLate = (order: Order): boolean => {
+      const safeWaits = order.priority === 'interactive' ? safeInteractive : safeAny;
+      return slackOf(order) < (safeWaits ? order.marginMs : 0);
+    };
+    const late = this.listOrders().filter(isLate);
     late.forEach((order) => {
       this.remove(order);
     });
