--- a/packages/gate/src/targetAdmission.ts
+++ b/packages/gate/src/targetAdmission.ts
@@ -74,7 +74,11 @@
   ): Promise<Result<Admission, GalenatillerError>> {
     const nowMs = this.opts.timer.nowMs();
     const deadlineAtMs = nowMs + order.remainingMs;
-    const estimate = this.runTimes.expect({ stage: order.stage, tokens: tokensOf(order), nowMs });
+    const estimate = this.runTimes.expect({
+      stage: order.stage,
+      tokens: tokensOf(order),
+      nowMs,
+    });
     const { organisation, priority } = order;
     const queued = { organisation, priority, deadlineAtMs, ...estimate };
     const decision = this.decide(queued);
@@ -89,13 +93,11 @@
     this.running.delete(admission);
     const { how, firstPartMs, runMs } = end;
     this.opts.limit.onEnded({ ticket: admission.ticket, how, firstPartMs });
-    this.runTimes.observe({
-      stage: order.stage,
-      tokens: tokensOf(order),
-      nowMs: this.opts.timer.nowMs(),
-      runMs,
-      ending: how === 'ok' ? 'whole' : 'cut',
-    });
+    if (how === 'ok' || how === 'no-evidence') {
+      const nowMs = this.opts.timer.nowMs();
+      const ending = how === 'ok' ? 'whole' : 'cut';
+      this.runTimes.observe({ stage: order.stage, tokens: tokensOf(order), runMs, nowMs, ending });
+    }
     if (how === 'ok') {
       this.runMs = this.runMs === 0 ? runMs : this.runMs + SMOOTHING * (runMs - this.runMs);
     }
