--- a/packages/caller/src/partWriter.ts
+++ b/packages/caller/src/partWriter.ts
@@ -3,7 +3,7 @@
 
 import type { StagePart } from '@galenatiller/types';
 
-import { type AnswerIdentity, encodePart } from './wire.js';
+import { type AnswerIdentity, createPartEncoder } from './wire.js';
 
 /** Options of {@link PartWriter.create}. */
 export interface PartWriterOptions {
@@ -15,16 +15,19 @@
 export class PartWriter {
   private pending = '';
 
-  private constructor(private readonly opts: PartWriterOptions) {}
+  private constructor(
+    private readonly response: ServerResponse,
+    private readonly encodePart: (part: StagePart) => string,
+  ) {}
 
   /** Makes a writer that has written nothing. */
   static create(opts: PartWriterOptions): PartWriter {
-    return new PartWriter(opts);
+    return new PartWriter(opts.response, createPartEncoder(opts.identity));
   }
 
   /** Takes a part; resolves once a slow caller has taken most of what was written before. */
   async put(part: StagePart): Promise<void> {
-    const { response, identity } = this.opts;
+    const { response } = this;
     if (response.destroyed) {
       return;
     }
@@ -33,7 +36,7 @@
         this.flush();
       });
     }
-    this.pending += encodePart(identity, part);
+    this.pending += this.encodePart(part);
     if (response.writableNeedDrain) {
       await Promise.race([once(response, 'drain'), once(response, 'close')]).catch(() => {});
     }
@@ -41,8 +44,7 @@
 
   /** Writes what is held back; to be called before the end of the stream. */
   flush(): void {
-    const { pending } = this;
-    const { response } = this.opts;
+    const { pending, response } = this;
     this.pending = '';
     if (pending !== '' && !response.destroyed) {
       response.write(pending);
--- a/packages/caller/src/wire.ts
+++ b/packages/caller/src/wire.ts
@@ -92,17 +92,13 @@
   });
 }
 
-/** Encodes one piece of streamed text as an SSE event. */
-export function encodePart(identity: AnswerIdentity, part: StagePart): string {
-  const chunk = {
-    id: identity.requestId,
-    object: 'text_completion',
-    model: identity.route,
-    choices: [{ index: 0, text: part.text, finish_reason: null }],
-    offset_tokens: part.offsetTokens,
-    tokens: part.tokens,
-  };
-  return `data: ${JSON.stringify(chunk)}\n\n`;
+/** Makes the encoder of a stream's pieces into SSE events; what never changes is encoded once. */
+export function createPartEncoder(identity: AnswerIdentity): (part: StagePart) => string {
+  const id = JSON.stringify(identity.requestId);
+  const model = JSON.stringify(identity.route);
+  const head = `data: {"id":${id},"object":"text_completion","model":${model},"choices":[{"index":0,"text":`;
+  return ({ text, offsetTokens, tokens }) =>
+    `${head}${JSON.stringify(text)},"finish_reason":null}],"offset_tokens":${offsetTokens},"tokens":${tokens}}\n\n`;
 }
 
 /** Encodes the end of a whole stream as its last SSE events. */
