Cut frames from a read without a view of the rest for each

The decoder made two views of the bytes for each frame; it now keeps an offset and makes one.

The frame fuzz tests pass.

--- a/packages/node/src/wireFrame.ts
+++ b/packages/node/src/wireFrame.ts
@@ -41,24 +41,26 @@
 
   /** Takes bytes and returns the complete frames; after an error the stream is lost. */
   push(bytes: Buffer): Result<readonly NodeFrame[], GalenatillerError> {
-    this.rest = this.rest.length === 0 ? bytes : Buffer.concat([this.rest, bytes]);
+    const held = this.rest.length === 0 ? bytes : Buffer.concat([this.rest, bytes]);
     const frames: NodeFrame[] = [];
-    while (this.rest.length >= LENGTH_BYTES) {
-      const bodyBytes = this.rest.readUInt32BE(0);
+    let offset = 0;
+    while (held.length - offset >= LENGTH_BYTES) {
+      const bodyBytes = held.readUInt32BE(offset);
       if (bodyBytes > MAX_FRAME_BYTES) {
         return Result.err(tooLarge(bodyBytes));
       }
-      const endOffset = LENGTH_BYTES + bodyBytes;
-      if (this.rest.length < endOffset) {
+      const endOffset = offset + LENGTH_BYTES + bodyBytes;
+      if (held.length < endOffset) {
         break;
       }
-      const frame = decodeBody(this.rest.subarray(LENGTH_BYTES, endOffset));
+      const frame = decodeBody(held.subarray(offset + LENGTH_BYTES, endOffset));
       if (frame.isErr) {
         return Result.err(frame.error);
       }
       frames.push(frame.value);
-      this.rest = this.rest.subarray(endOffset);
+      offset = endOffset;
     }
+    this.rest = held.subarray(offset);
     return Result.ok(frames);
   }
 }
