Share the configuration between nodes over their links

A node that starts while the store is away asks its peers for the highest revision they hold and reads its shards over the link; a gate without any configuration refuses work as not run. Each node now has one watch of the store.

--- a/features/schedules.feature
+++ b/features/schedules.feature
@@ -8,3 +8,8 @@
 
   Scenario: The checker refutes run records that die with their gate
     Then some schedule from seed 7 with run records in memory shows "doubled"
+
+  Scenario: Nodes that start while the store is away get the configuration from their peers
+    When every gate is killed in turn during a store outage with zone "east-a" out
+    Then every call after the outage began is answered
+    And no invariant is broken
--- a/features/schedules.steps.ts
+++ b/features/schedules.steps.ts
@@ -1,6 +1,7 @@
 import assert from 'node:assert/strict';
 
-import { Then } from '@cucumber/cucumber';
+import { Then, When } from '@cucumber/cucumber';
+import type { Verdict } from '@galenatiller/bench';
 import { standardPolicy } from '@galenatiller/entry';
 import {
   createMemoryRunRecords,
@@ -13,7 +14,11 @@
 import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
 
 import { Fleet } from './support/fleet/fleet.js';
-import type { FleetMechanisms, FleetSchedule } from './support/fleet/fleetTypes.js';
+import type { FleetFault, FleetMechanisms, FleetSchedule } from './support/fleet/fleetTypes.js';
+
+interface ScheduleWorld {
+  verdict: Verdict;
+}
 
 const STANDARD: FleetMechanisms = {
   policy: standardPolicy,
@@ -90,9 +95,53 @@
   },
 );
 
+When(
+  'every gate is killed in turn during a store outage with zone {string} out',
+  { timeout: 60_000 },
+  async function when(this: ScheduleWorld, zone: string) {
+    assert.equal(zone, 'east-a');
+    const kill = (index: number, killedAtMs: number): FleetFault => ({
+      kind: 'kill-gate',
+      index,
+      atMs: killedAtMs,
+      forMs: 200,
+    });
+    this.verdict = await verdictOf(
+      {
+        seed: 5,
+        faults: [
+          { kind: 'zone-out', index: 0, atMs: 0, forMs: 25_000 },
+          { kind: 'store-outage', index: 0, atMs: 500, forMs: 20_000 },
+          kill(0, 1_000),
+          kill(1, 4_000),
+          kill(2, 7_000),
+        ],
+        requests: Array.from({ length: 12 }, (_, index) => ({
+          route: index % 2 === 0 ? 'draft' : 'look-up',
+          entryIndex: index % 2,
+          key: index,
+          atMs: 10_000 + index * 100,
+        })),
+      },
+      STANDARD,
+    );
+  },
+);
+
+Then('every call after the outage began is answered', function then(this: ScheduleWorld) {
+  assert.deepEqual([this.verdict.answered, this.verdict.refused], [12, 0]);
+});
+
+Then('no invariant is broken', function then(this: ScheduleWorld) {
+  assert.deepEqual(this.verdict.violations, []);
+});
+
 async function violationsOf(schedule: FleetSchedule, mechanisms: FleetMechanisms) {
+  return (await verdictOf(schedule, mechanisms)).violations;
+}
+
+async function verdictOf(schedule: FleetSchedule, mechanisms: FleetMechanisms): Promise<Verdict> {
   const generator = xoroshiro128plus(schedule.seed);
   const random = (): number => uniformFloat64(generator);
-  const verdict = await Fleet.run({ schedule, mechanisms, random });
-  return verdict.violations;
+  return Fleet.run({ schedule, mechanisms, random });
 }
--- a/features/support/fleet/fleetNodes.ts
+++ b/features/support/fleet/fleetNodes.ts
@@ -1,11 +1,15 @@
 import { randomUUID } from 'node:crypto';
 
-import { followConfiguration, HeldConfiguration } from '@galenatiller/configuration';
-import { createEntry, type Entry } from '@galenatiller/entry';
+import {
+  followConfiguration,
+  HeldConfiguration,
+  type HeldConfigurationOptions,
+} from '@galenatiller/configuration';
+import { createEntry, type CreateEntryOptions, type Entry } from '@galenatiller/entry';
 import { GalenatillerError } from '@galenatiller/error';
 import type { FakeStore } from '@galenatiller/fakes';
 import { createGate, type Gate } from '@galenatiller/gate';
-import type { NodeIdentity, ProvedLink } from '@galenatiller/node';
+import { ConfigurationExchange, type NodeIdentity, type ProvedLink } from '@galenatiller/node';
 import { CallBudget, StoreClient, type StoreTransport } from '@galenatiller/store';
 import { whenAborted } from '@galenatiller/tasks';
 import { type ManualClock, TimerService } from '@galenatiller/timer';
@@ -66,19 +70,24 @@
   return StoreClient.create({ transport, timer, budget, random: world.random });
 }
 
-function follow(world: FleetWorld, timer: TimerService, store: StoreClient) {
-  return (
-    onConfiguration: Parameters<typeof HeldConfiguration.create>[0]['onConfiguration'],
-    signal: AbortSignal,
-  ) =>
-    followConfiguration({
-      store,
-      timer,
-      signal,
-      held: HeldConfiguration.create({ onConfiguration }),
-      readPeerOffers: () => Promise.resolve([]),
-      random: world.random,
-    });
+/** The configuration of one process: followed from the store and shared with its peers. */
+function createConfiguration(world: FleetWorld, timer: TimerService, store: StoreClient) {
+  let onConfiguration: HeldConfigurationOptions['onConfiguration'] = () => {};
+  const held = HeldConfiguration.create({
+    onConfiguration: (configuration) => onConfiguration(configuration),
+  });
+  const exchange = ConfigurationExchange.create({
+    timer,
+    readOwn: () => ({ revision: held.current().revision, shards: held.references() }),
+    findShard: (shard) => held.findShard(shard),
+  });
+  const follow: CreateEntryOptions['followConfiguration'] = (notify, signal) => {
+    onConfiguration = notify;
+    const readPeerOffers = () => exchange.readOffers();
+    const { random } = world;
+    return followConfiguration({ store, timer, signal, held, readPeerOffers, random });
+  };
+  return { exchange, followConfiguration: follow };
 }
 
 /** Starts a gate before the targets of one host. */
@@ -119,7 +128,7 @@
     policy: world.mechanisms.gatePolicy,
     record: () => {},
     runRecords: world.mechanisms.createRunRecords({ store, ...identity, timer }),
-    followConfiguration: follow(world, timer, store),
+    ...createConfiguration(world, timer, store),
   });
   return { ...node, gate };
 }
@@ -145,7 +154,7 @@
     record: () => {},
     random: world.random,
     openLink: (host) => openLink(world, node, host),
-    followConfiguration: follow(world, timer, store),
+    ...createConfiguration(world, timer, store),
     followHosts: (onHosts, signal) => {
       onHosts(hosts);
       return whenAborted(signal);
--- a/features/support/pathDeployment.ts
+++ b/features/support/pathDeployment.ts
@@ -4,6 +4,7 @@
 import type { FakeService, FakeTarget } from '@galenatiller/fakes';
 import { createMemoryRunRecords, runGate, standardPolicy as gatePolicy } from '@galenatiller/gate';
 import { probeIdentity } from '@galenatiller/http';
+import { ConfigurationExchange } from '@galenatiller/node';
 import { runPoolStage } from '@galenatiller/pool';
 import { runServiceCall } from '@galenatiller/service';
 import type { TargetSettings } from '@galenatiller/settings';
@@ -69,6 +70,7 @@
       record: () => {},
       runners: { engine: runGeneration, pool: runPoolStage, service: runServiceCall },
       runRecords: createMemoryRunRecords(),
+      exchange: createExchange(),
       followConfiguration: (onConfiguration, signal) => {
         onConfiguration(configuration);
         return whenAborted(signal);
@@ -100,6 +102,7 @@
       policy: standardPolicy,
       record: () => {},
       random: () => 0,
+      exchange: createExchange(),
       followConfiguration: (onConfiguration, signal) => {
         onConfiguration(configuration);
         return whenAborted(signal);
@@ -117,3 +120,11 @@
   const limits = { inFlightLimit: 8, coldInFlightLimit: 8, queueLimit: 16 };
   return { name, kind, group, version: 'v1', url, ...limits };
 }
+
+function createExchange(): ConfigurationExchange {
+  return ConfigurationExchange.create({
+    timer,
+    readOwn: () => ({ revision: 0, shards: [] }),
+    findShard: () => undefined,
+  });
+}
--- a/packages/daemon/src/connectPlatform.ts
+++ b/packages/daemon/src/connectPlatform.ts
@@ -1,12 +1,13 @@
 import {
   followConfiguration,
   HeldConfiguration,
-  type PeerOffer,
+  WATCHED_PREFIX,
 } from '@galenatiller/configuration';
 import { followHosts } from '@galenatiller/hostList';
 import { createLogger } from '@galenatiller/logger';
+import { ConfigurationExchange } from '@galenatiller/node';
 import type { NodeSettings } from '@galenatiller/settings';
-import { CallBudget, createHttpTransport, StoreClient } from '@galenatiller/store';
+import { CallBudget, createHttpTransport, StoreClient, WatchHub } from '@galenatiller/store';
 import type { TimerService } from '@galenatiller/timer';
 import type { Configuration, Host } from '@galenatiller/types';
 
@@ -14,12 +15,12 @@
 export interface ConnectPlatformOptions {
   readonly settings: NodeSettings;
   readonly timer: TimerService;
-  /** Asks other nodes for their revisions while the store is away. */
-  readonly readPeerOffers: () => Promise<readonly PeerOffer[]>;
 }
 
 /** The platform as the tasks of a node use it. */
 export interface Platform {
+  /** Shares the configuration in force with other nodes. */
+  readonly exchange: ConfigurationExchange;
   readonly store: StoreClient;
   readonly followConfiguration: (
     onConfiguration: (configuration: Configuration) => void,
@@ -51,21 +52,36 @@
     burstCalls: STORE_CALL_BURST,
   });
   const store = StoreClient.create({ transport: transport.call, timer, budget });
+  const hub = WatchHub.create({ store, rootPrefix: WATCHED_PREFIX });
+  let onConfiguration: (configuration: Configuration) => void = () => {};
+  const held = HeldConfiguration.create({
+    onConfiguration: (configuration) => onConfiguration(configuration),
+  });
+  const exchange = ConfigurationExchange.create({
+    timer,
+    readOwn: () => ({ revision: held.current().revision, shards: held.references() }),
+    findShard: (shard) => held.findShard(shard),
+  });
   let reachable = true;
   return {
     store,
-    followConfiguration: (onConfiguration, signal) =>
-      followConfiguration({
+    exchange,
+    followConfiguration: async (notify, signal) => {
+      onConfiguration = notify;
+      const following = followConfiguration({
         store,
         timer,
         signal,
-        held: HeldConfiguration.create({ onConfiguration }),
-        readPeerOffers: opts.readPeerOffers,
+        held,
+        watch: (watched) => hub.watch(watched),
+        readPeerOffers: () => exchange.readOffers(),
         onStore: (state) => {
           reachable = state === 'found';
           logger({ message: `The store is ${state}.` });
         },
-      }),
+      });
+      await Promise.all([following, hub.run({ signal })]);
+    },
     followHosts: (onHosts, signal) =>
       followHosts({
         url: settings.hostListUrl,
--- a/packages/daemon/src/runEntryRole.ts
+++ b/packages/daemon/src/runEntryRole.ts
@@ -17,7 +17,7 @@
 export async function runEntryRole(opts: RunRoleOptions<EntrySettings>): Promise<void> {
   const { settings } = opts;
   const timeline = createTimeline(opts);
-  const platform = connectPlatform({ ...opts, readPeerOffers: () => Promise.resolve([]) });
+  const platform = connectPlatform(opts);
   const servers: Promise<OperatorServer>[] = [];
   try {
     await runEntry({
@@ -26,6 +26,7 @@
       random: Math.random,
       record: (event) => timeline.record(event),
       followConfiguration: platform.followConfiguration,
+      exchange: platform.exchange,
       followHosts: platform.followHosts,
       onListening: (listening) => {
         const readStatus = (): NodeStatus => describeEntry(listening, platform);
--- a/packages/daemon/src/runGateRole.ts
+++ b/packages/daemon/src/runGateRole.ts
@@ -31,7 +31,7 @@
 export async function runGateRole(opts: RunRoleOptions<GateSettings>): Promise<void> {
   const { settings } = opts;
   const timeline = createTimeline(opts);
-  const platform = connectPlatform({ ...opts, readPeerOffers: () => Promise.resolve([]) });
+  const platform = connectPlatform(opts);
   const servers: Promise<OperatorServer>[] = [];
   try {
     await runGate({
@@ -43,6 +43,7 @@
       runners: { engine: runGeneration, pool: runPoolStage, service: runServiceCall },
       runRecords: createStoreRunRecords({ records: createRecords(opts, platform) }),
       followConfiguration: platform.followConfiguration,
+      exchange: platform.exchange,
       onListening: (listening) => {
         const readStatus = (): NodeStatus => describeGate(listening, platform);
         servers.push(serveNodeOperators({ settings, timeline, readStatus }));
--- a/packages/entry/src/createEntry.ts
+++ b/packages/entry/src/createEntry.ts
@@ -8,7 +8,13 @@
 import { CrashLedger } from '@galenatiller/engine';
 import type { GalenatillerError } from '@galenatiller/error';
 import { createLogger } from '@galenatiller/logger';
-import { FleetNews, type NodeFrame, type NodeIdentity, type ProvedLink } from '@galenatiller/node';
+import {
+  type ConfigurationExchange,
+  FleetNews,
+  type NodeFrame,
+  type NodeIdentity,
+  type ProvedLink,
+} from '@galenatiller/node';
 import { TaskGroup } from '@galenatiller/tasks';
 import type { RecordOptions } from '@galenatiller/timeline';
 import type { TimerService } from '@galenatiller/timer';
@@ -37,6 +43,8 @@
     onConfiguration: (configuration: Configuration) => void,
     signal: AbortSignal,
   ) => Promise<void>;
+  /** Shares the configuration with other nodes. */
+  readonly exchange: ConfigurationExchange;
   /** Follows the host list until the signal aborts. */
   readonly followHosts: (
     onHosts: (hosts: readonly Host[]) => void,
--- a/packages/entry/src/decideRetry.ts
+++ b/packages/entry/src/decideRetry.ts
@@ -20,6 +20,7 @@
 /** Codes that only show that the entry's view of the fleet is late; such a retry costs nothing. */
 const LATE_VIEW_CODES: ReadonlySet<string> = new Set([
   'link-unopened',
+  'no-configuration',
   'target-leaving',
   'unknown-target',
   'zone-out',
--- a/packages/entry/src/followGate.ts
+++ b/packages/entry/src/followGate.ts
@@ -1,6 +1,6 @@
 import type { GalenatillerError } from '@galenatiller/error';
 import type { Logger } from '@galenatiller/logger';
-import type { FleetNews, Link, ProvedLink } from '@galenatiller/node';
+import type { ConfigurationExchange, FleetNews, Link, ProvedLink } from '@galenatiller/node';
 import type { RecordOptions } from '@galenatiller/timeline';
 import type { TimerService } from '@galenatiller/timer';
 import type { Host } from '@galenatiller/types';
@@ -17,6 +17,7 @@
   readonly random: () => number;
   readonly readRevision: () => number;
   readonly news: FleetNews;
+  readonly exchange: ConfigurationExchange;
   readonly record: (event: RecordOptions) => void;
   /** Aborts when the gate is not wanted any more. */
   readonly signal: AbortSignal;
@@ -69,12 +70,14 @@
     },
   });
   gate.opened(link);
+  opts.exchange.opened(link);
   opts.record({ kind: 'link-opened', subject: gate.host.name });
   opts.news.greeting().forEach((frame) => gate.send(frame));
   try {
     for await (const frame of link.read()) {
       gate.receive(frame);
       opts.news.take(frame);
+      opts.exchange.take(link, frame);
     }
   } catch (error) {
     opts.logger({ message: `Lost the link to ${gate.host.name}: ${String(error)}.` });
@@ -82,6 +85,7 @@
     cancelPings();
     signal.removeEventListener('abort', close);
     gate.closed();
+    opts.exchange.closed(link);
     opts.record({ kind: 'link-closed', subject: gate.host.name });
     link.close();
   }
--- a/packages/entry/src/runEntry.ts
+++ b/packages/entry/src/runEntry.ts
@@ -20,6 +20,7 @@
   readonly random: () => number;
   readonly record: CreateEntryOptions['record'];
   readonly followConfiguration: CreateEntryOptions['followConfiguration'];
+  readonly exchange: CreateEntryOptions['exchange'];
   readonly followHosts: CreateEntryOptions['followHosts'];
   /** Told once the callers' port listens. */
   readonly onListening?: (listening: ListeningEntry) => void;
--- a/packages/error/src/requestCodes.ts
+++ b/packages/error/src/requestCodes.ts
@@ -148,6 +148,14 @@
     'Another target is tried.',
   ),
   row(2009, 'stopping', 'not-run', 503, 'The node is in graceful shutdown.', 'Call another entry.'),
+  row(
+    2011,
+    'no-configuration',
+    'not-run',
+    503,
+    'The node has no configuration yet.',
+    'Another node is tried; look at status for the store.',
+  ),
   row(
     2010,
     'retry-budget-spent',
--- a/packages/gate/src/createGate.ts
+++ b/packages/gate/src/createGate.ts
@@ -1,7 +1,12 @@
 import { indexRules } from '@galenatiller/configuration';
 import { CrashLedger } from '@galenatiller/engine';
 import { createLogger, type Logger } from '@galenatiller/logger';
-import { FleetNews, type Link, type ProvedLink } from '@galenatiller/node';
+import {
+  type ConfigurationExchange,
+  FleetNews,
+  type Link,
+  type ProvedLink,
+} from '@galenatiller/node';
 import type { TargetSettings } from '@galenatiller/settings';
 import { TaskGroup } from '@galenatiller/tasks';
 import type { RecordOptions } from '@galenatiller/timeline';
@@ -28,6 +33,8 @@
   /** Records an event of the time line. */
   readonly record: (event: RecordOptions) => void;
   readonly runRecords: RunRecordKeeper;
+  /** Shares the configuration with other nodes. */
+  readonly exchange: ConfigurationExchange;
   /** Follows the configuration until the signal aborts. */
   readonly followConfiguration: (
     onConfiguration: (configuration: Configuration) => void,
@@ -102,7 +109,7 @@
     isLeaving: context.isLeaving,
     serveLink: async (proved) => {
       links.set(proved.link, proved.peer.nodeName);
-      await serveEntry({ ...session, proved });
+      await serveEntry({ ...session, exchange: opts.exchange, proved });
       links.delete(proved.link);
     },
     stop: async () => {
--- a/packages/gate/src/runGate.ts
+++ b/packages/gate/src/runGate.ts
@@ -20,6 +20,7 @@
   readonly policy: CreateGateOptions['policy'];
   readonly record: CreateGateOptions['record'];
   readonly runRecords: CreateGateOptions['runRecords'];
+  readonly exchange: CreateGateOptions['exchange'];
   readonly followConfiguration: CreateGateOptions['followConfiguration'];
   /** Told once the link port listens. */
   readonly onListening?: (listening: ListeningGate) => void;
--- a/packages/gate/src/runOrder.ts
+++ b/packages/gate/src/runOrder.ts
@@ -39,7 +39,12 @@
   if (context.versions.has(target.settings.group, target.settings.version)) {
     return 'version-stopped';
   }
-  const zone = context.readConfiguration().zones.get(context.availabilityZone);
+  const { revision, zones } = context.readConfiguration();
+  if (revision === 0) {
+    // Without a configuration the gate can't know whether its zone has been taken out.
+    return 'no-configuration';
+  }
+  const zone = zones.get(context.availabilityZone);
   return zone?.state === 'out' ? 'zone-out' : undefined;
 }
 
--- a/packages/gate/src/serveEntry.ts
+++ b/packages/gate/src/serveEntry.ts
@@ -1,5 +1,5 @@
 import type { Logger } from '@galenatiller/logger';
-import type { FleetNews, NodeFrame, ProvedLink } from '@galenatiller/node';
+import type { ConfigurationExchange, FleetNews, NodeFrame, ProvedLink } from '@galenatiller/node';
 import type { AttemptId, StageOrder, StagePart, TargetReport } from '@galenatiller/types';
 
 import type { GateContext } from './gateContext.js';
@@ -13,6 +13,7 @@
   /** Time between reports while the link is idle. */
   readonly reportIntervalMs: number;
   readonly news: FleetNews;
+  readonly exchange: ConfigurationExchange;
   readonly logger: Logger;
 }
 
@@ -30,6 +31,7 @@
     notify: () => sendReports(session),
   });
   opts.logger({ message: `Entry ${peer.nodeName} has opened a link.` });
+  opts.exchange.opened(link);
   sendReports(session);
   opts.news.greeting().forEach((frame) => link.send(frame));
   try {
@@ -38,6 +40,7 @@
     }
   } finally {
     cancelReports();
+    opts.exchange.closed(link);
     session.running.forEach((cancel) => {
       cancel.abort();
     });
@@ -62,6 +65,12 @@
     case 'versions-stopped':
       session.news.take(frame);
       break;
+    case 'offer-ask':
+    case 'offer':
+    case 'shard-ask':
+    case 'shard':
+      session.exchange.take(proved.link, frame);
+      break;
     case 'ping':
       proved.link.send({ kind: 'pong', revision: context.readConfiguration().revision });
       break;
--- a/packages/node/src/frames.ts
+++ b/packages/node/src/frames.ts
@@ -1,6 +1,7 @@
 import type {
   AttemptId,
   NodeRole,
+  Rule,
   StageEnd,
   StageOrder,
   StagePart,
@@ -99,6 +100,41 @@
   readonly notices: readonly VersionNotice[];
 }
 
+/** Names one shard of a configuration; the key holds a digest of its content. */
+export interface ShardName {
+  readonly index: number;
+  readonly key: string;
+}
+
+/** One shard with its rules. */
+export interface RuleShard extends ShardName {
+  readonly rules: readonly Rule[];
+}
+
+/** Both directions: asks for the configuration that the peer has in force. */
+export interface OfferAskFrame {
+  readonly kind: 'offer-ask';
+}
+
+/** The configuration that the sender has in force. */
+export interface OfferFrame {
+  readonly kind: 'offer';
+  readonly revision: number;
+  readonly shards: readonly ShardName[];
+}
+
+/** Both directions: asks for one shard. */
+export interface ShardAskFrame {
+  readonly kind: 'shard-ask';
+  readonly shard: ShardName;
+}
+
+/** One shard; without content when the sender no longer has it. */
+export interface ShardFrame {
+  readonly kind: 'shard';
+  readonly shard: RuleShard | undefined;
+}
+
 /** Every frame on a link between nodes. */
 export type NodeFrame =
   | HelloFrame
@@ -110,4 +146,8 @@
   | TargetsFrame
   | CrashesFrame
   | VersionsStoppedFrame
+  | OfferAskFrame
+  | OfferFrame
+  | ShardAskFrame
+  | ShardFrame
   | PingFrame;
--- a/packages/node/src/wireSchema.ts
+++ b/packages/node/src/wireSchema.ts
@@ -85,6 +85,10 @@
   nonce: z.string().max(128),
 });
 
+const shardName = z.object({ index: count, key: z.string() });
+const rule = z.object({ kind: z.string(), askedBy: z.string() }).loose();
+const shard = shardName.extend({ rules: z.array(rule) });
+
 /** Shape of any frame. */
 export const nodeFrameSchema = z.discriminatedUnion('kind', [
   z.object({
@@ -96,6 +100,10 @@
   z.object({ kind: z.literal('stage-run'), order }),
   z.object({ kind: z.literal('stage-cancel'), attempt }),
   z.object({ kind: z.literal('targets'), reports: z.array(report), leaving: z.boolean() }),
+  z.object({ kind: z.literal('offer-ask') }),
+  z.object({ kind: z.literal('offer'), revision: count, shards: z.array(shardName) }),
+  z.object({ kind: z.literal('shard-ask'), shard: shardName }),
+  z.object({ kind: z.literal('shard'), shard: shard.optional() }),
   z.object({
     kind: z.literal('versions-stopped'),
     notices: z.array(
