Count a zone as back from the operator's order to take it in

The checker reported a run in east-a 7,984 ms after its removal; the order to take it in was issued 8 s after. The bench noted that order only when the publisher had its answer, by which time nodes had it in force.

--- a/bench/src/launcher/startDeployment.ts
+++ b/bench/src/launcher/startDeployment.ts
@@ -168,8 +168,11 @@
     configuration: publisher.configuration,
     zoneOrders,
     orderZone: async (name, state) => {
+      const issuedWallMs = timer.wallMs();
       await publisher.publish((rules) => withZone(rules, { name, state }));
-      zoneOrders.push({ availabilityZone: name, state, atWallMs: timer.wallMs() });
+      // Nodes may take a zone back in before the publisher has its answer.
+      const atWallMs = state === 'in' ? issuedWallMs : timer.wallMs();
+      zoneOrders.push({ availabilityZone: name, state, atWallMs });
     },
     publish: publisher.publish,
     orderFault: async (targetName, order) => {
