--- a/packages/gate/src/createGate.ts
+++ b/packages/gate/src/createGate.ts
@@ -158,6 +158,10 @@
         timer,
         queuePolicy: policy.queue,
         limit: policy.createLimit({ settings, timer }),
+        loadLimit: policy.createLoadLimit({
+          most: settings.inFlightLimit,
+          least: settings.coldInFlightLimit,
+        }),
         weightOf,
       }),
     ]),
--- /dev/null
+++ b/packages/gate/src/loadLimit.ts
@@ -0,0 +1,75 @@
+/** A run that has ended, against the time that its order had left when it arrived. */
+export interface LoadedRun {
+  readonly runMs: number;
+  readonly budgetMs: number;
+  /** Runs on the target when this one started, itself included. */
+  readonly inFlight: number;
+}
+
+/** Decides how many runs at once let runs end within their deadlines. */
+export interface LoadLimit {
+  readonly limit: () => number;
+  readonly onEnded: (run: LoadedRun) => void;
+}
+
+/** Options of {@link DeadlineLoadLimit.create}. */
+export interface LoadLimitOptions {
+  readonly most: number;
+  readonly least: number;
+}
+
+/** Part of its budget that a run may take before the target counts as overloaded. */
+const SLOW_SHARE = 0.85;
+
+/** Part of its budget under which a run shows that the target bears more. */
+const FAST_SHARE = 0.6;
+
+/** Shrinkage of the limit after a slow run. */
+const SHRINKAGE = 0.9;
+
+/**
+ * Additive increase, multiplicative decrease: a target that batches runs each of them slower the
+ * more it runs at once, so that too many runs let none end in time.
+ */
+export class DeadlineLoadLimit implements LoadLimit {
+  private allowed: number;
+
+  /** Runs that must end before the limit shrinks again, as they started under the old one. */
+  private untilShrink = 0;
+
+  private constructor(private readonly opts: LoadLimitOptions) {
+    this.allowed = opts.most;
+  }
+
+  /** Makes a limit that allows the most. */
+  static create(opts: LoadLimitOptions): DeadlineLoadLimit {
+    return new DeadlineLoadLimit(opts);
+  }
+
+  /** Most runs at once now. */
+  readonly limit = (): number => Math.floor(this.allowed);
+
+  /** Learns from a run that ended whole or was cut at its deadline. */
+  readonly onEnded = (run: LoadedRun): void => {
+    this.untilShrink = Math.max(0, this.untilShrink - 1);
+    const share = run.runMs / Math.max(1, run.budgetMs);
+    if (share > SLOW_SHARE && run.inFlight > this.opts.least) {
+      this.shrink();
+    } else if (share < FAST_SHARE && run.inFlight * 2 >= this.allowed) {
+      this.allowed = Math.min(this.opts.most, this.allowed + 1 / this.allowed);
+    }
+  };
+
+  private shrink(): void {
+    if (this.untilShrink > 0) {
+      return;
+    }
+    this.untilShrink = Math.ceil(this.allowed);
+    this.allowed = Math.max(this.opts.least, this.allowed * SHRINKAGE);
+  }
+}
+
+/** A limit that never changes: the naive policy that measurements compare with. */
+export function createFixedLoadLimit(opts: LoadLimitOptions): LoadLimit {
+  return { limit: () => opts.most, onEnded: () => {} };
+}
--- a/packages/gate/src/policy.ts
+++ b/packages/gate/src/policy.ts
@@ -5,6 +5,7 @@
 import type { TimerService } from '@galenatiller/timer';
 import type { Result } from 'true-myth';
 
+import type { LoadLimit, LoadLimitOptions } from './loadLimit.js';
 import type { QueuePolicy } from './queuePolicy.js';
 
 /** Options of {@link RunOnTarget}. */
@@ -49,6 +50,8 @@
   readonly queue: QueuePolicy;
   /** Decides how many runs a target bears at once. */
   readonly createLimit: (opts: CreateLimitOptions) => TargetLimit;
+  /** Decides how many runs at once let runs end within their deadlines. */
+  readonly createLoadLimit: (opts: LoadLimitOptions) => LoadLimit;
 }
 
 /** Options of {@link WatchTarget}. */
--- a/packages/gate/src/standardPolicy.ts
+++ b/packages/gate/src/standardPolicy.ts
@@ -1,6 +1,7 @@
 import { ColdStart, createFixedLimit } from '@galenatiller/engine';
 
 import { deadlineQueuePolicy } from './deadlinePolicy.js';
+import { createFixedLoadLimit, DeadlineLoadLimit } from './loadLimit.js';
 import { naiveQueuePolicy } from './naivePolicy.js';
 import type { GatePolicy } from './policy.js';
 
@@ -8,10 +9,12 @@
 export const standardPolicy: GatePolicy = {
   queue: deadlineQueuePolicy,
   createLimit: ({ settings, timer }) => ColdStart.create({ ...settings, timer }),
+  createLoadLimit: (opts) => DeadlineLoadLimit.create(opts),
 };
 
 /** The plain decisions that measurements compare with. */
 export const naivePolicy: GatePolicy = {
   queue: naiveQueuePolicy,
   createLimit: ({ settings }) => createFixedLimit(settings),
+  createLoadLimit: createFixedLoadLimit,
 };
--- a/packages/gate/src/targetAdmission.ts
+++ b/packages/gate/src/targetAdmission.ts
@@ -6,6 +6,7 @@
 import { Result } from 'true-myth';
 
 import type { OrderQueue, QueuedOrder, QueuePolicy } from './queuePolicy.js';
+import type { LoadLimit } from './loadLimit.js';
 import { RunTimes } from './runTimes.js';
 
 /** Weight of the last run in the smoothed run time. */
@@ -17,6 +18,7 @@
   readonly timer: TimerService;
   readonly queuePolicy: QueuePolicy;
   readonly limit: TargetLimit;
+  readonly loadLimit: LoadLimit;
   readonly weightOf: (organisation: string) => number;
 }
 
@@ -25,6 +27,8 @@
   readonly ticket: RunTicket;
   readonly startedAtMs: number;
   readonly expectedRunMs: number;
+  /** Time that the order had left when it arrived. */
+  readonly budgetMs: number;
 }
 
 /** How an admitted run has ended. */
@@ -33,6 +37,7 @@
 }
 
 interface WaitingOrder extends QueuedOrder {
+  readonly budgetMs: number;
   readonly admit: (admitted: Result<Admission, GalenatillerError>) => void;
 }
 
@@ -76,7 +81,8 @@
     const deadlineAtMs = nowMs + order.remainingMs;
     const estimate = this.runTimes.expect({ stage: order.stage, tokens: tokensOf(order), nowMs });
     const { organisation, priority } = order;
-    const queued = { organisation, priority, deadlineAtMs, ...estimate };
+    const budgetMs = order.remainingMs;
+    const queued = { organisation, priority, deadlineAtMs, budgetMs, ...estimate };
     const decision = this.decide(queued);
     if (decision.kind === 'refuse') {
       return refuse('deadline-unreachable', this.settings.name, decision.retryAfterMs);
@@ -96,6 +102,10 @@
       runMs,
       ending: how === 'ok' ? 'whole' : 'cut',
     });
+    if (how === 'ok' || how === 'no-evidence') {
+      const { inFlight } = admission.ticket;
+      this.opts.loadLimit.onEnded({ runMs, budgetMs: admission.budgetMs, inFlight });
+    }
     if (how === 'ok') {
       this.runMs = this.runMs === 0 ? runMs : this.runMs + SMOOTHING * (runMs - this.runMs);
     }
@@ -120,13 +130,18 @@
       state: this.opts.limit.state(),
       inFlight: this.running.size,
       queued: this.queue.size,
-      inFlightLimit: this.opts.limit.limit(),
+      inFlightLimit: this.inFlightLimit,
       runMs: this.runMs,
       prefixHashes: [],
     };
   }
 
-  private decide(queued: QueuedOrder): ReturnType<QueuePolicy['decideAdmission']> {
+  /** Both limits hold: what the target bears, and what lets runs end in time. */
+  private get inFlightLimit(): number {
+    return Math.min(this.opts.limit.limit(), this.opts.loadLimit.limit());
+  }
+
+  private decide(queued: Omit<WaitingOrder, 'admit'>): ReturnType<QueuePolicy['decideAdmission']> {
     const nowMs = this.opts.timer.nowMs();
     const probe: WaitingOrder = { ...queued, admit: () => {} };
     return this.opts.queuePolicy.decideAdmission({
@@ -137,13 +152,13 @@
       inFlightRemainingMs: [...this.running].map(
         (run) => run.startedAtMs + run.expectedRunMs - nowMs,
       ),
-      inFlightLimit: this.opts.limit.limit(),
+      inFlightLimit: this.inFlightLimit,
       aheadRunMs: this.queue.ordersAhead(probe).map((ahead) => ahead.expectedRunMs),
     });
   }
 
   private wait(
-    queued: QueuedOrder,
+    queued: Omit<WaitingOrder, 'admit'>,
     signal: AbortSignal,
   ): Promise<Result<Admission, GalenatillerError>> {
     return new Promise((resolve) => {
@@ -173,7 +188,7 @@
     this.queue.expire({ nowMs: timer.nowMs() }).forEach((late) => {
       late.admit(refuse('deadline-unreachable', settings.name, 0));
     });
-    while (this.running.size < limit.limit() && this.queue.size > 0) {
+    while (this.running.size < this.inFlightLimit && this.queue.size > 0) {
       const next = this.queue.take().unwrapOr(undefined);
       if (!next) {
         break;
@@ -182,6 +197,7 @@
         ticket: limit.onStarted(),
         startedAtMs: timer.nowMs(),
         expectedRunMs: next.expectedRunMs,
+        budgetMs: next.budgetMs,
       };
       this.running.add(admission);
       next.admit(Result.ok(admission));
