Refuse a call before its first stage when its route can't end in time

Cause: under overload most refusals came after earlier stages had run, so they said may-have-run and wasted pool work. Change: an entry sums the smoothed run times of the route's stages and the shortest waits that gates report; over the deadline it refuses as not run, with Retry-After.

--- a/packages/entry/src/callContext.ts
+++ b/packages/entry/src/callContext.ts
@@ -7,6 +7,7 @@
 import type { GateDirectory } from './gateDirectory.js';
 import type { EntryPolicy } from './policy.js';
 import type { RetryBudget } from './retryBudget.js';
+import type { StageTimes } from './stageTimes.js';
 import type { VersionMoves } from './versionMoves.js';
 
 /** What a call needs for all its stages. */
@@ -24,6 +25,7 @@
   readonly record: (event: RecordOptions) => void;
   readonly crashes: CrashLedger;
   readonly retryBudget: RetryBudget;
+  readonly stageTimes: StageTimes;
   readonly versions: VersionMoves;
   readonly random: () => number;
   readonly ownAvailabilityZone: string;
--- a/packages/entry/src/createEntry.ts
+++ b/packages/entry/src/createEntry.ts
@@ -26,6 +26,7 @@
 import type { EntryPolicy } from './policy.js';
 import { RetryBudget } from './retryBudget.js';
 import { runCall } from './runCall.js';
+import { StageTimes } from './stageTimes.js';
 import { VersionMoves } from './versionMoves.js';
 
 /** Options of {@link createEntry}; every peer is reached by a function. */
@@ -111,6 +112,7 @@
     crashes,
     versions,
     retryBudget: RetryBudget.create(),
+    stageTimes: StageTimes.create(),
     limiter: createLimiter(opts, readConfiguration, () => entryCount),
     ownAvailabilityZone: opts.identity.availabilityZone,
   };
--- a/packages/entry/src/naivePolicy.ts
+++ b/packages/entry/src/naivePolicy.ts
@@ -12,6 +12,7 @@
 
 /** The plain policy that measurements compare with: a random target and a fixed number of tries. */
 export const naivePolicy: EntryPolicy = {
+  admitCall: () => ({ kind: 'admit' }),
   chooseTarget: chooseAnyTarget,
   decideRetry: retryFixedTimes,
 };
--- a/packages/entry/src/policy.ts
+++ b/packages/entry/src/policy.ts
@@ -62,8 +62,30 @@
 /** Decides whether a failed attempt is followed by another. */
 export type DecideRetry = (opts: DecideRetryOptions) => RetryDecision;
 
+/** A stage of a call to come. */
+export interface ExpectedStage {
+  /** Expected run time; 0 when unknown. */
+  readonly runMs: number;
+  /** Targets of the group of the stage. */
+  readonly candidates: readonly TargetView[];
+}
+
+/** Options of {@link AdmitCall}. */
+export interface AdmitCallOptions {
+  readonly stages: readonly ExpectedStage[];
+  readonly remainingMs: number;
+}
+
+/** Whether a call may start; a refused one was not run. */
+export type AdmitCallDecision =
+  { readonly kind: 'admit' } | { readonly kind: 'refuse'; readonly retryAfterMs: number };
+
+/** Decides whether a call may start. */
+export type AdmitCall = (opts: AdmitCallOptions) => AdmitCallDecision;
+
 /** The decisions of an entry, passed in as functions. */
 export interface EntryPolicy {
+  readonly admitCall: AdmitCall;
   readonly chooseTarget: ChooseTarget;
   readonly decideRetry: DecideRetry;
 }
--- a/packages/entry/src/runCall.ts
+++ b/packages/entry/src/runCall.ts
@@ -8,10 +8,11 @@
 
 import type { CallContext } from './callContext.js';
 import type { GateDirectory } from './gateDirectory.js';
-import type { EntryPolicy } from './policy.js';
+import type { EntryPolicy, ExpectedStage } from './policy.js';
 import type { RetryBudget } from './retryBudget.js';
 import { runStage, type StageSuccess } from './runStage.js';
 import { addStageResult, NO_STAGE_DATA, type StageData } from './stageInput.js';
+import type { StageTimes } from './stageTimes.js';
 import type { VersionMoves } from './versionMoves.js';
 
 /** What every call of an entry shares. */
@@ -23,6 +24,7 @@
   readonly record: (event: RecordOptions) => void;
   readonly crashes: CrashLedger;
   readonly retryBudget: RetryBudget;
+  readonly stageTimes: StageTimes;
   readonly versions: VersionMoves;
   readonly limiter: OrganisationLimiter;
   readonly random: () => number;
@@ -73,6 +75,13 @@
 ): Promise<Result<CallAnswer, GalenatillerError>> {
   const { call, route, stages } = admitted;
   const limitMs = call.deadlineMs === 0 ? route.deadlineMs : call.deadlineMs;
+  const decision = opts.policy.admitCall({
+    stages: stages.map((stage) => expectStage(opts, stage)),
+    remainingMs: limitMs,
+  });
+  if (decision.kind === 'refuse') {
+    return refuse('deadline-unreachable', `route ${route.name}`, decision.retryAfterMs);
+  }
   const limit = opts.timer.limit({ limitMs, parent: call.signal });
   const deadlineAtMs = opts.timer.nowMs() + limitMs;
   try {
@@ -82,6 +91,13 @@
   }
 }
 
+function expectStage(opts: RunCallOptions, stage: StageRule): ExpectedStage {
+  return {
+    runMs: opts.stageTimes.expect({ stage: stage.name, nowMs: opts.timer.nowMs() }),
+    candidates: opts.directory.targetsOf(stage.targetGroup),
+  };
+}
+
 async function walkStages(
   context: CallContext,
   stages: readonly StageRule[],
@@ -129,7 +145,7 @@
 }
 
 function refuse(
-  name: 'key-required' | 'organisation-limit' | 'unknown-route',
+  name: 'deadline-unreachable' | 'key-required' | 'organisation-limit' | 'unknown-route',
   detail: string,
   retryAfterMs = 0,
 ): Result<never, GalenatillerError> {
--- a/packages/entry/src/runStage.ts
+++ b/packages/entry/src/runStage.ts
@@ -63,6 +63,8 @@
     recordEnd(context, order, end);
     observeVersion(opts, chosen, order, end);
     if (end.code === 0 && end.result) {
+      const { runMs } = end;
+      context.stageTimes.observe({ stage: stage.name, runMs, nowMs: timer.nowMs() });
       return Result.ok({ result: end.result, delivered });
     }
     last = end;
