Keep links to a share of the gates, and tell entries only what is new

Cause: every gate told every entry all its targets twice a second: 296 bytes for 2 targets (node scripts/controlBytes.mjs), 24 KB/s at 40 entries against 2 KB/s. Change: rendezvous hashing picks links-per-group gates of each group (32 by default, so that today's deployments stay full meshes); an unchanged report is repeated every 5 s. By the frame sizes an idle link now costs a gate 88 bytes a second with its pongs; not yet measured on a running fleet.

--- a/features/support/fleet/fleetNodes.ts
+++ b/features/support/fleet/fleetNodes.ts
@@ -150,6 +150,7 @@
   const entry = createEntry({
     identity,
     timer,
+    linksPerGroup: 8,
     policy: world.mechanisms.policy,
     record: () => {},
     random: world.random,
--- a/packages/entry/src/createEntry.ts
+++ b/packages/entry/src/createEntry.ts
@@ -34,6 +34,8 @@
   readonly identity: NodeIdentity;
   readonly timer: TimerService;
   readonly policy: EntryPolicy;
+  /** Most gates of one target group that links are kept to. */
+  readonly linksPerGroup: number;
   /** Uniform in [0, 1). */
   readonly random: () => number;
   /** Records an event of the time line. */
@@ -179,6 +181,8 @@
   return GateDirectory.create({
     timer: opts.timer,
     tasks: opts.tasks,
+    entryName: opts.identity.nodeName,
+    linksPerGroup: opts.linksPerGroup,
     follow: (gate, signal) => followGate({ ...opts, gate, logger, readRevision, signal }),
   });
 }
--- a/packages/entry/src/gateDirectory.ts
+++ b/packages/entry/src/gateDirectory.ts
@@ -3,6 +3,7 @@
 import type { Host } from '@galenatiller/types';
 import { Maybe } from 'true-myth';
 
+import { chooseLinks } from './chooseLinks.js';
 import { GateLink } from './gateLink.js';
 import type { TargetView } from './policy.js';
 
@@ -10,6 +11,9 @@
 export interface GateDirectoryOptions {
   readonly timer: TimerService;
   readonly tasks: TaskGroup;
+  readonly entryName: string;
+  /** Most gates of one target group that links are kept to. */
+  readonly linksPerGroup: number;
   /** Keeps the link to a gate until the signal aborts; one task for each gate. */
   readonly follow: (gate: GateLink, signal: AbortSignal) => Promise<void>;
 }
@@ -17,13 +21,17 @@
 interface KnownGate {
   readonly gate: GateLink;
   readonly stop: AbortController;
-  listedLeaving: boolean;
+  /** False for a gate that is leaving or no longer of this entry's share. */
+  takesWork: boolean;
 }
 
 /** The gates that an entry knows, and the targets behind them. */
 export class GateDirectory {
   private readonly known = new Map<string, KnownGate>();
 
+  /** Target groups behind each gate, as last reported. */
+  private readonly groups = new Map<string, readonly string[]>();
+
   private constructor(private readonly opts: GateDirectoryOptions) {}
 
   /** Makes an empty directory. */
@@ -36,16 +44,20 @@
     return [...this.known.values()].map(({ gate }) => gate);
   }
 
-  /** Takes a new host list: follows new gates and forgets those that are gone. */
+  /** Takes a new host list: follows the gates of this entry's share and lets go of the others. */
   update(hosts: readonly Host[]): void {
     const listed = new Map(
       hosts.filter((host) => host.role === 'gate').map((host) => [host.name, host]),
     );
-    listed.forEach((host) => {
-      this.add(host);
+    this.learnGroups();
+    const wanted = this.chooseWanted([...listed.values()]);
+    listed.forEach((host, name) => {
+      if (wanted.has(name) || this.known.has(name)) {
+        this.add(host, wanted.has(name));
+      }
     });
     [...this.known.entries()]
-      .filter(([name, { gate }]) => !listed.has(name) && !gate.isOpen)
+      .filter(([name, { gate }]) => isUnneeded(gate, listed.has(name), wanted.has(name)))
       .forEach(([name]) => {
         this.remove(name);
       });
@@ -70,16 +82,34 @@
     });
   }
 
-  private add(host: Host): void {
+  private learnGroups(): void {
+    this.known.forEach(({ gate }, name) => {
+      if (gate.targets.length > 0) {
+        this.groups.set(name, [...new Set(gate.targets.map((report) => report.group))]);
+      }
+    });
+  }
+
+  private chooseWanted(gates: readonly Host[]): ReadonlySet<string> {
+    const { entryName, linksPerGroup } = this.opts;
+    const live = gates.filter((host) => host.state === 'live');
+    const candidates = live.map(({ name }) => ({
+      gateName: name,
+      groups: this.groups.get(name) ?? [],
+    }));
+    return chooseLinks({ entryName, linksPerGroup, gates: candidates });
+  }
+
+  private add(host: Host, isWanted: boolean): void {
     const known = this.known.get(host.name);
     if (known && isSamePlace(known.gate.host, host)) {
-      known.listedLeaving = host.state === 'leaving';
+      known.takesWork = isWanted;
       return;
     }
     this.remove(host.name);
     const gate = GateLink.create({ host, timer: this.opts.timer });
     const stop = new AbortController();
-    this.known.set(host.name, { gate, stop, listedLeaving: host.state === 'leaving' });
+    this.known.set(host.name, { gate, stop, takesWork: isWanted });
     this.opts.tasks.start(() => this.opts.follow(gate, stop.signal));
   }
 
@@ -100,10 +130,15 @@
       reportAgeMs: gate.reportAgeMs,
       ownInFlight: gate.ownInFlight(report.name),
       sentSinceReport: gate.countSentSinceReport(report.name),
-      takesWork: !gate.isLeaving && !known.listedLeaving,
+      takesWork: !gate.isLeaving && known.takesWork,
     }));
 }
 
+/** A link that is open or has work is kept, whatever the list says. */
+function isUnneeded(gate: GateLink, isListed: boolean, isWanted: boolean): boolean {
+  return isListed ? !isWanted && gate.isIdle : !gate.isOpen;
+}
+
 function isSamePlace(left: Host, right: Host): boolean {
   return left.address === right.address && left.port === right.port;
 }
--- a/packages/entry/src/gateLink.ts
+++ b/packages/entry/src/gateLink.ts
@@ -55,6 +55,11 @@
     return this.link !== undefined;
   }
 
+  /** Whether no attempt runs behind the link. */
+  get isIdle(): boolean {
+    return this.attempts.size === 0;
+  }
+
   /** Whether the gate said that it takes no new work. */
   get isLeaving(): boolean {
     return this.leaving;
--- a/packages/entry/src/runEntry.ts
+++ b/packages/entry/src/runEntry.ts
@@ -52,6 +52,7 @@
   const entry = createEntry({
     ...opts,
     identity,
+    linksPerGroup: settings.linksPerGroup,
     openLink: (host) => openLink({ address: host.address, port: host.port, identity, keys, timer }),
   });
   const calls = TaskGroup.create({
--- a/packages/entry/test/decisions.feature
+++ b/packages/entry/test/decisions.feature
@@ -24,3 +24,6 @@
   Scenario: Work goes to the target with the shortest expected wait
     When the entry chooses between a full target at home and an idle one in another zone
     Then it chooses the idle one
+
+  Scenario: Links are spread by rendezvous hashing and few of them move
+    Then over random fleets each group keeps its links, and a lost gate moves no other link
--- a/packages/entry/test/decisions.steps.ts
+++ b/packages/entry/test/decisions.steps.ts
@@ -3,6 +3,7 @@
 import { Then, When } from '@cucumber/cucumber';
 import { indexRules } from '@galenatiller/configuration';
 import {
+  chooseLinks,
   chooseTarget,
   type ChooseTargetOptions,
   decideRetry,
@@ -143,6 +144,27 @@
   },
 );
 
+Then('over random fleets each group keeps its links, and a lost gate moves no other link', () => {
+  const gates = fc.uniqueArray(
+    fc.record({
+      gateName: fc.integer({ min: 0, max: 400 }).map((number) => `gate-${number}`),
+      groups: fc.constant(['drafter']),
+    }),
+    { minLength: 2, maxLength: 40, selector: ({ gateName }) => gateName },
+  );
+  fc.assert(
+    fc.property(gates, fc.integer({ min: 1, max: 8 }), fc.nat(), (fleet, linksPerGroup, lost) => {
+      const chosen = chooseLinks({ entryName: 'entry-1', gates: fleet, linksPerGroup });
+      assert.equal(chosen.size, Math.min(linksPerGroup, fleet.length));
+      const left = fleet.filter((_, index) => index !== lost % fleet.length);
+      const after = chooseLinks({ entryName: 'entry-1', gates: left, linksPerGroup });
+      const lostName = fleet[lost % fleet.length]?.gateName;
+      assert.ok([...chosen].every((name) => name === lostName || after.has(name)));
+    }),
+    RUNS,
+  );
+});
+
 function choose(opts: Partial<ChooseTargetOptions>): string {
   const rules = [{ kind: 'zone', name: 'east-b', state: 'out', askedBy } as const];
   return chooseTarget({
--- a/packages/gate/src/serveEntry.ts
+++ b/packages/gate/src/serveEntry.ts
@@ -3,6 +3,7 @@
 import type { AttemptId, StageOrder, StagePart, TargetReport } from '@galenatiller/types';
 
 import type { GateContext } from './gateContext.js';
+import { ReportTeller } from './reportTeller.js';
 import { runOrder } from './runOrder.js';
 
 /** Options of {@link serveEntry}. */
@@ -26,13 +27,22 @@
 export async function serveEntry(opts: ServeEntryOptions): Promise<void> {
   const { link, peer } = opts.proved;
   const session: Session = { ...opts, running: new Map() };
+  const reports = ReportTeller.create({
+    timer: opts.context.timer,
+    readFrame: () => ({
+      kind: 'targets',
+      reports: opts.readReports(),
+      leaving: opts.context.isLeaving(),
+    }),
+    send: (frame) => link.send(frame),
+  });
   const cancelReports = opts.context.timer.every({
     intervalMs: opts.reportIntervalMs,
-    notify: () => sendReports(session),
+    notify: () => reports.tell(),
   });
   opts.logger({ message: `Entry ${peer.nodeName} has opened a link.` });
   opts.exchange.opened(link);
-  sendReports(session);
+  reports.tell();
   opts.news.greeting().forEach((frame) => link.send(frame));
   try {
     for await (const frame of link.read()) {
@@ -48,10 +58,6 @@
   }
 }
 
-function sendReports({ proved, context, readReports }: Session): void {
-  proved.link.send({ kind: 'targets', reports: readReports(), leaving: context.isLeaving() });
-}
-
 function takeFrame(session: Session, frame: NodeFrame): void {
   const { context, proved } = session;
   switch (frame.kind) {
--- a/packages/settings/src/settingKeys.ts
+++ b/packages/settings/src/settingKeys.ts
@@ -128,7 +128,7 @@
     unit: 'links',
     min: 1,
     max: 256,
-    defaultText: '8',
+    defaultText: '32',
   }),
 } satisfies KeyTable;
 
