Record the ends of calls, send the metrics and show each target once

Driving a kept deployment with the command line showed: explain knew no end of a request, top counted every target once for each entry, and no metric was sent.

--- /dev/null
+++ b/packages/daemon/src/countCall.ts
@@ -0,0 +1,18 @@
+import type { EndedCall } from '@galenatiller/entry';
+import type { Metrics } from '@galenatiller/metrics';
+
+/** Counts a call that has ended. */
+export function countCall(metrics: Metrics, ended: EndedCall): void {
+  const { priority, error, lastedMs } = ended;
+  metrics.count({ name: 'request.accepted', tags: { priority } });
+  if (!error) {
+    metrics.count({ name: 'request.answered', tags: { priority } });
+    metrics.timing({ name: 'request.time', tags: { priority }, lastedMs });
+    return;
+  }
+  const { code, outcome } = error;
+  metrics.count({ name: 'request.refused', tags: { code, outcome } });
+  if (error.codeName === 'deadline-exceeded') {
+    metrics.count({ name: 'request.late', tags: { priority } });
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/createMetrics.ts
@@ -0,0 +1,12 @@
+import { Metrics } from '@galenatiller/metrics';
+import type { NodeSettings } from '@galenatiller/settings';
+
+/** Opens the metrics of a node as its settings say. */
+export function createMetrics(settings: NodeSettings): Metrics {
+  return Metrics.create({
+    address: settings.metricsAddress,
+    port: settings.metricsPort,
+    nodeName: settings.nodeName,
+    role: settings.role,
+  });
+}
--- a/packages/daemon/src/runEntryRole.ts
+++ b/packages/daemon/src/runEntryRole.ts
@@ -7,10 +7,14 @@
 } from '@galenatiller/entry';
 import type { NodeStatus, OperatorServer } from '@galenatiller/operator';
 import type { EntrySettings } from '@galenatiller/settings';
+import type { Cancel } from '@galenatiller/timer';
 
 import { connectPlatform, type Platform } from './connectPlatform.js';
+import { countCall } from './countCall.js';
+import { createMetrics } from './createMetrics.js';
 import { createTimeline } from './createTimeline.js';
 import type { RunRoleOptions } from './runDaemon.js';
+import { sendGauges } from './sendGauges.js';
 import { serveNodeOperators } from './serveNodeOperators.js';
 
 /** Runs an entry against the platform that its settings name. */
@@ -18,6 +22,8 @@
   const { settings } = opts;
   const timeline = createTimeline(opts);
   const platform = connectPlatform(opts);
+  const metrics = createMetrics(settings);
+  let cancelGauges: Cancel = () => {};
   const servers: Promise<OperatorServer>[] = [];
   try {
     await runEntry({
@@ -28,12 +34,16 @@
       followConfiguration: platform.followConfiguration,
       exchange: platform.exchange,
       followHosts: platform.followHosts,
+      onCallEnded: (ended) => countCall(metrics, ended),
       onListening: (listening) => {
         const readStatus = (): NodeStatus => describeEntry(listening, platform);
         servers.push(serveNodeOperators({ settings, timeline, readStatus }));
+        cancelGauges = sendGauges({ timer: opts.timer, metrics, timeline, readStatus });
       },
     });
   } finally {
+    cancelGauges();
+    await metrics.close();
     const open = await Promise.all(servers);
     await Promise.all(open.map((server) => server.stop()));
     await platform.close();
@@ -46,7 +56,8 @@
     ...identity,
     configurationRevision: entry.readConfiguration().revision,
     storeReachable: platform.isStoreReachable(),
-    targets: entry.directory.gates.flatMap((gate) => gate.targets),
+    // Targets are told by their own gates, once.
+    targets: [],
     links: entry.directory.gates.map((gate) => ({
       peerName: gate.host.name,
       state: gate.isOpen ? 'open' : 'opening',
--- a/packages/daemon/src/runGateRole.ts
+++ b/packages/daemon/src/runGateRole.ts
@@ -15,10 +15,13 @@
 import { runServiceCall } from '@galenatiller/service';
 import type { GateSettings } from '@galenatiller/settings';
 import { RunRecords } from '@galenatiller/store';
+import type { Cancel } from '@galenatiller/timer';
 
 import { connectPlatform, type Platform } from './connectPlatform.js';
+import { createMetrics } from './createMetrics.js';
 import { createTimeline } from './createTimeline.js';
 import type { RunRoleOptions } from './runDaemon.js';
+import { sendGauges } from './sendGauges.js';
 import { serveNodeOperators } from './serveNodeOperators.js';
 
 /** Time that a claim waits for others, so that one store call carries them all. */
@@ -32,6 +35,8 @@
   const { settings } = opts;
   const timeline = createTimeline(opts);
   const platform = connectPlatform(opts);
+  const metrics = createMetrics(settings);
+  let cancelGauges: Cancel = () => {};
   const servers: Promise<OperatorServer>[] = [];
   try {
     await runGate({
@@ -47,9 +52,12 @@
       onListening: (listening) => {
         const readStatus = (): NodeStatus => describeGate(listening, platform);
         servers.push(serveNodeOperators({ settings, timeline, readStatus }));
+        cancelGauges = sendGauges({ timer: opts.timer, metrics, timeline, readStatus });
       },
     });
   } finally {
+    cancelGauges();
+    await metrics.close();
     const open = await Promise.all(servers);
     await Promise.all(open.map((server) => server.stop()));
     await platform.close();
--- a/packages/entry/src/createEntry.ts
+++ b/packages/entry/src/createEntry.ts
@@ -25,7 +25,7 @@
 import { GateDirectory } from './gateDirectory.js';
 import type { EntryPolicy } from './policy.js';
 import { RetryBudget } from './retryBudget.js';
-import { runCall } from './runCall.js';
+import { type EndedCall, runCall } from './runCall.js';
 import { StageTimes } from './stageTimes.js';
 import { VersionMoves } from './versionMoves.js';
 
@@ -40,6 +40,8 @@
   readonly random: () => number;
   /** Records an event of the time line. */
   readonly record: (event: RecordOptions) => void;
+  /** Told of each call that has ended. */
+  readonly onCallEnded?: (ended: EndedCall) => void;
   readonly openLink: (host: Host) => Promise<Result<ProvedLink, GalenatillerError>>;
   /** Follows the configuration until the signal aborts. */
   readonly followConfiguration: (
--- a/packages/entry/src/index.ts
+++ b/packages/entry/src/index.ts
@@ -15,3 +15,4 @@
   type VersionMovesOptions,
 } from './versionMoves.js';
 export { type TrialRun, type TrialVerdict, VersionTrial } from './versionTrial.js';
+export type { EndedCall } from './runCall.js';
--- a/packages/entry/src/runCall.ts
+++ b/packages/entry/src/runCall.ts
@@ -3,7 +3,13 @@
 import type { CrashLedger } from '@galenatiller/engine';
 import type { RecordOptions } from '@galenatiller/timeline';
 import type { TimerService } from '@galenatiller/timer';
-import type { Configuration, RouteRule, StageRule } from '@galenatiller/types';
+import type {
+  Configuration,
+  Priority,
+  RouteRule,
+  StageRule,
+  TimelineEventKind,
+} from '@galenatiller/types';
 import { Result } from 'true-myth';
 
 import type { CallContext } from './callContext.js';
@@ -29,13 +35,52 @@
   readonly limiter: OrganisationLimiter;
   readonly random: () => number;
   readonly ownAvailabilityZone: string;
+  /** Told of each call that has ended. */
+  readonly onCallEnded?: (ended: EndedCall) => void;
 }
 
-/** Runs one call: walks the stages of its route under one deadline. */
+/** A call that has ended. */
+export interface EndedCall {
+  readonly priority: Priority;
+  readonly lastedMs: number;
+  /** Undefined when the call was answered whole. */
+  readonly error: GalenatillerError | undefined;
+}
+
+/** Runs one call and records how it ended. */
 export async function runCall(
   opts: RunCallOptions,
   call: Call,
   takePart: TakePart,
+): Promise<Result<CallAnswer, GalenatillerError>> {
+  const { requestId } = call;
+  const startedAtMs = opts.timer.nowMs();
+  const priority = opts.readConfiguration().routes.get(call.route)?.priority ?? 'interactive';
+  opts.record({ kind: 'request-accepted', requestId, subject: call.route });
+  const ended = await runOnRoute(opts, call, takePart);
+  const error = ended.isErr ? ended.error : undefined;
+  opts.record({
+    kind: endKind(error),
+    requestId,
+    subject: call.route,
+    detail: error ? `${error.outcome} ${error.message}` : '',
+  });
+  opts.onCallEnded?.({ priority, lastedMs: opts.timer.nowMs() - startedAtMs, error });
+  return ended;
+}
+
+function endKind(error: GalenatillerError | undefined): TimelineEventKind {
+  if (!error) {
+    return 'request-answered';
+  }
+  return error.codeName === 'cancelled' ? 'request-cancelled' : 'request-refused';
+}
+
+/** Walks the stages of the call's route under one deadline. */
+async function runOnRoute(
+  opts: RunCallOptions,
+  call: Call,
+  takePart: TakePart,
 ): Promise<Result<CallAnswer, GalenatillerError>> {
   const configuration = opts.readConfiguration();
   const route = configuration.routes.get(call.route);
--- a/packages/entry/src/runEntry.ts
+++ b/packages/entry/src/runEntry.ts
@@ -9,6 +9,7 @@
 
 import { createEntry, type CreateEntryOptions, type Entry } from './createEntry.js';
 import { OrganisationDirectory } from './organisationDirectory.js';
+import type { EndedCall } from './runCall.js';
 
 /** Options of {@link runEntry}. */
 export interface RunEntryOptions {
@@ -19,6 +20,7 @@
   readonly policy: CreateEntryOptions['policy'];
   readonly random: () => number;
   readonly record: CreateEntryOptions['record'];
+  readonly onCallEnded?: (ended: EndedCall) => void;
   readonly followConfiguration: CreateEntryOptions['followConfiguration'];
   readonly exchange: CreateEntryOptions['exchange'];
   readonly followHosts: CreateEntryOptions['followHosts'];
--- /dev/null
+++ b/scripts/capacityPage.mjs
@@ -0,0 +1,123 @@
+/** Works out docs/CAPACITY.md's table from measured slopes; `--write` puts it into the page. */
+import { readFileSync, writeFileSync } from 'node:fs';
+import { fileURLToPath } from 'node:url';
+
+const PAGE = 'docs/CAPACITY.md';
+const BEGIN = '<!-- computed by scripts/capacityPage.mjs -->';
+const END = '<!-- end of the computed part -->';
+const SECONDS_PER_DAY = 86_400;
+
+/** The size to design for. */
+const SIZE = {
+  entries: 40,
+  gates: 300,
+  targetsPerGate: 2,
+  models: 32,
+  requestsPerSecond: 2_500,
+  tokensPerSecond: 760_000,
+  organisations: 36_000,
+  changesPerDay: 500,
+  stagesPerRequest: 4,
+  linksPerGroup: 4,
+};
+
+/** Measured slopes; the page names the command of each. */
+const SLOPES = {
+  reportBaseBytes: 38,
+  reportBytesPerTarget: 129,
+  pongBytes: 29,
+  unchangedReportIntervalS: 5,
+  crashRecordBytes: 71,
+  configurationBytesPerChange: 6_410,
+  configurationMbAt36000: 12.6,
+  timelineBytesPerEvent: 202,
+  timelineUsPerEvent: 1.16,
+  timelineEvents: 20_000,
+  entryTokensPerCoreSecond: 20_055,
+  storeCallsPerClaim64Gates: 0.226,
+  watchReopenIntervalS: 5,
+};
+
+/** The computed part of the page. */
+export function renderCapacity() {
+  const figures = workOut();
+  const rows = [...gateRows(figures), ...entryRows(figures), ...sharedRows(), ...storeRows()];
+  const lines = rows.map((row) => `| ${row.join(' | ')} |`);
+  const head = '| role | what | at the planned size | unit and bound | mechanism |';
+  return [head, '| --- | --- | --- | --- | --- |', ...lines].join('\n');
+}
+
+function workOut() {
+  const gatesPerModel = SIZE.gates / SIZE.models;
+  const linkedShare = Math.min(1, SIZE.linksPerGroup / gatesPerModel);
+  const reportBytes = SLOPES.reportBaseBytes + SLOPES.reportBytesPerTarget * SIZE.targetsPerGate;
+  const requestsOfEntry = SIZE.requestsPerSecond / SIZE.entries;
+  return {
+    linksOfGate: SIZE.entries * linkedShare,
+    linksOfEntry: SIZE.gates * linkedShare,
+    linkBytes: reportBytes / SLOPES.unchangedReportIntervalS + SLOPES.pongBytes,
+    eventsOfEntry: requestsOfEntry * 2 * SIZE.stagesPerRequest,
+    tokensOfEntry: SIZE.tokensPerSecond / SIZE.entries,
+  };
+}
+
+function gateRows({ linksOfGate, linkBytes }) {
+  const mesh = SIZE.entries * linkBytes;
+  const news = 'reports on news, every 5 s at least';
+  return [
+    ['gate', 'links at links-per-group 4', round(linksOfGate), 'links', 'rendezvous hashing'],
+    ['gate', 'control sent on idle links', round(linksOfGate * linkBytes), 'B/s of 2,048', news],
+    [
+      'gate',
+      'the same as a full mesh',
+      round(mesh),
+      'B/s of 2,048',
+      'over: why links are a subset',
+    ],
+  ];
+}
+
+function entryRows({ linksOfEntry, eventsOfEntry, tokensOfEntry }) {
+  const pings = linksOfEntry * SLOPES.pongBytes;
+  const eventShare = (eventsOfEntry * SLOPES.timelineUsPerEvent) / 1e4;
+  const tokenShare = (100 * tokensOfEntry) / SLOPES.entryTokensPerCoreSecond;
+  return [
+    ['entry', 'links at links-per-group 4', round(linksOfEntry), 'links', 'rendezvous hashing'],
+    ['entry', 'pings sent', round(pings), 'B/s of 2,048', 'one a second and link: over'],
+    ['entry', 'time line CPU', eventShare.toFixed(3), '% of a core of 4.1', 'two events a stage'],
+    ['entry', 'tokens passed on', round(tokensOfEntry), 'tokens/s', 'parts of a turn in one chunk'],
+    ['entry', 'CPU for them', tokenShare.toFixed(0), '% of a core', 'data path, not control'],
+  ];
+}
+
+function sharedRows() {
+  const changeBytes = (SLOPES.configurationBytesPerChange * SIZE.changesPerDay) / SECONDS_PER_DAY;
+  const timelineMb = (SLOPES.timelineEvents * SLOPES.timelineBytesPerEvent) / 1e6;
+  const configurationMb = round(SLOPES.configurationMbAt36000);
+  return [
+    ['both', 'configuration received', round(changeBytes), 'B/s', 'deltas in the head'],
+    ['both', 'configuration in memory', configurationMb, 'MB of 128', 'one index of the rules'],
+    ['both', 'time line in memory', round(timelineMb), 'MB of 128', 'ring of fixed size'],
+  ];
+}
+
+function storeRows() {
+  const watches = (SIZE.entries + SIZE.gates) / SLOPES.watchReopenIntervalS;
+  const claims = round(SIZE.requestsPerSecond * SLOPES.storeCallsPerClaim64Gates);
+  const many = 'calls/s of several hundred';
+  return [
+    ['store', 'watches reopened', round(watches), 'calls/s of 2,000', 'one watch a node'],
+    ['store', 'claims, 10 % at most once, 64 gates', claims, many, 'grouped claims: over'],
+  ];
+}
+
+function round(value) {
+  return String(Math.round(value));
+}
+
+if (process.argv[1] === fileURLToPath(import.meta.url) && process.argv.includes('--write')) {
+  const page = readFileSync(PAGE, 'utf8');
+  const [before, rest] = page.split(BEGIN);
+  const [, after] = rest.split(END);
+  writeFileSync(PAGE, `${before}${BEGIN}\n\n${renderCapacity()}\n\n${END}${after}`);
+}
