--- a/packages/daemon/src/runEntryRole.ts
+++ b/packages/daemon/src/runEntryRole.ts
@@ -5,47 +5,35 @@
   runEntry,
   standardPolicy,
 } from '@galenatiller/entry';
-import type { NodeStatus, OperatorServer } from '@galenatiller/operator';
+import type { NodeStatus } from '@galenatiller/operator';
 import type { EntrySettings } from '@galenatiller/settings';
-import type { Cancel } from '@galenatiller/timer';
 
 import { connectPlatform, type Platform } from './connectPlatform.js';
 import { countCall } from './countCall.js';
-import { createMetrics } from './createMetrics.js';
-import { createTimeline } from './createTimeline.js';
+import { NodeObserver } from './nodeObserver.js';
 import type { RunRoleOptions } from './runDaemon.js';
-import { sendGauges } from './sendGauges.js';
-import { serveNodeOperators } from './serveNodeOperators.js';
 
 /** Runs an entry against the platform that its settings name. */
 export async function runEntryRole(opts: RunRoleOptions<EntrySettings>): Promise<void> {
   const { settings } = opts;
-  const timeline = createTimeline(opts);
+  const observer = NodeObserver.create(opts);
   const platform = connectPlatform(opts);
-  const metrics = createMetrics(settings);
-  let cancelGauges: Cancel = () => {};
-  const servers: Promise<OperatorServer>[] = [];
   try {
     await runEntry({
       ...opts,
       policy: settings.policy === 'naive' ? naivePolicy : standardPolicy,
       random: Math.random,
-      record: (event) => timeline.record(event),
+      record: (event) => observer.timeline.record(event),
       followConfiguration: platform.followConfiguration,
       exchange: platform.exchange,
       followHosts: platform.followHosts,
-      onCallEnded: (ended) => countCall(metrics, ended),
+      onCallEnded: (ended) => countCall(observer.metrics, ended),
       onListening: (listening) => {
-        const readStatus = (): NodeStatus => describeEntry(listening, platform);
-        servers.push(serveNodeOperators({ settings, timeline, readStatus }));
-        cancelGauges = sendGauges({ timer: opts.timer, metrics, timeline, readStatus });
+        observer.watch(() => describeEntry(listening, platform));
       },
     });
   } finally {
-    cancelGauges();
-    await metrics.close();
-    const open = await Promise.all(servers);
-    await Promise.all(open.map((server) => server.stop()));
+    await observer.close();
     await platform.close();
   }
 }
--- a/packages/daemon/src/runGateRole.ts
+++ b/packages/daemon/src/runGateRole.ts
@@ -10,19 +10,15 @@
   type WatchTargetOptions,
 } from '@galenatiller/gate';
 import { probeIdentity } from '@galenatiller/http';
-import type { NodeStatus, OperatorServer } from '@galenatiller/operator';
+import type { NodeStatus } from '@galenatiller/operator';
 import { runPoolStage } from '@galenatiller/pool';
 import { runServiceCall } from '@galenatiller/service';
 import type { GateSettings } from '@galenatiller/settings';
 import { RunRecords } from '@galenatiller/store';
-import type { Cancel } from '@galenatiller/timer';
 
 import { connectPlatform, type Platform } from './connectPlatform.js';
-import { createMetrics } from './createMetrics.js';
-import { createTimeline } from './createTimeline.js';
+import { NodeObserver } from './nodeObserver.js';
 import type { RunRoleOptions } from './runDaemon.js';
-import { sendGauges } from './sendGauges.js';
-import { serveNodeOperators } from './serveNodeOperators.js';
 
 /** Time that a claim waits for others, so that one store call carries them all. */
 const RUN_RECORD_WINDOW_MS = 4;
@@ -33,33 +29,25 @@
 /** Runs a gate against the platform and the targets that its settings name. */
 export async function runGateRole(opts: RunRoleOptions<GateSettings>): Promise<void> {
   const { settings } = opts;
-  const timeline = createTimeline(opts);
+  const observer = NodeObserver.create(opts);
   const platform = connectPlatform(opts);
-  const metrics = createMetrics(settings);
-  let cancelGauges: Cancel = () => {};
-  const servers: Promise<OperatorServer>[] = [];
   try {
     await runGate({
       ...opts,
       policy: settings.policy === 'naive' ? naivePolicy : standardPolicy,
       probeTarget: probeIdentity,
       watchTarget: (watch) => watchTarget(opts, watch),
-      record: (event) => timeline.record(event),
+      record: (event) => observer.timeline.record(event),
       runners: { engine: runGeneration, pool: runPoolStage, service: runServiceCall },
       runRecords: createStoreRunRecords({ records: createRecords(opts, platform) }),
       followConfiguration: platform.followConfiguration,
       exchange: platform.exchange,
       onListening: (listening) => {
-        const readStatus = (): NodeStatus => describeGate(listening, platform);
-        servers.push(serveNodeOperators({ settings, timeline, readStatus }));
-        cancelGauges = sendGauges({ timer: opts.timer, metrics, timeline, readStatus });
+        observer.watch(() => describeGate(listening, platform));
       },
     });
   } finally {
-    cancelGauges();
-    await metrics.close();
-    const open = await Promise.all(servers);
-    await Promise.all(open.map((server) => server.stop()));
+    await observer.close();
     await platform.close();
   }
 }
