Find the nearest name in one place

The edit distance stood in settings and in operator; it now stands with the errors whose hints it serves.

--- a/packages/cli/src/setZone.ts
+++ b/packages/cli/src/setZone.ts
@@ -1,5 +1,4 @@
-import { GalenatillerError } from '@galenatiller/error';
-import { nearestName } from '@galenatiller/operator';
+import { GalenatillerError, nearestName } from '@galenatiller/error';
 import { Result } from 'true-myth';
 
 import { type CommandFailure, fail } from './commandFailure.js';
--- a/packages/operator/src/checkRules.ts
+++ b/packages/operator/src/checkRules.ts
@@ -1,7 +1,7 @@
 import type { IToken } from 'chevrotain';
 import type { Rule, RuleKind, StageKind } from '@galenatiller/types';
 
-import { nearestName } from './nearestName.js';
+import { nearestName } from '@galenatiller/error';
 import type { RuleSyntax } from './ruleLineParser.js';
 import type { LocalProblem } from './ruleProblem.js';
 import { startOf } from './ruleTokens.js';
--- a/packages/operator/src/index.ts
+++ b/packages/operator/src/index.ts
@@ -11,6 +11,5 @@
   type ServeOperatorsOptions,
 } from './serveOperators.js';
 export { durationForm, formatInstant, formatShare, type ValueForm } from './ruleValues.js';
-export { nearestName, type NearestNameOptions } from './nearestName.js';
 export { ruleKey } from './ruleKey.js';
 export { sortRules } from './sortRules.js';
--- a/packages/operator/src/itemReader.ts
+++ b/packages/operator/src/itemReader.ts
@@ -1,7 +1,7 @@
 import type { IToken } from 'chevrotain';
 import type { Maybe } from 'true-myth';
 
-import { nearestName } from './nearestName.js';
+import { nearestName } from '@galenatiller/error';
 import type { ItemSyntax, RuleSyntax } from './ruleLineParser.js';
 import type { LocalProblem, TextPosition } from './ruleProblem.js';
 import { endOf, startOf } from './ruleTokens.js';
--- a/packages/operator/src/parseRules.ts
+++ b/packages/operator/src/parseRules.ts
@@ -5,8 +5,8 @@
 import { sortBy } from 'fp-ts/lib/ReadonlyArray.js';
 import { Result } from 'true-myth';
 
+import { nearestName } from '@galenatiller/error';
 import { checkRules, type RuleLine } from './checkRules.js';
-import { nearestName } from './nearestName.js';
 import { readRule } from './readRule.js';
 import { RuleLineParser } from './ruleLineParser.js';
 import type { LocalProblem, RuleProblem } from './ruleProblem.js';
--- a/packages/settings/src/findUnknown.ts
+++ b/packages/settings/src/findUnknown.ts
@@ -1,6 +1,6 @@
 import type { NodeRole } from '@galenatiller/types';
 
-import { nearestName } from './nearestName.js';
+import { nearestName } from '@galenatiller/error';
 import type { SettingsEntry } from './parseEntries.js';
 import type { KeyTable } from './settingKey.js';
 import { COMMON_KEYS, ENTRY_KEYS, TARGET_KEYS, TARGET_SECTION_PREFIX } from './settingKeys.js';
@@ -40,7 +40,7 @@
     key: '',
     found: entry.section ? 'an unknown section' : 'a key before the first section',
     expected: `a section of the role ${opts.role}: ${known.join(', ')}`,
-    nearest: nearestName({ name: entry.section, known }),
+    nearest: nearestName({ found: entry.section, names: known }),
   };
 }
 
@@ -56,7 +56,7 @@
     key: showText(entry.key),
     found: 'an unknown key',
     expected: `one of ${known.join(', ')}`,
-    nearest: nearestName({ name: entry.key, known }),
+    nearest: nearestName({ found: entry.key, names: known }),
   };
 }
 
