End the link of an entry that has gone silent

Cause: a gate kept the link, and streamed into the buffer, of an entry that was paused or cut off without a word; `drained` was never called. Change: five seconds without a frame, five missed pings, end the link; the unused method is gone.

--- a/features/support/fleet/memoryLink.ts
+++ b/features/support/fleet/memoryLink.ts
@@ -63,7 +63,6 @@
         to.after({ delayMs: arrivesAtMs - to.nowMs(), notify });
         return true;
       },
-      drained: () => Promise.resolve(),
       close: cut,
       end: cut,
     };
--- a/packages/gate/src/serveEntry.ts
+++ b/packages/gate/src/serveEntry.ts
@@ -23,6 +23,9 @@
   readonly running: Map<string, AbortController>;
 }
 
+/** An entry pings every second; one that has been silent for so long is gone or paused. */
+const SILENCE_LIMIT_MS = 5_000;
+
 /** Serves the link from one entry: reads its frames to the end, one task for each order. */
 export async function serveEntry(opts: ServeEntryOptions): Promise<void> {
   const { link, peer } = opts.proved;
@@ -36,9 +39,15 @@
     }),
     send: (frame) => link.send(frame),
   });
+  let heardAtMs = opts.context.timer.nowMs();
   const cancelReports = opts.context.timer.every({
     intervalMs: opts.reportIntervalMs,
-    notify: () => reports.tell(),
+    notify: () => {
+      if (opts.context.timer.nowMs() - heardAtMs > SILENCE_LIMIT_MS) {
+        link.close();
+      }
+      reports.tell();
+    },
   });
   opts.logger({ message: `Entry ${peer.nodeName} has opened a link.` });
   opts.exchange.opened(link);
@@ -46,6 +55,7 @@
   opts.news.greeting().forEach((frame) => link.send(frame));
   try {
     for await (const frame of link.read()) {
+      heardAtMs = opts.context.timer.nowMs();
       takeFrame(session, frame);
     }
   } finally {
--- a/packages/node/src/link.ts
+++ b/packages/node/src/link.ts
@@ -1,4 +1,3 @@
-import { once } from 'node:events';
 import type { Duplex } from 'node:stream';
 
 import type { GalenatillerError } from '@galenatiller/error';
@@ -6,9 +5,6 @@
 import type { NodeFrame } from './frames.js';
 import { encodeFrame, FrameDecoder } from './wireFrame.js';
 
-/** Unsent bytes above which a sender of streamed text waits. */
-const SEND_BUFFER_BYTES = 262_144;
-
 /** Frames in both directions between two nodes. */
 export interface Link {
   /** Takes the next frame; undefined when the link has ended. Throws GalenatillerError when the stream is lost. */
@@ -17,8 +13,6 @@
   readonly read: () => AsyncGenerator<NodeFrame, void, void>;
   /** Sends a frame; false when it could not be sent and so never reaches the peer. */
   readonly send: (frame: NodeFrame) => boolean;
-  /** Waits until a slow peer has taken most of what was sent. */
-  readonly drained: () => Promise<void>;
   /** Ends the link at once. */
   readonly close: () => void;
   /** Sends what is left, then ends the link. */
@@ -67,14 +61,6 @@
     return true;
   }
 
-  /** Waits until a slow peer has taken most of what was sent. */
-  async drained(): Promise<void> {
-    if (this.socket.writableLength <= SEND_BUFFER_BYTES || this.socket.destroyed) {
-      return;
-    }
-    await Promise.race([once(this.socket, 'drain'), once(this.socket, 'close')]).catch(() => {});
-  }
-
   /** Ends the link at once. */
   close(): void {
     this.socket.destroy();
