--- a/packages/caller/src/wire.ts
+++ b/packages/caller/src/wire.ts
@@ -3,7 +3,7 @@
 import type { IncomingHttpHeaders, OutgoingHttpHeaders } from 'node:http';
 
 import { MAX_BODY_BYTES, MAX_DEADLINE_MS } from '@galenatiller/constants';
-import { findResultCode, GalenatillerError } from '@galenatiller/error';
+import { GalenatillerError, problemOf } from '@galenatiller/error';
 import type { StagePart } from '@galenatiller/types';
 import { Result } from 'true-myth';
 import { z } from 'zod';
@@ -121,19 +121,8 @@
 
 /** Encodes a refusal as problem+json (RFC 9457). */
 export function encodeProblem(requestId: string, error: GalenatillerError): string {
-  const row = findResultCode(error.codeName);
-  return JSON.stringify({
-    type: `urn:galenatiller:result:${error.code}`,
-    title: row.meaning,
-    status: row.httpStatus,
-    detail: error.detail,
-    code: error.code,
-    name: error.codeName,
-    outcome: error.outcome,
-    hint: error.hint,
-    requestId,
-    retryAfterMs: error.retryAfterMs,
-  });
+  const { retryAfterMs } = error;
+  return JSON.stringify({ ...problemOf(error), requestId, retryAfterMs });
 }
 
 /** Headers of a refusal. */
--- a/packages/error/src/index.ts
+++ b/packages/error/src/index.ts
@@ -4,3 +4,4 @@
 export type { ResultCodeRow } from './resultCodeRow.js';
 export { RESULT_CODES, type ResultCodeName } from './resultCodes.js';
 export { nearestName, type NearestNameOptions } from './nearestName.js';
+export { type Problem, problemOf } from './problemOf.js';
--- a/packages/operator/src/wire.ts
+++ b/packages/operator/src/wire.ts
@@ -1,7 +1,7 @@
 /** Encoding of operators' requests to a node and of its replies: paths, JSON and problem+json. */
 import type { IncomingHttpHeaders } from 'node:http';
 
-import { findResultCode, GalenatillerError, type ResultCodeName } from '@galenatiller/error';
+import { GalenatillerError, problemOf, type ResultCodeName } from '@galenatiller/error';
 import { Result } from 'true-myth';
 import type { z } from 'zod';
 
@@ -77,17 +77,7 @@
 
 /** Writes a refusal as problem+json. */
 export function encodeProblem(error: GalenatillerError): string {
-  const row = findResultCode(error.codeName);
-  return JSON.stringify({
-    type: `urn:galenatiller:result:${error.code}`,
-    title: row.meaning,
-    status: row.httpStatus,
-    detail: error.detail,
-    code: error.code,
-    name: error.codeName,
-    outcome: error.outcome,
-    hint: error.hint,
-  });
+  return JSON.stringify(problemOf(error));
 }
 
 /** Reads a refusal. */
