--- a/packages/types/src/index.ts
+++ b/packages/types/src/index.ts
@@ -1,8 +1,10 @@
 /** Shared data types: string unions and records without behaviour. */
 export type * from './configuration.js';
+export type * from './deployment.js';
 export type * from './host.js';
 export type * from './json.js';
 export type * from './outcome.js';
+export type * from './routedCall.js';
 export type * from './stage.js';
 export type * from './target.js';
 export type * from './timelineEvent.js';
