--- a/.dependency-cruiser.cjs
+++ b/.dependency-cruiser.cjs
@@ -5,7 +5,7 @@
       name: 'one-door',
       comment: 'A package is entered by its src/index.ts only, never by a deep path.',
       severity: 'error',
-      from: { path: '^(packages/[^/]+|fakes|bench)/' },
+      from: { path: '^(packages/[^/]+|platform|fakes|bench)/' },
       to: {
         path: '^(packages/[^/]+|fakes)/(src|dist)/',
         pathNot: ['^$1/', '/(src|dist)/index\\.'],
@@ -37,6 +37,13 @@
       from: { path: '^packages/[^/]+/src/' },
       to: { path: '^(node:)?(child_process|worker_threads|cluster)$' },
     },
+    {
+      name: 'product-knows-no-platform',
+      comment: 'The adapter uses the product, never the other way round.',
+      severity: 'error',
+      from: { path: '^packages/' },
+      to: { path: '^platform/' },
+    },
     {
       name: 'no-circle',
       severity: 'error',
--- a/eslint.config.js
+++ b/eslint.config.js
@@ -2,8 +2,16 @@
 
 const TEST_FILES = ['**/test/**/*.ts', 'features/**/*.ts'];
 
+/** Headers, calls and keys that only the adapter may spell. */
+const PLATFORM_NAMES = [
+  '^x-(server|not-executed|expect-|prefix-|token-|piece|inputs|tenant|timeout-ms|instance|cold-ms|request-urgency)',
+  '^kv-(from|fetch)',
+  '^\\/-\\/(kv|stage|report|readyz)',
+  '^(servers|op|status)\\/',
+].join('|');
+
 export default [
-  { ignores: ['**/dist/**', '**/node_modules/**', '.run/**'] },
+  { ignores: ['**/dist/**', '**/node_modules/**', '.run/**', 'target/**', 'journal/**'] },
   plugins.stylistic,
   plugins.importX,
   plugins.node,
@@ -69,6 +77,7 @@
         projectService: false,
         project: [
           'packages/*/tsconfig.json',
+          'platform/tsconfig.json',
           'fakes/tsconfig.json',
           'bench/tsconfig.json',
           'tsconfig.tests.json',
@@ -83,6 +92,26 @@
       ],
     },
   },
+  {
+    // Names of the users' platform stay inside platform/.
+    files: ['packages/*/src/**/*.ts'],
+    rules: {
+      'no-restricted-syntax': [
+        'error',
+        { selector: 'ForInStatement', message: 'Use for…of.' },
+        { selector: 'TSEnumDeclaration', message: 'Use a string union.' },
+        { selector: 'WithStatement', message: 'Not allowed.' },
+        {
+          selector: `Literal[value=/${PLATFORM_NAMES}/i]`,
+          message: 'A name of the platform: translate it in platform/.',
+        },
+        {
+          selector: `TemplateElement[value.raw=/${PLATFORM_NAMES}/i]`,
+          message: 'A name of the platform: translate it in platform/.',
+        },
+      ],
+    },
+  },
   {
     files: ['**/*.mjs', '**/*.cjs', 'eslint.config.js', 'cucumber.js'],
     rules: {
--- /dev/null
+++ b/packages/http/src/connectFailure.ts
@@ -0,0 +1,2 @@
+/** The connection was never opened, so nothing was sent. */
+export class ConnectFailure extends Error {}
--- a/packages/http/src/index.ts
+++ b/packages/http/src/index.ts
@@ -6,3 +6,10 @@
 export { readStatus } from './readStatus.js';
 export { transportError, type TransportErrorOptions } from './transportError.js';
 export { decodeJson, type DecodeJsonOptions } from './wire.js';
+export {
+  type TargetAnswer,
+  TargetConnections,
+  type TargetConnectionsOptions,
+  type TargetFailure,
+  type TargetRequest,
+} from './targetConnections.js';
--- /dev/null
+++ b/packages/http/src/targetConnections.ts
@@ -0,0 +1,265 @@
+import { connect, type Socket } from 'node:net';
+
+import type { Cancel, TimerService } from '@galenatiller/timer';
+import { type buildConnector, Client } from 'undici';
+
+import { ConnectFailure } from './connectFailure.js';
+
+/** A request as it is written to a target. */
+export interface TargetRequest {
+  /** IP:PORT of the target. */
+  readonly address: string;
+  readonly method: string;
+  readonly path: string;
+  /** Names and values in turn, in the order in which they are written. */
+  readonly headers: readonly string[];
+  readonly body: Buffer | undefined;
+  /** Its abort ends the exchange and its connection. */
+  readonly signal: AbortSignal;
+}
+
+/** An answer whose body is still to be read; reading throws when the body breaks off. */
+export interface TargetAnswer {
+  readonly kind: 'answered';
+  readonly status: number;
+  /** The value of a header, or an empty string; names are in lower case. */
+  readonly header: (name: string) => string;
+  readonly headers: Readonly<Record<string, string | readonly string[]>>;
+  readonly body: AsyncIterable<Buffer>;
+  /** Closes the connection of the answer, so that nothing that follows on it is read. */
+  readonly discard: () => void;
+}
+
+/** `unsent` proves that the target never saw the request; after `broken` it may have run. */
+export interface TargetFailure {
+  readonly kind: 'unsent' | 'broken';
+  readonly detail: string;
+}
+
+/** Options of {@link TargetConnections.create}. */
+export interface TargetConnectionsOptions {
+  readonly timer: TimerService;
+  /** Longest time for opening a connection. */
+  readonly connectLimitMs: number;
+  /** Told of each new connection. */
+  readonly onOpened: (address: string) => void;
+}
+
+interface Connection {
+  readonly client: Client;
+  /** Whether the socket of the last exchange ended by an error. */
+  readonly socketFailed: () => boolean;
+}
+
+/** Idle time after which a connection is not used again when the target did not name a time. */
+const IDLE_DEFAULT_MS = 4_000;
+
+/** Taken off the idle time that a target names: its close may be on the way. */
+const IDLE_MARGIN_MS = 1_000;
+
+/** Idle connections of one target beyond this are closed. */
+const IDLE_MOST = 8;
+
+/** Probes of the kernel find a silent peer of an idle connection after this time. */
+const KEEP_ALIVE_PROBE_MS = 1_000;
+
+/** Connections to targets, kept open between requests; one request at a time on each. */
+export class TargetConnections {
+  private readonly idle = new Map<string, Connection[]>();
+
+  private readonly open = new Map<string, number>();
+
+  private constructor(private readonly opts: TargetConnectionsOptions) {}
+
+  /** Makes an empty set of connections. */
+  static create(opts: TargetConnectionsOptions): TargetConnections {
+    return new TargetConnections(opts);
+  }
+
+  /** Exchanges in progress with a target. */
+  inUse(address: string): number {
+    return this.open.get(address) ?? 0;
+  }
+
+  /** Closes the idle connections of a target. */
+  forget(address: string): void {
+    (this.idle.get(address) ?? []).forEach(close);
+    this.idle.delete(address);
+  }
+
+  /** Closes every idle connection. */
+  closeAll(): void {
+    [...this.idle.keys()].forEach((address) => this.forget(address));
+  }
+
+  /** Sends a request and waits for the head of the answer. */
+  async exchange(request: TargetRequest): Promise<TargetAnswer | TargetFailure> {
+    if (request.signal.aborted) {
+      return { kind: 'unsent', detail: 'given up before it was sent' };
+    }
+    const connection = this.take(request.address);
+    try {
+      const { statusCode, headers, body } = await connection.client.request({
+        method: request.method,
+        path: request.path,
+        headers: [...request.headers],
+        body: request.body ?? null,
+        signal: request.signal,
+        // The signal carries the deadline.
+        headersTimeout: 0,
+        bodyTimeout: 0,
+      });
+      const named = namedHeaders(headers);
+      const isFramed = 'content-length' in named || 'transfer-encoding' in named;
+      const mayStay = isFramed && String(named.connection ?? '').toLowerCase() !== 'close';
+      return {
+        kind: 'answered',
+        status: statusCode,
+        headers: named,
+        header: (name) => textOf(named[name]),
+        body: this.readBody({ request, connection, body, isFramed, mayStay }),
+        discard: () => {
+          body.on('error', ignoreAbort);
+          body.destroy();
+          this.drop(request.address, connection);
+        },
+      };
+    } catch (cause) {
+      this.drop(request.address, connection);
+      const detail = cause instanceof Error ? cause.message : 'the exchange failed';
+      return { kind: cause instanceof ConnectFailure ? 'unsent' : 'broken', detail };
+    }
+  }
+
+  private async *readBody(opts: {
+    readonly request: TargetRequest;
+    readonly connection: Connection;
+    readonly body: AsyncIterable<Buffer>;
+    readonly isFramed: boolean;
+    readonly mayStay: boolean;
+  }): AsyncGenerator<Buffer, void, void> {
+    const { request, connection } = opts;
+    let whole = false;
+    try {
+      yield* opts.body;
+      // The client takes a reset for the end of a body without length.
+      if (!opts.isFramed && connection.socketFailed()) {
+        throw new Error('the connection was reset in a body without length');
+      }
+      whole = true;
+    } finally {
+      if (whole && opts.mayStay) {
+        this.keep(request.address, connection);
+      } else {
+        this.drop(request.address, connection);
+      }
+    }
+  }
+
+  private take(address: string): Connection {
+    this.open.set(address, this.inUse(address) + 1);
+    const kept = this.idle.get(address) ?? [];
+    const connection = kept.pop();
+    return connection ?? this.connect(address);
+  }
+
+  private keep(address: string, connection: Connection): void {
+    this.release(address);
+    const kept = this.idle.get(address) ?? [];
+    kept.push(connection);
+    if (kept.length > IDLE_MOST) {
+      kept.splice(0, 1).forEach(close);
+    }
+    this.idle.set(address, kept);
+  }
+
+  private drop(address: string, connection: Connection): void {
+    if (connection.client.destroyed) {
+      return;
+    }
+    close(connection);
+    this.release(address);
+  }
+
+  private release(address: string): void {
+    const left = this.inUse(address) - 1;
+    if (left > 0) {
+      this.open.set(address, left);
+    } else {
+      this.open.delete(address);
+    }
+  }
+
+  private connect(address: string): Connection {
+    let socketFailed = false;
+    const client = new Client(`http://${address}`, {
+      pipelining: 1,
+      keepAliveTimeout: IDLE_DEFAULT_MS,
+      keepAliveTimeoutThreshold: IDLE_MARGIN_MS,
+      connect: (_options, callback) => {
+        socketFailed = false;
+        const onFailed = (): void => {
+          socketFailed = true;
+        };
+        this.openSocket({ address, callback, onFailed });
+      },
+    });
+    return { client, socketFailed: () => socketFailed };
+  }
+
+  private openSocket(opts: {
+    readonly address: string;
+    readonly callback: buildConnector.Callback;
+    readonly onFailed: () => void;
+  }): void {
+    const { callback } = opts;
+    const { connectLimitMs } = this.opts;
+    const [host = '', port = ''] = opts.address.split(':');
+    const socket: Socket = connect({
+      host,
+      port: Number(port),
+      noDelay: true,
+      keepAlive: true,
+      keepAliveInitialDelay: KEEP_ALIVE_PROBE_MS,
+    });
+    const cancelLimit: Cancel = this.opts.timer.after({
+      delayMs: connectLimitMs,
+      notify: () => {
+        socket.destroy(new Error(`no connection within ${connectLimitMs} ms`));
+      },
+    });
+    const onConnectError = (error: Error): void => {
+      cancelLimit();
+      callback(new ConnectFailure(error.message), null);
+    };
+    socket.once('error', onConnectError);
+    socket.once('connect', () => {
+      cancelLimit();
+      socket.off('error', onConnectError);
+      socket.on('error', opts.onFailed);
+      this.opts.onOpened(opts.address);
+      callback(null, socket);
+    });
+  }
+}
+
+function close(connection: Connection): void {
+  connection.client.destroy().catch(ignoreAbort);
+}
+
+/** Destroying a client or a body fails what still waits on it; those have their own handlers. */
+function ignoreAbort(): void {}
+
+function namedHeaders(
+  headers: Readonly<Record<string, string | string[] | undefined>>,
+): Record<string, string | readonly string[]> {
+  return Object.fromEntries(
+    Object.entries(headers).filter(
+      (pair): pair is [string, string | string[]] => pair[1] !== undefined,
+    ),
+  );
+}
+
+function textOf(value: string | readonly string[] | undefined): string {
+  return typeof value === 'string' ? value : (value ?? []).join(', ');
+}
--- a/packages/logger/src/index.ts
+++ b/packages/logger/src/index.ts
@@ -1,2 +1,9 @@
 /** Loggers with a fixed prefix for each part. */
 export { createLogger, type LogOptions, type LogPart, type Logger } from './createLogger.js';
+export {
+  createEventLog,
+  type EventLog,
+  type EventLogOptions,
+  type EventValue,
+  type LoggedEvent,
+} from './createEventLog.js';
--- a/packages/pool/src/index.ts
+++ b/packages/pool/src/index.ts
@@ -1,2 +1,19 @@
 /** Talks to encoder, retriever and reranker pools. */
+export { comparePieces } from './comparePieces.js';
+export { SeenHandles } from './seenHandles.js';
+export { makerOf, ResultRoom, type ResultRoomOptions } from './resultRoom.js';
 export { runPoolStage, type RunPoolStageOptions } from './runPoolStage.js';
+export {
+  type BatchAnswer,
+  type BatchEvent,
+  type RunPieces,
+  serveStageTarget,
+  type ServeStageTargetOptions,
+} from './serveStageTarget.js';
+export {
+  type ComparePieces,
+  StageQueue,
+  type StageQueueOptions,
+  type WaitingPiece,
+} from './stageQueue.js';
+export { TargetSpeed } from './targetSpeed.js';
--- /dev/null
+++ b/packages/pool/src/resultRoom.ts
@@ -0,0 +1,109 @@
+import type { TimerService } from '@galenatiller/timer';
+import type { BatchLimits } from '@galenatiller/types';
+
+/** Options of {@link ResultRoom.create}. */
+export interface ResultRoomOptions {
+  readonly timer: TimerService;
+  /** Share of a worker's room that this node may use. */
+  readonly share: () => number;
+  /** Tells the maker that results are not needed any more. */
+  readonly freeResults: (opts: {
+    readonly address: string;
+    readonly handles: readonly string[];
+  }) => Promise<void>;
+  readonly onRoom: () => void;
+}
+
+interface HeldResult {
+  readonly bytes: number;
+  readonly expiresAtMs: number;
+}
+
+/** Results that are given up within this time are freed by one call. */
+const GATHER_MS = 40;
+
+/** Counts the results that lie at stage workers, and frees them when they are not needed. */
+export class ResultRoom {
+  private readonly held = new Map<string, HeldResult>();
+
+  private readonly reservedBytes = new Map<string, number>();
+
+  private readonly toFree = new Map<string, string[]>();
+
+  private constructor(private readonly opts: ResultRoomOptions) {}
+
+  /** Makes a count without results. */
+  static create(opts: ResultRoomOptions): ResultRoom {
+    return new ResultRoom(opts);
+  }
+
+  /** Bytes of results that a worker still has room for. */
+  freeBytes(address: string, limits: BatchLimits): number {
+    const nowMs = this.opts.timer.nowMs();
+    let bytes = this.reservedBytes.get(address) ?? 0;
+    this.held.forEach((result, handle) => {
+      if (result.expiresAtMs <= nowMs) {
+        this.held.delete(handle);
+      } else if (makerOf(handle) === address) {
+        bytes += result.bytes;
+      }
+    });
+    const shareBytes = limits.resultRoomBytes * this.opts.share();
+    // A worker that holds nothing of this node always takes one result more.
+    return bytes === 0 ? limits.resultRoomBytes : shareBytes - bytes;
+  }
+
+  /** Counts the results of a call that is on its way. */
+  reserve(address: string, bytes: number): void {
+    this.reservedBytes.set(address, (this.reservedBytes.get(address) ?? 0) + bytes);
+  }
+
+  /** Ends a reservation. */
+  release(address: string, bytes: number): void {
+    this.reservedBytes.set(address, (this.reservedBytes.get(address) ?? 0) - bytes);
+    this.opts.onRoom();
+  }
+
+  /** Counts a result that was made. */
+  hold(opts: {
+    readonly handle: string;
+    readonly bytes: number;
+    readonly limits: BatchLimits;
+  }): void {
+    const { handle, bytes, limits } = opts;
+    const expiresAtMs = this.opts.timer.nowMs() + limits.resultTtlMs;
+    this.held.set(handle, { bytes, expiresAtMs });
+  }
+
+  /** Frees results that nobody needs any more. */
+  giveUp(handles: readonly string[]): void {
+    handles
+      .filter((handle) => this.held.delete(handle))
+      .forEach((handle) => {
+        this.gather(makerOf(handle), handle);
+      });
+  }
+
+  private gather(address: string, handle: string): void {
+    const gathered = this.toFree.get(address);
+    if (gathered) {
+      gathered.push(handle);
+      return;
+    }
+    this.toFree.set(address, [handle]);
+    this.opts.timer.after({
+      delayMs: GATHER_MS,
+      notify: () => {
+        const handles = this.toFree.get(address) ?? [];
+        this.toFree.delete(address);
+        this.opts.freeResults({ address, handles }).catch(() => {});
+        this.opts.onRoom();
+      },
+    });
+  }
+}
+
+/** IP:PORT of the worker that made a result. */
+export function makerOf(handle: string): string {
+  return handle.slice(0, handle.indexOf('/'));
+}
--- /dev/null
+++ b/packages/pool/src/serveStageTarget.ts
@@ -0,0 +1,230 @@
+import type { TimerService } from '@galenatiller/timer';
+import type { BatchLimits, ListedTarget, PieceResult, StagePiece } from '@galenatiller/types';
+
+import type { ResultRoom } from './resultRoom.js';
+import type { SeenHandles } from './seenHandles.js';
+import type { StageQueue, TakenPiece } from './stageQueue.js';
+import type { TargetSpeed } from './targetSpeed.js';
+
+/** Answer to a call: one result for each piece, or why there is none. */
+export type BatchAnswer =
+  | { readonly kind: 'answered'; readonly results: readonly PieceResult[] }
+  /** `refused`: the worker was full. `moved`: another worker has the address. */
+  | { readonly kind: 'refused' | 'moved' | 'unreachable' | 'broken'; readonly detail: string };
+
+/** Sends pieces to a worker in one call. */
+export type RunPieces = (opts: {
+  readonly target: ListedTarget;
+  readonly pieces: readonly StagePiece[];
+  readonly signal: AbortSignal;
+}) => Promise<BatchAnswer>;
+
+/** What happened to a call, for the log. */
+export interface BatchEvent {
+  readonly target: ListedTarget;
+  readonly requestIds: readonly string[];
+  readonly stages: readonly number[];
+  readonly tookMs: number;
+  readonly waitedMs: number;
+  readonly outcome: string;
+}
+
+/** Options of {@link serveStageTarget}. */
+export interface ServeStageTargetOptions {
+  readonly timer: TimerService;
+  readonly queue: StageQueue;
+  readonly target: ListedTarget;
+  readonly limits: () => BatchLimits | undefined;
+  /** Whether the worker may get new work now. */
+  readonly mayUse: (target: ListedTarget) => boolean;
+  readonly room: ResultRoom;
+  readonly speed: TargetSpeed;
+  readonly seenHandles: SeenHandles;
+  readonly runPieces: RunPieces;
+  readonly onBatch: (event: BatchEvent) => void;
+  readonly signal: AbortSignal;
+}
+
+/** Calls that one piece may be part of; three lost calls use up the deadlines in force. */
+const MOST_TRIES = 4;
+
+/** A call is given up after this many times its usual time; a worker at a fifth of its speed ends. */
+const GIVE_UP_FACTOR = 3;
+
+/** Least time until a call is given up: several calls may wait at the worker before it. */
+const GIVE_UP_LEAST_MS = 900;
+
+/** Pause after a full worker refused; about a sixth of a call. */
+const REFUSED_PAUSE_MS = 40;
+
+/** Pause after a worker could not be reached, doubled with each failure in a row. */
+const FAILED_PAUSE_MS = 200;
+const FAILED_PAUSE_CAP_MS = 1_600;
+
+/** The task of one stage worker: takes a call's worth of pieces, sends it, settles each piece. */
+export async function serveStageTarget(opts: ServeStageTargetOptions): Promise<void> {
+  const { timer, queue, target, room, speed, signal } = opts;
+  let failures = 0;
+  while (!signal.aborted) {
+    const limits = opts.limits();
+    if (!limits || !opts.mayUse(target)) {
+      await timer.sleep({ delayMs: FAILED_PAUSE_MS, signal });
+      continue;
+    }
+    const taken = await queue.take({
+      target,
+      limits,
+      roomBytes: () => room.freeBytes(target.address, limits),
+      minWaitMs: speed.minWaitMs(target.address),
+      signal,
+    });
+    if (taken.length === 0) {
+      continue;
+    }
+    if (!opts.mayUse(target)) {
+      taken.forEach((piece) => piece.putBack());
+      continue;
+    }
+    const answer = await runBatch({ ...opts, limits, taken });
+    failures = answer === 'failed' ? failures + 1 : 0;
+    if (answer === 'failed') {
+      const delayMs = Math.min(FAILED_PAUSE_CAP_MS, FAILED_PAUSE_MS * 2 ** (failures - 1));
+      await timer.sleep({ delayMs, signal });
+    }
+    if (answer === 'refused') {
+      await timer.sleep({ delayMs: REFUSED_PAUSE_MS, signal });
+    }
+  }
+}
+
+type BatchOutcome = 'done' | 'refused' | 'failed';
+
+async function runBatch(
+  opts: Omit<ServeStageTargetOptions, 'limits'> & {
+    readonly limits: BatchLimits;
+    readonly taken: readonly TakenPiece[];
+  },
+): Promise<BatchOutcome> {
+  const { timer, target, taken, limits, room, speed } = opts;
+  const startedAtMs = timer.nowMs();
+  const usualMs = limits.callMs + limits.pieceMs * taken.length;
+  const limit = timer.limit({
+    limitMs: Math.max(GIVE_UP_LEAST_MS, GIVE_UP_FACTOR * usualMs * speed.slowness(target.address)),
+  });
+  const unwanted = abortWhenAllUnwanted(taken);
+  const pieces = taken.map(({ waiting }) => waiting.piece);
+  const bytes = pieces.reduce((sum, piece) => sum + piece.resultBytes, 0);
+  room.reserve(target.address, bytes);
+  const reply = await opts.runPieces({
+    target,
+    pieces,
+    signal: AbortSignal.any([limit.signal, unwanted.signal]),
+  });
+  const answer = checkAnswer(opts, reply);
+  limit.release();
+  unwanted.release();
+  room.release(target.address, bytes);
+  const tookMs = timer.nowMs() - startedAtMs;
+  opts.onBatch({
+    target,
+    requestIds: pieces.map((piece) => piece.requestId),
+    stages: pieces.map((piece) => piece.stage),
+    tookMs: Math.round(tookMs),
+    waitedMs: Math.round(
+      startedAtMs - Math.min(...taken.map(({ waiting }) => waiting.waitingSinceMs)),
+    ),
+    outcome:
+      answer.kind === 'answered' ? describe(answer.results) : `${answer.kind}: ${answer.detail}`,
+  });
+  if (answer.kind !== 'answered') {
+    taken.forEach((piece) => settleFailed(piece));
+    if (!unwanted.signal.aborted && answer.kind !== 'refused') {
+      speed.failed(target.address);
+    }
+    return answer.kind === 'refused' ? 'refused' : 'failed';
+  }
+  speed.took({ address: target.address, tookMs, usualMs });
+  answer.results.forEach((result, position) => {
+    const piece = taken[position];
+    if (piece) {
+      settleResult({ ...opts, piece, result });
+    }
+  });
+  return 'done';
+}
+
+/** An answer with the wrong number of results, or with results seen before, is another call's. */
+function checkAnswer(
+  opts: Pick<ServeStageTargetOptions, 'seenHandles'> & { readonly taken: readonly TakenPiece[] },
+  reply: BatchAnswer,
+): BatchAnswer {
+  if (reply.kind !== 'answered') {
+    return reply;
+  }
+  const handles = reply.results.flatMap((result) =>
+    result.kind === 'made' ? [result.handle] : [],
+  );
+  const areNew = opts.seenHandles.areNew(handles);
+  if (reply.results.length !== opts.taken.length || !areNew) {
+    return { kind: 'broken', detail: 'the answer belongs to another call' };
+  }
+  return reply;
+}
+
+function settleResult(opts: {
+  readonly target: ListedTarget;
+  readonly limits: BatchLimits;
+  readonly room: ResultRoom;
+  readonly piece: TakenPiece;
+  readonly result: PieceResult;
+}): void {
+  const { piece, result, room } = opts;
+  if (result.kind === 'made') {
+    const { resultBytes } = piece.waiting.piece;
+    room.hold({ handle: result.handle, bytes: resultBytes, limits: opts.limits });
+    if (piece.signal.aborted) {
+      room.giveUp([result.handle]);
+    }
+    piece.settle(result);
+    return;
+  }
+  if (result.reason === 'no-room' || result.reason === 'failed') {
+    settleFailed(piece);
+    return;
+  }
+  piece.settle(result);
+}
+
+function settleFailed(piece: TakenPiece): void {
+  if (piece.waiting.tries + 1 >= MOST_TRIES) {
+    piece.settle({ kind: 'failed', reason: 'unreachable' });
+    return;
+  }
+  piece.putBack();
+}
+
+function describe(results: readonly PieceResult[]): string {
+  const failed = results.flatMap((result) => (result.kind === 'failed' ? [result.reason] : []));
+  return failed.length === 0
+    ? 'made'
+    : `made ${results.length - failed.length}, ${failed.join(' ')}`;
+}
+
+/** A signal that aborts once no piece is wanted any more. */
+function abortWhenAllUnwanted(taken: readonly TakenPiece[]): {
+  readonly signal: AbortSignal;
+  readonly release: () => void;
+} {
+  const controller = new AbortController();
+  const check = (): void => {
+    if (taken.every((piece) => piece.signal.aborted)) {
+      controller.abort();
+    }
+  };
+  taken.forEach(({ signal }) => signal.addEventListener('abort', check, { once: true }));
+  check();
+  const release = (): void => {
+    taken.forEach(({ signal }) => signal.removeEventListener('abort', check));
+  };
+  return { signal: controller.signal, release };
+}
--- /dev/null
+++ b/packages/pool/src/stageQueue.ts
@@ -0,0 +1,172 @@
+import type { TimerService } from '@galenatiller/timer';
+import type { BatchLimits, ListedTarget, PieceResult, StagePiece } from '@galenatiller/types';
+
+/** A piece that waits in the queue of its service. */
+export interface WaitingPiece {
+  readonly piece: StagePiece;
+  readonly waitingSinceMs: number;
+  /** Calls that it has been part of. */
+  readonly tries: number;
+}
+
+/** Order in which waiting pieces are taken: negative when `left` goes first. */
+export type ComparePieces = (opts: {
+  readonly left: WaitingPiece;
+  readonly right: WaitingPiece;
+  readonly nowMs: number;
+}) => number;
+
+/** Options of {@link StageQueue.create}. */
+export interface StageQueueOptions {
+  readonly timer: TimerService;
+  readonly compare: ComparePieces;
+}
+
+/** What a worker can take in its next call. */
+export interface TakeOptions {
+  readonly target: ListedTarget;
+  readonly limits: BatchLimits;
+  /** Bytes of results that the worker has room for now. */
+  readonly roomBytes: () => number;
+  /** Time that a piece has to have waited before this worker takes it. */
+  readonly minWaitMs: number;
+  readonly signal: AbortSignal;
+}
+
+interface Waiting extends WaitingPiece {
+  readonly settle: (result: PieceResult) => void;
+  readonly signal: AbortSignal;
+}
+
+/** A taken piece; it is settled once, or put back. */
+export interface TakenPiece {
+  readonly waiting: WaitingPiece;
+  readonly settle: (result: PieceResult) => void;
+  /** Puts the piece back for another call. */
+  readonly putBack: () => void;
+  /** Aborts when nobody wants the result any more. */
+  readonly signal: AbortSignal;
+}
+
+/** Pieces of many calls that wait for a worker of one service. */
+export class StageQueue {
+  private waiting: Waiting[] = [];
+
+  private readonly wakers = new Set<() => void>();
+
+  private constructor(private readonly opts: StageQueueOptions) {}
+
+  /** Makes an empty queue. */
+  static create(opts: StageQueueOptions): StageQueue {
+    return new StageQueue(opts);
+  }
+
+  /** Pieces that wait. */
+  get length(): number {
+    return this.waiting.length;
+  }
+
+  /** Waits until a worker has made the piece or failed to; `late` when the signal aborts first. */
+  submit(opts: { readonly piece: StagePiece; readonly signal: AbortSignal }): Promise<PieceResult> {
+    const { piece, signal } = opts;
+    if (signal.aborted) {
+      return Promise.resolve(LATE);
+    }
+    return new Promise((resolve) => {
+      const settle = (result: PieceResult): void => {
+        signal.removeEventListener('abort', giveUp);
+        resolve(result);
+      };
+      const giveUp = (): void => {
+        this.waiting = this.waiting.filter((one) => one.settle !== settle);
+        settle(LATE);
+      };
+      signal.addEventListener('abort', giveUp, { once: true });
+      this.add({ piece, signal, settle, waitingSinceMs: this.opts.timer.nowMs(), tries: 0 });
+    });
+  }
+
+  /** Waits for pieces and takes as many as one call holds; empty when the signal aborts. */
+  async take(opts: TakeOptions): Promise<readonly TakenPiece[]> {
+    while (!opts.signal.aborted) {
+      const taken = this.takeNow(opts);
+      if (taken.length > 0) {
+        return taken;
+      }
+      await this.changed(opts);
+    }
+    return [];
+  }
+
+  private takeNow(opts: TakeOptions): readonly TakenPiece[] {
+    const { timer, compare } = this.opts;
+    const nowMs = timer.nowMs();
+    const oldest = this.waiting.reduce((least, one) => Math.min(least, one.waitingSinceMs), nowMs);
+    if (nowMs - oldest < opts.minWaitMs && this.waiting.length <= opts.limits.maxPieces) {
+      return [];
+    }
+    const ordered = [...this.waiting].sort((left, right) => compare({ left, right, nowMs }));
+    const chosen: Waiting[] = [];
+    let roomBytes = opts.roomBytes();
+    ordered.forEach((one) => {
+      if (chosen.length < opts.limits.maxPieces && one.piece.resultBytes <= roomBytes) {
+        roomBytes -= one.piece.resultBytes;
+        chosen.push(one);
+      }
+    });
+    const left = new Set(chosen);
+    this.waiting = this.waiting.filter((one) => !left.has(one));
+    return chosen.map((one) => this.toTaken(one));
+  }
+
+  private toTaken(one: Waiting): TakenPiece {
+    return {
+      waiting: one,
+      settle: one.settle,
+      signal: one.signal,
+      putBack: () => {
+        if (!one.signal.aborted) {
+          this.add({ ...one, tries: one.tries + 1 });
+        }
+      },
+    };
+  }
+
+  private add(one: Waiting): void {
+    this.waiting.push(one);
+    this.wakeAll();
+  }
+
+  /** Resolves when a piece was added, when a waiting one grew old enough, or when the signal aborts. */
+  private changed(opts: TakeOptions): Promise<void> {
+    const { timer } = this.opts;
+    return new Promise((resolve) => {
+      // Pieces that wait now may be old enough, or find room as results expire, without a signal.
+      const delayMs = opts.minWaitMs > 0 ? Math.min(opts.minWaitMs, RECHECK_MS) : RECHECK_MS;
+      const cancel = this.waiting.length > 0 ? timer.after({ delayMs, notify: finish }) : () => {};
+      this.wakers.add(finish);
+      opts.signal.addEventListener('abort', finish, { once: true });
+      const { wakers } = this;
+      function finish(): void {
+        cancel();
+        wakers.delete(finish);
+        opts.signal.removeEventListener('abort', finish);
+        resolve();
+      }
+    });
+  }
+
+  private wakeAll(): void {
+    [...this.wakers].forEach((wake) => wake());
+  }
+
+  /** Wakes the tasks of workers whose room has changed. */
+  roomChanged(): void {
+    this.wakeAll();
+  }
+}
+
+/** Results expire seconds after they were made, so this adds little to the wait for room. */
+const RECHECK_MS = 200;
+
+const LATE: PieceResult = { kind: 'failed', reason: 'late' };
--- /dev/null
+++ b/packages/router/src/createRouter.ts
@@ -0,0 +1,209 @@
+import type { EventLog } from '@galenatiller/logger';
+import { type BatchEvent, ResultRoom } from '@galenatiller/pool';
+import {
+  type LeaseCalls,
+  Membership,
+  type MirrorEvent,
+  PrefixMirror,
+  type PrefixSource,
+} from '@galenatiller/store';
+import type { RouterSettings } from '@galenatiller/settings';
+import { ColdShare, RepeatBudget, TargetDirectory, TargetHealth } from '@galenatiller/target';
+import { TaskGroup } from '@galenatiller/tasks';
+import type { TimerService } from '@galenatiller/timer';
+
+import { CallCounter } from './callCounter.js';
+import type { OperatorEntries, TargetEntries } from './entryDecoders.js';
+import { followOperator } from './followOperator.js';
+import { followTargets } from './followTargets.js';
+import type { CallerExchange, TargetCalls } from './ports.js';
+import type { RouterContext } from './routerContext.js';
+import { RouteTable } from './routeTable.js';
+import { serveCall } from './serveCall.js';
+import { StageWorkers } from './stageWorkers.js';
+
+/** Options of {@link createRouter}. */
+export interface RouterOptions {
+  readonly settings: RouterSettings;
+  readonly timer: TimerService;
+  readonly log: EventLog;
+  readonly source: PrefixSource;
+  readonly leases: LeaseCalls;
+  readonly operatorEntries: OperatorEntries;
+  readonly targetEntries: TargetEntries;
+  readonly calls: TargetCalls;
+  readonly hash: (text: string) => number;
+  readonly random: () => number;
+}
+
+/** A router that is joined together and not running yet. */
+export interface Router {
+  /** Whether callers should be sent here. */
+  readonly isReady: () => boolean;
+  /** Runs the task of one call. */
+  readonly serve: (exchange: CallerExchange) => void;
+  /** Calls whose task has not ended. */
+  readonly callsInProgress: () => number;
+  readonly context: RouterContext;
+  /** Follows store and members until the signal aborts. */
+  readonly run: (opts: { readonly signal: AbortSignal }) => Promise<void>;
+}
+
+/** Joins the parts of a router. */
+export function createRouter(opts: RouterOptions): Router {
+  const { settings, timer, log, random } = opts;
+  const onFailure = (error: unknown): void => {
+    const detail = error instanceof Error ? (error.stack ?? error.message) : String(error);
+    log({ about: 'process', event: 'task-failed', outcome: detail });
+  };
+  const callTasks = TaskGroup.create({ onFailure });
+  const routes = RouteTable.create();
+  const targets = TargetDirectory.create({
+    timer,
+    onBelief: (belief) =>
+      log({ about: 'belief', event: 'target', ...belief, outcome: belief.kind }),
+  });
+  const members = createMembership(opts);
+  const nodeCount = (): number => members.count();
+  const results = ResultRoom.create({
+    timer,
+    share: () => 1 / nodeCount(),
+    freeResults: opts.calls.freeResults,
+    onRoom: () => workers.roomChanged(),
+  });
+  const workers = StageWorkers.create({
+    timer,
+    routes,
+    targets,
+    room: results,
+    runPieces: opts.calls.runPieces,
+    onBatch: (event) => logBatch(log, event),
+    tasks: TaskGroup.create({ onFailure }),
+  });
+  const mirrors = createMirrors({ ...opts, routes, targets, onChanged: () => workers.refresh() });
+  const context: RouterContext = {
+    timer,
+    log,
+    ownZone: settings.availabilityZone,
+    routes,
+    targets,
+    ...createLimits({ ...opts, nodeCount }),
+    inFlight: CallCounter.create(),
+    calls: opts.calls,
+    submitPiece: (submitted) => workers.submit(submitted),
+    results,
+    evidenceAgeMs: () => mirrors.operator.evidenceAgeMs(),
+    keyAgeLimitMs: settings.keyAgeLimitMs,
+    hash: opts.hash,
+    random,
+  };
+  return {
+    context,
+    isReady: () =>
+      routes.current() !== undefined &&
+      targets.size > 0 &&
+      context.evidenceAgeMs() <= settings.keyAgeLimitMs,
+    serve: (exchange) => callTasks.start(() => serveCall({ context, exchange })),
+    callsInProgress: () => callTasks.size,
+    run: async ({ signal }) => {
+      await Promise.all([
+        mirrors.operator.run({ signal }),
+        mirrors.targets.run({ signal }),
+        members.run({ signal }),
+      ]);
+    },
+  };
+}
+
+function createMembership(opts: RouterOptions): Membership {
+  const { settings, log } = opts;
+  return Membership.create({
+    ...opts,
+    self: { name: settings.nodeName, address: settings.linkAddress },
+    onChange: (live) => {
+      const names = live.map(({ name }) => name);
+      log({ about: 'belief', event: 'members', members: names, outcome: `${names.length} live` });
+    },
+    onEvent: (event) => logMirror(log, event),
+  });
+}
+
+/** Limits that the nodes keep together, and the judge of targets. */
+function createLimits(
+  opts: RouterOptions & { readonly nodeCount: () => number },
+): Pick<RouterContext, 'health' | 'coldShare' | 'repeats'> {
+  const { settings, timer, log, nodeCount } = opts;
+  return {
+    health: TargetHealth.create({
+      timer,
+      onEvent: (event) =>
+        log({ about: 'belief', event: 'target-health', ...event, outcome: event.kind }),
+    }),
+    coldShare: ColdShare.create({
+      timer,
+      nodeCount,
+      overFactor: settings.coldOverFactor,
+      slackRequests: settings.coldSlackRequests,
+    }),
+    repeats: RepeatBudget.create({
+      timer,
+      windowMs: settings.repeatWindowS * MS_PER_S,
+      ratio: settings.repeatRatio,
+      slackRepeats: settings.repeatSlack,
+      nodeCount,
+    }),
+  };
+}
+
+interface MirrorsOptions extends RouterOptions {
+  readonly routes: RouteTable;
+  readonly targets: TargetDirectory;
+  readonly onChanged: () => void;
+}
+
+interface Mirrors {
+  readonly operator: PrefixMirror;
+  readonly targets: PrefixMirror;
+}
+
+/** Mirrors of what operators and targets write. */
+function createMirrors(opts: MirrorsOptions): Mirrors {
+  const { source, timer, random, log, targets } = opts;
+  const common = { source, timer, random, waitMs: WAIT_MS, answerLimitMs: ANSWER_LIMIT_MS };
+  return {
+    operator: PrefixMirror.create({
+      ...common,
+      ...followOperator(opts),
+      onEvent: (event) => logMirror(log, event),
+    }),
+    targets: PrefixMirror.create({
+      ...common,
+      ...followTargets(opts),
+      onEvent: (event) => {
+        if (event.kind === 'regained') {
+          targets.storeRegained();
+        }
+        logMirror(log, event);
+      },
+    }),
+  };
+}
+
+const MS_PER_S = 1_000;
+
+/** Evidence is this old at most while the store answers; each wait is one call. */
+const WAIT_MS = 1_000;
+
+/** Time beyond the wait: a slow store takes a quarter of a second for an answer. */
+const ANSWER_LIMIT_MS = 800;
+
+function logMirror(log: EventLog, event: MirrorEvent): void {
+  const { kind, ...rest } = event;
+  log({ about: 'dependency', event: 'store', ...rest, outcome: kind });
+}
+
+function logBatch(log: EventLog, event: BatchEvent): void {
+  const { target, requestIds, ...rest } = event;
+  const { id, service } = target;
+  log({ about: 'decision', event: 'stage-call', target: id, service, requestIds, ...rest });
+}
--- /dev/null
+++ b/packages/router/src/entryDecoders.ts
@@ -0,0 +1,24 @@
+import type { PrefixEntry } from '@galenatiller/store';
+import type { ListedEntry } from '@galenatiller/target';
+import type { ServedConfiguration } from '@galenatiller/types';
+
+/** What an operator's entry says. `unusable`: it names nothing that this node follows, or is broken. */
+export type OperatorEntry =
+  | { readonly kind: 'configuration'; readonly configuration: ServedConfiguration }
+  | { readonly kind: 'zone-out'; readonly zone: string }
+  | { readonly kind: 'unusable'; readonly detail: string };
+
+/** How an adapter reads what operators write. */
+export interface OperatorEntries {
+  readonly prefix: string;
+  readonly decode: (entry: PrefixEntry) => OperatorEntry;
+  /** The zone that a key takes out; undefined for another key. */
+  readonly zoneOfKey: (key: string) => string | undefined;
+}
+
+/** How an adapter reads what targets write of themselves. */
+export interface TargetEntries {
+  readonly prefix: string;
+  readonly decode: (entry: PrefixEntry) => ListedEntry;
+  readonly idOfKey: (key: string) => string;
+}
--- /dev/null
+++ b/packages/router/src/followOperator.ts
@@ -0,0 +1,64 @@
+import type { EventLog } from '@galenatiller/logger';
+import type { PrefixEntry, PrefixMirrorOptions } from '@galenatiller/store';
+import type { TargetDirectory } from '@galenatiller/target';
+
+import type { OperatorEntries } from './entryDecoders.js';
+import type { RouteTable } from './routeTable.js';
+
+/** Options of {@link followOperator}. */
+export interface FollowOperatorOptions {
+  readonly log: EventLog;
+  readonly operatorEntries: OperatorEntries;
+  readonly routes: RouteTable;
+  readonly targets: TargetDirectory;
+  readonly onChanged: () => void;
+}
+
+/** Puts what operators write in force as the mirror tells of it. */
+export function followOperator(
+  opts: FollowOperatorOptions,
+): Pick<PrefixMirrorOptions, 'prefix' | 'onEntries' | 'onChange'> {
+  const { operatorEntries, targets } = opts;
+  return {
+    prefix: operatorEntries.prefix,
+    onEntries: (entries) => {
+      const zonesOut = new Set(entries.map(({ key }) => operatorEntries.zoneOfKey(key)));
+      targets
+        .zonesTakenOut()
+        .filter((zone) => !zonesOut.has(zone))
+        .forEach((zone) => targets.setZoneOut({ zone, isOut: false, storeRevision: 0 }));
+      entries.forEach((entry) => take(opts, entry));
+      opts.onChanged();
+    },
+    onChange: (change) => {
+      if (change.kind === 'put') {
+        take(opts, change.entry);
+      } else {
+        const zone = operatorEntries.zoneOfKey(change.key);
+        if (zone !== undefined) {
+          targets.setZoneOut({ zone, isOut: false, storeRevision: change.revision });
+        }
+      }
+      opts.onChanged();
+    },
+  };
+}
+
+function take(opts: FollowOperatorOptions, entry: PrefixEntry): void {
+  const { log, routes, targets } = opts;
+  const { key, revision: storeRevision } = entry;
+  const decoded = opts.operatorEntries.decode(entry);
+  if (decoded.kind === 'zone-out') {
+    targets.setZoneOut({ zone: decoded.zone, isOut: true, storeRevision });
+    return;
+  }
+  if (decoded.kind === 'unusable') {
+    const outcome = `ignored: ${decoded.detail}`;
+    log({ about: 'belief', event: 'operator-entry', key, storeRevision, outcome });
+    return;
+  }
+  const { version } = decoded.configuration;
+  const before = routes.current()?.version;
+  const outcome = routes.offer(decoded.configuration);
+  log({ about: 'belief', event: 'configuration', version, before, storeRevision, outcome });
+}
--- /dev/null
+++ b/packages/router/src/followTargets.ts
@@ -0,0 +1,46 @@
+import type { EventLog } from '@galenatiller/logger';
+import type { PrefixEntry, PrefixMirrorOptions } from '@galenatiller/store';
+import type { ListedEntry, TargetDirectory } from '@galenatiller/target';
+
+import type { TargetEntries } from './entryDecoders.js';
+
+/** Options of {@link followTargets}. */
+export interface FollowTargetsOptions {
+  readonly log: EventLog;
+  readonly targetEntries: TargetEntries;
+  readonly targets: TargetDirectory;
+  readonly onChanged: () => void;
+}
+
+/** Keeps the directory of targets equal to what the mirror tells of. */
+export function followTargets(
+  opts: FollowTargetsOptions,
+): Pick<PrefixMirrorOptions, 'prefix' | 'onEntries' | 'onChange'> {
+  const { targetEntries, targets } = opts;
+  return {
+    prefix: targetEntries.prefix,
+    onEntries: (entries) => {
+      targets.replaceAll(entries.map((entry) => decode(opts, entry)));
+      opts.onChanged();
+    },
+    onChange: (change) => {
+      if (change.kind === 'put') {
+        targets.put(decode(opts, change.entry));
+      } else {
+        const id = targetEntries.idOfKey(change.key);
+        targets.remove({ id, storeRevision: change.revision });
+      }
+      opts.onChanged();
+    },
+  };
+}
+
+function decode(opts: FollowTargetsOptions, entry: PrefixEntry): ListedEntry {
+  const decoded = opts.targetEntries.decode(entry);
+  if (!decoded.target) {
+    const { key, revision: storeRevision } = entry;
+    const outcome = 'ignored: it names no usable target';
+    opts.log({ about: 'belief', event: 'target-entry', key, storeRevision, outcome });
+  }
+  return decoded;
+}
--- /dev/null
+++ b/packages/router/src/routerContext.ts
@@ -0,0 +1,32 @@
+import type { EventLog } from '@galenatiller/logger';
+import type { ResultRoom } from '@galenatiller/pool';
+import type { ColdShare, RepeatBudget, TargetDirectory, TargetHealth } from '@galenatiller/target';
+import type { TimerService } from '@galenatiller/timer';
+
+import type { CallCounter } from './callCounter.js';
+import type { TargetCalls } from './ports.js';
+import type { RouteTable } from './routeTable.js';
+import type { SubmitPiece } from './runStages.js';
+
+/** What the task of a call works with. */
+export interface RouterContext {
+  readonly timer: TimerService;
+  readonly log: EventLog;
+  readonly ownZone: string;
+  readonly routes: RouteTable;
+  readonly targets: TargetDirectory;
+  readonly health: TargetHealth;
+  readonly coldShare: ColdShare;
+  readonly repeats: RepeatBudget;
+  readonly inFlight: CallCounter;
+  readonly calls: TargetCalls;
+  readonly submitPiece: SubmitPiece;
+  readonly results: ResultRoom;
+  /** Age of the proof that the configuration is the newest one. */
+  readonly evidenceAgeMs: () => number;
+  /** A key that was taken away may still be known for this long. */
+  readonly keyAgeLimitMs: number;
+  readonly hash: (text: string) => number;
+  /** Uniform number from 0 to 1. */
+  readonly random: () => number;
+}
--- /dev/null
+++ b/packages/router/src/runAttempts.ts
@@ -0,0 +1,288 @@
+import { GalenatillerError, type ResultCodeName } from '@galenatiller/error';
+import { chooseTarget, type TargetChoice } from '@galenatiller/target';
+import type { ListedTarget } from '@galenatiller/types';
+
+import type { AdmittedCall } from './admitCall.js';
+import { type PassedAnswer, passAnswer } from './passAnswer.js';
+import { CallProgress } from './callProgress.js';
+import type { AnswerReply, CallerExchange, SendReply } from './ports.js';
+import type { RouterContext } from './routerContext.js';
+import type { MadeResult } from './runStages.js';
+
+/** Options of {@link runAttempts}. */
+export interface RunAttemptsOptions {
+  readonly context: RouterContext;
+  readonly exchange: CallerExchange;
+  readonly admitted: AdmittedCall;
+  readonly body: Buffer;
+  readonly inputs: readonly MadeResult[];
+  /** Aborts at the deadline, and when the caller has gone from a call that may be broken off. */
+  readonly signal: AbortSignal;
+  /** Told once the target has taken over the inputs. */
+  readonly onInputsTaken: () => void;
+}
+
+/** How the attempts of a call ended. `inputs-gone`: not run, and the stages have to be done again. */
+export type AttemptsEnd =
+  | { readonly kind: 'answered'; readonly status: number; readonly target: string }
+  | { readonly kind: 'cut'; readonly detail: string }
+  | { readonly kind: 'refused'; readonly error: GalenatillerError }
+  | { readonly kind: 'inputs-gone' };
+
+/** Sends that a call may have in all, whatever proves that earlier ones did not run. */
+const MOST_SENDS = 6;
+
+/** Pause before targets are looked at again when none may take the call. */
+const RECHECK_MS = 25;
+
+/** Pause after a target refused and every other one was tried. */
+const REFUSED_PAUSE_MS = 40;
+
+/** A call waits for a target to come back for this share of its time, then hears when to return. */
+const NO_TARGET_WAIT_SHARE = 0.25;
+
+/** Time to come back after a refusal: a worker that crashed is listed again after seconds. */
+const RETRY_AFTER_MS = 400;
+
+/** Sends a call to one target after another until one answers or no more may be tried. */
+export async function runAttempts(opts: RunAttemptsOptions): Promise<AttemptsEnd> {
+  const { context, exchange, admitted, signal } = opts;
+  const { timer } = context;
+  const progress = CallProgress.create({ lastEventId: exchange.call.lastEventId });
+  const startedAtMs = timer.nowMs();
+  const waitUntilMs = startedAtMs + (admitted.deadlineAtMs - startedAtMs) * NO_TARGET_WAIT_SHARE;
+  context.repeats.noteRequest(admitted.service);
+  while (!signal.aborted) {
+    const choice = choose(opts, progress);
+    if (choice.kind !== 'chosen') {
+      if (choice.kind === 'none' && timer.nowMs() >= waitUntilMs) {
+        return endWithout(progress, 'no-target', `no target of ${admitted.service} takes work`);
+      }
+      await timer.sleep({ delayMs: RECHECK_MS, signal });
+      continue;
+    }
+    if (progress.sends > 0 && !context.repeats.spend(admitted.service)) {
+      return endWithout(progress, 'overloaded', 'the budget for repeats is spent');
+    }
+    const ended = await runAttempt(opts, progress, choice);
+    if (ended) {
+      return ended;
+    }
+    if (progress.sends >= MOST_SENDS) {
+      return endWithout(progress, 'overloaded', progress.lastFailure);
+    }
+  }
+  return endAtAbort(opts, progress);
+}
+
+/** One attempt; undefined when another one may follow. */
+async function runAttempt(
+  opts: RunAttemptsOptions,
+  progress: CallProgress,
+  choice: Extract<TargetChoice, { kind: 'chosen' }>,
+): Promise<AttemptsEnd | undefined> {
+  const { context, exchange, admitted, signal } = opts;
+  const { timer, health, log } = context;
+  const { target } = choice;
+  const sentAtMs = timer.nowMs();
+  progress.noteSend(target.id);
+  context.coldShare.noteSent(target.address);
+  const leave = context.inFlight.enter(target.id);
+  const remainingMs = admitted.deadlineAtMs - sentAtMs;
+  try {
+    const reply = await context.calls.sendCall({
+      target,
+      call: exchange.call,
+      body: opts.body,
+      organisation: admitted.organisation,
+      remainingMs,
+      priority: admitted.priority,
+      inputs: opts.inputs.map(({ handle }) => handle),
+      lastEventId: progress.resumeAfter,
+      signal,
+    });
+    log({
+      about: 'decision',
+      event: 'attempt',
+      requestId: exchange.call.requestId,
+      target: target.id,
+      reason: choice.reason,
+      attempt: progress.sends,
+      inFlight: context.inFlight.count(target.id),
+      remainingMs: Math.round(remainingMs),
+      tookMs: Math.round(timer.nowMs() - sentAtMs),
+      configuration: admitted.configurationVersion,
+      outcome: reply.kind === 'answered' ? String(reply.status) : `${reply.kind}: ${reply.detail}`,
+    });
+    if (reply.kind !== 'answered') {
+      return await afterFailure(opts, progress, target, reply);
+    }
+    const isServerError = reply.status >= 500;
+    health.note({ targetId: target.id, verdict: isServerError ? 'failed' : 'good' });
+    progress.noteRun();
+    if (isServerError && mayRunAgain(opts, progress)) {
+      reply.discard();
+      progress.noteFailure(`the target answered ${reply.status}`);
+      return undefined;
+    }
+    return await pass(opts, progress, target, reply);
+  } finally {
+    leave();
+  }
+}
+
+async function pass(
+  opts: RunAttemptsOptions,
+  progress: CallProgress,
+  target: ListedTarget,
+  reply: AnswerReply,
+): Promise<AttemptsEnd | undefined> {
+  const { exchange, admitted, context } = opts;
+  const passed: PassedAnswer = await passAnswer({
+    exchange,
+    reply,
+    isStream: admitted.route.callKind === 'stream' && reply.status === 200,
+    hasBegun: progress.hasBegun,
+    resumeAfter: progress.resumeAfter,
+    onFirstEvent: opts.onInputsTaken,
+  });
+  progress.notePassed(passed);
+  if (passed.kind === 'whole') {
+    return { kind: 'answered', status: reply.status, target: target.id };
+  }
+  progress.noteFailure(passed.detail);
+  if (!opts.signal.aborted && !exchange.gone.aborted) {
+    context.health.note({ targetId: target.id, verdict: 'failed' });
+    if (mayRunAgain(opts, progress)) {
+      context.log({
+        about: 'decision',
+        event: 'answer-broke-off',
+        requestId: exchange.call.requestId,
+        target: target.id,
+        resumeAfter: progress.resumeAfter,
+        outcome: `sent to another target: ${passed.detail}`,
+      });
+      return undefined;
+    }
+  }
+  if (progress.hasBegun) {
+    exchange.cut();
+    return { kind: 'cut', detail: passed.detail };
+  }
+  return opts.signal.aborted
+    ? endAtAbort(opts, progress)
+    : endWithout(progress, 'target-failed', passed.detail);
+}
+
+async function afterFailure(
+  opts: RunAttemptsOptions,
+  progress: CallProgress,
+  target: ListedTarget,
+  reply: Exclude<SendReply, AnswerReply>,
+): Promise<AttemptsEnd | undefined> {
+  const { context, signal } = opts;
+  progress.noteFailure(`${reply.kind}: ${reply.detail}`);
+  if (signal.aborted && reply.kind !== 'inputs-gone') {
+    if (reply.kind === 'broken' || reply.kind === 'foreign') {
+      progress.noteRun();
+    }
+    return endAtAbort(opts, progress);
+  }
+  switch (reply.kind) {
+    case 'inputs-gone':
+      return { kind: 'inputs-gone' };
+    case 'refused':
+    case 'moved':
+      await context.timer.sleep({ delayMs: pauseAfterRefusal(opts, progress), signal });
+      return undefined;
+    case 'unsent':
+      context.health.note({ targetId: target.id, verdict: 'unreachable' });
+      return undefined;
+    case 'broken':
+    case 'foreign':
+      context.health.note({ targetId: target.id, verdict: 'failed' });
+      progress.noteRun();
+      return mayRunAgain(opts, progress)
+        ? undefined
+        : endWithout(progress, 'target-failed', progress.lastFailure);
+  }
+}
+
+/** No pause while a target is left that was not tried yet. */
+function pauseAfterRefusal(opts: RunAttemptsOptions, progress: CallProgress): number {
+  const { context, admitted } = opts;
+  const usable = context.targets.usable(admitted.service);
+  return usable.every(({ id }) => progress.tried.has(id)) ? REFUSED_PAUSE_MS : 0;
+}
+
+/** Whether a call that may have run may be sent to one more target. */
+function mayRunAgain(opts: RunAttemptsOptions, progress: CallProgress): boolean {
+  const { route } = opts.admitted;
+  const isRepeatable =
+    route.callKind === 'idempotent' || (route.callKind === 'stream' && route.isResumable);
+  return isRepeatable && progress.runs < route.maxAttempts;
+}
+
+function choose(opts: RunAttemptsOptions, progress: CallProgress): TargetChoice {
+  const { context, admitted, exchange } = opts;
+  const coldRequestsPerS = context.routes.findService(admitted.service)?.coldRequestsPerS ?? 0;
+  return chooseTarget({
+    targets: context.targets.usable(admitted.service),
+    tried: progress.tried,
+    promptParts: exchange.call.promptParts,
+    ownZone: context.ownZone,
+    inputZone: inputZone(opts),
+    inFlight: ({ id }) => context.inFlight.count(id),
+    isSuspended: ({ id }) => context.health.isSuspended(id),
+    failureShare: ({ id }) => context.health.failureShare(id),
+    mayTake: ({ address }) => context.coldShare.mayTake({ address, coldRequestsPerS }),
+    hash: context.hash,
+  });
+}
+
+/** Zone of the makers of most bytes of input. */
+function inputZone(opts: RunAttemptsOptions): string {
+  const zones = new Map(
+    opts.context.targets.all().map(({ address, availabilityZone }) => [address, availabilityZone]),
+  );
+  const bytesByZone = new Map<string, number>();
+  opts.inputs.forEach(({ handle, bytes }) => {
+    const zone = zones.get(handle.slice(0, handle.indexOf('/'))) ?? '';
+    bytesByZone.set(zone, (bytesByZone.get(zone) ?? 0) + bytes);
+  });
+  const ranked = [...bytesByZone].sort(([, left], [, right]) => right - left);
+  return ranked[0]?.[0] ?? '';
+}
+
+/** The signal aborted: the deadline has passed, or the caller has gone. */
+function endAtAbort(opts: RunAttemptsOptions, progress: CallProgress): AttemptsEnd {
+  if (progress.hasBegun) {
+    opts.exchange.cut();
+    return { kind: 'cut', detail: 'the deadline passed in the middle of the stream' };
+  }
+  return endWithout(
+    progress,
+    'deadline-exceeded',
+    progress.lastFailure || 'no target was free in time',
+  );
+}
+
+/** Ends without an answer: `not-run` only if no send can have run. */
+function endWithout(progress: CallProgress, name: ResultCodeName, detail: string): AttemptsEnd {
+  if (progress.runs > 0) {
+    const codeName = name === 'deadline-exceeded' ? name : 'target-failed';
+    const error = GalenatillerError.create({ name: codeName, detail, outcome: 'may-have-run' });
+    return { kind: 'refused', error };
+  }
+  const codeName =
+    name === 'target-failed' || name === 'deadline-exceeded' ? 'deadline-unreachable' : name;
+  return {
+    kind: 'refused',
+    error: GalenatillerError.create({
+      name: codeName,
+      detail,
+      outcome: 'not-run',
+      retryAfterMs: RETRY_AFTER_MS,
+    }),
+  };
+}
--- /dev/null
+++ b/packages/router/src/runStages.ts
@@ -0,0 +1,133 @@
+import type {
+  PieceFailure,
+  PieceResult,
+  RoutedCall,
+  ServedRoute,
+  StagePiece,
+} from '@galenatiller/types';
+
+/** Hands a piece to the workers of a service. */
+export type SubmitPiece = (opts: {
+  readonly service: string;
+  readonly piece: StagePiece;
+  readonly signal: AbortSignal;
+}) => Promise<PieceResult>;
+
+/** Options of {@link runStages}. */
+export interface RunStagesOptions {
+  readonly route: ServedRoute;
+  readonly call: RoutedCall;
+  readonly priority: number;
+  readonly deadlineAtMs: number;
+  readonly dueAtMs: number;
+  readonly submit: SubmitPiece;
+  /** Frees results that no later stage needs any more. */
+  readonly free: (results: readonly MadeResult[]) => void;
+  readonly signal: AbortSignal;
+}
+
+/** A result that lies at its maker. */
+export interface MadeResult {
+  readonly handle: string;
+  readonly bytes: number;
+}
+
+/** Results of the stages of one call. */
+export interface StagesDone {
+  readonly kind: 'done';
+  /** Results of the stages that no other stage follows. */
+  readonly inputs: readonly MadeResult[];
+  readonly all: readonly MadeResult[];
+}
+
+/** A stage that could not be done; results made before are still to be freed. */
+export interface StagesFailed {
+  readonly kind: 'failed';
+  readonly stage: number;
+  readonly reason: PieceFailure;
+  readonly all: readonly MadeResult[];
+}
+
+/** Walks the graph of stages: each begins once the stages that it needs are done. */
+export async function runStages(opts: RunStagesOptions): Promise<StagesDone | StagesFailed> {
+  const { route, call } = opts;
+  const all: MadeResult[] = [];
+  const abort = new AbortController();
+  const signal = AbortSignal.any([opts.signal, abort.signal]);
+  let failure: StagesFailed | undefined;
+  const runs: Promise<readonly MadeResult[]>[] = [];
+  route.stages.forEach((stage, position) => {
+    const needed = Promise.all(stage.after.map((earlier) => runs[earlier] ?? Promise.resolve([])));
+    const run = needed.then(async (earlier) => {
+      const inputs = earlier.flat().map(({ handle }) => handle);
+      const pieces = Array.from({ length: pieceCount(call, position) }, (_, piece) => piece);
+      const results = await Promise.all(
+        pieces.map((piece) => {
+          if (signal.aborted) {
+            return Promise.resolve(FAILED_LATE);
+          }
+          return opts.submit({
+            service: stage.service,
+            signal,
+            piece: {
+              requestId: call.requestId,
+              stage: position,
+              piece,
+              key: stage.after.length === 0 ? call.pieceKey : '',
+              inputs,
+              resultBytes: stage.resultBytes,
+              deadlineAtMs: opts.deadlineAtMs,
+              dueAtMs: opts.dueAtMs,
+              priority: opts.priority,
+            },
+          });
+        }),
+      );
+      const made: MadeResult[] = [];
+      results.forEach((result) => {
+        if (result.kind === 'made') {
+          made.push({ handle: result.handle, bytes: stage.resultBytes });
+        } else if (!failure) {
+          failure = { kind: 'failed', stage: position, reason: result.reason, all };
+          // What the other pieces would make is of no use any more.
+          abort.abort();
+        }
+      });
+      all.push(...made);
+      return made;
+    });
+    runs.push(run);
+  });
+  freeWhenUsed(opts, runs);
+  const results = await Promise.all(runs);
+  if (failure) {
+    return failure;
+  }
+  const followed = new Set(route.stages.flatMap(({ after }) => after));
+  const inputs = results.filter((_, position) => !followed.has(position)).flat();
+  return { kind: 'done', inputs, all };
+}
+
+/** Results of a stage are freed as soon as every stage that needs them is done. */
+function freeWhenUsed(
+  opts: RunStagesOptions,
+  runs: readonly Promise<readonly MadeResult[]>[],
+): void {
+  const { stages } = opts.route;
+  runs.forEach((run, position) => {
+    const followers = runs.filter((_, later) => stages[later]?.after.includes(position));
+    if (followers.length > 0) {
+      Promise.all([run, ...followers]).then(
+        ([made]) => opts.free(made),
+        () => {},
+      );
+    }
+  });
+}
+
+/** Number of pieces of a stage; a call that does not say has one. */
+function pieceCount(call: RoutedCall, stage: number): number {
+  return call.stagePieces[stage] ?? 1;
+}
+
+const FAILED_LATE: PieceResult = { kind: 'failed', reason: 'late' };
--- /dev/null
+++ b/packages/router/src/serveCall.ts
@@ -0,0 +1,171 @@
+import { GalenatillerError } from '@galenatiller/error';
+
+import { type AdmittedCall, admitCall } from './admitCall.js';
+import type { CallerExchange } from './ports.js';
+import type { RouterContext } from './routerContext.js';
+import { type AttemptsEnd, runAttempts } from './runAttempts.js';
+import { type MadeResult, runStages, type StagesFailed } from './runStages.js';
+
+/** Options of {@link serveCall}. */
+export interface ServeCallOptions {
+  readonly context: RouterContext;
+  readonly exchange: CallerExchange;
+}
+
+/** Times that the stages of a call are done: once more when a result is gone before it was used. */
+const STAGE_ROUNDS = 2;
+
+/** An answer that is ready just then still gets through; callers see it as the final one in time. */
+const FINAL_GRACE_MS = 60;
+
+/** Time to come back after the stages failed, about one call to a stage worker. */
+const STAGES_RETRY_MS = 400;
+
+/** The task of one call: admits it, reads its body, runs its stages, sends it, answers. */
+export async function serveCall(opts: ServeCallOptions): Promise<void> {
+  const { context, exchange } = opts;
+  const { call, receivedAtMs } = exchange;
+  const admission = admitCall({ context, call, receivedAtMs });
+  if (admission.isErr) {
+    refuse(opts, admission.error);
+    return;
+  }
+  const admitted = admission.value;
+  const body = await exchange.readBody(admitted.maxBodyBytes);
+  if (body.isErr) {
+    if (body.error === 'too-large') {
+      const detail = `the body is over ${admitted.maxBodyBytes} bytes`;
+      refuse(opts, GalenatillerError.create({ name: 'body-too-large', detail }));
+    }
+    return;
+  }
+  const limitMs = Math.max(0, admitted.deadlineAtMs + FINAL_GRACE_MS - context.timer.nowMs());
+  const deadline = context.timer.limit({ limitMs });
+  try {
+    const end = await runCall({ ...opts, admitted, body: body.value, deadline: deadline.signal });
+    finish(opts, admitted, end);
+  } finally {
+    deadline.release();
+  }
+}
+
+interface RunCallOptions extends ServeCallOptions {
+  readonly admitted: AdmittedCall;
+  readonly body: Buffer;
+  /** Aborts when the final answer is due. */
+  readonly deadline: AbortSignal;
+}
+
+async function runCall(opts: RunCallOptions): Promise<AttemptsEnd> {
+  const { context, exchange, admitted, deadline } = opts;
+  const { route } = admitted;
+  const wanted = AbortSignal.any([deadline, exchange.gone]);
+  // What may run only once is left to end when its caller has gone: its effect is wanted.
+  const signal = route.callKind === 'at-most-once' ? deadline : wanted;
+  for (let round = 1; ; round += 1) {
+    const stages = await runStages({
+      route,
+      call: exchange.call,
+      priority: admitted.priority,
+      deadlineAtMs: admitted.deadlineAtMs,
+      dueAtMs: admitted.dueAtMs,
+      submit: context.submitPiece,
+      free: (results) => context.results.giveUp(handlesOf(results)),
+      signal: wanted,
+    });
+    const free = once(() => context.results.giveUp(handlesOf(stages.all)));
+    try {
+      if (stages.kind === 'failed') {
+        if (stages.reason !== 'input-gone' || round === STAGE_ROUNDS) {
+          return stagesFailed(opts, stages);
+        }
+        continue;
+      }
+      if (exchange.gone.aborted) {
+        return goneBeforeSend();
+      }
+      const { inputs } = stages;
+      const end = await runAttempts({ ...opts, inputs, signal, onInputsTaken: free });
+      if (end.kind !== 'inputs-gone' || round === STAGE_ROUNDS) {
+        return end;
+      }
+    } finally {
+      free();
+    }
+  }
+}
+
+function stagesFailed(opts: RunCallOptions, failed: StagesFailed): AttemptsEnd {
+  if (opts.exchange.gone.aborted) {
+    return goneBeforeSend();
+  }
+  const service = opts.admitted.route.stages[failed.stage]?.service ?? '';
+  const error = GalenatillerError.create({
+    name: 'deadline-unreachable',
+    detail: `stage ${failed.stage} on ${service} failed: ${failed.reason}`,
+    retryAfterMs: STAGES_RETRY_MS,
+  });
+  return { kind: 'refused', error };
+}
+
+function goneBeforeSend(): AttemptsEnd {
+  const detail = 'the caller went away before the call was sent';
+  const error = GalenatillerError.create({ name: 'cancelled', detail, outcome: 'not-run' });
+  return { kind: 'refused', error };
+}
+
+function finish(opts: ServeCallOptions, admitted: AdmittedCall, end: AttemptsEnd): void {
+  const { context, exchange } = opts;
+  if (end.kind === 'refused') {
+    refuse(opts, end.error, admitted);
+    return;
+  }
+  if (end.kind === 'inputs-gone') {
+    const detail = 'results of stages were gone twice before they were used';
+    refuse(opts, GalenatillerError.create({ name: 'deadline-unreachable', detail }), admitted);
+    return;
+  }
+  context.log({
+    about: 'decision',
+    event: 'call-ended',
+    requestId: exchange.call.requestId,
+    route: admitted.route.name,
+    tookMs: Math.round(context.timer.nowMs() - exchange.receivedAtMs),
+    isLate: context.timer.nowMs() > admitted.dueAtMs,
+    callerGone: exchange.gone.aborted,
+    outcome: end.kind === 'answered' ? String(end.status) : `cut: ${end.detail}`,
+  });
+}
+
+function refuse(opts: ServeCallOptions, error: GalenatillerError, admitted?: AdmittedCall): void {
+  const { context, exchange } = opts;
+  context.log({
+    about: 'decision',
+    event: 'call-refused',
+    requestId: exchange.call.requestId,
+    route: admitted?.route.name,
+    tookMs: Math.round(context.timer.nowMs() - exchange.receivedAtMs),
+    configuration: context.routes.current()?.version,
+    evidenceAgeMs: Math.round(Math.min(context.evidenceAgeMs(), Number.MAX_SAFE_INTEGER)),
+    callerGone: exchange.gone.aborted,
+    code: error.code,
+    outcome: `${error.codeName} (${error.outcome}): ${error.detail}`,
+  });
+  if (!exchange.gone.aborted) {
+    exchange.refuse(error);
+  }
+}
+
+function handlesOf(results: readonly MadeResult[]): string[] {
+  return results.map(({ handle }) => handle);
+}
+
+function once(act: () => void): () => void {
+  let isDone = false;
+  return () => {
+    if (!isDone) {
+      isDone = true;
+      act();
+    }
+  };
+}
--- /dev/null
+++ b/packages/router/src/stageWorkers.ts
@@ -0,0 +1,126 @@
+import {
+  type BatchEvent,
+  comparePieces,
+  type ResultRoom,
+  type RunPieces,
+  SeenHandles,
+  serveStageTarget,
+  StageQueue,
+  TargetSpeed,
+} from '@galenatiller/pool';
+import type { TargetDirectory } from '@galenatiller/target';
+import type { TaskGroup } from '@galenatiller/tasks';
+import type { TimerService } from '@galenatiller/timer';
+import type { ListedTarget, PieceResult, StagePiece } from '@galenatiller/types';
+
+import type { RouteTable } from './routeTable.js';
+
+/** Options of {@link StageWorkers.create}. */
+export interface StageWorkersOptions {
+  readonly timer: TimerService;
+  readonly routes: RouteTable;
+  readonly targets: TargetDirectory;
+  readonly room: ResultRoom;
+  readonly runPieces: RunPieces;
+  readonly onBatch: (event: BatchEvent) => void;
+  /** Each stage worker has one task of this group. */
+  readonly tasks: TaskGroup;
+}
+
+interface ServedTarget {
+  readonly target: ListedTarget;
+  readonly stop: AbortController;
+}
+
+/** The queues of the stage services, with one task for each of their workers. */
+export class StageWorkers {
+  private readonly queues = new Map<string, StageQueue>();
+
+  private readonly served = new Map<string, ServedTarget>();
+
+  private readonly speed = TargetSpeed.create();
+
+  private readonly seenHandles: SeenHandles;
+
+  private constructor(private readonly opts: StageWorkersOptions) {
+    this.seenHandles = SeenHandles.create(opts);
+  }
+
+  /** Makes queues without workers. */
+  static create(opts: StageWorkersOptions): StageWorkers {
+    return new StageWorkers(opts);
+  }
+
+  /** Hands a piece to the workers of a service. */
+  submit(opts: {
+    readonly service: string;
+    readonly piece: StagePiece;
+    readonly signal: AbortSignal;
+  }): Promise<PieceResult> {
+    return this.queueOf(opts.service).submit(opts);
+  }
+
+  /** Pieces that wait for the workers of a service. */
+  waiting(service: string): number {
+    return this.queues.get(service)?.length ?? 0;
+  }
+
+  /** Wakes the tasks of workers whose room may have changed. */
+  roomChanged(): void {
+    this.queues.forEach((queue) => queue.roomChanged());
+  }
+
+  /** Starts a task for each listed worker of a stage service, and stops those of workers that are gone. */
+  refresh(): void {
+    const { targets, routes } = this.opts;
+    const listed = targets
+      .all()
+      .filter(({ service }) => routes.findService(service)?.batch !== undefined);
+    const keys = new Set(listed.map(startOf));
+    this.served.forEach(({ stop }, key) => {
+      if (!keys.has(key)) {
+        this.served.delete(key);
+        stop.abort();
+      }
+    });
+    listed
+      .filter((target) => !this.served.has(startOf(target)))
+      .forEach((target) => this.serve(target));
+  }
+
+  private serve(target: ListedTarget): void {
+    const { timer, routes, targets, room, runPieces, onBatch, tasks } = this.opts;
+    const stop = new AbortController();
+    this.served.set(startOf(target), { target, stop });
+    tasks.start(() =>
+      serveStageTarget({
+        timer,
+        queue: this.queueOf(target.service),
+        target,
+        limits: () => routes.findService(target.service)?.batch,
+        mayUse: (one) => targets.mayUse(one),
+        room,
+        speed: this.speed,
+        seenHandles: this.seenHandles,
+        runPieces,
+        onBatch,
+        signal: stop.signal,
+      }),
+    );
+  }
+
+  private queueOf(service: string): StageQueue {
+    const known = this.queues.get(service);
+    if (known) {
+      return known;
+    }
+    const queue = StageQueue.create({ timer: this.opts.timer, compare: comparePieces });
+    this.queues.set(service, queue);
+    return queue;
+  }
+}
+
+/** Names one start of a target. */
+function startOf(target: ListedTarget): string {
+  return `${target.id} ${target.startedWallMs} ${target.address}`;
+}
--- a/packages/settings/src/findUnknown.ts
+++ b/packages/settings/src/findUnknown.ts
@@ -3,13 +3,14 @@
 import { nearestName } from '@galenatiller/error';
 import type { SettingsEntry } from './parseEntries.js';
 import type { KeyTable } from './settingKey.js';
+import { ROUTER_KEYS } from './routerKeys.js';
 import { COMMON_KEYS, ENTRY_KEYS, TARGET_KEYS, TARGET_SECTION_PREFIX } from './settingKeys.js';
 import type { SettingsProblem } from './settingsProblem.js';
 import { showText } from './showText.js';
 
 /** Options of {@link findUnknown}. */
 export interface FindUnknownOptions {
-  readonly role: NodeRole;
+  readonly role: NodeRole | 'router';
   readonly fileName: string;
   readonly entries: readonly SettingsEntry[];
 }
@@ -60,12 +61,12 @@
   };
 }
 
-function sectionsOf(role: NodeRole): readonly string[] {
+function sectionsOf(role: NodeRole | 'router'): readonly string[] {
   const sections = new Set(rowsOf(role).map((row) => row.section));
   return [...sections, ...(role === 'gate' ? [`${TARGET_SECTION_PREFIX}NAME`] : [])];
 }
 
-function keysOf(role: NodeRole, section: string): readonly string[] {
+function keysOf(role: NodeRole | 'router', section: string): readonly string[] {
   if (role === 'gate' && section.startsWith(TARGET_SECTION_PREFIX)) {
     return rows(TARGET_KEYS).map((row) => row.key);
   }
@@ -74,7 +75,10 @@
     .map((row) => row.key);
 }
 
-function rowsOf(role: NodeRole): ReturnType<typeof rows> {
+function rowsOf(role: NodeRole | 'router'): ReturnType<typeof rows> {
+  if (role === 'router') {
+    return rows(ROUTER_KEYS);
+  }
   return role === 'entry' ? [...rows(COMMON_KEYS), ...rows(ENTRY_KEYS)] : rows(COMMON_KEYS);
 }
 
--- a/packages/settings/src/index.ts
+++ b/packages/settings/src/index.ts
@@ -10,3 +10,5 @@
   readCliSettings,
   type ReadCliSettingsOptions,
 } from './readCliSettings.js';
+export { readRouterSettings, type ReadRouterSettingsOptions } from './readRouterSettings.js';
+export { ROUTER_KEYS, type RouterSettings } from './routerKeys.js';
--- /dev/null
+++ b/packages/settings/src/readRouterSettings.ts
@@ -0,0 +1,34 @@
+import { Result } from 'true-myth';
+
+import { findUnknown } from './findUnknown.js';
+import { parseEntries } from './parseEntries.js';
+import { readKeys } from './readKeys.js';
+import { ROUTER_KEYS, type RouterSettings } from './routerKeys.js';
+import type { SettingsProblem } from './settingsProblem.js';
+
+/** Options of {@link readRouterSettings}; `fileName` is for the problems only. */
+export interface ReadRouterSettingsOptions {
+  readonly fileName: string;
+  readonly text: string;
+}
+
+/** Reads the settings of a router from INI text, or says every problem at once. */
+export function readRouterSettings(
+  opts: ReadRouterSettingsOptions,
+): Result<RouterSettings, readonly SettingsProblem[]> {
+  const { fileName } = opts;
+  const parsed = parseEntries(opts.text);
+  if (parsed.isErr) {
+    const found = parsed.error;
+    return Result.err([
+      { fileName, line: 0, section: '', key: '', found, expected: 'INI', nearest: '' },
+    ]);
+  }
+  const entries = parsed.value;
+  const settings = readKeys({ fileName, entries, table: ROUTER_KEYS });
+  const problems = [
+    ...findUnknown({ role: 'router', fileName, entries }),
+    ...(settings.isErr ? settings.error : []),
+  ];
+  return problems.length > 0 ? Result.err(problems) : settings;
+}
--- a/packages/settings/src/settingKey.ts
+++ b/packages/settings/src/settingKey.ts
@@ -6,6 +6,7 @@
 const HEX_DIGITS_PER_BYTE = 2;
 const MAX_KEYS = 2;
 const MAX_PORT = 65_535;
+const IPV4 = 4;
 
 /** What names look like. */
 export const NAME = /^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$/;
@@ -91,6 +92,38 @@
   };
 }
 
+/** A key with a whole or decimal number as value. */
+export function decimalKey(opts: IntegerKeyOptions): SettingKey<number> {
+  const { min, max, ...rest } = opts;
+  return {
+    ...rest,
+    bounds: `${min} to ${max}`,
+    secret: false,
+    schema: z
+      .string()
+      .regex(/^\d+(\.\d+)?$/)
+      .transform(Number)
+      .pipe(z.number().min(min).max(max)),
+  };
+}
+
+/** A key with an IPv4 number and a port as value. */
+export function socketKey(opts: KeyOptions): SettingKey<string> {
+  return {
+    ...opts,
+    unit: 'IP:PORT',
+    bounds: 'IPv4 and a port of 1 to 65535',
+    secret: false,
+    schema: z.string().refine(isSocketAddress),
+  };
+}
+
+function isSocketAddress(text: string): boolean {
+  const [address = '', port = '', ...rest] = text.split(':');
+  const isPort = /^\d{1,5}$/.test(port) && Number(port) >= 1 && Number(port) <= MAX_PORT;
+  return rest.length === 0 && isIP(address) === IPV4 && isPort;
+}
+
 /** A key with an HTTP address as value; it may be empty only when its default is. */
 export function urlKey(opts: KeyOptions): SettingKey<string> {
   const mayBeEmpty = opts.defaultText === '';
--- a/packages/store/src/index.ts
+++ b/packages/store/src/index.ts
@@ -11,3 +11,6 @@
 export type * from './storeTypes.js';
 export { WatchHub, type WatchHubOptions } from './watchHub.js';
 export type { WatchOptions } from './watchPrefix.js';
+export { type MirrorEvent, PrefixMirror, type PrefixMirrorOptions } from './prefixMirror.js';
+export type * from './prefixSource.js';
+export { type LeaseCalls, type Member, Membership, type MembershipOptions } from './membership.js';
--- a/packages/timer/src/index.ts
+++ b/packages/timer/src/index.ts
@@ -9,3 +9,4 @@
   type TimeLimit,
   TimerService,
 } from './timerService.js';
+export { elapsedSinceMs, type Stamp, stampNow } from './stamp.js';
--- a/packages/types/src/routedCall.ts
+++ b/packages/types/src/routedCall.ts
@@ -25,6 +25,8 @@
   readonly pieceKey: string;
   /** Last event that the caller has; empty for a new stream. */
   readonly lastEventId: string;
+  /** Names and values in turn that go with the call to its target, opaque to the decisions. */
+  readonly passedHeaders: readonly string[];
 }
 
 /** Why a stage worker did not make a piece. */
--- a/scripts/references.mjs
+++ b/scripts/references.mjs
@@ -7,7 +7,7 @@
 
 const write = process.argv.includes('--write');
 const packageFolders = readdirSync('packages').map((name) => join('packages', name));
-const folders = [...packageFolders, 'fakes', 'bench'].filter((folder) =>
+const folders = [...packageFolders, 'platform', 'fakes', 'bench'].filter((folder) =>
   existsSync(join(folder, 'package.json')),
 );
 const manifests = folders.map((folder) => ({
