--- a/packages/node/src/wireFrame.ts
+++ b/packages/node/src/wireFrame.ts
@@ -1,14 +1,13 @@
 /** Encodes frames: four bytes of length, big-endian, then one CBOR value. */
 import { MAX_FRAME_BYTES } from '@galenatiller/constants';
 import { GalenatillerError } from '@galenatiller/error';
+import { FrameCutter, prefixLength } from '@galenatiller/framing';
 import { Encoder } from 'cbor-x';
 import { Result } from 'true-myth';
 
 import type { NodeFrame } from './frames.js';
 import { nodeFrameSchema } from './wireSchema.js';
 
-const LENGTH_BYTES = 4;
-
 const codec = new Encoder({ useRecords: false, mapsAsObjects: true });
 
 /** Encodes one frame; fails with `frame-too-large`. */
@@ -17,15 +16,12 @@
   if (body.length > MAX_FRAME_BYTES) {
     return Result.err(tooLarge(body.length));
   }
-  const bytes = Buffer.allocUnsafe(LENGTH_BYTES + body.length);
-  bytes.writeUInt32BE(body.length, 0);
-  body.copy(bytes, LENGTH_BYTES);
-  return Result.ok(bytes);
+  return Result.ok(prefixLength(body));
 }
 
 /** Cuts a byte stream into frames; holds at most one incomplete frame. */
 export class FrameDecoder {
-  private rest: Buffer = Buffer.alloc(0);
+  private readonly cutter = FrameCutter.create({ maxBytes: MAX_FRAME_BYTES });
 
   private constructor() {}
 
@@ -36,31 +32,23 @@
 
   /** Bytes held back until the frame is complete. */
   get heldBytes(): number {
-    return this.rest.length;
+    return this.cutter.heldBytes;
   }
 
   /** Takes bytes and returns the complete frames; after an error the stream is lost. */
   push(bytes: Buffer): Result<readonly NodeFrame[], GalenatillerError> {
-    const held = this.rest.length === 0 ? bytes : Buffer.concat([this.rest, bytes]);
+    const bodies = this.cutter.push(bytes);
+    if (bodies.isErr) {
+      return Result.err(tooLarge(bodies.error.bytes));
+    }
     const frames: NodeFrame[] = [];
-    let offset = 0;
-    while (held.length - offset >= LENGTH_BYTES) {
-      const bodyBytes = held.readUInt32BE(offset);
-      if (bodyBytes > MAX_FRAME_BYTES) {
-        return Result.err(tooLarge(bodyBytes));
-      }
-      const endOffset = offset + LENGTH_BYTES + bodyBytes;
-      if (held.length < endOffset) {
-        break;
-      }
-      const frame = decodeBody(held.subarray(offset + LENGTH_BYTES, endOffset));
+    for (const body of bodies.value) {
+      const frame = decodeBody(body);
       if (frame.isErr) {
         return Result.err(frame.error);
       }
       frames.push(frame.value);
-      offset = endOffset;
     }
-    this.rest = held.subarray(offset);
     return Result.ok(frames);
   }
 }
--- a/packages/pool/src/resultRoom.ts
+++ b/packages/pool/src/resultRoom.ts
@@ -4,8 +4,6 @@
 /** Options of {@link ResultRoom.create}. */
 export interface ResultRoomOptions {
   readonly timer: TimerService;
-  /** Share of a worker's room that this node may use. */
-  readonly share: () => number;
   /** Tells the maker that results are not needed any more. */
   readonly freeResults: (opts: {
     readonly address: string;
@@ -37,8 +35,13 @@
     return new ResultRoom(opts);
   }
 
-  /** Bytes of results that a worker still has room for. */
-  freeBytes(address: string, limits: BatchLimits): number {
+  /** Bytes of results that a worker still has room for within this node's share of it. */
+  freeBytes(opts: {
+    readonly address: string;
+    readonly limits: BatchLimits;
+    readonly share: number;
+  }): number {
+    const { address, limits, share } = opts;
     const nowMs = this.opts.timer.nowMs();
     let bytes = this.reservedBytes.get(address) ?? 0;
     this.held.forEach((result, handle) => {
@@ -48,7 +51,7 @@
         bytes += result.bytes;
       }
     });
-    const shareBytes = limits.resultRoomBytes * this.opts.share();
+    const shareBytes = limits.resultRoomBytes * share;
     // A worker that holds nothing of this node always takes one result more.
     return bytes === 0 ? limits.resultRoomBytes : shareBytes - bytes;
   }
--- a/packages/pool/src/serveStageTarget.ts
+++ b/packages/pool/src/serveStageTarget.ts
@@ -38,6 +38,8 @@
   /** Whether the worker may get new work now. */
   readonly mayUse: (target: ListedTarget) => boolean;
   readonly room: ResultRoom;
+  /** Share of the worker's room that this node may use. */
+  readonly roomShare: () => number;
   readonly speed: TargetSpeed;
   readonly seenHandles: SeenHandles;
   readonly runPieces: RunPieces;
@@ -74,7 +76,7 @@
     const taken = await queue.take({
       target,
       limits,
-      roomBytes: () => room.freeBytes(target.address, limits),
+      roomBytes: () => room.freeBytes({ address: target.address, limits, share: opts.roomShare() }),
       minWaitMs: speed.minWaitMs(target.address),
       signal,
     });
--- a/packages/router/src/createRouter.ts
+++ b/packages/router/src/createRouter.ts
@@ -1,9 +1,10 @@
 import type { EventLog } from '@galenatiller/logger';
-import { type BatchEvent, ResultRoom } from '@galenatiller/pool';
+import { ResultRoom } from '@galenatiller/pool';
+import { acceptRouters, type PeerService } from '@galenatiller/routerLink';
 import {
   type LeaseCalls,
+  type Member,
   Membership,
-  type MirrorEvent,
   PrefixMirror,
   type PrefixSource,
 } from '@galenatiller/store';
@@ -19,7 +20,10 @@
 import type { CallerExchange, TargetCalls } from './ports.js';
 import type { RouterContext } from './routerContext.js';
 import { RouteTable } from './routeTable.js';
+import { logBatch, logFailedTask, logMembers, logMirror, logPeer, logTarget } from './logEvents.js';
+import type { SubmitPiece } from './runStages.js';
 import { serveCall } from './serveCall.js';
+import { StageOwners } from './stageOwners.js';
 import { StageWorkers } from './stageWorkers.js';
 
 /** Options of {@link createRouter}. */
@@ -45,6 +49,8 @@
   /** Calls whose task has not ended. */
   readonly callsInProgress: () => number;
   readonly context: RouterContext;
+  /** Tells the other routers that this one takes no more work for them. */
+  readonly leave: () => void;
   /** Follows store and members until the signal aborts. */
   readonly run: (opts: { readonly signal: AbortSignal }) => Promise<void>;
 }
@@ -52,35 +58,22 @@
 /** Joins the parts of a router. */
 export function createRouter(opts: RouterOptions): Router {
   const { settings, timer, log, random } = opts;
-  const onFailure = (error: unknown): void => {
-    const detail = error instanceof Error ? (error.stack ?? error.message) : String(error);
-    log({ about: 'process', event: 'task-failed', outcome: detail });
-  };
-  const callTasks = TaskGroup.create({ onFailure });
+  const tasks = TaskGroup.create({ onFailure: (error) => logFailedTask(log, error) });
+  const callTasks = TaskGroup.create({ onFailure: (error) => logFailedTask(log, error) });
   const routes = RouteTable.create();
   const targets = TargetDirectory.create({
     timer,
-    onBelief: (belief) =>
-      log({ about: 'belief', event: 'target', ...belief, outcome: belief.kind }),
+    onBelief: (belief) => logTarget(log, belief),
   });
-  const members = createMembership(opts);
+  const members = createMembership({ ...opts, onChange: (live) => stages.owners.setMembers(live) });
   const nodeCount = (): number => members.count();
-  const results = ResultRoom.create({
-    timer,
-    share: () => 1 / nodeCount(),
-    freeResults: opts.calls.freeResults,
-    onRoom: () => workers.roomChanged(),
-  });
-  const workers = StageWorkers.create({
-    timer,
+  const stages = createStages({ ...opts, routes, targets, nodeCount, tasks });
+  const mirrors = createMirrors({
+    ...opts,
     routes,
     targets,
-    room: results,
-    runPieces: opts.calls.runPieces,
-    onBatch: (event) => logBatch(log, event),
-    tasks: TaskGroup.create({ onFailure }),
+    onChanged: () => stages.workers.refresh(),
   });
-  const mirrors = createMirrors({ ...opts, routes, targets, onChanged: () => workers.refresh() });
   const context: RouterContext = {
     timer,
     log,
@@ -90,8 +83,8 @@
     ...createLimits({ ...opts, nodeCount }),
     inFlight: CallCounter.create(),
     calls: opts.calls,
-    submitPiece: (submitted) => workers.submit(submitted),
-    results,
+    submitPiece: stages.owners.submit,
+    freeResults: (handles) => stages.owners.giveUp(handles),
     evidenceAgeMs: () => mirrors.operator.evidenceAgeMs(),
     keyAgeLimitMs: settings.keyAgeLimitMs,
     hash: opts.hash,
@@ -105,29 +98,82 @@
       context.evidenceAgeMs() <= settings.keyAgeLimitMs,
     serve: (exchange) => callTasks.start(() => serveCall({ context, exchange })),
     callsInProgress: () => callTasks.size,
+    leave: () => members.leave(),
     run: async ({ signal }) => {
+      const links = await acceptRouters({
+        address: settings.linkAddress,
+        timer,
+        tasks,
+        service: stages.peerService,
+      });
       await Promise.all([
         mirrors.operator.run({ signal }),
         mirrors.targets.run({ signal }),
         members.run({ signal }),
       ]);
+      links.close();
     },
   };
 }
 
-function createMembership(opts: RouterOptions): Membership {
+function createMembership(
+  opts: RouterOptions & { readonly onChange: (members: readonly Member[]) => void },
+): Membership {
   const { settings, log } = opts;
   return Membership.create({
     ...opts,
     self: { name: settings.nodeName, address: settings.linkAddress },
     onChange: (live) => {
-      const names = live.map(({ name }) => name);
-      log({ about: 'belief', event: 'members', members: names, outcome: `${names.length} live` });
+      logMembers(log, live);
+      opts.onChange(live);
     },
     onEvent: (event) => logMirror(log, event),
   });
 }
 
+interface StagesOptions extends RouterOptions {
+  readonly routes: RouteTable;
+  readonly targets: TargetDirectory;
+  readonly nodeCount: () => number;
+  readonly tasks: TaskGroup;
+}
+
+interface Stages {
+  readonly workers: StageWorkers;
+  readonly owners: StageOwners;
+  readonly peerService: PeerService;
+}
+
+/** Queues and tasks of the stage workers, and the share of them that this node owns. */
+function createStages(opts: StagesOptions): Stages {
+  const { timer, log, nodeCount } = opts;
+  const results = ResultRoom.create({
+    timer,
+    freeResults: opts.calls.freeResults,
+    onRoom: () => workers.roomChanged(),
+  });
+  const workers = StageWorkers.create({
+    ...opts,
+    room: results,
+    roomShare: (service) => (owners.isOwner(service) ? 1 : 1 / nodeCount()),
+    runPieces: opts.calls.runPieces,
+    onBatch: (event) => logBatch(log, event),
+  });
+  const submitHere: SubmitPiece = (submitted) => workers.submit(submitted);
+  const owners = StageOwners.create({
+    ...opts,
+    selfName: opts.settings.nodeName,
+    submitHere,
+    results,
+    onPeer: (event) => logPeer(log, event),
+  });
+  const peerService = {
+    makePiece: submitHere,
+    free: (handles: readonly string[]) => results.giveUp(handles),
+  };
+  return { workers, owners, peerService };
+}
+
 /** Limits that the nodes keep together, and the judge of targets. */
 function createLimits(
   opts: RouterOptions & { readonly nodeCount: () => number },
@@ -196,14 +242,3 @@
 
 /** Time beyond the wait: a slow store takes a quarter of a second for an answer. */
 const ANSWER_LIMIT_MS = 800;
-
-function logMirror(log: EventLog, event: MirrorEvent): void {
-  const { kind, ...rest } = event;
-  log({ about: 'dependency', event: 'store', ...rest, outcome: kind });
-}
-
-function logBatch(log: EventLog, event: BatchEvent): void {
-  const { target, requestIds, ...rest } = event;
-  const { id, service } = target;
-  log({ about: 'decision', event: 'stage-call', target: id, service, requestIds, ...rest });
-}
--- /dev/null
+++ b/packages/router/src/logEvents.ts
@@ -0,0 +1,42 @@
+import type { EventLog } from '@galenatiller/logger';
+import type { BatchEvent } from '@galenatiller/pool';
+import type { PeerEvent } from '@galenatiller/routerLink';
+import type { Member, MirrorEvent } from '@galenatiller/store';
+import type { TargetBelief } from '@galenatiller/target';
+
+/** Logs a change of the connection to the store. */
+export function logMirror(log: EventLog, event: MirrorEvent): void {
+  const { kind, ...rest } = event;
+  log({ about: 'dependency', event: 'store', ...rest, outcome: kind });
+}
+
+/** Logs a change of the link to another router. */
+export function logPeer(log: EventLog, event: PeerEvent): void {
+  const { kind, ...rest } = event;
+  log({ about: 'dependency', event: 'router-link', ...rest, outcome: kind });
+}
+
+/** Logs a change of what is believed of a target. */
+export function logTarget(log: EventLog, belief: TargetBelief): void {
+  const { kind, ...rest } = belief;
+  log({ about: 'belief', event: 'target', ...rest, outcome: kind });
+}
+
+/** Logs the live routers. */
+export function logMembers(log: EventLog, live: readonly Member[]): void {
+  const members = live.map(({ name }) => name);
+  log({ about: 'belief', event: 'members', members, outcome: `${members.length} live` });
+}
+
+/** Logs one call to a stage worker. */
+export function logBatch(log: EventLog, event: BatchEvent): void {
+  const { target, ...rest } = event;
+  const { id, service } = target;
+  log({ about: 'decision', event: 'stage-call', target: id, service, ...rest });
+}
+
+/** Logs a task that threw. */
+export function logFailedTask(log: EventLog, error: unknown): void {
+  const outcome = error instanceof Error ? (error.stack ?? error.message) : String(error);
+  log({ about: 'process', event: 'task-failed', outcome });
+}
--- a/packages/router/src/routerContext.ts
+++ b/packages/router/src/routerContext.ts
@@ -1,5 +1,4 @@
 import type { EventLog } from '@galenatiller/logger';
-import type { ResultRoom } from '@galenatiller/pool';
 import type { ColdShare, RepeatBudget, TargetDirectory, TargetHealth } from '@galenatiller/target';
 import type { TimerService } from '@galenatiller/timer';
 
@@ -21,7 +20,8 @@
   readonly inFlight: CallCounter;
   readonly calls: TargetCalls;
   readonly submitPiece: SubmitPiece;
-  readonly results: ResultRoom;
+  /** Frees results of stages, by their handles. */
+  readonly freeResults: (handles: readonly string[]) => void;
   /** Age of the proof that the configuration is the newest one. */
   readonly evidenceAgeMs: () => number;
   /** A key that was taken away may still be known for this long. */
--- a/packages/router/src/runRouter.ts
+++ b/packages/router/src/runRouter.ts
@@ -49,6 +49,7 @@
     outcome: 'not ready any more',
   });
   frontEnd.startClosing();
+  router.leave();
   const untilMs = stoppedAtMs + opts.stopLimitMs - STOP_MARGIN_MS;
   const openUntilMs = stoppedAtMs + STAY_OPEN_MS;
   while (timer.nowMs() < untilMs && (timer.nowMs() < openUntilMs || router.callsInProgress() > 0)) {
--- a/packages/router/src/serveCall.ts
+++ b/packages/router/src/serveCall.ts
@@ -70,10 +70,10 @@
       deadlineAtMs: admitted.deadlineAtMs,
       dueAtMs: admitted.dueAtMs,
       submit: context.submitPiece,
-      free: (results) => context.results.giveUp(handlesOf(results)),
+      free: (results) => context.freeResults(handlesOf(results)),
       signal: wanted,
     });
-    const free = once(() => context.results.giveUp(handlesOf(stages.all)));
+    const free = once(() => context.freeResults(handlesOf(stages.all)));
     try {
       if (stages.kind === 'failed') {
         if (stages.reason !== 'input-gone' || round === STAGE_ROUNDS) {
--- a/packages/router/src/stageWorkers.ts
+++ b/packages/router/src/stageWorkers.ts
@@ -21,6 +21,8 @@
   readonly routes: RouteTable;
   readonly targets: TargetDirectory;
   readonly room: ResultRoom;
+  /** Share of the room of a service's workers that this node may use. */
+  readonly roomShare: (service: string) => number;
   readonly runPieces: RunPieces;
   readonly onBatch: (event: BatchEvent) => void;
   /** Each stage worker has one task of this group. */
@@ -89,7 +91,7 @@
   }
 
   private serve(target: ListedTarget): void {
-    const { timer, routes, targets, room, runPieces, onBatch, tasks } = this.opts;
+    const { timer, routes, targets, room, roomShare, runPieces, onBatch, tasks } = this.opts;
     const stop = new AbortController();
     this.served.set(startOf(target), { target, stop });
     tasks.start(() =>
@@ -100,6 +102,7 @@
         limits: () => routes.findService(target.service)?.batch,
         mayUse: (one) => targets.mayUse(one),
         room,
+        roomShare: () => roomShare(target.service),
         speed: this.speed,
         seenHandles: this.seenHandles,
         runPieces,
--- /dev/null
+++ b/packages/routerLink/src/acceptRouters.ts
@@ -0,0 +1,131 @@
+import { createServer, type Server, type Socket } from 'node:net';
+
+import type { TaskGroup } from '@galenatiller/tasks';
+import type { TimerService } from '@galenatiller/timer';
+import type { PieceResult, StagePiece } from '@galenatiller/types';
+
+import { LINK_VERSION } from './followRouter.js';
+import type { PieceOrderFrame, RouterFrame } from './routerFrames.js';
+import { RouterSocket } from './routerSocket.js';
+
+/** What a router does for its peers. */
+export interface PeerService {
+  /** Has a piece made by a worker of a service that this router owns. */
+  readonly makePiece: (opts: {
+    readonly service: string;
+    readonly piece: StagePiece;
+    readonly signal: AbortSignal;
+  }) => Promise<PieceResult>;
+  readonly free: (handles: readonly string[]) => void;
+}
+
+/** Options of {@link acceptRouters}. */
+export interface AcceptRoutersOptions {
+  /** IP:PORT. */
+  readonly address: string;
+  readonly timer: TimerService;
+  readonly tasks: TaskGroup;
+  readonly service: PeerService;
+}
+
+/** Listens for links of other routers and runs one task for each. */
+export async function acceptRouters(opts: AcceptRoutersOptions): Promise<{ close: () => void }> {
+  const sockets = new Set<Socket>();
+  const server = createServer({ noDelay: true }, (socket) => {
+    sockets.add(socket);
+    socket.once('close', () => sockets.delete(socket));
+    opts.tasks.start(() => serveLink(opts, RouterSocket.create({ socket })));
+  });
+  await listen(server, opts.address);
+  return {
+    close: () => {
+      server.close();
+      sockets.forEach((socket) => socket.destroy());
+    },
+  };
+}
+
+/** The task of one link: reads orders and starts a task for each. */
+async function serveLink(opts: AcceptRoutersOptions, socket: RouterSocket): Promise<void> {
+  const running = new Map<number, AbortController>();
+  let isGreeted = false;
+  for await (const frame of socket.read()) {
+    if (!isGreeted) {
+      isGreeted = frame.kind === 'hello' && frame.linkVersion === LINK_VERSION;
+      if (!isGreeted) {
+        socket.close();
+        return;
+      }
+      continue;
+    }
+    takeFrame(opts, { socket, running, frame });
+  }
+  running.forEach((controller) => controller.abort());
+}
+
+function takeFrame(
+  opts: AcceptRoutersOptions,
+  link: {
+    readonly socket: RouterSocket;
+    readonly running: Map<number, AbortController>;
+    readonly frame: RouterFrame;
+  },
+): void {
+  const { socket, running, frame } = link;
+  switch (frame.kind) {
+    case 'ping':
+      socket.send({ kind: 'pong' });
+      return;
+    case 'piece-order': {
+      const controller = new AbortController();
+      running.set(frame.orderId, controller);
+      opts.tasks.start(async () => {
+        const result = await opts.service.makePiece({
+          service: frame.service,
+          piece: pieceOf(frame, opts.timer.nowMs()),
+          signal: controller.signal,
+        });
+        running.delete(frame.orderId);
+        socket.send({ kind: 'piece-end', orderId: frame.orderId, result });
+      });
+      return;
+    }
+    case 'piece-cancel':
+      running.get(frame.orderId)?.abort();
+      return;
+    case 'free':
+      opts.service.free(frame.handles);
+      return;
+    case 'hello':
+    case 'pong':
+    case 'piece-end':
+      // Nothing to do: these go the other way, or are signs of life.
+      break;
+  }
+}
+
+function pieceOf(frame: PieceOrderFrame, nowMs: number): StagePiece {
+  const { requestId, stage, piece, key, inputs, resultBytes, priority } = frame;
+  return {
+    requestId,
+    stage,
+    piece,
+    key,
+    inputs,
+    resultBytes,
+    priority,
+    deadlineAtMs: nowMs + frame.deadlineInMs,
+    dueAtMs: nowMs + frame.dueInMs,
+  };
+}
+
+function listen(server: Server, address: string): Promise<void> {
+  const [host = '', port = ''] = address.split(':');
+  return new Promise((resolve, reject) => {
+    server.once('error', reject);
+    server.listen(Number(port), host, () => {
+      server.off('error', reject);
+      resolve();
+    });
+  });
+}
--- /dev/null
+++ b/packages/routerLink/src/index.ts
@@ -0,0 +1,3 @@
+/** Talks to the other routers: stage pieces go to the router that owns their service. */
+export { acceptRouters, type AcceptRoutersOptions, type PeerService } from './acceptRouters.js';
+export { type PeerEvent, PeerRouter, type PeerRouterOptions } from './followRouter.js';
--- /dev/null
+++ b/packages/routerLink/src/routerSocket.ts
@@ -0,0 +1,49 @@
+import type { Socket } from 'node:net';
+
+import type { RouterFrame } from './routerFrames.js';
+import { encodeRouterFrame, RouterFrameReader } from './wireRouterFrame.js';
+
+/** Frames over one connection between two routers. */
+export class RouterSocket {
+  private constructor(private readonly socket: Socket) {
+    // The close that follows an error ends the reader.
+    socket.on('error', () => {});
+  }
+
+  /** Takes over a connected socket. */
+  static create(opts: { readonly socket: Socket }): RouterSocket {
+    return new RouterSocket(opts.socket);
+  }
+
+  /** Sends a frame; false when the connection has ended. */
+  send(frame: RouterFrame): boolean {
+    if (!this.socket.writable) {
+      return false;
+    }
+    this.socket.write(encodeRouterFrame(frame));
+    return true;
+  }
+
+  /** Reads frames until the connection ends or sends what is no frame. */
+  async *read(): AsyncGenerator<RouterFrame, void, void> {
+    const reader = RouterFrameReader.create();
+    try {
+      for await (const bytes of this.socket) {
+        const frames = reader.push(bytes as Buffer);
+        if (frames.isErr) {
+          return;
+        }
+        yield* frames.value;
+      }
+    } catch {
+      // A reset connection ends the link like a closed one.
+    } finally {
+      this.socket.destroy();
+    }
+  }
+
+  /** Ends the connection at once. */
+  close(): void {
+    this.socket.destroy();
+  }
+}
--- a/packages/store/src/membership.ts
+++ b/packages/store/src/membership.ts
@@ -71,6 +71,8 @@
 
   private readonly mirror: PrefixMirror;
 
+  private readonly leaving = new AbortController();
+
   private constructor(private readonly opts: MembershipOptions) {
     this.mirror = PrefixMirror.create({
       source: opts.source,
@@ -118,9 +120,16 @@
     return Math.max(1, recent.length);
   }
 
+  /** Ends this node's own membership; the others are followed on. */
+  leave(): void {
+    this.leaving.abort();
+  }
+
   /** The tasks: follows the members, and keeps this node one of them. */
   async run(opts: { readonly signal: AbortSignal }): Promise<void> {
-    await Promise.all([this.mirror.run(opts), this.keepSelf(opts.signal)]);
+    const { signal } = opts;
+    const member = AbortSignal.any([signal, this.leaving.signal]);
+    await Promise.all([this.mirror.run({ signal }), this.keepSelf(member)]);
   }
 
   private async keepSelf(signal: AbortSignal): Promise<void> {
@@ -142,7 +151,7 @@
       await timer.sleep({ delayMs, signal });
     }
     if (leaseId !== undefined) {
-      await this.leave(leaseId);
+      await this.endLease(leaseId);
     }
   }
 
@@ -153,7 +162,7 @@
     return kept.isOk ? kept.value : undefined;
   }
 
-  private async leave(leaseId: string): Promise<void> {
+  private async endLease(leaseId: string): Promise<void> {
     const { leases } = this.opts;
     await this.limited((signal) => leases.end({ leaseId, signal }));
   }
