--- a/packages/pool/src/index.ts
+++ b/packages/pool/src/index.ts
@@ -12,6 +12,7 @@
 } from './serveStageTarget.js';
 export {
   type ComparePieces,
+  type InputZone,
   StageQueue,
   type StageQueueOptions,
   type WaitingPiece,
--- a/packages/pool/src/resultRoom.ts
+++ b/packages/pool/src/resultRoom.ts
@@ -18,7 +18,10 @@
 }
 
 /** Results that are given up within this time are freed by one call. */
-const GATHER_MS = 40;
+const GATHER_MS = 15;
+
+/** A worker without room gets no new pieces for this time, or until results on it are freed. */
+const FULL_MS = 60;
 
 /** Counts the results that lie at stage workers, and frees them when they are not needed. */
 export class ResultRoom {
@@ -26,6 +29,8 @@
 
   private readonly reservedBytes = new Map<string, number>();
 
+  private readonly fullUntilMs = new Map<string, number>();
+
   private readonly toFree = new Map<string, string[]>();
 
   private constructor(private readonly opts: ResultRoomOptions) {}
@@ -43,6 +48,9 @@
   }): number {
     const { address, limits, share } = opts;
     const nowMs = this.opts.timer.nowMs();
+    if ((this.fullUntilMs.get(address) ?? 0) > nowMs) {
+      return 0;
+    }
     let bytes = this.reservedBytes.get(address) ?? 0;
     this.held.forEach((result, handle) => {
       if (result.expiresAtMs <= nowMs) {
@@ -67,6 +75,11 @@
     this.opts.onRoom();
   }
 
+  /** Notes that a worker had no room for a result. */
+  noteFull(address: string): void {
+    this.fullUntilMs.set(address, this.opts.timer.nowMs() + FULL_MS);
+  }
+
   /** Counts a result that was made. */
   hold(opts: {
     readonly handle: string;
@@ -99,6 +112,7 @@
       notify: () => {
         const handles = this.toFree.get(address) ?? [];
         this.toFree.delete(address);
+        this.fullUntilMs.delete(address);
         this.opts.freeResults({ address, handles }).catch(() => {});
         this.opts.onRoom();
       },
--- a/packages/pool/src/serveStageTarget.ts
+++ b/packages/pool/src/serveStageTarget.ts
@@ -84,7 +84,7 @@
       continue;
     }
     if (!opts.mayUse(target)) {
-      taken.forEach((piece) => piece.putBack());
+      taken.forEach((piece) => piece.putBack({ costsTry: false }));
       continue;
     }
     const answer = await runBatch({ ...opts, limits, taken });
@@ -139,7 +139,7 @@
       answer.kind === 'answered' ? describe(answer.results) : `${answer.kind}: ${answer.detail}`,
   });
   if (answer.kind !== 'answered') {
-    taken.forEach((piece) => settleFailed(piece));
+    taken.forEach((piece) => settleFailed(piece, answer.kind !== 'refused'));
     if (!unwanted.signal.aborted && answer.kind !== 'refused') {
       speed.failed(target.address);
     }
@@ -190,19 +190,22 @@
     piece.settle(result);
     return;
   }
+  if (result.reason === 'no-room') {
+    room.noteFull(opts.target.address);
+  }
   if (result.reason === 'no-room' || result.reason === 'failed') {
-    settleFailed(piece);
+    settleFailed(piece, result.reason === 'failed');
     return;
   }
   piece.settle(result);
 }
 
-function settleFailed(piece: TakenPiece): void {
-  if (piece.waiting.tries + 1 >= MOST_TRIES) {
+function settleFailed(piece: TakenPiece, costsTry: boolean): void {
+  if (costsTry && piece.waiting.tries + 1 >= MOST_TRIES) {
     piece.settle({ kind: 'failed', reason: 'unreachable' });
     return;
   }
-  piece.putBack();
+  piece.putBack({ costsTry });
 }
 
 function describe(results: readonly PieceResult[]): string {
--- a/packages/pool/src/stageQueue.ts
+++ b/packages/pool/src/stageQueue.ts
@@ -20,6 +20,7 @@
 export interface StageQueueOptions {
   readonly timer: TimerService;
   readonly compare: ComparePieces;
+  readonly inputZone: InputZone;
 }
 
 /** What a worker can take in its next call. */
@@ -33,6 +34,9 @@
   readonly signal: AbortSignal;
 }
 
+/** Where the inputs of a piece lie; empty when it has none or they are small. */
+export type InputZone = (piece: StagePiece) => string;
+
 interface Waiting extends WaitingPiece {
   readonly settle: (result: PieceResult) => void;
   readonly signal: AbortSignal;
@@ -42,8 +46,8 @@
 export interface TakenPiece {
   readonly waiting: WaitingPiece;
   readonly settle: (result: PieceResult) => void;
-  /** Puts the piece back for another call. */
-  readonly putBack: () => void;
+  /** Puts the piece back for another call; a worker that did not begin with it costs no try. */
+  readonly putBack: (opts: { readonly costsTry: boolean }) => void;
   /** Aborts when nobody wants the result any more. */
   readonly signal: AbortSignal;
 }
@@ -52,7 +56,8 @@
 export class StageQueue {
   private waiting: Waiting[] = [];
 
-  private readonly wakers = new Set<() => void>();
+  /** Workers that wait for pieces, by the function that wakes them. */
+  private readonly idle = new Map<() => void, TakeOptions>();
 
   private constructor(private readonly opts: StageQueueOptions) {}
 
@@ -105,28 +110,37 @@
     if (nowMs - oldest < opts.minWaitMs && this.waiting.length <= opts.limits.maxPieces) {
       return [];
     }
-    const ordered = [...this.waiting].sort((left, right) => compare({ left, right, nowMs }));
-    const chosen: Waiting[] = [];
-    let roomBytes = opts.roomBytes();
-    ordered.forEach((one) => {
-      if (chosen.length < opts.limits.maxPieces && one.piece.resultBytes <= roomBytes) {
-        roomBytes -= one.piece.resultBytes;
-        chosen.push(one);
-      }
-    });
+    const ordered = this.waiting
+      .filter((one) => !this.hasNearerWorker(one, opts))
+      .sort((left, right) => compare({ left, right, nowMs }));
+    const chosen = chooseWhole({ ordered, limits: opts.limits, roomBytes: opts.roomBytes() });
     const left = new Set(chosen);
     this.waiting = this.waiting.filter((one) => !left.has(one));
     return chosen.map((one) => this.toTaken(one));
   }
 
+  /** Whether an idle worker with room stands where the inputs of a piece lie, and this one does not. */
+  private hasNearerWorker(one: Waiting, opts: TakeOptions): boolean {
+    const zone = one.piece.zoneHint || this.opts.inputZone(one.piece);
+    if (zone === '' || zone === opts.target.availabilityZone) {
+      return false;
+    }
+    return [...this.idle.values()].some(
+      (other) =>
+        other.target.availabilityZone === zone &&
+        other.minWaitMs === 0 &&
+        other.roomBytes() >= one.piece.resultBytes,
+    );
+  }
+
   private toTaken(one: Waiting): TakenPiece {
     return {
       waiting: one,
       settle: one.settle,
       signal: one.signal,
-      putBack: () => {
+      putBack: ({ costsTry }) => {
         if (!one.signal.aborted) {
-          this.add({ ...one, tries: one.tries + 1 });
+          this.add({ ...one, tries: one.tries + (costsTry ? 1 : 0) });
         }
       },
     };
@@ -144,12 +158,12 @@
       // Pieces that wait now may be old enough, or find room as results expire, without a signal.
       const delayMs = opts.minWaitMs > 0 ? Math.min(opts.minWaitMs, RECHECK_MS) : RECHECK_MS;
       const cancel = this.waiting.length > 0 ? timer.after({ delayMs, notify: finish }) : () => {};
-      this.wakers.add(finish);
+      this.idle.set(finish, opts);
       opts.signal.addEventListener('abort', finish, { once: true });
-      const { wakers } = this;
+      const { idle } = this;
       function finish(): void {
         cancel();
-        wakers.delete(finish);
+        idle.delete(finish);
         opts.signal.removeEventListener('abort', finish);
         resolve();
       }
@@ -157,7 +171,7 @@
   }
 
   private wakeAll(): void {
-    [...this.wakers].forEach((wake) => wake());
+    [...this.idle.keys()].forEach((wake) => wake());
   }
 
   /** Wakes the tasks of workers whose room has changed. */
@@ -166,6 +180,47 @@
   }
 }
 
+/**
+ * Fills a call with all pieces of one stage of a request at a time, so that they end together and
+ * their results lie at one worker. The first ones are taken also when they do not all fit.
+ */
+function chooseWhole(opts: {
+  readonly ordered: readonly Waiting[];
+  readonly limits: BatchLimits;
+  readonly roomBytes: number;
+}): readonly Waiting[] {
+  const groups = new Map<string, Waiting[]>();
+  opts.ordered.forEach((one) => {
+    const key = `${one.piece.requestId} ${one.piece.stage}`;
+    groups.set(key, [...(groups.get(key) ?? []), one]);
+  });
+  const chosen: Waiting[] = [];
+  let { roomBytes } = opts;
+  groups.forEach((group) => {
+    const places = opts.limits.maxPieces - chosen.length;
+    const bytes = group.reduce((sum, { piece }) => sum + piece.resultBytes, 0);
+    if (group.length <= places && bytes <= roomBytes) {
+      chosen.push(...group);
+      roomBytes -= bytes;
+    }
+  });
+  return chosen.length > 0 ? chosen : firstThatFit(opts);
+}
+
+function firstThatFit(opts: {
+  readonly ordered: readonly Waiting[];
+  readonly limits: BatchLimits;
+  readonly roomBytes: number;
+}): readonly Waiting[] {
+  let { roomBytes } = opts;
+  return opts.ordered
+    .filter(({ piece }) => {
+      roomBytes -= piece.resultBytes;
+      return roomBytes >= 0;
+    })
+    .slice(0, opts.limits.maxPieces);
+}
+
 /** Results expire seconds after they were made, so this adds little to the wait for room. */
 const RECHECK_MS = 200;
 
--- a/packages/router/src/runAttempts.ts
+++ b/packages/router/src/runAttempts.ts
@@ -1,4 +1,5 @@
 import { GalenatillerError, type ResultCodeName } from '@galenatiller/error';
+import { makerOf } from '@galenatiller/pool';
 import { chooseTarget, type TargetChoice } from '@galenatiller/target';
 import type { ListedTarget } from '@galenatiller/types';
 
@@ -223,7 +224,20 @@
   return isRepeatable && progress.runs < route.maxAttempts;
 }
 
-function choose(opts: RunAttemptsOptions, progress: CallProgress): TargetChoice {
+/** Zone of the target that a call would go to now; empty when there is none. */
+export function likelyZone(opts: ChoiceOptions): string {
+  const choice = choose({ ...opts, inputs: [] }, NOT_TRIED);
+  return choice.kind === 'chosen' ? choice.target.availabilityZone : '';
+}
+
+type ChoiceOptions = Pick<RunAttemptsOptions, 'context' | 'exchange' | 'admitted'>;
+
+const NOT_TRIED = { tried: new Set<string>() };
+
+function choose(
+  opts: ChoiceOptions & Pick<RunAttemptsOptions, 'inputs'>,
+  progress: Pick<CallProgress, 'tried'>,
+): TargetChoice {
   const { context, admitted, exchange } = opts;
   const coldRequestsPerS = context.routes.findService(admitted.service)?.coldRequestsPerS ?? 0;
   return chooseTarget({
@@ -231,7 +245,7 @@
     tried: progress.tried,
     promptParts: exchange.call.promptParts,
     ownZone: context.ownZone,
-    inputZone: inputZone(opts),
+    inputBytesOutside: inputBytesOutside(opts),
     inFlight: ({ id }) => context.inFlight.count(id),
     isSuspended: ({ id }) => context.health.isSuspended(id),
     failureShare: ({ id }) => context.health.failureShare(id),
@@ -240,18 +254,19 @@
   });
 }
 
-/** Zone of the makers of most bytes of input. */
-function inputZone(opts: RunAttemptsOptions): string {
-  const zones = new Map(
-    opts.context.targets.all().map(({ address, availabilityZone }) => [address, availabilityZone]),
-  );
-  const bytesByZone = new Map<string, number>();
-  opts.inputs.forEach(({ handle, bytes }) => {
-    const zone = zones.get(handle.slice(0, handle.indexOf('/'))) ?? '';
-    bytesByZone.set(zone, (bytesByZone.get(zone) ?? 0) + bytes);
-  });
-  const ranked = [...bytesByZone].sort(([, left], [, right]) => right - left);
-  return ranked[0]?.[0] ?? '';
+/** Bytes of the inputs whose makers stand outside a zone; a maker that is gone counts nowhere. */
+function inputBytesOutside(
+  opts: Pick<RunAttemptsOptions, 'context' | 'inputs'>,
+): (availabilityZone: string) => number {
+  const { targets } = opts.context;
+  const placed = opts.inputs.map(({ handle, bytes }) => ({
+    bytes,
+    zone: targets.zoneOfMost([makerOf(handle)]),
+  }));
+  return (availabilityZone) =>
+    placed
+      .filter(({ zone }) => zone !== '' && zone !== availabilityZone)
+      .reduce((sum, { bytes }) => sum + bytes, 0);
 }
 
 /** The signal aborted: the deadline has passed, or the caller has gone. */
--- a/packages/router/src/runRouter.ts
+++ b/packages/router/src/runRouter.ts
@@ -8,6 +8,8 @@
 export interface FrontEnd {
   /** Tells callers not to come again on their connections. */
   readonly startClosing: () => void;
+  /** Takes no new connections, and refuses what still comes on open ones. */
+  readonly stopAccepting: () => void;
   readonly close: () => void;
 }
 
@@ -50,9 +52,10 @@
   });
   frontEnd.startClosing();
   router.leave();
+  await timer.sleep({ delayMs: STAY_OPEN_MS });
+  frontEnd.stopAccepting();
   const untilMs = stoppedAtMs + opts.stopLimitMs - STOP_MARGIN_MS;
-  const openUntilMs = stoppedAtMs + STAY_OPEN_MS;
-  while (timer.nowMs() < untilMs && (timer.nowMs() < openUntilMs || router.callsInProgress() > 0)) {
+  while (timer.nowMs() < untilMs && router.callsInProgress() > 0) {
     await timer.sleep({ delayMs: CHECK_MS });
   }
   log({
--- a/packages/router/src/runStages.ts
+++ b/packages/router/src/runStages.ts
@@ -18,6 +18,8 @@
   readonly route: ServedRoute;
   readonly call: RoutedCall;
   readonly priority: number;
+  /** Zone in which the call is likely to run; empty when that is open. */
+  readonly zoneHint: string;
   readonly deadlineAtMs: number;
   readonly dueAtMs: number;
   readonly submit: SubmitPiece;
@@ -76,6 +78,7 @@
               key: stage.after.length === 0 ? call.pieceKey : '',
               inputs,
               resultBytes: stage.resultBytes,
+              zoneHint: stage.resultBytes >= LARGE_RESULT_BYTES ? opts.zoneHint : '',
               deadlineAtMs: opts.deadlineAtMs,
               dueAtMs: opts.dueAtMs,
               priority: opts.priority,
@@ -130,4 +133,7 @@
   return call.stagePieces[stage] ?? 1;
 }
 
+/** Fetching less than this from another zone takes no longer than a round trip. */
+const LARGE_RESULT_BYTES = 500_000;
+
 const FAILED_LATE: PieceResult = { kind: 'failed', reason: 'late' };
--- a/packages/router/src/serveCall.ts
+++ b/packages/router/src/serveCall.ts
@@ -3,7 +3,7 @@
 import { type AdmittedCall, admitCall } from './admitCall.js';
 import type { CallerExchange } from './ports.js';
 import type { RouterContext } from './routerContext.js';
-import { type AttemptsEnd, runAttempts } from './runAttempts.js';
+import { type AttemptsEnd, likelyZone, runAttempts } from './runAttempts.js';
 import { type MadeResult, runStages, type StagesFailed } from './runStages.js';
 
 /** Options of {@link serveCall}. */
@@ -69,6 +69,7 @@
       priority: admitted.priority,
       deadlineAtMs: admitted.deadlineAtMs,
       dueAtMs: admitted.dueAtMs,
+      zoneHint: likelyZone(opts),
       submit: context.submitPiece,
       free: (results) => context.freeResults(handlesOf(results)),
       signal: wanted,
--- a/packages/router/src/stageWorkers.ts
+++ b/packages/router/src/stageWorkers.ts
@@ -1,6 +1,8 @@
 import {
   type BatchEvent,
   comparePieces,
+  type InputZone,
+  makerOf,
   type ResultRoom,
   type RunPieces,
   SeenHandles,
@@ -117,7 +119,9 @@
     if (known) {
       return known;
     }
-    const queue = StageQueue.create({ timer: this.opts.timer, compare: comparePieces });
+    const { timer, targets } = this.opts;
+    const inputZone: InputZone = ({ inputs }) => targets.zoneOfMost(inputs.map(makerOf));
+    const queue = StageQueue.create({ timer, compare: comparePieces, inputZone });
     this.queues.set(service, queue);
     return queue;
   }
--- a/packages/routerLink/src/acceptRouters.ts
+++ b/packages/routerLink/src/acceptRouters.ts
@@ -72,40 +72,32 @@
   },
 ): void {
   const { socket, running, frame } = link;
-  switch (frame.kind) {
-    case 'ping':
-      socket.send({ kind: 'pong' });
-      return;
-    case 'piece-order': {
-      const controller = new AbortController();
-      running.set(frame.orderId, controller);
-      opts.tasks.start(async () => {
-        const result = await opts.service.makePiece({
-          service: frame.service,
-          piece: pieceOf(frame, opts.timer.nowMs()),
-          signal: controller.signal,
-        });
-        running.delete(frame.orderId);
-        socket.send({ kind: 'piece-end', orderId: frame.orderId, result });
+  if (frame.kind === 'ping') {
+    socket.send({ kind: 'pong' });
+  }
+  if (frame.kind === 'piece-cancel') {
+    running.get(frame.orderId)?.abort();
+  }
+  if (frame.kind === 'free') {
+    opts.service.free(frame.handles);
+  }
+  if (frame.kind === 'piece-order') {
+    const controller = new AbortController();
+    running.set(frame.orderId, controller);
+    opts.tasks.start(async () => {
+      const result = await opts.service.makePiece({
+        service: frame.service,
+        piece: pieceOf(frame, opts.timer.nowMs()),
+        signal: controller.signal,
       });
-      return;
-    }
-    case 'piece-cancel':
-      running.get(frame.orderId)?.abort();
-      return;
-    case 'free':
-      opts.service.free(frame.handles);
-      return;
-    case 'hello':
-    case 'pong':
-    case 'piece-end':
-      // Nothing to do: these go the other way, or are signs of life.
-      break;
+      running.delete(frame.orderId);
+      socket.send({ kind: 'piece-end', orderId: frame.orderId, result });
+    });
   }
 }
 
 function pieceOf(frame: PieceOrderFrame, nowMs: number): StagePiece {
-  const { requestId, stage, piece, key, inputs, resultBytes, priority } = frame;
+  const { requestId, stage, piece, key, inputs, resultBytes, zoneHint, priority } = frame;
   return {
     requestId,
     stage,
@@ -113,6 +105,7 @@
     key,
     inputs,
     resultBytes,
+    zoneHint,
     priority,
     deadlineAtMs: nowMs + frame.deadlineInMs,
     dueAtMs: nowMs + frame.dueInMs,
--- a/packages/routerLink/src/routerFrames.ts
+++ b/packages/routerLink/src/routerFrames.ts
@@ -18,6 +18,7 @@
   readonly key: string;
   readonly inputs: readonly string[];
   readonly resultBytes: number;
+  readonly zoneHint: string;
   readonly priority: number;
   /** Clocks of two hosts differ, so times are told as what is left of them; negative when over. */
   readonly deadlineInMs: number;
--- a/packages/routerLink/src/wireRouterFrame.ts
+++ b/packages/routerLink/src/wireRouterFrame.ts
@@ -97,7 +97,7 @@
   ];
   return (
     areNumbers(fields, numbers) &&
-    areTexts(fields, ['service', 'requestId', 'key']) &&
+    areTexts(fields, ['service', 'requestId', 'key', 'zoneHint']) &&
     isTextList(fields.inputs)
   );
 }
--- a/packages/types/src/routedCall.ts
+++ b/packages/types/src/routedCall.ts
@@ -42,6 +42,8 @@
   /** Results that the piece is made from. */
   readonly inputs: readonly string[];
   readonly resultBytes: number;
+  /** Zone in which the result is going to be used; empty when that is open. */
+  readonly zoneHint: string;
   /** Monotonic time of the deadline of its call. */
   readonly deadlineAtMs: number;
   /** Monotonic time at which the call stops being on time. */
