--- a/packages/metrics/src/index.ts
+++ b/packages/metrics/src/index.ts
@@ -8,3 +8,4 @@
   type TimingOptions,
 } from './metrics.js';
 export { type MetricName, METRICS, type TagsOf } from './metricTable.js';
+export { MetricsPage, type MetricsPageOptions, type MetricSink } from './metricsPage.js';
--- a/packages/metrics/src/metricRow.ts
+++ b/packages/metrics/src/metricRow.ts
@@ -1,4 +1,11 @@
-import type { NodeRole, Outcome, Priority, StageKind, TargetState } from '@galenatiller/types';
+import type {
+  CallKind,
+  NodeRole,
+  Outcome,
+  Priority,
+  StageKind,
+  TargetState,
+} from '@galenatiller/types';
 
 /** How a metric adds up: a sum, a last value, or a distribution of times. */
 export type MetricType = 'count' | 'gauge' | 'timing';
@@ -13,6 +20,13 @@
   readonly code: number;
   readonly result: 'ok' | 'failed';
   readonly direction: 'sent' | 'received';
+  readonly callKind: CallKind;
+  /** How a call ended for its caller: by a target's answer, or by one of our own. */
+  readonly ending: 'answered' | 'refused-not-run' | 'failed' | 'cut' | 'caller-gone';
+  /** How one send to a target ended. */
+  readonly send: 'answered' | 'refused' | 'moved' | 'inputs-gone' | 'unsent' | 'broken' | 'foreign';
+  readonly batch: 'answered' | 'refused' | 'moved' | 'unreachable' | 'broken';
+  readonly storeCall: 'range' | 'watch' | 'txn' | 'lease-grant' | 'lease-keep' | 'lease-end';
 }
 
 /** One metric of the table. */
@@ -21,6 +35,7 @@
   readonly type: MetricType;
   readonly unit: string;
   readonly tags: readonly (keyof MetricTags)[];
-  readonly role: NodeRole | 'both';
+  /** `both` stands for entry and gate. */
+  readonly role: NodeRole | 'both' | 'router';
   readonly meaning: string;
 }
--- /dev/null
+++ b/packages/metrics/src/metricsPage.ts
@@ -0,0 +1,82 @@
+import { Counter, Gauge, Histogram, Registry } from 'prom-client';
+
+import type { CountOptions, GaugeOptions, TimingOptions } from './metrics.js';
+import { type MetricName, METRICS } from './metricTable.js';
+
+/** Where parts of a node report what they count. */
+export interface MetricSink {
+  readonly count: <Name extends MetricName<'count'>>(opts: CountOptions<Name>) => void;
+  readonly gauge: <Name extends MetricName<'gauge'>>(opts: GaugeOptions<Name>) => void;
+  readonly timing: <Name extends MetricName<'timing'>>(opts: TimingOptions<Name>) => void;
+}
+
+/** Options of {@link MetricsPage.create}. */
+export interface MetricsPageOptions {
+  readonly nodeName: string;
+  /** Sets the gauges; called before each rendering. */
+  readonly refresh: (sink: MetricSink) => void;
+}
+
+/** Bounds of the histograms, from a round trip within a zone to the longest deadline. */
+const BUCKETS_MS = [
+  1, 2, 5, 10, 20, 50, 100, 150, 200, 300, 400, 600, 800, 1_000, 1_500, 2_000, 3_000, 5_000, 8_000,
+  12_000, 20_000,
+];
+
+/** The metrics of one node as a page of Prometheus text. */
+export class MetricsPage implements MetricSink {
+  private readonly registry = new Registry();
+
+  private readonly counters = new Map<string, Counter>();
+
+  private readonly gauges = new Map<string, Gauge>();
+
+  private readonly histograms = new Map<string, Histogram>();
+
+  private constructor(private readonly opts: MetricsPageOptions) {
+    this.registry.setDefaultLabels({ node: opts.nodeName });
+    METRICS.filter(({ role }) => role === 'router').forEach(
+      ({ name, type, tags, meaning: help }) => {
+        const common = { name: pageName(name), help, labelNames: tags, registers: [this.registry] };
+        if (type === 'count') {
+          this.counters.set(name, new Counter(common));
+        } else if (type === 'gauge') {
+          this.gauges.set(name, new Gauge(common));
+        } else {
+          this.histograms.set(name, new Histogram({ ...common, buckets: BUCKETS_MS }));
+        }
+      },
+    );
+  }
+
+  /** Makes a page with every metric at zero. */
+  static create(opts: MetricsPageOptions): MetricsPage {
+    return new MetricsPage(opts);
+  }
+
+  /** Adds to a count. */
+  count<Name extends MetricName<'count'>>(opts: CountOptions<Name>): void {
+    this.counters.get(opts.name)?.inc({ ...opts.tags }, opts.by ?? 1);
+  }
+
+  /** Sets a gauge. */
+  gauge<Name extends MetricName<'gauge'>>(opts: GaugeOptions<Name>): void {
+    this.gauges.get(opts.name)?.set({ ...opts.tags }, opts.value);
+  }
+
+  /** Adds a time to a distribution. */
+  timing<Name extends MetricName<'timing'>>(opts: TimingOptions<Name>): void {
+    this.histograms.get(opts.name)?.observe({ ...opts.tags }, opts.lastedMs);
+  }
+
+  /** The page as it stands now. */
+  render(): Promise<string> {
+    this.opts.refresh(this);
+    return this.registry.metrics();
+  }
+}
+
+/** Names of the page have no dots. */
+function pageName(name: string): string {
+  return `galenatiller_${name.replaceAll('.', '_')}`;
+}
--- a/packages/pool/src/serveStageTarget.ts
+++ b/packages/pool/src/serveStageTarget.ts
@@ -26,6 +26,7 @@
   readonly stages: readonly number[];
   readonly tookMs: number;
   readonly waitedMs: number;
+  readonly kind: BatchAnswer['kind'];
   readonly outcome: string;
 }
 
@@ -135,6 +136,7 @@
     waitedMs: Math.round(
       startedAtMs - Math.min(...taken.map(({ waiting }) => waiting.waitingSinceMs)),
     ),
+    kind: answer.kind,
     outcome:
       answer.kind === 'answered' ? describe(answer.results) : `${answer.kind}: ${answer.detail}`,
   });
--- /dev/null
+++ b/packages/router/src/countEvents.ts
@@ -0,0 +1,36 @@
+import type { GalenatillerError } from '@galenatiller/error';
+import type { MetricSink, MetricTags } from '@galenatiller/metrics';
+import type { BatchEvent } from '@galenatiller/pool';
+import type { CallKind } from '@galenatiller/types';
+
+/** Counts one call to a stage worker. */
+export function countBatch(metrics: MetricSink, event: BatchEvent): void {
+  const { kind, tookMs, waitedMs, requestIds } = event;
+  metrics.count({ name: 'router.stage_calls', tags: { batch: kind } });
+  metrics.count({ name: 'router.stage_pieces', tags: {}, by: requestIds.length });
+  metrics.timing({ name: 'router.stage_call_time', tags: {}, lastedMs: tookMs });
+  metrics.timing({ name: 'router.stage_wait_time', tags: {}, lastedMs: waitedMs });
+}
+
+/** Options of {@link countCall}. */
+export interface CountCallOptions {
+  readonly metrics: MetricSink;
+  readonly callKind: CallKind;
+  readonly ending: MetricTags['ending'];
+  readonly tookMs: number;
+}
+
+/** Counts one call that has ended. */
+export function countCall(opts: CountCallOptions): void {
+  const { metrics, callKind, ending, tookMs } = opts;
+  metrics.count({ name: 'router.calls', tags: { callKind, ending } });
+  metrics.timing({ name: 'router.call_time', tags: { callKind }, lastedMs: tookMs });
+}
+
+/** How a call ended that got an answer of our own. */
+export function endingOf(error: GalenatillerError): MetricTags['ending'] {
+  if (error.codeName === 'cancelled') {
+    return 'caller-gone';
+  }
+  return error.outcome === 'not-run' ? 'refused-not-run' : 'failed';
+}
--- a/packages/router/src/createRouter.ts
+++ b/packages/router/src/createRouter.ts
@@ -1,4 +1,5 @@
 import type { EventLog } from '@galenatiller/logger';
+import type { MetricSink } from '@galenatiller/metrics';
 import { ResultRoom } from '@galenatiller/pool';
 import { acceptRouters, type PeerService } from '@galenatiller/routerLink';
 import {
@@ -20,6 +21,7 @@
 import type { CallerExchange, TargetCalls } from './ports.js';
 import type { RouterContext } from './routerContext.js';
 import { RouteTable } from './routeTable.js';
+import { countBatch } from './countEvents.js';
 import { logBatch, logFailedTask, logMembers, logMirror, logPeer, logTarget } from './logEvents.js';
 import type { SubmitPiece } from './runStages.js';
 import { serveCall } from './serveCall.js';
@@ -31,6 +33,7 @@
   readonly settings: RouterSettings;
   readonly timer: TimerService;
   readonly log: EventLog;
+  readonly metrics: MetricSink;
   readonly source: PrefixSource;
   readonly leases: LeaseCalls;
   readonly operatorEntries: OperatorEntries;
@@ -49,6 +52,8 @@
   /** Calls whose task has not ended. */
   readonly callsInProgress: () => number;
   readonly context: RouterContext;
+  /** Sets the gauges of the router. */
+  readonly reportGauges: (sink: MetricSink) => void;
   /** Tells the other routers that this one takes no more work for them. */
   readonly leave: () => void;
   /** Follows store and members until the signal aborts. */
@@ -57,7 +62,7 @@
 
 /** Joins the parts of a router. */
 export function createRouter(opts: RouterOptions): Router {
-  const { settings, timer, log, random } = opts;
+  const { settings, timer, log, metrics, random } = opts;
   const tasks = TaskGroup.create({ onFailure: (error) => logFailedTask(log, error) });
   const callTasks = TaskGroup.create({ onFailure: (error) => logFailedTask(log, error) });
   const routes = RouteTable.create();
@@ -77,6 +82,7 @@
   const context: RouterContext = {
     timer,
     log,
+    metrics,
     ownZone: settings.availabilityZone,
     routes,
     targets,
@@ -99,6 +105,13 @@
     serve: (exchange) => callTasks.start(() => serveCall({ context, exchange })),
     callsInProgress: () => callTasks.size,
     leave: () => members.leave(),
+    reportGauges: (sink) => {
+      sink.gauge({ name: 'router.calls_in_progress', tags: {}, value: callTasks.size });
+      sink.gauge({ name: 'router.members', tags: {}, value: nodeCount() });
+      sink.gauge({ name: 'router.targets', tags: {}, value: targets.size });
+      const evidenceAgeMs = Math.min(context.evidenceAgeMs(), Number.MAX_SAFE_INTEGER);
+      sink.gauge({ name: 'router.evidence_age', tags: {}, value: evidenceAgeMs });
+    },
     run: async ({ signal }) => {
       const links = await acceptRouters({
         address: settings.linkAddress,
@@ -157,7 +170,10 @@
     room: results,
     roomShare: (service) => (owners.isOwner(service) ? 1 : 1 / nodeCount()),
     runPieces: opts.calls.runPieces,
-    onBatch: (event) => logBatch(log, event),
+    onBatch: (event) => {
+      logBatch(log, event);
+      countBatch(opts.metrics, event);
+    },
   });
   const submitHere: SubmitPiece = (submitted) => workers.submit(submitted);
   const owners = StageOwners.create({
--- a/packages/router/src/logEvents.ts
+++ b/packages/router/src/logEvents.ts
@@ -30,9 +30,19 @@
 
 /** Logs one call to a stage worker. */
 export function logBatch(log: EventLog, event: BatchEvent): void {
-  const { target, ...rest } = event;
+  const { target, requestIds, stages, tookMs, waitedMs, outcome } = event;
   const { id, service } = target;
-  log({ about: 'decision', event: 'stage-call', target: id, service, ...rest });
+  log({
+    about: 'decision',
+    event: 'stage-call',
+    target: id,
+    service,
+    requestIds,
+    stages,
+    tookMs,
+    waitedMs,
+    outcome,
+  });
 }
 
 /** Logs a task that threw. */
--- a/packages/router/src/routerContext.ts
+++ b/packages/router/src/routerContext.ts
@@ -1,4 +1,5 @@
 import type { EventLog } from '@galenatiller/logger';
+import type { MetricSink } from '@galenatiller/metrics';
 import type { ColdShare, RepeatBudget, TargetDirectory, TargetHealth } from '@galenatiller/target';
 import type { TimerService } from '@galenatiller/timer';
 
@@ -11,6 +12,7 @@
 export interface RouterContext {
   readonly timer: TimerService;
   readonly log: EventLog;
+  readonly metrics: MetricSink;
   readonly ownZone: string;
   readonly routes: RouteTable;
   readonly targets: TargetDirectory;
--- a/packages/router/src/runAttempts.ts
+++ b/packages/router/src/runAttempts.ts
@@ -102,6 +102,7 @@
       lastEventId: progress.resumeAfter,
       signal,
     });
+    context.metrics.count({ name: 'router.sends', tags: { send: reply.kind } });
     log({
       about: 'decision',
       event: 'attempt',
--- a/packages/router/src/serveCall.ts
+++ b/packages/router/src/serveCall.ts
@@ -1,6 +1,7 @@
 import { GalenatillerError } from '@galenatiller/error';
 
 import { type AdmittedCall, admitCall } from './admitCall.js';
+import { countCall, endingOf } from './countEvents.js';
 import type { CallerExchange } from './ports.js';
 import type { RouterContext } from './routerContext.js';
 import { type AttemptsEnd, likelyZone, runAttempts } from './runAttempts.js';
@@ -126,12 +127,19 @@
     refuse(opts, GalenatillerError.create({ name: 'deadline-unreachable', detail }), admitted);
     return;
   }
+  const tookMs = context.timer.nowMs() - exchange.receivedAtMs;
+  countCall({
+    metrics: context.metrics,
+    callKind: admitted.route.callKind,
+    ending: end.kind,
+    tookMs,
+  });
   context.log({
     about: 'decision',
     event: 'call-ended',
     requestId: exchange.call.requestId,
     route: admitted.route.name,
-    tookMs: Math.round(context.timer.nowMs() - exchange.receivedAtMs),
+    tookMs: Math.round(tookMs),
     isLate: context.timer.nowMs() > admitted.dueAtMs,
     callerGone: exchange.gone.aborted,
     outcome: end.kind === 'answered' ? String(end.status) : `cut: ${end.detail}`,
@@ -140,12 +148,21 @@
 
 function refuse(opts: ServeCallOptions, error: GalenatillerError, admitted?: AdmittedCall): void {
   const { context, exchange } = opts;
+  const tookMs = context.timer.nowMs() - exchange.receivedAtMs;
+  if (admitted) {
+    countCall({
+      metrics: context.metrics,
+      callKind: admitted.route.callKind,
+      ending: endingOf(error),
+      tookMs,
+    });
+  }
   context.log({
     about: 'decision',
     event: 'call-refused',
     requestId: exchange.call.requestId,
     route: admitted?.route.name,
-    tookMs: Math.round(context.timer.nowMs() - exchange.receivedAtMs),
+    tookMs: Math.round(tookMs),
     configuration: context.routes.current()?.version,
     evidenceAgeMs: Math.round(Math.min(context.evidenceAgeMs(), Number.MAX_SAFE_INTEGER)),
     callerGone: exchange.gone.aborted,
--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -41,12 +41,24 @@
   },
 };
 
+/** Messages of settings are our own, so the translations of the schema library are left out. */
+const oneLocale = {
+  name: 'one-locale',
+  setup(bundle) {
+    bundle.onResolve({ filter: /locales\/index\.js$/ }, ({ resolveDir }) => ({
+      path: join(resolveDir, '..', 'locales', 'en.js'),
+    }));
+  },
+};
+
 await build({
   entryPoints: { router: 'platform/src/main.ts' },
   outdir: 'target',
   outExtension: { '.js': '.mjs' },
   bundle: true,
-  minify: false,
+  minifyWhitespace: true,
+  minifySyntax: true,
+  keepNames: true,
   sourcemap: 'linked',
   platform: 'node',
   format: 'esm',
@@ -54,6 +66,6 @@
   banner: {
     js: "import { createRequire as makeRequire } from 'node:module'; const require = makeRequire(import.meta.url);",
   },
-  plugins: [workspace, leanClient],
+  plugins: [workspace, leanClient, oneLocale],
   logLevel: 'warning',
 });
