--- a/packages/pool/src/stageQueue.ts
+++ b/packages/pool/src/stageQueue.ts
@@ -56,8 +56,10 @@
 export class StageQueue {
   private waiting: Waiting[] = [];
 
-  /** Workers that wait for pieces, by the function that wakes them. */
-  private readonly idle = new Map<() => void, TakeOptions>();
+  /** Workers that wait for pieces, also while they are being woken. */
+  private readonly idle = new Set<TakeOptions>();
+
+  private readonly wakers = new Set<() => void>();
 
   private constructor(private readonly opts: StageQueueOptions) {}
 
@@ -93,14 +95,19 @@
 
   /** Waits for pieces and takes as many as one call holds; empty when the signal aborts. */
   async take(opts: TakeOptions): Promise<readonly TakenPiece[]> {
-    while (!opts.signal.aborted) {
-      const taken = this.takeNow(opts);
-      if (taken.length > 0) {
-        return taken;
+    this.idle.add(opts);
+    try {
+      while (!opts.signal.aborted) {
+        const taken = this.takeNow(opts);
+        if (taken.length > 0) {
+          return taken;
+        }
+        await this.changed(opts);
       }
-      await this.changed(opts);
+      return [];
+    } finally {
+      this.idle.delete(opts);
     }
-    return [];
   }
 
   private takeNow(opts: TakeOptions): readonly TakenPiece[] {
@@ -125,7 +132,7 @@
     if (zone === '' || zone === opts.target.availabilityZone) {
       return false;
     }
-    return [...this.idle.values()].some(
+    return [...this.idle].some(
       (other) =>
         other.target.availabilityZone === zone &&
         other.minWaitMs === 0 &&
@@ -158,12 +165,12 @@
       // Pieces that wait now may be old enough, or find room as results expire, without a signal.
       const delayMs = opts.minWaitMs > 0 ? Math.min(opts.minWaitMs, RECHECK_MS) : RECHECK_MS;
       const cancel = this.waiting.length > 0 ? timer.after({ delayMs, notify: finish }) : () => {};
-      this.idle.set(finish, opts);
+      this.wakers.add(finish);
       opts.signal.addEventListener('abort', finish, { once: true });
-      const { idle } = this;
+      const { wakers } = this;
       function finish(): void {
         cancel();
-        idle.delete(finish);
+        wakers.delete(finish);
         opts.signal.removeEventListener('abort', finish);
         resolve();
       }
@@ -171,7 +178,7 @@
   }
 
   private wakeAll(): void {
-    [...this.idle.keys()].forEach((wake) => wake());
+    [...this.wakers].forEach((wake) => wake());
   }
 
   /** Wakes the tasks of workers whose room has changed. */
--- /dev/null
+++ b/packages/target/test/target.steps.ts
@@ -0,0 +1,281 @@
+import assert from 'node:assert/strict';
+import { createHash } from 'node:crypto';
+
+import { Given, Then, When } from '@cucumber/cucumber';
+import {
+  chooseTarget,
+  type ChooseTargetOptions,
+  ColdShare,
+  RepeatBudget,
+  TargetDirectory,
+  TargetHealth,
+} from '@galenatiller/target';
+import { ManualClock, TimerService } from '@galenatiller/timer';
+import type { ListedTarget } from '@galenatiller/types';
+
+interface TargetWorld {
+  targetClock: ManualClock;
+  targetTimer: TimerService;
+  directory: TargetDirectory;
+  judge: TargetHealth;
+  suspensions: number;
+  sent: number;
+  shares: readonly ColdShare[];
+  budgets: readonly RepeatBudget[];
+  requestsOfAll: number;
+  choices: readonly (readonly [string, string])[];
+  lastResort: ReturnType<typeof chooseTarget>;
+}
+
+function target(id: string, changes: Partial<ListedTarget> = {}): ListedTarget {
+  return {
+    id,
+    startedWallMs: 1,
+    service: 'engine',
+    address: `10.0.0.1:${8_000 + id.charCodeAt(0)}`,
+    availabilityZone: `zone-${id}`,
+    version: 'v1',
+    slots: 8,
+    state: 'ready',
+    coldLeftMs: 0,
+    ...changes,
+  };
+}
+
+function withClock(world: TargetWorld): TimerService {
+  world.targetClock = ManualClock.create({ startWallMs: 1_000_000 });
+  world.targetTimer = TimerService.create({ clock: world.targetClock });
+  return world.targetTimer;
+}
+
+function usableIds(world: TargetWorld): string {
+  return world.directory
+    .usable('engine')
+    .map(({ id }) => id)
+    .sort()
+    .join(', ');
+}
+
+Given(
+  'the targets {string} and {string} are listed',
+  function given(this: TargetWorld, first: string, second: string) {
+    this.directory = TargetDirectory.create({ timer: withClock(this), onBelief: () => {} });
+    [first, second].forEach((id) =>
+      this.directory.put({ id, target: target(id), storeRevision: 1 }),
+    );
+  },
+);
+
+When('target {string} says that it drains', function when(this: TargetWorld, id: string) {
+  this.directory.put({ id, target: target(id, { state: 'draining' }), storeRevision: 2 });
+});
+
+When('target {string} has started anew', function when(this: TargetWorld, id: string) {
+  this.directory.put({ id, target: target(id, { startedWallMs: 2 }), storeRevision: 2 });
+});
+
+When('the store is regained without target {string}', function when(this: TargetWorld, id: string) {
+  this.directory.storeRegained();
+  const entries = this.directory
+    .all()
+    .filter((one) => one.id !== id)
+    .map((one) => ({ id: one.id, target: one, storeRevision: 3 }));
+  this.directory.replaceAll(entries);
+});
+
+When(
+  'target {string} is listed again after {int} ms',
+  async function when(this: TargetWorld, id: string, delayMs: number) {
+    await this.targetClock.advance({ byMs: delayMs });
+    this.directory.put({ id, target: target(id), storeRevision: 4 });
+  },
+);
+
+When('the entry of target {string} is removed', function when(this: TargetWorld, id: string) {
+  this.directory.remove({ id, storeRevision: 2 });
+});
+
+When(
+  /^zone "([^"]*)" is taken (out|in)$/,
+  function when(this: TargetWorld, zone: string, way: string) {
+    this.directory.setZoneOut({ zone, isOut: way === 'out', storeRevision: 2 });
+  },
+);
+
+Then('the usable targets are {string}', function then(this: TargetWorld, ids: string) {
+  assert.equal(usableIds(this), ids);
+});
+
+Then(
+  'after {int} ms the usable targets are {string}',
+  async function then(this: TargetWorld, delayMs: number, ids: string) {
+    await this.targetClock.advance({ byMs: delayMs });
+    assert.equal(usableIds(this), ids);
+  },
+);
+
+Then('the old start of target {string} may not be used', function then(this: TargetWorld, id) {
+  assert.equal(this.directory.mayUse(target(id)), false);
+  assert.equal(this.directory.mayUse(target(id, { startedWallMs: 2 })), true);
+});
+
+Given('a judge of targets', function given(this: TargetWorld) {
+  this.suspensions = 0;
+  this.judge = TargetHealth.create({
+    timer: withClock(this),
+    onEvent: ({ kind }) => {
+      this.suspensions += kind === 'suspended' ? 1 : 0;
+    },
+  });
+});
+
+When('target {string} is unreachable', function when(this: TargetWorld, targetId: string) {
+  this.judge.note({ targetId, verdict: 'unreachable' });
+});
+
+When('target {string} answers well', function when(this: TargetWorld, targetId: string) {
+  this.judge.note({ targetId, verdict: 'good' });
+});
+
+When(
+  /^target "([^"]*)" fails each (\d+)(?:st|th) of (\d+) answers$/,
+  function when(this: TargetWorld, targetId: string, each: string, answers: string) {
+    Array.from({ length: Number(answers) }, (_, index) => index + 1).forEach((index) =>
+      this.judge.note({ targetId, verdict: index % Number(each) === 0 ? 'failed' : 'good' }),
+    );
+  },
+);
+
+Then('target {string} is suspended', function then(this: TargetWorld, targetId: string) {
+  assert.equal(this.judge.isSuspended(targetId), true);
+});
+
+Then('target {string} is not suspended', function then(this: TargetWorld, targetId: string) {
+  assert.equal(this.judge.isSuspended(targetId), false);
+});
+
+Then(
+  'after {int} ms target {string} is not suspended',
+  async function then(this: TargetWorld, delayMs: number, targetId: string) {
+    await this.targetClock.advance({ byMs: delayMs });
+    assert.equal(this.judge.isSuspended(targetId), false);
+  },
+);
+
+Then('target {string} was never suspended', function then(this: TargetWorld, _targetId: string) {
+  assert.equal(this.suspensions, 0);
+});
+
+Given(
+  '{int} nodes that share a cold target with 12 requests a second',
+  function given(this: TargetWorld, nodes: number) {
+    const timer = withClock(this);
+    this.shares = Array.from({ length: nodes }, () =>
+      ColdShare.create({ timer, nodeCount: () => nodes, overFactor: 1.5, slackRequests: 5 }),
+    );
+  },
+);
+
+When('each node sends all it may within one second', async function when(this: TargetWorld) {
+  this.sent = 0;
+  for (let tick = 0; tick < 99; tick += 1) {
+    this.shares.forEach((share) => {
+      while (share.mayTake({ address: 'a', coldRequestsPerS: 12 })) {
+        share.noteSent('a');
+        this.sent += 1;
+      }
+    });
+    await this.targetClock.advance({ byMs: 10 });
+  }
+});
+
+Then('the target got at most {int} requests', function then(this: TargetWorld, most: number) {
+  assert.ok(this.sent > 0 && this.sent <= most, `${this.sent} requests`);
+});
+
+Given(
+  '{int} nodes that share a budget of 0.2 repeats and 56 beyond',
+  function given(this: TargetWorld, nodes: number) {
+    const timer = withClock(this);
+    this.budgets = Array.from({ length: nodes }, () =>
+      RepeatBudget.create({
+        timer,
+        windowMs: 10_000,
+        ratio: 0.2,
+        slackRepeats: 56,
+        nodeCount: () => nodes,
+      }),
+    );
+  },
+);
+
+When(
+  'each node has {int} requests and repeats all it may',
+  function when(this: TargetWorld, requests: number) {
+    this.requestsOfAll = requests * this.budgets.length;
+    this.sent = 0;
+    this.budgets.forEach((budget) => {
+      Array.from({ length: requests }).forEach(() => budget.noteRequest('engine'));
+      while (budget.spend('engine')) {
+        this.sent += 1;
+      }
+    });
+  },
+);
+
+Then('the repeats are within 0.2 of the requests and 56 beyond', function then(this: TargetWorld) {
+  assert.ok(this.sent > 0 && this.sent <= 0.2 * this.requestsOfAll + 56, `${this.sent} repeats`);
+});
+
+function choiceOptions(targets: readonly ListedTarget[], key: string): ChooseTargetOptions {
+  return {
+    targets,
+    tried: new Set(),
+    promptParts: [
+      { id: key, tokens: 500 },
+      { id: 'own', tokens: 20 },
+    ],
+    ownZone: 'zone-a',
+    inputBytesOutside: () => 0,
+    inFlight: () => 0,
+    isSuspended: () => false,
+    failureShare: () => 0,
+    mayTake: () => true,
+    hash: (text) => createHash('sha256').update(text).digest().readUInt32BE(0),
+  };
+}
+
+When('two nodes choose among the same targets in another order', function when(this: TargetWorld) {
+  const targets = ['a', 'b', 'c', 'd', 'e'].map((id) => target(id));
+  const choose = (order: readonly ListedTarget[], key: string): string => {
+    const choice = chooseTarget(choiceOptions(order, key));
+    return choice.kind === 'chosen' ? choice.target.id : '';
+  };
+  this.choices = Array.from({ length: 50 }, (_, index) => `part-${index * 7}`).map(
+    (key) => [choose(targets, key), choose([...targets].reverse(), key)] as const,
+  );
+});
+
+Then('they choose the same target for each of 50 prompts', function then(this: TargetWorld) {
+  this.choices.forEach(([first, second]) => assert.equal(first, second));
+});
+
+Then('no target is chosen for more than half of the prompts', function then(this: TargetWorld) {
+  const counts = new Map<string, number>();
+  this.choices.forEach(([id]) => counts.set(id, (counts.get(id) ?? 0) + 1));
+  assert.ok(
+    [...counts.values()].every((count) => count <= 25),
+    JSON.stringify([...counts]),
+  );
+});
+
+When('the only target is suspended', function when(this: TargetWorld) {
+  this.lastResort = chooseTarget({
+    ...choiceOptions([target('a')], 'part'),
+    isSuspended: () => true,
+  });
+});
+
+Then('it is chosen as a last resort', function then(this: TargetWorld) {
+  assert.equal(this.lastResort.kind === 'chosen' && this.lastResort.reason, 'last-resort');
+});
