--- a/packages/pool/src/resultRoom.ts
+++ b/packages/pool/src/resultRoom.ts
@@ -91,13 +91,12 @@
     this.held.set(handle, { bytes, expiresAtMs });
   }
 
-  /** Frees results that nobody needs any more. */
+  /** Frees results that nobody needs any more, also those that another node had made. */
   giveUp(handles: readonly string[]): void {
-    handles
-      .filter((handle) => this.held.delete(handle))
-      .forEach((handle) => {
-        this.gather(makerOf(handle), handle);
-      });
+    handles.forEach((handle) => {
+      this.held.delete(handle);
+      this.gather(makerOf(handle), handle);
+    });
   }
 
   private gather(address: string, handle: string): void {
--- a/packages/router/src/stageOwners.ts
+++ b/packages/router/src/stageOwners.ts
@@ -88,11 +88,9 @@
       byPeer.set(peer, [...(byPeer.get(peer) ?? []), handle]);
     });
     byPeer.forEach((given, peer) => {
-      if (peer === '') {
+      const isTold = this.peers.get(peer)?.router.free(given) ?? false;
+      if (!isTold) {
         this.opts.results.giveUp(given);
-      } else {
-        // A peer that is gone has its results expire.
-        this.peers.get(peer)?.router.free(given);
       }
     });
   }
