--- /dev/null
+++ b/packages/router/test/router.steps.ts
@@ -0,0 +1,476 @@
+import assert from 'node:assert/strict';
+
+import { Given, Then, When } from '@cucumber/cucumber';
+import type { GalenatillerError } from '@galenatiller/error';
+import { ColdShare, RepeatBudget, TargetDirectory, TargetHealth } from '@galenatiller/target';
+import { ManualClock, TimerService } from '@galenatiller/timer';
+import type {
+  ListedTarget,
+  RoutedCall,
+  ServedConfiguration,
+  ServedRoute,
+} from '@galenatiller/types';
+import { Result } from 'true-myth';
+
+import { CallCounter } from '../src/callCounter.js';
+import type { AnswerHead, CallerExchange, SendCallOptions, SendReply } from '../src/ports.js';
+import type { RouterContext } from '../src/routerContext.js';
+import { RouteTable } from '../src/routeTable.js';
+import { serveCall } from '../src/serveCall.js';
+
+type Reply = (opts: SendCallOptions) => SendReply | Promise<SendReply>;
+
+interface Seen {
+  head?: AnswerHead;
+  refusal?: GalenatillerError;
+  bytes: string;
+  isEnded: boolean;
+  isCut: boolean;
+  readonly leave: AbortController;
+}
+
+interface RouterWorld {
+  routerClock: ManualClock;
+  routerTimer: TimerService;
+  context: RouterContext;
+  routes: RouteTable;
+  evidenceAgeMs: number;
+  repeatLimit: number;
+  replies: Reply[];
+  always: Reply;
+  sends: SendCallOptions[];
+  seen: Seen;
+  pieceInputs: (readonly string[])[];
+  made: string[];
+  freed: string[];
+  stagesFail: boolean;
+}
+
+const BASE_ROUTE: ServedRoute = {
+  name: 'base',
+  host: 'shop.example',
+  pathPrefix: '/',
+  callKind: 'idempotent',
+  timeoutMs: 800,
+  objectiveMs: 150,
+  priority: 1,
+  destinations: [{ service: 'service', weight: 1 }],
+  maxAttempts: 2,
+  stages: [],
+  isPublic: false,
+  hasPrompt: false,
+  isResumable: false,
+};
+
+function route(name: string, changes: Partial<ServedRoute>): ServedRoute {
+  return { ...BASE_ROUTE, name, pathPrefix: `/${name}/`, ...changes };
+}
+
+const CONFIGURATION: ServedConfiguration = {
+  version: 7,
+  routes: [
+    route('safe', {}),
+    route('order', { callKind: 'at-most-once' }),
+    route('deep', { pathPrefix: '/order/deep/', callKind: 'at-most-once' }),
+    route('stream', { callKind: 'stream' }),
+    route('resumable', { callKind: 'stream', isResumable: true }),
+    route('staged', {
+      callKind: 'at-most-once',
+      stages: [
+        { service: 'stage', after: [], resultBytes: 10 },
+        { service: 'stage', after: [0], resultBytes: 10 },
+      ],
+    }),
+  ],
+  services: [],
+  organisations: [{ name: 'shop', bearerKeys: ['key'], priority: undefined }],
+  callerLimits: {
+    maxHeaderBytes: 8_192,
+    maxBodyBytes: 1_000,
+    headerTimeoutMs: 1_000,
+    idleTimeoutMs: 1_000,
+  },
+};
+
+function listed(id: string): ListedTarget {
+  return {
+    id,
+    startedWallMs: 1,
+    service: 'service',
+    address: `10.0.0.1:${id.charCodeAt(0)}`,
+    availabilityZone: 'zone',
+    version: 'v1',
+    slots: 4,
+    state: 'ready',
+    coldLeftMs: 0,
+  };
+}
+
+function answered(changes: Partial<Extract<SendReply, { kind: 'answered' }>> = {}): SendReply {
+  return {
+    kind: 'answered',
+    status: 200,
+    isSealed: true,
+    passedHeaders: ['X-From', 'target'],
+    body: chunks(['whole']),
+    discard: () => {},
+    ...changes,
+  };
+}
+
+async function* chunks(texts: readonly string[], failure?: string): AsyncGenerator<Buffer> {
+  for (const text of texts) {
+    yield Buffer.from(text);
+  }
+  if (failure !== undefined) {
+    throw new Error(failure);
+  }
+}
+
+function events(from: number, to: number): string[] {
+  return Array.from({ length: to - from + 1 }, (_, index) => `id: ${from + index}\ndata: x\n\n`);
+}
+
+function stream(opts: SendCallOptions): SendReply {
+  return answered({ body: chunks(events(Number(opts.lastEventId || '0') + 1, 4)) });
+}
+
+function createContext(world: RouterWorld): RouterContext {
+  const timer = world.routerTimer;
+  const targets = TargetDirectory.create({ timer, onBelief: () => {} });
+  ['a', 'b'].forEach((id) => targets.put({ id, target: listed(id), storeRevision: 1 }));
+  return {
+    timer,
+    log: () => {},
+    metrics: { count: () => {}, gauge: () => {}, timing: () => {} },
+    ownZone: 'zone',
+    routes: world.routes,
+    targets,
+    health: TargetHealth.create({ timer, onEvent: () => {} }),
+    coldShare: ColdShare.create({
+      timer,
+      nodeCount: () => 1,
+      overFactor: 1,
+      slackRequests: 0,
+    }),
+    repeats: RepeatBudget.create({
+      timer,
+      windowMs: 10_000,
+      ratio: 0,
+      slackRepeats: world.repeatLimit / 0.8,
+      nodeCount: () => 1,
+    }),
+    inFlight: CallCounter.create(),
+    calls: {
+      sendCall: async (opts) => {
+        world.sends.push(opts);
+        const reply = world.replies.shift() ?? world.always;
+        return reply(opts);
+      },
+      runPieces: () => Promise.reject(new Error('not used')),
+      freeResults: () => Promise.resolve(),
+    },
+    submitPiece: ({ piece }) => {
+      world.pieceInputs[piece.stage] = piece.inputs;
+      if (world.stagesFail) {
+        return Promise.resolve({ kind: 'failed', reason: 'unreachable' });
+      }
+      const handle = `10.0.0.2:1/${piece.stage}-${piece.piece}-${world.made.length}`;
+      world.made.push(handle);
+      return Promise.resolve({ kind: 'made', handle });
+    },
+    freeResults: (handles) => {
+      world.freed.push(...handles);
+    },
+    evidenceAgeMs: () => world.evidenceAgeMs,
+    keyAgeLimitMs: 5_000,
+    hash: (text) => text.length,
+    random: () => 0.5,
+  };
+}
+
+function exchangeOf(world: RouterWorld, changes: Partial<RoutedCall>): CallerExchange {
+  const seen: Seen = { bytes: '', isEnded: false, isCut: false, leave: new AbortController() };
+  world.seen = seen;
+  return {
+    call: {
+      requestId: 'request',
+      method: 'POST',
+      host: 'shop.example:80',
+      path: '/safe/x',
+      bearerKey: 'key',
+      callerLimitMs: 1_500,
+      promptParts: [],
+      promptTokens: 0,
+      outputTokens: 0,
+      stagePieces: [],
+      pieceKey: 'piece-key',
+      lastEventId: '',
+      passedHeaders: [],
+      ...changes,
+    },
+    receivedAtMs: world.routerTimer.nowMs(),
+    gone: seen.leave.signal,
+    readBody: () => Promise.resolve(Result.ok(Buffer.from('body'))),
+    refuse: (error) => {
+      seen.refusal = error;
+    },
+    begin: (head) => {
+      seen.head = head;
+    },
+    write: (bytes) => {
+      seen.bytes += bytes.toString();
+      return Promise.resolve();
+    },
+    end: () => {
+      seen.isEnded = true;
+    },
+    cut: () => {
+      seen.isCut = true;
+    },
+  };
+}
+
+async function call(world: RouterWorld, changes: Partial<RoutedCall>): Promise<void> {
+  const exchange = exchangeOf(world, changes);
+  serveCall({ context: world.context, exchange }).catch((error: unknown) => {
+    throw error;
+  });
+  await world.routerClock.advance({ byMs: 400 });
+}
+
+Given(
+  'a router with a route for each kind of call and the targets "a" and "b"',
+  function given(this: RouterWorld) {
+    this.routerClock = ManualClock.create({ startWallMs: 1_000_000 });
+    this.routerTimer = TimerService.create({ clock: this.routerClock });
+    this.routes = RouteTable.create();
+    this.routes.offer(CONFIGURATION);
+    this.evidenceAgeMs = 100;
+    this.repeatLimit = 100;
+    this.replies = [];
+    this.always = (opts) => (opts.call.path.includes('stream') ? stream(opts) : answered());
+    this.sends = [];
+    this.pieceInputs = [];
+    this.made = [];
+    this.freed = [];
+    this.stagesFail = false;
+    this.context = createContext(this);
+  },
+);
+
+const broken: Reply = () => ({ kind: 'broken', detail: 'reset' });
+
+Given('the targets break off each call', function given(this: RouterWorld) {
+  this.always = broken;
+});
+
+Given('the targets break off the first call', function given(this: RouterWorld) {
+  this.replies = [broken];
+});
+
+Given(
+  /^the targets answer (the first|each) call with "([^"]*)"$/,
+  function given(this: RouterWorld, which: string, kind: 'refused') {
+    const reply: Reply = () => ({ kind, detail: 'scripted' });
+    if (which === 'each') {
+      this.always = reply;
+    } else {
+      this.replies = [reply];
+    }
+  },
+);
+
+Given('the targets answer each call without proof of origin', function given(this: RouterWorld) {
+  this.always = () => answered({ isSealed: false });
+});
+
+Given(
+  'the targets answer each call with status {int}',
+  function given(this: RouterWorld, status: number) {
+    this.always = () => answered({ status });
+  },
+);
+
+Given('the targets break off each body', function given(this: RouterWorld) {
+  this.always = () => answered({ body: chunks(['wh'], 'reset') });
+});
+
+Given(
+  /^the targets break off the first stream (after|within) event (\d)$/,
+  function given(this: RouterWorld, where: string, event: string) {
+    const whole = events(1, Number(event) - (where === 'within' ? 1 : 0));
+    const part = where === 'within' ? [`id: ${event}\ndata`] : [];
+    this.replies = [() => answered({ body: chunks([...whole, ...part], 'reset') })];
+    this.always = stream;
+  },
+);
+
+Given('the targets never answer', function given(this: RouterWorld) {
+  this.always = ({ signal }) =>
+    new Promise((resolve) => {
+      signal.addEventListener('abort', () => resolve({ kind: 'broken', detail: 'aborted' }));
+    });
+});
+
+Given(
+  'the newest proof of the configuration is {int} ms old',
+  function given(this: RouterWorld, ageMs: number) {
+    this.evidenceAgeMs = ageMs;
+  },
+);
+
+Given('a budget of {int} repeats', function given(this: RouterWorld, repeats: number) {
+  this.repeatLimit = repeats;
+  this.context = createContext(this);
+});
+
+Given('the stage workers fail', function given(this: RouterWorld) {
+  this.stagesFail = true;
+});
+
+When(/^an? "([^"]*)" call is made$/, function when(this: RouterWorld, name: string) {
+  return call(this, { path: `/${name}/x` });
+});
+
+When(
+  '{int} {string} calls are made',
+  async function when(this: RouterWorld, calls: number, name: string) {
+    for (let index = 0; index < calls; index += 1) {
+      await call(this, { path: `/${name}/x` });
+    }
+  },
+);
+
+When(
+  'a {string} call with {int} and {int} pieces is made',
+  function when(this: RouterWorld, name: string, first: number, second: number) {
+    return call(this, { path: `/${name}/x`, stagePieces: [first, second] });
+  },
+);
+
+When('a call with an unknown key is made', function when(this: RouterWorld) {
+  return call(this, { bearerKey: 'other' });
+});
+
+When('a call to an unknown route is made', function when(this: RouterWorld) {
+  return call(this, { path: '/nowhere/x' });
+});
+
+When('the caller leaves', async function when(this: RouterWorld) {
+  this.seen.leave.abort();
+  await this.routerClock.advance({ byMs: 100 });
+});
+
+When(
+  'configuration version 5 without routes is offered after version 7',
+  function when(this: RouterWorld) {
+    assert.equal(this.routes.offer({ ...CONFIGURATION, version: 5, routes: [] }), 'older');
+  },
+);
+
+Then('version {int} is in force', function then(this: RouterWorld, version: number) {
+  assert.equal(this.routes.current()?.version, version);
+  assert.ok(this.routes.findRoute({ host: 'shop.example', path: '/safe/x' }));
+});
+
+Then('the caller gets {int} from the target', function then(this: RouterWorld, status: number) {
+  assert.equal(this.seen.head?.status, status, this.seen.refusal?.message);
+  assert.deepEqual(this.seen.head.passedHeaders, ['X-From', 'target']);
+  assert.equal(this.seen.isEnded, true);
+});
+
+function refusalStatus(world: RouterWorld): number {
+  const { refusal, head } = world.seen;
+  assert.equal(head, undefined, 'an answer has begun');
+  assert.ok(refusal, 'no answer yet');
+  const statuses: Readonly<Record<string, number>> = {
+    'unknown-route': 404,
+    unauthorized: 401,
+    'target-failed': 502,
+    'deadline-exceeded': 504,
+  };
+  const status = statuses[refusal.codeName] ?? 503;
+  assert.equal(refusal.outcome === 'not-run', status !== 502 && status !== 504, refusal.message);
+  return status;
+}
+
+Then('the caller gets {int}', function then(this: RouterWorld, status: number) {
+  assert.equal(refusalStatus(this), status);
+});
+
+Then('the caller gets 503 with a time to come back', function then(this: RouterWorld) {
+  assert.equal(refusalStatus(this), 503);
+  assert.ok((this.seen.refusal?.retryAfterMs ?? 0) > 0);
+});
+
+Then(
+  'after {int} ms the caller gets {int}',
+  async function then(this: RouterWorld, withinMs: number, status: number) {
+    await this.routerClock.advance({ byMs: withinMs - 400 });
+    assert.equal(refusalStatus(this), status);
+  },
+);
+
+Then(/^the targets got (\d+) sends?$/, function then(this: RouterWorld, sends: string) {
+  assert.equal(this.sends.length, Number(sends));
+});
+
+Then(
+  'the targets got {int} sends to different targets',
+  function then(this: RouterWorld, sends: number) {
+    assert.equal(this.sends.length, sends);
+    assert.equal(new Set(this.sends.map(({ target }) => target.id)).size, sends);
+  },
+);
+
+Then('the targets got at most {int} sends', function then(this: RouterWorld, most: number) {
+  assert.ok(this.sends.length <= most, `${this.sends.length} sends`);
+});
+
+Then(
+  /^the caller gets the events 1 to (\d)( once each)? and a (whole|cut) answer$/,
+  function then(this: RouterWorld, last: string, _once: string | undefined, end: string) {
+    assert.equal(this.seen.bytes, events(1, Number(last)).join(''));
+    assert.equal(this.seen.isEnded, end === 'whole');
+    assert.equal(this.seen.isCut, end === 'cut');
+  },
+);
+
+Then('the second send resumes after event {int}', function then(this: RouterWorld, event: number) {
+  assert.equal(this.sends[1]?.lastEventId, String(event));
+  assert.notEqual(this.sends[0]?.target.id, this.sends[1].target.id);
+});
+
+Then('the target has been told to stop', function then(this: RouterWorld) {
+  assert.equal(this.sends[0]?.signal.aborted, true);
+});
+
+Then('the target has not been told to stop', function then(this: RouterWorld) {
+  assert.equal(this.sends[0]?.signal.aborted, false);
+});
+
+Then(
+  "the second stage's pieces got the {int} results of the first",
+  function then(this: RouterWorld, results: number) {
+    assert.deepEqual(this.pieceInputs[1], this.made.slice(0, results));
+  },
+);
+
+Then(
+  'the target got the {int} results of the second stage',
+  function then(this: RouterWorld, results: number) {
+    assert.deepEqual(this.sends[0]?.inputs, this.made.slice(-results));
+  },
+);
+
+Then('every result is freed', function then(this: RouterWorld) {
+  assert.deepEqual([...new Set(this.freed)].sort(), [...this.made].sort());
+});
+
+Then(
+  /^the path "([^"]*)" goes to (?:the route "([^"]*)"|no route)$/,
+  function then(this: RouterWorld, path: string, name: string | undefined) {
+    assert.equal(this.routes.findRoute({ host: 'shop.example', path })?.name, name ?? undefined);
+  },
+);
--- a/packages/store/src/prefixMirror.ts
+++ b/packages/store/src/prefixMirror.ts
@@ -49,6 +49,9 @@
 /** A store that is back is noticed within this time, well inside the bounds on configuration. */
 const RETRY_CAP_MS = 600;
 
+/** Wait of a read that only asks whether the store is back. */
+const PROBE_WAIT_MS = 1;
+
 /**
  * Keeps the entries under a prefix equal to the store's, and knows how old the proof of that is.
  * The proof dates from when a read was SENT: what changed while it was on the way may be missing.
@@ -119,8 +122,10 @@
   }
 
   private async follow(signal: AbortSignal): Promise<void> {
-    const { prefix, waitMs } = this.opts;
+    const { prefix } = this.opts;
     while (!signal.aborted) {
+      // After an outage an answer at once is a proof; the wait would put it off.
+      const waitMs = this.isLost ? PROBE_WAIT_MS : this.opts.waitMs;
       const sentAt = stampNow(this.opts.timer);
       const answer = await this.limited(signal, waitMs, (limited) =>
         this.opts.source.waitForChanges({
--- /dev/null
+++ b/packages/store/test/prefixMirror.steps.ts
@@ -0,0 +1,221 @@
+import assert from 'node:assert/strict';
+
+import { After, Given, Then, When } from '@cucumber/cucumber';
+import {
+  type MirrorEvent,
+  type PrefixChange,
+  type PrefixEntry,
+  PrefixMirror,
+  type PrefixSource,
+} from '@galenatiller/store';
+import { type Clock, ManualClock, TimerService } from '@galenatiller/timer';
+import { Result } from 'true-myth';
+
+interface MirrorWorld {
+  mirrorClock: ManualClock;
+  wallOffsetMs: number;
+  mirror: PrefixMirror;
+  mirrorTimer: TimerService;
+  stopMirror: AbortController;
+  stored: Map<string, number>;
+  history: PrefixChange[];
+  revision: number;
+  oldestRevision: number;
+  delayMs: number;
+  mode: 'up' | 'down' | 'hang';
+  wake: () => void;
+  mirrored: Set<string>;
+  told: MirrorEvent['kind'][];
+}
+
+function entry(key: string, revision: number): PrefixEntry {
+  return { key: `p/${key}`, value: Buffer.from(key), revision };
+}
+
+function sourceOf(world: MirrorWorld): PrefixSource {
+  const answer = async <Value>(
+    signal: AbortSignal,
+    value: () => Value,
+  ): Promise<Result<Value, { kind: 'unanswered'; detail: string }>> => {
+    const failed = Result.err<Value, { kind: 'unanswered'; detail: string }>({
+      kind: 'unanswered',
+      detail: world.mode,
+    });
+    if (world.mode === 'down') {
+      return failed;
+    }
+    if (world.mode === 'hang') {
+      await new Promise((resolve) => {
+        signal.addEventListener('abort', resolve);
+      });
+      return failed;
+    }
+    const read = value();
+    await world.mirrorTimer.sleep({ delayMs: world.delayMs, signal });
+    return Result.ok(read);
+  };
+  return {
+    readPage: ({ signal }) =>
+      answer(signal, () => ({
+        entries: [...world.stored].map(([key, revision]) => entry(key, revision)),
+        hasMore: false,
+        storeRevision: world.revision,
+      })),
+    waitForChanges: async ({ afterRevision, waitMs, signal }) => {
+      if (world.mode === 'up' && afterRevision < world.oldestRevision) {
+        return Result.err({ kind: 'history-lost', detail: 'dropped' });
+      }
+      if (world.mode === 'up' && world.revision <= afterRevision) {
+        const limit = world.mirrorTimer.limit({ limitMs: waitMs, parent: signal });
+        await new Promise<void>((resolve) => {
+          world.wake = resolve;
+          limit.signal.addEventListener('abort', () => resolve());
+        });
+        limit.release();
+      }
+      if (world.mode === 'up' && afterRevision < world.oldestRevision) {
+        return Result.err({ kind: 'history-lost', detail: 'dropped' });
+      }
+      return answer(signal, () => ({
+        changes: world.history.filter(
+          (change) =>
+            (change.kind === 'put' ? change.entry.revision : change.revision) > afterRevision,
+        ),
+        storeRevision: world.revision,
+      }));
+    },
+  };
+}
+
+Given('a mirror of a store that holds "a" and "b"', function given(this: MirrorWorld) {
+  this.mirrorClock = ManualClock.create({ startWallMs: 1_000_000 });
+  this.wallOffsetMs = 0;
+  const clock: Clock = {
+    nowMs: this.mirrorClock.nowMs,
+    wallMs: () => this.mirrorClock.wallMs() + this.wallOffsetMs,
+    arm: this.mirrorClock.arm,
+  };
+  this.mirrorTimer = TimerService.create({ clock });
+  this.stored = new Map([
+    ['a', 1],
+    ['b', 2],
+  ]);
+  this.history = [];
+  this.revision = 2;
+  this.oldestRevision = 0;
+  this.delayMs = 0;
+  this.mode = 'up';
+  this.wake = () => {};
+  this.mirrored = new Set();
+  this.told = [];
+  this.stopMirror = new AbortController();
+  this.mirror = PrefixMirror.create({
+    source: sourceOf(this),
+    timer: this.mirrorTimer,
+    prefix: 'p/',
+    waitMs: 1_000,
+    answerLimitMs: 500,
+    random: () => 0.5,
+    onEntries: (entries) => {
+      this.mirrored = new Set(entries.map(({ key }) => key));
+    },
+    onChange: (change) => {
+      if (change.kind === 'put') {
+        this.mirrored.add(change.entry.key);
+      } else {
+        this.mirrored.delete(change.key);
+      }
+    },
+    onEvent: ({ kind }) => {
+      this.told.push(kind);
+    },
+  });
+  this.mirror.run({ signal: this.stopMirror.signal }).catch((error: unknown) => {
+    throw error;
+  });
+});
+
+After({ tags: '@mirror' }, async function after(this: MirrorWorld) {
+  this.stopMirror.abort();
+  this.mode = 'down';
+  this.wake();
+  await this.mirrorClock.advance({ byMs: 2_000 });
+});
+
+When('the store takes {int} ms for each answer', function when(this: MirrorWorld, delayMs: number) {
+  this.delayMs = delayMs;
+});
+
+When('{int} ms pass', function when(this: MirrorWorld, byMs: number) {
+  return this.mirrorClock.advance({ byMs });
+});
+
+function loseKey(world: MirrorWorld, key: string): void {
+  world.revision += 1;
+  world.stored.delete(key);
+  world.history.push({ kind: 'delete', key: `p/${key}`, revision: world.revision });
+}
+
+When('the store gets "c" and loses "a"', function when(this: MirrorWorld) {
+  this.revision += 1;
+  this.stored.set('c', this.revision);
+  this.history.push({ kind: 'put', entry: entry('c', this.revision) });
+  loseKey(this, 'a');
+  this.wake();
+});
+
+When('the store loses "a" and drops its history', function when(this: MirrorWorld) {
+  loseKey(this, 'a');
+  this.history = [];
+  this.oldestRevision = this.revision;
+});
+
+When(
+  /^the store (is down|hangs) for (\d+) ms$/,
+  async function when(this: MirrorWorld, how: string, forMs: string) {
+    this.mode = how === 'hangs' ? 'hang' : 'down';
+    this.wake();
+    await this.mirrorClock.advance({ byMs: Number(forMs) });
+    if (how !== 'hangs') {
+      assert.ok(this.mirror.evidenceAgeMs() >= Number(forMs));
+    }
+    this.mode = 'up';
+  },
+);
+
+When('the host is suspended for {int} ms', function when(this: MirrorWorld, forMs: number) {
+  this.wallOffsetMs += forMs;
+});
+
+When(
+  'the wall clock steps by {int} ms while the store is down for {int} ms',
+  async function when(this: MirrorWorld, stepMs: number, forMs: number) {
+    this.mode = 'down';
+    this.wake();
+    this.wallOffsetMs += stepMs;
+    await this.mirrorClock.advance({ byMs: forMs });
+  },
+);
+
+Then('the mirror holds {string}', function then(this: MirrorWorld, keys: string) {
+  const held = [...this.mirrored].map((key) => key.slice(2)).sort();
+  assert.equal(held.join(', '), keys);
+});
+
+Then('its evidence is at least {int} ms old', function then(this: MirrorWorld, ageMs: number) {
+  const age = this.mirror.evidenceAgeMs();
+  assert.ok(age >= ageMs, `${age} ms`);
+});
+
+Then('its evidence is at most {int} ms old', function then(this: MirrorWorld, ageMs: number) {
+  const age = this.mirror.evidenceAgeMs();
+  assert.ok(age <= ageMs, `${age} ms`);
+});
+
+Then(
+  /^the (loss|return) was told once$/,
+  function then(this: MirrorWorld, what: 'loss' | 'return') {
+    const kind = what === 'loss' ? 'lost' : 'regained';
+    assert.equal(this.told.filter((one) => one === kind).length, 1);
+  },
+);
