--- a/packages/http/src/targetConnections.ts
+++ b/packages/http/src/targetConnections.ts
@@ -253,7 +253,7 @@
 
 /** The client destroys a socket that its peer has ended, which is no failure of the socket. */
 function isOwnEnd(error: SocketError): boolean {
-  return error.code === 'UND_ERR_SOCKET';
+  return error.code?.startsWith('UND_ERR') ?? false;
 }
 
 function close(connection: Connection): void {
--- a/packages/router/src/countEvents.ts
+++ b/packages/router/src/countEvents.ts
@@ -3,6 +3,8 @@
 import type { BatchEvent } from '@galenatiller/pool';
 import type { CallKind } from '@galenatiller/types';
 
+import type { RouterContext } from './routerContext.js';
+
 /** Counts one call to a stage worker. */
 export function countBatch(metrics: MetricSink, event: BatchEvent): void {
   const { kind, tookMs, waitedMs, requestIds } = event;
@@ -34,3 +36,22 @@
   }
   return error.outcome === 'not-run' ? 'refused-not-run' : 'failed';
 }
+
+/** Options of {@link reportGauges}. */
+export interface ReportGaugesOptions {
+  readonly sink: MetricSink;
+  readonly context: RouterContext;
+  /** Calls in progress. */
+  readonly calls: number;
+  readonly nodeCount: () => number;
+}
+
+/** Sets the gauges of a router. */
+export function reportGauges(opts: ReportGaugesOptions): void {
+  const { sink, context } = opts;
+  const evidenceAgeMs = Math.min(context.evidenceAgeMs(), Number.MAX_SAFE_INTEGER);
+  sink.gauge({ name: 'router.calls_in_progress', tags: {}, value: opts.calls });
+  sink.gauge({ name: 'router.members', tags: {}, value: opts.nodeCount() });
+  sink.gauge({ name: 'router.targets', tags: {}, value: context.targets.size });
+  sink.gauge({ name: 'router.evidence_age', tags: {}, value: evidenceAgeMs });
+}
--- a/packages/router/src/createRouter.ts
+++ b/packages/router/src/createRouter.ts
@@ -21,7 +21,7 @@
 import type { CallerExchange, TargetCalls } from './ports.js';
 import type { RouterContext } from './routerContext.js';
 import { RouteTable } from './routeTable.js';
-import { countBatch } from './countEvents.js';
+import { countBatch, reportGauges } from './countEvents.js';
 import { logBatch, logFailedTask, logMembers, logMirror, logPeer, logTarget } from './logEvents.js';
 import type { SubmitPiece } from './runStages.js';
 import { serveCall } from './serveCall.js';
@@ -66,10 +66,7 @@
   const tasks = TaskGroup.create({ onFailure: (error) => logFailedTask(log, error) });
   const callTasks = TaskGroup.create({ onFailure: (error) => logFailedTask(log, error) });
   const routes = RouteTable.create();
-  const targets = TargetDirectory.create({
-    timer,
-    onBelief: (belief) => logTarget(log, belief),
-  });
+  const targets = TargetDirectory.create({ timer, onBelief: (belief) => logTarget(log, belief) });
   const members = createMembership({ ...opts, onChange: (live) => stages.owners.setMembers(live) });
   const nodeCount = (): number => members.count();
   const stages = createStages({ ...opts, routes, targets, nodeCount, tasks });
@@ -105,13 +102,7 @@
     serve: (exchange) => callTasks.start(() => serveCall({ context, exchange })),
     callsInProgress: () => callTasks.size,
     leave: () => members.leave(),
-    reportGauges: (sink) => {
-      sink.gauge({ name: 'router.calls_in_progress', tags: {}, value: callTasks.size });
-      sink.gauge({ name: 'router.members', tags: {}, value: nodeCount() });
-      sink.gauge({ name: 'router.targets', tags: {}, value: targets.size });
-      const evidenceAgeMs = Math.min(context.evidenceAgeMs(), Number.MAX_SAFE_INTEGER);
-      sink.gauge({ name: 'router.evidence_age', tags: {}, value: evidenceAgeMs });
-    },
+    reportGauges: (sink) => reportGauges({ sink, context, calls: callTasks.size, nodeCount }),
     run: async ({ signal }) => {
       const links = await acceptRouters({
         address: settings.linkAddress,
