--- a/fakes/src/fakeServer.ts
+++ b/fakes/src/fakeServer.ts
@@ -6,6 +6,8 @@
 export interface FakeExchange {
   readonly method: string;
   readonly path: string;
+  /** Path with its query, as it was sent. */
+  readonly url: string;
   readonly header: (name: string) => string;
   readonly text: string;
   readonly response: ServerResponse;
@@ -99,6 +101,7 @@
   await handle({
     method: request.method ?? 'GET',
     path: (request.url ?? '/').split('?')[0] ?? '/',
+    url: request.url ?? '',
     header: (name) => String(request.headers[name] ?? ''),
     text: Buffer.concat(pieces).toString('utf8'),
     response,
--- a/fakes/src/index.ts
+++ b/fakes/src/index.ts
@@ -30,3 +30,5 @@
 export type { RunEnd, RunRecord } from './runLedger.js';
 export { sampleOrder } from './sampleOrder.js';
 export * from './store/index.js';
+export { FakePlatformStore, type StoreMode } from './platform/fakePlatformStore.js';
+export { FakePlatformWorker, WORKER_BODY, type WorkerRun } from './platform/fakePlatformWorker.js';
--- /dev/null
+++ b/fakes/src/platform/fakePlatformWorker.ts
@@ -0,0 +1,82 @@
+import { FakeServer } from '../fakeServer.js';
+import type { FakeExchange } from '../fakeServer.js';
+
+/** A request that a worker ran. */
+export interface WorkerRun {
+  readonly path: string;
+  readonly text: string;
+  readonly header: (name: string) => string;
+}
+
+/** The bytes of each answer. */
+export const WORKER_BODY = 'done by the worker';
+
+/** A stand-in of a plain worker of the platform. */
+export class FakePlatformWorker {
+  /** Time that a request takes. */
+  workMs = 0;
+
+  private readonly done: WorkerRun[] = [];
+
+  private server: FakeServer | undefined;
+
+  private constructor(private readonly id: string) {}
+
+  /** Listens on loopback. */
+  static async listen(opts: { readonly id: string }): Promise<FakePlatformWorker> {
+    const worker = new FakePlatformWorker(opts.id);
+    worker.server = await FakeServer.listen({
+      port: 0,
+      handle: (exchange) => worker.handle(exchange),
+    });
+    return worker;
+  }
+
+  /** IP:PORT. */
+  get address(): string {
+    return `127.0.0.1:${this.server?.port ?? 0}`;
+  }
+
+  /** Requests that ran, in order. */
+  get runs(): readonly WorkerRun[] {
+    return this.done;
+  }
+
+  /** What the worker writes of itself in the store. */
+  entry(service: string): object {
+    const { address } = this;
+    return {
+      service,
+      address,
+      zone: 'zone-a',
+      version: 'v1',
+      slots: 4,
+      state: 'ready',
+      cold_left_ms: 0,
+      sequence: 1,
+    };
+  }
+
+  /** Stops listening. */
+  async close(): Promise<void> {
+    await this.server?.down();
+  }
+
+  private async handle(exchange: FakeExchange): Promise<void> {
+    const { response, header, url: path, text } = exchange;
+    if (header('x-expect-instance') !== this.id) {
+      response.writeHead(421, { 'X-Instance-Id': this.id }).end();
+      return;
+    }
+    this.done.push({ path, text, header });
+    await new Promise((resolve) => {
+      setTimeout(resolve, this.workMs);
+    });
+    response.writeHead(200, {
+      'X-Request-Id': header('x-request-id'),
+      'X-Server-Seal': 'seal',
+      'X-Server-Load': '1,0,4',
+    });
+    response.end(WORKER_BODY);
+  }
+}
