--- a/packages/pool/test/stageQueue.steps.ts
+++ b/packages/pool/test/stageQueue.steps.ts
@@ -20,6 +20,8 @@
   StagePiece,
 } from '@galenatiller/types';
 
+import { worker } from './stageWorker.js';
+
 interface Call {
   readonly pieces: readonly StagePiece[];
   readonly zone: string;
@@ -56,22 +58,6 @@
 const RESULT_BYTES = 100;
 const CALL_MS = 300;
 
-const ZONE_PORTS: Readonly<Record<string, number>> = { east: 1, west: 2 };
-
-function worker(zone: string): ListedTarget {
-  return {
-    id: `worker-${zone}`,
-    startedWallMs: 1,
-    service: 'stage',
-    address: `10.0.0.1:${ZONE_PORTS[zone]}`,
-    availabilityZone: zone,
-    version: 'v1',
-    slots: 1,
-    state: 'ready',
-    coldLeftMs: 0,
-  };
-}
-
 function startWorker(world: QueueWorld, zone: string): void {
   const target = worker(zone);
   serveStageTarget({
--- /dev/null
+++ b/packages/pool/test/stageWorker.ts
@@ -0,0 +1,18 @@
+import type { ListedTarget } from '@galenatiller/types';
+
+const ZONE_PORTS: Readonly<Record<string, number>> = { east: 1, west: 2 };
+
+/** A stage worker in a zone, as it is listed. */
+export function worker(zone: string): ListedTarget {
+  return {
+    id: `worker-${zone}`,
+    startedWallMs: 1,
+    service: 'stage',
+    address: `10.0.0.1:${ZONE_PORTS[zone]}`,
+    availabilityZone: zone,
+    version: 'v1',
+    slots: 1,
+    state: 'ready',
+    coldLeftMs: 0,
+  };
+}
