--- a/packages/store/test/prefixMirror.steps.ts
+++ b/packages/store/test/prefixMirror.steps.ts
@@ -146,7 +146,7 @@
   this.delayMs = delayMs;
 });
 
-When('{int} ms pass', function when(this: MirrorWorld, byMs: number) {
+When('{int} ms pass for the mirror', function when(this: MirrorWorld, byMs: number) {
   return this.mirrorClock.advance({ byMs });
 });
 
