--- a/packages/http/test/targetConnections.steps.ts
+++ b/packages/http/test/targetConnections.steps.ts
@@ -48,7 +48,7 @@
   'sends a second answer after each': (socket) => socket.write(`${WHOLE}${WHOLE}`),
 };
 
-Given(/^a target that (.+)$/, async function given(this: ConnectionWorld, how: string) {
+Given(/^a raw target that (.+)$/, async function given(this: ConnectionWorld, how: string) {
   const serve = TARGETS[how];
   await listen(this, serve ?? (() => {}));
   if (how === 'has no listener') {
