Pass answers without length on without length

Ruled out: a reset seen as an end. Now an end is proved by the order of the socket's events, the answer keeps the kind of end that it came with, and a cut of such an answer resets.

--- a/fakes/src/index.ts
+++ b/fakes/src/index.ts
@@ -31,4 +31,9 @@
 export { sampleOrder } from './sampleOrder.js';
 export * from './store/index.js';
 export { FakePlatformStore, type StoreMode } from './platform/fakePlatformStore.js';
-export { FakePlatformWorker, WORKER_BODY, type WorkerRun } from './platform/fakePlatformWorker.js';
+export {
+  FakePlatformWorker,
+  WORKER_BODY,
+  type WorkerAnswerEnd,
+  type WorkerRun,
+} from './platform/fakePlatformWorker.js';
--- a/fakes/src/platform/fakePlatformWorker.ts
+++ b/fakes/src/platform/fakePlatformWorker.ts
@@ -11,11 +11,19 @@
 /** The bytes of each answer. */
 export const WORKER_BODY = 'done by the worker';
 
+/** How answers end: marked by a length, by the close of the connection, or reset before their end. */
+export type WorkerAnswerEnd = 'length' | 'close' | 'reset';
+
+/** Time for bytes to leave before a reset would drop them. */
+const RESET_AFTER_MS = 30;
+
 /** A stand-in of a plain worker of the platform. */
 export class FakePlatformWorker {
   /** Time that a request takes. */
   workMs = 0;
 
+  answerEnd: WorkerAnswerEnd = 'length';
+
   private readonly done: WorkerRun[] = [];
 
   private server: FakeServer | undefined;
@@ -72,11 +80,20 @@
     await new Promise((resolve) => {
       setTimeout(resolve, this.workMs);
     });
+    if (this.answerEnd !== 'length') {
+      response.removeHeader('Transfer-Encoding');
+      response.shouldKeepAlive = false;
+    }
     response.writeHead(200, {
       'X-Request-Id': header('x-request-id'),
       'X-Server-Seal': 'seal',
       'X-Server-Load': '1,0,4',
     });
-    response.end(WORKER_BODY);
+    response.write(WORKER_BODY);
+    if (this.answerEnd === 'reset') {
+      setTimeout(() => response.socket?.resetAndDestroy(), RESET_AFTER_MS);
+      return;
+    }
+    response.end();
   }
 }
--- a/packages/http/src/targetConnections.ts
+++ b/packages/http/src/targetConnections.ts
@@ -1,6 +1,7 @@
 import { connect, type Socket } from 'node:net';
 
 import type { Cancel, TimerService } from '@galenatiller/timer';
+import type { BodyEnd } from '@galenatiller/types';
 import { type buildConnector, Client } from 'undici';
 
 import { ConnectFailure } from './connectFailure.js';
@@ -22,6 +23,7 @@
 export interface TargetAnswer {
   readonly kind: 'answered';
   readonly status: number;
+  readonly bodyEnd: BodyEnd;
   /** The value of a header, or an empty string; names are in lower case. */
   readonly header: (name: string) => string;
   readonly headers: Readonly<Record<string, string | readonly string[]>>;
@@ -47,8 +49,8 @@
 
 interface Connection {
   readonly client: Client;
-  /** Whether the socket of the last exchange ended by an error. */
-  readonly socketFailed: () => boolean;
+  /** Whether the target has closed its side in order, after all of its bytes were read. */
+  readonly isEnded: () => boolean;
 }
 
 /** Idle time after which a connection is not used again when the target did not name a time. */
@@ -110,14 +112,16 @@
         bodyTimeout: 0,
       });
       const named = namedHeaders(headers);
-      const isFramed = 'content-length' in named || 'transfer-encoding' in named;
-      const mayStay = isFramed && String(named.connection ?? '').toLowerCase() !== 'close';
+      const bodyEnd = bodyEndOf(named);
+      const mayStay =
+        bodyEnd !== 'close' && String(named.connection ?? '').toLowerCase() !== 'close';
       return {
         kind: 'answered',
         status: statusCode,
+        bodyEnd,
         headers: named,
         header: (name) => textOf(named[name]),
-        body: this.readBody({ request, connection, body, isFramed, mayStay }),
+        body: this.readBody({ request, connection, body, bodyEnd, mayStay }),
         discard: () => {
           body.on('error', ignoreAbort);
           body.destroy();
@@ -135,7 +139,7 @@
     readonly request: TargetRequest;
     readonly connection: Connection;
     readonly body: AsyncIterable<Buffer>;
-    readonly isFramed: boolean;
+    readonly bodyEnd: BodyEnd;
     readonly mayStay: boolean;
   }): AsyncGenerator<Buffer, void, void> {
     const { request, connection } = opts;
@@ -143,7 +147,7 @@
     try {
       yield* opts.body;
       // The client takes a reset for the end of a body without length.
-      if (!opts.isFramed && connection.socketFailed()) {
+      if (opts.bodyEnd === 'close' && !connection.isEnded()) {
         throw new Error('the connection was reset in a body without length');
       }
       whole = true;
@@ -191,26 +195,26 @@
   }
 
   private connect(address: string): Connection {
-    let socketFailed = false;
+    let isEnded = false;
     const client = new Client(`http://${address}`, {
       pipelining: 1,
       keepAliveTimeout: IDLE_DEFAULT_MS,
       keepAliveTimeoutThreshold: IDLE_MARGIN_MS,
       connect: (_options, callback) => {
-        socketFailed = false;
-        const onFailed = (): void => {
-          socketFailed = true;
+        isEnded = false;
+        const onEnded = (): void => {
+          isEnded = true;
         };
-        this.openSocket({ address, callback, onFailed });
+        this.openSocket({ address, callback, onEnded });
       },
     });
-    return { client, socketFailed: () => socketFailed };
+    return { client, isEnded: () => isEnded };
   }
 
   private openSocket(opts: {
     readonly address: string;
     readonly callback: buildConnector.Callback;
-    readonly onFailed: () => void;
+    readonly onEnded: () => void;
   }): void {
     const { callback } = opts;
     const { connectLimitMs } = this.opts;
@@ -236,8 +240,7 @@
     socket.once('connect', () => {
       cancelLimit();
       socket.off('error', onConnectError);
-      // An end and a reset can't be told apart reliably here, so neither is taken for whole.
-      socket.on('error', opts.onFailed);
+      socket.once('end', opts.onEnded);
       this.opts.onOpened(opts.address);
       callback(null, socket);
     });
@@ -251,6 +254,13 @@
 /** Destroying a client or a body fails what still waits on it; those have their own handlers. */
 function ignoreAbort(): void {}
 
+function bodyEndOf(named: Readonly<Record<string, unknown>>): BodyEnd {
+  if ('transfer-encoding' in named) {
+    return 'last-chunk';
+  }
+  return 'content-length' in named ? 'length' : 'close';
+}
+
 function namedHeaders(
   headers: Readonly<Record<string, string | string[] | undefined>>,
 ): Record<string, string | readonly string[]> {
--- a/packages/router/src/passAnswer.ts
+++ b/packages/router/src/passAnswer.ts
@@ -47,7 +47,8 @@
   }
   opts.onFirstEvent();
   const { status, passedHeaders } = reply;
-  exchange.begin({ status, passedHeaders, bodyBytes: body.length });
+  const bodyEnd = reply.bodyEnd === 'close' ? 'close' : 'length';
+  exchange.begin({ status, passedHeaders, bodyEnd, bodyBytes: body.length });
   await exchange.write(body);
   exchange.end();
   return { kind: 'whole', hasBegun: true, lastEventId };
@@ -61,6 +62,8 @@
     return broken({ hasBegun, lastEventId }, 'a stream without proof of origin');
   }
   const { status, passedHeaders } = reply;
+  const bodyEnd = reply.bodyEnd === 'close' ? 'close' : 'last-chunk';
+  const head = { status, passedHeaders, bodyEnd, bodyBytes: 0 } as const;
   const cutter = EventCutter.create();
   try {
     for await (const chunk of reply.body) {
@@ -69,7 +72,7 @@
         continue;
       }
       if (!hasBegun) {
-        exchange.begin({ status, passedHeaders, bodyBytes: undefined });
+        exchange.begin(head);
         hasBegun = true;
       }
       opts.onFirstEvent();
@@ -83,7 +86,7 @@
     return broken({ hasBegun, lastEventId }, 'the stream ended within an event');
   }
   if (!hasBegun) {
-    exchange.begin({ status, passedHeaders, bodyBytes: undefined });
+    exchange.begin(head);
   }
   exchange.end();
   return { kind: 'whole', hasBegun: true, lastEventId };
--- a/packages/router/src/ports.ts
+++ b/packages/router/src/ports.ts
@@ -1,6 +1,6 @@
 import type { GalenatillerError } from '@galenatiller/error';
 import type { RunPieces } from '@galenatiller/pool';
-import type { ListedTarget, RoutedCall } from '@galenatiller/types';
+import type { BodyEnd, ListedTarget, RoutedCall } from '@galenatiller/types';
 import type { Result } from 'true-myth';
 
 /** A call as it is sent to a target. */
@@ -29,6 +29,7 @@
   readonly isSealed: boolean;
   /** What the caller gets with the answer, opaque to the decisions. */
   readonly passedHeaders: readonly string[];
+  readonly bodyEnd: BodyEnd;
   readonly body: AsyncIterable<Buffer>;
   /** Closes the connection of the answer. */
   readonly discard: () => void;
@@ -69,8 +70,10 @@
 export interface AnswerHead {
   readonly status: number;
   readonly passedHeaders: readonly string[];
-  /** Length of the body when it is known. */
-  readonly bodyBytes: number | undefined;
+  /** How the body will end; an end that proves nothing must not become one that does. */
+  readonly bodyEnd: BodyEnd;
+  /** Length of the body; only read if its end is marked by `length`. */
+  readonly bodyBytes: number;
 }
 
 /** One call of a caller and the means to answer it, made by a front end. */
--- a/packages/router/test/support.ts
+++ b/packages/router/test/support.ts
@@ -112,6 +112,7 @@
     status: 200,
     isSealed: true,
     passedHeaders: ['X-From', 'target'],
+    bodyEnd: 'length',
     body: chunks(['whole']),
     discard: () => {},
     ...changes,
--- a/packages/types/src/routedCall.ts
+++ b/packages/types/src/routedCall.ts
@@ -56,3 +56,6 @@
 export type PieceResult =
   | { readonly kind: 'made'; readonly handle: string }
   | { readonly kind: 'failed'; readonly reason: PieceFailure };
+
+/** What marks the end of a body; `close` also follows when its writer dies without a reset. */
+export type BodyEnd = 'length' | 'last-chunk' | 'close';
