--- /dev/null
+++ b/packages/pool/src/findUnreachable.ts
@@ -0,0 +1,71 @@
+import type { StagePiece } from '@galenatiller/types';
+
+import type { WaitingPiece } from './stageQueue.js';
+
+/** What the workers of a service get done. */
+export interface StageThroughput {
+  /** 0 when no worker may be used. */
+  readonly piecesPerMs: number;
+  /** Time of a full call. */
+  readonly callMs: number;
+}
+
+/** Pieces of one stage of one request that can't be made in time. */
+export interface UnreachableGroup<Piece> {
+  readonly pieces: readonly Piece[];
+  /** Estimated time until the last of them is made. */
+  readonly neededMs: number;
+  /** Time until the result is of no use any more. */
+  readonly leftMs: number;
+}
+
+/** Options of {@link findUnreachable}. */
+export interface FindUnreachableOptions<Piece> {
+  /** Waiting pieces, in the order in which they are taken. */
+  readonly ordered: readonly Piece[];
+  readonly nowMs: number;
+  readonly throughput: StageThroughput;
+}
+
+/** Finds what waits in vain; what is given up makes way for what comes behind it. */
+export function findUnreachable<Piece extends WaitingPiece>(
+  opts: FindUnreachableOptions<Piece>,
+): readonly UnreachableGroup<Piece>[] {
+  const { nowMs, throughput } = opts;
+  if (throughput.piecesPerMs === 0) {
+    return [];
+  }
+  const unreachable: UnreachableGroup<Piece>[] = [];
+  let piecesAhead = 0;
+  groupsOf(opts.ordered).forEach((pieces) => {
+    const behind = piecesAhead + pieces.length - 1;
+    const neededMs = behind / throughput.piecesPerMs + throughput.callMs;
+    const leftMs = Math.min(...pieces.map(({ piece }) => piece.deadlineAtMs)) - nowMs;
+    if (neededMs > leftMs) {
+      unreachable.push({ pieces, neededMs, leftMs });
+    } else {
+      piecesAhead += pieces.length;
+    }
+  });
+  return unreachable;
+}
+
+/** A request needs every piece of its stage. */
+function groupsOf<Piece extends WaitingPiece>(ordered: readonly Piece[]): readonly Piece[][] {
+  const groups = new Map<string, Piece[]>();
+  ordered.forEach((one) => {
+    const key = stageOf(one.piece);
+    const group = groups.get(key);
+    if (group) {
+      group.push(one);
+    } else {
+      groups.set(key, [one]);
+    }
+  });
+  return [...groups.values()];
+}
+
+/** Names one stage of one request. */
+export function stageOf(piece: StagePiece): string {
+  return `${piece.requestId} ${piece.stage}`;
+}
--- a/packages/pool/src/index.ts
+++ b/packages/pool/src/index.ts
@@ -1,7 +1,8 @@
 /** Talks to encoder, retriever and reranker pools. */
 export { comparePieces } from './comparePieces.js';
+export type { StageThroughput } from './findUnreachable.js';
 export { SeenHandles } from './seenHandles.js';
-export { makerOf, ResultRoom, type ResultRoomOptions } from './resultRoom.js';
+export { type FreeResults, makerOf, ResultRoom, type ResultRoomOptions } from './resultRoom.js';
 export { runPoolStage, type RunPoolStageOptions } from './runPoolStage.js';
 export {
   type BatchAnswer,
@@ -12,6 +13,7 @@
 } from './serveStageTarget.js';
 export {
   type ComparePieces,
+  type GivenUpEvent,
   type InputZone,
   StageQueue,
   type StageQueueOptions,
--- a/packages/pool/src/serveStageTarget.ts
+++ b/packages/pool/src/serveStageTarget.ts
@@ -140,6 +140,9 @@
     outcome:
       answer.kind === 'answered' ? describe(answer.results) : `${answer.kind}: ${answer.detail}`,
   });
+  if (answer.kind === 'broken') {
+    room.holdLost({ address: target.address, bytes, limits });
+  }
   if (answer.kind !== 'answered') {
     taken.forEach((piece) => settleFailed(piece, answer.kind !== 'refused'));
     if (!unwanted.signal.aborted && answer.kind !== 'refused') {
@@ -154,6 +157,9 @@
       settleResult({ ...opts, piece, result });
     }
   });
+  if (answer.results.some((result) => result.kind === 'failed' && result.reason === 'no-room')) {
+    room.noteFull({ address: target.address, limits });
+  }
   return 'done';
 }
 
@@ -176,7 +182,6 @@
 }
 
 function settleResult(opts: {
-  readonly target: ListedTarget;
   readonly limits: BatchLimits;
   readonly room: ResultRoom;
   readonly piece: TakenPiece;
@@ -192,9 +197,6 @@
     piece.settle(result);
     return;
   }
-  if (result.reason === 'no-room') {
-    room.noteFull(opts.target.address);
-  }
   if (result.reason === 'no-room' || result.reason === 'failed') {
     settleFailed(piece, result.reason === 'failed');
     return;
--- a/packages/pool/src/stageQueue.ts
+++ b/packages/pool/src/stageQueue.ts
@@ -1,6 +1,8 @@
 import type { TimerService } from '@galenatiller/timer';
 import type { BatchLimits, ListedTarget, PieceResult, StagePiece } from '@galenatiller/types';
 
+import { findUnreachable, stageOf, type StageThroughput } from './findUnreachable.js';
+
 /** A piece that waits in the queue of its service. */
 export interface WaitingPiece {
   readonly piece: StagePiece;
@@ -21,6 +23,19 @@
   readonly timer: TimerService;
   readonly compare: ComparePieces;
   readonly inputZone: InputZone;
+  readonly throughput: () => StageThroughput;
+  readonly onGivenUp: (event: GivenUpEvent) => void;
+}
+
+/** A stage of a request that was given up, as it can't be done in time. */
+export interface GivenUpEvent {
+  readonly requestId: string;
+  readonly stage: number;
+  readonly pieces: number;
+  /** Pieces that wait in the queue. */
+  readonly waiting: number;
+  readonly neededMs: number;
+  readonly leftMs: number;
 }
 
 /** What a worker can take in its next call. */
@@ -61,6 +76,8 @@
 
   private readonly wakers = new Set<() => void>();
 
+  private isCheckDue = false;
+
   private constructor(private readonly opts: StageQueueOptions) {}
 
   /** Makes an empty queue. */
@@ -156,6 +173,43 @@
   private add(one: Waiting): void {
     this.waiting.push(one);
     this.wakeAll();
+    this.checkSoon();
+  }
+
+  /** Looks for pieces that wait in vain, once for all that are added within a moment. */
+  private checkSoon(): void {
+    if (this.isCheckDue) {
+      return;
+    }
+    this.isCheckDue = true;
+    this.opts.timer.after({
+      delayMs: CHECK_DELAY_MS,
+      notify: () => {
+        this.isCheckDue = false;
+        this.giveUpUnreachable();
+        if (this.waiting.length > 0) {
+          this.checkSoon();
+        }
+      },
+    });
+  }
+
+  private giveUpUnreachable(): void {
+    const { timer, compare, throughput, onGivenUp } = this.opts;
+    const nowMs = timer.nowMs();
+    const ordered = this.waiting.toSorted((left, right) => compare({ left, right, nowMs }));
+    findUnreachable({ ordered, nowMs, throughput: throughput() }).forEach((group) => {
+      const { pieces, neededMs, leftMs } = group;
+      const given = new Set(pieces);
+      this.waiting = this.waiting.filter((one) => !given.has(one));
+      const [first] = pieces;
+      if (first) {
+        const { requestId, stage } = first.piece;
+        const waiting = this.waiting.length;
+        onGivenUp({ requestId, stage, pieces: pieces.length, waiting, neededMs, leftMs });
+      }
+      pieces.forEach(({ settle }) => settle(BUSY));
+    });
   }
 
   /** Resolves when a piece was added, when a waiting one grew old enough, or when the signal aborts. */
@@ -198,7 +252,7 @@
 }): readonly Waiting[] {
   const groups = new Map<string, Waiting[]>();
   opts.ordered.forEach((one) => {
-    const key = `${one.piece.requestId} ${one.piece.stage}`;
+    const key = stageOf(one.piece);
     groups.set(key, [...(groups.get(key) ?? []), one]);
   });
   const chosen: Waiting[] = [];
@@ -231,4 +285,9 @@
 /** Results expire seconds after they were made, so this adds little to the wait for room. */
 const RECHECK_MS = 200;
 
+/** A fifth of the shortest call, and far less than the time that a caller notices. */
+const CHECK_DELAY_MS = 40;
+
+const BUSY: PieceResult = { kind: 'failed', reason: 'busy' };
+
 const LATE: PieceResult = { kind: 'failed', reason: 'late' };
--- a/packages/pool/test/stageQueue.feature
+++ b/packages/pool/test/stageQueue.feature
@@ -34,6 +34,25 @@
     When 1 request submits 2 pieces
     Then the next call has 2 pieces within 4300 ms
 
+  Scenario: Results count until their maker has freed them
+    Given results fill the worker
+    And their maker does not answer
+    When 1 request submits 2 pieces
+    And the results are given up
+    Then no call is made within 100 ms
+
+  Scenario: What a lost answer may have made takes room
+    Given the worker's first answer is lost
+    When 1 request submits 6 pieces
+    Then the next call has 6 pieces
+    And the next call has 4 pieces
+
+  Scenario: A worker that had no room is not asked again at once
+    Given the worker answers "no-room" 1 time
+    When 1 request submits 7 pieces
+    Then the next call has 7 pieces
+    And the next call has fewer than 7 pieces
+
   Scenario: A worker without room costs a piece none of its tries
     Given the worker answers "no-room" 10 times
     When 1 request submits 1 piece
@@ -75,3 +94,19 @@
     And a request that is not due yet submits 7 pieces
     And the worker is free again
     Then the next call is for the request that is not due yet
+
+  Scenario: What can't be made in time behind the others is given up at once
+    Given the only worker is busy
+    When 2 requests that are wanted within 1000 ms submit 7 pieces each
+    And a request that is wanted within 1000 ms submits 7 pieces
+    And 100 ms pass
+    Then 1 request was given up
+    And its pieces failed as "busy", all others are made
+
+  Scenario: What is given up makes way for a shorter one behind it
+    Given the only worker is busy
+    When a request that is wanted within 450 ms submits 14 pieces
+    And a request that is wanted within 450 ms submits 2 pieces
+    And 60 ms pass
+    Then 1 request was given up
+    And its pieces failed as "busy", all others are made
--- a/packages/pool/test/stageQueue.steps.ts
+++ b/packages/pool/test/stageQueue.steps.ts
@@ -4,6 +4,7 @@
 import {
   type BatchAnswer,
   comparePieces,
+  type GivenUpEvent,
   makerOf,
   ResultRoom,
   SeenHandles,
@@ -44,6 +45,9 @@
   hold: ReadonlySet<string>;
   outcomes: Promise<PieceResult>[];
   givers: AbortController[];
+  givenUp: GivenUpEvent[];
+  makerAnswers: boolean;
+  firstIsLost: boolean;
 }
 
 const LIMITS: BatchLimits = {
@@ -92,6 +96,10 @@
     return ordered;
   }
   await world.stageTimer.sleep({ delayMs: CALL_MS });
+  if (world.firstIsLost) {
+    world.firstIsLost = false;
+    return { kind: 'broken', detail: 'lost' };
+  }
   return make(world, target, pieces);
 }
 
@@ -151,15 +159,21 @@
     this.hold = new Set();
     this.outcomes = [];
     this.givers = [];
+    this.givenUp = [];
+    this.makerAnswers = true;
+    this.firstIsLost = false;
     this.room = ResultRoom.create({
       timer: this.stageTimer,
-      freeResults: () => Promise.resolve(),
+      freeResults: () => Promise.resolve(this.makerAnswers),
+      onNotFreed: () => {},
       onRoom: () => this.stageQueue.roomChanged(),
     });
     this.stageQueue = StageQueue.create({
       timer: this.stageTimer,
       compare: comparePieces,
       inputZone: ({ inputs }) => (inputs.map(makerOf).includes('10.0.0.1:2') ? 'west' : ''),
+      throughput: () => ({ piecesPerMs: LIMITS.maxPieces / CALL_MS, callMs: CALL_MS }),
+      onGivenUp: (event) => this.givenUp.push(event),
     });
     startWorker(this, 'east');
   },
@@ -214,6 +228,17 @@
   world.taken += 1;
 }
 
+Then(
+  'the next call has fewer than {int} pieces',
+  async function then(this: QueueWorld, pieces: number) {
+    for (let waitedMs = 0; this.calls.length <= this.taken; waitedMs += 10) {
+      assert.ok(waitedMs < LIMITS.resultTtlMs, 'no call was made');
+      await this.stageClock.advance({ byMs: 10 });
+    }
+    assert.ok((this.calls[this.taken]?.pieces.length ?? pieces) < pieces);
+  },
+);
+
 Given('results fill the worker', function given(this: QueueWorld) {
   this.held = Array.from({ length: 10 }, (_, index) => `10.0.0.1:1/held${index}`);
   this.held.forEach((handle) => this.room.hold({ handle, bytes: RESULT_BYTES, limits: LIMITS }));
@@ -224,14 +249,22 @@
   assert.equal(this.calls.length, 0);
 });
 
+Given('their maker does not answer', function given(this: QueueWorld) {
+  this.makerAnswers = false;
+});
+
+Given("the worker's first answer is lost", function given(this: QueueWorld) {
+  this.firstIsLost = true;
+});
+
 When('the results are given up', function when(this: QueueWorld) {
   this.room.giveUp(this.held);
 });
 
 Given(
-  'the worker answers {string} {int} times',
-  function given(this: QueueWorld, reason: PieceFailure, times: number) {
-    this.answers = Array.from({ length: times }, () => reason);
+  /^the worker answers "([^"]+)" (\d+) times?$/,
+  function given(this: QueueWorld, reason: PieceFailure, times: string) {
+    this.answers = Array.from({ length: Number(times) }, () => reason);
   },
 );
 
@@ -321,3 +354,38 @@
 Then('the next call is for the request that is not due yet', function then(this: QueueWorld) {
   assert.equal(this.calls[this.taken]?.pieces[0]?.requestId, 'not due yet');
 });
+
+When(
+  /^(\d+|a) requests? that (?:is|are) wanted within (\d+) ms submits? (\d+) pieces(?: each)?$/,
+  function when(this: QueueWorld, requests: string, withinMs: string, pieces: string) {
+    const deadlineAtMs = this.stageTimer.nowMs() + Number(withinMs);
+    Array.from({ length: requests === 'a' ? 1 : Number(requests) }).forEach(() => {
+      newRequest(this);
+      Array.from({ length: Number(pieces) }).forEach((_, piece) => {
+        submit(this, { piece, deadlineAtMs, resultBytes: 1 });
+      });
+    });
+  },
+);
+
+When('{int} ms pass', function when(this: QueueWorld, byMs: number) {
+  return this.stageClock.advance({ byMs });
+});
+
+Then('1 request was given up', function then(this: QueueWorld) {
+  assert.equal(this.givenUp.length, 1);
+});
+
+Then('its pieces failed as "busy", all others are made', async function then(this: QueueWorld) {
+  this.hold = new Set();
+  this.calls[0]?.answer(make(this, worker('east'), this.calls[0].pieces));
+  for (let passedMs = 0; passedMs < 4 * CALL_MS; passedMs += 10) {
+    await this.stageClock.advance({ byMs: 10 });
+  }
+  const results = await Promise.all(this.outcomes);
+  const failed = results.flatMap((result) => (result.kind === 'failed' ? [result.reason] : []));
+  assert.deepEqual(
+    failed,
+    Array.from({ length: this.givenUp[0]?.pieces ?? 0 }, () => 'busy'),
+  );
+});
--- a/packages/router/src/admitCall.ts
+++ b/packages/router/src/admitCall.ts
@@ -18,6 +18,8 @@
   readonly deadlineAtMs: number;
   /** Monotonic time after which the call is not on time any more. */
   readonly dueAtMs: number;
+  /** Monotonic time after which the caller does not wait for the start of an answer any more. */
+  readonly startByMs: number;
 }
 
 /** Options of {@link admitCall}. */
@@ -60,6 +62,7 @@
       maxBodyBytes: configuration.callerLimits.maxBodyBytes,
       deadlineAtMs: receivedAtMs + limitMs,
       dueAtMs: receivedAtMs + Math.min(route.objectiveMs, limitMs),
+      startByMs: receivedAtMs + Math.min(route.patienceMs, limitMs),
     };
   });
 }
--- a/packages/router/src/createRouter.ts
+++ b/packages/router/src/createRouter.ts
@@ -10,7 +10,13 @@
   type PrefixSource,
 } from '@galenatiller/store';
 import type { RouterSettings } from '@galenatiller/settings';
-import { ColdShare, RepeatBudget, TargetDirectory, TargetHealth } from '@galenatiller/target';
+import {
+  AnswerTimes,
+  ColdShare,
+  RepeatBudget,
+  TargetDirectory,
+  TargetHealth,
+} from '@galenatiller/target';
 import { TaskGroup } from '@galenatiller/tasks';
 import type { TimerService } from '@galenatiller/timer';
 
@@ -22,7 +28,16 @@
 import type { RouterContext } from './routerContext.js';
 import { RouteTable } from './routeTable.js';
 import { countBatch, reportGauges } from './countEvents.js';
-import { logBatch, logFailedTask, logMembers, logMirror, logPeer, logTarget } from './logEvents.js';
+import {
+  logBatch,
+  logFailedTask,
+  logGivenUp,
+  logNotFreed,
+  logMembers,
+  logMirror,
+  logPeer,
+  logTarget,
+} from './logEvents.js';
 import type { SubmitPiece } from './runStages.js';
 import { serveCall } from './serveCall.js';
 import { StageOwners } from './stageOwners.js';
@@ -85,6 +100,7 @@
     targets,
     ...createLimits({ ...opts, nodeCount }),
     inFlight: CallCounter.create(),
+    answerTimes: AnswerTimes.create(),
     calls: opts.calls,
     submitPiece: stages.owners.submit,
     freeResults: (handles) => stages.owners.giveUp(handles),
@@ -155,6 +171,7 @@
     timer,
     freeResults: opts.calls.freeResults,
     onRoom: () => workers.roomChanged(),
+    onNotFreed: (event) => logNotFreed(log, event),
   });
   const workers = StageWorkers.create({
     ...opts,
@@ -165,6 +182,7 @@
       logBatch(log, event);
       countBatch(opts.metrics, event);
     },
+    onGivenUp: (event) => logGivenUp(log, event),
   });
   const submitHere: SubmitPiece = (submitted) => workers.submit(submitted);
   const owners = StageOwners.create({
--- a/packages/router/src/index.ts
+++ b/packages/router/src/index.ts
@@ -6,7 +6,6 @@
   AnswerReply,
   BodyFailure,
   CallerExchange,
-  FreeResults,
   SendCall,
   SendCallOptions,
   SendReply,
--- a/packages/router/src/logEvents.ts
+++ b/packages/router/src/logEvents.ts
@@ -1,5 +1,5 @@
 import type { EventLog } from '@galenatiller/logger';
-import type { BatchEvent } from '@galenatiller/pool';
+import type { BatchEvent, GivenUpEvent } from '@galenatiller/pool';
 import type { PeerEvent } from '@galenatiller/routerLink';
 import type { Member, MirrorEvent } from '@galenatiller/store';
 import type { TargetBelief } from '@galenatiller/target';
@@ -45,6 +45,30 @@
   });
 }
 
+/** Logs a stage of a call that is given up, as it can't be done in time. */
+export function logGivenUp(
+  log: EventLog,
+  event: GivenUpEvent & { readonly service: string },
+): void {
+  const { neededMs, leftMs, ...rest } = event;
+  log({
+    about: 'decision',
+    event: 'stage-given-up',
+    ...rest,
+    neededMs: Math.round(neededMs),
+    leftMs: Math.round(leftMs),
+    outcome: 'busy',
+  });
+}
+
+/** Logs results that take room at their maker until they expire. */
+export function logNotFreed(
+  log: EventLog,
+  event: { readonly address: string; readonly results: number },
+): void {
+  log({ about: 'decision', event: 'results-not-freed', ...event, outcome: 'left to expire' });
+}
+
 /** Logs a task that threw. */
 export function logFailedTask(log: EventLog, error: unknown): void {
   const outcome = error instanceof Error ? (error.stack ?? error.message) : String(error);
--- a/packages/router/src/routerContext.ts
+++ b/packages/router/src/routerContext.ts
@@ -1,6 +1,12 @@
 import type { EventLog } from '@galenatiller/logger';
 import type { MetricSink } from '@galenatiller/metrics';
-import type { ColdShare, RepeatBudget, TargetDirectory, TargetHealth } from '@galenatiller/target';
+import type {
+  AnswerTimes,
+  ColdShare,
+  RepeatBudget,
+  TargetDirectory,
+  TargetHealth,
+} from '@galenatiller/target';
 import type { TimerService } from '@galenatiller/timer';
 
 import type { CallCounter } from './callCounter.js';
@@ -18,6 +24,7 @@
   readonly targets: TargetDirectory;
   readonly health: TargetHealth;
   readonly coldShare: ColdShare;
+  readonly answerTimes: AnswerTimes;
   readonly repeats: RepeatBudget;
   readonly inFlight: CallCounter;
   readonly calls: TargetCalls;
--- a/packages/router/src/runAttempts.ts
+++ b/packages/router/src/runAttempts.ts
@@ -119,6 +119,7 @@
     if (reply.kind !== 'answered') {
       return await afterFailure(opts, progress, target, reply);
     }
+    context.answerTimes.note({ service: admitted.service, tookMs: timer.nowMs() - sentAtMs });
     const isServerError = reply.status >= 500;
     health.note({ targetId: target.id, verdict: isServerError ? 'failed' : 'good' });
     progress.noteRun();
--- a/packages/router/src/runStages.ts
+++ b/packages/router/src/runStages.ts
@@ -6,6 +6,8 @@
   StagePiece,
 } from '@galenatiller/types';
 
+import { pieceCount } from './stageDeadlines.js';
+
 /** Hands a piece to the workers of a service. */
 export type SubmitPiece = (opts: {
   readonly service: string;
@@ -20,8 +22,10 @@
   readonly priority: number;
   /** Zone in which the call is likely to run; empty when that is open. */
   readonly zoneHint: string;
-  readonly deadlineAtMs: number;
-  readonly dueAtMs: number;
+  /** Monotonic times by which the stages have to be done for the call to be answered at all. */
+  readonly deadlinesAtMs: readonly number[];
+  /** Monotonic times by which the stages have to be done for the call to be on time. */
+  readonly dueAtMs: readonly number[];
   readonly submit: SubmitPiece;
   /** Frees results that no later stage needs any more. */
   readonly free: (results: readonly MadeResult[]) => void;
@@ -79,8 +83,8 @@
               inputs,
               resultBytes: stage.resultBytes,
               zoneHint: stage.resultBytes >= LARGE_RESULT_BYTES ? opts.zoneHint : '',
-              deadlineAtMs: opts.deadlineAtMs,
-              dueAtMs: opts.dueAtMs,
+              deadlineAtMs: opts.deadlinesAtMs[position] ?? 0,
+              dueAtMs: opts.dueAtMs[position] ?? 0,
               priority: opts.priority,
             },
           });
@@ -128,11 +132,6 @@
   });
 }
 
-/** Number of pieces of a stage; a call that does not say has one. */
-function pieceCount(call: RoutedCall, stage: number): number {
-  return call.stagePieces[stage] ?? 1;
-}
-
 /** Fetching less than this from another zone takes no longer than a round trip. */
 const LARGE_RESULT_BYTES = 500_000;
 
--- a/packages/router/src/serveCall.ts
+++ b/packages/router/src/serveCall.ts
@@ -6,6 +6,7 @@
 import type { RouterContext } from './routerContext.js';
 import { type AttemptsEnd, likelyZone, runAttempts } from './runAttempts.js';
 import { type MadeResult, runStages, type StagesFailed } from './runStages.js';
+import { stageDeadlines } from './stageDeadlines.js';
 
 /** Options of {@link serveCall}. */
 export interface ServeCallOptions {
@@ -22,6 +23,9 @@
 /** Time to come back after the stages failed, about one call to a stage worker. */
 const STAGES_RETRY_MS = 400;
 
+/** A queue is longer than the time left; callers wait for a third of that time at most. */
+const BUSY_RETRY_SHARE = 0.3;
+
 /** The task of one call: admits it, reads its body, runs its stages, sends it, answers. */
 export async function serveCall(opts: ServeCallOptions): Promise<void> {
   const { context, exchange } = opts;
@@ -63,13 +67,19 @@
   const wanted = AbortSignal.any([deadline, exchange.gone]);
   // What may run only once is left to end when its caller has gone: its effect is wanted.
   const signal = route.callKind === 'at-most-once' ? deadline : wanted;
+  const chain = {
+    route,
+    call: exchange.call,
+    answerMs: context.answerTimes.usualMs(admitted.service),
+    findLimits: (service: string) => context.routes.findService(service)?.batch,
+  };
   for (let round = 1; ; round += 1) {
     const stages = await runStages({
       route,
       call: exchange.call,
       priority: admitted.priority,
-      deadlineAtMs: admitted.deadlineAtMs,
-      dueAtMs: admitted.dueAtMs,
+      deadlinesAtMs: stageDeadlines({ ...chain, endAtMs: admitted.startByMs }),
+      dueAtMs: stageDeadlines({ ...chain, endAtMs: admitted.dueAtMs }),
       zoneHint: likelyZone(opts),
       submit: context.submitPiece,
       free: (results) => context.freeResults(handlesOf(results)),
@@ -101,11 +111,13 @@
   if (opts.exchange.gone.aborted) {
     return goneBeforeSend();
   }
-  const service = opts.admitted.route.stages[failed.stage]?.service ?? '';
+  const { context, admitted } = opts;
+  const service = admitted.route.stages[failed.stage]?.service ?? '';
+  const leftMs = Math.max(0, admitted.startByMs - context.timer.nowMs());
   const error = GalenatillerError.create({
     name: 'deadline-unreachable',
     detail: `stage ${failed.stage} on ${service} failed: ${failed.reason}`,
-    retryAfterMs: STAGES_RETRY_MS,
+    retryAfterMs: failed.reason === 'busy' ? leftMs * BUSY_RETRY_SHARE : STAGES_RETRY_MS,
   });
   return { kind: 'refused', error };
 }
--- /dev/null
+++ b/packages/router/src/stageDeadlines.ts
@@ -0,0 +1,42 @@
+import type { BatchLimits, RoutedCall, ServedRoute } from '@galenatiller/types';
+
+/** Options of {@link stageDeadlines}. */
+export interface StageDeadlinesOptions {
+  readonly route: ServedRoute;
+  readonly call: RoutedCall;
+  /** Monotonic time at which the answer has to begin. */
+  readonly endAtMs: number;
+  /** Usual time from the send of the call to the start of its answer. */
+  readonly answerMs: number;
+  readonly findLimits: (service: string) => BatchLimits | undefined;
+}
+
+/** Monotonic time by which each stage has to be done, so that what follows it fits, without waits. */
+export function stageDeadlines(opts: StageDeadlinesOptions): readonly number[] {
+  const { stages } = opts.route;
+  const deadlines: number[] = stages.map(() => opts.endAtMs - opts.answerMs);
+  // A stage comes after those that it needs, so the last one is settled first.
+  for (let position = stages.length - 1; position >= 0; position -= 1) {
+    const stage = stages[position];
+    const startByMs = (deadlines[position] ?? opts.endAtMs) - usualMs(opts, position);
+    stage?.after.forEach((earlier) => {
+      deadlines[earlier] = Math.min(deadlines[earlier] ?? startByMs, startByMs);
+    });
+  }
+  return deadlines;
+}
+
+/** Time of one call with the pieces of a stage; 0 for a stage that is left out. */
+function usualMs(opts: StageDeadlinesOptions, position: number): number {
+  const pieces = pieceCount(opts.call, position);
+  const limits = opts.findLimits(opts.route.stages[position]?.service ?? '');
+  if (!limits || pieces === 0) {
+    return 0;
+  }
+  return limits.callMs + limits.pieceMs * Math.min(pieces, limits.maxPieces);
+}
+
+/** Number of pieces of a stage; a call that does not say has one. */
+export function pieceCount(call: RoutedCall, stage: number): number {
+  return call.stagePieces[stage] ?? 1;
+}
--- a/packages/router/src/stageWorkers.ts
+++ b/packages/router/src/stageWorkers.ts
@@ -1,6 +1,7 @@
 import {
   type BatchEvent,
   comparePieces,
+  type GivenUpEvent,
   type InputZone,
   makerOf,
   type ResultRoom,
@@ -8,6 +9,7 @@
   SeenHandles,
   serveStageTarget,
   StageQueue,
+  type StageThroughput,
   TargetSpeed,
 } from '@galenatiller/pool';
 import type { TargetDirectory } from '@galenatiller/target';
@@ -27,6 +29,7 @@
   readonly roomShare: (service: string) => number;
   readonly runPieces: RunPieces;
   readonly onBatch: (event: BatchEvent) => void;
+  readonly onGivenUp: (event: GivenUpEvent & { readonly service: string }) => void;
   /** Each stage worker has one task of this group. */
   readonly tasks: TaskGroup;
 }
@@ -114,6 +117,22 @@
     );
   }
 
+  /** What the usable workers of a service get done with full calls, at their present speed. */
+  private throughput(service: string): StageThroughput {
+    const { routes, targets } = this.opts;
+    const limits = routes.findService(service)?.batch;
+    if (!limits) {
+      return { piecesPerMs: 0, callMs: 0 };
+    }
+    const callMs = limits.callMs + limits.pieceMs * limits.maxPieces;
+    const piecesPerMs = [...this.served.values()]
+      .filter(({ target }) => target.service === service && targets.mayUse(target))
+      .reduce((sum, { target }) => {
+        return sum + limits.maxPieces / (callMs * this.speed.slowness(target.address));
+      }, 0);
+    return { piecesPerMs, callMs };
+  }
+
   private queueOf(service: string): StageQueue {
     const known = this.queues.get(service);
     if (known) {
@@ -121,7 +140,13 @@
     }
     const { timer, targets } = this.opts;
     const inputZone: InputZone = ({ inputs }) => targets.zoneOfMost(inputs.map(makerOf));
-    const queue = StageQueue.create({ timer, compare: comparePieces, inputZone });
+    const queue = StageQueue.create({
+      timer,
+      compare: comparePieces,
+      inputZone,
+      throughput: () => this.throughput(service),
+      onGivenUp: (event) => this.opts.onGivenUp({ ...event, service }),
+    });
     this.queues.set(service, queue);
     return queue;
   }
--- /dev/null
+++ b/packages/router/test/stageDeadlines.feature
@@ -0,0 +1,12 @@
+@stageDeadlines
+Feature: Each stage has to be done while what follows still fits
+
+  Scenario: The time of later stages and of the answer is taken off
+    Given a chain of three stages whose calls take 200 ms and 20 ms a piece
+    When a call with 1, 4 and 9 pieces has to begin its answer at 5000 ms, which takes 300 ms
+    Then its stages have to be done at 4120, 4400 and 4700 ms
+
+  Scenario: A stage that is left out takes no time
+    Given a chain of three stages whose calls take 200 ms and 20 ms a piece
+    When a call with 1, 0 and 1 pieces has to begin its answer at 5000 ms, which takes 300 ms
+    Then its stages have to be done at 4480, 4480 and 4700 ms
--- /dev/null
+++ b/packages/router/test/stageDeadlines.steps.ts
@@ -0,0 +1,65 @@
+import assert from 'node:assert/strict';
+
+import { Given, Then, When } from '@cucumber/cucumber';
+import type { BatchLimits, ServedRoute } from '@galenatiller/types';
+
+import { stageDeadlines } from '../src/stageDeadlines.js';
+import { BASE_ROUTE, CALL } from './support.js';
+
+interface DeadlineWorld {
+  chain: ServedRoute;
+  limits: BatchLimits;
+  deadlines: readonly number[];
+}
+
+Given(
+  'a chain of three stages whose calls take {int} ms and {int} ms a piece',
+  function given(this: DeadlineWorld, callMs: number, pieceMs: number) {
+    const service = 'stage';
+    const resultBytes = 1;
+    this.chain = {
+      ...BASE_ROUTE,
+      stages: [
+        { service, after: [], resultBytes },
+        { service, after: [0], resultBytes },
+        { service, after: [1], resultBytes },
+      ],
+    };
+    this.limits = {
+      maxPieces: 5,
+      callMs,
+      pieceMs,
+      resultRoomBytes: 10,
+      resultTtlMs: 1_000,
+      slots: 1,
+      queueLength: 1,
+    };
+  },
+);
+
+When(
+  'a call with {int}, {int} and {int} pieces has to begin its answer at {int} ms, which takes {int} ms',
+  function when(
+    this: DeadlineWorld,
+    first: number,
+    second: number,
+    third: number,
+    endAtMs: number,
+    answerMs: number,
+  ) {
+    this.deadlines = stageDeadlines({
+      route: this.chain,
+      call: { ...CALL, stagePieces: [first, second, third] },
+      endAtMs,
+      answerMs,
+      findLimits: () => this.limits,
+    });
+  },
+);
+
+Then(
+  'its stages have to be done at {int}, {int} and {int} ms',
+  function then(this: DeadlineWorld, first: number, second: number, third: number) {
+    assert.deepEqual(this.deadlines, [first, second, third]);
+  },
+);
--- a/packages/router/test/support.ts
+++ b/packages/router/test/support.ts
@@ -1,6 +1,12 @@
 /** A router's context over scripted targets, for the steps beside it. */
 import type { GalenatillerError } from '@galenatiller/error';
-import { ColdShare, RepeatBudget, TargetDirectory, TargetHealth } from '@galenatiller/target';
+import {
+  AnswerTimes,
+  ColdShare,
+  RepeatBudget,
+  TargetDirectory,
+  TargetHealth,
+} from '@galenatiller/target';
 import type { ManualClock, TimerService } from '@galenatiller/timer';
 import type {
   ListedTarget,
@@ -44,13 +50,30 @@
   stagesFail: boolean;
 }
 
-const BASE_ROUTE: ServedRoute = {
+export const CALL: RoutedCall = {
+  requestId: 'request',
+  method: 'POST',
+  host: 'shop.example:80',
+  path: '/safe/x',
+  bearerKey: 'key',
+  callerLimitMs: 1_500,
+  promptParts: [],
+  promptTokens: 0,
+  outputTokens: 0,
+  stagePieces: [],
+  pieceKey: 'piece-key',
+  lastEventId: '',
+  passedHeaders: [],
+};
+
+export const BASE_ROUTE: ServedRoute = {
   name: 'base',
   host: 'shop.example',
   pathPrefix: '/',
   callKind: 'idempotent',
   timeoutMs: 800,
   objectiveMs: 150,
+  patienceMs: 2_000,
   priority: 1,
   destinations: [{ service: 'service', weight: 1 }],
   maxAttempts: 2,
@@ -162,6 +185,7 @@
       nodeCount: () => 1,
     }),
     inFlight: CallCounter.create(),
+    answerTimes: AnswerTimes.create(),
     calls: {
       sendCall: async (opts) => {
         world.sends.push(opts);
@@ -169,7 +193,7 @@
         return reply(opts);
       },
       runPieces: () => Promise.reject(new Error('not used')),
-      freeResults: () => Promise.resolve(),
+      freeResults: () => Promise.resolve(true),
     },
     submitPiece: ({ piece }) => {
       world.pieceInputs[piece.stage] = piece.inputs;
@@ -194,22 +218,7 @@
   const seen: Seen = { bytes: '', isEnded: false, isCut: false, leave: new AbortController() };
   world.seen = seen;
   return {
-    call: {
-      requestId: 'request',
-      method: 'POST',
-      host: 'shop.example:80',
-      path: '/safe/x',
-      bearerKey: 'key',
-      callerLimitMs: 1_500,
-      promptParts: [],
-      promptTokens: 0,
-      outputTokens: 0,
-      stagePieces: [],
-      pieceKey: 'piece-key',
-      lastEventId: '',
-      passedHeaders: [],
-      ...changes,
-    },
+    call: { ...CALL, ...changes },
     receivedAtMs: world.routerTimer.nowMs(),
     gone: seen.leave.signal,
     readBody: () => Promise.resolve(Result.ok(Buffer.from('body'))),
--- a/packages/types/src/deployment.ts
+++ b/packages/types/src/deployment.ts
@@ -26,6 +26,8 @@
   readonly timeoutMs: number;
   /** Latency within which an answer is on time. */
   readonly objectiveMs: number;
+  /** Callers give a call up that has brought nothing after this time. */
+  readonly patienceMs: number;
   /** 0 is the highest. */
   readonly priority: number;
   readonly destinations: readonly RouteDestination[];
--- a/packages/types/src/routedCall.ts
+++ b/packages/types/src/routedCall.ts
@@ -44,9 +44,9 @@
   readonly resultBytes: number;
   /** Zone in which the result is going to be used; empty when that is open. */
   readonly zoneHint: string;
-  /** Monotonic time of the deadline of its call. */
+  /** Monotonic time by which it has to be made for its call to be answered at all. */
   readonly deadlineAtMs: number;
-  /** Monotonic time at which the call stops being on time. */
+  /** Monotonic time by which it has to be made for its call to be on time. */
   readonly dueAtMs: number;
   /** 0 is the highest. */
   readonly priority: number;
