--- a/packages/pool/src/comparePieces.ts
+++ b/packages/pool/src/comparePieces.ts
@@ -1,12 +1,15 @@
 import type { ComparePieces, WaitingPiece } from './stageQueue.js';
 
+/** A late call goes on waiting behind others until this much of its time is left. */
+const IN_DANGER_MS = 2_500;
+
 /** Inputs are kept for seconds after they were made; a piece that waits longer loses them. */
 const INPUTS_AGE_MS = 1_500;
 
 /**
  * Pieces whose inputs are about to expire go first: without them the stages before are done again.
- * Then come pieces whose call can still be on time, by priority and by when the piece is due. A call
- * that is late anyway takes what they leave.
+ * Then come pieces whose call can still be on time, by priority and by when the call is due. A late
+ * call waits behind them, but not until its deadline: a late answer is better than none.
  */
 export const comparePieces: ComparePieces = ({ left, right, nowMs }) =>
   rank(left, nowMs) - rank(right, nowMs) ||
@@ -19,5 +22,5 @@
   if (piece.inputs.length > 0 && nowMs - waitingSinceMs > INPUTS_AGE_MS) {
     return 0;
   }
-  return piece.dueAtMs < nowMs ? 2 : 1;
+  return piece.dueAtMs < nowMs && piece.deadlineAtMs - nowMs > IN_DANGER_MS ? 2 : 1;
 }
--- a/packages/pool/src/index.ts
+++ b/packages/pool/src/index.ts
@@ -2,7 +2,7 @@
 export { comparePieces } from './comparePieces.js';
 export type { StageThroughput } from './findUnreachable.js';
 export { SeenHandles } from './seenHandles.js';
-export { type FreeResults, makerOf, ResultRoom, type ResultRoomOptions } from './resultRoom.js';
+export { makerOf, ResultRoom, type ResultRoomOptions } from './resultRoom.js';
 export { runPoolStage, type RunPoolStageOptions } from './runPoolStage.js';
 export {
   type BatchAnswer,
--- a/packages/pool/src/resultRoom.ts
+++ b/packages/pool/src/resultRoom.ts
@@ -1,51 +1,38 @@
 import type { TimerService } from '@galenatiller/timer';
 import type { BatchLimits } from '@galenatiller/types';
 
-/** Tells the maker of results that they are not needed any more; whether it has answered. */
-export type FreeResults = (opts: {
-  readonly address: string;
-  readonly handles: readonly string[];
-}) => Promise<boolean>;
-
 /** Options of {@link ResultRoom.create}. */
 export interface ResultRoomOptions {
   readonly timer: TimerService;
-  readonly freeResults: FreeResults;
+  /** Tells the maker that results are not needed any more. */
+  readonly freeResults: (opts: {
+    readonly address: string;
+    readonly handles: readonly string[];
+  }) => Promise<void>;
   readonly onRoom: () => void;
-  /** Told of results that stay at their maker until they expire, as it could not be told. */
-  readonly onNotFreed: (opts: { readonly address: string; readonly results: number }) => void;
 }
 
-/** Results of one maker, by handle. */
-type HeldResults = Map<string, HeldResult>;
-
 interface HeldResult {
   readonly bytes: number;
   readonly expiresAtMs: number;
 }
 
-/** Room that a maker lacks though nothing known here takes it; it shrinks as results expire. */
-interface ForeignRoom {
-  readonly bytes: number;
-  readonly seenAtMs: number;
-  readonly lastsMs: number;
-}
-
 /** Results that are given up within this time are freed by one call. */
 const GATHER_MS = 15;
 
+/** A worker without room gets no new pieces for this time, or until results on it are freed. */
+const FULL_MS = 60;
+
 /** Counts the results that lie at stage workers, and frees them when they are not needed. */
 export class ResultRoom {
-  private readonly held = new Map<string, HeldResults>();
+  private readonly held = new Map<string, HeldResult>();
 
   private readonly reservedBytes = new Map<string, number>();
 
-  private readonly foreign = new Map<string, ForeignRoom>();
+  private readonly fullUntilMs = new Map<string, number>();
 
   private readonly toFree = new Map<string, string[]>();
 
-  private lostCalls = 0;
-
   private constructor(private readonly opts: ResultRoomOptions) {}
 
   /** Makes a count without results. */
@@ -60,9 +47,21 @@
     readonly share: number;
   }): number {
     const { address, limits, share } = opts;
-    const usedBytes = this.ownBytes(address) + this.foreignBytes(address);
-    // A worker that holds nothing always takes one result more, however small the share is.
-    return usedBytes === 0 ? limits.resultRoomBytes : limits.resultRoomBytes * share - usedBytes;
+    const nowMs = this.opts.timer.nowMs();
+    if ((this.fullUntilMs.get(address) ?? 0) > nowMs) {
+      return 0;
+    }
+    let bytes = this.reservedBytes.get(address) ?? 0;
+    this.held.forEach((result, handle) => {
+      if (result.expiresAtMs <= nowMs) {
+        this.held.delete(handle);
+      } else if (makerOf(handle) === address) {
+        bytes += result.bytes;
+      }
+    });
+    const shareBytes = limits.resultRoomBytes * share;
+    // A worker that holds nothing of this node always takes one result more.
+    return bytes === 0 ? limits.resultRoomBytes : shareBytes - bytes;
   }
 
   /** Counts the results of a call that is on its way. */
@@ -76,14 +75,9 @@
     this.opts.onRoom();
   }
 
-  /** Notes that a worker had no room, so results of other nodes, or larger ones, fill the rest. */
-  noteFull(opts: { readonly address: string; readonly limits: BatchLimits }): void {
-    const { address, limits } = opts;
-    this.foreign.set(address, {
-      bytes: Math.max(0, limits.resultRoomBytes - this.ownBytes(address)),
-      seenAtMs: this.opts.timer.nowMs(),
-      lastsMs: limits.resultTtlMs,
-    });
+  /** Notes that a worker had no room for a result. */
+  noteFull(address: string): void {
+    this.fullUntilMs.set(address, this.opts.timer.nowMs() + FULL_MS);
   }
 
   /** Counts a result that was made. */
@@ -93,25 +87,16 @@
     readonly limits: BatchLimits;
   }): void {
     const { handle, bytes, limits } = opts;
-    const address = makerOf(handle);
-    const results: HeldResults = this.held.get(address) ?? new Map<string, HeldResult>();
-    results.set(handle, { bytes, expiresAtMs: this.opts.timer.nowMs() + limits.resultTtlMs });
-    this.held.set(address, results);
-  }
-
-  /** Counts the results of a call whose answer was lost: the worker may have made them. */
-  holdLost(opts: {
-    readonly address: string;
-    readonly bytes: number;
-    readonly limits: BatchLimits;
-  }): void {
-    this.lostCalls += 1;
-    this.hold({ ...opts, handle: `${opts.address}/lost-${this.lostCalls}` });
+    const expiresAtMs = this.opts.timer.nowMs() + limits.resultTtlMs;
+    this.held.set(handle, { bytes, expiresAtMs });
   }
 
   /** Frees results that nobody needs any more, also those that another node had made. */
   giveUp(handles: readonly string[]): void {
-    handles.forEach((handle) => this.gather(makerOf(handle), handle));
+    handles.forEach((handle) => {
+      this.held.delete(handle);
+      this.gather(makerOf(handle), handle);
+    });
   }
 
   private gather(address: string, handle: string): void {
@@ -126,58 +111,12 @@
       notify: () => {
         const handles = this.toFree.get(address) ?? [];
         this.toFree.delete(address);
-        this.opts.freeResults({ address, handles }).then(
-          (isFreed) => this.ended({ address, handles, isFreed }),
-          () => this.ended({ address, handles, isFreed: false }),
-        );
+        this.fullUntilMs.delete(address);
+        this.opts.freeResults({ address, handles }).catch(() => {});
+        this.opts.onRoom();
       },
     });
   }
-
-  /** Results count until their maker has answered that they are freed, or until they expire. */
-  private ended(opts: {
-    readonly address: string;
-    readonly handles: readonly string[];
-    readonly isFreed: boolean;
-  }): void {
-    const { address, handles, isFreed } = opts;
-    if (!isFreed) {
-      this.opts.onNotFreed({ address, results: handles.length });
-      return;
-    }
-    const results = this.held.get(address);
-    handles.forEach((handle) => results?.delete(handle));
-    this.opts.onRoom();
-  }
-
-  /** Bytes of what this node has made at a worker, or has on its way there. */
-  private ownBytes(address: string): number {
-    const nowMs = this.opts.timer.nowMs();
-    const results: HeldResults = this.held.get(address) ?? new Map<string, HeldResult>();
-    let bytes = this.reservedBytes.get(address) ?? 0;
-    results.forEach((result, handle) => {
-      if (result.expiresAtMs <= nowMs) {
-        results.delete(handle);
-      } else {
-        bytes += result.bytes;
-      }
-    });
-    return bytes;
-  }
-
-  /** What was foreign when it was seen ends evenly over the lifetime of a result. */
-  private foreignBytes(address: string): number {
-    const seen = this.foreign.get(address);
-    if (!seen) {
-      return 0;
-    }
-    const leftShare = 1 - (this.opts.timer.nowMs() - seen.seenAtMs) / seen.lastsMs;
-    if (leftShare <= 0) {
-      this.foreign.delete(address);
-      return 0;
-    }
-    return seen.bytes * leftShare;
-  }
 }
 
 /** IP:PORT of the worker that made a result. */
--- a/packages/pool/src/serveStageTarget.ts
+++ b/packages/pool/src/serveStageTarget.ts
@@ -140,9 +140,6 @@
     outcome:
       answer.kind === 'answered' ? describe(answer.results) : `${answer.kind}: ${answer.detail}`,
   });
-  if (answer.kind === 'broken') {
-    room.holdLost({ address: target.address, bytes, limits });
-  }
   if (answer.kind !== 'answered') {
     taken.forEach((piece) => settleFailed(piece, answer.kind !== 'refused'));
     if (!unwanted.signal.aborted && answer.kind !== 'refused') {
@@ -157,9 +154,6 @@
       settleResult({ ...opts, piece, result });
     }
   });
-  if (answer.results.some((result) => result.kind === 'failed' && result.reason === 'no-room')) {
-    room.noteFull({ address: target.address, limits });
-  }
   return 'done';
 }
 
@@ -182,6 +176,7 @@
 }
 
 function settleResult(opts: {
+  readonly target: ListedTarget;
   readonly limits: BatchLimits;
   readonly room: ResultRoom;
   readonly piece: TakenPiece;
@@ -197,6 +192,9 @@
     piece.settle(result);
     return;
   }
+  if (result.reason === 'no-room') {
+    room.noteFull(opts.target.address);
+  }
   if (result.reason === 'no-room' || result.reason === 'failed') {
     settleFailed(piece, result.reason === 'failed');
     return;
--- a/packages/pool/src/stageQueue.ts
+++ b/packages/pool/src/stageQueue.ts
@@ -24,6 +24,8 @@
   readonly compare: ComparePieces;
   readonly inputZone: InputZone;
   readonly throughput: () => StageThroughput;
+  /** Zones in which workers of usual speed may be used. */
+  readonly workerZones: () => ReadonlySet<string>;
   readonly onGivenUp: (event: GivenUpEvent) => void;
 }
 
@@ -134,8 +136,9 @@
     if (nowMs - oldest < opts.minWaitMs && this.waiting.length <= opts.limits.maxPieces) {
       return [];
     }
+    const zones = this.opts.workerZones();
     const ordered = this.waiting
-      .filter((one) => !this.hasNearerWorker(one, opts))
+      .filter((one) => !this.hasNearerWorker(one, opts) && !this.mayWait(one, opts, zones))
       .sort((left, right) => compare({ left, right, nowMs }));
     const chosen = chooseWhole({ ordered, limits: opts.limits, roomBytes: opts.roomBytes() });
     const left = new Set(chosen);
@@ -157,6 +160,17 @@
     );
   }
 
+  /** Whether a piece has time to wait for a worker near its inputs that is busy now. */
+  private mayWait(one: Waiting, opts: TakeOptions, zones: ReadonlySet<string>): boolean {
+    const zone = one.piece.zoneHint;
+    return (
+      zone !== '' &&
+      zone !== opts.target.availabilityZone &&
+      zones.has(zone) &&
+      this.opts.timer.nowMs() < one.piece.zoneWaitUntilMs
+    );
+  }
+
   private toTaken(one: Waiting): TakenPiece {
     return {
       waiting: one,
@@ -217,7 +231,7 @@
     const { timer } = this.opts;
     return new Promise((resolve) => {
       // Pieces that wait now may be old enough, or find room as results expire, without a signal.
-      const delayMs = opts.minWaitMs > 0 ? Math.min(opts.minWaitMs, RECHECK_MS) : RECHECK_MS;
+      const delayMs = Math.min(opts.minWaitMs || RECHECK_MS, RECHECK_MS, this.zoneWaitMs());
       const cancel = this.waiting.length > 0 ? timer.after({ delayMs, notify: finish }) : () => {};
       this.wakers.add(finish);
       opts.signal.addEventListener('abort', finish, { once: true });
@@ -231,6 +245,15 @@
     });
   }
 
+  /** Time until the first piece stops waiting for a worker near its inputs. */
+  private zoneWaitMs(): number {
+    const nowMs = this.opts.timer.nowMs();
+    return this.waiting
+      .map(({ piece }) => piece.zoneWaitUntilMs - nowMs)
+      .filter((leftMs) => leftMs > 0)
+      .reduce((least, leftMs) => Math.min(least, Math.ceil(leftMs)), Infinity);
+  }
+
   private wakeAll(): void {
     [...this.wakers].forEach((wake) => wake());
   }
--- a/packages/router/src/createRouter.ts
+++ b/packages/router/src/createRouter.ts
@@ -32,7 +32,6 @@
   logBatch,
   logFailedTask,
   logGivenUp,
-  logNotFreed,
   logMembers,
   logMirror,
   logPeer,
@@ -171,7 +170,6 @@
     timer,
     freeResults: opts.calls.freeResults,
     onRoom: () => workers.roomChanged(),
-    onNotFreed: (event) => logNotFreed(log, event),
   });
   const workers = StageWorkers.create({
     ...opts,
--- a/packages/router/src/index.ts
+++ b/packages/router/src/index.ts
@@ -6,6 +6,7 @@
   AnswerReply,
   BodyFailure,
   CallerExchange,
+  FreeResults,
   SendCall,
   SendCallOptions,
   SendReply,
--- a/packages/router/src/logEvents.ts
+++ b/packages/router/src/logEvents.ts
@@ -61,14 +61,6 @@
   });
 }
 
-/** Logs results that take room at their maker until they expire. */
-export function logNotFreed(
-  log: EventLog,
-  event: { readonly address: string; readonly results: number },
-): void {
-  log({ about: 'decision', event: 'results-not-freed', ...event, outcome: 'left to expire' });
-}
-
 /** Logs a task that threw. */
 export function logFailedTask(log: EventLog, error: unknown): void {
   const outcome = error instanceof Error ? (error.stack ?? error.message) : String(error);
--- a/packages/router/src/ports.ts
+++ b/packages/router/src/ports.ts
@@ -1,5 +1,5 @@
 import type { GalenatillerError } from '@galenatiller/error';
-import type { FreeResults, RunPieces } from '@galenatiller/pool';
+import type { RunPieces } from '@galenatiller/pool';
 import type { BodyEnd, ListedTarget, RoutedCall } from '@galenatiller/types';
 import type { Result } from 'true-myth';
 
@@ -50,6 +50,12 @@
 /** Sends a call to a target. */
 export type SendCall = (opts: SendCallOptions) => Promise<SendReply>;
 
+/** Tells a stage worker that results are not needed any more. */
+export type FreeResults = (opts: {
+  readonly address: string;
+  readonly handles: readonly string[];
+}) => Promise<void>;
+
 /** Calls to targets, made by an adapter. */
 export interface TargetCalls {
   readonly sendCall: SendCall;
--- a/packages/router/src/runStages.ts
+++ b/packages/router/src/runStages.ts
@@ -24,8 +24,9 @@
   readonly zoneHint: string;
   /** Monotonic times by which the stages have to be done for the call to be answered at all. */
   readonly deadlinesAtMs: readonly number[];
-  /** Monotonic times by which the stages have to be done for the call to be on time. */
-  readonly dueAtMs: readonly number[];
+  readonly dueAtMs: number;
+  /** Monotonic times until which the pieces of a stage may wait for a worker near their inputs. */
+  readonly zoneWaitsUntilMs: readonly number[];
   readonly submit: SubmitPiece;
   /** Frees results that no later stage needs any more. */
   readonly free: (results: readonly MadeResult[]) => void;
@@ -84,7 +85,8 @@
               resultBytes: stage.resultBytes,
               zoneHint: stage.resultBytes >= LARGE_RESULT_BYTES ? opts.zoneHint : '',
               deadlineAtMs: opts.deadlinesAtMs[position] ?? 0,
-              dueAtMs: opts.dueAtMs[position] ?? 0,
+              dueAtMs: opts.dueAtMs,
+              zoneWaitUntilMs: opts.zoneWaitsUntilMs[position] ?? 0,
               priority: opts.priority,
             },
           });
--- a/packages/router/src/serveCall.ts
+++ b/packages/router/src/serveCall.ts
@@ -6,7 +6,7 @@
 import type { RouterContext } from './routerContext.js';
 import { type AttemptsEnd, likelyZone, runAttempts } from './runAttempts.js';
 import { type MadeResult, runStages, type StagesFailed } from './runStages.js';
-import { stageDeadlines } from './stageDeadlines.js';
+import { stageDeadlines, zoneWaits } from './stageDeadlines.js';
 
 /** Options of {@link serveCall}. */
 export interface ServeCallOptions {
@@ -79,7 +79,8 @@
       call: exchange.call,
       priority: admitted.priority,
       deadlinesAtMs: stageDeadlines({ ...chain, endAtMs: admitted.startByMs }),
-      dueAtMs: stageDeadlines({ ...chain, endAtMs: admitted.dueAtMs }),
+      dueAtMs: admitted.dueAtMs,
+      zoneWaitsUntilMs: zoneWaits({ ...chain, endAtMs: admitted.dueAtMs }),
       zoneHint: likelyZone(opts),
       submit: context.submitPiece,
       free: (results) => context.freeResults(handlesOf(results)),
--- a/packages/router/src/stageDeadlines.ts
+++ b/packages/router/src/stageDeadlines.ts
@@ -26,6 +26,18 @@
   return deadlines;
 }
 
+/** What is kept of the time, for waits that can't be foreseen. */
+const ZONE_WAIT_MARGIN_MS = 150;
+
+/** Monotonic time until which each stage may wait and its call still be on time after full calls. */
+export function zoneWaits(opts: StageDeadlinesOptions): readonly number[] {
+  return stageDeadlines(opts).map((doneByMs, position) => {
+    const limits = opts.findLimits(opts.route.stages[position]?.service ?? '');
+    const callMs = limits ? limits.callMs + limits.pieceMs * limits.maxPieces : 0;
+    return doneByMs - callMs - ZONE_WAIT_MARGIN_MS;
+  });
+}
+
 /** Time of one call with the pieces of a stage; 0 for a stage that is left out. */
 function usualMs(opts: StageDeadlinesOptions, position: number): number {
   const pieces = pieceCount(opts.call, position);
--- a/packages/router/src/stageWorkers.ts
+++ b/packages/router/src/stageWorkers.ts
@@ -119,20 +119,33 @@
 
   /** What the usable workers of a service get done with full calls, at their present speed. */
   private throughput(service: string): StageThroughput {
-    const { routes, targets } = this.opts;
-    const limits = routes.findService(service)?.batch;
+    const limits = this.opts.routes.findService(service)?.batch;
     if (!limits) {
       return { piecesPerMs: 0, callMs: 0 };
     }
     const callMs = limits.callMs + limits.pieceMs * limits.maxPieces;
-    const piecesPerMs = [...this.served.values()]
-      .filter(({ target }) => target.service === service && targets.mayUse(target))
-      .reduce((sum, { target }) => {
-        return sum + limits.maxPieces / (callMs * this.speed.slowness(target.address));
-      }, 0);
+    const piecesPerMs = this.usable(service)
+      .map(({ address }) => limits.maxPieces / (callMs * this.speed.slowness(address)))
+      .reduce((sum, one) => sum + one, 0);
     return { piecesPerMs, callMs };
   }
 
+  private workerZones(service: string): ReadonlySet<string> {
+    const usable = this.usable(service);
+    return new Set(
+      usable
+        .filter(({ address }) => this.speed.minWaitMs(address) === 0)
+        .map(({ availabilityZone }) => availabilityZone),
+    );
+  }
+
+  private usable(service: string): readonly ListedTarget[] {
+    const { targets } = this.opts;
+    return [...this.served.values()]
+      .map(({ target }) => target)
+      .filter((target) => target.service === service && targets.mayUse(target));
+  }
+
   private queueOf(service: string): StageQueue {
     const known = this.queues.get(service);
     if (known) {
@@ -145,6 +158,7 @@
       compare: comparePieces,
       inputZone,
       throughput: () => this.throughput(service),
+      workerZones: () => this.workerZones(service),
       onGivenUp: (event) => this.opts.onGivenUp({ ...event, service }),
     });
     this.queues.set(service, queue);
--- a/packages/routerLink/src/acceptRouters.ts
+++ b/packages/routerLink/src/acceptRouters.ts
@@ -109,6 +109,7 @@
     priority,
     deadlineAtMs: nowMs + frame.deadlineInMs,
     dueAtMs: nowMs + frame.dueInMs,
+    zoneWaitUntilMs: nowMs + frame.zoneWaitInMs,
   };
 }
 
--- a/packages/routerLink/src/followRouter.ts
+++ b/packages/routerLink/src/followRouter.ts
@@ -78,7 +78,7 @@
     const orderId = this.nextOrderId;
     this.nextOrderId += 1;
     const nowMs = this.opts.timer.nowMs();
-    const { deadlineAtMs, dueAtMs, ...told } = piece;
+    const { deadlineAtMs, dueAtMs, zoneWaitUntilMs, ...told } = piece;
     return new Promise((resolve) => {
       const cancel = (): void => {
         this.send({ kind: 'piece-cancel', orderId });
@@ -98,6 +98,7 @@
         ...told,
         deadlineInMs: deadlineAtMs - nowMs,
         dueInMs: dueAtMs - nowMs,
+        zoneWaitInMs: zoneWaitUntilMs - nowMs,
       });
       if (!isSent) {
         end(undefined);
--- a/packages/routerLink/src/routerFrames.ts
+++ b/packages/routerLink/src/routerFrames.ts
@@ -23,6 +23,7 @@
   /** Clocks of two hosts differ, so times are told as what is left of them; negative when over. */
   readonly deadlineInMs: number;
   readonly dueInMs: number;
+  readonly zoneWaitInMs: number;
 }
 
 /** The piece is not wanted any more. */
--- a/packages/routerLink/src/wireRouterFrame.ts
+++ b/packages/routerLink/src/wireRouterFrame.ts
@@ -94,6 +94,7 @@
     'priority',
     'deadlineInMs',
     'dueInMs',
+    'zoneWaitInMs',
   ];
   return (
     areNumbers(fields, numbers) &&
--- a/packages/target/src/targetDirectory.ts
+++ b/packages/target/src/targetDirectory.ts
@@ -7,6 +7,7 @@
   /** Id of the target, or name of the zone. */
   readonly name: string;
   readonly service: string;
+  readonly availabilityZone: string;
   readonly storeRevision: number;
 }
 
@@ -115,7 +116,7 @@
     this.held.set(id, { target, listedAtMs: this.opts.timer.nowMs(), lapsesAtMs: undefined });
     const kind = kindOfChange(before?.target, target);
     if (kind) {
-      this.opts.onBelief({ kind, name: target.id, service: target.service, storeRevision });
+      this.tell(kind, target, storeRevision);
     }
   }
 
@@ -126,16 +127,15 @@
     if (!before || before.lapsesAtMs !== undefined) {
       return;
     }
-    const { service, state } = before.target;
     const nowMs = this.opts.timer.nowMs();
-    if (nowMs < this.graceUntilMs && state === 'ready') {
+    if (nowMs < this.graceUntilMs && before.target.state === 'ready') {
       this.held.set(id, { ...before, lapsesAtMs: this.graceUntilMs });
       this.opts.timer.after({ delayMs: this.graceUntilMs - nowMs, notify: () => this.lapse(id) });
-      this.opts.onBelief({ kind: 'lapsed', name: id, service, storeRevision });
+      this.tell('lapsed', before.target, storeRevision);
       return;
     }
     this.held.delete(id);
-    this.opts.onBelief({ kind: 'gone', name: id, service, storeRevision });
+    this.tell('gone', before.target, storeRevision);
   }
 
   /** Notes that the store answers again after an outage. */
@@ -162,6 +162,7 @@
       kind: isOut ? 'zone-out' : 'zone-in',
       name: zone,
       service: '',
+      availabilityZone: zone,
       storeRevision,
     });
   }
@@ -177,8 +178,12 @@
       return;
     }
     this.held.delete(id);
-    const { service } = held.target;
-    this.opts.onBelief({ kind: 'gone', name: id, service, storeRevision: 0 });
+    this.tell('gone', held.target, 0);
+  }
+
+  private tell(kind: TargetBelief['kind'], target: ListedTarget, storeRevision: number): void {
+    const { id: name, service, availabilityZone } = target;
+    this.opts.onBelief({ kind, name, service, availabilityZone, storeRevision });
   }
 }
 
--- a/packages/types/src/routedCall.ts
+++ b/packages/types/src/routedCall.ts
@@ -44,6 +44,8 @@
   readonly resultBytes: number;
   /** Zone in which the result is going to be used; empty when that is open. */
   readonly zoneHint: string;
+  /** Monotonic time until which it may wait for a worker near its inputs, or in the zone of the hint. */
+  readonly zoneWaitUntilMs: number;
   /** Monotonic time by which it has to be made for its call to be answered at all. */
   readonly deadlineAtMs: number;
   /** Monotonic time by which it has to be made for its call to be on time. */
