--- a/packages/pool/src/comparePieces.ts
+++ b/packages/pool/src/comparePieces.ts
@@ -18,9 +18,5 @@
   left.piece.piece - right.piece.piece;
 
 function rank(waiting: WaitingPiece, nowMs: number): number {
-  const { piece, waitingSinceMs } = waiting;
-  if (piece.inputs.length > 0 && nowMs - waitingSinceMs > INPUTS_AGE_MS) {
-    return 0;
-  }
-  return piece.dueAtMs < nowMs && piece.deadlineAtMs - nowMs > IN_DANGER_MS ? 2 : 1;
+  return waiting.piece.dueAtMs < nowMs ? 1 : 0;
 }
--- a/packages/pool/src/stageQueue.ts
+++ b/packages/pool/src/stageQueue.ts
@@ -211,6 +211,10 @@
   private giveUpUnreachable(): void {
     const { timer, compare, throughput, onGivenUp } = this.opts;
     const nowMs = timer.nowMs();
+    const isExpired = ({ piece }: Waiting): boolean => piece.inputsExpireAtMs <= nowMs;
+    const expired = this.waiting.filter(isExpired);
+    this.waiting = this.waiting.filter((one) => !isExpired(one));
+    expired.forEach(({ settle }) => settle(INPUT_GONE));
     const ordered = this.waiting.toSorted((left, right) => compare({ left, right, nowMs }));
     findUnreachable({ ordered, nowMs, throughput: throughput() }).forEach((group) => {
       const { pieces, neededMs, leftMs } = group;
@@ -311,6 +315,8 @@
 /** A fifth of the shortest call, and far less than the time that a caller notices. */
 const CHECK_DELAY_MS = 40;
 
+const INPUT_GONE: PieceResult = { kind: 'failed', reason: 'input-gone' };
+
 const BUSY: PieceResult = { kind: 'failed', reason: 'busy' };
 
 const LATE: PieceResult = { kind: 'failed', reason: 'late' };
--- a/packages/pool/test/stageQueue.steps.ts
+++ b/packages/pool/test/stageQueue.steps.ts
@@ -124,6 +124,7 @@
     inputs: [],
     resultBytes: RESULT_BYTES,
     zoneHint: '',
+    inputsExpireAtMs: Infinity,
     zoneWaitUntilMs: 0,
     deadlineAtMs: world.stageTimer.nowMs() + 60_000,
     dueAtMs: world.stageTimer.nowMs() + 30_000,
--- a/packages/router/src/runStages.ts
+++ b/packages/router/src/runStages.ts
@@ -27,6 +27,9 @@
   readonly dueAtMs: number;
   /** Monotonic times until which the pieces of a stage may wait for a worker near their inputs. */
   readonly zoneWaitsUntilMs: readonly number[];
+  readonly nowMs: () => number;
+  /** How long the results of a service stay at their maker. */
+  readonly resultTtlMs: (service: string) => number;
   readonly submit: SubmitPiece;
   /** Frees results that no later stage needs any more. */
   readonly free: (results: readonly MadeResult[]) => void;
@@ -37,6 +40,8 @@
 export interface MadeResult {
   readonly handle: string;
   readonly bytes: number;
+  /** Monotonic time at which the maker drops it. */
+  readonly expiresAtMs: number;
 }
 
 /** Results of the stages of one call. */
@@ -44,7 +49,8 @@
   readonly kind: 'done';
   /** Results of the stages that no other stage follows. */
   readonly inputs: readonly MadeResult[];
-  readonly all: readonly MadeResult[];
+  /** Frees what has not been freed yet. */
+  readonly free: () => void;
 }
 
 /** A stage that could not be done; results made before are still to be freed. */
@@ -52,13 +58,18 @@
   readonly kind: 'failed';
   readonly stage: number;
   readonly reason: PieceFailure;
-  readonly all: readonly MadeResult[];
+  /** Frees what has not been freed yet. */
+  readonly free: () => void;
 }
 
 /** Walks the graph of stages: each begins once the stages that it needs are done. */
 export async function runStages(opts: RunStagesOptions): Promise<StagesDone | StagesFailed> {
   const { route, call } = opts;
-  const all: MadeResult[] = [];
+  const held = new Set<MadeResult>();
+  const release = (results: readonly MadeResult[]): void => {
+    opts.free(results.filter((result) => held.delete(result)));
+  };
+  const free = (): void => release([...held]);
   const abort = new AbortController();
   const signal = AbortSignal.any([opts.signal, abort.signal]);
   let failure: StagesFailed | undefined;
@@ -66,7 +77,8 @@
   route.stages.forEach((stage, position) => {
     const needed = Promise.all(stage.after.map((earlier) => runs[earlier] ?? Promise.resolve([])));
     const run = needed.then(async (earlier) => {
-      const inputs = earlier.flat().map(({ handle }) => handle);
+      const inputs = earlier.flat();
+      const inputsExpireAtMs = Math.min(...inputs.map(({ expiresAtMs }) => expiresAtMs));
       const pieces = Array.from({ length: pieceCount(call, position) }, (_, piece) => piece);
       const results = await Promise.all(
         pieces.map((piece) => {
@@ -81,7 +93,8 @@
               stage: position,
               piece,
               key: stage.after.length === 0 ? call.pieceKey : '',
-              inputs,
+              inputs: inputs.map(({ handle }) => handle),
+              inputsExpireAtMs,
               resultBytes: stage.resultBytes,
               zoneHint: stage.resultBytes >= LARGE_RESULT_BYTES ? opts.zoneHint : '',
               deadlineAtMs: opts.deadlinesAtMs[position] ?? 0,
@@ -95,39 +108,42 @@
       const made: MadeResult[] = [];
       results.forEach((result) => {
         if (result.kind === 'made') {
-          made.push({ handle: result.handle, bytes: stage.resultBytes });
+          const expiresAtMs = opts.nowMs() + opts.resultTtlMs(stage.service);
+          made.push({ handle: result.handle, bytes: stage.resultBytes, expiresAtMs });
         } else if (!failure) {
-          failure = { kind: 'failed', stage: position, reason: result.reason, all };
+          failure = { kind: 'failed', stage: position, reason: result.reason, free };
           // What the other pieces would make is of no use any more.
           abort.abort();
         }
       });
-      all.push(...made);
+      made.forEach((result) => held.add(result));
       return made;
     });
     runs.push(run);
   });
-  freeWhenUsed(opts, runs);
+  freeWhenUsed({ route, runs, release });
   const results = await Promise.all(runs);
   if (failure) {
     return failure;
   }
   const followed = new Set(route.stages.flatMap(({ after }) => after));
   const inputs = results.filter((_, position) => !followed.has(position)).flat();
-  return { kind: 'done', inputs, all };
+  return { kind: 'done', inputs, free };
 }
 
 /** Results of a stage are freed as soon as every stage that needs them is done. */
-function freeWhenUsed(
-  opts: RunStagesOptions,
-  runs: readonly Promise<readonly MadeResult[]>[],
-): void {
+function freeWhenUsed(opts: {
+  readonly route: ServedRoute;
+  readonly runs: readonly Promise<readonly MadeResult[]>[];
+  readonly release: (results: readonly MadeResult[]) => void;
+}): void {
+  const { runs, release } = opts;
   const { stages } = opts.route;
   runs.forEach((run, position) => {
     const followers = runs.filter((_, later) => stages[later]?.after.includes(position));
     if (followers.length > 0) {
       Promise.all([run, ...followers]).then(
-        ([made]) => opts.free(made),
+        ([made]) => release(made),
         () => {},
       );
     }
--- a/packages/router/src/serveCall.ts
+++ b/packages/router/src/serveCall.ts
@@ -5,7 +5,7 @@
 import type { CallerExchange } from './ports.js';
 import type { RouterContext } from './routerContext.js';
 import { type AttemptsEnd, likelyZone, runAttempts } from './runAttempts.js';
-import { type MadeResult, runStages, type StagesFailed } from './runStages.js';
+import { runStages, type StagesFailed } from './runStages.js';
 import { stageDeadlines, zoneWaits } from './stageDeadlines.js';
 
 /** Options of {@link serveCall}. */
@@ -82,11 +82,17 @@
       dueAtMs: admitted.dueAtMs,
       zoneWaitsUntilMs: zoneWaits({ ...chain, endAtMs: admitted.dueAtMs }),
       zoneHint: likelyZone(opts),
+      nowMs: () => context.timer.nowMs(),
+      resultTtlMs: (service) => chain.findLimits(service)?.resultTtlMs ?? 0,
       submit: context.submitPiece,
-      free: (results) => context.freeResults(handlesOf(results)),
+      free: (results) => {
+        if (results.length > 0) {
+          context.freeResults(results.map(({ handle }) => handle));
+        }
+      },
       signal: wanted,
     });
-    const free = once(() => context.freeResults(handlesOf(stages.all)));
+    const { free } = stages;
     try {
       if (stages.kind === 'failed') {
         if (stages.reason !== 'input-gone' || round === STAGE_ROUNDS) {
@@ -186,17 +192,3 @@
     exchange.refuse(error);
   }
 }
-
-function handlesOf(results: readonly MadeResult[]): string[] {
-  return results.map(({ handle }) => handle);
-}
-
-function once(act: () => void): () => void {
-  let isDone = false;
-  return () => {
-    if (!isDone) {
-      isDone = true;
-      act();
-    }
-  };
-}
--- a/packages/routerLink/src/acceptRouters.ts
+++ b/packages/routerLink/src/acceptRouters.ts
@@ -110,6 +110,7 @@
     deadlineAtMs: nowMs + frame.deadlineInMs,
     dueAtMs: nowMs + frame.dueInMs,
     zoneWaitUntilMs: nowMs + frame.zoneWaitInMs,
+    inputsExpireAtMs: nowMs + frame.inputsExpireInMs,
   };
 }
 
--- a/packages/routerLink/src/followRouter.ts
+++ b/packages/routerLink/src/followRouter.ts
@@ -78,7 +78,7 @@
     const orderId = this.nextOrderId;
     this.nextOrderId += 1;
     const nowMs = this.opts.timer.nowMs();
-    const { deadlineAtMs, dueAtMs, zoneWaitUntilMs, ...told } = piece;
+    const { deadlineAtMs, dueAtMs, zoneWaitUntilMs, inputsExpireAtMs, ...told } = piece;
     return new Promise((resolve) => {
       const cancel = (): void => {
         this.send({ kind: 'piece-cancel', orderId });
@@ -99,6 +99,7 @@
         deadlineInMs: deadlineAtMs - nowMs,
         dueInMs: dueAtMs - nowMs,
         zoneWaitInMs: zoneWaitUntilMs - nowMs,
+        inputsExpireInMs: inputsExpireAtMs - nowMs,
       });
       if (!isSent) {
         end(undefined);
--- a/packages/routerLink/src/routerFrames.ts
+++ b/packages/routerLink/src/routerFrames.ts
@@ -24,6 +24,8 @@
   readonly deadlineInMs: number;
   readonly dueInMs: number;
   readonly zoneWaitInMs: number;
+  /** Infinity without inputs. */
+  readonly inputsExpireInMs: number;
 }
 
 /** The piece is not wanted any more. */
--- a/packages/routerLink/src/wireRouterFrame.ts
+++ b/packages/routerLink/src/wireRouterFrame.ts
@@ -95,6 +95,7 @@
     'deadlineInMs',
     'dueInMs',
     'zoneWaitInMs',
+    'inputsExpireInMs',
   ];
   return (
     areNumbers(fields, numbers) &&
--- a/packages/types/src/routedCall.ts
+++ b/packages/types/src/routedCall.ts
@@ -41,6 +41,8 @@
   readonly key: string;
   /** Results that the piece is made from. */
   readonly inputs: readonly string[];
+  /** Monotonic time at which the first of them is dropped by its maker; Infinity without inputs. */
+  readonly inputsExpireAtMs: number;
   readonly resultBytes: number;
   /** Zone in which the result is going to be used; empty when that is open. */
   readonly zoneHint: string;
