Free results that cross the cancel of their order, and leave out what nothing reads

A result whose order was cancelled while its answer was on the way took room at its maker until it expired. Fields of the configuration and of targets that no decision reads are not decoded any more, and the choice of a call's target is a module of its own.

--- a/packages/pool/test/queueWorld.ts
+++ b/packages/pool/test/queueWorld.ts
@@ -47,8 +47,6 @@
 }
 
 export const LIMITS: BatchLimits = {
-  slots: 1,
-  queueLength: 2,
   maxPieces: 7,
   callMs: 200,
   pieceMs: 20,
--- a/packages/pool/test/stageWorker.ts
+++ b/packages/pool/test/stageWorker.ts
@@ -13,6 +13,5 @@
     version: 'v1',
     slots: 1,
     state: 'ready',
-    coldLeftMs: 0,
   };
 }
--- a/packages/router/src/runAttempts.ts
+++ b/packages/router/src/runAttempts.ts
@@ -1,11 +1,11 @@
 import { GalenatillerError, type ResultCodeName } from '@galenatiller/error';
-import { makerOf } from '@galenatiller/pool';
-import { chooseTarget, type TargetChoice } from '@galenatiller/target';
+import type { TargetChoice } from '@galenatiller/target';
 import type { ListedTarget } from '@galenatiller/types';
 
 import type { AdmittedCall } from './admitCall.js';
 import { type PassedAnswer, passAnswer } from './passAnswer.js';
 import { CallProgress } from './callProgress.js';
+import { chooseForCall } from './chooseForCall.js';
 import type { AnswerReply, CallerExchange, SendReply } from './ports.js';
 import type { RouterContext } from './routerContext.js';
 import type { MadeResult } from './runStages.js';
@@ -54,7 +54,7 @@
   const waitUntilMs = startedAtMs + (admitted.deadlineAtMs - startedAtMs) * NO_TARGET_WAIT_SHARE;
   context.repeats.noteRequest(admitted.service);
   while (!signal.aborted) {
-    const choice = choose(opts, progress);
+    const choice = chooseForCall(opts, progress);
     if (choice.kind !== 'chosen') {
       if (choice.kind === 'none' && timer.nowMs() >= waitUntilMs) {
         return endWithout(progress, 'no-target', `no target of ${admitted.service} takes work`);
@@ -226,51 +226,6 @@
   return isRepeatable && progress.runs < route.maxAttempts;
 }
 
-/** Zone of the target that a call would go to now; empty when there is none. */
-export function likelyZone(opts: ChoiceOptions): string {
-  const choice = choose({ ...opts, inputs: [] }, NOT_TRIED);
-  return choice.kind === 'chosen' ? choice.target.availabilityZone : '';
-}
-
-type ChoiceOptions = Pick<RunAttemptsOptions, 'context' | 'exchange' | 'admitted'>;
-
-const NOT_TRIED = { tried: new Set<string>() };
-
-function choose(
-  opts: ChoiceOptions & Pick<RunAttemptsOptions, 'inputs'>,
-  progress: Pick<CallProgress, 'tried'>,
-): TargetChoice {
-  const { context, admitted, exchange } = opts;
-  const coldRequestsPerS = context.routes.findService(admitted.service)?.coldRequestsPerS ?? 0;
-  return chooseTarget({
-    targets: context.targets.usable(admitted.service),
-    tried: progress.tried,
-    promptParts: exchange.call.promptParts,
-    ownZone: context.ownZone,
-    inputBytesOutside: inputBytesOutside(opts),
-    inFlight: ({ id }) => context.inFlight.count(id),
-    isSuspended: ({ id }) => context.health.isSuspended(id),
-    failureShare: ({ id }) => context.health.failureShare(id),
-    mayTake: ({ address }) => context.coldShare.mayTake({ address, coldRequestsPerS }),
-    hash: context.hash,
-  });
-}
-
-/** Bytes of the inputs whose makers stand outside a zone; a maker that is gone counts nowhere. */
-function inputBytesOutside(
-  opts: Pick<RunAttemptsOptions, 'context' | 'inputs'>,
-): (availabilityZone: string) => number {
-  const { targets } = opts.context;
-  const placed = opts.inputs.map(({ handle, bytes }) => ({
-    bytes,
-    zone: targets.zoneOfMost([makerOf(handle)]),
-  }));
-  return (availabilityZone) =>
-    placed
-      .filter(({ zone }) => zone !== '' && zone !== availabilityZone)
-      .reduce((sum, { bytes }) => sum + bytes, 0);
-}
-
 /** The signal aborted: the deadline has passed, or the caller has gone. */
 function endAtAbort(opts: RunAttemptsOptions, progress: CallProgress): AttemptsEnd {
   if (progress.hasBegun) {
--- a/packages/router/src/serveCall.ts
+++ b/packages/router/src/serveCall.ts
@@ -1,10 +1,11 @@
 import { GalenatillerError } from '@galenatiller/error';
 
 import { type AdmittedCall, admitCall } from './admitCall.js';
+import { likelyZone } from './chooseForCall.js';
 import { countCall, endingOf } from './countEvents.js';
 import type { CallerExchange } from './ports.js';
 import type { RouterContext } from './routerContext.js';
-import { type AttemptsEnd, likelyZone, runAttempts } from './runAttempts.js';
+import { type AttemptsEnd, runAttempts } from './runAttempts.js';
 import { runStages, type StagesFailed } from './runStages.js';
 import { stageDeadlines, zoneWaits } from './stageDeadlines.js';
 
--- a/packages/router/test/stageDeadlines.steps.ts
+++ b/packages/router/test/stageDeadlines.steps.ts
@@ -31,8 +31,6 @@
       pieceMs,
       resultRoomBytes: 10,
       resultTtlMs: 1_000,
-      slots: 1,
-      queueLength: 1,
     };
   },
 );
--- a/packages/router/test/support.ts
+++ b/packages/router/test/support.ts
@@ -79,7 +79,6 @@
   maxAttempts: 2,
   stages: [],
   isPublic: false,
-  hasPrompt: false,
   isResumable: false,
 };
 
@@ -123,7 +122,6 @@
     version: 'v1',
     slots: 4,
     state: 'ready',
-    coldLeftMs: 0,
   };
 }
 
--- a/packages/routerLink/src/followRouter.ts
+++ b/packages/routerLink/src/followRouter.ts
@@ -30,7 +30,7 @@
 }
 
 /** The version of the frames; routers of another version end the link. */
-export const LINK_VERSION = 1;
+export const LINK_VERSION = 2;
 
 const CONNECT_LIMIT_MS = 400;
 
@@ -149,8 +149,15 @@
   }
 
   private take(frame: RouterFrame): void {
-    if (frame.kind === 'piece-end') {
-      this.orders.get(frame.orderId)?.settle(frame.result);
+    if (frame.kind !== 'piece-end') {
+      return;
+    }
+    const order = this.orders.get(frame.orderId);
+    if (order) {
+      order.settle(frame.result);
+    } else if (frame.result.kind === 'made') {
+      // The result crossed the cancel of its order, so nobody else frees it.
+      this.free([frame.result.handle]);
     }
   }
 
--- a/packages/settings/src/routerKeys.ts
+++ b/packages/settings/src/routerKeys.ts
@@ -28,15 +28,6 @@
     max: 900,
     defaultText: '30',
   }),
-  memoryLimitMb: integerKey({
-    section: 'node',
-    key: 'memory-limit-mb',
-    meaning: 'Memory at which the process is killed.',
-    unit: 'MB',
-    min: 100,
-    max: 1_000_000,
-    defaultText: '512',
-  }),
   callerAddress: socketKey({
     section: 'caller',
     key: 'listen',
--- a/packages/target/src/targetDirectory.ts
+++ b/packages/target/src/targetDirectory.ts
@@ -27,7 +27,6 @@
 
 interface Held {
   readonly target: ListedTarget;
-  readonly listedAtMs: number;
   /** Set while its entry is missing after an outage and may come back. */
   readonly lapsesAtMs: number | undefined;
 }
@@ -88,12 +87,6 @@
     return [...counts].sort(([, left], [, right]) => right - left)[0]?.[0] ?? '';
   }
 
-  /** How much longer a target is cold by its own account. */
-  coldLeftMs(target: ListedTarget): number {
-    const held = this.held.get(target.id);
-    return held ? held.listedAtMs + held.target.coldLeftMs - this.opts.timer.nowMs() : 0;
-  }
-
   /** Takes every entry in place of those before. */
   replaceAll(entries: readonly ListedEntry[]): void {
     const ids = new Set(entries.map(({ id }) => id));
@@ -113,7 +106,7 @@
       this.remove(entry);
       return;
     }
-    this.held.set(id, { target, listedAtMs: this.opts.timer.nowMs(), lapsesAtMs: undefined });
+    this.held.set(id, { target, lapsesAtMs: undefined });
     const kind = kindOfChange(before?.target, target);
     if (kind) {
       this.tell(kind, target, storeRevision);
--- a/packages/target/test/target.steps.ts
+++ b/packages/target/test/target.steps.ts
@@ -37,7 +37,6 @@
     version: 'v1',
     slots: 8,
     state: 'ready',
-    coldLeftMs: 0,
     ...changes,
   };
 }
--- a/packages/types/src/deployment.ts
+++ b/packages/types/src/deployment.ts
@@ -35,17 +35,11 @@
   readonly maxAttempts: number;
   readonly stages: readonly RouteStage[];
   readonly isPublic: boolean;
-  /** Calls carry the parts of their prompt, so a target that has them cached is better. */
-  readonly hasPrompt: boolean;
   readonly isResumable: boolean;
 }
 
 /** Limits of a worker that runs pieces of stages in batches. */
 export interface BatchLimits {
-  /** Calls in progress at the same time. */
-  readonly slots: number;
-  /** Calls that may wait at the worker. */
-  readonly queueLength: number;
   /** Most pieces in one call. */
   readonly maxPieces: number;
   /** Time of a call without its pieces. */
@@ -61,9 +55,6 @@
 /** A service of the platform deployment. */
 export interface ServedService {
   readonly name: string;
-  readonly healthPath: string;
-  /** Connections that one target accepts from all callers together. */
-  readonly maxConnections: number;
   /** Requests a second that a cold target bears; 0 when its start makes no difference. */
   readonly coldRequestsPerS: number;
   /** Set for services that run pieces of stages. */
@@ -109,6 +100,4 @@
   readonly version: string;
   readonly slots: number;
   readonly state: 'ready' | 'draining';
-  /** How much longer it was cold when it wrote its entry. */
-  readonly coldLeftMs: number;
 }
