--- /dev/null
+++ b/packages/logger/test/eventLog.steps.ts
@@ -0,0 +1,82 @@
+import assert from 'node:assert/strict';
+
+import { Given, Then, When } from '@cucumber/cucumber';
+import { createEventLog, type EventLog } from '@galenatiller/logger';
+
+interface LogWorld {
+  eventLog: EventLog;
+  logNowMs: number;
+  logLines: string[];
+  logDropped: number;
+  isLogFull: boolean;
+}
+
+Given('an event log of the node {string}', function given(this: LogWorld, node: string) {
+  this.logNowMs = 10_000;
+  this.logLines = [];
+  this.logDropped = 0;
+  this.isLogFull = false;
+  this.eventLog = createEventLog({
+    node,
+    nowMs: () => this.logNowMs,
+    write: (line) => {
+      if (!this.isLogFull) {
+        this.logLines.push(line);
+      }
+      return !this.isLogFull;
+    },
+    onDropped: () => {
+      this.logDropped += 1;
+    },
+  });
+});
+
+Given('its buffer is full', function given(this: LogWorld) {
+  this.isLogFull = true;
+});
+
+When(
+  'the decision {string} on the request {string} ends as {string}',
+  function when(this: LogWorld, event: string, requestId: string, outcome: string) {
+    this.eventLog({ about: 'decision', event, requestId, outcome });
+  },
+);
+
+When('{int} decisions are logged within a second', function when(this: LogWorld, lines: number) {
+  Array.from({ length: lines }).forEach(() => {
+    this.eventLog({ about: 'decision', event: 'attempt' });
+  });
+});
+
+When('a belief is logged', function when(this: LogWorld) {
+  this.eventLog({ about: 'belief', event: 'target' });
+});
+
+When('a second has passed and one more decision is logged', function when(this: LogWorld) {
+  this.logNowMs += 1_000;
+  this.eventLog({ about: 'decision', event: 'attempt' });
+});
+
+Then(
+  'its line says node {string}, event {string}, request {string} and outcome {string}',
+  function then(this: LogWorld, node: string, event: string, requestId: string, outcome: string) {
+    const line: unknown = JSON.parse(this.logLines[0] ?? '');
+    assert.ok(typeof line === 'object' && line !== null);
+    const { time, ...fields } = line as Record<string, unknown>;
+    assert.equal(typeof time, 'number');
+    assert.deepEqual(fields, { level: 30, node, about: 'decision', event, requestId, outcome });
+  },
+);
+
+Then(
+  '{int} lines were written and {int} were dropped',
+  function then(this: LogWorld, written: number, dropped: number) {
+    assert.equal(this.logLines.length, written);
+    assert.equal(this.logDropped, dropped);
+  },
+);
+
+Then('a line says that {int} lines were left out', function then(this: LogWorld, lines: number) {
+  const told = this.logLines.filter((line) => line.includes(`"lines":${lines}`));
+  assert.equal(told.length, 1);
+});
--- a/packages/pool/src/choosePieces.ts
+++ b/packages/pool/src/choosePieces.ts
@@ -1,7 +1,7 @@
 import type { BatchLimits } from '@galenatiller/types';
 
 import { groupByStage } from './groupByStage.js';
-import type { WaitingPiece } from './stageQueue.js';
+import type { WaitingPiece } from './waitingPiece.js';
 
 /** Options of {@link choosePieces}. */
 export interface ChoosePiecesOptions<Piece> {
--- a/packages/pool/src/comparePieces.ts
+++ b/packages/pool/src/comparePieces.ts
@@ -1,4 +1,4 @@
-import type { ComparePieces, WaitingPiece } from './stageQueue.js';
+import type { ComparePieces, WaitingPiece } from './waitingPiece.js';
 
 /**
  * Pieces whose call can still be on time go first, by priority and by when the call is due. A call
--- a/packages/pool/src/findUnreachable.ts
+++ b/packages/pool/src/findUnreachable.ts
@@ -1,5 +1,5 @@
 import { groupByStage } from './groupByStage.js';
-import type { WaitingPiece } from './stageQueue.js';
+import type { WaitingPiece } from './waitingPiece.js';
 
 /** What the workers of a service get done. */
 export interface StageThroughput {
--- a/packages/pool/src/groupByStage.ts
+++ b/packages/pool/src/groupByStage.ts
@@ -1,4 +1,4 @@
-import type { WaitingPiece } from './stageQueue.js';
+import type { WaitingPiece } from './waitingPiece.js';
 
 /** Groups pieces by request and stage, in the order of the first piece of each. */
 export function groupByStage<Piece extends WaitingPiece>(
--- a/packages/pool/src/index.ts
+++ b/packages/pool/src/index.ts
@@ -12,11 +12,10 @@
   type ServeStageTargetOptions,
 } from './serveStageTarget.js';
 export {
-  type ComparePieces,
   type GivenUpEvent,
   type InputZone,
   StageQueue,
   type StageQueueOptions,
-  type WaitingPiece,
 } from './stageQueue.js';
 export { TargetSpeed } from './targetSpeed.js';
+export type { ComparePieces, WaitingPiece } from './waitingPiece.js';
--- a/packages/pool/src/stageQueue.ts
+++ b/packages/pool/src/stageQueue.ts
@@ -3,21 +3,7 @@
 
 import { choosePieces } from './choosePieces.js';
 import { findUnreachable, type StageThroughput } from './findUnreachable.js';
-
-/** A piece that waits in the queue of its service. */
-export interface WaitingPiece {
-  readonly piece: StagePiece;
-  readonly waitingSinceMs: number;
-  /** Calls that it has been part of. */
-  readonly tries: number;
-}
-
-/** Order in which waiting pieces are taken: negative when `left` goes first. */
-export type ComparePieces = (opts: {
-  readonly left: WaitingPiece;
-  readonly right: WaitingPiece;
-  readonly nowMs: number;
-}) => number;
+import type { ComparePieces, WaitingPiece } from './waitingPiece.js';
 
 /** Options of {@link StageQueue.create}. */
 export interface StageQueueOptions {
