Forget answer times that are not seen again, with one type for both deployments

Cause, read in the code: the usual time to an answer shortens the time for the stages; a long one could refuse every call, and then nothing would correct it. The entry's record of stage times already forgets after 3 s for this reason, so it becomes the one type for both.

--- a/packages/entry/src/callContext.ts
+++ b/packages/entry/src/callContext.ts
@@ -1,13 +1,12 @@
 import type { Call, TakePart } from '@galenatiller/caller';
 import type { CrashLedger } from '@galenatiller/engine';
 import type { RecordOptions } from '@galenatiller/timeline';
-import type { TimerService } from '@galenatiller/timer';
+import type { RecentTimes, TimerService } from '@galenatiller/timer';
 import type { Configuration, RouteRule } from '@galenatiller/types';
 
 import type { GateDirectory } from './gateDirectory.js';
 import type { EntryPolicy } from './policy.js';
 import type { RetryBudget } from './retryBudget.js';
-import type { StageTimes } from './stageTimes.js';
 import type { VersionMoves } from './versionMoves.js';
 
 /** What a call needs for all its stages. */
@@ -25,7 +24,7 @@
   readonly record: (event: RecordOptions) => void;
   readonly crashes: CrashLedger;
   readonly retryBudget: RetryBudget;
-  readonly stageTimes: StageTimes;
+  readonly stageTimes: RecentTimes;
   readonly versions: VersionMoves;
   readonly random: () => number;
   readonly ownAvailabilityZone: string;
--- a/packages/entry/src/createEntry.ts
+++ b/packages/entry/src/createEntry.ts
@@ -17,7 +17,7 @@
 } from '@galenatiller/node';
 import { TaskGroup } from '@galenatiller/tasks';
 import type { RecordOptions } from '@galenatiller/timeline';
-import type { TimerService } from '@galenatiller/timer';
+import { RecentTimes, type TimerService } from '@galenatiller/timer';
 import type { Configuration, Host, LimitRule } from '@galenatiller/types';
 import type { Result } from 'true-myth';
 
@@ -26,7 +26,6 @@
 import type { EntryPolicy } from './policy.js';
 import { RetryBudget } from './retryBudget.js';
 import { type EndedCall, runCall } from './runCall.js';
-import { StageTimes } from './stageTimes.js';
 import { VersionMoves } from './versionMoves.js';
 
 /** Options of {@link createEntry}; every peer is reached by a function. */
@@ -116,7 +115,7 @@
     crashes,
     versions,
     retryBudget: RetryBudget.create(),
-    stageTimes: StageTimes.create(),
+    stageTimes: RecentTimes.create(),
     limiter: createLimiter(opts, readConfiguration, () => entryCount),
     ownAvailabilityZone: opts.identity.availabilityZone,
   };
--- a/packages/entry/src/runCall.ts
+++ b/packages/entry/src/runCall.ts
@@ -2,7 +2,7 @@
 import { GalenatillerError } from '@galenatiller/error';
 import type { CrashLedger } from '@galenatiller/engine';
 import type { RecordOptions } from '@galenatiller/timeline';
-import type { TimerService } from '@galenatiller/timer';
+import type { RecentTimes, TimerService } from '@galenatiller/timer';
 import type {
   Configuration,
   Priority,
@@ -18,7 +18,6 @@
 import type { RetryBudget } from './retryBudget.js';
 import { runStage, type StageSuccess } from './runStage.js';
 import { addStageResult, NO_STAGE_DATA, type StageData } from './stageInput.js';
-import type { StageTimes } from './stageTimes.js';
 import type { VersionMoves } from './versionMoves.js';
 
 /** What every call of an entry shares. */
@@ -30,7 +29,7 @@
   readonly record: (event: RecordOptions) => void;
   readonly crashes: CrashLedger;
   readonly retryBudget: RetryBudget;
-  readonly stageTimes: StageTimes;
+  readonly stageTimes: RecentTimes;
   readonly versions: VersionMoves;
   readonly limiter: OrganisationLimiter;
   readonly random: () => number;
@@ -138,7 +137,7 @@
 
 function expectStage(opts: RunCallOptions, stage: StageRule): ExpectedStage {
   return {
-    runMs: opts.stageTimes.expect({ stage: stage.name, nowMs: opts.timer.nowMs() }),
+    runMs: opts.stageTimes.expect({ name: stage.name, nowMs: opts.timer.nowMs() }),
     candidates: opts.directory.targetsOf(stage.targetGroup),
   };
 }
--- a/packages/router/src/createRouter.ts
+++ b/packages/router/src/createRouter.ts
@@ -10,15 +10,9 @@
   type PrefixSource,
 } from '@galenatiller/store';
 import type { RouterSettings } from '@galenatiller/settings';
-import {
-  AnswerTimes,
-  ColdShare,
-  RepeatBudget,
-  TargetDirectory,
-  TargetHealth,
-} from '@galenatiller/target';
+import { ColdShare, RepeatBudget, TargetDirectory, TargetHealth } from '@galenatiller/target';
 import { TaskGroup } from '@galenatiller/tasks';
-import type { TimerService } from '@galenatiller/timer';
+import { RecentTimes, type TimerService } from '@galenatiller/timer';
 
 import { CallCounter } from './callCounter.js';
 import type { OperatorEntries, TargetEntries } from './entryDecoders.js';
@@ -99,7 +93,7 @@
     targets,
     ...createLimits({ ...opts, nodeCount }),
     inFlight: CallCounter.create(),
-    answerTimes: AnswerTimes.create(),
+    answerTimes: RecentTimes.create(),
     calls: opts.calls,
     submitPiece: stages.owners.submit,
     freeResults: (handles) => stages.owners.giveUp(handles),
--- a/packages/router/src/routerContext.ts
+++ b/packages/router/src/routerContext.ts
@@ -1,13 +1,7 @@
 import type { EventLog } from '@galenatiller/logger';
 import type { MetricSink } from '@galenatiller/metrics';
-import type {
-  AnswerTimes,
-  ColdShare,
-  RepeatBudget,
-  TargetDirectory,
-  TargetHealth,
-} from '@galenatiller/target';
-import type { TimerService } from '@galenatiller/timer';
+import type { ColdShare, RepeatBudget, TargetDirectory, TargetHealth } from '@galenatiller/target';
+import type { RecentTimes, TimerService } from '@galenatiller/timer';
 
 import type { CallCounter } from './callCounter.js';
 import type { TargetCalls } from './ports.js';
@@ -24,7 +18,8 @@
   readonly targets: TargetDirectory;
   readonly health: TargetHealth;
   readonly coldShare: ColdShare;
-  readonly answerTimes: AnswerTimes;
+  /** Time from a send to the start of its answer, by service. */
+  readonly answerTimes: RecentTimes;
   readonly repeats: RepeatBudget;
   readonly inFlight: CallCounter;
   readonly calls: TargetCalls;
--- a/packages/router/src/runAttempts.ts
+++ b/packages/router/src/runAttempts.ts
@@ -119,7 +119,8 @@
     if (reply.kind !== 'answered') {
       return await afterFailure(opts, progress, target, reply);
     }
-    context.answerTimes.note({ service: admitted.service, tookMs: timer.nowMs() - sentAtMs });
+    const nowMs = timer.nowMs();
+    context.answerTimes.observe({ name: admitted.service, tookMs: nowMs - sentAtMs, nowMs });
     const isServerError = reply.status >= 500;
     health.note({ targetId: target.id, verdict: isServerError ? 'failed' : 'good' });
     progress.noteRun();
--- a/packages/router/src/serveCall.ts
+++ b/packages/router/src/serveCall.ts
@@ -71,7 +71,10 @@
   const chain = {
     route,
     call: exchange.call,
-    answerMs: context.answerTimes.usualMs(admitted.service),
+    answerMs: context.answerTimes.expect({
+      name: admitted.service,
+      nowMs: context.timer.nowMs(),
+    }),
     findLimits: (service: string) => context.routes.findService(service)?.batch,
   };
   for (let round = 1; ; round += 1) {
--- a/packages/router/test/support.ts
+++ b/packages/router/test/support.ts
@@ -1,13 +1,7 @@
 /** A router's context over scripted targets, for the steps beside it. */
 import type { GalenatillerError } from '@galenatiller/error';
-import {
-  AnswerTimes,
-  ColdShare,
-  RepeatBudget,
-  TargetDirectory,
-  TargetHealth,
-} from '@galenatiller/target';
-import type { ManualClock, TimerService } from '@galenatiller/timer';
+import { ColdShare, RepeatBudget, TargetDirectory, TargetHealth } from '@galenatiller/target';
+import { type ManualClock, RecentTimes, type TimerService } from '@galenatiller/timer';
 import type {
   ListedTarget,
   RoutedCall,
@@ -183,7 +177,7 @@
       nodeCount: () => 1,
     }),
     inFlight: CallCounter.create(),
-    answerTimes: AnswerTimes.create(),
+    answerTimes: RecentTimes.create(),
     calls: {
       sendCall: async (opts) => {
         world.sends.push(opts);
--- a/packages/target/src/index.ts
+++ b/packages/target/src/index.ts
@@ -1,5 +1,4 @@
 /** What is common to every kind of target: the list, health, limits over all nodes, and the choice. */
-export { AnswerTimes } from './answerTimes.js';
 export { chooseTarget, type ChooseTargetOptions, type TargetChoice } from './chooseTarget.js';
 export { ColdShare, type ColdShareOptions } from './coldShare.js';
 export { RepeatBudget, type RepeatBudgetOptions } from './repeatBudget.js';
--- a/packages/timer/src/index.ts
+++ b/packages/timer/src/index.ts
@@ -10,3 +10,4 @@
   TimerService,
 } from './timerService.js';
 export { elapsedSinceMs, type Stamp, stampNow } from './stamp.js';
+export { type ObservedTime, RecentTimes } from './recentTimes.js';
