Drop counts that nothing reads: connections in use, calls at all targets

Found when the whole change was read again: the count of exchanges with a target had no reader but itself. Closing a client twice is harmless, so the guard goes with it.

--- a/packages/http/src/targetConnections.ts
+++ b/packages/http/src/targetConnections.ts
@@ -69,8 +69,6 @@
 export class TargetConnections {
   private readonly idle = new Map<string, Connection[]>();
 
-  private readonly open = new Map<string, number>();
-
   private constructor(private readonly opts: TargetConnectionsOptions) {}
 
   /** Makes an empty set of connections. */
@@ -78,11 +76,6 @@
     return new TargetConnections(opts);
   }
 
-  /** Exchanges in progress with a target. */
-  inUse(address: string): number {
-    return this.open.get(address) ?? 0;
-  }
-
   /** Closes the idle connections of a target. */
   forget(address: string): void {
     (this.idle.get(address) ?? []).forEach(close);
@@ -125,11 +118,11 @@
         discard: () => {
           body.on('error', ignoreAbort);
           body.destroy();
-          this.drop(request.address, connection);
+          close(connection);
         },
       };
     } catch (cause) {
-      this.drop(request.address, connection);
+      close(connection);
       const detail = cause instanceof Error ? cause.message : 'the exchange failed';
       return { kind: cause instanceof ConnectFailure ? 'unsent' : 'broken', detail };
     }
@@ -155,20 +148,16 @@
       if (whole && opts.mayStay) {
         this.keep(request.address, connection);
       } else {
-        this.drop(request.address, connection);
+        close(connection);
       }
     }
   }
 
   private take(address: string): Connection {
-    this.open.set(address, this.inUse(address) + 1);
-    const kept = this.idle.get(address) ?? [];
-    const connection = kept.pop();
-    return connection ?? this.connect(address);
+    return this.idle.get(address)?.pop() ?? this.connect(address);
   }
 
   private keep(address: string, connection: Connection): void {
-    this.release(address);
     const kept = this.idle.get(address) ?? [];
     kept.push(connection);
     if (kept.length > IDLE_MOST) {
@@ -177,23 +166,6 @@
     this.idle.set(address, kept);
   }
 
-  private drop(address: string, connection: Connection): void {
-    if (connection.client.destroyed) {
-      return;
-    }
-    close(connection);
-    this.release(address);
-  }
-
-  private release(address: string): void {
-    const left = this.inUse(address) - 1;
-    if (left > 0) {
-      this.open.set(address, left);
-    } else {
-      this.open.delete(address);
-    }
-  }
-
   private connect(address: string): Connection {
     let isEnded = false;
     const client = new Client(`http://${address}`, {
--- a/packages/router/src/callCounter.ts
+++ b/packages/router/src/callCounter.ts
@@ -14,11 +14,6 @@
     return this.counts.get(targetId) ?? 0;
   }
 
-  /** Calls in flight at all targets. */
-  total(): number {
-    return [...this.counts.values()].reduce((sum, count) => sum + count, 0);
-  }
-
   /** Counts a call until the function that is given back is called. */
   enter(targetId: string): () => void {
     this.counts.set(targetId, this.count(targetId) + 1);
