Take smaller results past one that does not fit

Cause, read in the code: a piece whose result did not fit was taken off the room all the same, so the smaller ones behind it were passed over. The new scenario failed before (no call was made) and passes.

--- a/packages/pool/src/choosePieces.ts
+++ b/packages/pool/src/choosePieces.ts
@@ -38,8 +38,11 @@
   let { roomBytes } = opts;
   return opts.ordered
     .filter(({ piece }) => {
+      if (piece.resultBytes > roomBytes) {
+        return false;
+      }
       roomBytes -= piece.resultBytes;
-      return roomBytes >= 0;
+      return true;
     })
     .slice(0, opts.limits.maxPieces);
 }
--- a/packages/pool/test/queueTimes.steps.ts
+++ b/packages/pool/test/queueTimes.steps.ts
@@ -1,9 +1,17 @@
 import assert from 'node:assert/strict';
 
-import { Then, When } from '@cucumber/cucumber';
+import { Given, Then, When } from '@cucumber/cucumber';
 import type { PieceFailure } from '@galenatiller/types';
 
-import { CALL_MS, make, newRequest, outcomeOf, type QueueWorld, submit } from './queueWorld.js';
+import {
+  CALL_MS,
+  LIMITS,
+  make,
+  newRequest,
+  outcomeOf,
+  type QueueWorld,
+  submit,
+} from './queueWorld.js';
 import { worker } from './stageWorker.js';
 
 When(
@@ -66,3 +74,25 @@
 Then('no worker was called for it', function then(this: QueueWorld) {
   assert.equal(this.calls.length, 1);
 });
+
+Given(
+  "results fill all of the worker's room but for {int} bytes",
+  function given(this: QueueWorld, leftBytes: number) {
+    const bytes = LIMITS.resultRoomBytes - leftBytes;
+    this.room.hold({ handle: '10.0.0.1:1/held', bytes, limits: LIMITS });
+  },
+);
+
+When(
+  'a request submits pieces with results of {int} and {int} bytes',
+  async function when(this: QueueWorld, first: number, second: number) {
+    newRequest(this);
+    submit(this, { piece: 0, resultBytes: first });
+    submit(this, { piece: 1, resultBytes: second });
+    await this.stageClock.advance({ byMs: 1 });
+  },
+);
+
+Then('its result has {int} bytes', function then(this: QueueWorld, bytes: number) {
+  assert.equal(this.calls.at(-1)?.pieces[0]?.resultBytes, bytes);
+});
--- a/packages/pool/test/stageQueue.feature
+++ b/packages/pool/test/stageQueue.feature
@@ -106,3 +106,9 @@
     Then no worker was called for it
     When 20 ms pass
     Then it is made in "east"
+
+  Scenario: A result that does not fit keeps no smaller one from the room that is left
+    Given results fill all of the worker's room but for 150 bytes
+    When a request submits pieces with results of 200 and 100 bytes
+    Then the next call has 1 piece
+    And its result has 100 bytes
