--- a/packages/settings/src/routerKeys.ts
+++ b/packages/settings/src/routerKeys.ts
@@ -1,24 +1,10 @@
-import {
-  decimalKey,
-  integerKey,
-  type KeyTable,
-  nameKey,
-  socketKey,
-  type ValuesOf,
-} from './settingKey.js';
+import { decimalKey, integerKey, type KeyTable, socketKey, type ValuesOf } from './settingKey.js';
+import { COMMON_KEYS } from './settingKeys.js';
 
 /** Keys of the router role. */
 export const ROUTER_KEYS = {
-  nodeName: nameKey({
-    section: 'node',
-    key: 'name',
-    meaning: 'Name of the node, unique in the fleet.',
-  }),
-  availabilityZone: nameKey({
-    section: 'node',
-    key: 'availability-zone',
-    meaning: 'Availability zone that the host stands in.',
-  }),
+  nodeName: COMMON_KEYS.nodeName,
+  availabilityZone: COMMON_KEYS.availabilityZone,
   stopLimitS: decimalKey({
     section: 'node',
     key: 'stop-limit-s',
--- a/packages/store/src/runRecords.ts
+++ b/packages/store/src/runRecords.ts
@@ -1,6 +1,6 @@
 import { randomUUID } from 'node:crypto';
 
-import { GalenatillerError } from '@galenatiller/error';
+import type { GalenatillerError } from '@galenatiller/error';
 import type { TimerService } from '@galenatiller/timer';
 import type { StageEnd } from '@galenatiller/types';
 import { Result } from 'true-myth';
@@ -8,6 +8,7 @@
 import { GroupCommit } from './groupCommit.js';
 import { LocalRun } from './localRun.js';
 import { RunLease } from './runLease.js';
+import { answerTooLarge, asNotRun, contended, notClaimed } from './runRecordErrors.js';
 import type { Claim, RunCompletion, RunName, RunRecord, RunRequest } from './runRecordTypes.js';
 import type { StoreClient } from './storeClient.js';
 import type { StoreEntry } from './storeTypes.js';
@@ -283,24 +284,3 @@
     .map((record) => record.claimId === claimId && record.state === 'claimed')
     .unwrapOr(false);
 }
-
-/** A claim that failed was not dispatched, whatever the store holds. */
-function asNotRun(error: GalenatillerError): GalenatillerError {
-  const { codeName: name, detail, retryAfterMs } = error;
-  return GalenatillerError.create({ name, detail, retryAfterMs, outcome: 'not-run' });
-}
-
-function contended(): GalenatillerError {
-  const detail = 'the record of the run came and went while it was claimed';
-  return GalenatillerError.create({ name: 'store-unavailable', detail });
-}
-
-function notClaimed(): GalenatillerError {
-  const detail = 'this node has no claim for the run';
-  return GalenatillerError.create({ name: 'run-unknown', detail });
-}
-
-function answerTooLarge(chars: number): GalenatillerError {
-  const detail = `an answer of ${chars} characters is too large to be kept for repeats`;
-  return GalenatillerError.create({ name: 'run-unknown', detail });
-}
