--- a/fakes/src/index.ts
+++ b/fakes/src/index.ts
@@ -34,6 +34,7 @@
 export {
   FakePlatformWorker,
   WORKER_BODY,
+  WORKER_EVENT,
   type WorkerAnswerEnd,
   type WorkerRun,
 } from './platform/fakePlatformWorker.js';
--- a/fakes/src/platform/fakePlatformWorker.ts
+++ b/fakes/src/platform/fakePlatformWorker.ts
@@ -11,6 +11,9 @@
 /** The bytes of each answer. */
 export const WORKER_BODY = 'done by the worker';
 
+/** One event, for streams. */
+export const WORKER_EVENT = 'id: 1\ndata: done by the worker\n\n';
+
 /** How answers end: marked by a length, by the close of the connection, or reset before their end. */
 export type WorkerAnswerEnd = 'length' | 'close' | 'reset';
 
@@ -89,7 +92,7 @@
       'X-Server-Seal': 'seal',
       'X-Server-Load': '1,0,4',
     });
-    response.write(WORKER_BODY);
+    response.write(path.startsWith('/stream/') ? WORKER_EVENT : WORKER_BODY);
     if (this.answerEnd === 'reset') {
       setTimeout(() => response.socket?.resetAndDestroy(), RESET_AFTER_MS);
       return;
--- a/packages/router/test/router.feature
+++ b/packages/router/test/router.feature
@@ -143,6 +143,12 @@
     Then the caller gets 503 with a time to come back
     And the targets got 0 sends
 
+  Scenario: A caller whose stages are busy comes back within the time it waits
+    Given the stage workers are busy
+    When a "staged" call with 2 and 3 pieces is made
+    Then the caller gets 503 and should come back after 240 ms
+    And the targets got 0 sends
+
   Scenario: Results that are gone are made once more
     Given the targets answer the first call with "inputs-gone"
     When a "staged" call with 1 and 1 pieces is made
--- a/packages/router/test/router.steps.ts
+++ b/packages/router/test/router.steps.ts
@@ -31,7 +31,7 @@
     this.pieceInputs = [];
     this.made = [];
     this.freed = [];
-    this.stagesFail = false;
+    this.stagesFailAs = undefined;
     this.context = createContext(this);
   },
 );
@@ -103,7 +103,7 @@
 });
 
 Given('the stage workers fail', function given(this: RouterWorld) {
-  this.stagesFail = true;
+  this.stagesFailAs = 'unreachable';
 });
 
 When(/^an? "([^"]*)" call is made$/, function when(this: RouterWorld, name: string) {
@@ -193,6 +193,18 @@
   assert.equal(this.sends.length, Number(sends));
 });
 
+Given('the stage workers are busy', function given(this: RouterWorld) {
+  this.stagesFailAs = 'busy';
+});
+
+Then(
+  'the caller gets 503 and should come back after {int} ms',
+  function then(this: RouterWorld, retryAfterMs: number) {
+    assert.equal(this.seen.refusal?.outcome, 'not-run');
+    assert.equal(this.seen.refusal.retryAfterMs, retryAfterMs);
+  },
+);
+
 Then(
   'the targets got {int} sends to different targets',
   function then(this: RouterWorld, sends: number) {
--- a/packages/router/test/stageDeadlines.feature
+++ b/packages/router/test/stageDeadlines.feature
@@ -10,3 +10,8 @@
     Given a chain of three stages whose calls take 200 ms and 20 ms a piece
     When a call with 1, 0 and 1 pieces has to begin its answer at 5000 ms, which takes 300 ms
     Then its stages have to be done at 4480, 4480 and 4700 ms
+
+  Scenario: A stage may wait for its zone while a full call would still be on time
+    Given a chain of three stages whose calls take 200 ms and 20 ms a piece
+    When a call with 1, 4 and 9 pieces has to begin its answer at 5000 ms, which takes 300 ms
+    Then its stages may wait for their zone until 3670, 3950 and 4250 ms
--- a/packages/router/test/stageDeadlines.steps.ts
+++ b/packages/router/test/stageDeadlines.steps.ts
@@ -3,13 +3,14 @@
 import { Given, Then, When } from '@cucumber/cucumber';
 import type { BatchLimits, ServedRoute } from '@galenatiller/types';
 
-import { stageDeadlines } from '../src/stageDeadlines.js';
+import { stageDeadlines, zoneWaits } from '../src/stageDeadlines.js';
 import { BASE_ROUTE, CALL } from './support.js';
 
 interface DeadlineWorld {
   chain: ServedRoute;
   limits: BatchLimits;
   deadlines: readonly number[];
+  zoneWaits: readonly number[];
 }
 
 Given(
@@ -45,13 +46,15 @@
     endAtMs: number,
     answerMs: number,
   ) {
-    this.deadlines = stageDeadlines({
+    const opts = {
       route: this.chain,
       call: { ...CALL, stagePieces: [first, second, third] },
       endAtMs,
       answerMs,
       findLimits: () => this.limits,
-    });
+    };
+    this.deadlines = stageDeadlines(opts);
+    this.zoneWaits = zoneWaits(opts);
   },
 );
 
@@ -61,3 +64,10 @@
     assert.deepEqual(this.deadlines, [first, second, third]);
   },
 );
+
+Then(
+  'its stages may wait for their zone until {int}, {int} and {int} ms',
+  function then(this: DeadlineWorld, first: number, second: number, third: number) {
+    assert.deepEqual(this.zoneWaits, [first, second, third]);
+  },
+);
--- a/packages/router/test/support.ts
+++ b/packages/router/test/support.ts
@@ -4,6 +4,7 @@
 import { type ManualClock, RecentTimes, type TimerService } from '@galenatiller/timer';
 import type {
   ListedTarget,
+  PieceFailure,
   RoutedCall,
   ServedConfiguration,
   ServedRoute,
@@ -41,7 +42,8 @@
   pieceInputs: (readonly string[])[];
   made: string[];
   freed: string[];
-  stagesFail: boolean;
+  /** Why every piece fails; undefined when none does. */
+  stagesFailAs: PieceFailure | undefined;
 }
 
 export const CALL: RoutedCall = {
@@ -189,8 +191,8 @@
     },
     submitPiece: ({ piece }) => {
       world.pieceInputs[piece.stage] = piece.inputs;
-      if (world.stagesFail) {
-        return Promise.resolve({ kind: 'failed', reason: 'unreachable' });
+      if (world.stagesFailAs) {
+        return Promise.resolve({ kind: 'failed', reason: world.stagesFailAs });
       }
       const handle = `10.0.0.2:1/${piece.stage}-${piece.piece}-${world.made.length}`;
       world.made.push(handle);
