--- a/packages/metrics/src/routerMetrics.ts
+++ b/packages/metrics/src/routerMetrics.ts
@@ -114,4 +114,12 @@
     role: 'router',
     meaning: 'Targets that are listed.',
   },
+  {
+    name: 'router.event_loop_lag',
+    type: 'gauge',
+    unit: 'ms',
+    tags: [],
+    role: 'router',
+    meaning: 'How late timers fired at most in the last second.',
+  },
 ] as const satisfies readonly MetricDefinition[];
--- a/packages/router/src/createRouter.ts
+++ b/packages/router/src/createRouter.ts
@@ -15,6 +15,7 @@
 import { SmoothedDurations, type TimerService } from '@galenatiller/timer';
 
 import { CallCounter } from './callCounter.js';
+import { EventLoopWatch } from './eventLoopWatch.js';
 import type { OperatorEntryDecoder, TargetEntryDecoder } from './entryDecoders.js';
 import { createOperatorHandlers } from './createOperatorHandlers.js';
 import { createTargetHandlers } from './createTargetHandlers.js';
@@ -24,6 +25,7 @@
 import { recordBatchMetrics, reportGauges } from './recordMetrics.js';
 import {
   logAbandonedStage,
+  logEventLoopLag,
   logFailedTask,
   logLinkEvent,
   logMembers,
@@ -73,6 +75,10 @@
   const { settings, timer, log, metrics, random } = opts;
   const tasks = TaskGroup.create({ onFailure: (error) => logFailedTask(log, error) });
   const callTasks = TaskGroup.create({ onFailure: (error) => logFailedTask(log, error) });
+  const eventLoop = EventLoopWatch.create({
+    timer,
+    onLag: ({ lagMs }) => logEventLoopLag(log, lagMs),
+  });
   const routes = RouteTable.create();
   const targets = TargetDirectory.create({ timer, onChange: (change) => logTarget(log, change) });
   const members = createMembership({ ...opts, onChange: (live) => stages.owners.setMembers(live) });
@@ -111,8 +117,16 @@
     serve: (exchange) => callTasks.start(() => serveCall({ context, exchange })),
     callsInProgress: () => callTasks.size,
     leave: () => members.leave(),
-    reportGauges: (sink) => reportGauges({ sink, context, calls: callTasks.size, nodeCount }),
+    reportGauges: (sink) =>
+      reportGauges({
+        sink,
+        context,
+        calls: callTasks.size,
+        nodeCount,
+        eventLoopLagMs: eventLoop.lagMs,
+      }),
     run: async ({ signal }) => {
+      const stopWatch = eventLoop.start();
       const links = await acceptRouters({
         address: settings.linkAddress,
         timer,
@@ -125,6 +139,7 @@
         members.run({ signal }),
       ]);
       links.close();
+      stopWatch();
     },
   };
 }
--- /dev/null
+++ b/packages/router/src/eventLoopWatch.ts
@@ -0,0 +1,59 @@
+import type { Cancel, TimerService } from '@galenatiller/timer';
+
+/** Options of {@link EventLoopWatch.create}. */
+export interface EventLoopWatchOptions {
+  readonly timer: TimerService;
+  /** Called once for each period in which the event loop was blocked for long. */
+  readonly onLag: (opts: { readonly lagMs: number }) => void;
+}
+
+const CHECK_INTERVAL_MS = 100;
+
+const REPORT_INTERVAL_MS = 1_000;
+
+/** Callers notice a pause from about this length on. */
+const MIN_REPORTED_LAG_MS = 100;
+
+/** Measures how late the timers of the process fire, which shows whether it has enough CPU time. */
+export class EventLoopWatch {
+  private maxLagMs = 0;
+
+  private dueAtMs: number;
+
+  private reportAtMs: number;
+
+  private constructor(private readonly opts: EventLoopWatchOptions) {
+    const nowMs = opts.timer.nowMs();
+    this.dueAtMs = nowMs + CHECK_INTERVAL_MS;
+    this.reportAtMs = nowMs + REPORT_INTERVAL_MS;
+  }
+
+  /** Creates a watch that has not started. */
+  static create(opts: EventLoopWatchOptions): EventLoopWatch {
+    return new EventLoopWatch(opts);
+  }
+
+  /** Longest lag in the present period. */
+  get lagMs(): number {
+    return this.maxLagMs;
+  }
+
+  /** Starts measuring, until cancelled. */
+  start(): Cancel {
+    return this.opts.timer.every({ intervalMs: CHECK_INTERVAL_MS, notify: () => this.check() });
+  }
+
+  private check(): void {
+    const nowMs = this.opts.timer.nowMs();
+    this.maxLagMs = Math.max(this.maxLagMs, nowMs - this.dueAtMs);
+    this.dueAtMs = nowMs + CHECK_INTERVAL_MS;
+    if (nowMs < this.reportAtMs) {
+      return;
+    }
+    this.reportAtMs = nowMs + REPORT_INTERVAL_MS;
+    if (this.maxLagMs >= MIN_REPORTED_LAG_MS) {
+      this.opts.onLag({ lagMs: this.maxLagMs });
+    }
+    this.maxLagMs = 0;
+  }
+}
--- a/packages/router/src/logEvents.ts
+++ b/packages/router/src/logEvents.ts
@@ -61,6 +61,12 @@
   });
 }
 
+/** Logs that the event loop was blocked, so that everything in the process was late. */
+export function logEventLoopLag(log: EventLog, lagMs: number): void {
+  const outcome = 'timers fired late';
+  log({ about: 'process', event: 'event-loop-lag', lagMs: Math.round(lagMs), outcome });
+}
+
 /** Logs a task that threw. */
 export function logFailedTask(log: EventLog, error: unknown): void {
   const outcome = error instanceof Error ? (error.stack ?? error.message) : String(error);
--- a/packages/router/src/recordMetrics.ts
+++ b/packages/router/src/recordMetrics.ts
@@ -44,6 +44,7 @@
   /** Number of calls in progress. */
   readonly calls: number;
   readonly nodeCount: () => number;
+  readonly eventLoopLagMs: number;
 }
 
 /** Sets the gauges of a router. */
@@ -54,4 +55,5 @@
   sink.gauge({ name: 'router.members', tags: {}, value: opts.nodeCount() });
   sink.gauge({ name: 'router.targets', tags: {}, value: context.targets.size });
   sink.gauge({ name: 'router.evidence_age', tags: {}, value: evidenceAgeMs });
+  sink.gauge({ name: 'router.event_loop_lag', tags: {}, value: opts.eventLoopLagMs });
 }
--- a/packages/router/src/runAttempts.ts
+++ b/packages/router/src/runAttempts.ts
@@ -91,7 +91,7 @@
   choice: Extract<TargetChoice, { kind: 'chosen' }>,
 ): Promise<AttemptsResult | undefined> {
   const { context, exchange, admitted, signal } = opts;
-  const { timer, health, log } = context;
+  const { timer, health } = context;
   const { target } = choice;
   const sentAtMs = timer.nowMs();
   progress.recordSend(target.id);
@@ -111,22 +111,7 @@
       signal,
     });
     context.metrics.count({ name: 'router.sends', tags: { send: response.kind } });
-    log({
-      about: 'decision',
-      event: 'attempt',
-      requestId: exchange.call.requestId,
-      target: target.id,
-      reason: choice.reason,
-      attempt: progress.sends,
-      inFlight: context.inFlight.count(target.id),
-      remainingMs: Math.round(remainingMs),
-      tookMs: Math.round(timer.nowMs() - sentAtMs),
-      configuration: admitted.configurationVersion,
-      outcome:
-        response.kind === 'answered'
-          ? String(response.status)
-          : `${response.kind}: ${response.detail}`,
-    });
+    logAttempt({ ...opts, progress, target, reason: choice.reason, response, sentAtMs });
     if (response.kind !== 'answered') {
       return await handleFailure(opts, progress, target, response);
     }
@@ -146,6 +131,36 @@
   }
 }
 
+/** Logs how a send ended, or that its response has started. */
+function logAttempt(
+  opts: RunAttemptsOptions & {
+    readonly progress: CallProgress;
+    readonly target: RegisteredTarget;
+    readonly reason: string;
+    readonly response: SendResult;
+    readonly sentAtMs: number;
+  },
+): void {
+  const { context, exchange, admitted, progress, target, response, sentAtMs } = opts;
+  context.log({
+    about: 'decision',
+    event: 'attempt',
+    requestId: exchange.call.requestId,
+    target: target.id,
+    reason: opts.reason,
+    attempt: progress.sends,
+    inFlight: context.inFlight.count(target.id),
+    remainingMs: Math.round(admitted.deadlineAtMs - sentAtMs),
+    tookMs: Math.round(context.timer.nowMs() - sentAtMs),
+    configuration: admitted.configurationVersion,
+    callerGone: exchange.disconnected.aborted,
+    outcome:
+      response.kind === 'answered'
+        ? String(response.status)
+        : `${response.kind}: ${response.detail}`,
+  });
+}
+
 async function forward(
   opts: RunAttemptsOptions,
   progress: CallProgress,
