--- a/packages/router/src/createRouter.ts
+++ b/packages/router/src/createRouter.ts
@@ -75,10 +75,8 @@
   const { settings, timer, log, metrics, random } = opts;
   const tasks = TaskGroup.create({ onFailure: (error) => logFailedTask(log, error) });
   const callTasks = TaskGroup.create({ onFailure: (error) => logFailedTask(log, error) });
-  const eventLoop = EventLoopWatch.create({
-    timer,
-    onLag: ({ lagMs }) => logEventLoopLag(log, lagMs),
-  });
+  const onLag = ({ lagMs }: { readonly lagMs: number }): void => logEventLoopLag(log, lagMs);
+  const eventLoop = EventLoopWatch.create({ timer, onLag });
   const routes = RouteTable.create();
   const targets = TargetDirectory.create({ timer, onChange: (change) => logTarget(log, change) });
   const members = createMembership({ ...opts, onChange: (live) => stages.owners.setMembers(live) });
@@ -117,33 +115,46 @@
     serve: (exchange) => callTasks.start(() => serveCall({ context, exchange })),
     callsInProgress: () => callTasks.size,
     leave: () => members.leave(),
-    reportGauges: (sink) =>
-      reportGauges({
-        sink,
-        context,
-        calls: callTasks.size,
-        nodeCount,
-        eventLoopLagMs: eventLoop.lagMs,
-      }),
-    run: async ({ signal }) => {
-      const stopWatch = eventLoop.start();
-      const links = await acceptRouters({
-        address: settings.linkAddress,
-        timer,
+    reportGauges: (sink) => {
+      const eventLoopLagMs = eventLoop.lagMs;
+      reportGauges({ sink, context, calls: callTasks.size, nodeCount, eventLoopLagMs });
+    },
+    run: ({ signal }) =>
+      runParts({
+        ...opts,
         tasks,
+        eventLoop,
+        members,
+        mirrors,
         service: stages.peerService,
-      });
-      await Promise.all([
-        mirrors.operator.run({ signal }),
-        mirrors.targets.run({ signal }),
-        members.run({ signal }),
-      ]);
-      links.close();
-      stopWatch();
-    },
+        signal,
+      }),
   };
 }
 
+/** Runs the parts of a router until the signal aborts. */
+async function runParts(
+  opts: Pick<RouterOptions, 'settings' | 'timer'> & {
+    readonly tasks: TaskGroup;
+    readonly eventLoop: EventLoopWatch;
+    readonly members: Membership;
+    readonly mirrors: Mirrors;
+    readonly service: PeerService;
+    readonly signal: AbortSignal;
+  },
+): Promise<void> {
+  const { settings, mirrors, members, signal } = opts;
+  const stopWatch = opts.eventLoop.start();
+  const links = await acceptRouters({ ...opts, address: settings.linkAddress });
+  await Promise.all([
+    mirrors.operator.run({ signal }),
+    mirrors.targets.run({ signal }),
+    members.run({ signal }),
+  ]);
+  links.close();
+  stopWatch();
+}
+
 function createMembership(
   opts: RouterOptions & { readonly onChange: (members: readonly Member[]) => void },
 ): Membership {
