Send no call for a caller that has left before any target can have run it

What callers saw: nothing; targets saw calls of callers that had left (GONE on the grown deployments). Cause: the attempts of an at-most-once call only end at its deadline, because an effect that has begun is wanted; the same signal also covered the time before the first send, and the time between a refusal that proves not-run and the next send. Such a call was sent up to its deadline after its caller left. Now each attempt checks that the caller is still there while nothing can have run.

--- a/packages/router/src/runAttempts.ts
+++ b/packages/router/src/runAttempts.ts
@@ -58,6 +58,9 @@
     startedAtMs + (admitted.deadlineAtMs - startedAtMs) * NO_TARGET_WAIT_SHARE;
   context.retryBudget.recordRequest(admitted.service);
   while (!signal.aborted) {
+    if (exchange.disconnected.aborted && progress.runs === 0) {
+      return endDisconnected();
+    }
     const choice = chooseTargetForCall(opts, progress);
     if (choice.kind !== 'chosen') {
       if (choice.kind === 'none' && timer.nowMs() >= stopWaitingAtMs) {
@@ -253,6 +256,13 @@
   return isRetryable && progress.runs < route.maxAttempts;
 }
 
+/** Ends a call whose caller disconnected before any target can have run it. */
+export function endDisconnected(): AttemptsResult {
+  const detail = 'the caller disconnected before the call was sent';
+  const error = GalenatillerError.create({ name: 'cancelled', detail, outcome: 'not-run' });
+  return { kind: 'refused', error };
+}
+
 /** Ends a call whose deadline has passed or whose caller has disconnected. */
 function endAborted(opts: RunAttemptsOptions, progress: CallProgress): AttemptsResult {
   if (progress.hasStarted) {
--- a/packages/router/src/serveCall.ts
+++ b/packages/router/src/serveCall.ts
@@ -5,7 +5,7 @@
 import { classifyEnding, recordCallMetrics } from './recordMetrics.js';
 import type { CallerExchange } from './ports.js';
 import type { RouterContext } from './routerContext.js';
-import { type AttemptsResult, runAttempts } from './runAttempts.js';
+import { type AttemptsResult, endDisconnected, runAttempts } from './runAttempts.js';
 import { runStages, type StagesFailed } from './runStages.js';
 import { computeStageDeadlines, computeZoneWaitLimits } from './computeStageDeadlines.js';
 
@@ -143,12 +143,6 @@
   return { kind: 'refused', error };
 }
 
-function endDisconnected(): AttemptsResult {
-  const detail = 'the caller disconnected before the call was sent';
-  const error = GalenatillerError.create({ name: 'cancelled', detail, outcome: 'not-run' });
-  return { kind: 'refused', error };
-}
-
 function finish(opts: ServeCallOptions, admitted: AdmittedCall, end: AttemptsResult): void {
   const { context, exchange } = opts;
   if (end.kind === 'refused') {
--- a/packages/router/test/router.feature
+++ b/packages/router/test/router.feature
@@ -100,6 +100,18 @@
     And the caller disconnects
     Then the send to the target is not cancelled
 
+  # Guards against at-most-once calls that are sent again, or for the first time, for nobody.
+  Scenario Outline: A call that has not run is not sent after its caller disconnects
+    Given each send ends as "refused" after 90 ms
+    When an "<kind>" call is made
+    And the caller disconnects
+    Then no more sends follow
+
+    Examples:
+      | kind  |
+      | order |
+      | safe  |
+
   Scenario: Keys are not accepted on old evidence
     Given the evidence for the configuration is 5001 ms old
     When an "order" call is made
--- a/packages/router/test/router.steps.ts
+++ b/packages/router/test/router.steps.ts
@@ -58,6 +58,16 @@
   },
 );
 
+Given(
+  'each send ends as "refused" after {int} ms',
+  function given(this: RouterWorld, delayMs: number) {
+    this.fallback = async () => {
+      await this.routerTimer.sleep({ delayMs });
+      return { kind: 'refused', detail: 'scripted' };
+    };
+  },
+);
+
 Given(
   'the targets respond to each call without proof of origin',
   function given(this: RouterWorld) {
@@ -267,3 +277,10 @@
     assert.equal(this.routes.findRoute({ host: 'shop.example', path })?.name, name ?? undefined);
   },
 );
+
+Then('no more sends follow', async function then(this: RouterWorld) {
+  const sends = this.sends.length;
+  assert.ok(sends < 6, 'the call ended before its caller disconnected');
+  await this.routerClock.advance({ byMs: 1_000 });
+  assert.equal(this.sends.length, sends);
+});
