See a caller that has left before its call is sent, also when the router reads late

Cause: a router that is behind reads a request and, only with the next poll of the event loop, the end of the connection right behind it; and the response closes only when the router's own side has ended too. The call was sent in between.

--- a/packages/caller/src/serveCall.ts
+++ b/packages/caller/src/serveCall.ts
@@ -3,6 +3,7 @@
 import { MAX_BODY_BYTES } from '@galenatiller/constants';
 import { findResultCode, GalenatillerError } from '@galenatiller/error';
 import type { Logger } from '@galenatiller/logger';
+import { whenPolled } from '@galenatiller/tasks';
 import { Result } from 'true-myth';
 
 import type { CallResponse, FindOrganisation, RunCall } from './call.js';
@@ -37,8 +38,14 @@
   const { request, response } = opts;
   const requestId = opts.createRequestId();
   const disconnected = new AbortController();
-  response.on('close', () => {
+  const onEnded = (): void => {
     disconnected.abort();
+  };
+  // The connection closes only after the entry's side has ended too, which takes longer.
+  request.socket.once('end', onEnded);
+  response.once('close', () => {
+    request.socket.off('end', onEnded);
+    onEnded();
   });
 
   const route = findRoute(request);
@@ -56,6 +63,7 @@
     return;
   }
   const bytes = await readBody(request);
+  await whenPolled();
   if (bytes.isErr) {
     sendProblem(opts, requestId, bytes.error);
     return;
