Let only routers with much CPU own stage services

Both owners are hosts with 0.243 of a core; six hosts have 1.35. Cause: the owner of a service was drawn by hash without regard to what its host can do. Members now state their CPU, and only those with at least half of the largest capacity own services. The owner is also worked out once for each change of the members instead of once for each piece.

--- a/packages/router/src/createRouter.ts
+++ b/packages/router/src/createRouter.ts
@@ -161,7 +161,11 @@
   const { settings, log } = opts;
   return Membership.create({
     ...opts,
-    self: { name: settings.nodeName, address: settings.linkAddress },
+    self: {
+      name: settings.nodeName,
+      address: settings.linkAddress,
+      cpuCores: settings.cpuShare * settings.cores,
+    },
     onChange: (live) => {
       logMembers(log, live);
       opts.onChange(live);
--- a/packages/router/src/stageOwners.ts
+++ b/packages/router/src/stageOwners.ts
@@ -27,6 +27,9 @@
   readonly stop: AbortController;
 }
 
+/** An owner has at least this share of the CPU capacity of the largest router. */
+const MIN_OWNER_CAPACITY = 0.5;
+
 /**
  * Assigns each stage service to one live router by rendezvous hashing, so that the pieces of all
  * routers share full batches. A piece whose owner can't be reached is submitted from this node.
@@ -34,7 +37,10 @@
 export class StageOwners {
   private readonly peers = new Map<string, Peer>();
 
-  private memberNames: readonly string[] = [];
+  private members: readonly Member[] = [];
+
+  /** Name of the owner of each service, until the members change. */
+  private readonly owners = new Map<string, string>();
 
   /** Peers that have run pieces for this node, by the handle of the result. */
   private readonly ownersByHandle = new Map<string, string>();
@@ -54,7 +60,8 @@
   /** Sets the live routers; opens links to new ones and closes the links to all others. */
   setMembers(members: readonly Member[]): void {
     const { selfName } = this.opts;
-    this.memberNames = members.map(({ name }) => name);
+    this.members = members;
+    this.owners.clear();
     const others = members.filter(({ name }) => name !== selfName);
     this.peers.forEach(({ address, stop }, name) => {
       if (!others.some((other) => other.name === name && other.address === address)) {
@@ -103,11 +110,19 @@
   }
 
   private findOwner(service: string): string {
+    const known = this.owners.get(service);
+    if (known !== undefined) {
+      return known;
+    }
     const { hash, selfName } = this.opts;
-    const ranked = this.memberNames
-      .map((name) => ({ name, rank: hash(`${service} ${name}`) }))
+    const maxCores = Math.max(...this.members.map(({ cpuCores }) => cpuCores));
+    const ranked = this.members
+      .filter(({ cpuCores }) => cpuCores >= maxCores * MIN_OWNER_CAPACITY)
+      .map(({ name }) => ({ name, rank: hash(`${service} ${name}`) }))
       .sort((left, right) => right.rank - left.rank);
-    return ranked[0]?.name ?? selfName;
+    const owner = ranked[0]?.name ?? selfName;
+    this.owners.set(service, owner);
+    return owner;
   }
 
   private openPeer(member: Member): void {
--- a/packages/store/src/membership.ts
+++ b/packages/store/src/membership.ts
@@ -33,6 +33,8 @@
 export interface Member {
   readonly name: string;
   readonly address: string;
+  /** CPU capacity of the node, in cores. */
+  readonly cpuCores: number;
 }
 
 /** Options of {@link Membership.create}. */
@@ -65,6 +67,9 @@
 /** Nodes that left are still counted for this time, since they may only be disconnected. */
 const DEPARTED_RETENTION_MS = 6_000;
 
+/** Capacity of a member that doesn't state it. */
+const DEFAULT_CPU_CORES = 1;
+
 /** Node count assumed for shared limits before the members are known; more than any site has. */
 const ASSUMED_NODE_COUNT = 8;
 
@@ -186,7 +191,7 @@
       return undefined;
     }
     const { leaseId } = granted.value;
-    const value = Buffer.from(self.address);
+    const value = Buffer.from(`${self.address} ${self.cpuCores}`);
     const key = `${MEMBER_PREFIX}${self.name}`;
     const written = await this.callWithTimeout((signal) =>
       leases.put({ key, value, leaseId, signal }),
@@ -196,7 +201,8 @@
 
   private add(key: string, value: Buffer): void {
     const name = getMemberName(key);
-    this.members.set(name, { name, address: value.toString('utf8') });
+    const [address = '', cpuCores] = value.toString('utf8').split(' ');
+    this.members.set(name, { name, address, cpuCores: Number(cpuCores) || DEFAULT_CPU_CORES });
   }
 
   private notifyChange(): void {
