Write the frames of one turn of the event loop to a router link at once

Frames are now collected until the end of the turn. The new scenario got 20 writes before and gets 1.

--- a/packages/routerLink/src/routerSocket.ts
+++ b/packages/routerLink/src/routerSocket.ts
@@ -5,6 +5,8 @@
 
 /** Frames over one connection between two routers. */
 export class RouterSocket {
+  private isWriteScheduled = false;
+
   private constructor(private readonly socket: Socket) {
     // The close event that follows an error ends the decoder.
     socket.on('error', () => {});
@@ -15,11 +17,19 @@
     return new RouterSocket(opts.socket);
   }
 
-  /** Sends a frame; false when the connection has ended. */
+  /** Sends a frame; false when the connection has ended. Frames of one turn share a write. */
   send(frame: RouterFrame): boolean {
     if (!this.socket.writable) {
       return false;
     }
+    if (!this.isWriteScheduled) {
+      this.isWriteScheduled = true;
+      this.socket.cork();
+      setImmediate(() => {
+        this.isWriteScheduled = false;
+        this.socket.uncork();
+      });
+    }
     this.socket.write(encodeRouterFrame(frame));
     return true;
   }
--- a/packages/routerLink/test/routerLink.feature
+++ b/packages/routerLink/test/routerLink.feature
@@ -30,3 +30,8 @@
   Scenario: Bytes that are not valid frames close the link
     When an unknown client sends 2000 random frames to the owner
     Then each link of the client is closed, and the peer's link still works
+
+  # Guards against a system call for each piece, which an owner of many pieces has no CPU time for.
+  Scenario: Frames that are sent together share a write
+    When a router sends 20 frames over a connection at once
+    Then they are written at once, in their order
--- a/packages/routerLink/test/routerLink.steps.ts
+++ b/packages/routerLink/test/routerLink.steps.ts
@@ -1,6 +1,8 @@
 import assert from 'node:assert/strict';
 import { once } from 'node:events';
-import { connect, createServer } from 'node:net';
+import { connect, createServer, type Socket } from 'node:net';
+import { Duplex } from 'node:stream';
+import { setImmediate } from 'node:timers/promises';
 
 import { After, Given, Then, When } from '@cucumber/cucumber';
 import { acceptRouters, PeerRouter } from '@galenatiller/routerLink';
@@ -9,6 +11,9 @@
 import type { PieceFailure, PieceResult, StagePiece } from '@galenatiller/types';
 import fc from 'fast-check';
 
+import { RouterSocket } from '../src/routerSocket.js';
+import { RouterFrameDecoder } from '../src/wireRouterFrame.js';
+
 interface OrderAtOwner {
   readonly piece: StagePiece;
   readonly signal: AbortSignal;
@@ -27,6 +32,7 @@
   peerResult: Promise<PieceResult | undefined>;
   orderedAtMs: number;
   closedLinks: number;
+  writes: Buffer[];
 }
 
 const SEED = 20_261_204;
@@ -213,3 +219,38 @@
     await waitUntil(() => this.ordersAtOwner.length === 1, 'the order never arrived');
   },
 );
+
+When(
+  'a router sends {int} frames over a connection at once',
+  async function when(this: LinkWorld, frames: number) {
+    this.writes = [];
+    const stream = new Duplex({
+      read: () => {},
+      write: (chunk: Buffer, _encoding, done) => {
+        this.writes.push(chunk);
+        done();
+      },
+      writev: (chunks, done) => {
+        this.writes.push(Buffer.concat(chunks.map(({ chunk }) => chunk as Buffer)));
+        done();
+      },
+    });
+    const socket = RouterSocket.create({ socket: stream as Socket });
+    for (let orderId = 1; orderId <= frames; orderId += 1) {
+      socket.send({ kind: 'piece-cancel', orderId });
+    }
+    await setImmediate();
+  },
+);
+
+Then('they are written at once, in their order', function then(this: LinkWorld) {
+  assert.equal(this.writes.length, 1);
+  const frames = RouterFrameDecoder.create().push(this.writes[0] ?? Buffer.alloc(0));
+  const orderIds = frames
+    .unwrapOr([])
+    .map((frame) => (frame.kind === 'piece-cancel' ? frame.orderId : 0));
+  assert.deepEqual(
+    orderIds,
+    Array.from({ length: 20 }, (_, index) => index + 1),
+  );
+});
