Match stage pieces to workers at a cost that does not grow with the queue

The zone is now looked up once a piece, and idle workers once a pass; the memory of a worker is a running sum. Signals of many pieces no longer warn about their listeners, which wrote a line each.

--- a/packages/pool/src/dispatchBatches.ts
+++ b/packages/pool/src/dispatchBatches.ts
@@ -239,15 +239,17 @@
   readonly release: () => void;
 } {
   const controller = new AbortController();
+  // The pieces of a stage of a request share a signal.
+  const signals = new Set(taken.map((piece) => piece.signal));
   const check = (): void => {
-    if (taken.every((piece) => piece.signal.aborted)) {
+    if ([...signals].every((signal) => signal.aborted)) {
       controller.abort();
     }
   };
-  taken.forEach(({ signal }) => signal.addEventListener('abort', check, { once: true }));
+  signals.forEach((signal) => signal.addEventListener('abort', check, { once: true }));
   check();
   const release = (): void => {
-    taken.forEach(({ signal }) => signal.removeEventListener('abort', check));
+    signals.forEach((signal) => signal.removeEventListener('abort', check));
   };
   return { signal: controller.signal, release };
 }
--- a/packages/pool/src/resultMemory.ts
+++ b/packages/pool/src/resultMemory.ts
@@ -1,6 +1,8 @@
 import type { TimerService } from '@galenatiller/timer';
 import type { BatchLimits } from '@galenatiller/types';
 
+import { WorkerResults } from './workerResults.js';
+
 /** Options of {@link ResultMemory.create}. */
 export interface ResultMemoryOptions {
   readonly timer: TimerService;
@@ -13,11 +15,6 @@
   readonly onMemoryFreed: () => void;
 }
 
-interface KeptResult {
-  readonly bytes: number;
-  readonly expiresAtMs: number;
-}
-
 /** Results on a worker that are freed within this time share one request to it. */
 const FREE_DELAY_MS = 15;
 
@@ -31,7 +28,7 @@
  * Tracks the memory that results take up on stage workers, and frees results that are not needed.
  */
 export class ResultMemory {
-  private readonly results = new Map<string, KeptResult>();
+  private readonly workers = new Map<string, WorkerResults>();
 
   private readonly reservedBytes = new Map<string, number>();
 
@@ -57,14 +54,8 @@
     if ((this.fullUntilMs.get(address) ?? 0) > nowMs) {
       return 0;
     }
-    let bytes = this.reservedBytes.get(address) ?? 0;
-    this.results.forEach((result, handle) => {
-      if (result.expiresAtMs <= nowMs) {
-        this.results.delete(handle);
-      } else if (toWorkerAddress(handle) === address) {
-        bytes += result.bytes;
-      }
-    });
+    const bytes =
+      (this.reservedBytes.get(address) ?? 0) + (this.workers.get(address)?.keptBytes(nowMs) ?? 0);
     const shareBytes = limits.resultMemoryBytes * share;
     // A worker that keeps nothing for this node always accepts one more result.
     return bytes === 0 ? limits.resultMemoryBytes : shareBytes - bytes;
@@ -94,14 +85,18 @@
   }): void {
     const { handle, bytes, limits } = opts;
     const expiresAtMs = this.opts.timer.nowMs() + limits.resultTtlMs;
-    this.results.set(handle, { bytes, expiresAtMs });
+    const address = toWorkerAddress(handle);
+    const worker = this.workers.get(address) ?? WorkerResults.create();
+    worker.add({ handle, bytes, expiresAtMs });
+    this.workers.set(address, worker);
   }
 
   /** Frees results that are no longer needed, including those that another node requested. */
   free(handles: readonly string[]): void {
     handles.forEach((handle) => {
-      this.results.delete(handle);
-      this.scheduleFree(toWorkerAddress(handle), handle);
+      const address = toWorkerAddress(handle);
+      this.workers.get(address)?.remove(handle);
+      this.scheduleFree(address, handle);
     });
   }
 
--- a/packages/pool/src/stageQueue.ts
+++ b/packages/pool/src/stageQueue.ts
@@ -2,6 +2,7 @@
 import type { BatchLimits, RegisteredTarget, PieceResult, StagePiece } from '@galenatiller/types';
 
 import { choosePieces } from './choosePieces.js';
+import { findIdleZones } from './findIdleZones.js';
 import { findInfeasible, type StageThroughput } from './findInfeasible.js';
 import type { ComparePieces, QueuedPiece } from './queuedPiece.js';
 
@@ -44,6 +45,8 @@
 export type FindInputZone = (piece: StagePiece) => string;
 
 interface PendingPiece extends QueuedPiece {
+  /** Zone in which the piece should run; empty when any will do. */
+  readonly preferredZone: string;
   readonly settle: (result: PieceResult) => void;
   readonly signal: AbortSignal;
 }
@@ -100,7 +103,14 @@
         settle(LATE);
       };
       signal.addEventListener('abort', cancel, { once: true });
-      this.add({ piece, signal, settle, queuedSinceMs: this.opts.timer.nowMs(), attempts: 0 });
+      this.add({
+        piece,
+        preferredZone: piece.zoneHint || this.opts.inputZone(piece),
+        signal,
+        settle,
+        queuedSinceMs: this.opts.timer.nowMs(),
+        attempts: 0,
+      });
     });
   }
 
@@ -124,6 +134,9 @@
   private takeNow(opts: TakeOptions): readonly TakenPiece[] {
     const { timer, compare } = this.opts;
     const nowMs = timer.nowMs();
+    if (this.waiting.length === 0) {
+      return [];
+    }
     const oldestSinceMs = this.waiting.reduce(
       (oldestMs, pending) => Math.min(oldestMs, pending.queuedSinceMs),
       nowMs,
@@ -131,13 +144,9 @@
     if (nowMs - oldestSinceMs < opts.minWaitMs && this.waiting.length <= opts.limits.maxPieces) {
       return [];
     }
-    const zones = this.opts.workerZones();
-    const ordered = this.waiting
-      .filter(
-        (pending) =>
-          !this.hasCloserWorker(pending, opts) && !this.canWaitForZone(pending, opts, zones),
-      )
-      .sort((left, right) => compare({ left, right, nowMs }));
+    const ordered = this.findTakeable(opts, nowMs).sort((left, right) =>
+      compare({ left, right, nowMs }),
+    );
     const chosen = choosePieces({
       ordered,
       limits: opts.limits,
@@ -148,36 +157,20 @@
     return chosen.map((pending) => this.toTaken(pending));
   }
 
-  /**
-   * Whether an idle worker with free memory is in the preferred zone of a piece, and this one is
-   * not.
-   */
-  private hasCloserWorker(pending: PendingPiece, opts: TakeOptions): boolean {
-    const zone = pending.piece.zoneHint || this.opts.inputZone(pending.piece);
-    if (zone === '' || zone === opts.target.availabilityZone) {
-      return false;
-    }
-    return [...this.idleWorkers].some(
-      (other) =>
-        other.target.availabilityZone === zone &&
-        other.minWaitMs === 0 &&
-        other.availableBytes() >= pending.piece.resultBytes,
-    );
-  }
-
-  /** Whether a piece has time to wait for a busy worker in the zone of its hint. */
-  private canWaitForZone(
-    pending: PendingPiece,
-    opts: TakeOptions,
-    zones: ReadonlySet<string>,
-  ): boolean {
-    const zone = pending.piece.zoneHint;
-    return (
-      zone !== '' &&
-      zone !== opts.target.availabilityZone &&
-      zones.has(zone) &&
-      this.opts.timer.nowMs() < pending.piece.zoneWaitUntilMs
-    );
+  /** Pieces that a worker may take, since they don't wait for one in the zone that they prefer. */
+  private findTakeable({ target }: TakeOptions, nowMs: number): PendingPiece[] {
+    const ownZone = target.availabilityZone;
+    const idleBytes = findIdleZones(this.idleWorkers);
+    const zones = this.opts.workerZones();
+    return this.waiting.filter(({ piece, preferredZone }) => {
+      if (preferredZone === '' || preferredZone === ownZone) {
+        return true;
+      }
+      const hasIdleWorker = (idleBytes.get(preferredZone) ?? -1) >= piece.resultBytes;
+      const canWait =
+        piece.zoneHint !== '' && zones.has(piece.zoneHint) && nowMs < piece.zoneWaitUntilMs;
+      return !hasIdleWorker && !canWait;
+    });
   }
 
   private toTaken(pending: PendingPiece): TakenPiece {
--- a/packages/router/src/runStages.ts
+++ b/packages/router/src/runStages.ts
@@ -1,3 +1,5 @@
+import { setMaxListeners } from 'node:events';
+
 import type {
   PieceFailure,
   PieceResult,
@@ -73,6 +75,8 @@
   const free = (): void => release([...heldResults]);
   const abort = new AbortController();
   const signal = AbortSignal.any([opts.signal, abort.signal]);
+  // Each piece in progress listens for the abort.
+  setMaxListeners(0, signal);
   let failure: StagesFailed | undefined;
   const runs: Promise<readonly StageResultHandle[]>[] = [];
   route.stages.forEach((stage, position) => {
