Stop calls with a prompt part that crashes each target that runs them

What callers would see: on systems like ours, requests with one part of a prompt kept crashing model workers one after the other, and sound requests on them were cut. A call now has fingerprints of its content and of each part of its prompt but the last. When a connection breaks before a response and a probe finds no process, its fingerprints become suspects; routers share that over their links (version 3), and any router that has had a response for one within 10 s contradicts. Three crashed starts of targets without a contradiction stop the calls: 422, not run, before any stage. Only a probe tells a crash from a lost answer, so lost answers stop nothing. The scenario with six targets failed before (nine sends).

--- a/packages/router/src/createRouter.ts
+++ b/packages/router/src/createRouter.ts
@@ -10,11 +10,19 @@
   type PrefixSource,
 } from '@galenatiller/store';
 import type { RouterSettings } from '@galenatiller/settings';
-import { ColdRateLimiter, RetryBudget, TargetDirectory, TargetHealth } from '@galenatiller/target';
+import {
+  ColdRateLimiter,
+  CrashSuspects,
+  RetryBudget,
+  TargetDirectory,
+  TargetHealth,
+} from '@galenatiller/target';
 import { TaskGroup } from '@galenatiller/tasks';
 import { SmoothedDurations, type TimerService } from '@galenatiller/timer';
+import type { CrashEvidence } from '@galenatiller/types';
 
 import { CallCounter } from './callCounter.js';
+import { CrashDetector } from './crashDetector.js';
 import { EventLoopWatch } from './eventLoopWatch.js';
 import type { OperatorEntryDecoder, TargetEntryDecoder } from './entryDecoders.js';
 import { createOperatorHandlers } from './createOperatorHandlers.js';
@@ -30,6 +38,7 @@
   logLinkEvent,
   logMembers,
   logStageCall,
+  logStoppedFingerprint,
   logStoreEvent,
   logTarget,
 } from './logEvents.js';
@@ -81,7 +90,13 @@
   const targets = TargetDirectory.create({ timer, onChange: (change) => logTarget(log, change) });
   const members = createMembership({ ...opts, onChange: (live) => stages.owners.setMembers(live) });
   const nodeCount = (): number => members.countNodes();
-  const stages = createStages({ ...opts, routes, targets, nodeCount, tasks });
+  const limits = createLimits({
+    ...opts,
+    nodeCount,
+    share: (evidence) => stages.owners.shareCrashEvidence(evidence),
+  });
+  const stages = createStages({ ...opts, ...limits, routes, targets, nodeCount, tasks });
+  const { peerService: service } = stages;
   const mirrors = createMirrors({
     ...opts,
     routes,
@@ -95,7 +110,7 @@
     ownZone: settings.availabilityZone,
     routes,
     targets,
-    ...createLimits({ ...opts, nodeCount }),
+    ...limits,
     inFlight: CallCounter.create(),
     responseTimes: SmoothedDurations.create(),
     targetClient: opts.targetClient,
@@ -119,16 +134,7 @@
       const eventLoopLagMs = eventLoop.lagMs;
       reportGauges({ sink, context, calls: callTasks.size, nodeCount, eventLoopLagMs });
     },
-    run: ({ signal }) =>
-      runParts({
-        ...opts,
-        tasks,
-        eventLoop,
-        members,
-        mirrors,
-        service: stages.peerService,
-        signal,
-      }),
+    run: ({ signal }) => runParts({ ...opts, tasks, eventLoop, members, mirrors, service, signal }),
   };
 }
 
@@ -179,6 +185,7 @@
   readonly targets: TargetDirectory;
   readonly nodeCount: () => number;
   readonly tasks: TaskGroup;
+  readonly crashSuspects: CrashSuspects;
 }
 
 interface Stages {
@@ -213,18 +220,28 @@
     submitLocally,
     resultMemory,
     onLinkEvent: (event) => logLinkEvent(log, event),
+    currentCrashes: () => opts.crashSuspects.currentCrashes(),
   });
   const peerService = {
     runPiece: submitLocally,
     free: (handles: readonly string[]) => resultMemory.free(handles),
+    mergeCrashEvidence: (evidence: readonly CrashEvidence[]) => opts.crashSuspects.merge(evidence),
   };
   return { workers, owners, peerService };
 }
 
-/** Creates the limits that all nodes share, and the tracking of target health. */
+type Limits = Pick<
+  RouterContext,
+  'health' | 'coldRateLimiter' | 'retryBudget' | 'crashDetector' | 'crashSuspects'
+>;
+
+/** Creates the limits that all nodes share, and the tracking of target health and crashes. */
 function createLimits(
-  opts: RouterOptions & { readonly nodeCount: () => number },
-): Pick<RouterContext, 'health' | 'coldRateLimiter' | 'retryBudget'> {
+  opts: RouterOptions & {
+    readonly nodeCount: () => number;
+    readonly share: (evidence: readonly CrashEvidence[]) => void;
+  },
+): Limits {
   const { settings, timer, log, nodeCount } = opts;
   return {
     health: TargetHealth.create({
@@ -245,6 +262,12 @@
       slackRetries: settings.repeatSlack,
       nodeCount,
     }),
+    crashDetector: CrashDetector.create(opts.targetClient),
+    crashSuspects: CrashSuspects.create({
+      timer,
+      share: opts.share,
+      onStopped: (stopped) => logStoppedFingerprint(log, stopped),
+    }),
   };
 }
 
--- a/packages/router/src/index.ts
+++ b/packages/router/src/index.ts
@@ -5,6 +5,7 @@
   BodyFailure,
   CallerExchange,
   FreeResults,
+  ProbeTarget,
   ResponseHead,
   SendCall,
   SendCallOptions,
--- a/packages/router/src/logEvents.ts
+++ b/packages/router/src/logEvents.ts
@@ -67,6 +67,14 @@
   log({ about: 'process', event: 'event-loop-lag', lagMs: Math.round(lagMs), outcome });
 }
 
+/** Logs that calls with a fingerprint are stopped, because they crash targets. */
+export function logStoppedFingerprint(
+  log: EventLog,
+  opts: { readonly fingerprint: string; readonly crashes: number },
+): void {
+  log({ about: 'belief', event: 'fingerprint', ...opts, outcome: 'stopped' });
+}
+
 /** Logs a task that threw. */
 export function logFailedTask(log: EventLog, error: unknown): void {
   const outcome = error instanceof Error ? (error.stack ?? error.message) : String(error);
--- a/packages/router/src/ports.ts
+++ b/packages/router/src/ports.ts
@@ -59,11 +59,17 @@
   readonly handles: readonly string[];
 }) => Promise<void>;
 
+/** Tries to connect to a target; `refused` shows that no process listens there. */
+export type ProbeTarget = (opts: {
+  readonly address: string;
+}) => Promise<'connected' | 'refused' | 'silent'>;
+
 /** Functions that call targets; implemented by an adapter. */
 export interface TargetClient {
   readonly sendCall: SendCall;
   readonly runPieces: RunPieces;
   readonly freeResults: FreeResults;
+  readonly probe: ProbeTarget;
 }
 
 /** Why the body of a call could not be read. */
--- a/packages/router/src/routerContext.ts
+++ b/packages/router/src/routerContext.ts
@@ -2,6 +2,7 @@
 import type { MetricSink } from '@galenatiller/metrics';
 import type {
   ColdRateLimiter,
+  CrashSuspects,
   RetryBudget,
   TargetDirectory,
   TargetHealth,
@@ -9,6 +10,7 @@
 import type { SmoothedDurations, TimerService } from '@galenatiller/timer';
 
 import type { CallCounter } from './callCounter.js';
+import type { CrashDetector } from './crashDetector.js';
 import type { TargetClient } from './ports.js';
 import type { RouteTable } from './routeTable.js';
 import type { SubmitPiece } from './runStages.js';
@@ -27,6 +29,8 @@
   readonly responseTimes: SmoothedDurations;
   readonly retryBudget: RetryBudget;
   readonly inFlight: CallCounter;
+  readonly crashDetector: CrashDetector;
+  readonly crashSuspects: CrashSuspects;
   readonly targetClient: TargetClient;
   readonly submitPiece: SubmitPiece;
   /** Frees stage results, by their handles. */
--- a/packages/router/src/runAttempts.ts
+++ b/packages/router/src/runAttempts.ts
@@ -1,10 +1,16 @@
-import { GalenatillerError, type ResultCodeName } from '@galenatiller/error';
-import type { TargetChoice } from '@galenatiller/target';
+import { getStartKey, type TargetChoice } from '@galenatiller/target';
 import type { RegisteredTarget } from '@galenatiller/types';
 
 import type { AdmittedCall } from './admitCall.js';
 import { forwardResponse, type ForwardResult } from './forwardResponse.js';
 import { CallProgress } from './callProgress.js';
+import {
+  type AttemptsResult,
+  endAborted,
+  endDisconnected,
+  endStopped,
+  endWithError,
+} from './endAttempts.js';
 import { chooseTargetForCall } from './chooseTargetForCall.js';
 import type { CallerExchange, SendResponse, SendResult } from './ports.js';
 import type { RouterContext } from './routerContext.js';
@@ -15,6 +21,8 @@
   readonly context: RouterContext;
   readonly exchange: CallerExchange;
   readonly admitted: AdmittedCall;
+  /** Fingerprints of the call and of the parts of its prompt. */
+  readonly fingerprints: readonly string[];
   readonly body: Buffer;
   readonly inputs: readonly StageResultHandle[];
   /** Aborts at the deadline, and when the caller disconnects from a call that may be cancelled. */
@@ -23,16 +31,6 @@
   readonly onInputsConsumed: () => void;
 }
 
-/**
- * How the attempts of a call ended. `cut`: the response had started and was aborted. `inputs-gone`:
- * not run, and the stages have to be run again.
- */
-export type AttemptsResult =
-  | { readonly kind: 'answered'; readonly status: number; readonly target: string }
-  | { readonly kind: 'cut'; readonly detail: string }
-  | { readonly kind: 'refused'; readonly error: GalenatillerError }
-  | { readonly kind: 'inputs-gone' };
-
 /** Limit of sends for a call, even if earlier ones provably did not run. */
 const MAX_SENDS = 6;
 
@@ -45,9 +43,6 @@
 /** Share of the time left that a call waits for a target; then it is refused with a time to retry. */
 const NO_TARGET_WAIT_SHARE = 0.25;
 
-/** Time to retry after a refusal; a target that crashed is registered again after a few seconds. */
-const RETRY_AFTER_MS = 400;
-
 /** Sends a call to one target after another until one responds or no further attempt is allowed. */
 export async function runAttempts(opts: RunAttemptsOptions): Promise<AttemptsResult> {
   const { context, exchange, admitted, signal } = opts;
@@ -61,6 +56,10 @@
     if (exchange.disconnected.aborted && progress.runs === 0) {
       return endDisconnected();
     }
+    const stopped = context.crashSuspects.findStopped(opts.fingerprints);
+    if (stopped !== undefined) {
+      return endStopped(progress, stopped);
+    }
     const choice = chooseTargetForCall(opts, progress);
     if (choice.kind !== 'chosen') {
       if (choice.kind === 'none' && timer.nowMs() >= stopWaitingAtMs) {
@@ -84,7 +83,7 @@
       return endWithError(progress, 'overloaded', progress.lastFailure);
     }
   }
-  return endAborted(opts, progress);
+  return endAborted(exchange, progress);
 }
 
 /** Makes one attempt; undefined when another one may follow. */
@@ -171,13 +170,20 @@
   response: SendResponse,
 ): Promise<AttemptsResult | undefined> {
   const { exchange, admitted, context } = opts;
+  let isSound = false;
   const forwarded: ForwardResult = await forwardResponse({
     exchange,
     response,
     isStream: admitted.route.callKind === 'stream' && response.status === 200,
     hasStarted: progress.hasStarted,
     resumeAfter: progress.resumeAfter,
-    onData: opts.onInputsConsumed,
+    onData: () => {
+      opts.onInputsConsumed();
+      if (!isSound && response.status < 500) {
+        isSound = true;
+        context.crashSuspects.recordSound(opts.fingerprints);
+      }
+    },
   });
   progress.recordForwarded(forwarded);
   if (forwarded.kind === 'complete') {
@@ -186,6 +192,9 @@
   progress.recordFailure(forwarded.detail);
   if (!opts.signal.aborted && !exchange.disconnected.aborted) {
     context.health.record({ targetId: target.id, result: 'failed' });
+    if (!isSound) {
+      await recordIfCrashed(opts, target);
+    }
     if (canRunAgain(opts, progress)) {
       context.log({
         about: 'decision',
@@ -203,7 +212,7 @@
     return { kind: 'cut', detail: forwarded.detail };
   }
   return opts.signal.aborted
-    ? endAborted(opts, progress)
+    ? endAborted(exchange, progress)
     : endWithError(progress, 'target-failed', forwarded.detail);
 }
 
@@ -219,7 +228,7 @@
     if (response.kind === 'broken' || response.kind === 'foreign') {
       progress.recordRun();
     }
-    return endAborted(opts, progress);
+    return endAborted(opts.exchange, progress);
   }
   switch (response.kind) {
     case 'inputs-gone':
@@ -235,12 +244,22 @@
     case 'foreign':
       context.health.record({ targetId: target.id, result: 'failed' });
       progress.recordRun();
+      await recordIfCrashed(opts, target);
       return canRunAgain(opts, progress)
         ? undefined
         : endWithError(progress, 'target-failed', progress.lastFailure);
   }
 }
 
+/** Records that a target crashed while it ran a call, if its process is gone. */
+async function recordIfCrashed(opts: RunAttemptsOptions, target: RegisteredTarget): Promise<void> {
+  const { crashDetector, crashSuspects } = opts.context;
+  if (await crashDetector.hasCrashed(target)) {
+    const { fingerprints } = opts;
+    crashSuspects.recordCrash({ targetStart: getStartKey(target), fingerprints });
+  }
+}
+
 /** Delay after a refusal; 0 while there is a target that was not tried yet. */
 function computeRefusalDelayMs(opts: RunAttemptsOptions, progress: CallProgress): number {
   const { context, admitted } = opts;
@@ -255,50 +274,3 @@
     route.callKind === 'idempotent' || (route.callKind === 'stream' && route.isResumable);
   return isRetryable && progress.runs < route.maxAttempts;
 }
-
-/** Ends a call whose caller disconnected before any target can have run it. */
-export function endDisconnected(): AttemptsResult {
-  const detail = 'the caller disconnected before the call was sent';
-  const error = GalenatillerError.create({ name: 'cancelled', detail, outcome: 'not-run' });
-  return { kind: 'refused', error };
-}
-
-/** Ends a call whose deadline has passed or whose caller has disconnected. */
-function endAborted(opts: RunAttemptsOptions, progress: CallProgress): AttemptsResult {
-  if (progress.hasStarted) {
-    opts.exchange.abort();
-    return {
-      kind: 'cut',
-      detail: 'the deadline passed or the caller disconnected in the middle of the stream',
-    };
-  }
-  return endWithError(
-    progress,
-    'deadline-exceeded',
-    progress.lastFailure || 'no target was available in time',
-  );
-}
-
-/** Ends a call with an error; its outcome is `not-run` only if no send can have run. */
-function endWithError(
-  progress: CallProgress,
-  name: ResultCodeName,
-  detail: string,
-): AttemptsResult {
-  if (progress.runs > 0) {
-    const codeName = name === 'deadline-exceeded' ? name : 'target-failed';
-    const error = GalenatillerError.create({ name: codeName, detail, outcome: 'may-have-run' });
-    return { kind: 'refused', error };
-  }
-  const codeName =
-    name === 'target-failed' || name === 'deadline-exceeded' ? 'deadline-unreachable' : name;
-  return {
-    kind: 'refused',
-    error: GalenatillerError.create({
-      name: codeName,
-      detail,
-      outcome: 'not-run',
-      retryAfterMs: RETRY_AFTER_MS,
-    }),
-  };
-}
--- a/packages/router/src/serveCall.ts
+++ b/packages/router/src/serveCall.ts
@@ -5,7 +5,9 @@
 import { classifyEnding, recordCallMetrics } from './recordMetrics.js';
 import type { CallerExchange } from './ports.js';
 import type { RouterContext } from './routerContext.js';
-import { type AttemptsResult, endDisconnected, runAttempts } from './runAttempts.js';
+import { computeFingerprints } from './computeFingerprints.js';
+import { type AttemptsResult, createStoppedError, endDisconnected } from './endAttempts.js';
+import { runAttempts } from './runAttempts.js';
 import { runStages, type StagesFailed } from './runStages.js';
 import { computeStageDeadlines, computeZoneWaitLimits } from './computeStageDeadlines.js';
 
@@ -48,10 +50,22 @@
     }
     return;
   }
+  const fingerprints = computeFingerprints({ ...context, ...admitted, call, body: body.value });
+  const stopped = context.crashSuspects.findStopped(fingerprints);
+  if (stopped !== undefined) {
+    refuse(opts, createStoppedError(stopped), admitted);
+    return;
+  }
   const limitMs = Math.max(0, admitted.deadlineAtMs + RESPONSE_GRACE_MS - context.timer.nowMs());
   const deadline = context.timer.startTimeLimit({ limitMs });
   try {
-    const end = await runCall({ ...opts, admitted, body: body.value, deadline: deadline.signal });
+    const end = await runCall({
+      ...opts,
+      admitted,
+      fingerprints,
+      body: body.value,
+      deadline: deadline.signal,
+    });
     finish(opts, admitted, end);
   } finally {
     deadline.release();
@@ -60,6 +74,7 @@
 
 interface RunCallOptions extends ServeCallOptions {
   readonly admitted: AdmittedCall;
+  readonly fingerprints: readonly string[];
   readonly body: Buffer;
   /** Aborts when the final response is due. */
   readonly deadline: AbortSignal;
--- a/packages/router/src/stageOwners.ts
+++ b/packages/router/src/stageOwners.ts
@@ -3,7 +3,7 @@
 import type { Member } from '@galenatiller/store';
 import type { TaskGroup } from '@galenatiller/tasks';
 import type { TimerService } from '@galenatiller/timer';
-import type { PieceResult } from '@galenatiller/types';
+import type { CrashEvidence, PieceResult } from '@galenatiller/types';
 
 import type { SubmitPiece } from './runStages.js';
 
@@ -17,6 +17,8 @@
   readonly submitLocally: SubmitPiece;
   readonly resultMemory: ResultMemory;
   readonly onLinkEvent: (event: PeerEvent) => void;
+  /** Evidence that a newly connected peer gets first. */
+  readonly currentCrashes: () => readonly CrashEvidence[];
   /** Each link to a peer has a task in this group. */
   readonly tasks: TaskGroup;
 }
@@ -86,6 +88,11 @@
     return this.recordOwner(owner, result);
   };
 
+  /** Shares evidence about calls that crash targets with all connected peers. */
+  shareCrashEvidence(evidence: readonly CrashEvidence[]): void {
+    this.peers.forEach(({ router }) => router.shareCrashEvidence(evidence));
+  }
+
   /** Frees results through the node that dispatched their pieces: the owner of the service, or this one. */
   free(handles: readonly string[]): void {
     const byPeer = new Map<string, string[]>();
@@ -128,7 +135,14 @@
   private openPeer(member: Member): void {
     const { timer, selfName, onLinkEvent, tasks } = this.opts;
     const { name: peerName, address } = member;
-    const router = PeerRouter.create({ timer, selfName, peerName, address, onEvent: onLinkEvent });
+    const onEvent = (event: PeerEvent): void => {
+      onLinkEvent(event);
+      const crashes = this.opts.currentCrashes();
+      if (event.kind === 'opened' && crashes.length > 0) {
+        router.shareCrashEvidence(crashes);
+      }
+    };
+    const router = PeerRouter.create({ timer, selfName, peerName, address, onEvent });
     const stop = new AbortController();
     this.peers.set(peerName, { router, address, stop });
     tasks.start(() => router.run({ signal: stop.signal }));
--- a/packages/router/src/stageWorkers.ts
+++ b/packages/router/src/stageWorkers.ts
@@ -12,7 +12,7 @@
   toWorkerAddress,
   WorkerSpeed,
 } from '@galenatiller/pool';
-import type { TargetDirectory } from '@galenatiller/target';
+import { getStartKey, type TargetDirectory } from '@galenatiller/target';
 import type { TaskGroup } from '@galenatiller/tasks';
 import type { TimerService } from '@galenatiller/timer';
 import type { PieceResult, RegisteredTarget, StagePiece } from '@galenatiller/types';
@@ -167,8 +167,3 @@
     return queue;
   }
 }
-
-/** Key of one start of a target. */
-function getStartKey(target: RegisteredTarget): string {
-  return `${target.id} ${target.startedWallMs} ${target.address}`;
-}
--- a/packages/router/test/router.feature
+++ b/packages/router/test/router.feature
@@ -112,6 +112,21 @@
       | order |
       | safe  |
 
+  # Guards against calls that crash one target after another through a part that their prompts share.
+  Scenario: Calls with a prompt part that crashed three targets are not sent
+    Given 6 targets that crash before they respond to the prompt part "deadly"
+    When 1 "stream" calls are made with the prompt parts "shared" and one of their own
+    And 8 "stream" calls are made with the prompt parts "shared,deadly" and one of their own
+    Then the targets got 4 sends
+    And the caller gets 422
+    When 1 "stream" calls are made with the prompt parts "shared,other" and one of their own
+    Then the caller gets 200 from the target
+
+  Scenario: Broken connections to targets that live stop no calls
+    Given 6 targets that break connections before they respond to the prompt part "deadly"
+    When 8 "stream" calls are made with the prompt parts "shared,deadly" and one of their own
+    Then the targets got 8 sends
+
   Scenario: Keys are not accepted on old evidence
     Given the evidence for the configuration is 5001 ms old
     When an "order" call is made
--- a/packages/router/test/router.steps.ts
+++ b/packages/router/test/router.steps.ts
@@ -25,6 +25,8 @@
     this.routes.update(CONFIGURATION);
     this.evidenceAgeMs = 100;
     this.maxRetries = 100;
+    this.isTargetGone = false;
+    this.targetIds = undefined;
     this.scripts = [];
     this.fallback = (opts) => (opts.call.path.includes('stream') ? streamEvents(opts) : respond());
     this.sends = [];
@@ -179,6 +181,7 @@
     unauthorized: 401,
     'target-failed': 502,
     'deadline-exceeded': 504,
+    'fingerprint-stopped': 422,
   };
   const status = statuses[refusal.codeName] ?? 503;
   assert.equal(refusal.outcome === 'not-run', status !== 502 && status !== 504, refusal.message);
@@ -284,3 +287,27 @@
   await this.routerClock.advance({ byMs: 1_000 });
   assert.equal(this.sends.length, sends);
 });
+
+Given(
+  /^(\d+) targets that (crash|break connections) before they respond to the prompt part "([^"]*)"$/,
+  function given(this: RouterWorld, targets: string, how: string, deadlyPart: string) {
+    this.targetIds = Array.from({ length: Number(targets) }, (_, index) => `target-${index}`);
+    this.isTargetGone = how === 'crash';
+    this.context = createContext(this);
+    this.fallback = (opts) =>
+      opts.call.promptParts.some(({ id }) => id === deadlyPart)
+        ? respond({ body: createChunks([], 'other side closed') })
+        : streamEvents(opts);
+  },
+);
+
+When(
+  '{int} {string} calls are made with the prompt parts {string} and one of their own',
+  async function when(this: RouterWorld, calls: number, name: string, parts: string) {
+    for (let index = 0; index < calls; index += 1) {
+      const ids = [...parts.split(','), `own-${this.sends.length}-${index}`];
+      const promptParts = ids.map((id) => ({ id, tokens: 100 }));
+      await makeCall(this, { path: `/${name}/x?${index}`, promptParts });
+    }
+  },
+);
--- a/packages/router/test/stageOwners.steps.ts
+++ b/packages/router/test/stageOwners.steps.ts
@@ -71,6 +71,7 @@
       onMemoryFreed: () => {},
     }),
     onLinkEvent: () => {},
+    currentCrashes: () => [],
     tasks: TaskGroup.create({ onFailure: () => {} }),
   });
 }
--- a/packages/router/test/support.ts
+++ b/packages/router/test/support.ts
@@ -1,6 +1,12 @@
 /** A router context with scripted targets, for the steps in this folder. */
 import type { GalenatillerError } from '@galenatiller/error';
-import { ColdRateLimiter, RetryBudget, TargetDirectory, TargetHealth } from '@galenatiller/target';
+import {
+  ColdRateLimiter,
+  CrashSuspects,
+  RetryBudget,
+  TargetDirectory,
+  TargetHealth,
+} from '@galenatiller/target';
 import { type ManualClock, SmoothedDurations, type TimerService } from '@galenatiller/timer';
 import type {
   PieceFailure,
@@ -12,6 +18,7 @@
 import { Result } from 'true-myth';
 
 import { CallCounter } from '../src/callCounter.js';
+import { CrashDetector } from '../src/crashDetector.js';
 import type { CallerExchange, ResponseHead, SendCallOptions, SendResult } from '../src/ports.js';
 import type { RouterContext } from '../src/routerContext.js';
 import type { RouteTable } from '../src/routeTable.js';
@@ -35,6 +42,10 @@
   routes: RouteTable;
   evidenceAgeMs: number;
   maxRetries: number;
+  /** Ids of the targets; `a` and `b` by default. */
+  targetIds: readonly string[] | undefined;
+  /** Whether probes find no process at the address of a target. */
+  isTargetGone: boolean;
   scripts: SendScript[];
   fallback: SendScript;
   sends: SendCallOptions[];
@@ -161,7 +172,9 @@
 export function createContext(world: RouterWorld): RouterContext {
   const timer = world.routerTimer;
   const targets = TargetDirectory.create({ timer, onChange: () => {} });
-  ['a', 'b'].forEach((id) => targets.put({ id, target: createTarget(id), storeRevision: 1 }));
+  (world.targetIds ?? ['a', 'b']).forEach((id) =>
+    targets.put({ id, target: createTarget(id), storeRevision: 1 }),
+  );
   return {
     timer,
     log: () => {},
@@ -194,7 +207,12 @@
       },
       runPieces: () => Promise.reject(new Error('not used')),
       freeResults: () => Promise.resolve(),
+      probe: () => Promise.resolve('connected'),
     },
+    crashDetector: CrashDetector.create({
+      probe: () => Promise.resolve(world.isTargetGone ? 'refused' : 'connected'),
+    }),
+    crashSuspects: CrashSuspects.create({ timer, share: () => {}, onStopped: () => {} }),
     submitPiece: ({ piece }) => {
       world.pieceInputs[piece.stage] = piece.inputs;
       if (world.pieceFailure) {
--- a/packages/routerLink/src/acceptRouters.ts
+++ b/packages/routerLink/src/acceptRouters.ts
@@ -2,7 +2,7 @@
 
 import type { TaskGroup } from '@galenatiller/tasks';
 import type { TimerService } from '@galenatiller/timer';
-import type { PieceResult, StagePiece } from '@galenatiller/types';
+import type { CrashEvidence, PieceResult, StagePiece } from '@galenatiller/types';
 
 import { LINK_VERSION } from './followRouter.js';
 import type { PieceOrderFrame, RouterFrame } from './routerFrames.js';
@@ -17,6 +17,7 @@
     readonly signal: AbortSignal;
   }) => Promise<PieceResult>;
   readonly free: (handles: readonly string[]) => void;
+  readonly mergeCrashEvidence: (evidence: readonly CrashEvidence[]) => void;
 }
 
 /** Options of {@link acceptRouters}. */
@@ -81,6 +82,9 @@
   if (frame.kind === 'free') {
     opts.service.free(frame.handles);
   }
+  if (frame.kind === 'crash-evidence') {
+    opts.service.mergeCrashEvidence(frame.evidence);
+  }
   if (frame.kind === 'piece-order') {
     const controller = new AbortController();
     running.set(frame.orderId, controller);
--- a/packages/routerLink/src/followRouter.ts
+++ b/packages/routerLink/src/followRouter.ts
@@ -1,7 +1,7 @@
 import { connect, type Socket } from 'node:net';
 
 import type { TimerService } from '@galenatiller/timer';
-import type { PieceResult, StagePiece } from '@galenatiller/types';
+import type { CrashEvidence, PieceResult, StagePiece } from '@galenatiller/types';
 
 import type { RouterFrame } from './routerFrames.js';
 import { RouterSocket } from './routerSocket.js';
@@ -30,7 +30,7 @@
 }
 
 /** Version of the frames; a router closes links from routers of another version. */
-export const LINK_VERSION = 2;
+export const LINK_VERSION = 3;
 
 const CONNECT_TIMEOUT_MS = 400;
 
@@ -112,6 +112,11 @@
     return this.send({ kind: 'free', handles });
   }
 
+  /** Shares evidence about calls that crash targets, if the link is open. */
+  shareCrashEvidence(evidence: readonly CrashEvidence[]): void {
+    this.send({ kind: 'crash-evidence', evidence });
+  }
+
   /** The task of the link: opens it, reads frames until it ends, and opens it again. */
   async run(opts: { readonly signal: AbortSignal }): Promise<void> {
     const { signal } = opts;
--- a/packages/routerLink/src/routerFrames.ts
+++ b/packages/routerLink/src/routerFrames.ts
@@ -1,4 +1,4 @@
-import type { PieceResult } from '@galenatiller/types';
+import type { CrashEvidence, PieceResult } from '@galenatiller/types';
 
 /** The first frame on a link, sent by the router that opened it. */
 export interface HelloFrame {
@@ -47,6 +47,12 @@
   readonly handles: readonly string[];
 }
 
+/** Shares what the sender knows about calls that crash targets. */
+export interface CrashEvidenceFrame {
+  readonly kind: 'crash-evidence';
+  readonly evidence: readonly CrashEvidence[];
+}
+
 /** Checks that the peer is alive, or confirms it. */
 export interface KeepAliveFrame {
   readonly kind: 'ping' | 'pong';
@@ -54,4 +60,10 @@
 
 /** A message between two routers. */
 export type RouterFrame =
-  HelloFrame | PieceOrderFrame | PieceCancelFrame | PieceEndFrame | FreeFrame | KeepAliveFrame;
+  | HelloFrame
+  | PieceOrderFrame
+  | PieceCancelFrame
+  | PieceEndFrame
+  | FreeFrame
+  | CrashEvidenceFrame
+  | KeepAliveFrame;
--- a/packages/routerLink/src/wireRouterFrame.ts
+++ b/packages/routerLink/src/wireRouterFrame.ts
@@ -1,6 +1,6 @@
 /** Encodes frames between routers as CBOR. */
 import { addLengthPrefix, FrameSplitter } from '@galenatiller/framing';
-import type { PieceFailure, PieceResult } from '@galenatiller/types';
+import type { CrashEvidence, PieceFailure, PieceResult } from '@galenatiller/types';
 import { Encoder } from 'cbor-x';
 import { Result } from 'true-myth';
 
@@ -73,6 +73,7 @@
   'piece-cancel': (fields) => areNumbers(fields, ['orderId']),
   'piece-end': (fields) => areNumbers(fields, ['orderId']) && isPieceResult(fields.result),
   free: (fields) => isStringList(fields.handles),
+  'crash-evidence': ({ evidence }) => Array.isArray(evidence) && evidence.every(isCrashEvidence),
   ping: () => true,
   pong: () => true,
 };
@@ -114,6 +115,18 @@
     : fields.kind === 'failed' && PIECE_FAILURES.includes(fields.reason as PieceFailure);
 }
 
+function isCrashEvidence(value: unknown): value is CrashEvidence {
+  if (typeof value !== 'object' || value === null) {
+    return false;
+  }
+  const fields = value as Fields;
+  return (
+    (fields.kind === 'crashed' || fields.kind === 'sound') &&
+    areStrings(fields, ['fingerprint', 'targetStart']) &&
+    areNumbers(fields, ['agoMs'])
+  );
+}
+
 function areNumbers(fields: Fields, names: readonly string[]): boolean {
   return names.every((name) => typeof fields[name] === 'number');
 }
--- a/packages/routerLink/test/routerLink.feature
+++ b/packages/routerLink/test/routerLink.feature
@@ -35,3 +35,7 @@
   Scenario: Frames that are sent together share a write
     When a router sends 20 frames over a connection at once
     Then they are written at once, in their order
+
+  Scenario: Evidence about crashes is shared
+    When the peer shares evidence about crashes
+    Then the owner gets the evidence
--- a/packages/routerLink/test/routerLink.steps.ts
+++ b/packages/routerLink/test/routerLink.steps.ts
@@ -8,7 +8,7 @@
 import { acceptRouters, PeerRouter } from '@galenatiller/routerLink';
 import { TaskGroup } from '@galenatiller/tasks';
 import { systemClock, TimerService } from '@galenatiller/timer';
-import type { PieceFailure, PieceResult, StagePiece } from '@galenatiller/types';
+import type { CrashEvidence, PieceFailure, PieceResult, StagePiece } from '@galenatiller/types';
 import fc from 'fast-check';
 
 import { RouterSocket } from '../src/routerSocket.js';
@@ -33,6 +33,7 @@
   orderedAtMs: number;
   closedLinks: number;
   writes: Buffer[];
+  evidenceAtOwner: readonly CrashEvidence[] | undefined;
 }
 
 const SEED = 20_261_204;
@@ -108,6 +109,9 @@
         free: (handles) => {
           this.freedAtOwner.push(...handles);
         },
+        mergeCrashEvidence: (evidence) => {
+          this.evidenceAtOwner = evidence;
+        },
       },
     });
     this.stopPeer = new AbortController();
@@ -254,3 +258,17 @@
     Array.from({ length: 20 }, (_, index) => index + 1),
   );
 });
+
+const EVIDENCE: readonly CrashEvidence[] = [
+  { kind: 'crashed', fingerprint: 'part 5c1e', targetStart: 'target 1', agoMs: 20 },
+  { kind: 'sound', fingerprint: 'part 91bd', targetStart: '', agoMs: 0 },
+];
+
+When('the peer shares evidence about crashes', function when(this: LinkWorld) {
+  this.peer.shareCrashEvidence(EVIDENCE);
+});
+
+Then('the owner gets the evidence', async function then(this: LinkWorld) {
+  await waitUntil(() => this.evidenceAtOwner !== undefined, 'the evidence never arrived');
+  assert.deepEqual(this.evidenceAtOwner, EVIDENCE);
+});
--- a/packages/target/src/index.ts
+++ b/packages/target/src/index.ts
@@ -4,6 +4,8 @@
  */
 export { chooseTarget, type ChooseTargetOptions, type TargetChoice } from './chooseTarget.js';
 export { ColdRateLimiter, type ColdRateLimiterOptions } from './coldRateLimiter.js';
+export { CrashSuspects, type CrashSuspectsOptions } from './crashSuspects.js';
+export { getStartKey } from './getStartKey.js';
 export { RetryBudget, type RetryBudgetOptions } from './retryBudget.js';
 export { SlidingWindowCounter, type SlidingWindowCounterOptions } from './slidingWindowCounter.js';
 export {
--- /dev/null
+++ b/packages/types/src/crashEvidence.ts
@@ -0,0 +1,13 @@
+/**
+ * What a node has seen of calls with a certain content. `crashed`: a target crashed while such a call
+ * ran on it and had no response yet. `sound`: a target responded to such a call.
+ */
+export interface CrashEvidence {
+  readonly kind: 'crashed' | 'sound';
+  /** Fingerprint of a call or of a part of its prompt. */
+  readonly fingerprint: string;
+  /** The start of the target that crashed; empty for `sound`. */
+  readonly targetStart: string;
+  /** Time since it was seen; clocks of hosts differ. */
+  readonly agoMs: number;
+}
