Let a prompt part pass that only came together with a deadly one

A fingerprint now only stops a call if no other fingerprint, which the call doesn't have, explains all the same crashes. The new scenario failed before.

--- a/packages/target/src/crashSuspects.ts
+++ b/packages/target/src/crashSuspects.ts
@@ -48,10 +48,15 @@
     return new CrashSuspects(opts);
   }
 
-  /** Whether calls with one of the fingerprints are stopped; returns that one. */
+  /**
+   * The fingerprint for which a call with all the given ones is stopped, if there is one. It isn't
+   * stopped for a fingerprint whose crashes another one, which the call doesn't have, explains too.
+   */
   findStopped(fingerprints: readonly string[]): string | undefined {
     return fingerprints.find(
-      (fingerprint) => this.countCrashes(fingerprint) >= CRASHES_UNTIL_STOPPED,
+      (fingerprint) =>
+        this.countCrashes(fingerprint) >= CRASHES_UNTIL_STOPPED &&
+        !this.isExplainedByOther(fingerprint, fingerprints),
     );
   }
 
@@ -130,6 +135,14 @@
     return starts ? [...starts.values()].filter((atMs) => atMs > sinceMs).length : 0;
   }
 
+  private isExplainedByOther(fingerprint: string, ofCall: readonly string[]): boolean {
+    const starts = [...(this.crashes.get(fingerprint)?.keys() ?? [])];
+    return [...this.crashes].some(
+      ([other, otherStarts]) =>
+        !ofCall.includes(other) && starts.every((start) => otherStarts.has(start)),
+    );
+  }
+
   private isSound(fingerprint: string): boolean {
     const atMs = this.soundAtMs.get(fingerprint);
     return atMs !== undefined && this.opts.timer.nowMs() - atMs < SOUND_TTL_MS;
--- a/packages/target/test/crashSuspects.feature
+++ b/packages/target/test/crashSuspects.feature
@@ -37,6 +37,15 @@
     And targets 1 to 3 crash during calls with "part" at node "b"
     Then calls with "part" are stopped at "a" and "b"
 
+  # Guards against stopping sound calls whose part came with a deadly part in each call that crashed.
+  Scenario: Of two parts that only came together, one alone is not stopped
+    When targets 1 to 3 crash during calls with "common,deadly" at node "a"
+    Then calls with "common,deadly" are stopped at "a" and "b"
+    And calls with "common" are allowed at "a" and "b"
+    When target 4 crashes during a call with "deadly" at node "b"
+    Then calls with "deadly" are stopped at "a" and "b"
+    And calls with "common" are allowed at "a" and "b"
+
   Scenario: A node that joins learns of the crashes
     When targets 1 to 3 crash during calls with "deadly" at node "a"
     And node "c" joins and gets the crashes that node "a" knows
