Give up responses that never end

A target in trouble may send bytes that are no answer without end, in a head or in a body. A head was already bounded by the HTTP client.

--- a/packages/constants/src/index.ts
+++ b/packages/constants/src/index.ts
@@ -23,3 +23,9 @@
 
 /** Maximum size of a value in the platform's store, in bytes. */
 export const MAX_STORE_VALUE_BYTES = 1_048_576;
+
+/** Maximum size of a response that is read as a whole, in bytes; a faulty peer may never end one. */
+export const MAX_RESPONSE_BYTES = 8_388_608;
+
+/** Maximum size of one event of a stream, in bytes. */
+export const MAX_EVENT_BYTES = 1_048_576;
--- a/packages/engine/src/runGeneration.ts
+++ b/packages/engine/src/runGeneration.ts
@@ -1,6 +1,8 @@
+import { MAX_RESPONSE_BYTES } from '@galenatiller/constants';
 import { GalenatillerError } from '@galenatiller/error';
 import {
   createAttemptHeaders,
+  readAll,
   sendRequest,
   type StreamedResponse,
   findStatusError,
@@ -79,7 +81,8 @@
   readonly response: StreamedResponse;
 }): Promise<Result<StageResult, GalenatillerError>> {
   if (response.status !== 200) {
-    const refusal = findStatusError({ status: response.status, text: await response.body.text() });
+    const bytes = await readAll({ body: response.body, maxBytes: MAX_RESPONSE_BYTES });
+    const refusal = findStatusError({ status: response.status, text: bytes.toString('utf8') });
     return Result.err(refusal.unwrapOr(createBrokenStreamError('the response has no stream')));
   }
   const events = readGeneration(response.body);
--- a/packages/engine/test/generation.feature
+++ b/packages/engine/test/generation.feature
@@ -39,3 +39,8 @@
     When the generation of 5000 tokens for "plan a lap" is cancelled after the first part
     Then the generation fails as "cancelled" with outcome "may-have-run"
     And the run at the engine ends as "cancelled"
+
+  # Guards against a faulty engine that fills memory with an event that never ends.
+  Scenario: An event without end ends the stream
+    When an engine sends 2 MB of an event
+    Then reading the events fails
--- a/packages/engine/test/generation.steps.ts
+++ b/packages/engine/test/generation.steps.ts
@@ -14,7 +14,10 @@
 import type { StagePart, StageResult } from '@galenatiller/types';
 import type { Result } from 'true-myth';
 
+import { readEventData } from '../src/wireEvents.js';
+
 interface GenerationWorld {
+  endlessEvents: AsyncGenerator<string, void, void>;
   engineTimer: TimerService;
   fakeEngine: FakeTarget;
   generationPrompt: string;
@@ -149,3 +152,20 @@
     generationResult: result,
   });
 }
+
+When(
+  'an engine sends {int} MB of an event',
+  function when(this: GenerationWorld, megabytes: number) {
+    async function* createBody(): AsyncGenerator<Uint8Array> {
+      yield Buffer.from('data: ');
+      for (let sent = 0; sent < megabytes * 16; sent += 1) {
+        yield Buffer.alloc(65_536, 'x');
+      }
+    }
+    this.endlessEvents = readEventData(createBody());
+  },
+);
+
+Then('reading the events fails', async function then(this: GenerationWorld) {
+  await assert.rejects(this.endlessEvents.next());
+});
--- a/packages/http/src/fetchText.ts
+++ b/packages/http/src/fetchText.ts
@@ -1,7 +1,9 @@
+import { MAX_RESPONSE_BYTES } from '@galenatiller/constants';
 import type { GalenatillerError } from '@galenatiller/error';
 import { Result } from 'true-myth';
 
 import { sendRequest, type SendRequestOptions, type StreamedResponse } from './sendRequest.js';
+import { readAll } from './readAll.js';
 import { createTransportError } from './createTransportError.js';
 
 /** Options of {@link fetchText}. */
@@ -24,7 +26,8 @@
   }
   const { status, header, body } = response.value;
   try {
-    return Result.ok({ status, header, text: await body.text() });
+    const bytes = await readAll({ body, maxBytes: MAX_RESPONSE_BYTES });
+    return Result.ok({ status, header, text: bytes.toString('utf8') });
   } catch (cause) {
     return Result.err(createTransportError({ cause, signal: opts.signal }));
   }
--- a/packages/http/src/index.ts
+++ b/packages/http/src/index.ts
@@ -1,6 +1,7 @@
 /** HTTP client for peers; its errors say whether the request may have run. */
 export { createAttemptHeaders } from './createAttemptHeaders.js';
 export { fetchText, type FetchTextOptions, type TextResponse } from './fetchText.js';
+export { readAll, type ReadAllOptions } from './readAll.js';
 export { sendRequest, type SendRequestOptions, type StreamedResponse } from './sendRequest.js';
 export { probeTargetProcess, type ProbeTargetProcessOptions } from './probeTargetProcess.js';
 export { findStatusError } from './findStatusError.js';
--- a/packages/http/test/targetConnectionPool.feature
+++ b/packages/http/test/targetConnectionPool.feature
@@ -37,3 +37,15 @@
     When 2 requests are sent one after the other
     Then each gets a complete response
     And 2 connections were opened
+
+  # Guards against a faulty target that fills memory with bytes that are no answer and never end.
+  Scenario Outline: Bytes without end close the connection
+    Given a raw target that sends a <part> without end
+    When 1 request is sent and read up to 100000 bytes
+    Then no complete response comes and the connection is closed
+
+    Examples:
+      | part           |
+      | head           |
+      | body           |
+      | body in chunks |
--- a/packages/http/test/targetConnectionPool.steps.ts
+++ b/packages/http/test/targetConnectionPool.steps.ts
@@ -3,7 +3,12 @@
 import { createServer, type Server, type Socket } from 'node:net';
 
 import { After, Given, Then, When } from '@cucumber/cucumber';
-import { type TargetResponse, TargetConnectionPool, type TargetFailure } from '@galenatiller/http';
+import {
+  readAll,
+  type TargetResponse,
+  TargetConnectionPool,
+  type TargetFailure,
+} from '@galenatiller/http';
 import { systemClock, TimerService } from '@galenatiller/timer';
 
 interface ConnectionPoolWorld {
@@ -37,6 +42,19 @@
  */
 const RESET_DELAY_MS = 30;
 
+/** Sends bytes until the connection is closed. */
+function sendEndlessly(socket: Socket, start: string, repeated: string): void {
+  const bytes = repeated.repeat(1_000);
+  const sendMore = (): void => {
+    while (!socket.destroyed && socket.write(bytes)) {
+      // The socket takes more bytes now.
+    }
+  };
+  socket.on('drain', sendMore);
+  socket.write(start);
+  sendMore();
+}
+
 const TARGETS: Readonly<Record<string, (socket: Socket) => void>> = {
   'responds "whole"': (socket) => socket.write(COMPLETE_RESPONSE),
   'closes each connection after the request': (socket) => socket.destroy(),
@@ -48,6 +66,10 @@
   },
   'responds with too few bytes': (socket) =>
     socket.end('HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nwhole'),
+  'sends a head without end': (socket) => sendEndlessly(socket, 'HTTP/1.1 200 OK\r\nX-Odd: ', 'x'),
+  'sends a body without end': (socket) => sendEndlessly(socket, 'HTTP/1.1 200 OK\r\n\r\n', 'x'),
+  'sends a body in chunks without end': (socket) =>
+    sendEndlessly(socket, 'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n', '1\r\nx\r\n'),
   'sends a second response after each': (socket) =>
     socket.write(`${COMPLETE_RESPONSE}${COMPLETE_RESPONSE}`),
 };
@@ -101,6 +123,38 @@
   },
 );
 
+When(
+  '1 request is sent and read up to {int} bytes',
+  async function when(this: ConnectionPoolWorld, maxBytes: number) {
+    const result = await this.pool.exchange({
+      address: this.address,
+      method: 'GET',
+      path: '/x',
+      headers: ['Host', this.address],
+      body: undefined,
+      signal: new AbortController().signal,
+    });
+    this.results.push(result);
+    if (result.kind === 'answered') {
+      await assert.rejects(readAll({ body: result.body, maxBytes }));
+    }
+  },
+);
+
+Then(
+  'no complete response comes and the connection is closed',
+  async function then(this: ConnectionPoolWorld) {
+    const [socket] = this.targetSockets;
+    assert.ok(socket);
+    if (!socket.destroyed) {
+      // `once` of node:events would reject at the reset that comes before.
+      await new Promise((resolve) => {
+        socket.once('close', resolve);
+      });
+    }
+  },
+);
+
 async function readBody(response: TargetResponse): Promise<string | Error> {
   let text = '';
   try {
--- a/packages/router/src/forwardResponse.ts
+++ b/packages/router/src/forwardResponse.ts
@@ -1,3 +1,6 @@
+import { MAX_RESPONSE_BYTES } from '@galenatiller/constants';
+import { readAll } from '@galenatiller/http';
+
 import type { CallerExchange, SendResponse } from './ports.js';
 import { EventSplitter } from './wireEventStream.js';
 
@@ -34,15 +37,12 @@
       'a success response without proof of origin',
     );
   }
-  const chunks: Buffer[] = [];
+  let body: Buffer;
   try {
-    for await (const chunk of response.body) {
-      chunks.push(chunk);
-    }
+    body = await readAll({ body: response.body, maxBytes: MAX_RESPONSE_BYTES });
   } catch (error) {
     return createInterrupted({ ...opts, lastEventId }, describeError(error));
   }
-  const body = Buffer.concat(chunks);
   if (opts.hasStarted) {
     return createInterrupted(
       { ...opts, lastEventId },
--- a/packages/router/src/wireEventStream.ts
+++ b/packages/router/src/wireEventStream.ts
@@ -1,5 +1,7 @@
 /** Splits an event stream (text/event-stream) into complete events without changing a byte. */
 
+import { MAX_EVENT_BYTES } from '@galenatiller/constants';
+
 /** One event with the blank line that ends it. */
 export interface CompleteEvent {
   readonly bytes: Buffer;
@@ -27,7 +29,7 @@
     return this.buffered.length === 0;
   }
 
-  /** Adds bytes and returns the events that they complete. */
+  /** Adds bytes and returns the events that they complete; throws when an event is too long. */
   push(chunk: Buffer): readonly CompleteEvent[] {
     const bytes = this.buffered.length === 0 ? chunk : Buffer.concat([this.buffered, chunk]);
     const events: CompleteEvent[] = [];
@@ -40,6 +42,9 @@
       end = findEventEnd(bytes, start);
     }
     this.buffered = bytes.subarray(start);
+    if (this.buffered.length > MAX_EVENT_BYTES) {
+      throw new Error(`an event has over ${MAX_EVENT_BYTES} bytes`);
+    }
     return events;
   }
 }
--- a/packages/router/test/router.feature
+++ b/packages/router/test/router.feature
@@ -65,6 +65,18 @@
     When an "order" call is made
     Then the caller gets 502
 
+  # Guards against a faulty target that fills the memory of the router with a response without end.
+  Scenario Outline: A response without end is given up
+    Given the response to each "<kind>" call is <what> without end
+    When a "<kind>" call is made
+    Then the caller gets 502
+    And at most 9 MB were read
+
+    Examples:
+      | kind   | what                    |
+      | order  | bytes                   |
+      | stream | bytes that are no event |
+
   Scenario: A resumable stream continues at another target where it was interrupted
     Given the first stream is interrupted after event 2
     When a "resumable" call is made
--- a/packages/router/test/router.steps.ts
+++ b/packages/router/test/router.steps.ts
@@ -311,3 +311,26 @@
     }
   },
 );
+
+Given(
+  /^the response to each "[^"]*" call is bytes (?:that are no event )?without end$/,
+  function given(this: RouterWorld) {
+    this.readBytes = 0;
+    const chunk = Buffer.alloc(65_536, 'x');
+    const countRead = (bytes: number): void => {
+      this.readBytes += bytes;
+    };
+    async function* createEndlessBody(): AsyncGenerator<Buffer> {
+      // Without the limit the test ends here instead of running out of memory.
+      for (let chunks = 0; chunks < 1_000; chunks += 1) {
+        countRead(chunk.length);
+        yield chunk;
+      }
+    }
+    this.fallback = () => respond({ bodyEnd: 'last-chunk', body: createEndlessBody() });
+  },
+);
+
+Then('at most {int} MB were read', function then(this: RouterWorld, megabytes: number) {
+  assert.ok(this.readBytes <= megabytes * 1_000_000, String(this.readBytes));
+});
--- a/packages/router/test/support.ts
+++ b/packages/router/test/support.ts
@@ -49,6 +49,8 @@
   scripts: SendScript[];
   fallback: SendScript;
   sends: SendCallOptions[];
+  /** Bytes that were read of response bodies without end. */
+  readBytes: number;
   received: ReceivedResponse;
   pieceInputs: (readonly string[])[];
   resultHandles: string[];
