Roll services out to another version, and back when it is slower or fails

Cause: routers read no orders of rollouts, so new targets got calls like old ones and nobody wrote a state. Now an unproved version gets nine tenths of the allowed share, the routers pool runs, failures and pace at the owner of the service, and that rolls back a bad version at once, over the links and in the store, and completes a good one a second before the deadline. Stage services stay without proof and end rolled back (docs/DESIGN.md).

--- a/packages/router/src/chooseTargetForCall.ts
+++ b/packages/router/src/chooseTargetForCall.ts
@@ -23,7 +23,10 @@
   const maxColdRequestsPerSecond =
     context.routes.findService(admitted.service)?.maxColdRequestsPerSecond ?? 0;
   return chooseTarget({
-    targets: context.targets.findUsable(admitted.service),
+    targets: context.rollouts.select(
+      admitted.service,
+      context.targets.findUsable(admitted.service),
+    ),
     tried: progress.tried,
     promptParts: exchange.call.promptParts,
     ownZone: context.ownZone,
--- /dev/null
+++ b/packages/router/src/createMirrors.ts
@@ -0,0 +1,75 @@
+import type { EventLog } from '@galenatiller/logger';
+import { PrefixMirror, type PrefixSource } from '@galenatiller/store';
+import type { TargetDirectory } from '@galenatiller/target';
+import type { TimerService } from '@galenatiller/timer';
+
+import { createOperatorHandlers } from './createOperatorHandlers.js';
+import type { RolloutParts } from './createRollouts.js';
+import { createTargetHandlers } from './createTargetHandlers.js';
+import type { OperatorEntryDecoder, TargetEntryDecoder } from './entryDecoders.js';
+import { logStoreEvent } from './logEvents.js';
+import type { RouteTable } from './routeTable.js';
+
+/** Options of {@link createMirrors}. */
+export interface MirrorsOptions extends Pick<RolloutParts, 'rollouts' | 'statuses'> {
+  readonly timer: TimerService;
+  readonly log: EventLog;
+  readonly random: () => number;
+  readonly source: PrefixSource;
+  readonly operatorEntries: OperatorEntryDecoder;
+  readonly targetEntries: TargetEntryDecoder;
+  readonly routes: RouteTable;
+  readonly targets: TargetDirectory;
+  readonly onChanged: () => void;
+}
+
+/** Mirrors of the entries in the store that a router reads. */
+export interface Mirrors {
+  readonly operator: PrefixMirror;
+  readonly targets: PrefixMirror;
+  readonly rollouts: PrefixMirror;
+}
+
+/** Creates mirrors of what operators and targets write to the store. */
+export function createMirrors(opts: MirrorsOptions): Mirrors {
+  const { source, timer, random, log, targets } = opts;
+  const common = {
+    source,
+    timer,
+    random,
+    waitMs: MAX_WATCH_WAIT_MS,
+    responseMarginMs: RESPONSE_MARGIN_MS,
+  };
+  return {
+    operator: PrefixMirror.create({
+      ...common,
+      ...createOperatorHandlers(opts),
+      onEvent: (event) => logStoreEvent(log, event),
+    }),
+    targets: PrefixMirror.create({
+      ...common,
+      ...createTargetHandlers(opts),
+      onEvent: (event) => {
+        if (event.kind === 'regained') {
+          targets.onStoreReconnected();
+        }
+        logStoreEvent(log, event);
+      },
+    }),
+    rollouts: PrefixMirror.create({
+      ...common,
+      ...opts.statuses.handlers(),
+      waitMs: MAX_ROLLOUT_WAIT_MS,
+      onEvent: (event) => logStoreEvent(log, event),
+    }),
+  };
+}
+
+/** While the store responds, evidence is never older than this; each wait is one call. */
+const MAX_WATCH_WAIT_MS = 1_000;
+
+/** Rollouts are rare, so a read of their states without changes is seldom repeated. */
+const MAX_ROLLOUT_WAIT_MS = 5_000;
+
+/** Time for the response beyond the wait; a slow store needs a quarter of a second for it. */
+const RESPONSE_MARGIN_MS = 800;
--- a/packages/router/src/createOperatorHandlers.ts
+++ b/packages/router/src/createOperatorHandlers.ts
@@ -3,6 +3,7 @@
 import type { TargetDirectory } from '@galenatiller/target';
 
 import type { OperatorEntryDecoder } from './entryDecoders.js';
+import type { Rollouts } from './rollouts.js';
 import type { RouteTable } from './routeTable.js';
 
 /** Options of {@link createOperatorHandlers}. */
@@ -11,6 +12,7 @@
   readonly operatorEntries: OperatorEntryDecoder;
   readonly routes: RouteTable;
   readonly targets: TargetDirectory;
+  readonly rollouts: Rollouts;
   readonly onChanged: () => void;
 }
 
@@ -52,6 +54,13 @@
     targets.setZoneOut({ zone: decoded.zone, isOut: true, storeRevision });
     return;
   }
+  if (decoded.kind === 'rollout') {
+    const { service, targetVersion, durationMs } = decoded.order;
+    opts.rollouts.setOrder(decoded.order);
+    const outcome = 'ordered';
+    log({ about: 'belief', event: 'rollout', service, targetVersion, durationMs, outcome });
+    return;
+  }
   if (decoded.kind === 'unusable') {
     const outcome = `ignored: ${decoded.detail}`;
     log({ about: 'belief', event: 'operator-entry', key, storeRevision, outcome });
--- /dev/null
+++ b/packages/router/src/createRollouts.ts
@@ -0,0 +1,41 @@
+import type { EventLog } from '@galenatiller/logger';
+import type { RouterSettings } from '@galenatiller/settings';
+import type { TimerService } from '@galenatiller/timer';
+
+import type { RolloutStatusEntries } from './entryDecoders.js';
+import { logRollout, logRolloutWrite } from './logEvents.js';
+import { Rollouts } from './rollouts.js';
+import { RolloutStatuses } from './rolloutStatuses.js';
+import type { RunRolloutsOptions } from './runRollouts.js';
+
+/** Options of {@link createRollouts}. */
+export interface CreateRolloutsOptions {
+  readonly settings: Pick<RouterSettings, 'unprovedShare'>;
+  readonly timer: TimerService;
+  readonly log: EventLog;
+  readonly random: () => number;
+  readonly rolloutStatusEntries: RolloutStatusEntries;
+}
+
+/** The rollouts, their states in the store, and the log of writes to it. */
+export type RolloutParts = Pick<RunRolloutsOptions, 'rollouts' | 'statuses' | 'onWritten'>;
+
+/** Creates the parts of a router that handle rollouts. */
+export function createRollouts(opts: CreateRolloutsOptions): RolloutParts {
+  const { settings, timer, log, random, rolloutStatusEntries: entries } = opts;
+  const rollouts = Rollouts.create({
+    timer,
+    random,
+    unprovedShare: settings.unprovedShare,
+    onChange: (decision) => logRollout(log, decision),
+  });
+  const statuses = RolloutStatuses.create({
+    entries,
+    onStatus: (status) => rollouts.setStatus({ ...status, detail: 'read from the store' }),
+  });
+  return {
+    rollouts,
+    statuses,
+    onWritten: (decision, result) => logRolloutWrite(log, decision, result),
+  };
+}
--- a/packages/router/src/createRouter.ts
+++ b/packages/router/src/createRouter.ts
@@ -6,8 +6,8 @@
   type LeaseClient,
   type Member,
   Membership,
-  PrefixMirror,
   type PrefixSource,
+  type WriteIfUnchanged,
 } from '@galenatiller/store';
 import type { RouterSettings } from '@galenatiller/settings';
 import {
@@ -19,16 +19,21 @@
 } from '@galenatiller/target';
 import { TaskGroup } from '@galenatiller/tasks';
 import { SmoothedDurations, type TimerService } from '@galenatiller/timer';
-import type { CrashEvidence } from '@galenatiller/types';
+import type { CrashEvidence, RolloutEvidence, RolloutStatus } from '@galenatiller/types';
 
 import { CallCounter } from './callCounter.js';
 import { CrashDetector } from './crashDetector.js';
 import { EventLoopWatch } from './eventLoopWatch.js';
-import type { OperatorEntryDecoder, TargetEntryDecoder } from './entryDecoders.js';
-import { createOperatorHandlers } from './createOperatorHandlers.js';
-import { createTargetHandlers } from './createTargetHandlers.js';
+import type {
+  OperatorEntryDecoder,
+  RolloutStatusEntries,
+  TargetEntryDecoder,
+} from './entryDecoders.js';
+import { createMirrors, type Mirrors } from './createMirrors.js';
 import type { CallerExchange, TargetClient } from './ports.js';
 import type { RouterContext } from './routerContext.js';
+import { createRollouts, type RolloutParts } from './createRollouts.js';
+import { runRollouts } from './runRollouts.js';
 import { RouteTable } from './routeTable.js';
 import { recordBatchMetrics, reportGauges } from './recordMetrics.js';
 import {
@@ -43,6 +48,7 @@
   logTarget,
 } from './logEvents.js';
 import type { SubmitPiece } from './runStages.js';
+import type { Rollouts } from './rollouts.js';
 import { serveCall } from './serveCall.js';
 import { StageOwners } from './stageOwners.js';
 import { StageWorkers } from './stageWorkers.js';
@@ -57,6 +63,8 @@
   readonly leases: LeaseClient;
   readonly operatorEntries: OperatorEntryDecoder;
   readonly targetEntries: TargetEntryDecoder;
+  readonly rolloutStatusEntries: RolloutStatusEntries;
+  readonly writeIfUnchanged: WriteIfUnchanged;
   readonly targetClient: TargetClient;
   readonly hash: (text: string) => number;
   readonly random: () => number;
@@ -95,14 +103,11 @@
     nodeCount,
     share: (evidence) => stages.owners.shareCrashEvidence(evidence),
   });
-  const stages = createStages({ ...opts, ...limits, routes, targets, nodeCount, tasks });
-  const { peerService: service } = stages;
-  const mirrors = createMirrors({
-    ...opts,
-    routes,
-    targets,
-    onChanged: () => stages.workers.refresh(),
-  });
+  const rolloutParts = createRollouts(opts);
+  const { rollouts } = rolloutParts;
+  const stages = createStages({ ...opts, ...limits, rollouts, routes, targets, nodeCount, tasks });
+  const onChanged = (): void => stages.workers.refresh();
+  const mirrors = createMirrors({ ...opts, ...rolloutParts, routes, targets, onChanged });
   const context: RouterContext = {
     timer,
     log,
@@ -111,6 +116,7 @@
     routes,
     targets,
     ...limits,
+    rollouts,
     inFlight: CallCounter.create(),
     responseTimes: SmoothedDurations.create(),
     targetClient: opts.targetClient,
@@ -134,28 +140,33 @@
       const eventLoopLagMs = eventLoop.lagMs;
       reportGauges({ sink, context, calls: callTasks.size, nodeCount, eventLoopLagMs });
     },
-    run: ({ signal }) => runParts({ ...opts, tasks, eventLoop, members, mirrors, service, signal }),
+    run: ({ signal }) =>
+      runParts({ ...opts, ...rolloutParts, stages, tasks, eventLoop, members, mirrors, signal }),
   };
 }
 
 /** Runs the parts of a router until the signal aborts. */
 async function runParts(
-  opts: Pick<RouterOptions, 'settings' | 'timer'> & {
-    readonly tasks: TaskGroup;
-    readonly eventLoop: EventLoopWatch;
-    readonly members: Membership;
-    readonly mirrors: Mirrors;
-    readonly service: PeerService;
-    readonly signal: AbortSignal;
-  },
+  opts: RouterOptions &
+    RolloutParts & {
+      readonly tasks: TaskGroup;
+      readonly eventLoop: EventLoopWatch;
+      readonly members: Membership;
+      readonly mirrors: Mirrors;
+      readonly stages: Stages;
+      readonly signal: AbortSignal;
+    },
 ): Promise<void> {
-  const { settings, mirrors, members, signal } = opts;
+  const { settings, mirrors, members, stages, signal } = opts;
+  const { owners, peerService: service } = stages;
   const stopWatch = opts.eventLoop.start();
-  const links = await acceptRouters({ ...opts, address: settings.linkAddress });
+  const links = await acceptRouters({ ...opts, service, address: settings.linkAddress });
   await Promise.all([
     mirrors.operator.run({ signal }),
     mirrors.targets.run({ signal }),
+    mirrors.rollouts.run({ signal }),
     members.run({ signal }),
+    runRollouts({ ...opts, owners, entries: opts.rolloutStatusEntries }),
   ]);
   links.close();
   stopWatch();
@@ -186,6 +197,7 @@
   readonly nodeCount: () => number;
   readonly tasks: TaskGroup;
   readonly crashSuspects: CrashSuspects;
+  readonly rollouts: Rollouts;
 }
 
 interface Stages {
@@ -204,6 +216,7 @@
   });
   const workers = StageWorkers.create({
     ...opts,
+    isExcluded: (target) => opts.rollouts.isUnproved(target),
     resultMemory,
     memoryShare: (service) => (owners.isOwner(service) ? 1 : 1 / nodeCount()),
     runPieces: opts.targetClient.runPieces,
@@ -226,6 +239,10 @@
     runPiece: submitLocally,
     free: (handles: readonly string[]) => resultMemory.free(handles),
     mergeCrashEvidence: (evidence: readonly CrashEvidence[]) => opts.crashSuspects.merge(evidence),
+    addRolloutEvidence: (evidence: readonly RolloutEvidence[]) =>
+      evidence.forEach((item) => opts.rollouts.addEvidence(item)),
+    setRolloutStatus: (status: RolloutStatus) =>
+      opts.rollouts.setStatus({ ...status, detail: 'told by the owner' }),
   };
   return { workers, owners, peerService };
 }
@@ -271,50 +288,4 @@
   };
 }
 
-interface MirrorsOptions extends RouterOptions {
-  readonly routes: RouteTable;
-  readonly targets: TargetDirectory;
-  readonly onChanged: () => void;
-}
-
-interface Mirrors {
-  readonly operator: PrefixMirror;
-  readonly targets: PrefixMirror;
-}
-
-/** Creates mirrors of what operators and targets write to the store. */
-function createMirrors(opts: MirrorsOptions): Mirrors {
-  const { source, timer, random, log, targets } = opts;
-  const common = {
-    source,
-    timer,
-    random,
-    waitMs: MAX_WATCH_WAIT_MS,
-    responseMarginMs: RESPONSE_MARGIN_MS,
-  };
-  return {
-    operator: PrefixMirror.create({
-      ...common,
-      ...createOperatorHandlers(opts),
-      onEvent: (event) => logStoreEvent(log, event),
-    }),
-    targets: PrefixMirror.create({
-      ...common,
-      ...createTargetHandlers(opts),
-      onEvent: (event) => {
-        if (event.kind === 'regained') {
-          targets.onStoreReconnected();
-        }
-        logStoreEvent(log, event);
-      },
-    }),
-  };
-}
-
 const MS_PER_S = 1_000;
-
-/** While the store responds, evidence is never older than this; each wait is one call. */
-const MAX_WATCH_WAIT_MS = 1_000;
-
-/** Time for the response beyond the wait; a slow store needs a quarter of a second for it. */
-const RESPONSE_MARGIN_MS = 800;
--- a/packages/router/src/forwardResponse.ts
+++ b/packages/router/src/forwardResponse.ts
@@ -13,8 +13,11 @@
   readonly hasStarted: boolean;
   /** Id of the last event that the caller has; empty when it has none. */
   readonly resumeAfter: string;
-  /** Called, possibly more than once, when data of the response has come in. */
-  readonly onData: () => void;
+  /**
+   * Called, possibly more than once, when data of the response has come in, with the number of its
+   * events.
+   */
+  readonly onData: (events: number) => void;
 }
 
 /** How forwarding a response ended. */
@@ -49,7 +52,7 @@
       `status ${response.status} instead of the rest of the stream`,
     );
   }
-  opts.onData();
+  opts.onData(0);
   const { status, passedHeaders } = response;
   const bodyEnd = response.bodyEnd === 'close' ? 'close' : 'length';
   exchange.writeHead({ status, passedHeaders, bodyEnd, bodyBytes: body.length });
@@ -79,7 +82,7 @@
         exchange.writeHead(head);
         hasStarted = true;
       }
-      opts.onData();
+      opts.onData(events.length);
       lastEventId = events.findLast(({ id }) => id !== '')?.id ?? lastEventId;
       await exchange.write(Buffer.concat(events.map(({ bytes }) => bytes)));
     }
--- a/packages/router/src/index.ts
+++ b/packages/router/src/index.ts
@@ -1,6 +1,11 @@
 /** The router role: accepts calls, runs their stages and sends them directly to targets. */
 export { createRouter, type Router, type RouterOptions } from './createRouter.js';
-export type { OperatorEntry, OperatorEntryDecoder, TargetEntryDecoder } from './entryDecoders.js';
+export type {
+  OperatorEntry,
+  OperatorEntryDecoder,
+  RolloutStatusEntries,
+  TargetEntryDecoder,
+} from './entryDecoders.js';
 export type {
   BodyFailure,
   CallerExchange,
--- a/packages/router/src/logEvents.ts
+++ b/packages/router/src/logEvents.ts
@@ -1,8 +1,11 @@
 import type { EventLog } from '@galenatiller/logger';
 import type { AbandonedStageEvent, BatchEvent } from '@galenatiller/pool';
 import type { PeerEvent } from '@galenatiller/routerLink';
-import type { Member, MirrorEvent } from '@galenatiller/store';
+import type { Member, MirrorEvent, ReadFailure } from '@galenatiller/store';
 import type { TargetChange } from '@galenatiller/target';
+import type { Result } from 'true-myth';
+
+import type { RolloutDecision } from './rollouts.js';
 
 /** Logs a change of the connection to the store. */
 export function logStoreEvent(log: EventLog, event: MirrorEvent): void {
@@ -75,6 +78,23 @@
   log({ about: 'belief', event: 'fingerprint', ...opts, outcome: 'stopped' });
 }
 
+/** Logs that a rollout has ended. */
+export function logRollout(log: EventLog, decision: RolloutDecision): void {
+  const { state, ...rest } = decision;
+  log({ about: 'belief', event: 'rollout', ...rest, outcome: state });
+}
+
+/** Logs a write of the state of a rollout, and why it was decided. */
+export function logRolloutWrite(
+  log: EventLog,
+  decision: RolloutDecision,
+  result: Result<'written' | 'changed', ReadFailure>,
+): void {
+  const { state, ...rest } = decision;
+  const outcome = result.isOk ? result.value : `${result.error.kind}: ${result.error.detail}`;
+  log({ about: 'belief', event: 'rollout-write', ...rest, state, outcome });
+}
+
 /** Logs a task that threw. */
 export function logFailedTask(log: EventLog, error: unknown): void {
   const outcome = error instanceof Error ? (error.stack ?? error.message) : String(error);
--- a/packages/router/src/routerContext.ts
+++ b/packages/router/src/routerContext.ts
@@ -12,6 +12,7 @@
 import type { CallCounter } from './callCounter.js';
 import type { CrashDetector } from './crashDetector.js';
 import type { TargetClient } from './ports.js';
+import type { Rollouts } from './rollouts.js';
 import type { RouteTable } from './routeTable.js';
 import type { SubmitPiece } from './runStages.js';
 
@@ -31,6 +32,7 @@
   readonly inFlight: CallCounter;
   readonly crashDetector: CrashDetector;
   readonly crashSuspects: CrashSuspects;
+  readonly rollouts: Rollouts;
   readonly targetClient: TargetClient;
   readonly submitPiece: SubmitPiece;
   /** Frees stage results, by their handles. */
--- a/packages/router/src/runAttempts.ts
+++ b/packages/router/src/runAttempts.ts
@@ -14,6 +14,7 @@
 import { chooseTargetForCall } from './chooseTargetForCall.js';
 import type { CallerExchange, SendResponse, SendResult } from './ports.js';
 import type { RouterContext } from './routerContext.js';
+import { RunObservation } from './runObservation.js';
 import type { StageResultHandle } from './runStages.js';
 
 /** Options of {@link runAttempts}. */
@@ -100,6 +101,8 @@
   context.coldRateLimiter.recordSent(target.address);
   const decrement = context.inFlight.increment(target.id);
   const remainingMs = admitted.deadlineAtMs - sentAtMs;
+  const isStream = admitted.route.callKind === 'stream';
+  const observation = RunObservation.create({ ...context, target, isStream });
   try {
     const response = await context.targetClient.sendCall({
       target,
@@ -115,6 +118,9 @@
     context.metrics.count({ name: 'router.sends', tags: { send: response.kind } });
     logAttempt({ ...opts, progress, target, reason: choice.reason, response, sentAtMs });
     if (response.kind !== 'answered') {
+      if (response.kind === 'broken' && !signal.aborted) {
+        observation.end({ isFailed: true });
+      }
       return await handleFailure(opts, progress, target, response);
     }
     const nowMs = timer.nowMs();
@@ -124,10 +130,11 @@
     progress.recordRun();
     if (isServerError && canRunAgain(opts, progress)) {
       response.discard();
+      observation.end({ isFailed: true });
       progress.recordFailure(`the target responded with status ${response.status}`);
       return undefined;
     }
-    return await forward(opts, progress, target, response);
+    return await forward({ ...opts, observation }, progress, target, response);
   } finally {
     decrement();
   }
@@ -164,12 +171,12 @@
 }
 
 async function forward(
-  opts: RunAttemptsOptions,
+  opts: RunAttemptsOptions & { readonly observation: RunObservation },
   progress: CallProgress,
   target: RegisteredTarget,
   response: SendResponse,
 ): Promise<AttemptsResult | undefined> {
-  const { exchange, admitted, context } = opts;
+  const { exchange, admitted, context, observation } = opts;
   let isSound = false;
   const forwarded: ForwardResult = await forwardResponse({
     exchange,
@@ -177,8 +184,9 @@
     isStream: admitted.route.callKind === 'stream' && response.status === 200,
     hasStarted: progress.hasStarted,
     resumeAfter: progress.resumeAfter,
-    onData: () => {
+    onData: (events) => {
       opts.onInputsConsumed();
+      observation.addEvents(events);
       if (!isSound && response.status < 500) {
         isSound = true;
         context.crashSuspects.recordSound(opts.fingerprints);
@@ -186,6 +194,11 @@
     },
   });
   progress.recordForwarded(forwarded);
+  observation.end({
+    isFailed:
+      response.status >= 500 ||
+      (forwarded.kind === 'interrupted' && !exchange.disconnected.aborted),
+  });
   if (forwarded.kind === 'complete') {
     return { kind: 'answered', status: response.status, target: target.id };
   }
--- a/packages/router/src/stageOwners.ts
+++ b/packages/router/src/stageOwners.ts
@@ -3,7 +3,12 @@
 import type { Member } from '@galenatiller/store';
 import type { TaskGroup } from '@galenatiller/tasks';
 import type { TimerService } from '@galenatiller/timer';
-import type { CrashEvidence, PieceResult } from '@galenatiller/types';
+import type {
+  CrashEvidence,
+  PieceResult,
+  RolloutEvidence,
+  RolloutStatus,
+} from '@galenatiller/types';
 
 import type { SubmitPiece } from './runStages.js';
 
@@ -93,6 +98,17 @@
     this.peers.forEach(({ router }) => router.shareCrashEvidence(evidence));
   }
 
+  /** Sends evidence on a rollout to the owner of its service; false when that can't be reached. */
+  sendRolloutEvidence(evidence: RolloutEvidence): boolean {
+    const owner = this.findOwner(evidence.service);
+    return this.peers.get(owner)?.router.sendRolloutEvidence([evidence]) ?? false;
+  }
+
+  /** Shares the status of a rollout with all connected peers. */
+  shareRolloutStatus(status: RolloutStatus): void {
+    this.peers.forEach(({ router }) => router.shareRolloutStatus(status));
+  }
+
   /** Frees results through the node that dispatched their pieces: the owner of the service, or this one. */
   free(handles: readonly string[]): void {
     const byPeer = new Map<string, string[]>();
--- a/packages/router/src/stageWorkers.ts
+++ b/packages/router/src/stageWorkers.ts
@@ -24,6 +24,8 @@
   readonly timer: TimerService;
   readonly routes: RouteTable;
   readonly targets: TargetDirectory;
+  /** Whether a target must not get pieces, although it is ready. */
+  readonly isExcluded: (target: RegisteredTarget) => boolean;
   readonly resultMemory: ResultMemory;
   /** Share of the result memory of a service's workers that this node may use. */
   readonly memoryShare: (service: string) => number;
@@ -96,8 +98,17 @@
   }
 
   private startWorker(target: RegisteredTarget): void {
-    const { timer, routes, targets, resultMemory, memoryShare, runPieces, onBatch, tasks } =
-      this.opts;
+    const {
+      timer,
+      routes,
+      targets,
+      isExcluded,
+      resultMemory,
+      memoryShare,
+      runPieces,
+      onBatch,
+      tasks,
+    } = this.opts;
     const stop = new AbortController();
     this.workerTasks.set(getStartKey(target), { target, stop });
     tasks.start(() =>
@@ -106,7 +117,7 @@
         queue: this.getQueue(target.service),
         target,
         limits: () => routes.findService(target.service)?.batch,
-        isUsable: (worker) => targets.isUsable(worker),
+        isUsable: (worker) => targets.isUsable(worker) && !isExcluded(worker),
         resultMemory,
         memoryShare: () => memoryShare(target.service),
         workerSpeed: this.workerSpeed,
@@ -144,7 +155,10 @@
     const { targets } = this.opts;
     return [...this.workerTasks.values()]
       .map(({ target }) => target)
-      .filter((target) => target.service === service && targets.isUsable(target));
+      .filter(
+        (target) =>
+          target.service === service && targets.isUsable(target) && !this.opts.isExcluded(target),
+      );
   }
 
   private getQueue(service: string): StageQueue {
--- /dev/null
+++ b/packages/router/test/rollouts.feature
@@ -0,0 +1,38 @@
+@router
+Feature: Traffic moves to another version only once that is proved good
+
+  Background:
+    Given a rollout of "shop" from "v1" to "v2" within 15 s, with 3 targets of each version
+
+  # Guards against a version that answers several times slower, gets half of the traffic and is kept.
+  Scenario: A version that is several times slower is rolled back
+    When 2600 calls come in 13 s, and runs take 100 ms on "v1" and 400 ms on "v2"
+    Then the rollout was rolled back within 3 s
+    And "v2" got at most 60 calls
+
+  Scenario: A version that fails often is rolled back
+    When 2600 calls come in 13 s, and 2 of 10 runs fail on "v2"
+    Then the rollout was rolled back within 3 s
+
+  Scenario: A good version gets its share until it is proved, then everything
+    When 2600 calls come in 13 s, and runs take 100 ms on "v1" and 120 ms on "v2"
+    Then the rollout still runs
+    And "v2" got between 180 and 280 calls
+    When 400 calls come in 2 s, and runs take 100 ms on "v1" and 120 ms on "v2"
+    Then the owner wants the rollout to be "completed"
+    When the store has it as "completed"
+    Then calls only go to "v2"
+
+  Scenario: A version that is not proved in time is rolled back
+    When 20 calls come in 15 s, and runs take 100 ms on "v1" and 100 ms on "v2"
+    Then the owner wants the rollout to be "rolled-back"
+    And calls only go to "v1"
+
+  Scenario: A rollout that was rolled back does not start again with the same order
+    When 2600 calls come in 13 s, and runs take 100 ms on "v1" and 400 ms on "v2"
+    And the same rollout is ordered again
+    Then calls only go to "v1"
+
+  Scenario: A router that starts late learns the state from the store
+    Given a router that reads from the store that the rollout was rolled back
+    Then calls only go to "v1"
--- a/packages/router/test/support.ts
+++ b/packages/router/test/support.ts
@@ -20,6 +20,7 @@
 import { CallCounter } from '../src/callCounter.js';
 import { CrashDetector } from '../src/crashDetector.js';
 import type { CallerExchange, ResponseHead, SendCallOptions, SendResult } from '../src/ports.js';
+import { Rollouts } from '../src/rollouts.js';
 import type { RouterContext } from '../src/routerContext.js';
 import type { RouteTable } from '../src/routeTable.js';
 import { serveCall } from '../src/serveCall.js';
@@ -211,6 +212,12 @@
       freeResults: () => Promise.resolve(),
       probe: () => Promise.resolve('connected'),
     },
+    rollouts: Rollouts.create({
+      timer,
+      random: () => 0.5,
+      unprovedShare: 0.1,
+      onChange: () => {},
+    }),
     crashDetector: CrashDetector.create({
       probe: () => Promise.resolve(world.isTargetGone ? 'refused' : 'connected'),
     }),
--- a/packages/routerLink/src/acceptRouters.ts
+++ b/packages/routerLink/src/acceptRouters.ts
@@ -2,7 +2,13 @@
 
 import type { TaskGroup } from '@galenatiller/tasks';
 import type { TimerService } from '@galenatiller/timer';
-import type { CrashEvidence, PieceResult, StagePiece } from '@galenatiller/types';
+import type {
+  CrashEvidence,
+  PieceResult,
+  RolloutEvidence,
+  RolloutStatus,
+  StagePiece,
+} from '@galenatiller/types';
 
 import { LINK_VERSION } from './followRouter.js';
 import type { PieceOrderFrame, RouterFrame } from './routerFrames.js';
@@ -18,6 +24,9 @@
   }) => Promise<PieceResult>;
   readonly free: (handles: readonly string[]) => void;
   readonly mergeCrashEvidence: (evidence: readonly CrashEvidence[]) => void;
+  /** Adds evidence to the rollouts that this router owns. */
+  readonly addRolloutEvidence: (evidence: readonly RolloutEvidence[]) => void;
+  readonly setRolloutStatus: (status: RolloutStatus) => void;
 }
 
 /** Options of {@link acceptRouters}. */
@@ -85,6 +94,12 @@
   if (frame.kind === 'crash-evidence') {
     opts.service.mergeCrashEvidence(frame.evidence);
   }
+  if (frame.kind === 'rollout-evidence') {
+    opts.service.addRolloutEvidence(frame.evidence);
+  }
+  if (frame.kind === 'rollout-status') {
+    opts.service.setRolloutStatus(frame.status);
+  }
   if (frame.kind === 'piece-order') {
     const controller = new AbortController();
     running.set(frame.orderId, controller);
--- a/packages/routerLink/src/followRouter.ts
+++ b/packages/routerLink/src/followRouter.ts
@@ -1,7 +1,13 @@
 import { connect, type Socket } from 'node:net';
 
 import type { TimerService } from '@galenatiller/timer';
-import type { CrashEvidence, PieceResult, StagePiece } from '@galenatiller/types';
+import type {
+  CrashEvidence,
+  PieceResult,
+  RolloutEvidence,
+  RolloutStatus,
+  StagePiece,
+} from '@galenatiller/types';
 
 import type { RouterFrame } from './routerFrames.js';
 import { RouterSocket } from './routerSocket.js';
@@ -117,6 +123,16 @@
     this.send({ kind: 'crash-evidence', evidence });
   }
 
+  /** Sends evidence on rollouts that the peer owns; false when there is no open link. */
+  sendRolloutEvidence(evidence: readonly RolloutEvidence[]): boolean {
+    return this.send({ kind: 'rollout-evidence', evidence });
+  }
+
+  /** Shares the status of a rollout, if the link is open. */
+  shareRolloutStatus(status: RolloutStatus): void {
+    this.send({ kind: 'rollout-status', status });
+  }
+
   /** The task of the link: opens it, reads frames until it ends, and opens it again. */
   async run(opts: { readonly signal: AbortSignal }): Promise<void> {
     const { signal } = opts;
--- a/packages/routerLink/src/routerFrames.ts
+++ b/packages/routerLink/src/routerFrames.ts
@@ -1,4 +1,9 @@
-import type { CrashEvidence, PieceResult } from '@galenatiller/types';
+import type {
+  CrashEvidence,
+  PieceResult,
+  RolloutEvidence,
+  RolloutStatus,
+} from '@galenatiller/types';
 
 /** The first frame on a link, sent by the router that opened it. */
 export interface HelloFrame {
@@ -53,6 +58,18 @@
   readonly evidence: readonly CrashEvidence[];
 }
 
+/** Tells the owner of rollouts how calls ran on their versions. */
+export interface RolloutEvidenceFrame {
+  readonly kind: 'rollout-evidence';
+  readonly evidence: readonly RolloutEvidence[];
+}
+
+/** Tells a peer that a rollout has been rolled back, which must not wait for the store. */
+export interface RolloutStatusFrame {
+  readonly kind: 'rollout-status';
+  readonly status: RolloutStatus;
+}
+
 /** Checks that the peer is alive, or confirms it. */
 export interface KeepAliveFrame {
   readonly kind: 'ping' | 'pong';
@@ -66,4 +83,6 @@
   | PieceEndFrame
   | FreeFrame
   | CrashEvidenceFrame
+  | RolloutEvidenceFrame
+  | RolloutStatusFrame
   | KeepAliveFrame;
--- a/packages/routerLink/src/wireRouterFrame.ts
+++ b/packages/routerLink/src/wireRouterFrame.ts
@@ -1,6 +1,12 @@
 /** Encodes frames between routers as CBOR. */
 import { addLengthPrefix, FrameSplitter } from '@galenatiller/framing';
-import type { CrashEvidence, PieceFailure, PieceResult } from '@galenatiller/types';
+import type {
+  CrashEvidence,
+  PieceFailure,
+  PieceResult,
+  RolloutEvidence,
+  RolloutStatus,
+} from '@galenatiller/types';
 import { Encoder } from 'cbor-x';
 import { Result } from 'true-myth';
 
@@ -74,6 +80,9 @@
   'piece-end': (fields) => areNumbers(fields, ['orderId']) && isPieceResult(fields.result),
   free: (fields) => isStringList(fields.handles),
   'crash-evidence': ({ evidence }) => Array.isArray(evidence) && evidence.every(isCrashEvidence),
+  'rollout-evidence': ({ evidence }) =>
+    Array.isArray(evidence) && evidence.every(isRolloutEvidence),
+  'rollout-status': ({ status }) => isRolloutStatus(status),
   ping: () => true,
   pong: () => true,
 };
@@ -106,20 +115,36 @@
 }
 
 function isPieceResult(value: unknown): value is PieceResult {
-  if (typeof value !== 'object' || value === null) {
-    return false;
-  }
-  const fields = value as Fields;
+  const fields = asFields(value);
   return fields.kind === 'made'
     ? typeof fields.handle === 'string'
     : fields.kind === 'failed' && PIECE_FAILURES.includes(fields.reason as PieceFailure);
 }
 
+function isRolloutEvidence(value: unknown): value is RolloutEvidence {
+  const fields = asFields(value);
+  return (
+    areStrings(fields, ['service', 'targetVersion']) &&
+    [fields.newRuns, fields.oldRuns].every((runs) =>
+      areNumbers(asFields(runs), ['runs', 'failures', 'measured', 'paceSumMs']),
+    )
+  );
+}
+
+function isRolloutStatus(value: unknown): value is RolloutStatus {
+  const fields = asFields(value);
+  return (
+    areStrings(fields, ['service', 'targetVersion']) &&
+    ['running', 'completed', 'rolled-back'].includes(String(fields.state))
+  );
+}
+
+function asFields(value: unknown): Fields {
+  return typeof value === 'object' && value !== null ? (value as Fields) : {};
+}
+
 function isCrashEvidence(value: unknown): value is CrashEvidence {
-  if (typeof value !== 'object' || value === null) {
-    return false;
-  }
-  const fields = value as Fields;
+  const fields = asFields(value);
   return (
     (fields.kind === 'crashed' || fields.kind === 'sound') &&
     areStrings(fields, ['fingerprint', 'targetStart']) &&
--- a/packages/routerLink/test/routerLink.feature
+++ b/packages/routerLink/test/routerLink.feature
@@ -39,3 +39,7 @@
   Scenario: Evidence about crashes is shared
     When the peer shares evidence about crashes
     Then the owner gets the evidence
+
+  Scenario: Evidence on a rollout goes to its owner, and its status to all
+    When the peer sends evidence on a rollout and shares its status
+    Then the owner gets both
--- a/packages/routerLink/test/routerLink.steps.ts
+++ b/packages/routerLink/test/routerLink.steps.ts
@@ -8,7 +8,14 @@
 import { acceptRouters, PeerRouter } from '@galenatiller/routerLink';
 import { TaskGroup } from '@galenatiller/tasks';
 import { systemClock, TimerService } from '@galenatiller/timer';
-import type { CrashEvidence, PieceFailure, PieceResult, StagePiece } from '@galenatiller/types';
+import type {
+  CrashEvidence,
+  PieceFailure,
+  PieceResult,
+  RolloutEvidence,
+  RolloutStatus,
+  StagePiece,
+} from '@galenatiller/types';
 import fc from 'fast-check';
 
 import { RouterSocket } from '../src/routerSocket.js';
@@ -34,6 +41,8 @@
   closedLinks: number;
   writes: Buffer[];
   evidenceAtOwner: readonly CrashEvidence[] | undefined;
+  rolloutEvidenceAtOwner: readonly RolloutEvidence[] | undefined;
+  rolloutStatusAtOwner: RolloutStatus | undefined;
 }
 
 const SEED = 20_261_204;
@@ -109,6 +118,12 @@
         free: (handles) => {
           this.freedAtOwner.push(...handles);
         },
+        addRolloutEvidence: (evidence) => {
+          this.rolloutEvidenceAtOwner = evidence;
+        },
+        setRolloutStatus: (status) => {
+          this.rolloutStatusAtOwner = status;
+        },
         mergeCrashEvidence: (evidence) => {
           this.evidenceAtOwner = evidence;
         },
@@ -272,3 +287,29 @@
   await waitUntil(() => this.evidenceAtOwner !== undefined, 'the evidence never arrived');
   assert.deepEqual(this.evidenceAtOwner, EVIDENCE);
 });
+
+const RUNS = { runs: 3, failures: 1, measured: 2, paceSumMs: 80.5 };
+
+const ROLLOUT_EVIDENCE: RolloutEvidence = {
+  service: 'shop',
+  targetVersion: 'v2',
+  newRuns: RUNS,
+  oldRuns: RUNS,
+};
+
+const ROLLOUT_STATUS: RolloutStatus = {
+  service: 'shop',
+  targetVersion: 'v2',
+  state: 'rolled-back',
+};
+
+When('the peer sends evidence on a rollout and shares its status', function when(this: LinkWorld) {
+  assert.ok(this.peer.sendRolloutEvidence([ROLLOUT_EVIDENCE]));
+  this.peer.shareRolloutStatus(ROLLOUT_STATUS);
+});
+
+Then('the owner gets both', async function then(this: LinkWorld) {
+  await waitUntil(() => this.rolloutStatusAtOwner !== undefined, 'the status never arrived');
+  assert.deepEqual(this.rolloutStatusAtOwner, ROLLOUT_STATUS);
+  assert.deepEqual(this.rolloutEvidenceAtOwner, [ROLLOUT_EVIDENCE]);
+});
--- a/packages/settings/src/routerKeys.ts
+++ b/packages/settings/src/routerKeys.ts
@@ -88,6 +88,15 @@
     max: 10_000,
     defaultText: '0',
   }),
+  unprovedShare: decimalKey({
+    section: 'limits',
+    key: 'unproved-share',
+    meaning: 'Share of the calls that a new version may get before it is proved good.',
+    unit: 'share',
+    min: 0,
+    max: 1,
+    defaultText: '0.1',
+  }),
   repeatWindowS: decimalKey({
     section: 'limits',
     key: 'repeat-window-s',
--- a/packages/store/src/prefixSource.ts
+++ b/packages/store/src/prefixSource.ts
@@ -51,3 +51,11 @@
     readonly signal: AbortSignal;
   }) => Promise<Result<PrefixChanges, ReadFailure>>;
 }
+
+/** Writes a key if its revision is the expected one; 0 expects that it does not exist. */
+export type WriteIfUnchanged = (opts: {
+  readonly key: string;
+  readonly value: Buffer;
+  readonly expectedRevision: number;
+  readonly signal: AbortSignal;
+}) => Promise<Result<'written' | 'changed', ReadFailure>>;
--- a/packages/target/src/index.ts
+++ b/packages/target/src/index.ts
@@ -6,6 +6,7 @@
 export { ColdRateLimiter, type ColdRateLimiterOptions } from './coldRateLimiter.js';
 export { CrashSuspects, type CrashSuspectsOptions } from './crashSuspects.js';
 export { getStartKey } from './getStartKey.js';
+export { judgeVersion, type JudgeVersionOptions, type VersionJudgement } from './judgeVersion.js';
 export { RetryBudget, type RetryBudgetOptions } from './retryBudget.js';
 export { SlidingWindowCounter, type SlidingWindowCounterOptions } from './slidingWindowCounter.js';
 export {
--- a/packages/types/src/index.ts
+++ b/packages/types/src/index.ts
@@ -1,6 +1,7 @@
 /** Data types shared by several packages: string unions and records without behaviour. */
 export type * from './configuration.js';
 export type * from './crashEvidence.js';
+export type * from './rollout.js';
 export type * from './routerConfig.js';
 export type * from './host.js';
 export type * from './json.js';
--- /dev/null
+++ b/packages/types/src/rollout.ts
@@ -0,0 +1,35 @@
+/** An operator's order to move the traffic of a service to targets of another version. */
+export interface RolloutOrder {
+  readonly service: string;
+  readonly targetVersion: string;
+  /** Time in which the rollout has to be completed or rolled back. */
+  readonly durationMs: number;
+}
+
+/** State of a rollout, as it is kept in the store. */
+export type RolloutState = 'running' | 'completed' | 'rolled-back';
+
+/** The state of the rollout of a service to a version. */
+export interface RolloutStatus {
+  readonly service: string;
+  readonly targetVersion: string;
+  readonly state: RolloutState;
+}
+
+/** What was seen of calls that ran on targets of one version. */
+export interface VersionRuns {
+  readonly runs: number;
+  readonly failures: number;
+  /** Number of runs whose pace was measured, and the sum of their paces. */
+  readonly measured: number;
+  /** The pace of a stream is the time for one event, that of another call its whole time. */
+  readonly paceSumMs: number;
+}
+
+/** What a node has seen of a rollout since it last told the others. */
+export interface RolloutEvidence {
+  readonly service: string;
+  readonly targetVersion: string;
+  readonly newRuns: VersionRuns;
+  readonly oldRuns: VersionRuns;
+}
