--- a/bench/src/launcher/assignPorts.ts
+++ b/bench/src/launcher/assignPorts.ts
@@ -1,3 +1,5 @@
+import { findFreePorts } from '@galenatiller/fakes';
+
 import type { FakeEndpoint } from './collectLedgers.js';
 import { type Deployment, planTargetHosts } from './deployment.js';
 import type { FakeTargetPlan, PlatformPlan } from './fakePlan.js';
@@ -6,7 +8,6 @@
   GateSettingsValues,
   NodeSettingsValues,
 } from './renderSettings.js';
-import { findFreePorts } from './findFreePorts.js';
 
 /** A deployment with a port for each listener. */
 export interface DeploymentLayout {
--- a/fakes/src/index.ts
+++ b/fakes/src/index.ts
@@ -30,6 +30,7 @@
   computeExpectedScore,
   computeExpectedVector,
 } from './expectedPoolResults.js';
+export { findFreePorts } from './findFreePorts.js';
 export type { FaultCommand, VersionFault } from './faultInjector.js';
 export type { RunEnd, RunRecord } from './runLedger.js';
 export { createSampleStageRequest } from './createSampleStageRequest.js';
