Split the owners of services, the links to routers and the submission of pieces

StageOwners did three things: it assigned services to routers, kept the links to all peers, and submitted and freed pieces; the evidence on crashes and rollouts went through it as well. Each is a module of its own now, and what runs stages is created apart from the router.

--- a/packages/router/src/createRouter.ts
+++ b/packages/router/src/createRouter.ts
@@ -1,7 +1,6 @@
 import type { EventLog } from '@galenatiller/logger';
 import type { MetricSink } from '@galenatiller/metrics';
-import { ResultMemory } from '@galenatiller/pool';
-import { acceptRouters, type PeerService } from '@galenatiller/routerLink';
+import { acceptRouters } from '@galenatiller/routerLink';
 import {
   type LeaseClient,
   type Member,
@@ -19,7 +18,7 @@
 } from '@galenatiller/target';
 import { TaskGroup } from '@galenatiller/tasks';
 import { SmoothedDurations, type TimerService } from '@galenatiller/timer';
-import type { CrashEvidence, RolloutEvidence, RolloutStatus } from '@galenatiller/types';
+import type { CrashEvidence } from '@galenatiller/types';
 
 import { CallCounter } from './callCounter.js';
 import { CrashDetector } from './crashDetector.js';
@@ -32,26 +31,20 @@
 import { createMirrors, type Mirrors } from './createMirrors.js';
 import type { CallerExchange, TargetClient } from './ports.js';
 import type { RouterContext } from './routerContext.js';
+import { createStages, type Stages } from './createStages.js';
 import { createRollouts, type RolloutParts } from './createRollouts.js';
 import { runRollouts } from './runRollouts.js';
 import { RouteTable } from './routeTable.js';
-import { recordBatchMetrics, reportGauges } from './recordMetrics.js';
+import { reportGauges } from './recordMetrics.js';
 import {
-  logAbandonedStage,
   logEventLoopLag,
   logFailedTask,
-  logLinkEvent,
   logMembers,
-  logStageCall,
   logStoppedFingerprint,
   logStoreEvent,
   logTarget,
 } from './logEvents.js';
-import type { SubmitPiece } from './runStages.js';
-import type { Rollouts } from './rollouts.js';
 import { serveCall } from './serveCall.js';
-import { StageOwners } from './stageOwners.js';
-import { StageWorkers } from './stageWorkers.js';
 
 /** Options of {@link createRouter}. */
 export interface RouterOptions {
@@ -96,12 +89,12 @@
   const eventLoop = EventLoopWatch.create({ timer, onLag });
   const routes = RouteTable.create();
   const targets = TargetDirectory.create({ timer, onChange: (change) => logTarget(log, change) });
-  const members = createMembership({ ...opts, onChange: (live) => stages.owners.setMembers(live) });
+  const members = createMembership({ ...opts, onChange: (live) => stages.setMembers(live) });
   const nodeCount = (): number => members.countNodes();
   const limits = createLimits({
     ...opts,
     nodeCount,
-    share: (evidence) => stages.owners.shareCrashEvidence(evidence),
+    share: (evidence) => stages.peers.all().forEach((peer) => peer.shareCrashEvidence(evidence)),
   });
   const rolloutParts = createRollouts(opts);
   const { rollouts } = rolloutParts;
@@ -120,8 +113,8 @@
     inFlight: CallCounter.create(),
     responseTimes: SmoothedDurations.create(),
     targetClient: opts.targetClient,
-    submitPiece: stages.owners.submit,
-    freeResults: (handles) => stages.owners.free(handles),
+    submitPiece: stages.submitter.submit,
+    freeResults: (handles) => stages.submitter.free(handles),
     evidenceAgeMs: () => mirrors.operator.evidenceAgeMs(),
     keyAgeLimitMs: settings.keyAgeLimitMs,
     hash: opts.hash,
@@ -158,7 +151,7 @@
     },
 ): Promise<void> {
   const { settings, mirrors, members, stages, signal } = opts;
-  const { owners, peerService: service } = stages;
+  const { owners, peers, peerService: service } = stages;
   const stopWatch = opts.eventLoop.start();
   const links = await acceptRouters({ ...opts, service, address: settings.linkAddress });
   await Promise.all([
@@ -166,7 +159,7 @@
     mirrors.targets.run({ signal }),
     mirrors.rollouts.run({ signal }),
     members.run({ signal }),
-    runRollouts({ ...opts, owners, entries: opts.rolloutStatusEntries }),
+    runRollouts({ ...opts, owners, peers, entries: opts.rolloutStatusEntries }),
   ]);
   links.close();
   stopWatch();
@@ -191,62 +184,6 @@
   });
 }
 
-interface StagesOptions extends RouterOptions {
-  readonly routes: RouteTable;
-  readonly targets: TargetDirectory;
-  readonly nodeCount: () => number;
-  readonly tasks: TaskGroup;
-  readonly crashSuspects: CrashSuspects;
-  readonly rollouts: Rollouts;
-}
-
-interface Stages {
-  readonly workers: StageWorkers;
-  readonly owners: StageOwners;
-  readonly peerService: PeerService;
-}
-
-/** Creates the queues and tasks of the stage workers, and tracks which services this node owns. */
-function createStages(opts: StagesOptions): Stages {
-  const { timer, log, nodeCount } = opts;
-  const resultMemory = ResultMemory.create({
-    timer,
-    freeResults: opts.targetClient.freeResults,
-    onMemoryFreed: () => workers.notifyMemoryFreed(),
-  });
-  const workers = StageWorkers.create({
-    ...opts,
-    isExcluded: (target) => opts.rollouts.isUnproved(target),
-    resultMemory,
-    memoryShare: (service) => (owners.isOwner(service) ? 1 : 1 / nodeCount()),
-    runPieces: opts.targetClient.runPieces,
-    onBatch: (event) => {
-      logStageCall(log, event);
-      recordBatchMetrics(opts.metrics, event);
-    },
-    onStageAbandoned: (event) => logAbandonedStage(log, event),
-  });
-  const submitLocally: SubmitPiece = (submitted) => workers.submit(submitted);
-  const owners = StageOwners.create({
-    ...opts,
-    selfName: opts.settings.nodeName,
-    submitLocally,
-    resultMemory,
-    onLinkEvent: (event) => logLinkEvent(log, event),
-    currentCrashes: () => opts.crashSuspects.currentCrashes(),
-  });
-  const peerService = {
-    runPiece: submitLocally,
-    free: (handles: readonly string[]) => resultMemory.free(handles),
-    mergeCrashEvidence: (evidence: readonly CrashEvidence[]) => opts.crashSuspects.merge(evidence),
-    addRolloutEvidence: (evidence: readonly RolloutEvidence[]) =>
-      evidence.forEach((item) => opts.rollouts.addEvidence(item)),
-    setRolloutStatus: (status: RolloutStatus) =>
-      opts.rollouts.setStatus({ ...status, detail: 'told by the owner' }),
-  };
-  return { workers, owners, peerService };
-}
-
 type Limits = Pick<
   RouterContext,
   'health' | 'coldRateLimiter' | 'retryBudget' | 'crashDetector' | 'crashSuspects'
--- /dev/null
+++ b/packages/router/src/createStages.ts
@@ -0,0 +1,94 @@
+import type { EventLog } from '@galenatiller/logger';
+import type { MetricSink } from '@galenatiller/metrics';
+import { ResultMemory } from '@galenatiller/pool';
+import type { PeerService } from '@galenatiller/routerLink';
+import type { RouterSettings } from '@galenatiller/settings';
+import type { Member } from '@galenatiller/store';
+import type { CrashSuspects, TargetDirectory } from '@galenatiller/target';
+import type { TaskGroup } from '@galenatiller/tasks';
+import type { TimerService } from '@galenatiller/timer';
+import type { CrashEvidence, RolloutEvidence, RolloutStatus } from '@galenatiller/types';
+
+import { logAbandonedStage, logLinkEvent, logStageCall } from './logEvents.js';
+import { PeerRouters } from './peerRouters.js';
+import type { TargetClient } from './ports.js';
+import { recordBatchMetrics } from './recordMetrics.js';
+import type { Rollouts } from './rollouts.js';
+import type { RouteTable } from './routeTable.js';
+import type { SubmitPiece } from './runStages.js';
+import { ServiceOwners } from './serviceOwners.js';
+import { StageSubmitter } from './stageSubmitter.js';
+import { StageWorkers } from './stageWorkers.js';
+
+/** Options of {@link createStages}. */
+export interface CreateStagesOptions {
+  readonly settings: Pick<RouterSettings, 'nodeName'>;
+  readonly timer: TimerService;
+  readonly log: EventLog;
+  readonly metrics: MetricSink;
+  readonly targetClient: TargetClient;
+  readonly hash: (text: string) => number;
+  readonly routes: RouteTable;
+  readonly targets: TargetDirectory;
+  readonly nodeCount: () => number;
+  readonly tasks: TaskGroup;
+  readonly crashSuspects: CrashSuspects;
+  readonly rollouts: Rollouts;
+}
+
+/** What runs stages: on this node, or through the routers that own their services. */
+export interface Stages {
+  readonly workers: StageWorkers;
+  readonly owners: ServiceOwners;
+  readonly peers: PeerRouters;
+  readonly submitter: StageSubmitter;
+  readonly peerService: PeerService;
+  /** Sets the live routers. */
+  readonly setMembers: (members: readonly Member[]) => void;
+}
+
+/** Creates the queues and tasks of the stage workers, and the links to the owners of services. */
+export function createStages(opts: CreateStagesOptions): Stages {
+  const { timer, log, nodeCount } = opts;
+  const { nodeName: selfName } = opts.settings;
+  const owners = ServiceOwners.create({ ...opts, selfName });
+  const peers = PeerRouters.create({
+    ...opts,
+    selfName,
+    onLinkEvent: (event) => logLinkEvent(log, event),
+    onOpened: (peer) => peer.shareCrashEvidence(opts.crashSuspects.currentCrashes()),
+  });
+  const resultMemory = ResultMemory.create({
+    timer,
+    freeResults: opts.targetClient.freeResults,
+    onMemoryFreed: () => workers.notifyMemoryFreed(),
+  });
+  const workers = StageWorkers.create({
+    ...opts,
+    isExcluded: (target) => opts.rollouts.isUnproved(target),
+    resultMemory,
+    memoryShare: (service) => (owners.isOwner(service) ? 1 : 1 / nodeCount()),
+    runPieces: opts.targetClient.runPieces,
+    onBatch: (event) => {
+      logStageCall(log, event);
+      recordBatchMetrics(opts.metrics, event);
+    },
+    onStageAbandoned: (event) => logAbandonedStage(log, event),
+  });
+  const submitLocally: SubmitPiece = (submitted) => workers.submit(submitted);
+  const submitter = StageSubmitter.create({ owners, peers, submitLocally, resultMemory });
+  const peerService = {
+    runPiece: submitLocally,
+    free: (handles: readonly string[]) => resultMemory.free(handles),
+    mergeCrashEvidence: (evidence: readonly CrashEvidence[]) => opts.crashSuspects.merge(evidence),
+    addRolloutEvidence: (evidence: readonly RolloutEvidence[]) =>
+      evidence.forEach((item) => opts.rollouts.addEvidence(item)),
+    setRolloutStatus: (status: RolloutStatus) =>
+      opts.rollouts.setStatus({ ...status, detail: 'told by the owner' }),
+  };
+  const setMembers = (members: readonly Member[]): void => {
+    owners.setMembers(members);
+    peers.setMembers(members);
+  };
+  return { workers, owners, peers, submitter, peerService, setMembers };
+}
--- a/packages/router/src/runRollouts.ts
+++ b/packages/router/src/runRollouts.ts
@@ -3,9 +3,10 @@
 import type { Result } from 'true-myth';
 
 import type { RolloutStatusEntries } from './entryDecoders.js';
+import type { PeerRouters } from './peerRouters.js';
 import type { RolloutDecision, Rollouts } from './rollouts.js';
 import type { RolloutStatuses } from './rolloutStatuses.js';
-import type { StageOwners } from './stageOwners.js';
+import type { ServiceOwners } from './serviceOwners.js';
 
 /** Options of {@link runRollouts}. */
 export interface RunRolloutsOptions {
@@ -14,7 +15,8 @@
   /** The states that are in the store. */
   readonly statuses: RolloutStatuses;
   readonly entries: RolloutStatusEntries;
-  readonly owners: Pick<StageOwners, 'isOwner' | 'sendRolloutEvidence' | 'shareRolloutStatus'>;
+  readonly owners: Pick<ServiceOwners, 'isOwner' | 'findOwner'>;
+  readonly peers: Pick<PeerRouters, 'find' | 'all'>;
   readonly writeIfUnchanged: WriteIfUnchanged;
   readonly onWritten: (
     decision: RolloutDecision,
@@ -30,18 +32,20 @@
 
 /** The task that collects evidence on rollouts, decides on those of this node and writes their states. */
 export async function runRollouts(opts: RunRolloutsOptions): Promise<void> {
-  const { timer, rollouts, statuses, owners, signal } = opts;
+  const { timer, rollouts, statuses, owners, peers, signal } = opts;
   while (!signal.aborted) {
     await timer.sleep({ delayMs: INTERVAL_MS, signal });
     rollouts.takeEvidence().forEach((evidence) => {
-      if (!owners.sendRolloutEvidence(evidence)) {
+      const owner = peers.find(owners.findOwner(evidence.service));
+      const isSent = owner?.sendRolloutEvidence([evidence]) ?? false;
+      if (!isSent) {
         rollouts.addEvidence(evidence);
       }
     });
     const decisions = rollouts.decide((service) => owners.isOwner(service));
     for (const decision of decisions.filter((changed) => !statuses.isStored(changed))) {
       if (decision.state === 'rolled-back') {
-        owners.shareRolloutStatus(decision);
+        peers.all().forEach((peer) => peer.shareRolloutStatus(decision));
       }
       await write(opts, decision);
     }
--- a/packages/router/test/stageOwners.steps.ts
+++ b/packages/router/test/serviceOwners.steps.ts
@@ -1,16 +1,13 @@
 import assert from 'node:assert/strict';
 
-import { After, Given, Then } from '@cucumber/cucumber';
-import { ResultMemory } from '@galenatiller/pool';
+import { Given, Then } from '@cucumber/cucumber';
 import type { Member } from '@galenatiller/store';
-import { TaskGroup } from '@galenatiller/tasks';
-import { ManualClock, TimerService } from '@galenatiller/timer';
 import createXxhash from 'xxhash-wasm';
 
-import { StageOwners } from '../src/stageOwners.js';
+import { ServiceOwners } from '../src/serviceOwners.js';
 
 interface OwnersWorld {
-  ownerRouters: ReadonlyMap<string, StageOwners>;
+  ownerRouters: ReadonlyMap<string, ServiceOwners>;
   serviceOwners: ReadonlySet<string>;
 }
 
@@ -34,10 +31,6 @@
   },
 );
 
-After({ tags: '@router' }, function after(this: Partial<OwnersWorld>) {
-  this.ownerRouters?.forEach((owners) => owners.setMembers([]));
-});
-
 Then(
   'each of {int} services has one owner, the same for every router',
   function then(this: OwnersWorld, services: number) {
@@ -58,20 +51,6 @@
   return names.split(',').map((name) => ({ name, address: '127.0.0.1:1', cpuCores }));
 }
 
-function createOwners(selfName: string): StageOwners {
-  const timer = TimerService.create({ clock: ManualClock.create({ startWallMs: 1_000_000 }) });
-  return StageOwners.create({
-    timer,
-    selfName,
-    hash: h32,
-    submitLocally: () => Promise.reject(new Error('not used')),
-    resultMemory: ResultMemory.create({
-      timer,
-      freeResults: () => Promise.resolve(),
-      onMemoryFreed: () => {},
-    }),
-    onLinkEvent: () => {},
-    currentCrashes: () => [],
-    tasks: TaskGroup.create({ onFailure: () => {} }),
-  });
+function createOwners(selfName: string): ServiceOwners {
+  return ServiceOwners.create({ selfName, hash: h32 });
 }
--- a/packages/routerLink/src/followRouter.ts
+++ b/packages/routerLink/src/followRouter.ts
@@ -120,7 +120,9 @@
 
   /** Shares evidence about calls that crash targets, if the link is open. */
   shareCrashEvidence(evidence: readonly CrashEvidence[]): void {
-    this.send({ kind: 'crash-evidence', evidence });
+    if (evidence.length > 0) {
+      this.send({ kind: 'crash-evidence', evidence });
+    }
   }
 
   /** Sends evidence on rollouts that the peer owns; false when there is no open link. */
