Take an order for a version that was rolled back before as a new one

What operators saw: a version that had been rolled back could not be tried again; the order was written, and routers ignored it, as the stored state of the earlier order still named the same version. The state in the store has no order of its own. Orders are now told apart by the revision at which they were written: a stored state applies only to an order that is older than itself, and evidence and decisions between routers name the order. An order that is deleted leaves a version that was rolled back without calls.

"A version that was rolled back can be ordered once more" failed before: calls went to "v1" only. The owner's decision goes to peers as such, with its order and what it was decided on, in place of a bare state. Scenarios for stage workers and for what calls show about versions are added; these passed before.

--- a/packages/router/src/createRollouts.ts
+++ b/packages/router/src/createRollouts.ts
@@ -27,11 +27,11 @@
     timer,
     random,
     unprovedShare: settings.unprovedShare,
-    onChange: (decision) => logRollout(log, decision),
+    onEnded: (decision) => logRollout(log, decision),
   });
   const statuses = RolloutStatuses.create({
     entries,
-    onStatus: (status) => rollouts.setStatus({ ...status, detail: 'read from the store' }),
+    onStatus: (stored) => rollouts.setStored(stored),
   });
   return {
     rollouts,
--- a/packages/router/src/createStages.ts
+++ b/packages/router/src/createStages.ts
@@ -7,7 +7,7 @@
 import type { CrashSuspects, TargetDirectory } from '@galenatiller/target';
 import type { TaskGroup } from '@galenatiller/tasks';
 import type { TimerService } from '@galenatiller/timer';
-import type { CrashEvidence, RolloutEvidence, RolloutStatus } from '@galenatiller/types';
+import type { CrashEvidence, RolloutDecision, RolloutEvidence } from '@galenatiller/types';
 
 import { logAbandonedStage, logLinkEvent, logStageCall } from './logEvents.js';
 import { PeerRouters } from './peerRouters.js';
@@ -83,8 +83,7 @@
     mergeCrashEvidence: (evidence: readonly CrashEvidence[]) => opts.crashSuspects.merge(evidence),
     addRolloutEvidence: (evidence: readonly RolloutEvidence[]) =>
       evidence.forEach((item) => opts.rollouts.addEvidence(item)),
-    setRolloutStatus: (status: RolloutStatus) =>
-      opts.rollouts.setStatus({ ...status, detail: 'told by the owner' }),
+    endRollout: (decision: RolloutDecision) => opts.rollouts.end(decision),
   };
   const setMembers = (members: readonly Member[]): void => {
     owners.setMembers(members);
--- a/packages/router/src/logEvents.ts
+++ b/packages/router/src/logEvents.ts
@@ -5,7 +5,7 @@
 import type { TargetChange } from '@galenatiller/target';
 import type { Result } from 'true-myth';
 
-import type { RolloutDecision } from './rollouts.js';
+import type { RolloutDecision } from '@galenatiller/types';
 
 /** Logs a change of the connection to the store. */
 export function logStoreEvent(log: EventLog, event: MirrorEvent): void {
--- a/packages/router/src/rolloutStatuses.ts
+++ b/packages/router/src/rolloutStatuses.ts
@@ -1,22 +1,24 @@
 import type { PrefixEntry, PrefixMirrorOptions } from '@galenatiller/store';
-import type { RolloutStatus } from '@galenatiller/types';
+import type { RolloutDecision, RolloutStatus } from '@galenatiller/types';
 
 import type { RolloutStatusEntries } from './entryDecoders.js';
+import type { StoredStatus } from './rollouts.js';
 
 /** Options of {@link RolloutStatuses.create}. */
 export interface RolloutStatusesOptions {
   readonly entries: RolloutStatusEntries;
-  readonly onStatus: (status: RolloutStatus) => void;
+  readonly onStatus: (stored: StoredStatus) => void;
 }
 
-interface StoredStatus {
+/** An entry; its status is undefined when it is invalid. */
+interface StatusEntry {
   readonly status: RolloutStatus | undefined;
   readonly revision: number;
 }
 
 /** The states of rollouts that are in the store. */
 export class RolloutStatuses {
-  private readonly byKey = new Map<string, StoredStatus>();
+  private readonly byKey = new Map<string, StatusEntry>();
 
   private constructor(private readonly opts: RolloutStatusesOptions) {}
 
@@ -43,11 +45,13 @@
     };
   }
 
-  /** Whether the store has this state of a rollout, or one in which it has ended. */
-  isStored(status: RolloutStatus): boolean {
-    const stored = this.byKey.get(this.opts.entries.encode(status).key)?.status;
-    const isSame = stored?.targetVersion === status.targetVersion;
-    return isSame && (stored.state === status.state || stored.state !== 'running');
+  /** Whether the store has what was decided on an order, or another state in which it has ended. */
+  isStored(decision: RolloutDecision): boolean {
+    const stored = this.byKey.get(this.opts.entries.encode(decision).key);
+    const isOfOrder =
+      stored?.status?.targetVersion === decision.targetVersion &&
+      stored.revision > decision.orderRevision;
+    return isOfOrder && ['completed', 'rolled-back', decision.state].includes(stored.status.state);
   }
 
   /** Revision of the entry of a service; 0 when there is none. */
@@ -57,10 +61,11 @@
   }
 
   private put(entry: PrefixEntry): void {
+    const { key, revision } = entry;
     const status = this.opts.entries.decode(entry);
-    this.byKey.set(entry.key, { status, revision: entry.revision });
+    this.byKey.set(key, { status, revision });
     if (status) {
-      this.opts.onStatus(status);
+      this.opts.onStatus({ status, revision });
     }
   }
 }
--- a/packages/router/src/rollouts.ts
+++ b/packages/router/src/rollouts.ts
@@ -2,6 +2,7 @@
 import type { TimerService } from '@galenatiller/timer';
 import type {
   RegisteredTarget,
+  RolloutDecision,
   RolloutEvidence,
   RolloutOrder,
   RolloutStatus,
@@ -17,12 +18,8 @@
   readonly random: () => number;
   /** Share of the calls that a version may get before it is proved good. */
   readonly unprovedShare: number;
-  readonly onChange: (decision: RolloutDecision) => void;
-}
-
-/** The state of a rollout, and what it was decided on; the detail may be empty. */
-export interface RolloutDecision extends RolloutStatus {
-  readonly detail: string;
+  /** Called when a rollout has ended. */
+  readonly onEnded: (decision: RolloutDecision) => void;
 }
 
 /** One run of a call on a target. */
@@ -33,6 +30,12 @@
   readonly paceMs: number | undefined;
 }
 
+/** A state in the store, and the revision at which it was written. */
+export interface StoredStatus {
+  readonly status: RolloutStatus;
+  readonly revision: number;
+}
+
 interface Rollout {
   readonly order: RolloutOrder;
   readonly deadlineAtMs: number;
@@ -58,6 +61,9 @@
 export class Rollouts {
   private readonly rollouts = new Map<string, Rollout>();
 
+  /** The last state of each service in the store. */
+  private readonly stored = new Map<string, StoredStatus>();
+
   private constructor(private readonly opts: RolloutsOptions) {}
 
   /** Creates an instance without rollouts. */
@@ -67,11 +73,11 @@
 
   /** Applies an order; the same one again changes nothing. */
   setOrder(order: RolloutOrder): void {
-    const known = this.rollouts.get(order.service)?.order;
-    if (known?.targetVersion === order.targetVersion) {
+    const { service, orderRevision } = order;
+    if (this.rollouts.get(service)?.order.orderRevision === orderRevision) {
       return;
     }
-    this.rollouts.set(order.service, {
+    this.rollouts.set(service, {
       order,
       deadlineAtMs: this.opts.timer.nowMs() + order.durationMs,
       state: 'running',
@@ -80,23 +86,28 @@
       unsentNew: NO_RUNS,
       unsentOld: NO_RUNS,
     });
+    this.applyStored(service);
   }
 
-  /** Applies the state of a rollout; one that has ended never runs again. */
-  setStatus(decision: RolloutDecision): void {
-    const { service, targetVersion, state } = decision;
-    if (state === 'running') {
-      // Only the order has the deadline, and it may be read later than the state.
+  /** Applies a state in the store to the order that was written before it. */
+  setStored(stored: StoredStatus): void {
+    const { service, targetVersion } = stored.status;
+    this.stored.set(service, stored);
+    if (!this.rollouts.has(service) && stored.status.state !== 'running') {
+      // The order may have been deleted since; a version that was rolled back stays so.
+      this.setOrder({ service, targetVersion, durationMs: 0, orderRevision: 0 });
       return;
     }
-    if (!this.rollouts.has(service)) {
-      this.setOrder({ service, targetVersion, durationMs: 0 });
-    }
-    const rollout = this.rollouts.get(service);
-    const isCurrent = rollout?.order.targetVersion === targetVersion;
-    if (isCurrent && rollout.state === 'running') {
-      rollout.state = state;
-      this.opts.onChange(decision);
+    this.applyStored(service);
+  }
+
+  /** Ends a rollout as its owner has decided; one that has ended never runs again. */
+  end(decision: RolloutDecision): void {
+    const rollout = this.rollouts.get(decision.service);
+    const isCurrent = rollout?.order.orderRevision === decision.orderRevision;
+    if (isCurrent && rollout.state === 'running' && decision.state !== 'running') {
+      rollout.state = decision.state;
+      this.opts.onEnded(decision);
     }
   }
 
@@ -151,8 +162,8 @@
     const evidence = [...this.rollouts.values()]
       .filter(({ state }) => state === 'running')
       .map(({ order, unsentNew, unsentOld }) => {
-        const { service, targetVersion } = order;
-        return { service, targetVersion, newRuns: unsentNew, oldRuns: unsentOld };
+        const { service, orderRevision } = order;
+        return { service, orderRevision, newRuns: unsentNew, oldRuns: unsentOld };
       })
       .filter(({ newRuns, oldRuns }) => newRuns.runs + oldRuns.runs > 0);
     this.rollouts.forEach((rollout, service) => {
@@ -162,9 +173,9 @@
   }
 
   /** Adds evidence to a rollout that this node owns. */
-  addEvidence({ service, targetVersion, newRuns, oldRuns }: RolloutEvidence): void {
+  addEvidence({ service, orderRevision, newRuns, oldRuns }: RolloutEvidence): void {
     const rollout = this.rollouts.get(service);
-    if (rollout?.order.targetVersion === targetVersion) {
+    if (rollout?.order.orderRevision === orderRevision) {
       rollout.newRuns = addRuns(rollout.newRuns, newRuns);
       rollout.oldRuns = addRuns(rollout.oldRuns, oldRuns);
     }
@@ -177,17 +188,29 @@
   decide(isOwner: (service: string) => boolean): readonly RolloutDecision[] {
     const owned = [...this.rollouts.values()].filter(({ order }) => isOwner(order.service));
     return owned.map((rollout) => {
-      const { service, targetVersion } = rollout.order;
+      const { service, targetVersion, orderRevision } = rollout.order;
       const state = this.findNextState(rollout);
       const detail = describeRuns(rollout);
-      const decision = { service, targetVersion, state, detail };
+      const decision = { service, targetVersion, orderRevision, state, detail };
       if (state === 'rolled-back') {
-        this.setStatus(decision);
+        this.end(decision);
       }
       return decision;
     });
   }
 
+  private applyStored(service: string): void {
+    const rollout = this.rollouts.get(service);
+    const stored = this.stored.get(service);
+    if (!rollout || !stored) {
+      return;
+    }
+    const { targetVersion, orderRevision } = rollout.order;
+    if (stored.revision > orderRevision && stored.status.targetVersion === targetVersion) {
+      this.end({ ...stored.status, orderRevision, detail: 'read from the store' });
+    }
+  }
+
   private findNextState(rollout: Rollout): RolloutStatus['state'] {
     if (rollout.state !== 'running') {
       return rollout.state;
--- a/packages/router/src/runRollouts.ts
+++ b/packages/router/src/runRollouts.ts
@@ -1,10 +1,11 @@
 import type { ReadFailure, WriteIfUnchanged } from '@galenatiller/store';
 import type { TimerService } from '@galenatiller/timer';
+import type { RolloutDecision } from '@galenatiller/types';
 import type { Result } from 'true-myth';
 
 import type { RolloutStatusEntries } from './entryDecoders.js';
 import type { PeerRouters } from './peerRouters.js';
-import type { RolloutDecision, Rollouts } from './rollouts.js';
+import type { Rollouts } from './rollouts.js';
 import type { RolloutStatuses } from './rolloutStatuses.js';
 import type { ServiceOwners } from './serviceOwners.js';
 
@@ -45,7 +46,7 @@
     const decisions = rollouts.decide((service) => owners.isOwner(service));
     for (const decision of decisions.filter((changed) => !statuses.isStored(changed))) {
       if (decision.state === 'rolled-back') {
-        peers.all().forEach((peer) => peer.shareRolloutStatus(decision));
+        peers.all().forEach((peer) => peer.shareRolloutDecision(decision));
       }
       await write(opts, decision);
     }
--- a/packages/router/test/rollouts.feature
+++ b/packages/router/test/rollouts.feature
@@ -23,6 +23,11 @@
     When the store has it as "completed"
     Then calls only go to "v2"
 
+  Scenario: Stage workers of a version get pieces once it is proved
+    Then stage workers of "v2" get no pieces, and those of "v1" do
+    When the store has it as "completed"
+    Then stage workers of "v2" get pieces
+
   Scenario: A version that is not proved in time is rolled back
     When 20 calls come in 15 s, and runs take 100 ms on "v1" and 100 ms on "v2"
     Then the owner wants the rollout to be "rolled-back"
@@ -33,6 +38,15 @@
     And the same rollout is ordered again
     Then calls only go to "v1"
 
+  # Guards against an order that is ignored for good, since an earlier one for its version was rolled back.
+  Scenario: A version that was rolled back can be ordered once more
+    When 2600 calls come in 13 s, and runs take 100 ms on "v1" and 400 ms on "v2"
+    And the store has it as "rolled-back"
+    And the same version is ordered once more
+    Then calls go to "v1" and "v2"
+    When 2600 calls come in 14 s, and runs take 100 ms on "v1" and 110 ms on "v2"
+    Then the owner wants the rollout to be "completed"
+
   Scenario: A router that starts late learns the state from the store
     Given a router that reads from the store that the rollout was rolled back
     Then calls only go to "v1"
@@ -42,3 +56,7 @@
     Given a router that reads from the store that the rollout is running, and then its order
     When 200 calls come in 1 s, and runs take 100 ms on "v1" and 100 ms on "v2"
     Then the rollout still runs
+
+  Scenario: A version that was rolled back gets nothing after its order has been deleted
+    Given a router that reads from the store that the rollout was rolled back, and no order
+    Then calls only go to "v1"
--- a/packages/router/test/rollouts.steps.ts
+++ b/packages/router/test/rollouts.steps.ts
@@ -21,6 +21,8 @@
 /** Numbers from 0 to 1 that are spread evenly. */
 const GOLDEN_RATIO = 0.618_034;
 
+const ORDER_REVISION = 31;
+
 /** How often the owner decides. */
 const CALLS_PER_DECISION = 20;
 
@@ -46,7 +48,7 @@
       return drawn % 1;
     },
     unprovedShare: 0.1,
-    onChange: ({ state }) => {
+    onEnded: ({ state }) => {
       if (state === 'rolled-back') {
         world.rolledBackAtMs = world.rolloutClock.nowMs();
       }
@@ -65,7 +67,8 @@
     targets: number,
   ) {
     this.rolloutClock = ManualClock.create({ startWallMs: 1_000_000 });
-    this.order = { service, targetVersion: to, durationMs: durationS * 1_000 };
+    const durationMs = durationS * 1_000;
+    this.order = { service, targetVersion: to, durationMs, orderRevision: ORDER_REVISION };
     this.versionTargets = [from, to].flatMap((version) =>
       Array.from({ length: targets }, (_, index) => createTarget(version, index)),
     );
@@ -83,16 +86,24 @@
   'a router that reads from the store that the rollout was rolled back',
   function given(this: RolloutWorld) {
     this.rollouts = createRollouts(this);
-    setStatus(this, 'rolled-back');
+    setStored(this, 'rolled-back');
     this.rollouts.setOrder(this.order);
   },
 );
 
+Given(
+  'a router that reads from the store that the rollout was rolled back, and no order',
+  function given(this: RolloutWorld) {
+    this.rollouts = createRollouts(this);
+    setStored(this, 'rolled-back');
+  },
+);
+
 Given(
   'a router that reads from the store that the rollout is running, and then its order',
   function given(this: RolloutWorld) {
     this.rollouts = createRollouts(this);
-    setStatus(this, 'running');
+    setStored(this, 'running');
     this.rollouts.setOrder(this.order);
   },
 );
@@ -126,8 +137,13 @@
   this.rollouts.setOrder(this.order);
 });
 
+When('the same version is ordered once more', function when(this: RolloutWorld) {
+  this.order = { ...this.order, orderRevision: this.order.orderRevision + 10 };
+  this.rollouts.setOrder(this.order);
+});
+
 When('the store has it as {string}', function when(this: RolloutWorld, state: RolloutState) {
-  setStatus(this, state);
+  setStored(this, state);
 });
 
 Then('the rollout was rolled back within {int} s', function then(this: RolloutWorld, s: number) {
@@ -136,6 +152,27 @@
   assert.ok(tookMs <= s * 1_000, `${tookMs} ms`);
 });
 
+Then('calls go to "v1" and "v2"', function then(this: RolloutWorld) {
+  const versions = Array.from(
+    { length: 100 },
+    () => this.rollouts.select('shop', this.versionTargets)[0]?.version,
+  );
+  assert.deepEqual(new Set(versions), new Set(['v1', 'v2']));
+});
+
+Then(
+  'stage workers of "v2" get no pieces, and those of "v1" do',
+  function then(this: RolloutWorld) {
+    this.versionTargets.forEach((target) => {
+      assert.equal(this.rollouts.isUnproved(target), target.version === 'v2');
+    });
+  },
+);
+
+Then('stage workers of "v2" get pieces', function then(this: RolloutWorld) {
+  assert.ok(this.versionTargets.every((target) => !this.rollouts.isUnproved(target)));
+});
+
 Then('the rollout still runs', function then(this: RolloutWorld) {
   assert.equal(this.ownerState, 'running');
 });
@@ -166,9 +203,12 @@
   }
 });
 
-function setStatus(world: RolloutWorld, state: RolloutState): void {
-  const { service, targetVersion } = world.order;
-  world.rollouts.setStatus({ service, targetVersion, state, detail: '' });
+function setStored(world: RolloutWorld, state: RolloutState): void {
+  const { service, targetVersion, orderRevision } = world.order;
+  world.rollouts.setStored({
+    status: { service, targetVersion, state },
+    revision: orderRevision + 1,
+  });
 }
 
 async function makeCalls(
--- a/packages/router/test/router.feature
+++ b/packages/router/test/router.feature
@@ -139,6 +139,18 @@
     When 8 "stream" calls are made with the prompt parts "shared,deadly" and one of their own
     Then the targets got 8 sends
 
+  Scenario: While a rollout runs, calls go to the old version and are observed
+    Given a rollout to the version of target "b"
+    When 3 "stream" calls are made
+    Then each send went to target "a"
+    And the rollout saw 3 runs of the old version, 0 failed and 3 with a pace
+
+  Scenario: A run that fails is observed as failed
+    Given a rollout to the version of target "b"
+    And the connection breaks during each call
+    When 2 "order" calls are made
+    Then the rollout saw 2 runs of the old version, 2 failed and 2 with a pace
+
   Scenario: Keys are not accepted on old evidence
     Given the evidence for the configuration is 5001 ms old
     When an "order" call is made
--- a/packages/router/test/router.steps.ts
+++ b/packages/router/test/router.steps.ts
@@ -288,30 +288,6 @@
   assert.equal(this.sends.length, sends);
 });
 
-Given(
-  /^(\d+) targets that (crash|break connections) before they respond to the prompt part "([^"]*)"$/,
-  function given(this: RouterWorld, targets: string, how: string, deadlyPart: string) {
-    this.targetIds = Array.from({ length: Number(targets) }, (_, index) => `target-${index}`);
-    this.isTargetGone = how === 'crash';
-    this.context = createContext(this);
-    this.fallback = (opts) =>
-      opts.call.promptParts.some(({ id }) => id === deadlyPart)
-        ? respond({ body: createChunks([], 'other side closed') })
-        : streamEvents(opts);
-  },
-);
-
-When(
-  '{int} {string} calls are made with the prompt parts {string} and one of their own',
-  async function when(this: RouterWorld, calls: number, name: string, parts: string) {
-    for (let index = 0; index < calls; index += 1) {
-      const ids = [...parts.split(','), `own-${this.sends.length}-${index}`];
-      const promptParts = ids.map((id) => ({ id, tokens: 100 }));
-      await makeCall(this, { path: `/${name}/x?${index}`, promptParts });
-    }
-  },
-);
-
 Given(
   /^the response to each "[^"]*" call is bytes (?:that are no event )?without end$/,
   function given(this: RouterWorld) {
--- /dev/null
+++ b/packages/router/test/routerEvidence.steps.ts
@@ -0,0 +1,64 @@
+/** Steps on what calls show about targets: crashes and rollouts. */
+import assert from 'node:assert/strict';
+
+import { Given, Then, When } from '@cucumber/cucumber';
+
+import {
+  createChunks,
+  createContext,
+  makeCall,
+  respond,
+  type RouterWorld,
+  streamEvents,
+} from './support.js';
+
+Given(
+  /^(\d+) targets that (crash|break connections) before they respond to the prompt part "([^"]*)"$/,
+  function given(this: RouterWorld, targets: string, how: string, deadlyPart: string) {
+    this.targetIds = Array.from({ length: Number(targets) }, (_, index) => `target-${index}`);
+    this.isTargetGone = how === 'crash';
+    this.context = createContext(this);
+    this.fallback = (opts) =>
+      opts.call.promptParts.some(({ id }) => id === deadlyPart)
+        ? respond({ body: createChunks([], 'other side closed') })
+        : streamEvents(opts);
+  },
+);
+
+When(
+  '{int} {string} calls are made with the prompt parts {string} and one of their own',
+  async function when(this: RouterWorld, calls: number, name: string, parts: string) {
+    for (let index = 0; index < calls; index += 1) {
+      const ids = [...parts.split(','), `own-${this.sends.length}-${index}`];
+      const promptParts = ids.map((id) => ({ id, tokens: 100 }));
+      await makeCall(this, { path: `/${name}/x?${index}`, promptParts });
+    }
+  },
+);
+
+Given('a rollout to the version of target {string}', function given(this: RouterWorld, id: string) {
+  const target = this.context.targets.all().find((known) => known.id === id);
+  assert.ok(target);
+  const newer = { ...target, version: 'v2' };
+  this.context.targets.put({ id, target: newer, storeRevision: 2 });
+  this.context.rollouts.setOrder({
+    service: target.service,
+    targetVersion: newer.version,
+    durationMs: 15_000,
+    orderRevision: 3,
+  });
+});
+
+Then('each send went to target {string}', function then(this: RouterWorld, id: string) {
+  assert.ok(this.sends.length > 0);
+  assert.deepEqual([...new Set(this.sends.map(({ target }) => target.id))], [id]);
+});
+
+Then(
+  'the rollout saw {int} runs of the old version, {int} failed and {int} with a pace',
+  function then(this: RouterWorld, runs: number, failures: number, measured: number) {
+    const [evidence] = this.context.rollouts.takeEvidence();
+    const seen = evidence?.oldRuns ?? { runs: 0, failures: 0, measured: 0 };
+    assert.deepEqual([seen.runs, seen.failures, seen.measured], [runs, failures, measured]);
+  },
+);
--- a/packages/router/test/support.ts
+++ b/packages/router/test/support.ts
@@ -216,7 +216,7 @@
       timer,
       random: () => 0.5,
       unprovedShare: 0.1,
-      onChange: () => {},
+      onEnded: () => {},
     }),
     crashDetector: CrashDetector.create({
       probe: () => Promise.resolve(world.isTargetGone ? 'refused' : 'connected'),
--- a/packages/routerLink/src/acceptRouters.ts
+++ b/packages/routerLink/src/acceptRouters.ts
@@ -5,8 +5,8 @@
 import type {
   CrashEvidence,
   PieceResult,
+  RolloutDecision,
   RolloutEvidence,
-  RolloutStatus,
   StagePiece,
 } from '@galenatiller/types';
 
@@ -26,7 +26,7 @@
   readonly mergeCrashEvidence: (evidence: readonly CrashEvidence[]) => void;
   /** Adds evidence to the rollouts that this router owns. */
   readonly addRolloutEvidence: (evidence: readonly RolloutEvidence[]) => void;
-  readonly setRolloutStatus: (status: RolloutStatus) => void;
+  readonly endRollout: (decision: RolloutDecision) => void;
 }
 
 /** Options of {@link acceptRouters}. */
@@ -97,8 +97,8 @@
   if (frame.kind === 'rollout-evidence') {
     opts.service.addRolloutEvidence(frame.evidence);
   }
-  if (frame.kind === 'rollout-status') {
-    opts.service.setRolloutStatus(frame.status);
+  if (frame.kind === 'rollout-decision') {
+    opts.service.endRollout(frame.decision);
   }
   if (frame.kind === 'piece-order') {
     const controller = new AbortController();
--- a/packages/routerLink/src/followRouter.ts
+++ b/packages/routerLink/src/followRouter.ts
@@ -4,8 +4,8 @@
 import type {
   CrashEvidence,
   PieceResult,
+  RolloutDecision,
   RolloutEvidence,
-  RolloutStatus,
   StagePiece,
 } from '@galenatiller/types';
 
@@ -130,9 +130,9 @@
     return this.send({ kind: 'rollout-evidence', evidence });
   }
 
-  /** Shares the status of a rollout, if the link is open. */
-  shareRolloutStatus(status: RolloutStatus): void {
-    this.send({ kind: 'rollout-status', status });
+  /** Shares what was decided on a rollout, if the link is open. */
+  shareRolloutDecision(decision: RolloutDecision): void {
+    this.send({ kind: 'rollout-decision', decision });
   }
 
   /** The task of the link: opens it, reads frames until it ends, and opens it again. */
--- a/packages/routerLink/src/routerFrames.ts
+++ b/packages/routerLink/src/routerFrames.ts
@@ -1,8 +1,8 @@
 import type {
   CrashEvidence,
   PieceResult,
+  RolloutDecision,
   RolloutEvidence,
-  RolloutStatus,
 } from '@galenatiller/types';
 
 /** The first frame on a link, sent by the router that opened it. */
@@ -65,9 +65,9 @@
 }
 
 /** Tells a peer that a rollout has been rolled back, which must not wait for the store. */
-export interface RolloutStatusFrame {
-  readonly kind: 'rollout-status';
-  readonly status: RolloutStatus;
+export interface RolloutDecisionFrame {
+  readonly kind: 'rollout-decision';
+  readonly decision: RolloutDecision;
 }
 
 /** Checks that the peer is alive, or confirms it. */
@@ -84,5 +84,5 @@
   | FreeFrame
   | CrashEvidenceFrame
   | RolloutEvidenceFrame
-  | RolloutStatusFrame
+  | RolloutDecisionFrame
   | KeepAliveFrame;
--- a/packages/routerLink/src/wireRouterFrame.ts
+++ b/packages/routerLink/src/wireRouterFrame.ts
@@ -4,8 +4,8 @@
   CrashEvidence,
   PieceFailure,
   PieceResult,
+  RolloutDecision,
   RolloutEvidence,
-  RolloutStatus,
 } from '@galenatiller/types';
 import { Encoder } from 'cbor-x';
 import { Result } from 'true-myth';
@@ -82,7 +82,7 @@
   'crash-evidence': ({ evidence }) => Array.isArray(evidence) && evidence.every(isCrashEvidence),
   'rollout-evidence': ({ evidence }) =>
     Array.isArray(evidence) && evidence.every(isRolloutEvidence),
-  'rollout-status': ({ status }) => isRolloutStatus(status),
+  'rollout-decision': ({ decision }) => isRolloutDecision(decision),
   ping: () => true,
   pong: () => true,
 };
@@ -124,17 +124,19 @@
 function isRolloutEvidence(value: unknown): value is RolloutEvidence {
   const fields = asFields(value);
   return (
-    areStrings(fields, ['service', 'targetVersion']) &&
+    areStrings(fields, ['service']) &&
+    areNumbers(fields, ['orderRevision']) &&
     [fields.newRuns, fields.oldRuns].every((runs) =>
       areNumbers(asFields(runs), ['runs', 'failures', 'measured', 'paceSumMs']),
     )
   );
 }
 
-function isRolloutStatus(value: unknown): value is RolloutStatus {
+function isRolloutDecision(value: unknown): value is RolloutDecision {
   const fields = asFields(value);
   return (
-    areStrings(fields, ['service', 'targetVersion']) &&
+    areStrings(fields, ['service', 'targetVersion', 'detail']) &&
+    areNumbers(fields, ['orderRevision']) &&
     ['running', 'completed', 'rolled-back'].includes(String(fields.state))
   );
 }
--- a/packages/routerLink/test/routerLink.feature
+++ b/packages/routerLink/test/routerLink.feature
@@ -40,6 +40,6 @@
     When the peer shares evidence about crashes
     Then the owner gets the evidence
 
-  Scenario: Evidence on a rollout goes to its owner, and its status to all
-    When the peer sends evidence on a rollout and shares its status
+  Scenario: Evidence on a rollout and the decision on it are passed on
+    When the peer sends evidence on a rollout and shares its decision
     Then the owner gets both
--- a/packages/routerLink/test/routerLink.steps.ts
+++ b/packages/routerLink/test/routerLink.steps.ts
@@ -12,8 +12,8 @@
   CrashEvidence,
   PieceFailure,
   PieceResult,
+  RolloutDecision,
   RolloutEvidence,
-  RolloutStatus,
   StagePiece,
 } from '@galenatiller/types';
 import fc from 'fast-check';
@@ -42,7 +42,7 @@
   writes: Buffer[];
   evidenceAtOwner: readonly CrashEvidence[] | undefined;
   rolloutEvidenceAtOwner: readonly RolloutEvidence[] | undefined;
-  rolloutStatusAtOwner: RolloutStatus | undefined;
+  decisionAtOwner: RolloutDecision | undefined;
 }
 
 const SEED = 20_261_204;
@@ -121,8 +121,8 @@
         addRolloutEvidence: (evidence) => {
           this.rolloutEvidenceAtOwner = evidence;
         },
-        setRolloutStatus: (status) => {
-          this.rolloutStatusAtOwner = status;
+        endRollout: (decision) => {
+          this.decisionAtOwner = decision;
         },
         mergeCrashEvidence: (evidence) => {
           this.evidenceAtOwner = evidence;
@@ -292,24 +292,29 @@
 
 const ROLLOUT_EVIDENCE: RolloutEvidence = {
   service: 'shop',
-  targetVersion: 'v2',
+  orderRevision: 31,
   newRuns: RUNS,
   oldRuns: RUNS,
 };
 
-const ROLLOUT_STATUS: RolloutStatus = {
+const DECISION: RolloutDecision = {
   service: 'shop',
   targetVersion: 'v2',
+  orderRevision: 31,
   state: 'rolled-back',
+  detail: 'slower',
 };
 
-When('the peer sends evidence on a rollout and shares its status', function when(this: LinkWorld) {
-  assert.ok(this.peer.sendRolloutEvidence([ROLLOUT_EVIDENCE]));
-  this.peer.shareRolloutStatus(ROLLOUT_STATUS);
-});
+When(
+  'the peer sends evidence on a rollout and shares its decision',
+  function when(this: LinkWorld) {
+    assert.ok(this.peer.sendRolloutEvidence([ROLLOUT_EVIDENCE]));
+    this.peer.shareRolloutDecision(DECISION);
+  },
+);
 
 Then('the owner gets both', async function then(this: LinkWorld) {
-  await waitUntil(() => this.rolloutStatusAtOwner !== undefined, 'the status never arrived');
-  assert.deepEqual(this.rolloutStatusAtOwner, ROLLOUT_STATUS);
+  await waitUntil(() => this.decisionAtOwner !== undefined, 'the decision never arrived');
+  assert.deepEqual(this.decisionAtOwner, DECISION);
   assert.deepEqual(this.rolloutEvidenceAtOwner, [ROLLOUT_EVIDENCE]);
 });
--- a/packages/types/src/rollout.ts
+++ b/packages/types/src/rollout.ts
@@ -4,6 +4,8 @@
   readonly targetVersion: string;
   /** Time in which the rollout has to be completed or rolled back. */
   readonly durationMs: number;
+  /** Revision of the store at which the order was written; an order that is written again is a new one. */
+  readonly orderRevision: number;
 }
 
 /** State of a rollout, as it is kept in the store. */
@@ -26,10 +28,17 @@
   readonly paceSumMs: number;
 }
 
-/** What a node has seen of a rollout since it last told the others. */
+/** The state that the owner of a rollout has decided on. */
+export interface RolloutDecision extends RolloutStatus {
+  readonly orderRevision: number;
+  /** What was seen of the versions. */
+  readonly detail: string;
+}
+
+/** What a node has seen of a rollout since it last told the owner. */
 export interface RolloutEvidence {
   readonly service: string;
-  readonly targetVersion: string;
+  readonly orderRevision: number;
   readonly newRuns: VersionRuns;
   readonly oldRuns: VersionRuns;
 }
