Count no run of a version for a response that its caller leaves

Evidence on a rollout: an idempotent call whose caller disconnected during the response was recorded as a sound run, with the time until then as its pace. Callers leave slow responses first, so a slow version looked faster than it is. Such a run counts for nothing now, or, for a stream, as far as its pace was measured.

--- a/packages/router/src/runAttempts.ts
+++ b/packages/router/src/runAttempts.ts
@@ -194,11 +194,11 @@
     },
   });
   progress.recordForwarded(forwarded);
-  observation.end({
-    isFailed:
-      response.status >= 500 ||
-      (forwarded.kind === 'interrupted' && !exchange.disconnected.aborted),
-  });
+  if (exchange.disconnected.aborted) {
+    observation.abandon();
+  } else {
+    observation.end({ isFailed: response.status >= 500 || forwarded.kind === 'interrupted' });
+  }
   if (forwarded.kind === 'complete') {
     return { kind: 'answered', status: response.status, target: target.id };
   }
--- a/packages/router/src/runObservation.ts
+++ b/packages/router/src/runObservation.ts
@@ -41,12 +41,23 @@
 
   /** Records the run as ended. */
   end({ isFailed }: { readonly isFailed: boolean }): void {
-    if (this.isRecorded) {
-      return;
+    const { timer, isStream } = this.opts;
+    this.record(isFailed, isStream ? this.meter.paceMs : timer.nowMs() - this.sentAtMs);
+  }
+
+  /** Records a stream as far as it came; a caller that leaves says nothing else about the target. */
+  abandon(): void {
+    const { paceMs } = this.meter;
+    if (this.opts.isStream && paceMs !== undefined) {
+      this.record(false, paceMs);
+    }
+  }
+
+  private record(isFailed: boolean, paceMs: number | undefined): void {
+    if (!this.isRecorded) {
+      this.isRecorded = true;
+      const { rollouts, target } = this.opts;
+      rollouts.observe({ target, isFailed, paceMs });
     }
-    this.isRecorded = true;
-    const { timer, rollouts, target, isStream } = this.opts;
-    const paceMs = isStream ? this.meter.paceMs : timer.nowMs() - this.sentAtMs;
-    rollouts.observe({ target, isFailed, paceMs });
   }
 }
--- a/packages/router/test/router.feature
+++ b/packages/router/test/router.feature
@@ -151,6 +151,21 @@
     When 2 "order" calls are made
     Then the rollout saw 2 runs of the old version, 2 failed and 2 with a pace
 
+  Scenario: A caller that leaves says nothing about a version
+    Given a rollout to the version of target "b"
+    And the targets never respond
+    When a "stream" call is made
+    And the caller disconnects
+    Then the rollout saw 0 runs of the old version, 0 failed and 0 with a pace
+
+  # Guards against a slow version that is taken for a fast one, since its callers leave before its responses end.
+  Scenario: A response that its caller leaves is no run of a version
+    Given a rollout to the version of target "b"
+    And responses begin and never end
+    When a "safe" call is made
+    And the caller disconnects
+    Then the rollout saw 0 runs of the old version, 0 failed and 0 with a pace
+
   Scenario: Keys are not accepted on old evidence
     Given the evidence for the configuration is 5001 ms old
     When an "order" call is made
--- a/packages/router/test/routerEvidence.steps.ts
+++ b/packages/router/test/routerEvidence.steps.ts
@@ -1,5 +1,6 @@
 /** Steps on what calls show about targets: crashes and rollouts. */
 import assert from 'node:assert/strict';
+import { once } from 'node:events';
 
 import { Given, Then, When } from '@cucumber/cucumber';
 
@@ -49,6 +50,15 @@
   });
 });
 
+Given('responses begin and never end', function given(this: RouterWorld) {
+  async function* createBody(signal: AbortSignal): AsyncGenerator<Buffer> {
+    yield Buffer.from('beginning');
+    await once(signal, 'abort');
+    throw new Error('aborted');
+  }
+  this.fallback = ({ signal }) => respond({ body: createBody(signal) });
+});
+
 Then('each send went to target {string}', function then(this: RouterWorld, id: string) {
   assert.ok(this.sends.length > 0);
   assert.deepEqual([...new Set(this.sends.map(({ target }) => target.id))], [id]);
