Stop native prompts by a part that crashes engines, though no two are alike

Cause: evidence kept under the name of one request, as on the router before. Why this works: prompts have fingerprints of how they begin, at each block boundary. A run that crashes its engine before it responds makes them suspects, a response clears them on any node, and three crashed starts stop them (422, not run) at entries and gates. The evidence goes in the crashes frame, in a field that older nodes ignore.

The simulation's engines now report their starts as real ones do; before, an engine that had crashed once was never used again.

--- a/features/schedules.feature
+++ b/features/schedules.feature
@@ -13,3 +13,10 @@
     When every gate is killed in turn during a store outage with zone "east-a" out
     Then every call after the outage began is answered
     And the history has no violations
+
+  # Guards against a shared part of prompts that crashes engines one after another, through prompts never alike.
+  Scenario: A part of prompts that crashes engines is stopped, and prompts that share the others are served
+    When 40 drafts with a part that crashes engines come among 120 that share their other parts
+    Then at most 5 runs of drafts with that part reached engines
+    And at least 114 of the others are answered
+    And the history has no violations
--- a/features/schedules.steps.ts
+++ b/features/schedules.steps.ts
@@ -1,7 +1,8 @@
 import assert from 'node:assert/strict';
 
 import { Then, When } from '@cucumber/cucumber';
-import type { Verdict } from '@galenatiller/bench';
+import type { History, Verdict } from '@galenatiller/bench';
+import { PREFIX_BLOCK_CHARS } from '@galenatiller/constants';
 import { standardPolicy } from '@galenatiller/entry';
 import {
   createMemoryRunRecords,
@@ -13,7 +14,8 @@
 import { uniformFloat64 } from 'pure-rand/distribution/uniformFloat64';
 import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
 
-import { Simulation } from './support/simulation/simulation.js';
+import { POISON_MARKER } from './support/simulation/simulatedTargets.js';
+import { Simulation, type SimulationResult } from './support/simulation/simulation.js';
 import type {
   ScheduledFault,
   SimulationMechanisms,
@@ -21,7 +23,10 @@
 } from './support/simulation/simulationTypes.js';
 
 interface ScheduleWorld {
+  history: History;
   verdict: Verdict;
+  /** Whether the prompt of each request has the part that crashes engines. */
+  arePoisoned: readonly boolean[];
 }
 
 const STANDARD_MECHANISMS: SimulationMechanisms = {
@@ -110,7 +115,7 @@
       atMs: killedAtMs,
       durationMs: 200,
     });
-    this.verdict = await runSchedule(
+    const result = await runSchedule(
       {
         seed: 5,
         faults: [
@@ -129,6 +134,7 @@
       },
       STANDARD_MECHANISMS,
     );
+    this.verdict = result.verdict;
   },
 );
 
@@ -140,14 +146,66 @@
   assert.deepEqual(this.verdict.violations, []);
 });
 
+When(
+  '{int} drafts with a part that crashes engines come among {int} that share their other parts',
+  { timeout: 60_000 },
+  async function when(this: ScheduleWorld, poisoned: number, sound: number) {
+    const total = poisoned + sound;
+    this.arePoisoned = Array.from(
+      { length: total },
+      (_, index) => index % (total / poisoned) === 0,
+    );
+    const requests = this.arePoisoned.map((isPoisoned, index) => ({
+      route: 'draft' as const,
+      entryIndex: Math.floor(index / 2) % 2,
+      key: index,
+      atMs: index * 100,
+      prompt: ['shared', isPoisoned ? POISON_MARKER : 'sound', `own ${index}`]
+        .map(createPart)
+        .join(''),
+    }));
+    const result = await runSchedule({ seed: 11, faults: [], requests }, STANDARD_MECHANISMS);
+    this.history = result.history;
+    this.verdict = result.verdict;
+  },
+);
+
+Then(
+  'at most {int} runs of drafts with that part reached engines',
+  function then(this: ScheduleWorld, maxRuns: number) {
+    const runs = selectPoisoned(this.arePoisoned, this.history.requests).flatMap(({ requestId }) =>
+      this.history.runs.filter((run) => run.requestId === requestId),
+    );
+    assert.ok(runs.length <= maxRuns, `${runs.length} runs`);
+  },
+);
+
+Then(
+  'at least {int} of the others are answered',
+  function then(this: ScheduleWorld, minAnswered: number) {
+    assert.ok(this.verdict.answered >= minAnswered, `${this.verdict.answered} answered`);
+  },
+);
+
+function createPart(text: string): string {
+  return text.padEnd(PREFIX_BLOCK_CHARS, '.');
+}
+
+function selectPoisoned(
+  arePoisoned: readonly boolean[],
+  requests: History['requests'],
+): History['requests'] {
+  return requests.filter((_, index) => arePoisoned[index]);
+}
+
 async function findViolations(schedule: SimulationSchedule, mechanisms: SimulationMechanisms) {
-  return (await runSchedule(schedule, mechanisms)).violations;
+  return (await runSchedule(schedule, mechanisms)).verdict.violations;
 }
 
 async function runSchedule(
   schedule: SimulationSchedule,
   mechanisms: SimulationMechanisms,
-): Promise<Verdict> {
+): Promise<SimulationResult> {
   const generator = xoroshiro128plus(schedule.seed);
   const random = (): number => uniformFloat64(generator);
   return Simulation.run({ schedule, mechanisms, random });
--- a/features/support/simulation/sendRequest.ts
+++ b/features/support/simulation/sendRequest.ts
@@ -80,7 +80,7 @@
     text: '',
     expected:
       request.route === 'draft'
-        ? computeExpectedCompletion(getPrompt(index), DRAFT_TOKENS)
+        ? computeExpectedCompletion(getPrompt(request, index), DRAFT_TOKENS)
         : computeExpectedReceipt(runKey, JSON.stringify(getBody(request))),
     end: { kind: 'unanswered', detail: 'the request did not end' },
   };
@@ -90,7 +90,7 @@
   return {
     organisation: 'booking-desk',
     route: request.route,
-    prompt: getPrompt(index),
+    prompt: getPrompt(request, index),
     body: getBody(request),
     maxTokens: 0,
     deadlineMs: 0,
@@ -102,8 +102,8 @@
   };
 }
 
-function getPrompt(index: number): string {
-  return `prompt ${index}`;
+function getPrompt(request: ScheduledRequest, index: number): string {
+  return request.prompt ?? `prompt ${index}`;
 }
 
 function getBody(request: ScheduledRequest): { readonly prop: number } {
--- a/features/support/simulation/simulatedNodes.ts
+++ b/features/support/simulation/simulatedNodes.ts
@@ -52,6 +52,9 @@
 
 const MAX_FRAME_DELAY_MS = 3;
 
+/** Interval at which a gate asks its targets for their identity. */
+const POLL_INTERVAL_MS = 200;
+
 function createNode(context: SimulationContext, role: NodeRole, index: number): SimulatedNode {
   const clock = NodeClock.create({ base: context.clock });
   const identity: NodeIdentity = {
@@ -127,7 +130,7 @@
       service: (opts) => resumeOnClock(timer, target?.call(opts)),
       pool: rejectPool,
     },
-    watchTarget: () => Promise.resolve(),
+    watchTarget: (opts) => watchTarget({ ...opts, timer, target }),
     probeTarget: () => Promise.resolve(target?.isUp === false ? 'crashed' : 'alive'),
     policy: context.mechanisms.gatePolicy,
     record: () => {},
@@ -137,6 +140,21 @@
   return { ...node, gate };
 }
 
+async function watchTarget(opts: {
+  readonly timer: TimerService;
+  readonly target: SimulatedTargets | undefined;
+  readonly onStartId: (startId: string) => void;
+  readonly signal: AbortSignal;
+}): Promise<void> {
+  const { timer, target, onStartId, signal } = opts;
+  while (target && !signal.aborted) {
+    if (target.isUp) {
+      onStartId(target.startId);
+    }
+    await timer.sleep({ delayMs: POLL_INTERVAL_MS, signal });
+  }
+}
+
 /** Starts an entry that knows every gate. */
 export function startEntry(context: SimulationContext, index: number): SimulatedEntry {
   const node = createNode(context, 'entry', index);
--- a/features/support/simulation/simulatedTargets.ts
+++ b/features/support/simulation/simulatedTargets.ts
@@ -36,6 +36,8 @@
 
   private isDown = false;
 
+  private starts = 1;
+
   private constructor(
     private readonly timer: TimerService,
     private readonly host: { readonly name: string; readonly availabilityZone: string },
@@ -55,6 +57,11 @@
     return !this.isDown;
   }
 
+  /** Identity of the targets' process; another one after each restart. */
+  get startId(): string {
+    return `start-${this.starts}`;
+  }
+
   /** Changes the given faults and keeps the others. */
   setFaults(faults: Partial<TargetFaults>): void {
     this.faults = { ...this.faults, ...faults };
@@ -69,6 +76,7 @@
       notify: () => {
         this.crashController = new AbortController();
         this.isDown = false;
+        this.starts += 1;
       },
     });
   }
--- a/features/support/simulation/simulation.ts
+++ b/features/support/simulation/simulation.ts
@@ -1,5 +1,6 @@
 import {
   checkHistory,
+  type History,
   type RequestRecord,
   type Verdict,
   type ZoneChange,
@@ -32,6 +33,12 @@
 const SETTLE_MS = 2_000;
 const RUN_MS = 30_000;
 
+/** The history of a run, and what the checker says of it. */
+export interface SimulationResult {
+  readonly history: History;
+  readonly verdict: Verdict;
+}
+
 /** Runs the real tasks of entries and gates in one process, on a manual clock and without sockets. */
 export class Simulation {
   private readonly clock = ManualClock.create({ startWallMs: START_WALL_MS });
@@ -72,12 +79,12 @@
     readonly schedule: SimulationSchedule;
     readonly mechanisms: SimulationMechanisms;
     readonly random: () => number;
-  }): Promise<Verdict> {
+  }): Promise<SimulationResult> {
     const simulation = new Simulation(opts.schedule, opts.mechanisms, opts.random);
     return simulation.run();
   }
 
-  private async run(): Promise<Verdict> {
+  private async run(): Promise<SimulationResult> {
     this.publish(() => {});
     for (let index = 0; index < GATE_COUNT; index += 1) {
       this.startGate(index);
@@ -93,13 +100,14 @@
       this.timer.after({ delayMs: request.atMs, notify: () => this.send(request, index) });
     });
     await this.clock.advance({ byMs: RUN_MS });
-    return checkHistory({
+    const history: History = {
       requests: this.requests,
       runs: this.targets.flatMap(({ runs }) => runs),
       effects: this.targets.flatMap(({ effects }) => effects),
       zoneChanges: this.zoneChanges,
       coldOverloads: 0,
-    });
+    };
+    return { history, verdict: checkHistory(history) };
   }
 
   private injectFault(fault: ScheduledFault): void {
--- a/features/support/simulation/simulationTypes.ts
+++ b/features/support/simulation/simulationTypes.ts
@@ -34,6 +34,8 @@
   readonly entryIndex: number;
   readonly key: number;
   readonly atMs: number;
+  /** Prompt of a draft; the default is one of its own. */
+  readonly prompt?: string;
 }
 
 /** Seed, requests and faults of one run of the simulation. */
--- a/packages/engine/src/index.ts
+++ b/packages/engine/src/index.ts
@@ -1,5 +1,6 @@
 /** Client of model engines, with the limits and records that protect engines from overload. */
 export { ColdStartLimit, type ColdStartLimitOptions } from './coldStartLimit.js';
+export { CrashHistory, type CrashHistoryOptions } from './crashHistory.js';
 export {
   CrashRegistry,
   type CrashRegistryOptions,
@@ -17,6 +18,7 @@
   type PrefixCacheTrackerOptions,
   type PromptPrefixes,
 } from './prefixCacheTracker.js';
+export { computePrefixFingerprints } from './computePrefixFingerprints.js';
 export { computePrefixHashes } from './computePrefixHashes.js';
 export { runGeneration, type RunGenerationOptions } from './runGeneration.js';
 export { sendEngineOrder, type SendEngineOrderOptions } from './sendEngineOrder.js';
--- a/packages/entry/src/callContext.ts
+++ b/packages/entry/src/callContext.ts
@@ -1,5 +1,5 @@
 import type { Call, WritePart } from '@galenatiller/caller';
-import type { CrashRegistry } from '@galenatiller/engine';
+import type { CrashHistory } from '@galenatiller/engine';
 import type { RecordOptions } from '@galenatiller/timeline';
 import type { SmoothedDurations, TimerService } from '@galenatiller/timer';
 import type { Configuration, RouteRule } from '@galenatiller/types';
@@ -22,7 +22,7 @@
   readonly policy: EntryPolicy;
   readonly timer: TimerService;
   readonly record: (event: RecordOptions) => void;
-  readonly crashes: CrashRegistry;
+  readonly crashes: CrashHistory;
   readonly retryBudget: RetryBudget;
   readonly stageDurations: SmoothedDurations;
   readonly versions: VersionMoves;
--- a/packages/entry/src/createEntry.ts
+++ b/packages/entry/src/createEntry.ts
@@ -5,7 +5,7 @@
   type WritePart,
 } from '@galenatiller/caller';
 import { indexRules } from '@galenatiller/configuration';
-import { CrashRegistry } from '@galenatiller/engine';
+import { CrashHistory } from '@galenatiller/engine';
 import type { GalenatillerError } from '@galenatiller/error';
 import { createLogger } from '@galenatiller/logger';
 import {
@@ -84,7 +84,7 @@
   let entryCount = 1;
   let configuration = indexRules({ revision: 0, rules: [] });
   const readConfiguration = (): Configuration => configuration;
-  const crashes = CrashRegistry.create({ timer: opts.timer });
+  const crashes = CrashHistory.create({ ...opts, share: (items) => gossip.shareEvidence(items) });
   const versions = VersionMoves.create({
     wallMs: () => opts.timer.wallMs(),
     random: opts.random,
@@ -153,12 +153,12 @@
 
 function createGossip(
   opts: CreateEntryOptions,
-  crashes: CrashRegistry,
+  crashes: CrashHistory,
   versions: VersionMoves,
   sendToAll: (frame: NodeFrame) => void,
 ): NodeGossip {
   return NodeGossip.create({
-    crashes: { all: () => crashes.records, merge: (records) => crashes.merge(records) },
+    ...crashes.exchanged(),
     versions: { all: () => versions.notices, merge: (notices) => versions.merge(notices) },
     sendToAll,
     onVersionsStopped: (notices) => {
--- a/packages/entry/src/runCall.ts
+++ b/packages/entry/src/runCall.ts
@@ -1,6 +1,6 @@
 import type { Call, CallResponse, OrganisationLimiter, WritePart } from '@galenatiller/caller';
 import { GalenatillerError } from '@galenatiller/error';
-import type { CrashRegistry } from '@galenatiller/engine';
+import type { CrashHistory } from '@galenatiller/engine';
 import type { RecordOptions } from '@galenatiller/timeline';
 import type { SmoothedDurations, TimerService } from '@galenatiller/timer';
 import type {
@@ -27,7 +27,7 @@
   readonly policy: EntryPolicy;
   readonly timer: TimerService;
   readonly record: (event: RecordOptions) => void;
-  readonly crashes: CrashRegistry;
+  readonly crashes: CrashHistory;
   readonly retryBudget: RetryBudget;
   readonly stageDurations: SmoothedDurations;
   readonly versions: VersionMoves;
--- a/packages/entry/src/runStage.ts
+++ b/packages/entry/src/runStage.ts
@@ -1,4 +1,3 @@
-import { computeFingerprint } from '@galenatiller/engine';
 import {
   findResultCodeByNumber,
   GalenatillerError,
@@ -43,7 +42,7 @@
       return Result.err(createAbortError(context, outcome));
     }
     const request = buildRequest(opts, triedTargets.length, delivered);
-    if (context.crashes.findStatus(computeFingerprint(request)) === 'stopped') {
+    if (context.crashes.isStopped(request)) {
       return Result.err(createStoppedError(stage, outcome));
     }
     const target = chooseNextTarget(opts, request, triedTargets);
--- a/packages/gate/src/crashGuard.ts
+++ b/packages/gate/src/crashGuard.ts
@@ -1,10 +1,14 @@
-import { type CrashRegistry, computeFingerprint } from '@galenatiller/engine';
+import {
+  type CrashHistory,
+  computeFingerprint,
+  computePrefixFingerprints,
+} from '@galenatiller/engine';
 import type { NodeGossip } from '@galenatiller/node';
 import type { StageRequest } from '@galenatiller/types';
 
 /** Options of {@link CrashGuard.create}. */
 export interface CrashGuardOptions {
-  readonly registry: CrashRegistry;
+  readonly crashes: CrashHistory;
   /** Notifies other nodes of new crash records. */
   readonly gossip: Pick<NodeGossip, 'shareCrashes'>;
 }
@@ -12,14 +16,24 @@
 /** Whether a stage request may run on a target. */
 export type CrashDecision = 'run' | 'stopped' | 'wait-for-suspect';
 
-/** Stops requests whose content crashes the targets that run them. */
+/** A run that has ended. */
+export interface GuardedRun {
+  readonly request: StageRequest;
+  /** The start of the target that ran it. */
+  readonly targetStart: string;
+  /** Whether the target began to respond. */
+  readonly hasStarted: boolean;
+  readonly hasCrashed: boolean;
+}
+
+/** Stops requests whose content, or the beginning of whose prompt, crashes the targets that run them. */
 export class CrashGuard {
   /** Suspect content that runs on each target: it was running on another target that crashed. */
   private readonly runningSuspects = new Map<string, string>();
 
   private constructor(private readonly opts: CrashGuardOptions) {}
 
-  /** Creates a guard over a crash registry. */
+  /** Creates a guard over a history of crashes. */
   static create(opts: CrashGuardOptions): CrashGuard {
     return new CrashGuard(opts);
   }
@@ -27,11 +41,11 @@
   /** Decides whether a request may run. After `run`, `onRunEnded` must be called. */
   admit(request: StageRequest): CrashDecision {
     const content = computeFingerprint(request);
-    const status = this.opts.registry.findStatus(content);
-    if (status === 'stopped') {
+    const { crashes } = this.opts;
+    if (crashes.isStopped(request)) {
       return 'stopped';
     }
-    if (status === 'suspect') {
+    if (crashes.contents.findStatus(content) === 'suspect') {
       // With only one suspect per target at a time, a second crash identifies the cause.
       if (this.runningSuspects.has(request.targetName)) {
         return 'wait-for-suspect';
@@ -41,8 +55,21 @@
     return 'run';
   }
 
+  /** Records that a target began to respond. */
+  onStarted(request: StageRequest): void {
+    this.opts.crashes.prefixes.recordSound(computePrefixFingerprints(request));
+  }
+
   /** Records that a run ended and whether the target crashed during it. */
-  onRunEnded(request: StageRequest, crashed: boolean): void {
+  onRunEnded({ request, targetStart, hasStarted, hasCrashed }: GuardedRun): void {
+    if (hasCrashed && !hasStarted) {
+      const fingerprints = computePrefixFingerprints(request);
+      this.opts.crashes.prefixes.recordCrash({ targetStart, fingerprints });
+    }
+    this.recordContent(request, hasCrashed);
+  }
+
+  private recordContent(request: StageRequest, crashed: boolean): void {
     const content = computeFingerprint(request);
     const suspect = this.runningSuspects.get(request.targetName);
     if (suspect === content) {
@@ -52,7 +79,7 @@
       return;
     }
     this.opts.gossip.shareCrashes([
-      this.opts.registry.record({ fingerprint: content, targetName: request.targetName }),
+      this.opts.crashes.contents.record({ fingerprint: content, targetName: request.targetName }),
     ]);
   }
 }
--- a/packages/gate/src/createGate.ts
+++ b/packages/gate/src/createGate.ts
@@ -1,5 +1,5 @@
 import { indexRules } from '@galenatiller/configuration';
-import { CrashRegistry } from '@galenatiller/engine';
+import { CrashHistory } from '@galenatiller/engine';
 import { createLogger, type Logger } from '@galenatiller/logger';
 import {
   type ConfigurationExchange,
@@ -74,17 +74,17 @@
   const links = new Map<Link, string>();
   let configuration = indexRules({ revision: 0, rules: [] });
   const readConfiguration = (): Configuration => configuration;
-  const crashes = CrashRegistry.create({ timer });
+  const crashes = CrashHistory.create({ ...opts, share: (items) => gossip.shareEvidence(items) });
   const versions = StoppedVersions.create();
   const gossip = NodeGossip.create({
-    crashes: { all: () => crashes.records, merge: (records) => crashes.merge(records) },
+    ...crashes.exchanged(),
     versions: { all: () => versions.notices, merge: (notices) => versions.merge(notices) },
     sendToAll: (frame) => links.forEach((_, link) => link.send(frame)),
   });
   const context: GateContext = {
     ...opts,
     targets: createTargets(opts, readConfiguration),
-    crashGuard: CrashGuard.create({ registry: crashes, gossip }),
+    crashGuard: CrashGuard.create({ crashes, gossip }),
     tasks: requestTasks,
     stoppedVersions: versions,
     readConfiguration,
--- a/packages/gate/src/runStageRequest.ts
+++ b/packages/gate/src/runStageRequest.ts
@@ -71,9 +71,13 @@
     source: 'target',
   };
   let firstPartAtMs = 0;
+  const targetStart = `${request.targetName} ${target.startId}`;
   try {
     const onPart = (part: StagePart): void => {
-      firstPartAtMs ||= context.timer.nowMs();
+      if (firstPartAtMs === 0) {
+        firstPartAtMs = context.timer.nowMs();
+        context.crashGuard.onStarted(request);
+      }
       opts.onPart(part);
     };
     result = await runAdmitted({ ...opts, onPart }, target, remainingMs);
@@ -85,7 +89,12 @@
       firstPartMs: (firstPartAtMs || endedAtMs) - admission.startedAtMs,
       runMs: endedAtMs - admission.startedAtMs,
     });
-    context.crashGuard.onRunEnded(request, await hasCrashed(context, target, result.end));
+    context.crashGuard.onRunEnded({
+      request,
+      targetStart,
+      hasStarted: firstPartAtMs > 0,
+      hasCrashed: await hasCrashed(context, target, result.end),
+    });
   }
   return { ...result.end, runMs: context.timer.nowMs() - admission.startedAtMs };
 }
--- a/packages/node/src/frames.ts
+++ b/packages/node/src/frames.ts
@@ -1,5 +1,6 @@
 import type {
   AttemptId,
+  CrashEvidence,
   NodeRole,
   Rule,
   StageEnd,
@@ -85,6 +86,8 @@
 export interface CrashesFrame {
   readonly kind: 'crashes';
   readonly records: readonly CrashNotice[];
+  /** What was seen of the beginnings of prompts. */
+  readonly evidence: readonly CrashEvidence[];
 }
 
 /** A version that was stopped because it misbehaves, as exchanged between nodes. */
--- a/packages/node/src/nodeGossip.ts
+++ b/packages/node/src/nodeGossip.ts
@@ -1,22 +1,29 @@
-import type { CrashNotice, NodeFrame, StoppedVersionNotice } from './frames.js';
+import type { CrashEvidence } from '@galenatiller/types';
+import { chunksOf } from 'fp-ts/lib/ReadonlyArray.js';
 
-/** A set to which items are only added; `merge` returns the items that were new. */
-export interface GrowOnlySet<Item> {
+import type { CrashesFrame, CrashNotice, NodeFrame, StoppedVersionNotice } from './frames.js';
+
+/** Items that all nodes get; `merge` returns the items that were new. */
+export interface SharedItems<Item> {
   readonly all: () => readonly Item[];
   readonly merge: (items: readonly Item[]) => readonly Item[];
 }
 
 /** Options of {@link NodeGossip.create}. */
 export interface NodeGossipOptions {
-  readonly crashes: GrowOnlySet<CrashNotice>;
-  readonly versions: GrowOnlySet<StoppedVersionNotice>;
+  readonly crashes: SharedItems<CrashNotice>;
+  readonly evidence: SharedItems<CrashEvidence>;
+  readonly versions: SharedItems<StoppedVersionNotice>;
   /** Sends a frame over all links of the node. */
   readonly sendToAll: (frame: NodeFrame) => void;
   /** Called with versions that were stopped, on this node or another. */
   readonly onVersionsStopped?: (notices: readonly StoppedVersionNotice[]) => void;
 }
 
-/** Spreads crashes and stopped versions to all nodes over the links, without the store. */
+/** Keeps a frame far below the size limit of a link. */
+const MAX_EVIDENCE_PER_FRAME = 1_000;
+
+/** Spreads crashes, evidence on prompts and stopped versions to all nodes over the links, without the store. */
 export class NodeGossip {
   private constructor(private readonly opts: NodeGossipOptions) {}
 
@@ -28,7 +35,8 @@
   /** The frames to send first to a new peer: everything this node knows. */
   initialFrames(): readonly NodeFrame[] {
     return [
-      { kind: 'crashes', records: this.opts.crashes.all() },
+      { kind: 'crashes', records: this.opts.crashes.all(), evidence: [] },
+      ...toEvidenceFrames(this.opts.evidence.all()),
       { kind: 'versions-stopped', notices: this.opts.versions.all() },
     ];
   }
@@ -37,6 +45,7 @@
   handleFrame(frame: NodeFrame): void {
     if (frame.kind === 'crashes') {
       this.shareCrashes(this.opts.crashes.merge(frame.records));
+      this.shareEvidence(this.opts.evidence.merge(frame.evidence));
     }
     if (frame.kind === 'versions-stopped') {
       this.shareStoppedVersions(this.opts.versions.merge(frame.notices));
@@ -46,10 +55,15 @@
   /** Sends crashes to all peers. */
   shareCrashes(records: readonly CrashNotice[]): void {
     if (records.length > 0) {
-      this.opts.sendToAll({ kind: 'crashes', records });
+      this.opts.sendToAll({ kind: 'crashes', records, evidence: [] });
     }
   }
 
+  /** Sends evidence on prompts to all peers. */
+  shareEvidence(evidence: readonly CrashEvidence[]): void {
+    toEvidenceFrames(evidence).forEach((frame) => this.opts.sendToAll(frame));
+  }
+
   /** Reports stopped versions and sends them to all peers. */
   shareStoppedVersions(notices: readonly StoppedVersionNotice[]): void {
     if (notices.length > 0) {
@@ -58,3 +72,11 @@
     }
   }
 }
+
+function toEvidenceFrames(evidence: readonly CrashEvidence[]): readonly CrashesFrame[] {
+  return chunksOf(MAX_EVIDENCE_PER_FRAME)(evidence).map((chunk) => ({
+    kind: 'crashes',
+    records: [],
+    evidence: chunk,
+  }));
+}
--- a/packages/node/src/wireSchema.ts
+++ b/packages/node/src/wireSchema.ts
@@ -85,6 +85,13 @@
   nonce: z.string().max(128),
 });
 
+const crashEvidence = z.object({
+  kind: z.enum(['crashed', 'sound']),
+  fingerprint: z.string(),
+  targetStart: z.string(),
+  agoMs: z.number(),
+});
+
 const shardReference = z.object({ index: count, key: z.string() });
 const rule = z.object({ kind: z.string(), askedBy: z.string() }).loose();
 const shard = shardReference.extend({ rules: z.array(rule) });
@@ -120,6 +127,8 @@
     records: z.array(
       z.object({ fingerprint: z.string(), targetName: z.string(), atWallMs: z.number() }),
     ),
+    // Older nodes send none.
+    evidence: z.array(crashEvidence).default([]),
   }),
   z.object({ kind: z.literal('ping'), revision: count }),
   z.object({ kind: z.literal('pong'), revision: count }),
--- a/packages/target/src/crashSuspects.ts
+++ b/packages/target/src/crashSuspects.ts
@@ -88,21 +88,14 @@
     });
   }
 
-  /** Applies the evidence of another node, and contradicts it where this node knows better. */
-  merge(evidence: readonly CrashEvidence[]): void {
-    const nowMs = this.opts.timer.nowMs();
-    evidence.forEach((item) => {
-      const { kind, fingerprint, agoMs } = item;
-      if (kind === 'sound') {
-        const seenAtMs = Math.max(nowMs - agoMs, this.soundAtMs.get(fingerprint) ?? -Infinity);
-        setNewest(this.soundAtMs, fingerprint, seenAtMs);
-        this.crashes.delete(fingerprint);
-      } else if (this.isSound(fingerprint)) {
-        this.shareSound(fingerprint);
-      } else {
-        this.addCrash(item);
-      }
-    });
+  /**
+   * Applies the evidence of another node, and contradicts it where this node knows better. Returns what
+   * this node didn't know, for one that passes evidence on.
+   */
+  merge(evidence: readonly CrashEvidence[]): readonly CrashEvidence[] {
+    return evidence.filter((item) =>
+      item.kind === 'sound' ? this.mergeSound(item) : this.mergeCrash(item),
+    );
   }
 
   /** The crashes that count now, for a node that has just joined. */
@@ -118,6 +111,25 @@
     );
   }
 
+  private mergeSound({ fingerprint, agoMs }: CrashEvidence): boolean {
+    const seenAtMs = this.opts.timer.nowMs() - agoMs;
+    const knownAtMs = this.soundAtMs.get(fingerprint) ?? -Infinity;
+    setNewest(this.soundAtMs, fingerprint, Math.max(seenAtMs, knownAtMs));
+    const wasSuspect = this.crashes.delete(fingerprint);
+    return wasSuspect || seenAtMs - knownAtMs >= SHARE_INTERVAL_MS;
+  }
+
+  private mergeCrash(crash: CrashEvidence): boolean {
+    const { fingerprint, targetStart } = crash;
+    if (this.isSound(fingerprint)) {
+      this.shareSound(fingerprint);
+      return false;
+    }
+    const isNew = !this.crashes.get(fingerprint)?.has(targetStart);
+    this.addCrash(crash);
+    return isNew;
+  }
+
   private addCrash({ fingerprint, targetStart, agoMs }: CrashEvidence): void {
     const before = this.countCrashes(fingerprint);
     const starts = this.crashes.get(fingerprint) ?? new Map<string, number>();
--- a/packages/target/test/crashSuspects.feature
+++ b/packages/target/test/crashSuspects.feature
@@ -51,6 +51,13 @@
     And node "c" joins and gets the crashes that node "a" knows
     Then calls with "deadly" are stopped at "a" and "c"
 
+  # Guards against evidence that nodes pass on to each other for ever.
+  Scenario: A node knows which evidence it has already
+    When targets 1 to 3 crash during calls with "deadly" at node "a"
+    And node "c" joins and gets the crashes that node "a" knows
+    Then the crashes that node "a" knows are not new to node "c"
+    And of 2 messages that a target responded to "deadly", the first is new to node "c"
+
   Scenario: Old crashes expire
     When targets 1 to 3 crash during calls with "part" at node "a"
     And 600001 ms pass at the nodes
--- a/packages/target/test/crashSuspects.steps.ts
+++ b/packages/target/test/crashSuspects.steps.ts
@@ -71,6 +71,24 @@
   },
 );
 
+Then(
+  'the crashes that node {string} knows are not new to node {string}',
+  function then(this: SuspectsWorld, known: string, node: string) {
+    const evidence = findNode(this, known).currentCrashes();
+    assert.ok(evidence.length > 0);
+    assert.deepEqual(findNode(this, node).merge(evidence), []);
+  },
+);
+
+Then(
+  'of 2 messages that a target responded to {string}, the first is new to node {string}',
+  function then(this: SuspectsWorld, fingerprint: string, name: string) {
+    const node = findNode(this, name);
+    const sound = [{ kind: 'sound', fingerprint, targetStart: '', agoMs: 3 } as const];
+    assert.deepEqual([node.merge(sound), node.merge(sound)], [sound, []]);
+  },
+);
+
 function addNode(world: SuspectsWorld, name: string): CrashSuspects {
   const node = CrashSuspects.create({
     timer: TimerService.create({ clock: world.suspectsClock }),
--- a/scripts/controlBytes.mjs
+++ b/scripts/controlBytes.mjs
@@ -29,5 +29,14 @@
     targetName: `drafter-${index}`,
     atWallMs: 1_796_000_000_000,
   }));
-  console.log(`crashes, ${count} records: ${countBytes({ kind: 'crashes', records })} bytes`);
+  const frame = { kind: 'crashes', records, evidence: [] };
+  console.log(`crashes, ${count} records: ${countBytes(frame)} bytes`);
+  const evidence = Array.from({ length: count }, (_, index) => ({
+    kind: 'crashed',
+    fingerprint: `draft ${`${index}`.padStart(16, '0')}`,
+    targetStart: `drafter-${index} start-1`,
+    agoMs: 1.5,
+  }));
+  const evidenceFrame = { kind: 'crashes', records: [], evidence };
+  console.log(`crashes, ${count} items of evidence: ${countBytes(evidenceFrame)} bytes`);
 });
