Name what nodes share of crashes once, and test the crashes frame of older nodes

SharedItems stood in engine and in node. A crashes frame without evidence, as a node of the last landing sends it, is decoded as one with none; the scenario passes, and fails without the default in the schema.

--- a/packages/engine/src/crashHistory.ts
+++ b/packages/engine/src/crashHistory.ts
@@ -1,7 +1,7 @@
 import { CrashSuspects } from '@galenatiller/target';
 import type { RecordOptions } from '@galenatiller/timeline';
 import type { TimerService } from '@galenatiller/timer';
-import type { CrashEvidence, StageRequest } from '@galenatiller/types';
+import type { CrashEvidence, SharedItems, StageRequest } from '@galenatiller/types';
 
 import { computeFingerprint } from './computeFingerprint.js';
 import { computePrefixFingerprints } from './computePrefixFingerprints.js';
@@ -16,10 +16,10 @@
   readonly record: (event: RecordOptions) => void;
 }
 
-/** Items that other nodes get too; `merge` returns those that were new. */
-interface Exchanged<Item> {
-  readonly all: () => readonly Item[];
-  readonly merge: (items: readonly Item[]) => readonly Item[];
+/** What nodes tell each other of crashes. */
+export interface SharedCrashes {
+  readonly crashes: SharedItems<CrashRecord>;
+  readonly evidence: SharedItems<CrashEvidence>;
 }
 
 /** The stage requests that crashed targets, by their whole content and by how their prompt begins. */
@@ -51,8 +51,8 @@
     );
   }
 
-  /** What nodes exchange. */
-  exchanged(): { crashes: Exchanged<CrashRecord>; evidence: Exchanged<CrashEvidence> } {
+  /** The crashes as other nodes get them. */
+  shared(): SharedCrashes {
     const { contents, prefixes } = this;
     return {
       crashes: { all: () => contents.records, merge: (records) => contents.merge(records) },
--- a/packages/engine/src/index.ts
+++ b/packages/engine/src/index.ts
@@ -1,6 +1,6 @@
 /** Client of model engines, with the limits and records that protect engines from overload. */
 export { ColdStartLimit, type ColdStartLimitOptions } from './coldStartLimit.js';
-export { CrashHistory, type CrashHistoryOptions } from './crashHistory.js';
+export { CrashHistory, type CrashHistoryOptions, type SharedCrashes } from './crashHistory.js';
 export {
   CrashRegistry,
   type CrashRegistryOptions,
--- a/packages/entry/src/createEntry.ts
+++ b/packages/entry/src/createEntry.ts
@@ -158,7 +158,7 @@
   sendToAll: (frame: NodeFrame) => void,
 ): NodeGossip {
   return NodeGossip.create({
-    ...crashes.exchanged(),
+    ...crashes.shared(),
     versions: { all: () => versions.notices, merge: (notices) => versions.merge(notices) },
     sendToAll,
     onVersionsStopped: (notices) => {
--- a/packages/gate/src/createGate.ts
+++ b/packages/gate/src/createGate.ts
@@ -77,7 +77,7 @@
   const crashes = CrashHistory.create({ ...opts, share: (items) => gossip.shareEvidence(items) });
   const versions = StoppedVersions.create();
   const gossip = NodeGossip.create({
-    ...crashes.exchanged(),
+    ...crashes.shared(),
     versions: { all: () => versions.notices, merge: (notices) => versions.merge(notices) },
     sendToAll: (frame) => links.forEach((_, link) => link.send(frame)),
   });
--- a/packages/node/src/index.ts
+++ b/packages/node/src/index.ts
@@ -7,7 +7,7 @@
   type PeerOffer,
 } from './configurationExchange.js';
 export { toStageEnd } from './toStageEnd.js';
-export { NodeGossip, type NodeGossipOptions, type SharedItems } from './nodeGossip.js';
+export { NodeGossip, type NodeGossipOptions } from './nodeGossip.js';
 export type * from './frames.js';
 export { type HandshakeOptions, performHandshake } from './handshake.js';
 export { type Link, SocketLink } from './link.js';
--- a/packages/node/src/nodeGossip.ts
+++ b/packages/node/src/nodeGossip.ts
@@ -1,14 +1,8 @@
-import type { CrashEvidence } from '@galenatiller/types';
+import type { CrashEvidence, SharedItems } from '@galenatiller/types';
 import { chunksOf } from 'fp-ts/lib/ReadonlyArray.js';
 
 import type { CrashesFrame, CrashNotice, NodeFrame, StoppedVersionNotice } from './frames.js';
 
-/** Items that all nodes get; `merge` returns the items that were new. */
-export interface SharedItems<Item> {
-  readonly all: () => readonly Item[];
-  readonly merge: (items: readonly Item[]) => readonly Item[];
-}
-
 /** Options of {@link NodeGossip.create}. */
 export interface NodeGossipOptions {
   readonly crashes: SharedItems<CrashNotice>;
@@ -23,7 +17,7 @@
 /** Keeps a frame far below the size limit of a link. */
 const MAX_EVIDENCE_PER_FRAME = 1_000;
 
-/** Spreads crashes, evidence on prompts and stopped versions to all nodes over the links, without the store. */
+/** Spreads crashes, evidence on prompts and stopped versions over the links, without the store. */
 export class NodeGossip {
   private constructor(private readonly opts: NodeGossipOptions) {}
 
--- a/packages/node/test/frames.feature
+++ b/packages/node/test/frames.feature
@@ -7,6 +7,10 @@
   Scenario: No input makes the decoder throw or buffer more than one frame
     Then random bytes are decoded or rejected with a result code within bounded memory
 
+  # Guards against links that close while only some nodes know a field of a frame.
+  Scenario: Crashes of a node that sends no evidence on prompts are decoded
+    Then a crashes frame without evidence is decoded as one with none
+
   Scenario: A frame over the size limit is rejected before it is buffered
     When a frame header announces 2000000 bytes
     Then the decoder rejects it with "frame-too-large"
--- a/packages/node/test/frames.steps.ts
+++ b/packages/node/test/frames.steps.ts
@@ -67,6 +67,14 @@
   );
 });
 
+Then('a crashes frame without evidence is decoded as one with none', () => {
+  const records = [{ fingerprint: '1f', targetName: 'drafter-1', atWallMs: 1_000 }];
+  const older = { kind: 'crashes', records } as unknown as NodeFrame;
+  const bytes = encodeFrame(older).unwrapOr(Buffer.alloc(0));
+  const decoded = FrameDecoder.create().push(bytes).unwrapOr([]);
+  assert.deepEqual(decoded, [{ kind: 'crashes', records, evidence: [] }]);
+});
+
 Then('random bytes are decoded or rejected with a result code within bounded memory', () => {
   fc.assert(
     fc.property(fc.array(fc.uint8Array({ maxLength: 64 }), { maxLength: 20 }), (chunks) => {
--- a/packages/types/src/index.ts
+++ b/packages/types/src/index.ts
@@ -7,6 +7,7 @@
 export type * from './json.js';
 export type * from './outcome.js';
 export type * from './routedCall.js';
+export type * from './sharedItems.js';
 export type * from './stage.js';
 export type * from './target.js';
 export type * from './timelineEvent.js';
