--- a/packages/router/test/rollouts.feature
+++ b/packages/router/test/rollouts.feature
@@ -10,6 +10,12 @@
     Then the rollout was rolled back within 3 s
     And "v2" got at most 60 calls
 
+  # Guards against a version that is slow on one route only, and gets calls until its rollout has to end.
+  Scenario: A version that is slower on one route only is rolled back
+    Given a rollout of "shop" from "v1" to "v2" within 40 s, with 3 targets of each version
+    When 7600 calls come in 38 s, and on one of 3 routes runs take 300 ms on "v2", all others 100 ms
+    Then "v2" got no call later than 5 s after its 50th slow run
+
   Scenario: A version that fails often is rolled back
     When 2600 calls come in 13 s, and 2 of 10 runs fail on "v2"
     Then the rollout was rolled back within 3 s
--- a/packages/router/test/rollouts.steps.ts
+++ b/packages/router/test/rollouts.steps.ts
@@ -7,6 +7,8 @@
 import { Rollouts } from '../src/rollouts.js';
 
 interface RolloutWorld {
+  /** Times of the slow runs of the new version. */
+  slowRunsAtMs: number[];
   rolloutClock: ManualClock;
   rollouts: Rollouts;
   order: RolloutOrder;
@@ -133,6 +135,41 @@
   },
 );
 
+When(
+  '{int} calls come in {int} s, and on one of {int} routes runs take {int} ms on "v2", all others {int} ms',
+  async function when(
+    this: RolloutWorld,
+    calls: number,
+    forS: number,
+    routes: number,
+    slowMs: number,
+    otherMs: number,
+  ) {
+    this.slowRunsAtMs = [];
+    await makeCalls(this, {
+      calls,
+      forS,
+      run: ({ version }) => {
+        const isSlow = version === 'v2' && this.newCalls % routes === 0;
+        if (isSlow) {
+          this.slowRunsAtMs.push(this.rolloutClock.nowMs());
+        }
+        return { isFailed: false, paceMs: isSlow ? slowMs : otherMs };
+      },
+    });
+  },
+);
+
+Then(
+  '"v2" got no call later than {int} s after its {int}th slow run',
+  function then(this: RolloutWorld, s: number, runs: number) {
+    const [nthAtMs, lastAtMs] = [this.slowRunsAtMs[runs - 1], this.slowRunsAtMs.at(-1)];
+    if (nthAtMs !== undefined && lastAtMs !== undefined) {
+      assert.ok(lastAtMs - nthAtMs <= s * 1_000, `${lastAtMs - nthAtMs} ms`);
+    }
+  },
+);
+
 When('the same rollout is ordered again', function when(this: RolloutWorld) {
   this.rollouts.setOrder(this.order);
 });
