Judge a new version of a service on each of its routes

The judge compared the mean pace and failures of a service, in which the runs of the other routes hide those of the bad one.

Evidence now carries the route of the calls, and a version is bad if it is bad in total or on any route. A node of an older build sends evidence without a route, which counts as a route of its own.

--- a/packages/router/src/rollouts.ts
+++ b/packages/router/src/rollouts.ts
@@ -6,10 +6,11 @@
   RolloutEvidence,
   RolloutOrder,
   RolloutStatus,
+  VersionComparison,
   VersionRuns,
 } from '@galenatiller/types';
 
-import { addRuns, NO_RUNS } from './versionRuns.js';
+import { addToRoute, type RunsByRoute, sumRoutes } from './versionRuns.js';
 
 /** Options of {@link Rollouts.create}. */
 export interface RolloutsOptions {
@@ -25,6 +26,8 @@
 /** One run of a call on a target. */
 export interface ObservedRun {
   readonly target: RegisteredTarget;
+  /** Name of the route of the call. */
+  readonly route: string;
   readonly isFailed: boolean;
   /** Undefined when the run ended before its pace could be measured. */
   readonly paceMs: number | undefined;
@@ -41,11 +44,9 @@
   readonly deadlineAtMs: number;
   state: RolloutStatus['state'];
   /** Evidence of all nodes, which the owner of the rollout collects. */
-  newRuns: VersionRuns;
-  oldRuns: VersionRuns;
+  evidence: RunsByRoute;
   /** Evidence of this node that the owner hasn't got yet. */
-  unsentNew: VersionRuns;
-  unsentOld: VersionRuns;
+  unsent: RunsByRoute;
 }
 
 /** The unproved version never gets quite the allowed share, which holds for all nodes together. */
@@ -81,10 +82,8 @@
       order,
       deadlineAtMs: this.opts.timer.nowMs() + order.durationMs,
       state: 'running',
-      newRuns: NO_RUNS,
-      oldRuns: NO_RUNS,
-      unsentNew: NO_RUNS,
-      unsentOld: NO_RUNS,
+      evidence: new Map(),
+      unsent: new Map(),
     });
     this.applyStored(service);
   }
@@ -150,34 +149,29 @@
       measured: run.paceMs === undefined ? 0 : 1,
       paceSumMs: run.paceMs ?? 0,
     };
-    if (run.target.version === rollout.order.targetVersion) {
-      rollout.unsentNew = addRuns(rollout.unsentNew, runs);
-    } else {
-      rollout.unsentOld = addRuns(rollout.unsentOld, runs);
-    }
+    const isNew = run.target.version === rollout.order.targetVersion;
+    const added = isNew ? { newRuns: runs } : { oldRuns: runs };
+    rollout.unsent = addToRoute(rollout.unsent, run.route, added);
   }
 
   /** Takes the evidence of this node that the owners haven't got yet. */
   takeEvidence(): readonly RolloutEvidence[] {
     const evidence = [...this.rollouts.values()]
       .filter(({ state }) => state === 'running')
-      .map(({ order, unsentNew, unsentOld }) => {
-        const { service, orderRevision } = order;
-        return { service, orderRevision, newRuns: unsentNew, oldRuns: unsentOld };
-      })
-      .filter(({ newRuns, oldRuns }) => newRuns.runs + oldRuns.runs > 0);
+      .flatMap(({ order: { service, orderRevision }, unsent }) =>
+        [...unsent].map(([route, runs]) => ({ service, route, orderRevision, ...runs })),
+      );
     this.rollouts.forEach((rollout, service) => {
-      this.rollouts.set(service, { ...rollout, unsentNew: NO_RUNS, unsentOld: NO_RUNS });
+      this.rollouts.set(service, { ...rollout, unsent: new Map() });
     });
     return evidence;
   }
 
   /** Adds evidence to a rollout that this node owns. */
-  addEvidence({ service, orderRevision, newRuns, oldRuns }: RolloutEvidence): void {
+  addEvidence({ service, route = '', orderRevision, newRuns, oldRuns }: RolloutEvidence): void {
     const rollout = this.rollouts.get(service);
     if (rollout?.order.orderRevision === orderRevision) {
-      rollout.newRuns = addRuns(rollout.newRuns, newRuns);
-      rollout.oldRuns = addRuns(rollout.oldRuns, oldRuns);
+      rollout.evidence = addToRoute(rollout.evidence, route, { newRuns, oldRuns });
     }
   }
 
@@ -215,7 +209,11 @@
     if (rollout.state !== 'running') {
       return rollout.state;
     }
-    const judgement = judgeVersion(rollout);
+    const { evidence } = rollout;
+    const judgement = judgeVersion({
+      total: sumRoutes(evidence),
+      routes: [...evidence.values()],
+    });
     if (judgement === 'bad') {
       return 'rolled-back';
     }
@@ -226,7 +224,11 @@
   }
 }
 
-function describeRuns({ newRuns, oldRuns }: Rollout): string {
+function describeRuns({ evidence }: Rollout): string {
+  return [...evidence].map(([route, runs]) => `${route}: ${describeComparison(runs)}`).join('; ');
+}
+
+function describeComparison({ newRuns, oldRuns }: VersionComparison): string {
   const [newMs, oldMs] = [newRuns, oldRuns].map(({ measured, paceSumMs }) =>
     Math.round(paceSumMs / Math.max(1, measured)),
   );
--- a/packages/router/src/runAttempts.ts
+++ b/packages/router/src/runAttempts.ts
@@ -102,7 +102,8 @@
   const decrement = context.inFlight.increment(target.id);
   const remainingMs = admitted.deadlineAtMs - sentAtMs;
   const isStream = admitted.route.callKind === 'stream';
-  const observation = RunObservation.create({ ...context, target, isStream });
+  const route = admitted.route.name;
+  const observation = RunObservation.create({ ...context, target, route, isStream });
   try {
     const response = await context.targetClient.sendCall({
       target,
--- a/packages/router/src/runObservation.ts
+++ b/packages/router/src/runObservation.ts
@@ -9,6 +9,8 @@
   readonly timer: TimerService;
   readonly rollouts: Pick<Rollouts, 'observe'>;
   readonly target: RegisteredTarget;
+  /** Name of the route of the call. */
+  readonly route: string;
   readonly isStream: boolean;
 }
 
@@ -56,8 +58,8 @@
   private record(isFailed: boolean, paceMs: number | undefined): void {
     if (!this.isRecorded) {
       this.isRecorded = true;
-      const { rollouts, target } = this.opts;
-      rollouts.observe({ target, isFailed, paceMs });
+      const { rollouts, target, route } = this.opts;
+      rollouts.observe({ target, route, isFailed, paceMs });
     }
   }
 }
--- a/packages/router/test/rollouts.feature
+++ b/packages/router/test/rollouts.feature
@@ -16,6 +16,16 @@
     When 7600 calls come in 38 s, and on one of 3 routes runs take 300 ms on "v2", all others 100 ms
     Then "v2" got no call later than 5 s after its 50th slow run
 
+  # Guards against a version that fails on one route only, which other routes' good runs hide.
+  Scenario: A version that fails on one route only is rolled back
+    When 2600 calls come in 13 s, and on one of 5 routes 30 of 100 runs fail on "v2" and 0 on "v1"
+    Then the rollout was rolled back within 8 s
+
+  # Guards against a good version that is rolled back, because few runs of a flaky route say little.
+  Scenario: A good version of a service with a route that often fails is completed
+    When 40 rollouts get 2600 calls in 13 s each, and 14 of 100 runs fail on one of 5 routes
+    Then at most 3 of them were rolled back
+
   Scenario: A version that fails often is rolled back
     When 2600 calls come in 13 s, and 2 of 10 runs fail on "v2"
     Then the rollout was rolled back within 3 s
--- a/packages/router/test/rollouts.steps.ts
+++ b/packages/router/test/rollouts.steps.ts
@@ -1,62 +1,18 @@
 import assert from 'node:assert/strict';
 
 import { Given, Then, When } from '@cucumber/cucumber';
-import { ManualClock, TimerService } from '@galenatiller/timer';
-import type { RegisteredTarget, RolloutOrder, RolloutState } from '@galenatiller/types';
+import { ManualClock } from '@galenatiller/timer';
+import type { RolloutState } from '@galenatiller/types';
 
-import { Rollouts } from '../src/rollouts.js';
-
-interface RolloutWorld {
-  /** Times of the slow runs of the new version. */
-  slowRunsAtMs: number[];
-  rolloutClock: ManualClock;
-  rollouts: Rollouts;
-  order: RolloutOrder;
-  versionTargets: readonly RegisteredTarget[];
-  newCalls: number;
-  calls: number;
-  startedAtMs: number;
-  rolledBackAtMs: number | undefined;
-  ownerState: RolloutState;
-}
-
-/** Numbers from 0 to 1 that are spread evenly. */
-const GOLDEN_RATIO = 0.618_034;
-
-const ORDER_REVISION = 31;
-
-/** How often the owner decides. */
-const CALLS_PER_DECISION = 20;
-
-function createTarget(version: string, index: number): RegisteredTarget {
-  return {
-    id: `${version}-${index}`,
-    startedWallMs: 1,
-    service: 'shop',
-    address: `10.0.0.${index}:80`,
-    availabilityZone: 'zone',
-    version,
-    slots: 4,
-    state: 'ready',
-  };
-}
-
-function createRollouts(world: RolloutWorld): Rollouts {
-  let drawn = 0;
-  return Rollouts.create({
-    timer: TimerService.create({ clock: world.rolloutClock }),
-    random: () => {
-      drawn += GOLDEN_RATIO;
-      return drawn % 1;
-    },
-    unprovedShare: 0.1,
-    onEnded: ({ state }) => {
-      if (state === 'rolled-back') {
-        world.rolledBackAtMs = world.rolloutClock.nowMs();
-      }
-    },
-  });
-}
+import {
+  createRollouts,
+  createTarget,
+  drawUnevenly,
+  makeCalls,
+  ORDER_REVISION,
+  type RolloutWorld,
+  startRollout,
+} from './rolloutWorld.js';
 
 Given(
   'a rollout of {string} from {string} to {string} within {int} s, with {int} targets of each version',
@@ -74,13 +30,7 @@
     this.versionTargets = [from, to].flatMap((version) =>
       Array.from({ length: targets }, (_, index) => createTarget(version, index)),
     );
-    this.newCalls = 0;
-    this.calls = 0;
-    this.rolledBackAtMs = undefined;
-    this.ownerState = 'running';
-    this.startedAtMs = this.rolloutClock.nowMs();
-    this.rollouts = createRollouts(this);
-    this.rollouts.setOrder(this.order);
+    startRollout(this);
   },
 );
 
@@ -116,7 +66,11 @@
     return makeCalls(this, {
       calls,
       forS,
-      run: ({ version }) => ({ isFailed: false, paceMs: version === 'v2' ? newMs : oldMs }),
+      run: ({ version }) => ({
+        route: 'buy',
+        isFailed: false,
+        paceMs: version === 'v2' ? newMs : oldMs,
+      }),
     });
   },
 );
@@ -128,6 +82,7 @@
       calls,
       forS,
       run: ({ version }) => ({
+        route: 'buy',
         isFailed: version === 'v2' && this.newCalls % 10 < failing,
         paceMs: 100,
       }),
@@ -150,16 +105,71 @@
       calls,
       forS,
       run: ({ version }) => {
-        const isSlow = version === 'v2' && this.newCalls % routes === 0;
+        const route = (version === 'v2' ? this.newCalls : this.calls) % routes;
+        const isSlow = version === 'v2' && route === 0;
         if (isSlow) {
           this.slowRunsAtMs.push(this.rolloutClock.nowMs());
         }
-        return { isFailed: false, paceMs: isSlow ? slowMs : otherMs };
+        return { route: `route ${route}`, isFailed: false, paceMs: isSlow ? slowMs : otherMs };
       },
     });
   },
 );
 
+When(
+  '{int} calls come in {int} s, and on one of {int} routes {int} of 100 runs fail on "v2" and {int} on "v1"',
+  function when(
+    this: RolloutWorld,
+    calls: number,
+    forS: number,
+    routes: number,
+    newPercent: number,
+    oldPercent: number,
+  ) {
+    return makeCalls(this, {
+      calls,
+      forS,
+      run: ({ version }) => {
+        const run = version === 'v2' ? this.newCalls : this.calls;
+        const percent = version === 'v2' ? newPercent : oldPercent;
+        const isFailed = run % routes === 0 && drawUnevenly(run) < percent / 100;
+        return { route: `route ${run % routes}`, isFailed, paceMs: 100 };
+      },
+    });
+  },
+);
+
+When(
+  '{int} rollouts get {int} calls in {int} s each, and {int} of 100 runs fail on one of {int} routes',
+  async function when(
+    this: RolloutWorld,
+    rollouts: number,
+    calls: number,
+    forS: number,
+    percent: number,
+    routes: number,
+  ) {
+    this.rolledBack = 0;
+    for (let seed = 1; seed <= rollouts; seed += 1) {
+      startRollout(this);
+      await makeCalls(this, {
+        calls,
+        forS,
+        run: () => ({
+          route: `route ${this.calls % routes}`,
+          isFailed: this.calls % routes === 0 && drawUnevenly(this.calls, seed) < percent / 100,
+          paceMs: 100,
+        }),
+      });
+      this.rolledBack += this.rolledBackAtMs === undefined ? 0 : 1;
+    }
+  },
+);
+
+Then('at most {int} of them were rolled back', function then(this: RolloutWorld, max: number) {
+  assert.ok(this.rolledBack <= max, `${this.rolledBack}`);
+});
+
 Then(
   '"v2" got no call later than {int} s after its {int}th slow run',
   function then(this: RolloutWorld, s: number, runs: number) {
@@ -247,29 +257,3 @@
     revision: orderRevision + 1,
   });
 }
-
-async function makeCalls(
-  world: RolloutWorld,
-  opts: {
-    readonly calls: number;
-    readonly forS: number;
-    readonly run: (target: RegisteredTarget) => {
-      readonly isFailed: boolean;
-      readonly paceMs: number;
-    };
-  },
-): Promise<void> {
-  const { rollouts } = world;
-  for (let call = 1; call <= opts.calls; call += 1) {
-    const [target] = rollouts.select('shop', world.versionTargets);
-    assert.ok(target);
-    world.calls += 1;
-    world.newCalls += target.version === 'v2' ? 1 : 0;
-    rollouts.observe({ target, ...opts.run(target) });
-    await world.rolloutClock.advance({ byMs: (opts.forS * 1_000) / opts.calls });
-    if (call % CALLS_PER_DECISION === 0) {
-      rollouts.takeEvidence().forEach((evidence) => rollouts.addEvidence(evidence));
-      world.ownerState = rollouts.decide(() => true)[0]?.state ?? 'running';
-    }
-  }
-}
--- a/packages/routerLink/src/wireRouterFrame.ts
+++ b/packages/routerLink/src/wireRouterFrame.ts
@@ -125,6 +125,7 @@
   const fields = asFields(value);
   return (
     areStrings(fields, ['service']) &&
+    (fields.route === undefined || typeof fields.route === 'string') &&
     areNumbers(fields, ['orderRevision']) &&
     [fields.newRuns, fields.oldRuns].every((runs) =>
       areNumbers(asFields(runs), ['runs', 'failures', 'measured', 'paceSumMs']),
--- a/packages/routerLink/test/routerLink.steps.ts
+++ b/packages/routerLink/test/routerLink.steps.ts
@@ -292,6 +292,7 @@
 
 const ROLLOUT_EVIDENCE: RolloutEvidence = {
   service: 'shop',
+  route: 'buy',
   orderRevision: 31,
   newRuns: RUNS,
   oldRuns: RUNS,
--- a/packages/target/src/judgeVersion.ts
+++ b/packages/target/src/judgeVersion.ts
@@ -1,9 +1,11 @@
-import type { VersionRuns } from '@galenatiller/types';
+import type { VersionComparison, VersionRuns } from '@galenatiller/types';
 
 /** Options of {@link judgeVersion}. */
 export interface JudgeVersionOptions {
-  readonly newRuns: VersionRuns;
-  readonly oldRuns: VersionRuns;
+  /** Runs on all routes. */
+  readonly total: VersionComparison;
+  /** Runs on each route; a version may be bad on one of them only. */
+  readonly routes: readonly VersionComparison[];
 }
 
 /** Judgement on a new version; `unproved` until there are enough runs to call it good or bad. */
@@ -28,25 +30,55 @@
 /** A new version whose failure share exceeds the old one's by no more than this can be good. */
 const ACCEPTED_FAILURE_SHARE = 0.08;
 
+/** Standard deviations by which the failures of a few runs may exceed the usual share. */
+const FAILURE_DEVIATIONS = 1.5;
+
 /** Compares a new version with the old one by the pace and the failures of their runs. */
 export function judgeVersion(opts: JudgeVersionOptions): VersionJudgement {
-  const { newRuns, oldRuns } = opts;
-  const moreFailures = getFailureShare(newRuns) - getFailureShare(oldRuns);
-  const paceFactor = getPaceMs(newRuns) / getPaceMs(oldRuns);
-  const hasPaces = Math.min(newRuns.measured, oldRuns.measured) >= MIN_RUNS_TO_REJECT;
+  const { total, routes } = opts;
+  if ([total, ...routes].some(isBad)) {
+    return 'bad';
+  }
+  const isProved =
+    hasPaces(total) && total.newRuns.runs >= MIN_RUNS_TO_ACCEPT && isWithinAccepted(total);
+  const isSuspect = routes
+    .filter(({ newRuns }) => newRuns.runs >= MIN_RUNS_TO_ACCEPT)
+    .some((route) => hasPaces(route) && !isWithinAccepted(route));
+  return isProved && !isSuspect ? 'good' : 'unproved';
+}
+
+function isBad(runs: VersionComparison): boolean {
+  const { newRuns } = runs;
   const failsOften =
     newRuns.runs >= MIN_RUNS_TO_REJECT &&
     newRuns.failures >= MIN_FAILURES_TO_REJECT &&
-    moreFailures >= REJECTED_FAILURE_SHARE;
-  if (failsOften || (hasPaces && paceFactor >= REJECTED_PACE_FACTOR)) {
-    return 'bad';
-  }
-  const isGood =
-    hasPaces &&
-    newRuns.runs >= MIN_RUNS_TO_ACCEPT &&
-    paceFactor <= ACCEPTED_PACE_FACTOR &&
-    moreFailures <= ACCEPTED_FAILURE_SHARE;
-  return isGood ? 'good' : 'unproved';
+    getMoreFailures(runs) >= REJECTED_FAILURE_SHARE + getFailureMargin(runs);
+  return failsOften || (hasPaces(runs) && getPaceFactor(runs) >= REJECTED_PACE_FACTOR);
+}
+
+function isWithinAccepted(runs: VersionComparison): boolean {
+  return (
+    getPaceFactor(runs) <= ACCEPTED_PACE_FACTOR &&
+    getMoreFailures(runs) <= ACCEPTED_FAILURE_SHARE + getFailureMargin(runs)
+  );
+}
+
+function hasPaces({ newRuns, oldRuns }: VersionComparison): boolean {
+  return Math.min(newRuns.measured, oldRuns.measured) >= MIN_RUNS_TO_REJECT;
+}
+
+function getPaceFactor({ newRuns, oldRuns }: VersionComparison): number {
+  return getPaceMs(newRuns) / getPaceMs(oldRuns);
+}
+
+function getMoreFailures({ newRuns, oldRuns }: VersionComparison): number {
+  return getFailureShare(newRuns) - getFailureShare(oldRuns);
+}
+
+/** Share of failures by which a few runs of a version exceed the old one's share by chance. */
+function getFailureMargin({ newRuns, oldRuns }: VersionComparison): number {
+  const share = getFailureShare(oldRuns);
+  return FAILURE_DEVIATIONS * Math.sqrt((share * (1 - share)) / Math.max(1, newRuns.runs));
 }
 
 function getFailureShare({ runs, failures }: VersionRuns): number {
--- a/packages/types/src/rollout.ts
+++ b/packages/types/src/rollout.ts
@@ -28,6 +28,12 @@
   readonly paceSumMs: number;
 }
 
+/** What was seen of both versions of a rollout. */
+export interface VersionComparison {
+  readonly newRuns: VersionRuns;
+  readonly oldRuns: VersionRuns;
+}
+
 /** The state that the owner of a rollout has decided on. */
 export interface RolloutDecision extends RolloutStatus {
   readonly orderRevision: number;
@@ -35,10 +41,10 @@
   readonly detail: string;
 }
 
-/** What a node has seen of a rollout since it last told the owner. */
-export interface RolloutEvidence {
+/** What a node has seen of a rollout on one route since it last told the owner. */
+export interface RolloutEvidence extends VersionComparison {
   readonly service: string;
+  /** Name of the route of the calls; nodes of older builds don't state it. */
+  readonly route?: string;
   readonly orderRevision: number;
-  readonly newRuns: VersionRuns;
-  readonly oldRuns: VersionRuns;
 }
