Abort a stream that nothing can continue, instead of refusing its call

Callers saw a stream that stopped without an end: after a break, when the retry budget, the sends or the targets ran out, the prompt was stopped or the stage results were lost, the call ended as a refusal. Its head could not be written any more, the task failed ("Cannot write headers after they are sent"), the connection stayed open and the call had no line of its own. When the stage results were lost, a second head was written.

Cause: each path out of the attempts decided by itself whether the response had started, and most did not ask. Also, a second round of stages began with new progress: what had run before was forgotten, so a call that may have run could end as not run.

The progress now belongs to the call, and one function settles each ending: a response that has started is aborted, and the call is logged as cut.

--- a/packages/router/src/runAttempts.ts
+++ b/packages/router/src/runAttempts.ts
@@ -3,7 +3,7 @@
 
 import type { AdmittedCall } from './admitCall.js';
 import { forwardResponse, type ForwardResult } from './forwardResponse.js';
-import { CallProgress } from './callProgress.js';
+import type { CallProgress } from './callProgress.js';
 import {
   type AttemptsResult,
   endAborted,
@@ -26,6 +26,8 @@
   readonly fingerprints: readonly string[];
   readonly body: Buffer;
   readonly inputs: readonly StageResultHandle[];
+  /** Progress of the call, which goes on when its stages are run again. */
+  readonly progress: CallProgress;
   /** Aborts at the deadline, and when the caller disconnects from a call that may be cancelled. */
   readonly signal: AbortSignal;
   /** Called, possibly more than once, when response data shows that the inputs have been fetched. */
@@ -46,9 +48,8 @@
 
 /** Sends a call to one target after another until one responds or no further attempt is allowed. */
 export async function runAttempts(opts: RunAttemptsOptions): Promise<AttemptsResult> {
-  const { context, exchange, admitted, signal } = opts;
+  const { context, exchange, admitted, progress, signal } = opts;
   const { timer } = context;
-  const progress = CallProgress.create({ lastEventId: exchange.call.lastEventId });
   const startedAtMs = timer.nowMs();
   const stopWaitingAtMs =
     startedAtMs + (admitted.deadlineAtMs - startedAtMs) * NO_TARGET_WAIT_SHARE;
@@ -84,7 +85,7 @@
       return endWithError(progress, 'overloaded', progress.lastFailure);
     }
   }
-  return endAborted(exchange, progress);
+  return endAborted(progress);
 }
 
 /** Makes one attempt; undefined when another one may follow. */
@@ -220,12 +221,8 @@
       return undefined;
     }
   }
-  if (progress.hasStarted) {
-    exchange.abort();
-    return { kind: 'cut', detail: forwarded.detail };
-  }
   return opts.signal.aborted
-    ? endAborted(exchange, progress)
+    ? endAborted(progress)
     : endWithError(progress, 'target-failed', forwarded.detail);
 }
 
@@ -241,7 +238,7 @@
     if (response.kind === 'broken' || response.kind === 'foreign') {
       progress.recordRun();
     }
-    return endAborted(opts.exchange, progress);
+    return endAborted(progress);
   }
   switch (response.kind) {
     case 'inputs-gone':
--- a/packages/router/src/serveCall.ts
+++ b/packages/router/src/serveCall.ts
@@ -6,9 +6,19 @@
 import type { CallerExchange } from './ports.js';
 import type { RouterContext } from './routerContext.js';
 import { computeFingerprints } from './computeFingerprints.js';
-import { type AttemptsResult, createStoppedError, endDisconnected } from './endAttempts.js';
+import { CallProgress } from './callProgress.js';
+import {
+  type Answered,
+  type CallEnding,
+  createStoppedError,
+  endAborted,
+  endDisconnected,
+  endWithError,
+  type Refused,
+  settleEnding,
+} from './endAttempts.js';
 import { runAttempts } from './runAttempts.js';
-import { runStages, type StagesFailed } from './runStages.js';
+import { runStages, type StagesDone, type StagesFailed } from './runStages.js';
 import { computeStageDeadlines, computeZoneWaitLimits } from './computeStageDeadlines.js';
 
 /** Options of {@link serveCall}. */
@@ -58,15 +68,17 @@
   }
   const limitMs = Math.max(0, admitted.deadlineAtMs + RESPONSE_GRACE_MS - context.timer.nowMs());
   const deadline = context.timer.startTimeLimit({ limitMs });
+  const progress = CallProgress.create({ lastEventId: call.lastEventId });
   try {
     const end = await runCall({
       ...opts,
       admitted,
       fingerprints,
       body: body.value,
+      progress,
       deadline: deadline.signal,
     });
-    finish(opts, admitted, end);
+    finish(opts, admitted, settleEnding({ exchange, progress, end }));
   } finally {
     deadline.release();
   }
@@ -76,50 +88,19 @@
   readonly admitted: AdmittedCall;
   readonly fingerprints: readonly string[];
   readonly body: Buffer;
+  readonly progress: CallProgress;
   /** Aborts when the final response is due. */
   readonly deadline: AbortSignal;
 }
 
-async function runCall(opts: RunCallOptions): Promise<AttemptsResult> {
-  const { context, exchange, admitted, deadline } = opts;
+async function runCall(opts: RunCallOptions): Promise<Answered | Refused> {
+  const { exchange, admitted, progress, deadline } = opts;
   const { route } = admitted;
   const callerSignal = AbortSignal.any([deadline, exchange.disconnected]);
   // An at-most-once call runs on when its caller disconnects, because its effect is wanted.
   const signal = route.callKind === 'at-most-once' ? deadline : callerSignal;
-  const deadlineOptions = {
-    route,
-    call: exchange.call,
-    responseMs: context.responseTimes.estimateMs({
-      name: admitted.service,
-      nowMs: context.timer.nowMs(),
-    }),
-    findLimits: (service: string) => context.routes.findService(service)?.batch,
-  };
   for (let round = 1; ; round += 1) {
-    const stages = await runStages({
-      route,
-      call: exchange.call,
-      priority: admitted.priority,
-      deadlinesAtMs: computeStageDeadlines({
-        ...deadlineOptions,
-        respondByMs: admitted.firstByteDeadlineAtMs,
-      }),
-      dueAtMs: admitted.dueAtMs,
-      zoneWaitsUntilMs: computeZoneWaitLimits({
-        ...deadlineOptions,
-        respondByMs: admitted.dueAtMs,
-      }),
-      zoneHint: predictZone(opts),
-      nowMs: () => context.timer.nowMs(),
-      resultTtlMs: (service) => deadlineOptions.findLimits(service)?.resultTtlMs ?? 0,
-      submit: context.submitPiece,
-      free: (results) => {
-        if (results.length > 0) {
-          context.freeResults(results.map(({ handle }) => handle));
-        }
-      },
-      signal: callerSignal,
-    });
+    const stages = await runStageRound(opts, callerSignal);
     const { free } = stages;
     try {
       if (stages.kind === 'failed') {
@@ -129,24 +110,73 @@
         continue;
       }
       if (exchange.disconnected.aborted) {
-        return endDisconnected();
+        return progress.runs > 0 ? endAborted(progress) : endDisconnected();
       }
       const { inputs } = stages;
       const end = await runAttempts({ ...opts, inputs, signal, onInputsConsumed: free });
-      if (end.kind !== 'inputs-gone' || round === MAX_STAGE_ROUNDS) {
+      if (end.kind !== 'inputs-gone') {
         return end;
       }
+      if (round === MAX_STAGE_ROUNDS) {
+        const detail = 'stage results were lost twice before they were used';
+        return endWithError(progress, 'deadline-unreachable', detail);
+      }
     } finally {
       free();
     }
   }
 }
 
-function endFailedStages(opts: RunCallOptions, failure: StagesFailed): AttemptsResult {
+/** Runs all stages of a call once. */
+function runStageRound(
+  opts: RunCallOptions,
+  signal: AbortSignal,
+): Promise<StagesDone | StagesFailed> {
+  const { context, exchange, admitted } = opts;
+  const { route } = admitted;
+  const deadlineOptions = {
+    route,
+    call: exchange.call,
+    responseMs: context.responseTimes.estimateMs({
+      name: admitted.service,
+      nowMs: context.timer.nowMs(),
+    }),
+    findLimits: (service: string) => context.routes.findService(service)?.batch,
+  };
+  return runStages({
+    route,
+    call: exchange.call,
+    priority: admitted.priority,
+    deadlinesAtMs: computeStageDeadlines({
+      ...deadlineOptions,
+      respondByMs: admitted.firstByteDeadlineAtMs,
+    }),
+    dueAtMs: admitted.dueAtMs,
+    zoneWaitsUntilMs: computeZoneWaitLimits({
+      ...deadlineOptions,
+      respondByMs: admitted.dueAtMs,
+    }),
+    zoneHint: predictZone(opts),
+    nowMs: () => context.timer.nowMs(),
+    resultTtlMs: (service) => deadlineOptions.findLimits(service)?.resultTtlMs ?? 0,
+    submit: context.submitPiece,
+    free: (results) => {
+      if (results.length > 0) {
+        context.freeResults(results.map(({ handle }) => handle));
+      }
+    },
+    signal,
+  });
+}
+
+function endFailedStages(opts: RunCallOptions, failure: StagesFailed): Refused {
+  const { context, admitted, progress } = opts;
+  if (progress.runs > 0) {
+    return endWithError(progress, 'target-failed', progress.lastFailure);
+  }
   if (opts.exchange.disconnected.aborted) {
     return endDisconnected();
   }
-  const { context, admitted } = opts;
   const service = admitted.route.stages[failure.stage]?.service ?? '';
   const leftMs = Math.max(0, admitted.firstByteDeadlineAtMs - context.timer.nowMs());
   const error = GalenatillerError.create({
@@ -158,17 +188,12 @@
   return { kind: 'refused', error };
 }
 
-function finish(opts: ServeCallOptions, admitted: AdmittedCall, end: AttemptsResult): void {
+function finish(opts: ServeCallOptions, admitted: AdmittedCall, end: CallEnding): void {
   const { context, exchange } = opts;
   if (end.kind === 'refused') {
     refuse(opts, end.error, admitted);
     return;
   }
-  if (end.kind === 'inputs-gone') {
-    const detail = 'stage results were lost twice before they were used';
-    refuse(opts, GalenatillerError.create({ name: 'deadline-unreachable', detail }), admitted);
-    return;
-  }
   const tookMs = context.timer.nowMs() - exchange.receivedAtMs;
   recordCallMetrics({
     metrics: context.metrics,
--- a/packages/router/test/router.feature
+++ b/packages/router/test/router.feature
@@ -94,6 +94,21 @@
     When a "stream" call is made
     Then the caller gets the events 1 to 2 and an aborted response
 
+  # Guards against a refusal that is written into a stream which has begun, and ends the task of its call.
+  Scenario Outline: A stream that nothing can continue is aborted
+    Given the first stream is interrupted after event 2, and then <what>
+    When a "resumable" call is made
+    Then the caller gets the events 1 to 2 and an aborted response
+    And the call has one line that it was cut
+
+    Examples:
+      | what                                 |
+      | the retry budget is exhausted        |
+      | every target refuses                 |
+      | no target is left                    |
+      | the prompt is stopped                |
+      | the stage results are gone           |
+
   Scenario: The final response comes at the route's timeout
     Given the targets never respond
     When an "order" call is made
@@ -221,6 +236,12 @@
     Then the caller gets 200 from the target
     And every result is freed once
 
+  # Guards against a call that has run and whose caller is told that it has not, once its stages ran again.
+  Scenario: A call that may have run is not refused as not run after its stages ran again
+    Given the connection breaks during the first call, and its stage results are gone after it
+    When a "safe" call is made
+    Then the caller gets 502
+
   Scenario: A path matches the route with the longest prefix
     Then the path "/order/deep/x" goes to the route "deep"
     And the path "/order/x" goes to the route "order"
--- a/packages/router/test/router.steps.ts
+++ b/packages/router/test/router.steps.ts
@@ -30,6 +30,7 @@
     this.scripts = [];
     this.fallback = (opts) => (opts.call.path.includes('stream') ? streamEvents(opts) : respond());
     this.sends = [];
+    this.logged = [];
     this.pieceInputs = [];
     this.resultHandles = [];
     this.freedHandles = [];
--- a/packages/router/test/support.ts
+++ b/packages/router/test/support.ts
@@ -1,5 +1,8 @@
 /** A router context with scripted targets, for the steps in this folder. */
+import assert from 'node:assert/strict';
+
 import type { GalenatillerError } from '@galenatiller/error';
+import type { LoggedEvent } from '@galenatiller/logger';
 import {
   ColdRateLimiter,
   CrashSuspects,
@@ -53,6 +56,8 @@
   /** Bytes that were read of response bodies without end. */
   readBytes: number;
   received: ReceivedResponse;
+  /** Log lines of the calls. */
+  logged: LoggedEvent[];
   pieceInputs: (readonly string[])[];
   resultHandles: string[];
   freedHandles: string[];
@@ -180,7 +185,9 @@
   );
   return {
     timer,
-    log: () => {},
+    log: (fields) => {
+      world.logged.push(fields);
+    },
     metrics: { count: () => {}, gauge: () => {}, timing: () => {} },
     ownZone: 'zone',
     routes: world.routes,
@@ -255,9 +262,11 @@
     disconnected: received.disconnect.signal,
     readBody: () => Promise.resolve(Result.ok(Buffer.from('body'))),
     refuse: (error) => {
+      assert.equal(received.head, undefined, 'a refusal after the head of a response');
       received.refusal = error;
     },
     writeHead: (head) => {
+      assert.equal(received.head, undefined, 'a second head');
       received.head = head;
     },
     write: (bytes) => {
