Log each call that the stop of its router ends, with its phase

Callers got a closed connection from a stopping router, and the trace of the call broke off at its last stage-call line: nothing said that the stop had ended it, nor whether a target had it. A call-stopped line with id, phase and time, and the counter router.calls_stopped, tell the hypotheses of the postmortem apart. No change of behaviour.

--- a/packages/metrics/src/metricDefinition.ts
+++ b/packages/metrics/src/metricDefinition.ts
@@ -1,5 +1,6 @@
 import type {
   CallKind,
+  CallPhase,
   NodeRole,
   Outcome,
   Priority,
@@ -26,6 +27,8 @@
   readonly callKind: CallKind;
   /** How a call ended for its caller: with the response of a target, or one of the router's own. */
   readonly ending: 'answered' | 'refused-not-run' | 'failed' | 'cut' | 'caller-gone';
+  /** How far a call had come when the stop of its router ended it. */
+  readonly callPhase: CallPhase;
   /** How one attempt to send a call to a target ended. */
   readonly send: 'answered' | 'refused' | 'moved' | 'inputs-gone' | 'unsent' | 'broken' | 'foreign';
   /** How a call to a stage worker ended. */
--- a/packages/metrics/src/routerMetrics.ts
+++ b/packages/metrics/src/routerMetrics.ts
@@ -18,6 +18,14 @@
     role: 'router',
     meaning: 'Time from the head of a call to the end of its answer.',
   },
+  {
+    name: 'router.calls_stopped',
+    type: 'count',
+    unit: 'calls',
+    tags: ['callPhase'],
+    role: 'router',
+    meaning: 'Calls that the stop of the router ended, by how far they had come.',
+  },
   {
     name: 'router.sends',
     type: 'count',
--- a/packages/router/src/createRouter.ts
+++ b/packages/router/src/createRouter.ts
@@ -40,10 +40,12 @@
   logEventLoopLag,
   logFailedTask,
   logMembers,
+  logStoppedCall,
   logStoppedFingerprint,
   logStoreEvent,
   logTarget,
 } from './logEvents.js';
+import { RouterStop } from './routerStop.js';
 import { serveCall } from './serveCall.js';
 
 /** Options of {@link createRouter}. */
@@ -110,6 +112,7 @@
     targets,
     ...limits,
     rollouts,
+    stop: createStop(opts),
     inFlight: CallCounter.create(),
     responseTimes: SmoothedDurations.create(),
     targetClient: opts.targetClient,
@@ -184,6 +187,16 @@
   });
 }
 
+function createStop({ timer, log, metrics }: RouterOptions): RouterStop {
+  return RouterStop.create({
+    timer,
+    onCallStopped: (event) => {
+      logStoppedCall(log, event);
+      metrics.count({ name: 'router.calls_stopped', tags: { callPhase: event.phase } });
+    },
+  });
+}
+
 type Limits = Pick<
   RouterContext,
   'health' | 'coldRateLimiter' | 'retryBudget' | 'crashDetector' | 'crashSuspects'
--- a/packages/router/src/logEvents.ts
+++ b/packages/router/src/logEvents.ts
@@ -7,6 +7,8 @@
 
 import type { RolloutDecision } from '@galenatiller/types';
 
+import type { StoppedCallEvent } from './routerStop.js';
+
 /** Logs a change of the connection to the store. */
 export function logStoreEvent(log: EventLog, event: MirrorEvent): void {
   const { kind, ...rest } = event;
@@ -64,6 +66,18 @@
   });
 }
 
+/** Logs a call that the stop of the router ended. */
+export function logStoppedCall(log: EventLog, event: StoppedCallEvent): void {
+  const { tookMs, phase, ...rest } = event;
+  log({
+    about: 'decision',
+    event: 'call-stopped',
+    ...rest,
+    tookMs: Math.round(tookMs),
+    outcome: `ended by the stop while ${phase}`,
+  });
+}
+
 /** Logs that the event loop was blocked, so that everything in the process was late. */
 export function logEventLoopLag(log: EventLog, lagMs: number): void {
   const outcome = 'timers fired late';
--- a/packages/router/src/routerContext.ts
+++ b/packages/router/src/routerContext.ts
@@ -13,6 +13,7 @@
 import type { CrashDetector } from './crashDetector.js';
 import type { TargetClient } from './ports.js';
 import type { Rollouts } from './rollouts.js';
+import type { RouterStop } from './routerStop.js';
 import type { RouteTable } from './routeTable.js';
 import type { SubmitPiece } from './runStages.js';
 
@@ -33,6 +34,7 @@
   readonly crashDetector: CrashDetector;
   readonly crashSuspects: CrashSuspects;
   readonly rollouts: Rollouts;
+  readonly stop: RouterStop;
   readonly targetClient: TargetClient;
   readonly submitPiece: SubmitPiece;
   /** Frees stage results, by their handles. */
--- a/packages/router/src/runAttempts.ts
+++ b/packages/router/src/runAttempts.ts
@@ -14,6 +14,7 @@
 import { chooseTargetForCall } from './chooseTargetForCall.js';
 import type { CallerExchange, SendResponse, SendResult } from './ports.js';
 import type { RouterContext } from './routerContext.js';
+import type { TrackedCall } from './routerStop.js';
 import { RunObservation } from './runObservation.js';
 import type { StageResultHandle } from './runStages.js';
 
@@ -22,6 +23,7 @@
   readonly context: RouterContext;
   readonly exchange: CallerExchange;
   readonly admitted: AdmittedCall;
+  readonly tracked: TrackedCall;
   /** Fingerprints of the call and of the parts of its prompt. */
   readonly fingerprints: readonly string[];
   readonly body: Buffer;
@@ -54,12 +56,9 @@
     startedAtMs + (admitted.deadlineAtMs - startedAtMs) * NO_TARGET_WAIT_SHARE;
   context.retryBudget.recordRequest(admitted.service);
   while (!signal.aborted) {
-    if (exchange.disconnected.aborted && progress.runs === 0) {
-      return endDisconnected();
-    }
-    const stopped = context.crashSuspects.findStopped(opts.fingerprints);
-    if (stopped !== undefined) {
-      return endStopped(progress, stopped);
+    const end = endBeforeSend(opts, progress);
+    if (end) {
+      return end;
     }
     const choice = chooseTargetForCall(opts, progress);
     if (choice.kind !== 'chosen') {
@@ -87,6 +86,21 @@
   return endAborted(exchange, progress);
 }
 
+/** Ends a call that must not be sent to a target any more; undefined for others. */
+function endBeforeSend(
+  opts: RunAttemptsOptions,
+  progress: CallProgress,
+): AttemptsResult | undefined {
+  if (progress.runs === 0) {
+    opts.tracked.enter('unsent');
+    if (opts.exchange.disconnected.aborted) {
+      return endDisconnected();
+    }
+  }
+  const stopped = opts.context.crashSuspects.findStopped(opts.fingerprints);
+  return stopped === undefined ? undefined : endStopped(progress, stopped);
+}
+
 /** Makes one attempt; undefined when another one may follow. */
 async function runAttempt(
   opts: RunAttemptsOptions,
@@ -98,6 +112,7 @@
   const { target } = choice;
   const sentAtMs = timer.nowMs();
   progress.recordSend(target.id);
+  opts.tracked.enter('sent');
   context.coldRateLimiter.recordSent(target.address);
   const decrement = context.inFlight.increment(target.id);
   const remainingMs = admitted.deadlineAtMs - sentAtMs;
@@ -186,6 +201,7 @@
     resumeAfter: progress.resumeAfter,
     onData: (events) => {
       opts.onInputsConsumed();
+      opts.tracked.enter('streaming');
       observation.addEvents(events);
       if (!isSound && response.status < 500) {
         isSound = true;
--- a/packages/router/src/runRouter.ts
+++ b/packages/router/src/runRouter.ts
@@ -58,6 +58,7 @@
   while (timer.nowMs() < stopWaitingAtMs && router.callsInProgress() > 0) {
     await timer.sleep({ delayMs: POLL_MS });
   }
+  router.context.stop.reportCalls();
   log({
     about: 'process',
     event: 'stopped',
--- a/packages/router/src/serveCall.ts
+++ b/packages/router/src/serveCall.ts
@@ -5,10 +5,11 @@
 import { classifyEnding, recordCallMetrics } from './recordMetrics.js';
 import type { CallerExchange } from './ports.js';
 import type { RouterContext } from './routerContext.js';
+import type { TrackedCall } from './routerStop.js';
 import { computeFingerprints } from './computeFingerprints.js';
 import { type AttemptsResult, createStoppedError, endDisconnected } from './endAttempts.js';
 import { runAttempts } from './runAttempts.js';
-import { runStages, type StagesFailed } from './runStages.js';
+import { runStages, type StageResultHandle, type StagesFailed } from './runStages.js';
 import { computeStageDeadlines, computeZoneWaitLimits } from './computeStageDeadlines.js';
 
 /** Options of {@link serveCall}. */
@@ -42,6 +43,26 @@
     return;
   }
   const admitted = admission.value;
+  const tracked = context.stop.track({
+    requestId: call.requestId,
+    route: admitted.route.name,
+    receivedAtMs,
+  });
+  try {
+    await serveAdmitted({ ...opts, admitted, tracked });
+  } finally {
+    tracked.release();
+  }
+}
+
+interface ServeAdmittedOptions extends ServeCallOptions {
+  readonly admitted: AdmittedCall;
+  readonly tracked: TrackedCall;
+}
+
+async function serveAdmitted(opts: ServeAdmittedOptions): Promise<void> {
+  const { context, exchange, admitted } = opts;
+  const { call } = exchange;
   const body = await exchange.readBody(admitted.maxBodyBytes);
   if (body.isErr) {
     if (body.error === 'too-large') {
@@ -61,7 +82,6 @@
   try {
     const end = await runCall({
       ...opts,
-      admitted,
       fingerprints,
       body: body.value,
       deadline: deadline.signal,
@@ -72,8 +92,7 @@
   }
 }
 
-interface RunCallOptions extends ServeCallOptions {
-  readonly admitted: AdmittedCall;
+interface RunCallOptions extends ServeAdmittedOptions {
   readonly fingerprints: readonly string[];
   readonly body: Buffer;
   /** Aborts when the final response is due. */
@@ -96,6 +115,7 @@
     findLimits: (service: string) => context.routes.findService(service)?.batch,
   };
   for (let round = 1; ; round += 1) {
+    opts.tracked.enter('staging');
     const stages = await runStages({
       route,
       call: exchange.call,
@@ -113,11 +133,7 @@
       nowMs: () => context.timer.nowMs(),
       resultTtlMs: (service) => deadlineOptions.findLimits(service)?.resultTtlMs ?? 0,
       submit: context.submitPiece,
-      free: (results) => {
-        if (results.length > 0) {
-          context.freeResults(results.map(({ handle }) => handle));
-        }
-      },
+      free: (results) => freeResults(context, results),
       signal: callerSignal,
     });
     const { free } = stages;
@@ -142,6 +158,12 @@
   }
 }
 
+function freeResults(context: RouterContext, results: readonly StageResultHandle[]): void {
+  if (results.length > 0) {
+    context.freeResults(results.map(({ handle }) => handle));
+  }
+}
+
 function endFailedStages(opts: RunCallOptions, failure: StagesFailed): AttemptsResult {
   if (opts.exchange.disconnected.aborted) {
     return endDisconnected();
--- a/packages/router/test/support.ts
+++ b/packages/router/test/support.ts
@@ -22,6 +22,7 @@
 import type { CallerExchange, ResponseHead, SendCallOptions, SendResult } from '../src/ports.js';
 import { Rollouts } from '../src/rollouts.js';
 import type { RouterContext } from '../src/routerContext.js';
+import { RouterStop } from '../src/routerStop.js';
 import type { RouteTable } from '../src/routeTable.js';
 import { serveCall } from '../src/serveCall.js';
 
@@ -200,6 +201,7 @@
       slackRetries: world.maxRetries / 0.8,
       nodeCount: () => 1,
     }),
+    stop: RouterStop.create({ timer, onCallStopped: () => {} }),
     inFlight: CallCounter.create(),
     responseTimes: SmoothedDurations.create(),
     targetClient: {
--- a/packages/types/src/index.ts
+++ b/packages/types/src/index.ts
@@ -1,4 +1,5 @@
 /** Data types shared by several packages: string unions and records without behaviour. */
+export type * from './callPhase.js';
 export type * from './configuration.js';
 export type * from './crashEvidence.js';
 export type * from './rollout.js';
