--- a/packages/router/src/serveCall.ts
+++ b/packages/router/src/serveCall.ts
@@ -5,6 +5,7 @@
 import { classifyEnding, recordCallMetrics } from './recordMetrics.js';
 import type { CallerExchange } from './ports.js';
 import type { RouterContext } from './routerContext.js';
+import type { TrackedCall } from './routerStop.js';
 import { computeFingerprints } from './computeFingerprints.js';
 import { CallProgress } from './callProgress.js';
 import {
@@ -18,7 +19,12 @@
   settleEnding,
 } from './endAttempts.js';
 import { runAttempts } from './runAttempts.js';
-import { runStages, type StagesDone, type StagesFailed } from './runStages.js';
+import {
+  runStages,
+  type StageResultHandle,
+  type StagesDone,
+  type StagesFailed,
+} from './runStages.js';
 import { computeStageDeadlines, computeZoneWaitLimits } from './computeStageDeadlines.js';
 
 /** Options of {@link serveCall}. */
@@ -52,6 +58,26 @@
     return;
   }
   const admitted = admission.value;
+  const tracked = context.stop.track({
+    requestId: call.requestId,
+    route: admitted.route.name,
+    receivedAtMs,
+  });
+  try {
+    await serveAdmitted({ ...opts, admitted, tracked });
+  } finally {
+    tracked.release();
+  }
+}
+
+interface ServeAdmittedOptions extends ServeCallOptions {
+  readonly admitted: AdmittedCall;
+  readonly tracked: TrackedCall;
+}
+
+async function serveAdmitted(opts: ServeAdmittedOptions): Promise<void> {
+  const { context, exchange, admitted } = opts;
+  const { call } = exchange;
   const body = await exchange.readBody(admitted.maxBodyBytes);
   if (body.isErr) {
     if (body.error === 'too-large') {
@@ -72,7 +98,6 @@
   try {
     const end = await runCall({
       ...opts,
-      admitted,
       fingerprints,
       body: body.value,
       progress,
@@ -84,8 +109,7 @@
   }
 }
 
-interface RunCallOptions extends ServeCallOptions {
-  readonly admitted: AdmittedCall;
+interface RunCallOptions extends ServeAdmittedOptions {
   readonly fingerprints: readonly string[];
   readonly body: Buffer;
   readonly progress: CallProgress;
@@ -100,6 +124,7 @@
   // An at-most-once call runs on when its caller disconnects, because its effect is wanted.
   const signal = route.callKind === 'at-most-once' ? deadline : callerSignal;
   for (let round = 1; ; round += 1) {
+    opts.tracked.enter('staging');
     const stages = await runStageRound(opts, callerSignal);
     const { free } = stages;
     try {
@@ -160,15 +185,17 @@
     nowMs: () => context.timer.nowMs(),
     resultTtlMs: (service) => deadlineOptions.findLimits(service)?.resultTtlMs ?? 0,
     submit: context.submitPiece,
-    free: (results) => {
-      if (results.length > 0) {
-        context.freeResults(results.map(({ handle }) => handle));
-      }
-    },
+    free: (results) => freeResults(context, results),
     signal,
   });
 }
 
+function freeResults(context: RouterContext, results: readonly StageResultHandle[]): void {
+  if (results.length > 0) {
+    context.freeResults(results.map(({ handle }) => handle));
+  }
+}
+
 function endFailedStages(opts: RunCallOptions, failure: StagesFailed): Refused {
   const { context, admitted, progress } = opts;
   if (progress.runs > 0) {
