Continue a stream only with events that follow the last one sent

A resumable stream broke off, and the next target answered. With a status other than 200 nothing of it reached the caller, but with status 200 any sealed answer was taken for the rest: blocks of another content type went into the stream, a target that ignored the position sent events again that the caller had, and a head without any event ended the stream as if it were complete.

Cause: a continuation was checked as loosely as a first response. It now has to state that it is an event stream, its first event has to follow the last one sent, and it has to hold an event at all; anything else counts as interrupted. The body of an error answer is not read any more, since nothing may use it.

Evidence: of nine examples three fail on the code before (another type, a head only, events from the start); the other six guard what held already.

--- a/packages/router/src/forwardResponse.ts
+++ b/packages/router/src/forwardResponse.ts
@@ -2,7 +2,7 @@
 import { readAll } from '@galenatiller/http';
 
 import type { CallerExchange, SendResponse } from './ports.js';
-import { EventSplitter } from './wireEventStream.js';
+import { type CompleteEvent, EventSplitter } from './wireEventStream.js';
 
 /** Options of {@link forwardResponse}. */
 export interface ForwardResponseOptions {
@@ -40,18 +40,19 @@
       'a success response without proof of origin',
     );
   }
-  let body: Buffer;
-  try {
-    body = await readAll({ body: response.body, maxBytes: MAX_RESPONSE_BYTES });
-  } catch (error) {
-    return createInterrupted({ ...opts, lastEventId }, describeError(error));
-  }
   if (opts.hasStarted) {
+    response.discard();
     return createInterrupted(
       { ...opts, lastEventId },
       `status ${response.status} instead of the rest of the stream`,
     );
   }
+  let body: Buffer;
+  try {
+    body = await readAll({ body: response.body, maxBytes: MAX_RESPONSE_BYTES });
+  } catch (error) {
+    return createInterrupted({ ...opts, lastEventId }, describeError(error));
+  }
   opts.onData(0);
   const { status, passedHeaders } = response;
   const bodyEnd = response.bodyEnd === 'close' ? 'close' : 'length';
@@ -64,20 +65,16 @@
 async function forwardStream(opts: ForwardResponseOptions): Promise<ForwardResult> {
   const { exchange, response } = opts;
   let { hasStarted, resumeAfter: lastEventId } = opts;
-  if (!response.isSealed) {
+  const unusable = findStreamFault(opts);
+  if (unusable !== undefined) {
     response.discard();
-    return createInterrupted({ hasStarted, lastEventId }, 'a stream without proof of origin');
+    return createInterrupted({ hasStarted, lastEventId }, unusable);
   }
   const { status, passedHeaders } = response;
   const bodyEnd = response.bodyEnd === 'close' ? 'close' : 'last-chunk';
   const head = { status, passedHeaders, bodyEnd, bodyBytes: 0 } as const;
-  const splitter = EventSplitter.create();
   try {
-    for await (const chunk of response.body) {
-      const events = splitter.push(chunk);
-      if (events.length === 0) {
-        continue;
-      }
+    for await (const events of readEvents(opts)) {
       if (!hasStarted) {
         exchange.writeHead(head);
         hasStarted = true;
@@ -89,12 +86,6 @@
   } catch (error) {
     return createInterrupted({ hasStarted, lastEventId }, describeError(error));
   }
-  if (!splitter.isBetweenEvents) {
-    return createInterrupted(
-      { hasStarted, lastEventId },
-      'the stream ended in the middle of an event',
-    );
-  }
   if (!hasStarted) {
     exchange.writeHead(head);
   }
@@ -102,6 +93,49 @@
   return { kind: 'complete', hasStarted: true, lastEventId };
 }
 
+/** Why the head of a response shows that its body must not reach the caller; undefined if it may. */
+function findStreamFault(opts: ForwardResponseOptions): string | undefined {
+  const { response, hasStarted } = opts;
+  if (!response.isSealed) {
+    return 'a stream without proof of origin';
+  }
+  return hasStarted && !response.isEventStream ? 'no events instead of the rest' : undefined;
+}
+
+/**
+ * Yields the events of a response as they complete; throws when its body breaks off, or when it
+ * isn't the rest of a stream that has started.
+ */
+async function* readEvents(
+  opts: ForwardResponseOptions,
+): AsyncGenerator<readonly CompleteEvent[], void, void> {
+  const splitter = EventSplitter.create();
+  let isRest = !opts.hasStarted;
+  for await (const chunk of opts.response.body) {
+    const events = splitter.push(chunk);
+    if (events.length === 0) {
+      continue;
+    }
+    if (!isRest && !isAfter(events, opts.resumeAfter)) {
+      throw new Error('events that the caller has instead of the rest');
+    }
+    isRest = true;
+    yield events;
+  }
+  if (!splitter.isBetweenEvents) {
+    throw new Error('the stream ended in the middle of an event');
+  }
+  if (!isRest) {
+    throw new Error('no event instead of the rest');
+  }
+}
+
+/** Whether events follow the last one that the caller has; ids that are no numbers prove nothing. */
+function isAfter(events: readonly CompleteEvent[], lastEventId: string): boolean {
+  const first = Number(events.find(({ id }) => id !== '')?.id ?? Number.NaN);
+  return !(first <= Number(lastEventId === '' ? Number.NaN : lastEventId));
+}
+
 function createInterrupted(
   state: { readonly hasStarted: boolean; readonly lastEventId: string },
   detail: string,
--- a/packages/router/src/ports.ts
+++ b/packages/router/src/ports.ts
@@ -27,6 +27,8 @@
   readonly status: number;
   /** Whether the response has the target's proof of origin; a success without it is not forwarded. */
   readonly isSealed: boolean;
+  /** Whether the response states that its body is an event stream. */
+  readonly isEventStream: boolean;
   /**
    * Headers forwarded to the caller, as alternating names and values; routing decisions ignore them.
    */
--- a/packages/router/test/brokenStreams.steps.ts
+++ b/packages/router/test/brokenStreams.steps.ts
@@ -3,6 +3,7 @@
 
 import { Given, Then } from '@cucumber/cucumber';
 
+import type { SendResponse } from '../src/ports.js';
 import {
   createChunks,
   createContext,
@@ -32,6 +33,18 @@
   'the stage results are gone': () => () => ({ kind: 'inputs-gone', detail: 'status 409' }),
 };
 
+const ANSWERS: Readonly<Record<string, Partial<SendResponse>>> = {
+  'status 500': { status: 500 },
+  'status 404': { status: 404 },
+  'status 302': { status: 302, passedHeaders: ['Location', '/elsewhere'] },
+  'status 206': { status: 206 },
+  'a body of another type': { isEventStream: false, body: createChunks(['{}\n\n']) },
+  'a body with a length': { bodyEnd: 'length', isEventStream: false, body: createChunks(['{}']) },
+  'a head only': { body: createChunks([]) },
+  'events from the start': { body: createChunks(createEvents(1, 4)) },
+  'events without proof of origin': { isSealed: false, body: createChunks(createEvents(3, 4)) },
+};
+
 async function* createBrokenStream(onBroken: () => void): AsyncGenerator<Buffer> {
   yield* createChunks(createEvents(1, 2));
   onBroken();
@@ -51,6 +64,16 @@
   },
 );
 
+Given(
+  /^the first stream is interrupted after event 2, and then the next target answers with (.+)$/,
+  function given(this: RouterWorld, what: string) {
+    const answer = ANSWERS[what];
+    assert.ok(answer, what);
+    this.scripts = [() => respond({ body: createBrokenStream(() => {}) })];
+    this.fallback = () => respond({ isEventStream: true, ...answer });
+  },
+);
+
 Given(
   'the connection breaks during the first call, and its stage results are gone after it',
   function given(this: RouterWorld) {
--- a/packages/router/test/router.feature
+++ b/packages/router/test/router.feature
@@ -109,6 +109,25 @@
       | the prompt is stopped                |
       | the stage results are gone           |
 
+  # Guards against an answer of the next target in the middle of a caller's stream, or as its end.
+  Scenario Outline: Only the rest of a stream continues it
+    Given the first stream is interrupted after event 2, and then the next target answers with <what>
+    When a "resumable" call is made
+    Then the caller gets the events 1 to 2 and an aborted response
+    And the call has one line that it was cut
+
+    Examples:
+      | what                                 |
+      | status 500                           |
+      | status 404                           |
+      | status 302                           |
+      | status 206                           |
+      | a body of another type               |
+      | a body with a length                 |
+      | a head only                          |
+      | events from the start                |
+      | events without proof of origin       |
+
   Scenario: The final response comes at the route's timeout
     Given the targets never respond
     When an "order" call is made
--- a/packages/router/test/support.ts
+++ b/packages/router/test/support.ts
@@ -147,6 +147,7 @@
     kind: 'answered',
     status: 200,
     isSealed: true,
+    isEventStream: true,
     passedHeaders: ['X-From', 'target'],
     bodyEnd: 'length',
     body: createChunks(['whole']),
