Let a node of the native path outlive SIGHUP

The daemon had no handler for SIGHUP, so the signal ended it at once in the middle of its calls. It now checks the settings file and reports the outcome, as the router does; the node keeps the settings that it started with.

Evidence: the scenario can't be written against the code before, which has no such subscription; without checkSettings both examples fail.

--- a/packages/daemon/src/galenatillerd.ts
+++ b/packages/daemon/src/galenatillerd.ts
@@ -14,6 +14,7 @@
   runGate: runGateRole,
   timer: TimerService.create({ clock: systemClock }),
   subscribeToSignals: onSignal,
+  subscribeToReload: onReload,
   readText: (fileName) => readFile(fileName, 'utf8'),
   writeOut: (text) => {
     process.stdout.write(text);
@@ -26,6 +27,13 @@
 // eslint-disable-next-line n/no-process-exit
 process.exit(exitCode);
 
+function onReload(notify: () => void): Cancel {
+  process.on('SIGHUP', notify);
+  return () => {
+    process.off('SIGHUP', notify);
+  };
+}
+
 function onSignal(notify: (signal: StopSignal) => void): Cancel {
   process.on('SIGINT', notify);
   process.on('SIGTERM', notify);
--- a/packages/daemon/src/runDaemon.ts
+++ b/packages/daemon/src/runDaemon.ts
@@ -1,9 +1,9 @@
 import type { EntrySettings, GateSettings, NodeSettings } from '@galenatiller/settings';
-import type { TimerService } from '@galenatiller/timer';
+import type { Cancel, TimerService } from '@galenatiller/timer';
 
 import { EXIT_OK, EXIT_SETTINGS } from './exitCodes.js';
 import { loadSettings, type ReadText } from './loadSettings.js';
-import { parseCommandLine } from './parseCommandLine.js';
+import { type DaemonCommand, parseCommandLine } from './parseCommandLine.js';
 import { type SubscribeToSignals, runUntilStopped } from './runUntilStopped.js';
 
 /** Options of a {@link RunRole} function. */
@@ -27,6 +27,8 @@
   readonly runGate: RunRole<GateSettings>;
   readonly timer: TimerService;
   readonly subscribeToSignals: SubscribeToSignals;
+  /** Subscribes to requests to check the settings file, and returns a function that unsubscribes. */
+  readonly subscribeToReload: (notify: () => void) => Cancel;
   readonly readText: ReadText;
   readonly writeOut: (text: string) => void;
   readonly writeError: (text: string) => void;
@@ -47,13 +49,28 @@
     opts.writeOut(`${command.value.settingsFile}: no problem found.\n`);
     return EXIT_OK;
   }
-  return runUntilStopped({
+  const unsubscribe = opts.subscribeToReload(() => {
+    checkSettings(opts, command.value).catch((error: unknown) => opts.writeError(String(error)));
+  });
+  const exitCode = await runUntilStopped({
     run: (stop) => runRole(opts, settings.value, stop),
     stopLimitMs: settings.value.stopLimitMs,
     timer: opts.timer,
     subscribeToSignals: opts.subscribeToSignals,
     writeError: opts.writeError,
   });
+  unsubscribe();
+  return exitCode;
+}
+
+/** Checks the settings file and reports its problems; the node keeps the settings that it has. */
+async function checkSettings(opts: RunDaemonOptions, command: DaemonCommand): Promise<void> {
+  const settings = await loadSettings({ command, readText: opts.readText });
+  if (settings.isErr) {
+    opts.writeError(`${settings.error.detail}\n`);
+    return;
+  }
+  opts.writeOut(`${command.settingsFile}: no problem found; changes apply after a restart.\n`);
 }
 
 function runRole(opts: RunDaemonOptions, settings: NodeSettings, stop: AbortSignal): Promise<void> {
--- a/packages/daemon/test/daemon.feature
+++ b/packages/daemon/test/daemon.feature
@@ -27,6 +27,18 @@
     And 40 ms pass for the daemon
     Then the daemon exits with 0
 
+  # Guards against a node that ends in the middle of its calls when its settings file has a fault.
+  Scenario Outline: A reload only reports what the settings file holds
+    When the daemon is started with "entry --settings right.ini"
+    And its settings file becomes <state> and the daemon is told to read it again
+    Then the daemon is still running
+    And the daemon has printed "<text>"
+
+    Examples:
+      | state   | text                                                              |
+      | valid   | right.ini: no problem found; changes apply after a restart.       |
+      | invalid | right.ini:2: [node] nam: found an unknown key                     |
+
   Scenario: The stop limit bounds the graceful shutdown
     Given a daemon whose node needs 900 ms for a graceful shutdown
     When the daemon is started with "entry --settings right.ini"
--- a/packages/daemon/test/daemon.steps.ts
+++ b/packages/daemon/test/daemon.steps.ts
@@ -12,6 +12,9 @@
   output: string;
   runEntry: RunRole<EntrySettings>;
   sendSignal: (signal: StopSignal) => void;
+  reload: () => void;
+  /** Text of the settings file; undefined for the one that the node started with. */
+  changedSettings: string | undefined;
 }
 
 const KEY = '0123456789abcdef'.repeat(4);
@@ -50,6 +53,7 @@
 When('the daemon is started with {string}', async function when(this: DaemonWorld, line: string) {
   this.clock = ManualClock.create({ startWallMs: 0 });
   this.output = '';
+  this.changedSettings = undefined;
   const write = (text: string): void => {
     this.output += text;
   };
@@ -62,7 +66,11 @@
       this.sendSignal = notify;
       return () => {};
     },
-    readText: (fileName) => readText(fileName),
+    subscribeToReload: (notify) => {
+      this.reload = notify;
+      return () => {};
+    },
+    readText: async (fileName) => this.changedSettings ?? (await readText(fileName)),
     writeOut: write,
     writeError: write,
   }).then(
@@ -81,6 +89,15 @@
   await this.clock.advance({ byMs: 0 });
 });
 
+When(
+  'its settings file becomes {word} and the daemon is told to read it again',
+  async function when(this: DaemonWorld, state: string) {
+    this.changedSettings = state === 'valid' ? VALID_SETTINGS : INVALID_SETTINGS;
+    this.reload();
+    await this.clock.advance({ byMs: 0 });
+  },
+);
+
 When('{int} ms pass for the daemon', async function when(this: DaemonWorld, byMs: number) {
   await this.clock.advance({ byMs });
   await this.clock.advance({ byMs: 0 });
