End the work of entries and gates before their stop limit, with an answer for each call

Callers saw connections that closed without an answer when an entry stopped while their call ran, or while its body was incomplete; calls that waited in the queue of a stopping gate were held until its links were cut.

Cause: only the process knew the stop limit (runUntilStopped). Entries waited for calls up to their own deadlines, gates for their queues, and the process ended under both.

Shutdown (packages/node) says when the work of a stopping node ends: a second, or a fifth of the stop limit if that is less, before the process. Entries refuse calls that aren't expected to end by then as not run, with Retry-After, before they send them, and answer those in progress at that time with the new code 2012, may have run. Gates refuse their queues when the stop begins and end what still runs with 2012. The time left in stage requests is that until the end of the work, so that gates decide by it.

--- a/features/schedules.feature
+++ b/features/schedules.feature
@@ -6,6 +6,10 @@
   Scenario: The invariants hold under random schedules of faults
     Then 1000 schedules from seed 20261204 have no violations
 
+  # Guards against calls that a stopping entry has read and whose connections it closes without an answer.
+  Scenario: Overlapping stops of entries and gates leave no call without an answer
+    Then 300 schedules of stops from seed 20261205 have no violations
+
   Scenario: The checker detects run records that are lost with their gate
     Then some schedule from seed 7 with run records in memory has a violation of kind "doubled"
 
--- a/features/schedules.steps.ts
+++ b/features/schedules.steps.ts
@@ -75,6 +75,85 @@
   ),
 });
 
+/** A series of stops, one node after another, that overlap when the interval is short. */
+const arbitraryStops: fc.Arbitrary<readonly ScheduledFault[]> = fc
+  .record({
+    kinds: fc.array(fc.constantFrom('stop-entry' as const, 'stop-gate' as const), {
+      minLength: 1,
+      maxLength: 8,
+    }),
+    firstIndex: fc.nat({ max: 5 }),
+    startMs: fc.integer({ min: 0, max: 4_000 }),
+    intervalMs: fc.integer({ min: 50, max: 1_500 }),
+    durationMs: fc.integer({ min: 100, max: 1_500 }),
+  })
+  .map(({ kinds, firstIndex, startMs, intervalMs, durationMs }) =>
+    kinds.map((kind, position) => ({
+      kind,
+      index: firstIndex + position,
+      atMs: startMs + position * intervalMs,
+      durationMs,
+    })),
+  );
+
+const arbitraryTroubles: fc.Arbitrary<readonly ScheduledFault[]> = fc.array(
+  fc.record({
+    kind: fc.constantFrom(
+      'target-stuck' as const,
+      'target-slow' as const,
+      'target-down' as const,
+      'pause-gate' as const,
+      'cut-link' as const,
+      'store-outage' as const,
+      'store-slow' as const,
+    ),
+    index: fc.nat({ max: 5 }),
+    atMs: arbitraryAtMs,
+    durationMs: fc.integer({ min: 200, max: 6_000 }),
+  }),
+  { maxLength: 4 },
+);
+
+const arbitraryBurst: fc.Arbitrary<SimulationSchedule['requests']> = fc
+  .record({ atMs: fc.integer({ min: 0, max: 6_000 }), count: fc.integer({ min: 4, max: 24 }) })
+  .chain(({ atMs, count }) =>
+    fc.array(
+      fc.record({
+        route: fc.constantFrom('draft' as const, 'reserve' as const, 'look-up' as const),
+        entryIndex: fc.nat({ max: 1 }),
+        key: fc.nat({ max: 40 }),
+        atMs: fc.integer({ min: atMs, max: atMs + 600 }),
+      }),
+      { minLength: count, maxLength: count },
+    ),
+  );
+
+const arbitraryStopSchedule: fc.Arbitrary<SimulationSchedule> = fc
+  .record({
+    seed: fc.integer({ min: 0, max: 1_000_000 }),
+    bursts: fc.array(arbitraryBurst, { minLength: 1, maxLength: 2 }),
+    stops: arbitraryStops,
+    troubles: arbitraryTroubles,
+  })
+  .map(({ seed, bursts, stops, troubles }) => ({
+    seed,
+    requests: bursts.flat(),
+    faults: [...stops, ...troubles],
+  }));
+
+Then(
+  '{int} schedules of stops from seed {int} have no violations',
+  { timeout: 600_000 },
+  async (count: number, seed: number) => {
+    await fc.assert(
+      fc.asyncProperty(arbitraryStopSchedule, async (schedule) => {
+        assert.deepEqual(await findViolations(schedule, STANDARD_MECHANISMS), []);
+      }),
+      { seed, numRuns: count, includeErrorInReport: true },
+    );
+  },
+);
+
 Then(
   '{int} schedules from seed {int} have no violations',
   { timeout: 600_000 },
--- a/features/support/endToEndDeployment.ts
+++ b/features/support/endToEndDeployment.ts
@@ -21,14 +21,21 @@
   stopGate: AbortController;
   entryEnd: Promise<void>;
   gateEnd: Promise<void>;
+  /** Stop limit of the nodes; the default is long. */
+  stopLimitMs?: number;
+  /** Requests that each target runs at a time. */
+  inFlightLimit?: number;
+  /** Time that the run records of the gate take to end. */
+  recordsEndMs?: number;
 }
 
 /** Uses the system clock, because this feature runs over real sockets. */
 export const timer = TimerService.create({ clock: systemClock });
 
 const LINK_KEYS = ['a1'.repeat(32)];
+const DEFAULT_STOP_LIMIT_MS = 10_000;
+const DEFAULT_IN_FLIGHT_LIMIT = 8;
 const commonSettings = {
-  stopLimitMs: 10_000,
   linkAddress: '127.0.0.1',
   linkPort: 0,
   linkKeys: LINK_KEYS,
@@ -56,11 +63,12 @@
     createTargetSettings('retriever-1', 'pool', 'retriever', world.pools[0]?.url),
     createTargetSettings('reranker-1', 'pool', 'reranker', world.pools[0]?.url),
     createTargetSettings('floor-1', 'service', 'floor', world.floorService.url),
-  ];
+  ].map((target) => ({ ...target, ...createLimits(world) }));
   return new Promise((resolve) => {
     world.gateEnd = runGate({
       settings: {
         ...commonSettings,
+        stopLimitMs: world.stopLimitMs ?? DEFAULT_STOP_LIMIT_MS,
         role: 'gate',
         nodeName: 'gate-1',
         availabilityZone: 'north-a',
@@ -73,7 +81,13 @@
       watchTarget: () => Promise.resolve(),
       record: () => {},
       runners: { engine: runGeneration, pool: runPoolStage, service: runServiceCall },
-      runRecords: createMemoryRunRecords(),
+      runRecords: {
+        ...createMemoryRunRecords(),
+        maintain: async (signal) => {
+          await whenAborted(signal);
+          await timer.sleep({ delayMs: world.recordsEndMs ?? 0 });
+        },
+      },
       exchange: createExchange(),
       followConfiguration: (onConfiguration, signal) => {
         onConfiguration(configuration);
@@ -94,6 +108,7 @@
     world.entryEnd = runEntry({
       settings: {
         ...commonSettings,
+        stopLimitMs: world.stopLimitMs ?? DEFAULT_STOP_LIMIT_MS,
         role: 'entry',
         nodeName: 'entry-1',
         availabilityZone: 'north-a',
@@ -125,9 +140,12 @@
   kind: TargetKind,
   group: string,
   url = '',
-): TargetSettings {
-  const limits = { inFlightLimit: 8, coldInFlightLimit: 8, queueLimit: 16 };
-  return { name, kind, group, version: 'v1', url, ...limits };
+): Omit<TargetSettings, keyof ReturnType<typeof createLimits>> {
+  return { name, kind, group, version: 'v1', url };
+}
+
+function createLimits({ inFlightLimit = DEFAULT_IN_FLIGHT_LIMIT }: EndToEndDeployment) {
+  return { inFlightLimit, coldInFlightLimit: inFlightLimit, queueLimit: 16 };
 }
 
 function createExchange(): ConfigurationExchange {
--- a/features/support/simulation/injectFault.ts
+++ b/features/support/simulation/injectFault.ts
@@ -1,5 +1,11 @@
 import type { FakeStore } from '@galenatiller/fakes';
-import { killNode, type SimulatedEntry, type SimulatedGate } from './simulatedNodes.js';
+import {
+  killNode,
+  type SimulatedEntry,
+  type SimulatedGate,
+  stopEntry,
+  stopGate,
+} from './simulatedNodes.js';
 import type { ScheduledFault, FaultKind } from './simulationTypes.js';
 import type { SimulatedTargets } from './simulatedTargets.js';
 
@@ -26,6 +32,12 @@
     killNode(entry);
     afterFault(restartEntry);
   },
+  'stop-gate': ({ gate, afterFault, restartGate }) => {
+    stopGate(gate, () => afterFault(restartGate));
+  },
+  'stop-entry': ({ entry, afterFault, restartEntry }) => {
+    stopEntry(entry, () => afterFault(restartEntry));
+  },
   'pause-gate': ({ gate, afterFault }) => {
     gate.clock.pause();
     afterFault(() => gate.clock.resume());
@@ -44,6 +56,10 @@
     target.setFaults({ slowFactor: 6 });
     afterFault(() => target.setFaults({ slowFactor: 1 }));
   },
+  'target-stuck': ({ target, afterFault }) => {
+    target.setFaults({ slowFactor: 100 });
+    afterFault(() => target.setFaults({ slowFactor: 1 }));
+  },
   'lose-answers': ({ target }) => {
     target.setFaults({ loseAnswers: 2 });
   },
--- a/features/support/simulation/memoryLink.ts
+++ b/features/support/simulation/memoryLink.ts
@@ -43,6 +43,7 @@
     receiverTimer: TimerService,
   ): Link => {
     let arrivesAtMs = 0;
+    let isEnded = false;
     const frames = inbox.read();
     return {
       next: async () => {
@@ -51,7 +52,7 @@
       },
       read: () => frames,
       send: (frame) => {
-        if (isCut) {
+        if (isCut || isEnded) {
           return false;
         }
         arrivesAtMs = Math.max(arrivesAtMs, receiverTimer.nowMs() + opts.drawDelayMs());
@@ -64,7 +65,12 @@
         return true;
       },
       close: cut,
-      end: cut,
+      // The peer still gets the frames in transit, and closes the link once it has read them.
+      end: () => {
+        isEnded = true;
+        const delayMs = Math.max(0, arrivesAtMs - receiverTimer.nowMs());
+        receiverTimer.after({ delayMs, notify: () => outbox.close() });
+      },
     };
   };
   return {
--- a/features/support/simulation/sendRequest.ts
+++ b/features/support/simulation/sendRequest.ts
@@ -1,8 +1,7 @@
 import { createHash } from 'node:crypto';
 
 import type { RequestRecord } from '@galenatiller/bench';
-import type { Call, CallResponse } from '@galenatiller/caller';
-import type { Entry } from '@galenatiller/entry';
+import type { Call, CallResponse, WritePart } from '@galenatiller/caller';
 import type { GalenatillerError } from '@galenatiller/error';
 import { computeExpectedCompletion, computeExpectedReceipt } from '@galenatiller/fakes';
 import type { TimerService } from '@galenatiller/timer';
@@ -10,7 +9,7 @@
 
 import { DRAFT_TOKENS } from './createRules.js';
 import type { ScheduledRequest } from './simulationTypes.js';
-import type { NodeClock } from './nodeClock.js';
+import type { SimulatedEntry } from './simulatedNodes.js';
 
 /** Options of {@link sendRequest}. */
 export interface SendRequestOptions {
@@ -18,9 +17,7 @@
   readonly index: number;
   readonly timer: TimerService;
   /** Returns the entry for an attempt. */
-  readonly findEntry: (
-    attempt: number,
-  ) => { readonly entry: Entry; readonly clock: NodeClock } | undefined;
+  readonly findEntry: (attempt: number) => SimulatedEntry | undefined;
   /** Called when the request is sent, and again when it has ended. */
   readonly onRecord: (record: RequestRecord) => void;
 }
@@ -31,7 +28,7 @@
 /** Maximum number of attempts of a caller whose connection breaks. */
 const MAX_ATTEMPTS = 4;
 
-type CallEnd = Result<CallResponse, GalenatillerError> | 'broken';
+type CallEnd = Result<CallResponse, GalenatillerError> | 'killed' | 'stopped';
 
 /** Simulates a caller: sends the request, and retries it when the connection breaks. */
 export async function sendRequest(opts: SendRequestOptions): Promise<void> {
@@ -47,13 +44,18 @@
     }
     const call: Call = { ...createCall(opts), requestId };
     const ended: CallEnd = await Promise.race([
-      simulatedEntry.entry.runCall(call, (part) => {
+      runCall(simulatedEntry, call, (part) => {
         text += part.text;
         return Promise.resolve();
       }),
-      waitForKill(opts.timer, simulatedEntry.clock),
+      waitForEnd(opts.timer, simulatedEntry),
     ]);
-    if (ended !== 'broken') {
+    if (ended === 'stopped') {
+      const detail = 'the entry stopped and closed the connection without an answer';
+      opts.onRecord({ ...record, requestId, text, end: { kind: 'unanswered', detail } });
+      return;
+    }
+    if (ended !== 'killed') {
       opts.onRecord({
         ...record,
         requestId,
@@ -127,10 +129,25 @@
     : (response.body as { readonly receipt: string }).receipt;
 }
 
-/** Resolves when the entry was killed, which a caller notices by its broken connection. */
-async function waitForKill(timer: TimerService, clock: NodeClock): Promise<'broken'> {
-  while (clock.isAlive) {
+function runCall(
+  { entry, calls }: SimulatedEntry,
+  call: Call,
+  writePart: WritePart,
+): Promise<Result<CallResponse, GalenatillerError>> {
+  return new Promise((resolve) => {
+    calls.start(async () => {
+      resolve(await entry.runCall(call, writePart));
+    });
+  });
+}
+
+/** Resolves when the process of the entry has ended, which a caller notices by its connection. */
+async function waitForEnd(
+  timer: TimerService,
+  entry: SimulatedEntry,
+): Promise<'killed' | 'stopped'> {
+  while (entry.clock.isAlive) {
     await timer.sleep({ delayMs: POLL_INTERVAL_MS });
   }
-  return 'broken';
+  return entry.state === 'stopped' ? 'stopped' : 'killed';
 }
--- a/features/support/simulation/simulatedNodes.ts
+++ b/features/support/simulation/simulatedNodes.ts
@@ -5,7 +5,12 @@
   ActiveConfiguration,
   type ActiveConfigurationOptions,
 } from '@galenatiller/configuration';
-import { createEntry, type CreateEntryOptions, type Entry } from '@galenatiller/entry';
+import {
+  createEntry,
+  type CreateEntryOptions,
+  type Entry,
+  shutDownEntry,
+} from '@galenatiller/entry';
 import { GalenatillerError } from '@galenatiller/error';
 import type { FakeStore } from '@galenatiller/fakes';
 import { createGate, type Gate } from '@galenatiller/gate';
@@ -15,7 +20,7 @@
   type AuthenticatedLink,
 } from '@galenatiller/node';
 import { CallBudget, StoreClient, type StoreTransport } from '@galenatiller/store';
-import { whenAborted } from '@galenatiller/tasks';
+import { TaskGroup, whenAborted } from '@galenatiller/tasks';
 import { type ManualClock, TimerService } from '@galenatiller/timer';
 import type { Host, NodeRole } from '@galenatiller/types';
 import { Result } from 'true-myth';
@@ -42,16 +47,20 @@
   readonly clock: NodeClock;
   readonly timer: TimerService;
   readonly links: Set<MemoryLink>;
+  state: 'running' | 'stopping' | 'stopped' | 'killed';
 }
 
 /** An entry with its process. */
-export type SimulatedEntry = SimulatedNode & { readonly entry: Entry };
+export type SimulatedEntry = SimulatedNode & { readonly entry: Entry; readonly calls: TaskGroup };
 
 /** A gate with its process. */
 export type SimulatedGate = SimulatedNode & { readonly gate: Gate };
 
 const MAX_FRAME_DELAY_MS = 3;
 
+/** Time after SIGTERM at which a process that is still running ends. */
+const STOP_LIMIT_MS = 2_500;
+
 /** Interval at which a gate asks its targets for their identity. */
 const POLL_INTERVAL_MS = 200;
 
@@ -63,7 +72,8 @@
     availabilityZone: AVAILABILITY_ZONES[index] ?? '',
     incarnation: randomUUID(),
   };
-  return { identity, clock, timer: TimerService.create({ clock }), links: new Set() };
+  const timer = TimerService.create({ clock });
+  return { identity, clock, timer, links: new Set(), state: 'running' };
 }
 
 /** Creates a client of the simulated store; responses arrive on the clock of the process. */
@@ -113,6 +123,7 @@
   };
   const gate = createGate({
     ...identity,
+    stopLimitMs: STOP_LIMIT_MS,
     targets: [
       { ...settings, name: `engine-${index}`, kind: 'engine', group: 'drafter' },
       { ...settings, name: `service-${index}`, kind: 'service', group: 'booking' },
@@ -173,6 +184,7 @@
     identity,
     timer,
     linksPerGroup: 8,
+    stopLimitMs: STOP_LIMIT_MS,
     policy: context.mechanisms.policy,
     record: () => {},
     random: context.random,
@@ -183,7 +195,7 @@
       return whenAborted(signal);
     },
   });
-  return { ...node, entry };
+  return { ...node, entry, calls: TaskGroup.create({ onFailure: throwError }) };
 }
 
 async function openLink(
@@ -202,7 +214,7 @@
   far.timer.after({
     delayMs: 0,
     notify: () => {
-      far.gate.serveLink(link.farSide).catch(() => link.cut());
+      far.gate.serveLink(link.farSide).then(link.cut, link.cut);
     },
   });
   return Result.ok(link.nearSide);
@@ -214,10 +226,46 @@
 
 /** Ends a process like SIGKILL. */
 export function killNode(node: SimulatedNode): void {
+  endProcess(node, 'killed');
+}
+
+/** Stops a process like SIGTERM; `onEnded` is called unless it is killed before it has ended. */
+export function stopGate(node: SimulatedGate, onEnded: () => void): void {
+  stopNode(node, () => node.gate.stop(), onEnded);
+}
+
+/** Stops a process like SIGTERM; `onEnded` is called unless it is killed before it has ended. */
+export function stopEntry(node: SimulatedEntry, onEnded: () => void): void {
+  stopNode(node, () => shutDownEntry({ ...node, stopAccepting: () => {} }), onEnded);
+}
+
+function stopNode(node: SimulatedNode, stop: () => Promise<void>, onEnded: () => void): void {
+  if (node.state !== 'running') {
+    return;
+  }
+  const stopping = node;
+  stopping.state = 'stopping';
+  Promise.race([stop(), node.timer.sleep({ delayMs: STOP_LIMIT_MS })])
+    .then(() => {
+      if (node.state === 'stopping') {
+        endProcess(node, 'stopped');
+        onEnded();
+      }
+    })
+    .catch(throwError);
+}
+
+function endProcess(node: SimulatedNode, state: 'killed' | 'stopped'): void {
+  const ended = node;
+  ended.state = state;
   node.clock.kill();
   node.links.forEach((link) => link.cut());
 }
 
+function throwError(error: unknown): never {
+  throw error;
+}
+
 /** Awaits a value, and resumes on the clock of the process. */
 async function resumeOnClock<Value>(
   timer: TimerService,
--- a/features/support/simulation/simulatedTargets.ts
+++ b/features/support/simulation/simulatedTargets.ts
@@ -2,6 +2,7 @@
 import type { CallEffect, TargetRun } from '@galenatiller/bench';
 import { computeExpectedReceipt, computeExpectedWord } from '@galenatiller/fakes';
 import type { RunOnTargetOptions } from '@galenatiller/gate';
+import { whenAborted } from '@galenatiller/tasks';
 import type { TimerService } from '@galenatiller/timer';
 import type { StageResult } from '@galenatiller/types';
 import { Result } from 'true-myth';
@@ -118,18 +119,27 @@
       return createFailure('target-unreachable');
     }
     this.recordRun(opts);
+    const hasEffect = await Promise.race([
+      this.runCall(order.requestId, order.runKey),
+      whenAborted(opts.signal),
+    ]);
+    if (!hasEffect || opts.signal.aborted || this.consumeFault('loseAnswers')) {
+      return createFailure('target-failed');
+    }
+    const { runKey } = order;
+    const receipt = computeExpectedReceipt(runKey, JSON.stringify(order.input.body));
+    return Result.ok({ kind: 'call', status: 200, body: { receipt } });
+  }
+
+  /** Runs a call to its end, also when the gate has stopped waiting; false if the target crashed. */
+  private async runCall(requestId: string, runKey: string): Promise<boolean> {
     const { signal: crashed } = this.crashController;
     await this.timer.sleep({ delayMs: CALL_MS * this.faults.slowFactor, signal: crashed });
     if (crashed.aborted) {
-      return createFailure('target-failed');
+      return false;
     }
-    const { requestId, runKey } = order;
     this.effects.push({ requestId, runKey, atWallMs: this.timer.wallMs() });
-    if (opts.signal.aborted || this.consumeFault('loseAnswers')) {
-      return createFailure('target-failed');
-    }
-    const receipt = computeExpectedReceipt(runKey, JSON.stringify(order.input.body));
-    return Result.ok({ kind: 'call', status: 200, body: { receipt } });
+    return true;
   }
 
   private consumeFault(name: 'breakStreams' | 'loseAnswers'): boolean {
--- a/packages/caller/src/serveCall.ts
+++ b/packages/caller/src/serveCall.ts
@@ -1,9 +1,10 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
 
-import { MAX_BODY_BYTES } from '@galenatiller/constants';
+import { MAX_BODY_BYTES, STOP_RETRY_AFTER_MS } from '@galenatiller/constants';
 import { findResultCode, GalenatillerError } from '@galenatiller/error';
 import type { Logger } from '@galenatiller/logger';
 import { whenPolled } from '@galenatiller/tasks';
+import type { Cancel } from '@galenatiller/timer';
 import { Result } from 'true-myth';
 
 import type { CallResponse, FindOrganisation, RunCall } from './call.js';
@@ -28,6 +29,8 @@
   readonly createRequestId: () => string;
   readonly runCall: RunCall;
   readonly isReady: () => boolean;
+  /** Calls `notify` when a shutdown leaves no more time for calls; returns a function to unsubscribe. */
+  readonly onWorkEnd: (notify: () => void) => Cancel;
 }
 
 const ROUTE_PATH = /^\/v1\/routes\/([^/?]+)$/;
@@ -58,16 +61,17 @@
     sendProblem(opts, requestId, createError('unauthorized', 'no organisation has this key'));
     return;
   }
-  if (!opts.isReady()) {
-    sendProblem(opts, requestId, createError('stopping', 'the entry accepts no new calls'));
-    return;
-  }
-  const bytes = await readBody(request);
+  // A refusal before the body has arrived could be lost: closing a connection with unread data resets it.
+  const bytes = await readBodyUntilWorkEnds(opts);
   await whenPolled();
   if (bytes.isErr) {
     sendProblem(opts, requestId, bytes.error);
     return;
   }
+  if (!opts.isReady()) {
+    sendProblem(opts, requestId, createStoppingError());
+    return;
+  }
   const decoded = decodeRequest({
     route: route.value,
     headers: request.headers,
@@ -114,6 +118,17 @@
   }
 }
 
+/** Reads the body; refuses a call whose body is still incomplete when a shutdown ends. */
+function readBodyUntilWorkEnds({
+  request,
+  onWorkEnd,
+}: ServeCallOptions): Promise<Result<Buffer, GalenatillerError>> {
+  return new Promise((resolve, reject) => {
+    const cancel = onWorkEnd(() => resolve(Result.err(createStoppingError())));
+    readBody(request).then(resolve, reject).finally(cancel);
+  });
+}
+
 async function readBody(request: IncomingMessage): Promise<Result<Buffer, GalenatillerError>> {
   const chunks: Buffer[] = [];
   let sizeBytes = 0;
@@ -189,8 +204,16 @@
   response.end(encodeProblem(requestId, error));
 }
 
+function createStoppingError(): GalenatillerError {
+  return GalenatillerError.create({
+    name: 'stopping',
+    detail: 'the entry accepts no new calls',
+    retryAfterMs: STOP_RETRY_AFTER_MS,
+  });
+}
+
 function createError(
-  name: 'body-too-large' | 'headers-too-slow' | 'stopping' | 'unauthorized' | 'unknown-path',
+  name: 'body-too-large' | 'headers-too-slow' | 'unauthorized' | 'unknown-path',
   detail: string,
 ): GalenatillerError {
   return GalenatillerError.create({ name, detail });
--- a/packages/caller/src/serveCallers.ts
+++ b/packages/caller/src/serveCallers.ts
@@ -3,6 +3,7 @@
 
 import type { Logger } from '@galenatiller/logger';
 import type { TaskGroup } from '@galenatiller/tasks';
+import type { Cancel } from '@galenatiller/timer';
 
 import type { FindOrganisation, RunCall } from './call.js';
 import { serveCall } from './serveCall.js';
@@ -18,12 +19,14 @@
   readonly runCall: RunCall;
   /** Whether the load balancer may send calls to this node. */
   readonly isReady: () => boolean;
+  /** Calls `notify` when a shutdown leaves no more time for calls; returns a function to unsubscribe. */
+  readonly onWorkEnd: (notify: () => void) => Cancel;
 }
 
 /** A listening server for callers. */
 export interface CallerServer {
   readonly port: number;
-  /** Stops accepting connections and closes idle ones; running calls continue. */
+  /** Stops accepting connections and closes idle ones; running calls continue. May be called again. */
   readonly stop: () => void;
 }
 
@@ -52,6 +55,10 @@
   response: ServerResponse,
 ): Promise<void> {
   response.on('error', () => {});
+  if (!opts.isReady()) {
+    // The connection would close under the next request on it.
+    response.setHeader('connection', 'close');
+  }
   if (request.method === 'GET' && request.url === '/healthz') {
     response.writeHead(200).end('ok\n');
     return;
--- a/packages/caller/test/badInput.steps.ts
+++ b/packages/caller/test/badInput.steps.ts
@@ -43,6 +43,7 @@
     findOrganisation: (hash) => (hash === KEY_HASH ? 'lautoka-floor' : ''),
     createRequestId: () => 'request-1',
     isReady: () => true,
+    onWorkEnd: () => () => {},
     runCall: async (call, writePart) => {
       if (call.prompt === 'hold') {
         markStarted();
--- a/packages/constants/src/index.ts
+++ b/packages/constants/src/index.ts
@@ -18,6 +18,9 @@
 /** Timeout for opening and authenticating a link, in milliseconds. */
 export const HANDSHAKE_TIMEOUT_MS = 3_000;
 
+/** Time after which a request that a stopping node refused may be sent again, in milliseconds. */
+export const STOP_RETRY_AFTER_MS = 1_000;
+
 /** Interval between reports on an idle link, in milliseconds. */
 export const REPORT_INTERVAL_MS = 1_000;
 
--- a/packages/entry/src/createEntry.ts
+++ b/packages/entry/src/createEntry.ts
@@ -14,6 +14,7 @@
   type NodeFrame,
   type NodeIdentity,
   type AuthenticatedLink,
+  Shutdown,
 } from '@galenatiller/node';
 import { TaskGroup } from '@galenatiller/tasks';
 import type { RecordOptions } from '@galenatiller/timeline';
@@ -33,6 +34,8 @@
   readonly identity: NodeIdentity;
   readonly timer: TimerService;
   readonly policy: EntryPolicy;
+  /** Time from the start of a graceful shutdown until the process ends. */
+  readonly stopLimitMs: number;
   /** Maximum number of gates per target group to keep links to. */
   readonly linksPerGroup: number;
   /** Uniform in [0, 1). */
@@ -67,6 +70,8 @@
   readonly versions: VersionMoves;
   /** False until the first configuration arrives, and during shutdown. */
   readonly isReady: () => boolean;
+  /** When the calls in progress have to be answered in a shutdown. */
+  readonly shutdown: Shutdown;
   /** Marks the entry as not ready. */
   readonly beginShutdown: () => void;
   /** Closes all links. Call it once the running calls have ended. */
@@ -79,7 +84,7 @@
   const onFailure = (error: unknown): void =>
     logger({ message: `Background task failed: ${String(error)}.` });
   const peerTasks = TaskGroup.create({ onFailure });
-  const shutdownStarted = new AbortController();
+  const shutdown = Shutdown.create({ timer: opts.timer, limitMs: opts.stopLimitMs });
   const shutdownFinishing = new AbortController();
   let entryCount = 1;
   let configuration = indexRules({ revision: 0, rules: [] });
@@ -118,18 +123,18 @@
     stageDurations: SmoothedDurations.create(),
     limiter: createLimiter(opts, readConfiguration, () => entryCount),
     ownAvailabilityZone: opts.identity.availabilityZone,
+    shutdown,
   };
   return {
     runCall: (call, writePart) => runCall(runCallOptions, call, writePart),
     readConfiguration,
     directory,
     versions,
-    isReady: () => !shutdownStarted.signal.aborted && configuration.revision > 0,
-    beginShutdown: () => {
-      shutdownStarted.abort();
-    },
+    shutdown,
+    isReady: () => !shutdown.hasBegun && configuration.revision > 0,
+    beginShutdown: () => shutdown.begin(),
     finishShutdown: async () => {
-      shutdownStarted.abort();
+      shutdown.finish();
       shutdownFinishing.abort();
       directory.closeLinks();
       await peerTasks.drain();
--- a/packages/entry/src/index.ts
+++ b/packages/entry/src/index.ts
@@ -8,6 +8,7 @@
 export { standardPolicy } from './standardPolicy.js';
 export { RetryBudget } from './retryBudget.js';
 export { type ListeningEntry, runEntry, type RunEntryOptions } from './runEntry.js';
+export { shutDownEntry, type ShutDownEntryOptions } from './shutDownEntry.js';
 export {
   type MoveProgress,
   type MoveRun,
--- a/packages/entry/src/runAttempt.ts
+++ b/packages/entry/src/runAttempt.ts
@@ -2,7 +2,7 @@
 import { toStageEnd } from '@galenatiller/node';
 import type { StageEnd, StageRequest, StagePart } from '@galenatiller/types';
 
-import type { CallContext } from './callContext.js';
+import { type AbortCause, type CallContext, findAbortCause } from './callContext.js';
 import type { GateLink } from './gateLink.js';
 import type { DeliveredOutput } from './stageInput.js';
 
@@ -65,8 +65,7 @@
 
 function cancelAttempt(opts: RunAttemptOptions, gate: GateLink): void {
   const { context, request } = opts;
-  const name = context.call.signal.aborted ? 'cancelled' : 'deadline-exceeded';
-  gate.cancelAttempt(request, createFailedEnd(name, `stage ${request.stage}`));
+  gate.cancelAttempt(request, createFailedEnd(findAbortCause(context), `stage ${request.stage}`));
 }
 
 function appendPart(delivered: DeliveredOutput, part: StagePart): DeliveredOutput {
@@ -83,7 +82,7 @@
 }
 
 function createFailedEnd(
-  name: 'cancelled' | 'deadline-exceeded' | 'link-unopened' | 'stream-broken',
+  name: AbortCause | 'link-unopened' | 'stream-broken',
   detail: string,
 ): StageEnd {
   return toStageEnd(GalenatillerError.create({ name, detail }));
--- a/packages/entry/src/runCall.ts
+++ b/packages/entry/src/runCall.ts
@@ -1,6 +1,7 @@
 import type { Call, CallResponse, OrganisationLimiter, WritePart } from '@galenatiller/caller';
 import { GalenatillerError } from '@galenatiller/error';
 import type { CrashHistory } from '@galenatiller/engine';
+import type { Shutdown } from '@galenatiller/node';
 import type { RecordOptions } from '@galenatiller/timeline';
 import type { SmoothedDurations, TimerService } from '@galenatiller/timer';
 import type {
@@ -14,7 +15,8 @@
 
 import type { CallContext } from './callContext.js';
 import type { GateDirectory } from './gateDirectory.js';
-import type { EntryPolicy, StageEstimate } from './policy.js';
+import { estimateStage } from './estimateStage.js';
+import type { EntryPolicy } from './policy.js';
 import type { RetryBudget } from './retryBudget.js';
 import { runStage, type StageSuccess } from './runStage.js';
 import { addStageResult, NO_STAGE_DATA, type StageData } from './stageInput.js';
@@ -34,6 +36,7 @@
   readonly limiter: OrganisationLimiter;
   readonly random: () => number;
   readonly ownAvailabilityZone: string;
+  readonly shutdown: Shutdown;
   /** Called after each call ends. */
   readonly onCallEnded?: (ended: EndedCall) => void;
 }
@@ -126,29 +129,19 @@
   if (decision.kind === 'refuse') {
     return refuse('deadline-unreachable', `route ${route.name}`, decision.retryAfterMs);
   }
-  const limit = opts.timer.startTimeLimit({ limitMs, parent: call.signal });
+  const limit = opts.shutdown.startTimeLimit({ limitMs, parent: call.signal });
   const deadlineAtMs = opts.timer.nowMs() + limitMs;
   try {
-    return await runStages({ ...opts, ...admitted, deadlineAtMs, signal: limit.signal }, stages);
+    return await runStages({ ...opts, ...admitted, deadlineAtMs, signal: limit.signal });
   } finally {
     limit.release();
   }
 }
 
-function estimateStage(opts: RunCallOptions, stage: StageRule): StageEstimate {
-  return {
-    expectedRunMs: opts.stageDurations.estimateMs({ name: stage.name, nowMs: opts.timer.nowMs() }),
-    candidates: opts.directory.listTargets(stage.targetGroup),
-  };
-}
-
-async function runStages(
-  context: CallContext,
-  stages: readonly StageRule[],
-): Promise<Result<CallResponse, GalenatillerError>> {
+async function runStages(context: CallContext): Promise<Result<CallResponse, GalenatillerError>> {
   let data: StageData = NO_STAGE_DATA;
   let lastStage: StageSuccess | undefined;
-  for (const [stageIndex, stage] of stages.entries()) {
+  for (const [stageIndex, stage] of context.stages.entries()) {
     const stageResult = await runStage({ context, stage, stageIndex, data });
     if (stageResult.isErr) {
       return Result.err(stageIndex === 0 ? stageResult.error : toMayHaveRun(stageResult.error));
--- a/packages/entry/src/runEntry.ts
+++ b/packages/entry/src/runEntry.ts
@@ -10,6 +10,7 @@
 import { createEntry, type CreateEntryOptions, type Entry } from './createEntry.js';
 import { OrganisationDirectory } from './organisationDirectory.js';
 import type { EndedCall } from './runCall.js';
+import { shutDownEntry } from './shutDownEntry.js';
 
 /** Options of {@link runEntry}. */
 export interface RunEntryOptions {
@@ -37,9 +38,6 @@
   readonly countActiveCalls: () => number;
 }
 
-/** Time for the load balancer to notice that the entry is no longer ready. */
-const READINESS_NOTICE_MS = 500;
-
 /** Runs an entry until its graceful shutdown is complete. */
 export async function runEntry(opts: RunEntryOptions): Promise<void> {
   const { settings, timer } = opts;
@@ -55,6 +53,7 @@
     ...opts,
     identity,
     linksPerGroup: settings.linksPerGroup,
+    stopLimitMs: settings.stopLimitMs,
     openLink: (host) => openLink({ address: host.address, port: host.port, identity, keys, timer }),
   });
   const calls = TaskGroup.create({
@@ -66,11 +65,7 @@
   opts.onListening?.({ port: server.port, identity, entry, countActiveCalls: () => calls.size });
   await whenAborted(opts.stop);
   logger({ message: 'Graceful shutdown started.' });
-  entry.beginShutdown();
-  await timer.sleep({ delayMs: READINESS_NOTICE_MS });
-  server.stop();
-  await calls.drain();
-  await entry.finishShutdown();
+  await shutDownEntry({ entry, calls, timer, stopAccepting: server.stop });
   logger({ message: 'Graceful shutdown complete.' });
 }
 
@@ -89,5 +84,6 @@
     createRequestId: randomUUID,
     runCall: entry.runCall,
     isReady: entry.isReady,
+    onWorkEnd: (notify) => entry.shutdown.onWorkEnd(notify),
   });
 }
--- a/packages/entry/src/runStage.ts
+++ b/packages/entry/src/runStage.ts
@@ -1,3 +1,4 @@
+import { STOP_RETRY_AFTER_MS } from '@galenatiller/constants';
 import {
   findResultCodeByNumber,
   GalenatillerError,
@@ -6,7 +7,8 @@
 import type { Outcome, StageEnd, StageRequest, StageResult, StageRule } from '@galenatiller/types';
 import { Result } from 'true-myth';
 
-import type { CallContext } from './callContext.js';
+import { type CallContext, findAbortCause, getRemainingMs } from './callContext.js';
+import { estimateStage } from './estimateStage.js';
 import type { TargetView } from './policy.js';
 import { runAttempt } from './runAttempt.js';
 import { buildStageInput, type DeliveredOutput, type StageData } from './stageInput.js';
@@ -25,6 +27,13 @@
   readonly delivered: DeliveredOutput;
 }
 
+/** Result codes of attempts that show nothing about the version that ran them. */
+const ENDS_WITHOUT_EVIDENCE: ReadonlySet<string> = new Set([
+  'cancelled',
+  'link-lost',
+  'stop-limit-exceeded',
+]);
+
 /** Runs one stage, trying one target after another until an attempt succeeds or retries end. */
 export async function runStage(
   opts: RunStageOptions,
@@ -41,6 +50,9 @@
     if (context.signal.aborted) {
       return Result.err(createAbortError(context, outcome));
     }
+    if (!canEndBeforeStop(opts)) {
+      return Result.err(createStopError(context, outcome));
+    }
     const request = buildRequest(opts, triedTargets.length, delivered);
     if (context.crashes.isStopped(request)) {
       return Result.err(createStoppedError(stage, outcome));
@@ -68,7 +80,7 @@
     }
     lastEnd = end;
     outcome = end.outcome === 'not-run' ? outcome : 'may-have-run';
-    const remainingMs = context.deadlineAtMs - timer.nowMs();
+    const remainingMs = getRemainingMs(context);
     const decision = policy.decideRetry({
       stage,
       end,
@@ -100,7 +112,7 @@
     route: route.name,
     stage: stage.name,
     priority: route.priority,
-    remainingMs: context.deadlineAtMs - context.timer.nowMs(),
+    remainingMs: getRemainingMs(context),
     idempotent: stage.idempotent,
     runKey: call.runKey,
     bodyDigest: call.bodyDigest,
@@ -145,7 +157,7 @@
 ): void {
   const move = context.configuration.moves.get(stage.targetGroup);
   const { name } = findResultCodeByNumber(end.code);
-  if (!move || end.outcome === 'not-run' || name === 'cancelled' || name === 'link-lost') {
+  if (!move || end.outcome === 'not-run' || ENDS_WITHOUT_EVIDENCE.has(name)) {
     return;
   }
   context.versions.observe({
@@ -185,8 +197,32 @@
 }
 
 function createAbortError(context: CallContext, outcome: Outcome): GalenatillerError {
-  const name = context.call.signal.aborted ? 'cancelled' : 'deadline-exceeded';
-  return GalenatillerError.create({ name, detail: `route ${context.route.name}`, outcome });
+  const name = findAbortCause(context);
+  return name === 'stop-limit-exceeded'
+    ? createStopError(context, outcome)
+    : GalenatillerError.create({ name, detail: `route ${context.route.name}`, outcome });
+}
+
+function createStopError(context: CallContext, outcome: Outcome): GalenatillerError {
+  const hasNotRun = outcome === 'not-run';
+  return GalenatillerError.create({
+    name: hasNotRun ? 'stopping' : 'stop-limit-exceeded',
+    detail: `route ${context.route.name}`,
+    outcome,
+    retryAfterMs: hasNotRun ? STOP_RETRY_AFTER_MS : 0,
+  });
+}
+
+/** Whether the rest of the call is expected to end before a shutdown ends the work. */
+function canEndBeforeStop({ context, stageIndex }: RunStageOptions): boolean {
+  if (!context.shutdown.hasBegun) {
+    return true;
+  }
+  const decision = context.policy.admitCall({
+    stages: context.stages.slice(stageIndex).map((stage) => estimateStage(context, stage)),
+    remainingMs: context.shutdown.remainingMs,
+  });
+  return decision.kind === 'admit';
 }
 
 function createNoTargetError(stage: StageRule): GalenatillerError {
--- a/packages/error/src/requestCodes.ts
+++ b/packages/error/src/requestCodes.ts
@@ -162,6 +162,14 @@
     'The node is in graceful shutdown.',
     'Send the request to another entry.',
   ),
+  defineResultCode(
+    2012,
+    'stop-limit-exceeded',
+    'may-have-run',
+    504,
+    'The node stopped before the response was complete.',
+    'Retry with the same Idempotency-Key.',
+  ),
   defineResultCode(
     2011,
     'no-configuration',
--- a/packages/gate/src/claimAndRun.ts
+++ b/packages/gate/src/claimAndRun.ts
@@ -49,7 +49,10 @@
 
 async function runOnce(opts: ClaimAndRunOptions): Promise<StageEnd> {
   const { context, request, target, onPart } = opts;
-  const limit = context.timer.startTimeLimit({ limitMs: opts.remainingMs, parent: opts.signal });
+  const limit = context.shutdown.startTimeLimit({
+    limitMs: opts.remainingMs,
+    parent: opts.signal,
+  });
   try {
     if (limit.signal.aborted || opts.remainingMs <= 0) {
       return refuse('deadline-unreachable', `${Math.round(opts.remainingMs)} ms left`);
@@ -61,7 +64,13 @@
       onPart,
       onStartId: (startId) => target.onStartId(startId),
     });
-    return result.isOk ? createSuccessEnd(result.value) : toStageEnd(result.error);
+    if (result.isOk) {
+      return createSuccessEnd(result.value);
+    }
+    const isCutOff = context.shutdown.isWorkOver && result.error.outcome !== 'not-run';
+    return isCutOff
+      ? refuse('stop-limit-exceeded', target.settings.name)
+      : toStageEnd(result.error);
   } finally {
     limit.release();
   }
--- a/packages/gate/src/createGate.ts
+++ b/packages/gate/src/createGate.ts
@@ -6,6 +6,7 @@
   NodeGossip,
   type Link,
   type AuthenticatedLink,
+  Shutdown,
 } from '@galenatiller/node';
 import type { TargetSettings } from '@galenatiller/settings';
 import { TaskGroup } from '@galenatiller/tasks';
@@ -30,6 +31,8 @@
   readonly probeTarget: ProbeTarget;
   readonly watchTarget: WatchTarget;
   readonly policy: GatePolicy;
+  /** Time from the start of a graceful shutdown until the process ends. */
+  readonly stopLimitMs: number;
   /** Records a timeline event. */
   readonly record: (event: RecordOptions) => void;
   readonly runRecords: RunRecordRepository;
@@ -69,7 +72,7 @@
   const logger = createLogger('gate');
   const requestTasks = createTaskGroup(logger);
   const peerTasks = createTaskGroup(logger);
-  const shutdownStarted = new AbortController();
+  const shutdown = Shutdown.create({ timer, limitMs: opts.stopLimitMs });
   const shutdownFinishing = new AbortController();
   const links = new Map<Link, string>();
   let configuration = indexRules({ revision: 0, rules: [] });
@@ -88,7 +91,7 @@
     tasks: requestTasks,
     stoppedVersions: versions,
     readConfiguration,
-    isLeaving: () => shutdownStarted.signal.aborted,
+    shutdown,
   };
   const listReports = (): readonly TargetReport[] =>
     [...context.targets.values()].map((target) => target.buildReport());
@@ -96,7 +99,7 @@
     opts.followConfiguration((next) => {
       configuration = next;
       opts.record({ kind: 'configuration-in-force', subject: String(next.revision) });
-    }, shutdownStarted.signal),
+    }, shutdownFinishing.signal),
   );
   const session = { context, listReports, checkIntervalMs: CHECK_INTERVAL_MS, gossip, logger };
   peerTasks.start(() => opts.runRecords.maintain(shutdownFinishing.signal));
@@ -106,16 +109,14 @@
     readConfiguration,
     listConnectedEntries: () => [...links.values()],
     countActiveRequests: () => requestTasks.size,
-    isLeaving: context.isLeaving,
+    isLeaving: () => shutdown.hasBegun,
     serveLink: async (authenticated) => {
       links.set(authenticated.link, authenticated.peer.nodeName);
       await serveEntry({ ...session, exchange: opts.exchange, authenticated });
       links.delete(authenticated.link);
     },
     stop: async () => {
-      shutdownStarted.abort();
-      await timer.sleep({ delayMs: LEAVING_NOTICE_MS });
-      await requestTasks.drain();
+      await endRequests(context);
       shutdownFinishing.abort();
       links.forEach((_, link) => link.end());
       await peerTasks.drain();
@@ -123,6 +124,15 @@
   };
 }
 
+/** Begins the shutdown, and resolves once entries have learnt of it and no request is left. */
+async function endRequests({ shutdown, targets, timer, tasks }: GateContext): Promise<void> {
+  shutdown.begin();
+  targets.forEach((target) => target.refuseQueued());
+  await timer.sleep({ delayMs: Math.min(LEAVING_NOTICE_MS, shutdown.remainingMs) });
+  await tasks.drain();
+  shutdown.finish();
+}
+
 function watchTargets(
   opts: CreateGateOptions,
   context: GateContext,
--- a/packages/gate/src/gateContext.ts
+++ b/packages/gate/src/gateContext.ts
@@ -1,3 +1,4 @@
+import type { Shutdown } from '@galenatiller/node';
 import type { TaskGroup } from '@galenatiller/tasks';
 import type { RecordOptions } from '@galenatiller/timeline';
 import type { TimerService } from '@galenatiller/timer';
@@ -23,7 +24,7 @@
   readonly record: (event: RecordOptions) => void;
   readonly availabilityZone: string;
   readonly readConfiguration: () => Configuration;
-  readonly isLeaving: () => boolean;
+  readonly shutdown: Shutdown;
 }
 
 /** Options of {@link runStageRequest}. */
--- a/packages/gate/src/runGate.ts
+++ b/packages/gate/src/runGate.ts
@@ -47,6 +47,7 @@
     ...opts,
     availabilityZone: settings.availabilityZone,
     targets: settings.targets,
+    stopLimitMs: settings.stopLimitMs,
   });
   const links = TaskGroup.create({
     onFailure: (error) => {
--- a/packages/gate/src/runStageRequest.ts
+++ b/packages/gate/src/runStageRequest.ts
@@ -1,3 +1,4 @@
+import { STOP_RETRY_AFTER_MS } from '@galenatiller/constants';
 import { GalenatillerError, type ResultCodeName } from '@galenatiller/error';
 import { toStageEnd } from '@galenatiller/node';
 import type { StageEnd, StagePart } from '@galenatiller/types';
@@ -33,7 +34,7 @@
 }
 
 function findRefusal(context: GateContext, target: TargetAdmission): ResultCodeName | undefined {
-  if (context.isLeaving()) {
+  if (context.shutdown.hasBegun) {
     return 'target-leaving';
   }
   if (context.stoppedVersions.has(target.settings.group, target.settings.version)) {
@@ -140,5 +141,6 @@
 }
 
 function refuse(name: ResultCodeName, detail: string): StageEnd {
-  return toStageEnd(GalenatillerError.create({ name, detail }));
+  const retryAfterMs = name === 'target-leaving' ? STOP_RETRY_AFTER_MS : 0;
+  return toStageEnd(GalenatillerError.create({ name, detail, retryAfterMs }));
 }
--- a/packages/gate/src/serveEntry.ts
+++ b/packages/gate/src/serveEntry.ts
@@ -40,7 +40,7 @@
     buildFrame: () => ({
       kind: 'targets',
       reports: opts.listReports(),
-      leaving: opts.context.isLeaving(),
+      leaving: opts.context.shutdown.hasBegun,
     }),
     send: (frame) => link.send(frame),
   });
--- a/packages/gate/src/targetAdmission.ts
+++ b/packages/gate/src/targetAdmission.ts
@@ -1,3 +1,4 @@
+import { STOP_RETRY_AFTER_MS } from '@galenatiller/constants';
 import type { EndedRun, RunTicket, ConcurrencyLimit } from '@galenatiller/engine';
 import { GalenatillerError } from '@galenatiller/error';
 import type { TargetSettings } from '@galenatiller/settings';
@@ -119,6 +120,14 @@
     this.admitNext();
   }
 
+  /** Refuses all requests that wait, because the gate is leaving. */
+  refuseQueued(): void {
+    const { queue } = this;
+    for (let next = queue.take(); next.isJust; next = queue.take()) {
+      next.value.settle(refuse('target-leaving', this.settings.name, STOP_RETRY_AFTER_MS));
+    }
+  }
+
   /** Called when the target reports the identity of its process. */
   onStartId(startId: string): void {
     this.knownStartId = startId;
@@ -222,7 +231,7 @@
 }
 
 function refuse(
-  name: 'cancelled' | 'deadline-unreachable' | 'overloaded',
+  name: 'cancelled' | 'deadline-unreachable' | 'overloaded' | 'target-leaving',
   targetName: string,
   retryAfterMs: number,
 ): Result<never, GalenatillerError> {
--- a/packages/node/src/index.ts
+++ b/packages/node/src/index.ts
@@ -6,6 +6,7 @@
   type ConfigurationOffer,
   type PeerOffer,
 } from './configurationExchange.js';
+export { Shutdown, type ShutdownOptions } from './shutdown.js';
 export { toStageEnd } from './toStageEnd.js';
 export { NodeGossip, type NodeGossipOptions } from './nodeGossip.js';
 export type * from './frames.js';
