Count a call as in progress until its response has left the process

Callers with a slow connection could get a part of a response only: the task of a call ended when its response was handed to the HTTP server, and a stopping entry ends its process once no task is left.

The task now lasts until the response has finished or its connection has closed.

--- a/packages/caller/src/serveCallers.ts
+++ b/packages/caller/src/serveCallers.ts
@@ -41,7 +41,10 @@
   const server = createServer(
     { headersTimeout: HEADERS_TIMEOUT_MS, requestTimeout: REQUEST_TIMEOUT_MS, noDelay: true },
     (request, response) => {
-      opts.tasks.start(() => serveRequest(opts, request, response));
+      opts.tasks.start(async () => {
+        await serveRequest(opts, request, response);
+        await whenSent(response);
+      });
     },
   );
   server.listen(opts.port, opts.address);
@@ -71,6 +74,16 @@
   await serveCall({ ...opts, request, response });
 }
 
+/** Resolves once the response has left the process, or its connection has closed. */
+async function whenSent(response: ServerResponse): Promise<void> {
+  if (response.writableEnded && !response.writableFinished && !response.destroyed) {
+    await new Promise((resolve) => {
+      response.once('finish', resolve);
+      response.once('close', resolve);
+    });
+  }
+}
+
 function getBoundPort(server: Server, requestedPort: number): number {
   const bound = server.address();
   return typeof bound === 'object' && bound ? bound.port : requestedPort;
--- a/packages/caller/test/badInput.feature
+++ b/packages/caller/test/badInput.feature
@@ -33,3 +33,11 @@
   Scenario: A caller that disconnects cancels its call
     When a caller disconnects in the middle of a call
     Then the call is cancelled
+
+  # Guards against responses that are cut when the process ends before they have left it.
+  Scenario: A call goes on until its response has left the process
+    When a caller asks for a response of 8 MB and reads none of it
+    Then the call is still in progress
+    When the caller reads the response
+    Then the caller has all 8 MB of it
+    And no call is in progress
--- a/packages/caller/test/badInput.steps.ts
+++ b/packages/caller/test/badInput.steps.ts
@@ -1,7 +1,8 @@
 import assert from 'node:assert/strict';
 import { createHash } from 'node:crypto';
 import { once } from 'node:events';
-import { connect } from 'node:net';
+import { connect, type Socket } from 'node:net';
+import { setImmediate } from 'node:timers/promises';
 
 import { After, Given, Then, When } from '@cucumber/cucumber';
 import {
@@ -20,9 +21,14 @@
   partCount: number;
   cancelled: Promise<void>;
   started: Promise<void>;
+  tasks: TaskGroup;
+  reader: Socket;
+  receivedBytes: number;
 }
 
 const KEY = 'secret-key';
+/** Larger than what the socket buffers of both ends hold. */
+const LARGE_CHARS = 8_000_000;
 const KEY_HASH = createHash('sha256').update(KEY).digest('hex');
 
 Given('a server for callers that echoes prompts', async function given(this: CallerWorld) {
@@ -35,11 +41,12 @@
   this.cancelled = new Promise((resolve) => {
     markCancelled = resolve;
   });
+  this.tasks = TaskGroup.create({ onFailure: (error) => assert.fail(String(error)) });
   this.server = await serveCallers({
     address: '127.0.0.1',
     port: 0,
     logger: () => {},
-    tasks: TaskGroup.create({ onFailure: (error) => assert.fail(String(error)) }),
+    tasks: this.tasks,
     findOrganisation: (hash) => (hash === KEY_HASH ? 'lautoka-floor' : ''),
     createRequestId: () => 'request-1',
     isReady: () => true,
@@ -50,6 +57,9 @@
         await once(call.signal, 'abort');
         markCancelled();
       }
+      if (call.prompt === 'large') {
+        return Result.ok({ ...echo(call), text: 'x'.repeat(LARGE_CHARS) });
+      }
       for (let index = 0; index < this.partCount; index += 1) {
         await writePart({ offsetTokens: index, tokens: 1, text: `w${index}` });
       }
@@ -102,6 +112,40 @@
   await assert.rejects(sent);
 });
 
+When(
+  'a caller asks for a response of 8 MB and reads none of it',
+  async function when(this: CallerWorld) {
+    this.reader = connect({ host: '127.0.0.1', port: this.server?.port ?? 0 });
+    this.reader.pause();
+    await once(this.reader, 'connect');
+    const body = '{"prompt":"large"}';
+    const head = `POST /v1/routes/echo HTTP/1.1\r\nHost: x\r\nConnection: close\r\n`;
+    const headers = `Authorization: Bearer ${KEY}\r\nContent-Length: ${body.length}\r\n\r\n`;
+    this.reader.write(`${head}${headers}${body}`);
+    await turn(TURNS_OF_A_CALL);
+  },
+);
+
+Then('the call is still in progress', function then(this: CallerWorld) {
+  assert.equal(this.tasks.size, 1);
+});
+
+When('the caller reads the response', async function when(this: CallerWorld) {
+  this.receivedBytes = 0;
+  for await (const bytes of this.reader) {
+    this.receivedBytes += (bytes as Buffer).length;
+  }
+});
+
+Then('the caller has all 8 MB of it', function then(this: CallerWorld) {
+  assert.ok(this.receivedBytes > LARGE_CHARS, `${this.receivedBytes} bytes`);
+});
+
+Then('no call is in progress', async function then(this: CallerWorld) {
+  await turn(TURNS_OF_A_CALL);
+  assert.equal(this.tasks.size, 0);
+});
+
 Then(
   'the caller is refused with {int}, code {int} and outcome {string}',
   async function then(this: CallerWorld, status: number, code: number, outcome: string) {
@@ -143,6 +187,15 @@
   this.server?.stop();
 });
 
+/** Turns of the event loop after which a call that needs no timer has ended. */
+const TURNS_OF_A_CALL = 500;
+
+async function turn(count: number): Promise<void> {
+  for (let index = 0; index < count; index += 1) {
+    await setImmediate();
+  }
+}
+
 interface SendOptions {
   readonly path: string;
   readonly body: string;
