Close links that open while a gate ends its stop

A stopping gate ran until its stop limit, exit code 2, when its run records took over 25 ms to end: it still listened after it had closed its links, entries open a link again within 75 ms, and the gate waited for it.

A link that opens after the others were closed is closed at once.

--- a/features/stops.feature
+++ b/features/stops.feature
@@ -37,3 +37,9 @@
     Then the last call is answered within 500 ms with 503, code 2008 and outcome "not-run"
     And the last answer says to retry after 1 s
     And the calls before it are answered within 1500 ms with 504, code 2012 and outcome "may-have-run"
+
+  # Guards against links that are opened to a gate at the end of its stop and keep its process running.
+  Scenario: A gate ends its stop although entries open new links
+    Given the run records of the gate take 400 ms to end
+    When the gate is stopped
+    Then the gate has stopped within 1500 ms
--- a/packages/gate/src/createGate.ts
+++ b/packages/gate/src/createGate.ts
@@ -111,6 +111,10 @@
     countActiveRequests: () => requestTasks.size,
     isLeaving: () => shutdown.hasBegun,
     serveLink: async (authenticated) => {
+      if (shutdownFinishing.signal.aborted) {
+        // The links that were open have been closed; a new one would keep the process running.
+        return;
+      }
       links.set(authenticated.link, authenticated.peer.nodeName);
       await serveEntry({ ...session, exchange: opts.exchange, authenticated });
       links.delete(authenticated.link);
