--- a/packages/caller/src/serveCallers.ts
+++ b/packages/caller/src/serveCallers.ts
@@ -3,6 +3,7 @@
 
 import type { Logger } from '@galenatiller/logger';
 import type { TaskGroup } from '@galenatiller/tasks';
+import type { Cancel } from '@galenatiller/timer';
 
 import type { FindOrganisation, RunCall } from './call.js';
 import { serveCall } from './serveCall.js';
@@ -18,12 +19,14 @@
   readonly runCall: RunCall;
   /** Whether the load balancer may send calls to this node. */
   readonly isReady: () => boolean;
+  /** Calls `notify` when a shutdown leaves no more time for calls; returns a function to unsubscribe. */
+  readonly onWorkEnd: (notify: () => void) => Cancel;
 }
 
 /** A listening server for callers. */
 export interface CallerServer {
   readonly port: number;
-  /** Stops accepting connections and closes idle ones; running calls continue. */
+  /** Stops accepting connections and closes idle ones; running calls continue. May be called again. */
   readonly stop: () => void;
 }
 
@@ -38,7 +41,10 @@
   const server = createServer(
     { headersTimeout: HEADERS_TIMEOUT_MS, requestTimeout: REQUEST_TIMEOUT_MS, noDelay: true },
     (request, response) => {
-      opts.tasks.start(() => serveRequest(opts, request, response));
+      opts.tasks.start(async () => {
+        await serveRequest(opts, request, response);
+        await whenSent(response);
+      });
     },
   );
   server.listen(opts.port, opts.address);
@@ -52,6 +58,10 @@
   response: ServerResponse,
 ): Promise<void> {
   response.on('error', () => {});
+  if (!opts.isReady()) {
+    // The connection would close under the next request on it.
+    response.setHeader('connection', 'close');
+  }
   if (request.method === 'GET' && request.url === '/healthz') {
     response.writeHead(200).end('ok\n');
     return;
@@ -64,6 +74,16 @@
   await serveCall({ ...opts, request, response });
 }
 
+/** Resolves once the response has left the process, or its connection has closed. */
+async function whenSent(response: ServerResponse): Promise<void> {
+  if (response.writableEnded && !response.writableFinished && !response.destroyed) {
+    await new Promise((resolve) => {
+      response.once('finish', resolve);
+      response.once('close', resolve);
+    });
+  }
+}
+
 function getBoundPort(server: Server, requestedPort: number): number {
   const bound = server.address();
   return typeof bound === 'object' && bound ? bound.port : requestedPort;
