--- a/packages/router/src/runAttempts.ts
+++ b/packages/router/src/runAttempts.ts
@@ -7,9 +7,11 @@
 import {
   type AttemptsResult,
   endAborted,
+  endByStop,
   endDisconnected,
   endStopped,
   endWithError,
+  type Refused,
 } from './endAttempts.js';
 import { chooseTargetForCall } from './chooseTargetForCall.js';
 import type { CallerExchange, SendResponse, SendResult } from './ports.js';
@@ -84,7 +86,13 @@
       return endWithError(progress, 'overloaded', progress.lastFailure);
     }
   }
-  return endAborted(progress);
+  return endBySignal(opts, progress);
+}
+
+/** Ends a call whose signal has aborted. */
+function endBySignal(opts: RunAttemptsOptions, progress: CallProgress): Refused {
+  const end = opts.tracked.signal.aborted ? endByStop : endAborted;
+  return end(progress);
 }
 
 /** Ends a call that must not be sent to a target any more; undefined for others. */
@@ -92,11 +100,12 @@
   opts: RunAttemptsOptions,
   progress: CallProgress,
 ): AttemptsResult | undefined {
-  if (progress.runs === 0) {
-    opts.tracked.enter('unsent');
-    if (opts.exchange.disconnected.aborted) {
-      return endDisconnected();
-    }
+  opts.tracked.enter('unsent');
+  if (opts.exchange.disconnected.aborted && progress.runs === 0) {
+    return endDisconnected();
+  }
+  if (!opts.tracked.check()) {
+    return endByStop(progress);
   }
   const stopped = opts.context.crashSuspects.findStopped(opts.fingerprints);
   return stopped === undefined ? undefined : endStopped(progress, stopped);
@@ -151,12 +160,36 @@
       progress.recordFailure(`the target responded with status ${response.status}`);
       return undefined;
     }
-    return await forward({ ...opts, observation }, progress, target, response);
+    return await forward({ ...opts, observation, sentAtMs }, progress, target, response);
   } finally {
     decrement();
   }
 }
 
+/** Logs a response that broke off, before the call is sent to another target. */
+function logBrokenResponse(
+  opts: RunAttemptsOptions,
+  progress: CallProgress,
+  target: RegisteredTarget,
+): void {
+  opts.context.log({
+    about: 'decision',
+    event: 'answer-broke-off',
+    requestId: opts.exchange.call.requestId,
+    target: target.id,
+    resumeAfter: progress.resumeAfter,
+    outcome: `sent to another target: ${progress.lastFailure}`,
+  });
+}
+
+/** Records the time of a response that is complete. */
+function recordWholeResponse(opts: RunAttemptsOptions & { readonly sentAtMs: number }): void {
+  const { timer, wholeResponseTimes } = opts.context;
+  const nowMs = timer.nowMs();
+  const { name } = opts.admitted.route;
+  wholeResponseTimes.observe({ name, durationMs: nowMs - opts.sentAtMs, nowMs });
+}
+
 /** Logs how a send ended, or that its response has started. */
 function logAttempt(
   opts: RunAttemptsOptions & {
@@ -188,7 +221,10 @@
 }
 
 async function forward(
-  opts: RunAttemptsOptions & { readonly observation: RunObservation },
+  opts: RunAttemptsOptions & {
+    readonly observation: RunObservation;
+    readonly sentAtMs: number;
+  },
   progress: CallProgress,
   target: RegisteredTarget,
   response: SendResponse,
@@ -218,6 +254,7 @@
     observation.end({ isFailed: response.status >= 500 || forwarded.kind === 'interrupted' });
   }
   if (forwarded.kind === 'complete') {
+    recordWholeResponse(opts);
     return { kind: 'answered', status: response.status, target: target.id };
   }
   progress.recordFailure(forwarded.detail);
@@ -227,19 +264,12 @@
       await recordIfCrashed(opts, target);
     }
     if (canRunAgain(opts, progress)) {
-      context.log({
-        about: 'decision',
-        event: 'answer-broke-off',
-        requestId: exchange.call.requestId,
-        target: target.id,
-        resumeAfter: progress.resumeAfter,
-        outcome: `sent to another target: ${forwarded.detail}`,
-      });
+      logBrokenResponse(opts, progress, target);
       return undefined;
     }
   }
   return opts.signal.aborted
-    ? endAborted(progress)
+    ? endBySignal(opts, progress)
     : endWithError(progress, 'target-failed', forwarded.detail);
 }
 
@@ -255,7 +285,7 @@
     if (response.kind === 'broken' || response.kind === 'foreign') {
       progress.recordRun();
     }
-    return endAborted(progress);
+    return endBySignal(opts, progress);
   }
   switch (response.kind) {
     case 'inputs-gone':
--- a/packages/router/src/serveCall.ts
+++ b/packages/router/src/serveCall.ts
@@ -1,5 +1,7 @@
 import { GalenatillerError } from '@galenatiller/error';
+import { whenAborted } from '@galenatiller/tasks';
 
+import { createEstimate } from './createEstimate.js';
 import { admitCall, type AdmittedCall } from './admitCall.js';
 import { predictZone } from './chooseTargetForCall.js';
 import { classifyEnding, recordCallMetrics } from './recordMetrics.js';
@@ -12,6 +14,7 @@
   type Answered,
   type CallEnding,
   createStoppedError,
+  createStoppingError,
   endAborted,
   endDisconnected,
   endWithError,
@@ -24,6 +27,7 @@
   type StageResultHandle,
   type StagesDone,
   type StagesFailed,
+  type SubmitPiece,
 } from './runStages.js';
 import { computeStageDeadlines, computeZoneWaitLimits } from './computeStageDeadlines.js';
 
@@ -58,13 +62,15 @@
     return;
   }
   const admitted = admission.value;
+  const stagesDone = new Set<number>();
   const tracked = context.stop.track({
     requestId: call.requestId,
     route: admitted.route.name,
     receivedAtMs,
+    estimateMs: createEstimate({ ...opts, admitted, stagesDone }),
   });
   try {
-    await serveAdmitted({ ...opts, admitted, tracked });
+    await serveAdmitted({ ...opts, admitted, tracked, stagesDone });
   } finally {
     tracked.release();
   }
@@ -73,12 +79,22 @@
 interface ServeAdmittedOptions extends ServeCallOptions {
   readonly admitted: AdmittedCall;
   readonly tracked: TrackedCall;
+  /** Positions of the stages that have their results. */
+  readonly stagesDone: Set<number>;
 }
 
 async function serveAdmitted(opts: ServeAdmittedOptions): Promise<void> {
-  const { context, exchange, admitted } = opts;
+  const { context, exchange, admitted, tracked } = opts;
   const { call } = exchange;
-  const body = await exchange.readBody(admitted.maxBodyBytes);
+  const body = await Promise.race([
+    exchange.readBody(admitted.maxBodyBytes),
+    whenAborted(tracked.signal),
+  ]);
+  tracked.enter('staging');
+  if (!body || !tracked.check()) {
+    refuse(opts, createStoppingError(), admitted);
+    return;
+  }
   if (body.isErr) {
     if (body.error === 'too-large') {
       const detail = `the body is over ${admitted.maxBodyBytes} bytes`;
@@ -101,7 +117,7 @@
       fingerprints,
       body: body.value,
       progress,
-      deadline: deadline.signal,
+      deadline: AbortSignal.any([deadline.signal, tracked.signal]),
     });
     finish(opts, admitted, settleEnding({ exchange, progress, end }));
   } finally {
@@ -113,7 +129,7 @@
   readonly fingerprints: readonly string[];
   readonly body: Buffer;
   readonly progress: CallProgress;
-  /** Aborts when the final response is due. */
+  /** Aborts when the final response is due, and when the stop of the router ends the call. */
   readonly deadline: AbortSignal;
 }
 
@@ -125,6 +141,7 @@
   const signal = route.callKind === 'at-most-once' ? deadline : callerSignal;
   for (let round = 1; ; round += 1) {
     opts.tracked.enter('staging');
+    opts.stagesDone.clear();
     const stages = await runStageRound(opts, callerSignal);
     const { free } = stages;
     try {
@@ -184,12 +201,27 @@
     zoneHint: predictZone(opts),
     nowMs: () => context.timer.nowMs(),
     resultTtlMs: (service) => deadlineOptions.findLimits(service)?.resultTtlMs ?? 0,
-    submit: context.submitPiece,
+    submit: submitTimed(context),
+    onStageDone: (position) => opts.stagesDone.add(position),
     free: (results) => freeResults(context, results),
     signal,
   });
 }
 
+/** Submits pieces and measures how long they take. */
+function submitTimed(context: RouterContext): SubmitPiece {
+  return async (submitted) => {
+    const startedAtMs = context.timer.nowMs();
+    const result = await context.submitPiece(submitted);
+    if (result.kind === 'made') {
+      const nowMs = context.timer.nowMs();
+      const durationMs = nowMs - startedAtMs;
+      context.pieceTimes.observe({ name: submitted.service, durationMs, nowMs });
+    }
+    return result;
+  };
+}
+
 function freeResults(context: RouterContext, results: readonly StageResultHandle[]): void {
   if (results.length > 0) {
     context.freeResults(results.map(({ handle }) => handle));
@@ -204,6 +236,9 @@
   if (opts.exchange.disconnected.aborted) {
     return endDisconnected();
   }
+  if (opts.tracked.signal.aborted) {
+    return { kind: 'refused', error: createStoppingError() };
+  }
   const service = admitted.route.stages[failure.stage]?.service ?? '';
   const leftMs = Math.max(0, admitted.firstByteDeadlineAtMs - context.timer.nowMs());
   const error = GalenatillerError.create({
