Decide in one place which targets may be sent to from what they say

A worker says in its answers that it is leaving (Server-Leaving: 1), and with a 503 that it wants nothing from this host for a time (Retry-After). Nothing in the code read either.

TargetNotices in packages/target is told what an answer said and decides whether a target may be sent to. Leaving is believed for the start of the target that the request went to, until another start of it; word of other nodes for 30 s after the answer. A pause binds this node alone. It is bounded to 60 s; a value that is no number of seconds counts as 0.5 s, a negative one as none, and of several the longest. After it the sends grow from one to any number within a second, from a start that each node delays by up to 0.2 s.

--- a/packages/target/src/index.ts
+++ b/packages/target/src/index.ts
@@ -21,3 +21,10 @@
   TargetHealth,
   type TargetHealthOptions,
 } from './targetHealth.js';
+export {
+  type NoticeSource,
+  type TargetNoticeEvent,
+  TargetNotices,
+  type TargetNoticesOptions,
+} from './targetNotices.js';
+export { type TargetStart, toTargetStart } from './targetStart.js';
--- a/packages/types/src/index.ts
+++ b/packages/types/src/index.ts
@@ -10,4 +10,5 @@
 export type * from './sharedItems.js';
 export type * from './stage.js';
 export type * from './target.js';
+export type * from './targetNotice.js';
 export type * from './timelineEvent.js';
