Have routers believe targets that leave or ask for a pause

A router sent calls, stage pieces and freed results on to a worker that had said that it is leaving, until the store said so too, and to a worker that had asked for a pause with Retry-After, at once.

Calls, stage batches, frees and crash checks ask TargetNotices before each send. While all targets of a service are paused, a call that can't wait for the first to return is refused at once as not run (2012 targets-paused) with the time until then; others wait. A 503 with Retry-After is no failure of the target. Routers tell each other over their links which targets are leaving, with age; the link version is 4.

--- a/packages/error/src/requestCodes.ts
+++ b/packages/error/src/requestCodes.ts
@@ -170,6 +170,14 @@
     'The node has no configuration yet.',
     'Another node is tried; check the store with status.',
   ),
+  defineResultCode(
+    2012,
+    'targets-paused',
+    'not-run',
+    503,
+    'Every target of the service asked to be sent nothing for a time.',
+    'Retry after the time in Retry-After.',
+  ),
   defineResultCode(
     2010,
     'retry-budget-spent',
--- a/packages/pool/src/dispatchBatches.ts
+++ b/packages/pool/src/dispatchBatches.ts
@@ -1,5 +1,11 @@
 import type { TimerService } from '@galenatiller/timer';
-import type { BatchLimits, RegisteredTarget, PieceResult, StagePiece } from '@galenatiller/types';
+import type {
+  BatchLimits,
+  RegisteredTarget,
+  PieceResult,
+  StagePiece,
+  TargetNotice,
+} from '@galenatiller/types';
 
 import type { ResultMemory } from './resultMemory.js';
 import type { SeenHandles } from './seenHandles.js';
@@ -7,10 +13,14 @@
 import type { WorkerSpeed } from './workerSpeed.js';
 
 /** Response to a batch call: one result for each piece, or why there is none. */
-export type BatchResponse =
+export type BatchResponse = {
+  /** What the worker says about itself; unset when it says nothing. */
+  readonly notice?: TargetNotice;
+} & (
   | { readonly kind: 'answered'; readonly results: readonly PieceResult[] }
   /** `refused`: the worker was full. `moved`: another worker has taken over the address. */
-  | { readonly kind: 'refused' | 'moved' | 'unreachable' | 'broken'; readonly detail: string };
+  | { readonly kind: 'refused' | 'moved' | 'unreachable' | 'broken'; readonly detail: string }
+);
 
 /** Sends pieces to a worker in one batch call. */
 export type RunPieces = (opts: {
@@ -46,6 +56,10 @@
   readonly seenHandles: SeenHandles;
   readonly runPieces: RunPieces;
   readonly onBatch: (event: BatchEvent) => void;
+  /** Called when a batch call is sent to the worker. */
+  readonly onSent: (target: RegisteredTarget) => void;
+  /** Called with what the worker says about itself in an answer. */
+  readonly onNotice: (target: RegisteredTarget, notice: TargetNotice) => void;
   readonly signal: AbortSignal;
 }
 
@@ -96,6 +110,7 @@
       taken.forEach((piece) => piece.requeue({ countsAsAttempt: false }));
       continue;
     }
+    opts.onSent(target);
     const outcome = await runBatch({ ...opts, limits, taken });
     failures = outcome === 'failed' ? failures + 1 : 0;
     if (outcome === 'failed') {
@@ -135,6 +150,7 @@
     signal: AbortSignal.any([timeout.signal, cancellation.signal]),
   });
   const response = validateResponse(opts, received);
+  passNotice(opts, response);
   timeout.release();
   cancellation.release();
   resultMemory.releaseReservation(target.address, bytes);
@@ -191,6 +207,15 @@
   return response;
 }
 
+function passNotice(
+  { target, onNotice }: Pick<DispatchBatchesOptions, 'target' | 'onNotice'>,
+  { notice }: BatchResponse,
+): void {
+  if (notice) {
+    onNotice(target, notice);
+  }
+}
+
 function settlePiece(opts: {
   readonly target: RegisteredTarget;
   readonly limits: BatchLimits;
--- a/packages/pool/src/findInfeasible.ts
+++ b/packages/pool/src/findInfeasible.ts
@@ -7,6 +7,8 @@
   readonly piecesPerMs: number;
   /** Duration of a full batch call. */
   readonly callMs: number;
+  /** Time until the first worker accepts calls again; 0 unless all of them are paused. */
+  readonly pausedMs: number;
 }
 
 /** Pieces of one stage of one request that can't finish before their deadline. */
@@ -34,14 +36,17 @@
   opts: FindInfeasibleOptions<Piece>,
 ): readonly InfeasibleGroup<Piece>[] {
   const { nowMs, throughput } = opts;
-  if (throughput.piecesPerMs === 0) {
+  if (throughput.piecesPerMs === 0 && throughput.pausedMs === 0) {
     return [];
   }
   const infeasible: InfeasibleGroup<Piece>[] = [];
   let piecesAhead = 0;
   groupByStage(opts.ordered).forEach((pieces) => {
     const piecesBeforeLast = piecesAhead + pieces.length - 1;
-    const neededMs = piecesBeforeLast / throughput.piecesPerMs + throughput.callMs;
+    const neededMs =
+      throughput.pausedMs +
+      (throughput.piecesPerMs === 0 ? 0 : piecesBeforeLast / throughput.piecesPerMs) +
+      throughput.callMs;
     const leftMs = Math.min(...pieces.map(({ piece }) => piece.deadlineAtMs)) - nowMs;
     if (neededMs > leftMs) {
       infeasible.push({ pieces, neededMs, leftMs });
--- a/packages/pool/src/resultMemory.ts
+++ b/packages/pool/src/resultMemory.ts
@@ -11,6 +11,8 @@
     readonly address: string;
     readonly handles: readonly string[];
   }) => Promise<void>;
+  /** Time for which nothing may be sent to a worker; 0 when it accepts requests. */
+  readonly pausedMs: (address: string) => number;
   /** Called when a worker may have memory for results again. */
   readonly onMemoryFreed: () => void;
 }
@@ -107,9 +109,18 @@
       return;
     }
     this.pendingFrees.set(address, [handle]);
+    this.sendFreesAfter(address, this.opts.pausedMs(address) + FREE_DELAY_MS);
+  }
+
+  private sendFreesAfter(address: string, delayMs: number): void {
     this.opts.timer.after({
-      delayMs: FREE_DELAY_MS,
+      delayMs,
       notify: () => {
+        const pausedMs = this.opts.pausedMs(address);
+        if (pausedMs > 0) {
+          this.sendFreesAfter(address, pausedMs + FREE_DELAY_MS);
+          return;
+        }
         const handles = this.pendingFrees.get(address) ?? [];
         this.pendingFrees.delete(address);
         this.fullUntilMs.delete(address);
--- a/packages/pool/test/matchingCost.steps.ts
+++ b/packages/pool/test/matchingCost.steps.ts
@@ -28,7 +28,7 @@
         this.zoneLookups += 1;
         return 'west';
       },
-      throughput: () => ({ piecesPerMs: 1, callMs: 1 }),
+      throughput: () => ({ piecesPerMs: 1, callMs: 1, pausedMs: 0 }),
       workerZones: () => new Set(['east', 'west']),
       onStageAbandoned: () => {},
     });
--- a/packages/pool/test/queueWorld.ts
+++ b/packages/pool/test/queueWorld.ts
@@ -79,6 +79,8 @@
     seenHandles: SeenHandles.create({ timer: world.stageTimer }),
     runPieces: ({ pieces }) => runPieces(world, target, pieces),
     onBatch: () => {},
+    onSent: () => {},
+    onNotice: () => {},
     signal: world.stop.signal,
   }).catch((error: unknown) => {
     throw error;
--- a/packages/pool/test/stageQueue.steps.ts
+++ b/packages/pool/test/stageQueue.steps.ts
@@ -38,13 +38,14 @@
     this.resultMemory = ResultMemory.create({
       timer: this.stageTimer,
       freeResults: () => Promise.resolve(),
+      pausedMs: () => 0,
       onMemoryFreed: () => this.stageQueue.wakeWorkers(),
     });
     this.stageQueue = StageQueue.create({
       timer: this.stageTimer,
       compare: comparePieces,
       inputZone: ({ inputs }) => (inputs.map(toWorkerAddress).includes('10.0.0.1:2') ? 'west' : ''),
-      throughput: () => ({ piecesPerMs: LIMITS.maxPieces / CALL_MS, callMs: CALL_MS }),
+      throughput: () => ({ piecesPerMs: LIMITS.maxPieces / CALL_MS, callMs: CALL_MS, pausedMs: 0 }),
       workerZones: () => new Set(['east', 'west']),
       onStageAbandoned: (event) => this.abandoned.push(event),
     });
--- a/packages/router/src/chooseTargetForCall.ts
+++ b/packages/router/src/chooseTargetForCall.ts
@@ -1,5 +1,5 @@
 import { toWorkerAddress } from '@galenatiller/pool';
-import { chooseTarget, type TargetChoice } from '@galenatiller/target';
+import { chooseTarget, type TargetChoice, toTargetStart } from '@galenatiller/target';
 
 import type { AdmittedCall } from './admitCall.js';
 import type { CallProgress } from './callProgress.js';
@@ -25,7 +25,9 @@
   return chooseTarget({
     targets: context.rollouts.select(
       admitted.service,
-      context.targets.findUsable(admitted.service),
+      context.targets
+        .findUsable(admitted.service)
+        .filter((target) => context.notices.canSend(toTargetStart(target))),
     ),
     tried: progress.tried,
     promptParts: exchange.call.promptParts,
--- a/packages/router/src/crashDetector.ts
+++ b/packages/router/src/crashDetector.ts
@@ -6,6 +6,8 @@
 /** Options of {@link CrashDetector.create}. */
 export interface CrashDetectorOptions {
   readonly probe: ProbeTarget;
+  /** Whether the target may be probed now. */
+  readonly mayProbe: (target: RegisteredTarget) => boolean;
 }
 
 /** Finds out whether a target crashed, when a connection to it broke. */
@@ -27,6 +29,9 @@
     if (known) {
       return known;
     }
+    if (!this.opts.mayProbe(target)) {
+      return Promise.resolve(false);
+    }
     const probe = this.opts
       .probe({ address: target.address })
       .then((state) => state === 'refused')
--- a/packages/router/src/createRouter.ts
+++ b/packages/router/src/createRouter.ts
@@ -15,10 +15,12 @@
   RetryBudget,
   TargetDirectory,
   TargetHealth,
+  TargetNotices,
+  toTargetStart,
 } from '@galenatiller/target';
 import { TaskGroup } from '@galenatiller/tasks';
 import { SmoothedDurations, type TimerService } from '@galenatiller/timer';
-import type { CrashEvidence } from '@galenatiller/types';
+import type { CrashEvidence, LeavingEvidence } from '@galenatiller/types';
 
 import { CallCounter } from './callCounter.js';
 import { CrashDetector } from './crashDetector.js';
@@ -43,6 +45,7 @@
   logStoppedFingerprint,
   logStoreEvent,
   logTarget,
+  logTargetNotice,
 } from './logEvents.js';
 import { serveCall } from './serveCall.js';
 
@@ -95,11 +98,13 @@
     ...opts,
     nodeCount,
     share: (evidence) => stages.peers.all().forEach((peer) => peer.shareCrashEvidence(evidence)),
+    shareLeaving: (evidence) =>
+      stages.peers.all().forEach((peer) => peer.shareLeavingEvidence(evidence)),
   });
   const rolloutParts = createRollouts(opts);
   const { rollouts } = rolloutParts;
   const stages = createStages({ ...opts, ...limits, rollouts, routes, targets, nodeCount, tasks });
-  const onChanged = (): void => stages.workers.refresh();
+  const onChanged = (): void => stages.onTargetsChanged();
   const mirrors = createMirrors({ ...opts, ...rolloutParts, routes, targets, onChanged });
   const context: RouterContext = {
     timer,
@@ -186,7 +191,7 @@
 
 type Limits = Pick<
   RouterContext,
-  'health' | 'coldRateLimiter' | 'retryBudget' | 'crashDetector' | 'crashSuspects'
+  'health' | 'notices' | 'coldRateLimiter' | 'retryBudget' | 'crashDetector' | 'crashSuspects'
 >;
 
 /** Creates the limits that all nodes share, and the tracking of target health and crashes. */
@@ -194,10 +199,17 @@
   opts: RouterOptions & {
     readonly nodeCount: () => number;
     readonly share: (evidence: readonly CrashEvidence[]) => void;
+    readonly shareLeaving: (evidence: readonly LeavingEvidence[]) => void;
   },
 ): Limits {
   const { settings, timer, log, nodeCount } = opts;
+  const notices = TargetNotices.create({
+    ...opts,
+    share: opts.shareLeaving,
+    onEvent: (event) => logTargetNotice(log, event),
+  });
   return {
+    notices,
     health: TargetHealth.create({
       timer,
       onEvent: (event) =>
@@ -216,7 +228,10 @@
       slackRetries: settings.repeatSlack,
       nodeCount,
     }),
-    crashDetector: CrashDetector.create(opts.targetClient),
+    crashDetector: CrashDetector.create({
+      ...opts.targetClient,
+      mayProbe: (target) => notices.tryProbe(toTargetStart(target)),
+    }),
     crashSuspects: CrashSuspects.create({
       timer,
       share: opts.share,
--- a/packages/router/src/createStages.ts
+++ b/packages/router/src/createStages.ts
@@ -4,10 +4,20 @@
 import type { PeerService } from '@galenatiller/routerLink';
 import type { RouterSettings } from '@galenatiller/settings';
 import type { Member } from '@galenatiller/store';
-import type { CrashSuspects, TargetDirectory } from '@galenatiller/target';
+import {
+  type CrashSuspects,
+  type TargetDirectory,
+  type TargetNotices,
+  toTargetStart,
+} from '@galenatiller/target';
 import type { TaskGroup } from '@galenatiller/tasks';
 import type { TimerService } from '@galenatiller/timer';
-import type { CrashEvidence, RolloutDecision, RolloutEvidence } from '@galenatiller/types';
+import type {
+  CrashEvidence,
+  LeavingEvidence,
+  RolloutDecision,
+  RolloutEvidence,
+} from '@galenatiller/types';
 
 import { logAbandonedStage, logLinkEvent, logStageCall } from './logEvents.js';
 import { PeerRouters } from './peerRouters.js';
@@ -30,6 +40,7 @@
   readonly hash: (text: string) => number;
   readonly routes: RouteTable;
   readonly targets: TargetDirectory;
+  readonly notices: TargetNotices;
   readonly nodeCount: () => number;
   readonly tasks: TaskGroup;
   readonly crashSuspects: CrashSuspects;
@@ -43,6 +54,8 @@
   readonly peers: PeerRouters;
   readonly submitter: StageSubmitter;
   readonly peerService: PeerService;
+  /** Follows the targets that are registered now. */
+  readonly onTargetsChanged: () => void;
   /** Sets the live routers. */
   readonly setMembers: (members: readonly Member[]) => void;
 }
@@ -56,11 +69,15 @@
     ...opts,
     selfName,
     onLinkEvent: (event) => logLinkEvent(log, event),
-    onOpened: (peer) => peer.shareCrashEvidence(opts.crashSuspects.currentCrashes()),
+    onOpened: (peer) => {
+      peer.shareCrashEvidence(opts.crashSuspects.currentCrashes());
+      peer.shareLeavingEvidence(opts.notices.currentLeaving());
+    },
   });
   const resultMemory = ResultMemory.create({
     timer,
-    freeResults: opts.targetClient.freeResults,
+    freeResults: (freed) => freeResults(opts, freed),
+    pausedMs: (address) => opts.notices.pausedAtAddressMs(address),
     onMemoryFreed: () => workers.notifyMemoryFreed(),
   });
   const workers = StageWorkers.create({
@@ -81,6 +98,8 @@
     runPiece: submitLocally,
     free: (handles: readonly string[]) => resultMemory.free(handles),
     mergeCrashEvidence: (evidence: readonly CrashEvidence[]) => opts.crashSuspects.merge(evidence),
+    mergeLeavingEvidence: (evidence: readonly LeavingEvidence[]) =>
+      opts.notices.mergeLeaving(evidence),
     addRolloutEvidence: (evidence: readonly RolloutEvidence[]) =>
       evidence.forEach((item) => opts.rollouts.addEvidence(item)),
     endRollout: (decision: RolloutDecision) => opts.rollouts.end(decision),
@@ -89,5 +108,21 @@
     owners.setMembers(members);
     peers.setMembers(members);
   };
-  return { workers, owners, peers, submitter, peerService, setMembers };
+  const onTargetsChanged = (): void => {
+    opts.notices.onRegistered(opts.targets.all().map(toTargetStart));
+    workers.refresh();
+  };
+  return { workers, owners, peers, submitter, peerService, onTargetsChanged, setMembers };
+}
+
+async function freeResults(
+  { targets, notices, targetClient }: CreateStagesOptions,
+  freed: { readonly address: string; readonly handles: readonly string[] },
+): Promise<void> {
+  // Another target may have the address by the time of the answer.
+  const target = targets.all().find(({ address }) => address === freed.address);
+  const notice = await targetClient.freeResults({ ...freed, targetId: target?.id ?? '' });
+  if (target) {
+    notices.record({ target: toTargetStart(target), notice, source: 'free' });
+  }
 }
--- a/packages/router/src/endAttempts.ts
+++ b/packages/router/src/endAttempts.ts
@@ -60,6 +60,7 @@
   progress: CallProgress,
   name: ResultCodeName,
   detail: string,
+  retryAfterMs: number = RETRY_AFTER_MS,
 ): AttemptsResult {
   if (progress.runs > 0) {
     const codeName = name === 'deadline-exceeded' ? name : 'target-failed';
@@ -74,7 +75,7 @@
       name: codeName,
       detail,
       outcome: 'not-run',
-      retryAfterMs: RETRY_AFTER_MS,
+      retryAfterMs,
     }),
   };
 }
--- a/packages/router/src/logEvents.ts
+++ b/packages/router/src/logEvents.ts
@@ -2,7 +2,7 @@
 import type { AbandonedStageEvent, BatchEvent } from '@galenatiller/pool';
 import type { PeerEvent } from '@galenatiller/routerLink';
 import type { Member, MirrorEvent, ReadFailure } from '@galenatiller/store';
-import type { TargetChange } from '@galenatiller/target';
+import type { TargetChange, TargetNoticeEvent } from '@galenatiller/target';
 import type { Result } from 'true-myth';
 
 import type { RolloutDecision } from '@galenatiller/types';
@@ -25,6 +25,12 @@
   log({ about: 'belief', event: 'target', ...rest, outcome: kind });
 }
 
+/** Logs that a target has said that it is leaving or asked for a pause, and the end of that. */
+export function logTargetNotice(log: EventLog, event: TargetNoticeEvent): void {
+  const { kind, targetId: target, ...rest } = event;
+  log({ about: 'belief', event: 'target-notice', target, ...rest, outcome: kind });
+}
+
 /** Logs which routers are live. */
 export function logMembers(log: EventLog, live: readonly Member[]): void {
   const members = live.map(({ name }) => name);
--- a/packages/router/src/ports.ts
+++ b/packages/router/src/ports.ts
@@ -1,6 +1,6 @@
 import type { GalenatillerError } from '@galenatiller/error';
 import type { RunPieces } from '@galenatiller/pool';
-import type { BodyEnd, RegisteredTarget, RoutedCall } from '@galenatiller/types';
+import type { BodyEnd, RegisteredTarget, RoutedCall, TargetNotice } from '@galenatiller/types';
 import type { Result } from 'true-myth';
 
 /** A call as it is sent to a target. */
@@ -27,6 +27,8 @@
   readonly status: number;
   /** Whether the response has the target's proof of origin; a success without it is not forwarded. */
   readonly isSealed: boolean;
+  /** What the target says about itself; unset when it says nothing. */
+  readonly notice?: TargetNotice;
   /**
    * Headers forwarded to the caller, as alternating names and values; routing decisions ignore them.
    */
@@ -48,16 +50,23 @@
   | {
       readonly kind: 'refused' | 'moved' | 'inputs-gone' | 'unsent' | 'broken' | 'foreign';
       readonly detail: string;
+      /** What the target says about itself in an answer that is its own. */
+      readonly notice?: TargetNotice;
     };
 
 /** Sends a call to a target. */
 export type SendCall = (opts: SendCallOptions) => Promise<SendResult>;
 
-/** Tells a stage worker to free results that are no longer needed. */
+/**
+ * Tells a stage worker to free results that are no longer needed; resolves to what the answer says
+ * about the worker.
+ */
 export type FreeResults = (opts: {
+  /** Id of the worker at the address; empty when it is not known. */
+  readonly targetId: string;
   readonly address: string;
   readonly handles: readonly string[];
-}) => Promise<void>;
+}) => Promise<TargetNotice | undefined>;
 
 /** Tries to connect to a target; `refused` shows that no process listens there. */
 export type ProbeTarget = (opts: {
--- a/packages/router/src/recordMetrics.ts
+++ b/packages/router/src/recordMetrics.ts
@@ -54,6 +54,9 @@
   sink.gauge({ name: 'router.calls_in_progress', tags: {}, value: opts.calls });
   sink.gauge({ name: 'router.members', tags: {}, value: opts.nodeCount() });
   sink.gauge({ name: 'router.targets', tags: {}, value: context.targets.size });
+  const { paused, leaving } = context.notices.counts();
+  sink.gauge({ name: 'router.targets_paused', tags: {}, value: paused });
+  sink.gauge({ name: 'router.targets_leaving', tags: {}, value: leaving });
   sink.gauge({ name: 'router.evidence_age', tags: {}, value: evidenceAgeMs });
   sink.gauge({ name: 'router.event_loop_lag', tags: {}, value: opts.eventLoopLagMs });
 }
--- a/packages/router/src/routerContext.ts
+++ b/packages/router/src/routerContext.ts
@@ -6,6 +6,7 @@
   RetryBudget,
   TargetDirectory,
   TargetHealth,
+  TargetNotices,
 } from '@galenatiller/target';
 import type { SmoothedDurations, TimerService } from '@galenatiller/timer';
 
@@ -25,6 +26,7 @@
   readonly routes: RouteTable;
   readonly targets: TargetDirectory;
   readonly health: TargetHealth;
+  readonly notices: TargetNotices;
   readonly coldRateLimiter: ColdRateLimiter;
   /** Time from a send to the start of its response, by service. */
   readonly responseTimes: SmoothedDurations;
--- a/packages/router/src/runAttempts.ts
+++ b/packages/router/src/runAttempts.ts
@@ -1,4 +1,4 @@
-import { getStartKey, type TargetChoice } from '@galenatiller/target';
+import { getStartKey, type TargetChoice, toTargetStart } from '@galenatiller/target';
 import type { RegisteredTarget } from '@galenatiller/types';
 
 import type { AdmittedCall } from './admitCall.js';
@@ -12,6 +12,8 @@
   endWithError,
 } from './endAttempts.js';
 import { chooseTargetForCall } from './chooseTargetForCall.js';
+import { endForPause } from './endForPause.js';
+import { findPauseWait } from './findPauseWait.js';
 import type { CallerExchange, SendResponse, SendResult } from './ports.js';
 import type { RouterContext } from './routerContext.js';
 import { RunObservation } from './runObservation.js';
@@ -63,12 +65,9 @@
     }
     const choice = chooseTargetForCall(opts, progress);
     if (choice.kind !== 'chosen') {
-      if (choice.kind === 'none' && timer.nowMs() >= stopWaitingAtMs) {
-        return endWithError(
-          progress,
-          'no-target',
-          `no target of ${admitted.service} accepts calls`,
-        );
+      const end = endWait(opts, progress, { choice, stopWaitingAtMs });
+      if (end) {
+        return end;
       }
       await timer.sleep({ delayMs: RECHECK_DELAY_MS, signal });
       continue;
@@ -87,6 +86,23 @@
   return endAborted(exchange, progress);
 }
 
+/** Ends a call that no target can be sent now; undefined when it waits for one. */
+function endWait(
+  opts: RunAttemptsOptions,
+  progress: CallProgress,
+  wait: { readonly choice: TargetChoice; readonly stopWaitingAtMs: number },
+): AttemptsResult | undefined {
+  const { context, admitted } = opts;
+  const pausedEnd = endForPause(opts, progress);
+  if (pausedEnd) {
+    return pausedEnd;
+  }
+  const isWorthWaiting = wait.choice.kind !== 'none' || findPauseWait(opts) !== undefined;
+  return isWorthWaiting || context.timer.nowMs() < wait.stopWaitingAtMs
+    ? undefined
+    : endWithError(progress, 'no-target', `no target of ${admitted.service} accepts calls`);
+}
+
 /** Makes one attempt; undefined when another one may follow. */
 async function runAttempt(
   opts: RunAttemptsOptions,
@@ -99,6 +115,7 @@
   const sentAtMs = timer.nowMs();
   progress.recordSend(target.id);
   context.coldRateLimiter.recordSent(target.address);
+  context.notices.recordSent(toTargetStart(target));
   const decrement = context.inFlight.increment(target.id);
   const remainingMs = admitted.deadlineAtMs - sentAtMs;
   const isStream = admitted.route.callKind === 'stream';
@@ -115,6 +132,8 @@
       lastEventId: progress.resumeAfter,
       signal,
     });
+    const { notice } = response;
+    context.notices.record({ target: toTargetStart(target), notice, source: 'call' });
     context.metrics.count({ name: 'router.sends', tags: { send: response.kind } });
     logAttempt({ ...opts, progress, target, reason: choice.reason, response, sentAtMs });
     if (response.kind !== 'answered') {
@@ -126,7 +145,9 @@
     const nowMs = timer.nowMs();
     context.responseTimes.observe({ name: admitted.service, durationMs: nowMs - sentAtMs, nowMs });
     const isServerError = response.status >= 500;
-    health.record({ targetId: target.id, result: isServerError ? 'failed' : 'good' });
+    if (!notice?.pause) {
+      health.record({ targetId: target.id, result: isServerError ? 'failed' : 'good' });
+    }
     progress.recordRun();
     if (isServerError && canRunAgain(opts, progress)) {
       response.discard();
--- a/packages/router/src/serveCall.ts
+++ b/packages/router/src/serveCall.ts
@@ -6,6 +6,9 @@
 import type { CallerExchange } from './ports.js';
 import type { RouterContext } from './routerContext.js';
 import { computeFingerprints } from './computeFingerprints.js';
+import { CallProgress } from './callProgress.js';
+import { endForPause } from './endForPause.js';
+import { findReturnMs } from './findPauseWait.js';
 import { type AttemptsResult, createStoppedError, endDisconnected } from './endAttempts.js';
 import { runAttempts } from './runAttempts.js';
 import { runStages, type StagesFailed } from './runStages.js';
@@ -59,13 +62,16 @@
   const limitMs = Math.max(0, admitted.deadlineAtMs + RESPONSE_GRACE_MS - context.timer.nowMs());
   const deadline = context.timer.startTimeLimit({ limitMs });
   try {
-    const end = await runCall({
-      ...opts,
-      admitted,
-      fingerprints,
-      body: body.value,
-      deadline: deadline.signal,
-    });
+    const progress = CallProgress.create(call);
+    const end =
+      endForPause({ ...opts, admitted }, progress) ??
+      (await runCall({
+        ...opts,
+        admitted,
+        fingerprints,
+        body: body.value,
+        deadline: deadline.signal,
+      }));
     finish(opts, admitted, end);
   } finally {
     deadline.release();
@@ -152,8 +158,10 @@
   const error = GalenatillerError.create({
     name: 'deadline-unreachable',
     detail: `stage ${failure.stage} on ${service} failed: ${failure.reason}`,
-    retryAfterMs:
+    retryAfterMs: Math.max(
+      findReturnMs(context, service) ?? 0,
       failure.reason === 'busy' ? leftMs * BUSY_RETRY_AFTER_SHARE : STAGES_RETRY_AFTER_MS,
+    ),
   });
   return { kind: 'refused', error };
 }
--- a/packages/router/src/stageWorkers.ts
+++ b/packages/router/src/stageWorkers.ts
@@ -12,7 +12,12 @@
   toWorkerAddress,
   WorkerSpeed,
 } from '@galenatiller/pool';
-import { getStartKey, type TargetDirectory } from '@galenatiller/target';
+import {
+  getStartKey,
+  type TargetDirectory,
+  type TargetNotices,
+  toTargetStart,
+} from '@galenatiller/target';
 import type { TaskGroup } from '@galenatiller/tasks';
 import type { TimerService } from '@galenatiller/timer';
 import type { PieceResult, RegisteredTarget, StagePiece } from '@galenatiller/types';
@@ -24,6 +29,7 @@
   readonly timer: TimerService;
   readonly routes: RouteTable;
   readonly targets: TargetDirectory;
+  readonly notices: TargetNotices;
   /** Whether a target must not get pieces, although it is ready. */
   readonly isExcluded: (target: RegisteredTarget) => boolean;
   readonly resultMemory: ResultMemory;
@@ -98,17 +104,8 @@
   }
 
   private startWorker(target: RegisteredTarget): void {
-    const {
-      timer,
-      routes,
-      targets,
-      isExcluded,
-      resultMemory,
-      memoryShare,
-      runPieces,
-      onBatch,
-      tasks,
-    } = this.opts;
+    const { timer, routes, notices, resultMemory, memoryShare, runPieces, onBatch, tasks } =
+      this.opts;
     const stop = new AbortController();
     this.workerTasks.set(getStartKey(target), { target, stop });
     tasks.start(() =>
@@ -117,13 +114,16 @@
         queue: this.getQueue(target.service),
         target,
         limits: () => routes.findService(target.service)?.batch,
-        isUsable: (worker) => targets.isUsable(worker) && !isExcluded(worker),
+        isUsable: (worker) => this.canSend(worker),
         resultMemory,
         memoryShare: () => memoryShare(target.service),
         workerSpeed: this.workerSpeed,
         seenHandles: this.seenHandles,
         runPieces,
         onBatch,
+        onSent: (worker) => notices.recordSent(toTargetStart(worker)),
+        onNotice: (worker, notice) =>
+          notices.record({ target: toTargetStart(worker), notice, source: 'stage-call' }),
         signal: stop.signal,
       }),
     );
@@ -133,13 +133,14 @@
   private throughput(service: string): StageThroughput {
     const limits = this.opts.routes.findService(service)?.batch;
     if (!limits) {
-      return { piecesPerMs: 0, callMs: 0 };
+      return { piecesPerMs: 0, callMs: 0, pausedMs: 0 };
     }
     const callMs = limits.callOverheadMs + limits.pieceMs * limits.maxPieces;
     const piecesPerMs = this.usable(service)
       .map(({ address }) => limits.maxPieces / (callMs * this.workerSpeed.slowdown(address)))
       .reduce((sum, rate) => sum + rate, 0);
-    return { piecesPerMs, callMs };
+    const pausedMs = this.opts.notices.firstReturnMs(this.accepting(service).map(toTargetStart));
+    return { piecesPerMs, callMs, pausedMs: piecesPerMs === 0 ? (pausedMs ?? 0) : 0 };
   }
 
   private workerZones(service: string): ReadonlySet<string> {
@@ -152,13 +153,22 @@
   }
 
   private usable(service: string): readonly RegisteredTarget[] {
-    const { targets } = this.opts;
+    return this.accepting(service).filter((target) => this.canSend(target));
+  }
+
+  /** The workers of a service that get pieces, now or once their pauses end. */
+  private accepting(service: string): readonly RegisteredTarget[] {
     return [...this.workerTasks.values()]
       .map(({ target }) => target)
-      .filter(
-        (target) =>
-          target.service === service && targets.isUsable(target) && !this.opts.isExcluded(target),
-      );
+      .filter((target) => target.service === service && this.isAccepting(target));
+  }
+
+  private isAccepting(target: RegisteredTarget): boolean {
+    return this.opts.targets.isUsable(target) && !this.opts.isExcluded(target);
+  }
+
+  private canSend(target: RegisteredTarget): boolean {
+    return this.isAccepting(target) && this.opts.notices.canSend(toTargetStart(target));
   }
 
   private getQueue(service: string): StageQueue {
--- a/packages/router/test/router.steps.ts
+++ b/packages/router/test/router.steps.ts
@@ -26,6 +26,8 @@
     this.evidenceAgeMs = 100;
     this.maxRetries = 100;
     this.isTargetGone = false;
+    this.probes = 0;
+    this.noticeEvents = [];
     this.targetIds = undefined;
     this.scripts = [];
     this.fallback = (opts) => (opts.call.path.includes('stream') ? streamEvents(opts) : respond());
--- a/packages/router/test/support.ts
+++ b/packages/router/test/support.ts
@@ -5,7 +5,10 @@
   CrashSuspects,
   RetryBudget,
   TargetDirectory,
+  type TargetNoticeEvent,
   TargetHealth,
+  TargetNotices,
+  toTargetStart,
 } from '@galenatiller/target';
 import { type ManualClock, SmoothedDurations, type TimerService } from '@galenatiller/timer';
 import type {
@@ -30,6 +33,8 @@
 interface ReceivedResponse {
   head?: ResponseHead;
   refusal?: GalenatillerError;
+  /** Time from the call to its refusal. */
+  refusedAfterMs?: number;
   bytes: string;
   isEnded: boolean;
   isAborted: boolean;
@@ -47,6 +52,9 @@
   targetIds: readonly string[] | undefined;
   /** Whether probes find no process at the address of a target. */
   isTargetGone: boolean;
+  /** Number of checks whether the process of a target still runs. */
+  probes: number;
+  noticeEvents: TargetNoticeEvent[];
   scripts: SendScript[];
   fallback: SendScript;
   sends: SendCallOptions[];
@@ -122,10 +130,10 @@
   },
 };
 
-function createTarget(id: string): RegisteredTarget {
+export function createTarget(id: string, startedWallMs = 1): RegisteredTarget {
   return {
     id,
-    startedWallMs: 1,
+    startedWallMs,
     service: 'service',
     address: `10.0.0.1:${id.charCodeAt(0)}`,
     availabilityZone: 'zone',
@@ -178,6 +186,12 @@
   (world.targetIds ?? ['a', 'b']).forEach((id) =>
     targets.put({ id, target: createTarget(id), storeRevision: 1 }),
   );
+  const notices = TargetNotices.create({
+    timer,
+    random: () => 0.5,
+    share: () => {},
+    onEvent: (event) => world.noticeEvents.push(event),
+  });
   return {
     timer,
     log: () => {},
@@ -186,6 +200,7 @@
     routes: world.routes,
     targets,
     health: TargetHealth.create({ timer, onEvent: () => {} }),
+    notices,
     coldRateLimiter: ColdRateLimiter.create({
       timer,
       nodeCount: () => 1,
@@ -209,7 +224,7 @@
         return script(opts);
       },
       runPieces: () => Promise.reject(new Error('not used')),
-      freeResults: () => Promise.resolve(),
+      freeResults: () => Promise.resolve(undefined),
       probe: () => Promise.resolve('connected'),
     },
     rollouts: Rollouts.create({
@@ -219,7 +234,11 @@
       onEnded: () => {},
     }),
     crashDetector: CrashDetector.create({
-      probe: () => Promise.resolve(world.isTargetGone ? 'refused' : 'connected'),
+      probe: () => {
+        world.probes += 1;
+        return Promise.resolve(world.isTargetGone ? 'refused' : 'connected');
+      },
+      mayProbe: (target) => notices.tryProbe(toTargetStart(target)),
     }),
     crashSuspects: CrashSuspects.create({ timer, share: () => {}, onStopped: () => {} }),
     submitPiece: ({ piece }) => {
@@ -249,13 +268,15 @@
     disconnect: new AbortController(),
   };
   world.received = received;
+  const receivedAtMs = world.routerTimer.nowMs();
   return {
     call: { ...CALL, ...changes },
-    receivedAtMs: world.routerTimer.nowMs(),
+    receivedAtMs,
     disconnected: received.disconnect.signal,
     readBody: () => Promise.resolve(Result.ok(Buffer.from('body'))),
     refuse: (error) => {
       received.refusal = error;
+      received.refusedAfterMs = world.routerTimer.nowMs() - receivedAtMs;
     },
     writeHead: (head) => {
       received.head = head;
@@ -273,10 +294,15 @@
   };
 }
 
-export async function makeCall(world: RouterWorld, changes: Partial<RoutedCall>): Promise<void> {
+/** Starts a call without waiting for anything. */
+export function startCall(world: RouterWorld, changes: Partial<RoutedCall>): void {
   const exchange = createExchange(world, changes);
   serveCall({ context: world.context, exchange }).catch((error: unknown) => {
     throw error;
   });
+}
+
+export async function makeCall(world: RouterWorld, changes: Partial<RoutedCall>): Promise<void> {
+  startCall(world, changes);
   await world.routerClock.advance({ byMs: 400 });
 }
--- a/packages/routerLink/src/acceptRouters.ts
+++ b/packages/routerLink/src/acceptRouters.ts
@@ -4,6 +4,7 @@
 import type { TimerService } from '@galenatiller/timer';
 import type {
   CrashEvidence,
+  LeavingEvidence,
   PieceResult,
   RolloutDecision,
   RolloutEvidence,
@@ -24,6 +25,7 @@
   }) => Promise<PieceResult>;
   readonly free: (handles: readonly string[]) => void;
   readonly mergeCrashEvidence: (evidence: readonly CrashEvidence[]) => void;
+  readonly mergeLeavingEvidence: (evidence: readonly LeavingEvidence[]) => void;
   /** Adds evidence to the rollouts that this router owns. */
   readonly addRolloutEvidence: (evidence: readonly RolloutEvidence[]) => void;
   readonly endRollout: (decision: RolloutDecision) => void;
@@ -94,6 +96,9 @@
   if (frame.kind === 'crash-evidence') {
     opts.service.mergeCrashEvidence(frame.evidence);
   }
+  if (frame.kind === 'leaving-evidence') {
+    opts.service.mergeLeavingEvidence(frame.evidence);
+  }
   if (frame.kind === 'rollout-evidence') {
     opts.service.addRolloutEvidence(frame.evidence);
   }
--- a/packages/routerLink/src/followRouter.ts
+++ b/packages/routerLink/src/followRouter.ts
@@ -3,6 +3,7 @@
 import type { TimerService } from '@galenatiller/timer';
 import type {
   CrashEvidence,
+  LeavingEvidence,
   PieceResult,
   RolloutDecision,
   RolloutEvidence,
@@ -36,7 +37,7 @@
 }
 
 /** Version of the frames; a router closes links from routers of another version. */
-export const LINK_VERSION = 3;
+export const LINK_VERSION = 4;
 
 const CONNECT_TIMEOUT_MS = 400;
 
@@ -125,6 +126,13 @@
     }
   }
 
+  /** Shares which targets are leaving, if the link is open. */
+  shareLeavingEvidence(evidence: readonly LeavingEvidence[]): void {
+    if (evidence.length > 0) {
+      this.send({ kind: 'leaving-evidence', evidence });
+    }
+  }
+
   /** Sends evidence on rollouts that the peer owns; false when there is no open link. */
   sendRolloutEvidence(evidence: readonly RolloutEvidence[]): boolean {
     return this.send({ kind: 'rollout-evidence', evidence });
--- a/packages/routerLink/src/routerFrames.ts
+++ b/packages/routerLink/src/routerFrames.ts
@@ -1,5 +1,6 @@
 import type {
   CrashEvidence,
+  LeavingEvidence,
   PieceResult,
   RolloutDecision,
   RolloutEvidence,
@@ -58,6 +59,12 @@
   readonly evidence: readonly CrashEvidence[];
 }
 
+/** Tells a peer which targets have said that they are leaving. */
+export interface LeavingEvidenceFrame {
+  readonly kind: 'leaving-evidence';
+  readonly evidence: readonly LeavingEvidence[];
+}
+
 /** Tells the owner of rollouts how calls ran on their versions. */
 export interface RolloutEvidenceFrame {
   readonly kind: 'rollout-evidence';
@@ -83,6 +90,7 @@
   | PieceEndFrame
   | FreeFrame
   | CrashEvidenceFrame
+  | LeavingEvidenceFrame
   | RolloutEvidenceFrame
   | RolloutDecisionFrame
   | KeepAliveFrame;
--- a/packages/routerLink/src/wireRouterFrame.ts
+++ b/packages/routerLink/src/wireRouterFrame.ts
@@ -2,6 +2,7 @@
 import { addLengthPrefix, FrameSplitter } from '@galenatiller/framing';
 import type {
   CrashEvidence,
+  LeavingEvidence,
   PieceFailure,
   PieceResult,
   RolloutDecision,
@@ -80,6 +81,8 @@
   'piece-end': (fields) => areNumbers(fields, ['orderId']) && isPieceResult(fields.result),
   free: (fields) => isStringList(fields.handles),
   'crash-evidence': ({ evidence }) => Array.isArray(evidence) && evidence.every(isCrashEvidence),
+  'leaving-evidence': ({ evidence }) =>
+    Array.isArray(evidence) && evidence.every(isLeavingEvidence),
   'rollout-evidence': ({ evidence }) =>
     Array.isArray(evidence) && evidence.every(isRolloutEvidence),
   'rollout-decision': ({ decision }) => isRolloutDecision(decision),
@@ -154,6 +157,11 @@
   );
 }
 
+function isLeavingEvidence(value: unknown): value is LeavingEvidence {
+  const fields = asFields(value);
+  return areStrings(fields, ['targetId', 'targetStart']) && areNumbers(fields, ['agoMs']);
+}
+
 function areNumbers(fields: Fields, names: readonly string[]): boolean {
   return names.every((name) => typeof fields[name] === 'number');
 }
--- a/packages/routerLink/test/routerLink.feature
+++ b/packages/routerLink/test/routerLink.feature
@@ -43,3 +43,7 @@
   Scenario: Evidence on a rollout and the decision on it are passed on
     When the peer sends evidence on a rollout and shares its decision
     Then the owner gets both
+
+  Scenario: Evidence about leaving targets is shared with its age
+    When the peer shares that a target was leaving 40 ms ago
+    Then the owner gets that evidence
--- a/packages/routerLink/test/routerLink.steps.ts
+++ b/packages/routerLink/test/routerLink.steps.ts
@@ -10,6 +10,7 @@
 import { systemClock, TimerService } from '@galenatiller/timer';
 import type {
   CrashEvidence,
+  LeavingEvidence,
   PieceFailure,
   PieceResult,
   RolloutDecision,
@@ -41,6 +42,7 @@
   closedLinks: number;
   writes: Buffer[];
   evidenceAtOwner: readonly CrashEvidence[] | undefined;
+  leavingAtOwner: readonly LeavingEvidence[] | undefined;
   rolloutEvidenceAtOwner: readonly RolloutEvidence[] | undefined;
   decisionAtOwner: RolloutDecision | undefined;
 }
@@ -124,6 +126,9 @@
         endRollout: (decision) => {
           this.decisionAtOwner = decision;
         },
+        mergeLeavingEvidence: (evidence) => {
+          this.leavingAtOwner = evidence;
+        },
         mergeCrashEvidence: (evidence) => {
           this.evidenceAtOwner = evidence;
         },
@@ -318,3 +323,14 @@
   assert.deepEqual(this.decisionAtOwner, DECISION);
   assert.deepEqual(this.rolloutEvidenceAtOwner, [ROLLOUT_EVIDENCE]);
 });
+
+const LEAVING: LeavingEvidence = { targetId: 'a', targetStart: 'a 1', agoMs: 40 };
+
+When('the peer shares that a target was leaving 40 ms ago', function when(this: LinkWorld) {
+  this.peer.shareLeavingEvidence([LEAVING]);
+});
+
+Then('the owner gets that evidence', async function then(this: LinkWorld) {
+  await waitUntil(() => this.leavingAtOwner !== undefined, 'the evidence never arrived');
+  assert.deepEqual(this.leavingAtOwner, [LEAVING]);
+});
