--- a/packages/router/src/createRouter.ts
+++ b/packages/router/src/createRouter.ts
@@ -1,6 +1,6 @@
 import type { EventLog } from '@galenatiller/logger';
 import type { MetricSink } from '@galenatiller/metrics';
-import { acceptRouters } from '@galenatiller/routerLink';
+import { acceptRouters, type PeerRouter } from '@galenatiller/routerLink';
 import {
   type LeaseClient,
   type Member,
@@ -15,10 +15,11 @@
   RetryBudget,
   TargetDirectory,
   TargetHealth,
+  TargetNotices,
+  toTargetStart,
 } from '@galenatiller/target';
 import { TaskGroup } from '@galenatiller/tasks';
 import { SmoothedDurations, type TimerService } from '@galenatiller/timer';
-import type { CrashEvidence } from '@galenatiller/types';
 
 import { CallCounter } from './callCounter.js';
 import { CrashDetector } from './crashDetector.js';
@@ -44,6 +45,7 @@
   logStoppedFingerprint,
   logStoreEvent,
   logTarget,
+  logTargetNotice,
 } from './logEvents.js';
 import { RouterStop } from './routerStop.js';
 import { serveCall } from './serveCall.js';
@@ -96,12 +98,12 @@
   const limits = createLimits({
     ...opts,
     nodeCount,
-    share: (evidence) => stages.peers.all().forEach((peer) => peer.shareCrashEvidence(evidence)),
+    peers: () => stages.peers.all(),
   });
   const rolloutParts = createRollouts(opts);
   const { rollouts } = rolloutParts;
   const stages = createStages({ ...opts, ...limits, rollouts, routes, targets, nodeCount, tasks });
-  const onChanged = (): void => stages.workers.refresh();
+  const onChanged = (): void => stages.onTargetsChanged();
   const mirrors = createMirrors({ ...opts, ...rolloutParts, routes, targets, onChanged });
   const context: RouterContext = {
     timer,
@@ -213,18 +215,25 @@
 
 type Limits = Pick<
   RouterContext,
-  'health' | 'coldRateLimiter' | 'retryBudget' | 'crashDetector' | 'crashSuspects'
+  'health' | 'notices' | 'coldRateLimiter' | 'retryBudget' | 'crashDetector' | 'crashSuspects'
 >;
 
 /** Creates the limits that all nodes share, and the tracking of target health and crashes. */
 function createLimits(
   opts: RouterOptions & {
     readonly nodeCount: () => number;
-    readonly share: (evidence: readonly CrashEvidence[]) => void;
+    /** The links to all other routers. */
+    readonly peers: () => readonly PeerRouter[];
   },
 ): Limits {
   const { settings, timer, log, nodeCount } = opts;
+  const notices = TargetNotices.create({
+    ...opts,
+    share: (evidence) => opts.peers().forEach((peer) => peer.shareLeavingEvidence(evidence)),
+    onEvent: (event) => logTargetNotice(log, event),
+  });
   return {
+    notices,
     health: TargetHealth.create({
       timer,
       onEvent: (event) =>
@@ -243,10 +252,13 @@
       slackRetries: settings.repeatSlack,
       nodeCount,
     }),
-    crashDetector: CrashDetector.create(opts.targetClient),
+    crashDetector: CrashDetector.create({
+      ...opts.targetClient,
+      mayProbe: (target) => notices.tryProbe(toTargetStart(target)),
+    }),
     crashSuspects: CrashSuspects.create({
       timer,
-      share: opts.share,
+      share: (evidence) => opts.peers().forEach((peer) => peer.shareCrashEvidence(evidence)),
       onStopped: (stopped) => logStoppedFingerprint(log, stopped),
     }),
   };
--- a/packages/router/src/endAttempts.ts
+++ b/packages/router/src/endAttempts.ts
@@ -92,6 +92,7 @@
   progress: CallProgress,
   name: ResultCodeName,
   detail: string,
+  retryAfterMs: number = RETRY_AFTER_MS,
 ): Refused {
   if (progress.runs > 0) {
     const codeName = name === 'deadline-exceeded' ? name : 'target-failed';
@@ -106,7 +107,7 @@
       name: codeName,
       detail,
       outcome: 'not-run',
-      retryAfterMs: RETRY_AFTER_MS,
+      retryAfterMs,
     }),
   };
 }
--- /dev/null
+++ b/packages/router/src/observeAttempt.ts
@@ -0,0 +1,67 @@
+/** Log lines and measurements of the attempts of a call. */
+import type { RegisteredTarget } from '@galenatiller/types';
+
+import type { AdmittedCall } from './admitCall.js';
+import type { CallProgress } from './callProgress.js';
+import type { CallerExchange, SendResult } from './ports.js';
+import type { RouterContext } from './routerContext.js';
+
+/** An attempt to send a call to a target. */
+export interface ObservedAttempt {
+  readonly context: Pick<RouterContext, 'timer' | 'log' | 'inFlight' | 'wholeResponseTimes'>;
+  readonly exchange: Pick<CallerExchange, 'call' | 'disconnected'>;
+  readonly admitted: AdmittedCall;
+  readonly progress: CallProgress;
+  readonly target: RegisteredTarget;
+}
+
+/** Logs how a send ended, or that its response has started. */
+export function logAttempt(
+  opts: ObservedAttempt & {
+    readonly reason: string;
+    readonly response: SendResult;
+    readonly sentAtMs: number;
+  },
+): void {
+  const { context, exchange, admitted, progress, target, response, sentAtMs } = opts;
+  context.log({
+    about: 'decision',
+    event: 'attempt',
+    requestId: exchange.call.requestId,
+    target: target.id,
+    reason: opts.reason,
+    attempt: progress.sends,
+    inFlight: context.inFlight.count(target.id),
+    remainingMs: Math.round(admitted.deadlineAtMs - sentAtMs),
+    tookMs: Math.round(context.timer.nowMs() - sentAtMs),
+    configuration: admitted.configurationVersion,
+    callerGone: exchange.disconnected.aborted,
+    outcome:
+      response.kind === 'answered'
+        ? String(response.status)
+        : `${response.kind}: ${response.detail}`,
+  });
+}
+
+/** Logs a response that broke off, before the call is sent to another target. */
+export function logBrokenResponse(opts: ObservedAttempt): void {
+  const { context, exchange, progress, target } = opts;
+  context.log({
+    about: 'decision',
+    event: 'answer-broke-off',
+    requestId: exchange.call.requestId,
+    target: target.id,
+    resumeAfter: progress.resumeAfter,
+    outcome: `sent to another target: ${progress.lastFailure}`,
+  });
+}
+
+/** Records the time of a response that is complete. */
+export function recordWholeResponse(
+  opts: Pick<ObservedAttempt, 'context' | 'admitted'> & { readonly sentAtMs: number },
+): void {
+  const { timer, wholeResponseTimes } = opts.context;
+  const nowMs = timer.nowMs();
+  const { name } = opts.admitted.route;
+  wholeResponseTimes.observe({ name, durationMs: nowMs - opts.sentAtMs, nowMs });
+}
--- a/packages/router/src/runAttempts.ts
+++ b/packages/router/src/runAttempts.ts
@@ -1,4 +1,4 @@
-import { getStartKey, type TargetChoice } from '@galenatiller/target';
+import { getStartKey, type TargetChoice, toTargetStart } from '@galenatiller/target';
 import type { RegisteredTarget } from '@galenatiller/types';
 
 import type { AdmittedCall } from './admitCall.js';
@@ -14,6 +14,9 @@
   type Refused,
 } from './endAttempts.js';
 import { chooseTargetForCall } from './chooseTargetForCall.js';
+import { endForPause } from './endForPause.js';
+import { findPauseWait } from './findPauseWait.js';
+import { logAttempt, logBrokenResponse, recordWholeResponse } from './observeAttempt.js';
 import type { CallerExchange, SendResponse, SendResult } from './ports.js';
 import type { RouterContext } from './routerContext.js';
 import type { TrackedCall } from './routerStop.js';
@@ -65,12 +68,9 @@
     }
     const choice = chooseTargetForCall(opts, progress);
     if (choice.kind !== 'chosen') {
-      if (choice.kind === 'none' && timer.nowMs() >= stopWaitingAtMs) {
-        return endWithError(
-          progress,
-          'no-target',
-          `no target of ${admitted.service} accepts calls`,
-        );
+      const waitEnd = endWait(opts, progress, { choice, stopWaitingAtMs });
+      if (waitEnd) {
+        return waitEnd;
       }
       await timer.sleep({ delayMs: RECHECK_DELAY_MS, signal });
       continue;
@@ -111,6 +111,23 @@
   return stopped === undefined ? undefined : endStopped(progress, stopped);
 }
 
+/** Ends a call that no target can be sent now; undefined when it waits for one. */
+function endWait(
+  opts: RunAttemptsOptions,
+  progress: CallProgress,
+  wait: { readonly choice: TargetChoice; readonly stopWaitingAtMs: number },
+): AttemptsResult | undefined {
+  const { context, admitted } = opts;
+  const pausedEnd = endForPause(opts, progress);
+  if (pausedEnd) {
+    return pausedEnd;
+  }
+  const isWorthWaiting = wait.choice.kind !== 'none' || findPauseWait(opts) !== undefined;
+  return isWorthWaiting || context.timer.nowMs() < wait.stopWaitingAtMs
+    ? undefined
+    : endWithError(progress, 'no-target', `no target of ${admitted.service} accepts calls`);
+}
+
 /** Makes one attempt; undefined when another one may follow. */
 async function runAttempt(
   opts: RunAttemptsOptions,
@@ -124,6 +141,7 @@
   progress.recordSend(target.id);
   opts.tracked.enter('sent');
   context.coldRateLimiter.recordSent(target.address);
+  context.notices.recordSent(toTargetStart(target));
   const decrement = context.inFlight.increment(target.id);
   const remainingMs = admitted.deadlineAtMs - sentAtMs;
   const isStream = admitted.route.callKind === 'stream';
@@ -141,8 +159,10 @@
       lastEventId: progress.resumeAfter,
       signal,
     });
+    const { notice } = response;
+    context.notices.record({ target: toTargetStart(target), notice, source: 'call' });
     context.metrics.count({ name: 'router.sends', tags: { send: response.kind } });
-    logAttempt({ ...opts, progress, target, reason: choice.reason, response, sentAtMs });
+    logAttempt({ ...opts, target, reason: choice.reason, response, sentAtMs });
     if (response.kind !== 'answered') {
       if (response.kind === 'broken' && !signal.aborted) {
         observation.end({ isFailed: true });
@@ -152,7 +172,9 @@
     const nowMs = timer.nowMs();
     context.responseTimes.observe({ name: admitted.service, durationMs: nowMs - sentAtMs, nowMs });
     const isServerError = response.status >= 500;
-    health.record({ targetId: target.id, result: isServerError ? 'failed' : 'good' });
+    if (!notice?.pause) {
+      health.record({ targetId: target.id, result: isServerError ? 'failed' : 'good' });
+    }
     progress.recordRun();
     if (isServerError && canRunAgain(opts, progress)) {
       response.discard();
@@ -166,60 +188,6 @@
   }
 }
 
-/** Logs a response that broke off, before the call is sent to another target. */
-function logBrokenResponse(
-  opts: RunAttemptsOptions,
-  progress: CallProgress,
-  target: RegisteredTarget,
-): void {
-  opts.context.log({
-    about: 'decision',
-    event: 'answer-broke-off',
-    requestId: opts.exchange.call.requestId,
-    target: target.id,
-    resumeAfter: progress.resumeAfter,
-    outcome: `sent to another target: ${progress.lastFailure}`,
-  });
-}
-
-/** Records the time of a response that is complete. */
-function recordWholeResponse(opts: RunAttemptsOptions & { readonly sentAtMs: number }): void {
-  const { timer, wholeResponseTimes } = opts.context;
-  const nowMs = timer.nowMs();
-  const { name } = opts.admitted.route;
-  wholeResponseTimes.observe({ name, durationMs: nowMs - opts.sentAtMs, nowMs });
-}
-
-/** Logs how a send ended, or that its response has started. */
-function logAttempt(
-  opts: RunAttemptsOptions & {
-    readonly progress: CallProgress;
-    readonly target: RegisteredTarget;
-    readonly reason: string;
-    readonly response: SendResult;
-    readonly sentAtMs: number;
-  },
-): void {
-  const { context, exchange, admitted, progress, target, response, sentAtMs } = opts;
-  context.log({
-    about: 'decision',
-    event: 'attempt',
-    requestId: exchange.call.requestId,
-    target: target.id,
-    reason: opts.reason,
-    attempt: progress.sends,
-    inFlight: context.inFlight.count(target.id),
-    remainingMs: Math.round(admitted.deadlineAtMs - sentAtMs),
-    tookMs: Math.round(context.timer.nowMs() - sentAtMs),
-    configuration: admitted.configurationVersion,
-    callerGone: exchange.disconnected.aborted,
-    outcome:
-      response.kind === 'answered'
-        ? String(response.status)
-        : `${response.kind}: ${response.detail}`,
-  });
-}
-
 async function forward(
   opts: RunAttemptsOptions & {
     readonly observation: RunObservation;
@@ -264,7 +232,7 @@
       await recordIfCrashed(opts, target);
     }
     if (canRunAgain(opts, progress)) {
-      logBrokenResponse(opts, progress, target);
+      logBrokenResponse({ ...opts, target });
       return undefined;
     }
   }
--- a/packages/router/src/serveCall.ts
+++ b/packages/router/src/serveCall.ts
@@ -10,6 +10,8 @@
 import type { TrackedCall } from './routerStop.js';
 import { computeFingerprints } from './computeFingerprints.js';
 import { CallProgress } from './callProgress.js';
+import { endForPause } from './endForPause.js';
+import { findReturnMs } from './findPauseWait.js';
 import {
   type Answered,
   type CallEnding,
@@ -112,13 +114,15 @@
   const deadline = context.timer.startTimeLimit({ limitMs });
   const progress = CallProgress.create({ lastEventId: call.lastEventId });
   try {
-    const end = await runCall({
-      ...opts,
-      fingerprints,
-      body: body.value,
-      progress,
-      deadline: AbortSignal.any([deadline.signal, tracked.signal]),
-    });
+    const end =
+      endForPause(opts, progress) ??
+      (await runCall({
+        ...opts,
+        fingerprints,
+        body: body.value,
+        progress,
+        deadline: AbortSignal.any([deadline.signal, tracked.signal]),
+      }));
     finish(opts, admitted, settleEnding({ exchange, progress, end }));
   } finally {
     deadline.release();
@@ -244,8 +248,10 @@
   const error = GalenatillerError.create({
     name: 'deadline-unreachable',
     detail: `stage ${failure.stage} on ${service} failed: ${failure.reason}`,
-    retryAfterMs:
+    retryAfterMs: Math.max(
+      findReturnMs(context, service) ?? 0,
       failure.reason === 'busy' ? leftMs * BUSY_RETRY_AFTER_SHARE : STAGES_RETRY_AFTER_MS,
+    ),
   });
   return { kind: 'refused', error };
 }
