Take a response for a call's own only if that is proved

A faulty target may write an earlier response once more on a kept connection. If that was a refusal without an id, the next call on the connection counted as not run, although the target ran it: its caller was told to try again, or it ran at a second target. The same held for a refusal with the call's own id, when the call was sent again over the connection on which it had been refused.

The pool gives a request no connection that has answered its id before, and a call without an id a connection of its own. A batch call's connection is closed after any response that may repeat another: no result, results seen before, or an error.

--- a/packages/http/src/targetConnectionPool.ts
+++ b/packages/http/src/targetConnectionPool.ts
@@ -15,6 +15,10 @@
   /** Alternating names and values, written in this order. */
   readonly headers: readonly string[];
   readonly body: Buffer | undefined;
+  /** Id that the target repeats in its response; empty when it repeats none. */
+  readonly id: string;
+  /** Whether no connection that carried other requests may be used. */
+  readonly isConnectionNew: boolean;
   /** Aborting it cancels the request and closes its connection. */
   readonly signal: AbortSignal;
 }
@@ -23,12 +27,14 @@
 export interface TargetResponse {
   readonly kind: 'answered';
   readonly status: number;
+  /** Whether no other response came on this connection before. */
+  readonly isFirstOnConnection: boolean;
   readonly bodyEnd: BodyEnd;
   /** Returns the value of a header, or an empty string; names are in lower case. */
   readonly header: (name: string) => string;
   readonly headers: Readonly<Record<string, string | readonly string[]>>;
   readonly body: AsyncIterable<Buffer>;
-  /** Closes the connection, so that nothing more is read from it. */
+  /** Closes the connection, so that nothing more is read from it and no request uses it again. */
   readonly discard: () => void;
 }
 
@@ -47,10 +53,19 @@
   readonly onOpened: (address: string) => void;
 }
 
+/** What happened on one socket. */
+interface SocketHistory {
+  /** Whether the target has closed its side cleanly (FIN), after all of its bytes were read. */
+  isEnded: boolean;
+  responses: number;
+  /** Ids of the requests that were answered. */
+  readonly ids: Set<string>;
+}
+
 interface Connection {
   readonly client: Client;
-  /** Whether the target has closed its side cleanly (FIN), after all of its bytes were read. */
-  readonly isEnded: () => boolean;
+  /** History of the present socket; the client replaces a socket that has closed. */
+  readonly history: () => SocketHistory;
 }
 
 /** Idle time after which a connection is not reused, unless the target sends a Keep-Alive timeout. */
@@ -59,6 +74,9 @@
 /** Subtracted from the Keep-Alive timeout of a target, whose close may already be in transit. */
 const IDLE_TIMEOUT_MARGIN_MS = 1_000;
 
+/** Requests with an id after which a connection is not reused, so that its history stays short. */
+const MAX_IDS = 200;
+
 /** Maximum number of idle connections per target; the oldest ones beyond it are closed. */
 const MAX_IDLE_CONNECTIONS = 8;
 
@@ -95,7 +113,7 @@
     if (request.signal.aborted) {
       return { kind: 'unsent', detail: 'cancelled before the request was sent' };
     }
-    const connection = this.takeConnection(request.address);
+    const connection = this.takeConnection(request);
     try {
       const { statusCode, headers, body } = await connection.client.request({
         method: request.method,
@@ -109,11 +127,20 @@
       });
       const definedHeaders = omitUndefined(headers);
       const bodyEnd = findBodyEnd(definedHeaders);
+      const history = connection.history();
+      const isFirstOnConnection = history.responses === 0;
+      history.responses += 1;
+      if (request.id !== '') {
+        history.ids.add(request.id);
+      }
       const isReusable =
-        bodyEnd !== 'close' && String(definedHeaders.connection ?? '').toLowerCase() !== 'close';
+        bodyEnd !== 'close' &&
+        history.ids.size < MAX_IDS &&
+        String(definedHeaders.connection ?? '').toLowerCase() !== 'close';
       return {
         kind: 'answered',
         status: statusCode,
+        isFirstOnConnection,
         bodyEnd,
         headers: definedHeaders,
         header: (name) => joinValues(definedHeaders[name]),
@@ -121,7 +148,7 @@
         discard: () => {
           body.on('error', ignoreError);
           body.destroy();
-          close(connection);
+          this.removeConnection(request.address, connection);
         },
       };
     } catch (cause) {
@@ -143,7 +170,7 @@
     try {
       yield* opts.body;
       // undici treats a reset as the end of a body without length.
-      if (opts.bodyEnd === 'close' && !connection.isEnded()) {
+      if (opts.bodyEnd === 'close' && !connection.history().isEnded) {
         throw new Error('the connection was reset within a body without length');
       }
       isComplete = true;
@@ -156,8 +183,26 @@
     }
   }
 
-  private takeConnection(address: string): Connection {
-    return this.idle.get(address)?.pop() ?? this.createConnection(address);
+  /**
+   * Takes the connection that was used last, but none that has answered a request with the same id:
+   * a target that repeats that response would seem to answer this request.
+   */
+  private takeConnection(request: TargetRequest): Connection {
+    const { address, id } = request;
+    const idle = this.idle.get(address) ?? [];
+    const position = request.isConnectionNew
+      ? -1
+      : idle.findLastIndex((connection) => !connection.history().ids.has(id));
+    return idle.splice(position, position < 0 ? 0 : 1)[0] ?? this.createConnection(address);
+  }
+
+  private removeConnection(address: string, connection: Connection): void {
+    const idle = this.idle.get(address) ?? [];
+    this.idle.set(
+      address,
+      idle.filter((other) => other !== connection),
+    );
+    close(connection);
   }
 
   private keepConnection(address: string, connection: Connection): void {
@@ -170,20 +215,21 @@
   }
 
   private createConnection(address: string): Connection {
-    let isEnded = false;
+    let history = createHistory();
     const client = new Client(`http://${address}`, {
       pipelining: 1,
       keepAliveTimeout: DEFAULT_IDLE_TIMEOUT_MS,
       keepAliveTimeoutThreshold: IDLE_TIMEOUT_MARGIN_MS,
       connect: (_options, callback) => {
-        isEnded = false;
+        const opened = createHistory();
+        history = opened;
         const onEnded = (): void => {
-          isEnded = true;
+          opened.isEnded = true;
         };
         this.openSocket({ address, callback, onEnded });
       },
     });
-    return { client, isEnded: () => isEnded };
+    return { client, history: () => history };
   }
 
   private openSocket(opts: {
@@ -222,6 +268,10 @@
   }
 }
 
+function createHistory(): SocketHistory {
+  return { isEnded: false, responses: 0, ids: new Set() };
+}
+
 function close(connection: Connection): void {
   connection.client.destroy().catch(ignoreError);
 }
--- a/packages/http/test/targetConnectionPool.steps.ts
+++ b/packages/http/test/targetConnectionPool.steps.ts
@@ -113,6 +113,8 @@
         path: '/x',
         headers: ['Host', this.address],
         body: Buffer.from('body'),
+        id: '',
+        isConnectionNew: false,
         signal: new AbortController().signal,
       });
       this.results.push(result);
@@ -132,6 +134,8 @@
       path: '/x',
       headers: ['Host', this.address],
       body: undefined,
+      id: '',
+      isConnectionNew: false,
       signal: new AbortController().signal,
     });
     this.results.push(result);
--- a/packages/pool/src/dispatchBatches.ts
+++ b/packages/pool/src/dispatchBatches.ts
@@ -8,7 +8,15 @@
 
 /** Response to a batch call: one result for each piece, or why there is none. */
 export type BatchResponse =
-  | { readonly kind: 'answered'; readonly results: readonly PieceResult[] }
+  | {
+      readonly kind: 'answered';
+      readonly results: readonly PieceResult[];
+      /**
+       * Closes the connection. Responses to batch calls have no id: after one that is not provably
+       * that of its call, the next one on the same connection may be.
+       */
+      readonly discard: () => void;
+    }
   /** `refused`: the worker was full. `moved`: another worker has taken over the address. */
   | { readonly kind: 'refused' | 'moved' | 'unreachable' | 'broken'; readonly detail: string };
 
@@ -172,7 +180,7 @@
 
 /**
  * Rejects a response that belongs to another batch call: it has the wrong number of results, or
- * results seen before.
+ * results seen before. One without any result may repeat an earlier response, but does no harm.
  */
 function validateResponse(
   opts: Pick<DispatchBatchesOptions, 'seenHandles'> & { readonly taken: readonly TakenPiece[] },
@@ -185,7 +193,11 @@
     result.kind === 'made' ? [result.handle] : [],
   );
   const areNew = opts.seenHandles.recordAndCheckNew(handles);
-  if (response.results.length !== opts.taken.length || !areNew) {
+  const isForeign = response.results.length !== opts.taken.length || !areNew;
+  if (isForeign || handles.length === 0) {
+    response.discard();
+  }
+  if (isForeign) {
     return { kind: 'broken', detail: 'the response belongs to another batch call' };
   }
   return response;
--- a/packages/pool/test/queueWorld.ts
+++ b/packages/pool/test/queueWorld.ts
@@ -39,6 +39,8 @@
   /** Number of batch calls that earlier steps have checked. */
   checkedCalls: number;
   handles: number;
+  /** Number of responses whose connection was closed. */
+  discards: number;
   requests: number;
   /**
    * Failures of the next batch calls; `repeat` sends the first response again, and has no effect on
@@ -118,7 +120,10 @@
     world.handles += 1;
     return { kind: 'made', handle: `${target.address}/h${world.handles}` };
   });
-  const response: BatchResponse = { kind: 'answered', results };
+  const discard = (): void => {
+    world.discards += 1;
+  };
+  const response: BatchResponse = { kind: 'answered', results, discard };
   world.firstResponse ??= response;
   return response;
 }
--- a/packages/pool/test/stageQueue.feature
+++ b/packages/pool/test/stageQueue.feature
@@ -52,6 +52,7 @@
     When 1 request submits 1 piece
     And 1 request submits 1 piece
     Then no two pieces have the same result
+    And 1 connection was closed because of its response
 
   Scenario: A piece whose request has ended is not sent
     Given the only worker is busy
--- a/packages/pool/test/stageQueue.steps.ts
+++ b/packages/pool/test/stageQueue.steps.ts
@@ -27,6 +27,7 @@
     this.calls = [];
     this.checkedCalls = 0;
     this.handles = 0;
+    this.discards = 0;
     this.requests = 0;
     this.scriptedFailures = [];
     this.firstResponse = undefined;
@@ -140,6 +141,13 @@
   assert.deepEqual(await waitForResult(this, 0), { kind: 'failed', reason });
 });
 
+Then(
+  '{int} connection was closed because of its response',
+  function then(this: QueueWorld, discards: number) {
+    assert.equal(this.discards, discards);
+  },
+);
+
 Then('no two pieces have the same result', async function then(this: QueueWorld) {
   const handles = [await waitForResult(this, 0), await waitForResult(this, 1)].map((result) =>
     result.kind === 'made' ? result.handle : '',
