Shorten long texts in log lines

A line named the key of an odd entry, or the detail of a failure, whole: a key of 100 kB made a line as long. Each text of a line is now at most 1000 characters long.

--- a/packages/logger/src/createEventLog.ts
+++ b/packages/logger/src/createEventLog.ts
@@ -38,6 +38,9 @@
 
 const WINDOW_MS = 1_000;
 
+/** Characters of a text in a line. */
+const MAX_TEXT_LENGTH = 1_000;
+
 /**
  * Creates a rate-limited log of JSON lines. The number of skipped lines is logged with the first
  * event of a later second.
@@ -75,6 +78,16 @@
         return;
       }
     }
-    logger.info(event);
+    logger.info(boundTexts(event));
   };
 }
+
+/** Shortens texts, which may come from another process. */
+function boundTexts(event: LoggedEvent): Readonly<Record<string, EventValue>> {
+  return Object.fromEntries(
+    Object.entries(event).map(([name, value]) => [
+      name,
+      typeof value === 'string' ? value.slice(0, MAX_TEXT_LENGTH) : value,
+    ]),
+  );
+}
--- a/packages/logger/test/eventLog.feature
+++ b/packages/logger/test/eventLog.feature
@@ -6,6 +6,12 @@
     When the decision "attempt" on the request "r1" ends as "200"
     Then its line has node "router-1", event "attempt", request "r1" and outcome "200"
 
+  # Guards against lines as long as an entry that another process wrote.
+  Scenario: Long texts are shortened
+    Given an event log of the node "router-1"
+    When the decision "attempt" on a request with an id of 100000 characters ends as "200"
+    Then its line has at most 2000 characters
+
   Scenario: Decisions above the rate limit are skipped and counted
     Given an event log of the node "router-1"
     When 450 decisions are logged within a second
--- a/packages/logger/test/eventLog.steps.ts
+++ b/packages/logger/test/eventLog.steps.ts
@@ -42,6 +42,18 @@
   },
 );
 
+When(
+  'the decision {string} on a request with an id of {int} characters ends as {string}',
+  function when(this: LogWorld, event: string, length: number, outcome: string) {
+    this.eventLog({ about: 'decision', event, requestId: 'x'.repeat(length), outcome });
+  },
+);
+
+Then('its line has at most {int} characters', function then(this: LogWorld, length: number) {
+  const [line = ''] = this.logLines;
+  assert.ok(line.length > 0 && line.length <= length, String(line.length));
+});
+
 When('{int} decisions are logged within a second', function when(this: LogWorld, lines: number) {
   Array.from({ length: lines }).forEach(() => {
     this.eventLog({ about: 'decision', event: 'attempt' });
