Let an odd entry of another writer name no target, and end no task

One entry among those of the workers with the port 99999 was taken for a target. A call that was sent there ended without an answer: the HTTP client and the socket functions throw at such an address, so the call's task failed; the task of a stage worker failed likewise, and that of the link to a router with such a member entry.

--- a/fakes/src/platform/fakePlatformStore.ts
+++ b/fakes/src/platform/fakePlatformStore.ts
@@ -79,6 +79,11 @@
     this.write({ key, value: Buffer.from(JSON.stringify(opts.value)).toString('base64'), lease });
   }
 
+  /** Writes a value that need not be JSON. */
+  putText(opts: { readonly key: string; readonly text: string }): void {
+    this.write({ key: opts.key, value: Buffer.from(opts.text).toString('base64'), lease: 0 });
+  }
+
   /** Deletes a key. */
   remove(key: string): void {
     this.revision += 1;
--- a/packages/http/src/index.ts
+++ b/packages/http/src/index.ts
@@ -5,6 +5,7 @@
 export { sendRequest, type SendRequestOptions, type StreamedResponse } from './sendRequest.js';
 export { probeTargetProcess, type ProbeTargetProcessOptions } from './probeTargetProcess.js';
 export { isOwnResponse, type IsOwnResponseOptions } from './isOwnResponse.js';
+export { parseAddress, type SocketAddress } from './parseAddress.js';
 export { findStatusError } from './findStatusError.js';
 export { createTransportError, type CreateTransportErrorOptions } from './createTransportError.js';
 export { decodeJson, type DecodeJsonOptions } from './wire.js';
--- a/packages/http/src/targetConnectionPool.ts
+++ b/packages/http/src/targetConnectionPool.ts
@@ -5,6 +5,7 @@
 import { type buildConnector, Client } from 'undici';
 
 import { ConnectError } from './connectError.js';
+import { parseAddress, type SocketAddress } from './parseAddress.js';
 
 /** A request to a target. */
 export interface TargetRequest {
@@ -113,7 +114,11 @@
     if (request.signal.aborted) {
       return { kind: 'unsent', detail: 'cancelled before the request was sent' };
     }
-    const connection = this.takeConnection(request);
+    const address = parseAddress(request.address);
+    if (!address) {
+      return { kind: 'unsent', detail: 'the address is not HOST:PORT' };
+    }
+    const connection = this.takeConnection(request, address);
     try {
       const { statusCode, headers, body } = await connection.client.request({
         method: request.method,
@@ -187,9 +192,9 @@
    * Takes the connection that was used last, but none that has answered a request with the same id:
    * a target that repeats that response would seem to answer this request.
    */
-  private takeConnection(request: TargetRequest): Connection {
-    const { address, id } = request;
-    const idle = this.idle.get(address) ?? [];
+  private takeConnection(request: TargetRequest, address: SocketAddress): Connection {
+    const { id } = request;
+    const idle = this.idle.get(request.address) ?? [];
     const position = request.isConnectionNew
       ? -1
       : idle.findLastIndex((connection) => !connection.history().ids.has(id));
@@ -214,9 +219,9 @@
     this.idle.set(address, kept);
   }
 
-  private createConnection(address: string): Connection {
+  private createConnection(address: SocketAddress): Connection {
     let history = createHistory();
-    const client = new Client(`http://${address}`, {
+    const client = new Client(`http://${address.host}:${address.port}`, {
       pipelining: 1,
       keepAliveTimeout: DEFAULT_IDLE_TIMEOUT_MS,
       keepAliveTimeoutThreshold: IDLE_TIMEOUT_MARGIN_MS,
@@ -233,16 +238,14 @@
   }
 
   private openSocket(opts: {
-    readonly address: string;
+    readonly address: SocketAddress;
     readonly callback: buildConnector.Callback;
     readonly onEnded: () => void;
   }): void {
-    const { callback } = opts;
+    const { address, callback } = opts;
     const { connectLimitMs } = this.opts;
-    const [host = '', port = ''] = opts.address.split(':');
     const socket: Socket = connect({
-      host,
-      port: Number(port),
+      ...address,
       noDelay: true,
       keepAlive: true,
       keepAliveInitialDelay: KEEP_ALIVE_PROBE_DELAY_MS,
@@ -262,7 +265,7 @@
       cancelTimeout();
       socket.off('error', onConnectError);
       socket.once('end', opts.onEnded);
-      this.opts.onOpened(opts.address);
+      this.opts.onOpened(`${address.host}:${address.port}`);
       callback(null, socket);
     });
   }
--- a/packages/http/test/targetConnectionPool.feature
+++ b/packages/http/test/targetConnectionPool.feature
@@ -12,6 +12,23 @@
     When 1 request is sent
     Then it ends as "unsent"
 
+  # Guards against a call that ends without an answer because its target's address makes a socket function throw.
+  Scenario Outline: A request to an address that is none was not sent
+    Given a raw target that has no listener
+    When 1 request is sent to "<address>"
+    Then it ends as "unsent"
+
+    Examples:
+      | address            |
+      | 127.0.0.1:0        |
+      | 127.0.0.1:65536    |
+      | 127.0.0.1:99999999 |
+      | 127.0.0.1          |
+      | 127.0.0.1:http     |
+      | 127.0.0.1:80/path  |
+      | a b:80             |
+      | :80                |
+
   Scenario: A target that closes without a response may have run the request
     Given a raw target that closes each connection after the request
     When 1 request is sent
--- a/packages/http/test/targetConnectionPool.steps.ts
+++ b/packages/http/test/targetConnectionPool.steps.ts
@@ -125,6 +125,23 @@
   },
 );
 
+When(
+  '1 request is sent to {string}',
+  async function when(this: ConnectionPoolWorld, address: string) {
+    const result = await this.pool.exchange({
+      address,
+      method: 'GET',
+      path: '/x',
+      headers: ['Host', 'target'],
+      body: undefined,
+      id: '',
+      isConnectionNew: false,
+      signal: new AbortController().signal,
+    });
+    this.results.push(result);
+  },
+);
+
 When(
   '1 request is sent and read up to {int} bytes',
   async function when(this: ConnectionPoolWorld, maxBytes: number) {
--- a/packages/router/src/peerRouters.ts
+++ b/packages/router/src/peerRouters.ts
@@ -1,3 +1,4 @@
+import { parseAddress } from '@galenatiller/http';
 import { type PeerEvent, PeerRouter } from '@galenatiller/routerLink';
 import type { Member } from '@galenatiller/store';
 import type { TaskGroup } from '@galenatiller/tasks';
@@ -33,7 +34,9 @@
 
   /** Sets the live routers; opens links to new ones and closes the links to all others. */
   setMembers(members: readonly Member[]): void {
-    const others = members.filter(({ name }) => name !== this.opts.selfName);
+    const others = members.filter(
+      ({ name, address }) => name !== this.opts.selfName && parseAddress(address),
+    );
     this.peers.forEach(({ address, stop }, name) => {
       if (!others.some((other) => other.name === name && other.address === address)) {
         this.peers.delete(name);
