Let a stopping router leave the owners of stage services in two steps

Callers waited for stages until their deadline, or were refused, when routers stopped in a series. The lease of a router ended at SIGTERM: its peers closed their links at once, so the calls that it made to stage workers for them were aborted and made again elsewhere; with all routers stopping no member was left, and each dispatched the pieces of each service by itself, in small batches, with the whole result memory, to workers that were full.

A router now publishes that it is leaving in its entry, which older routers read as before, and stays a member until its calls and its calls to stage workers have ended. It owns no service while others stay; if all are leaving, the one that began last owns them. Pieces that wait are handed on to the new owner, those of peers too; what runs ends where it is. The last call to the store gets 250 ms, so that a store that is away does not hold up the end of the process.

--- a/packages/pool/src/stageQueue.ts
+++ b/packages/pool/src/stageQueue.ts
@@ -47,7 +47,8 @@
 interface PendingPiece extends QueuedPiece {
   /** Zone in which the piece should run; empty when any will do. */
   readonly preferredZone: string;
-  readonly settle: (result: PieceResult) => void;
+  /** Called with undefined when the piece is handed back. */
+  readonly settle: (result: PieceResult | undefined) => void;
   readonly signal: AbortSignal;
 }
 
@@ -87,14 +88,20 @@
     return this.waiting.length;
   }
 
-  /** Waits until a worker has run the piece or failed to; fails as `late` if the signal aborts first. */
-  submit(opts: { readonly piece: StagePiece; readonly signal: AbortSignal }): Promise<PieceResult> {
+  /**
+   * Waits until a worker has run the piece or failed to; fails as `late` if the signal aborts first, and
+   * resolves to undefined if the piece is handed back before a worker takes it.
+   */
+  submit(opts: {
+    readonly piece: StagePiece;
+    readonly signal: AbortSignal;
+  }): Promise<PieceResult | undefined> {
     const { piece, signal } = opts;
     if (signal.aborted) {
       return Promise.resolve(LATE);
     }
     return new Promise((resolve) => {
-      const settle = (result: PieceResult): void => {
+      const settle = (result: PieceResult | undefined): void => {
         signal.removeEventListener('abort', cancel);
         resolve(result);
       };
@@ -278,6 +285,13 @@
       .reduce((minMs, leftMs) => Math.min(minMs, Math.ceil(leftMs)), Infinity);
   }
 
+  /** Hands back the pieces that no worker has taken. */
+  handBack(): void {
+    const { waiting } = this;
+    this.waiting = [];
+    waiting.forEach(({ settle }) => settle(undefined));
+  }
+
   private wakeAll(): void {
     [...this.wakers].forEach((wake) => wake());
   }
--- a/packages/pool/test/queueWorld.ts
+++ b/packages/pool/test/queueWorld.ts
@@ -140,7 +140,12 @@
     priority: 0,
     ...changes,
   };
-  world.results.push(world.stageQueue.submit({ piece, signal }));
+  world.results.push(
+    world.stageQueue.submit({ piece, signal }).then((result) => {
+      assert.ok(result, 'the piece was handed back');
+      return result;
+    }),
+  );
 }
 
 export function newRequest(world: QueueWorld): void {
--- a/packages/router/src/createRouter.ts
+++ b/packages/router/src/createRouter.ts
@@ -73,10 +73,14 @@
   readonly serve: (exchange: CallerExchange) => void;
   /** Number of calls whose task has not ended. */
   readonly callsInProgress: () => number;
+  /** Number of calls to stage workers in progress, also for other routers. */
+  readonly batchesInProgress: () => number;
+  /** Ends the links to the other routers, at the end of the stop. */
+  readonly leave: () => void;
   readonly context: RouterContext;
   /** Sets the gauges of the router. */
   readonly reportGauges: (sink: MetricSink) => void;
-  /** Begins to stop: calls end by a monotonic time, and the other routers send no more work here. */
+  /** Begins to stop: calls end by a monotonic time, and stage services go to routers that stay. */
   readonly stop: (opts: { readonly endsAtMs: number }) => void;
   /** Watches the store and the other routers until the signal aborts. */
   readonly run: (opts: { readonly signal: AbortSignal }) => Promise<void>;
@@ -125,16 +129,15 @@
   };
   return {
     context,
-    isReady: () =>
-      routes.currentConfiguration() !== undefined &&
-      targets.size > 0 &&
-      context.evidenceAgeMs() <= settings.keyAgeLimitMs,
+    isReady: () => isReady(context),
     serve: (exchange) => callTasks.start(() => serveCall({ context, exchange })),
     callsInProgress: () => callTasks.size,
     stop: (stopOptions) => {
       context.stop.begin(stopOptions);
-      members.leave();
+      members.startLeaving();
     },
+    batchesInProgress: () => stages.workers.batchesInProgress,
+    leave: () => members.leave(),
     reportGauges: (sink) => {
       const eventLoopLagMs = eventLoop.lagMs;
       reportGauges({ sink, context, calls: callTasks.size, nodeCount, eventLoopLagMs });
@@ -144,6 +147,14 @@
   };
 }
 
+function isReady({ routes, targets, evidenceAgeMs, keyAgeLimitMs }: RouterContext): boolean {
+  return (
+    routes.currentConfiguration() !== undefined &&
+    targets.size > 0 &&
+    evidenceAgeMs() <= keyAgeLimitMs
+  );
+}
+
 /** Runs the parts of a router until the signal aborts. */
 async function runParts(
   opts: RouterOptions &
--- a/packages/router/src/createStages.ts
+++ b/packages/router/src/createStages.ts
@@ -15,9 +15,8 @@
 import { recordBatchMetrics } from './recordMetrics.js';
 import type { Rollouts } from './rollouts.js';
 import type { RouteTable } from './routeTable.js';
-import type { SubmitPiece } from './runStages.js';
 import { ServiceOwners } from './serviceOwners.js';
-import { StageSubmitter } from './stageSubmitter.js';
+import { StageSubmitter, type SubmitPieceLocally } from './stageSubmitter.js';
 import { StageWorkers } from './stageWorkers.js';
 
 /** Options of {@link createStages}. */
@@ -75,11 +74,11 @@
     },
     onStageAbandoned: (event) => logAbandonedStage(log, event),
   });
-  const submitLocally: SubmitPiece = (submitted) => workers.submit(submitted);
+  const submitLocally: SubmitPieceLocally = (submitted) => workers.submit(submitted);
   const submitter = StageSubmitter.create({ owners, peers, submitLocally, resultMemory });
   const peerService = {
-    runPiece: submitLocally,
-    free: (handles: readonly string[]) => resultMemory.free(handles),
+    runPiece: submitter.submitForPeer,
+    free: (handles: readonly string[]) => submitter.free(handles),
     mergeCrashEvidence: (evidence: readonly CrashEvidence[]) => opts.crashSuspects.merge(evidence),
     addRolloutEvidence: (evidence: readonly RolloutEvidence[]) =>
       evidence.forEach((item) => opts.rollouts.addEvidence(item)),
@@ -88,6 +87,8 @@
   const setMembers = (members: readonly Member[]): void => {
     owners.setMembers(members);
     peers.setMembers(members);
+    // The owner of a service fills whole batches; two routers that share its workers find them full.
+    workers.handBack((service) => peers.find(owners.findOwner(service))?.isOpen ?? false);
   };
   return { workers, owners, peers, submitter, peerService, setMembers };
 }
--- a/packages/router/src/logEvents.ts
+++ b/packages/router/src/logEvents.ts
@@ -27,10 +27,12 @@
   log({ about: 'belief', event: 'target', ...rest, outcome: kind });
 }
 
-/** Logs which routers are live. */
+/** Logs which routers are live, and which of them are leaving. */
 export function logMembers(log: EventLog, live: readonly Member[]): void {
   const members = live.map(({ name }) => name);
-  log({ about: 'belief', event: 'members', members, outcome: `${members.length} live` });
+  const leaving = live.filter(({ leavingSince }) => leavingSince > 0).map(({ name }) => name);
+  const outcome = `${members.length} live, ${leaving.length} leaving`;
+  log({ about: 'belief', event: 'members', members, leaving, outcome });
 }
 
 /** Logs one batch call to a stage worker. */
--- a/packages/router/src/runRouter.ts
+++ b/packages/router/src/runRouter.ts
@@ -37,7 +37,7 @@
 /** Part of the margin in which responses are written; the rest is for the end of the process. */
 const FLUSH_LIMIT_MS = 400;
 
-/** How often the number of calls in progress is checked. */
+/** How often it is checked what is in progress. */
 const POLL_MS = 50;
 
 /** Runs a router until it is asked to stop, then lets the calls in progress end. */
@@ -60,12 +60,10 @@
   router.stop({ endsAtMs });
   await timer.sleep({ delayMs: DEREGISTRATION_DELAY_MS });
   frontEnd.stopAccepting();
-  while (
-    timer.nowMs() < endsAtMs + FLUSH_LIMIT_MS &&
-    (router.callsInProgress() > 0 || frontEnd.hasUnsentData())
-  ) {
-    await timer.sleep({ delayMs: POLL_MS });
-  }
+  const hasCalls = (): boolean => router.callsInProgress() > 0;
+  await waitWhile(opts, endsAtMs, () => hasCalls() || router.batchesInProgress() > 0);
+  router.leave();
+  await waitWhile(opts, endsAtMs + FLUSH_LIMIT_MS, () => hasCalls() || frontEnd.hasUnsentData());
   log({
     about: 'process',
     event: 'stopped',
@@ -77,3 +75,14 @@
   abort.abort();
   await running;
 }
+
+/** Waits while something is true, until a monotonic time. */
+async function waitWhile(
+  { timer }: Pick<RunRouterOptions, 'timer'>,
+  untilMs: number,
+  isTrue: () => boolean,
+): Promise<void> {
+  while (timer.nowMs() < untilMs && isTrue()) {
+    await timer.sleep({ delayMs: POLL_MS });
+  }
+}
--- a/packages/router/src/serviceOwners.ts
+++ b/packages/router/src/serviceOwners.ts
@@ -42,8 +42,9 @@
       return known;
     }
     const { hash, selfName } = this.opts;
-    const maxCores = Math.max(...this.members.map(({ cpuCores }) => cpuCores));
-    const ranked = this.members
+    const candidates = findCandidates(this.members);
+    const maxCores = Math.max(...candidates.map(({ cpuCores }) => cpuCores));
+    const ranked = candidates
       .filter(({ cpuCores }) => cpuCores >= maxCores * MIN_OWNER_CAPACITY)
       .map(({ name }) => ({ name, rank: hash(`${service} ${name}`) }))
       .sort((left, right) => right.rank - left.rank);
@@ -52,3 +53,16 @@
     return owner;
   }
 }
+
+/** Routers that stay; if all are leaving, the one that began last and so lives longest. */
+function findCandidates(members: readonly Member[]): readonly Member[] {
+  const staying = members.filter(({ leavingSince }) => leavingSince === 0);
+  if (staying.length > 0) {
+    return staying;
+  }
+  const last = members.reduce<Member | undefined>(
+    (found, member) => (found && found.leavingSince > member.leavingSince ? found : member),
+    undefined,
+  );
+  return last ? [last] : [];
+}
--- a/packages/router/src/stageSubmitter.ts
+++ b/packages/router/src/stageSubmitter.ts
@@ -5,12 +5,17 @@
 import type { SubmitPiece } from './runStages.js';
 import type { ServiceOwners } from './serviceOwners.js';
 
+/** Submits a piece to workers from this node; resolves to undefined when no worker took it and it is handed back. */
+export type SubmitPieceLocally = (
+  opts: Parameters<SubmitPiece>[0],
+) => Promise<PieceResult | undefined>;
+
 /** Options of {@link StageSubmitter.create}. */
 export interface StageSubmitterOptions {
   readonly owners: Pick<ServiceOwners, 'findOwner'>;
   readonly peers: Pick<PeerRouters, 'find'>;
-  /** Submits a piece to workers from this node. */
-  readonly submitLocally: SubmitPiece;
+  /** Submits a piece to workers from this node; undefined when it is handed back. */
+  readonly submitLocally: SubmitPieceLocally;
   readonly resultMemory: ResultMemory;
 }
 
@@ -31,18 +36,24 @@
 
   /** Submits a piece to the owner of its service, or from this node when the owner can't be reached. */
   readonly submit: SubmitPiece = async (opts) => {
-    const owner = this.opts.owners.findOwner(opts.service);
-    const peer = this.opts.peers.find(owner);
-    if (!peer?.isOpen) {
-      return this.opts.submitLocally(opts);
-    }
-    const result = await peer.submitPiece(opts);
-    if (result === undefined) {
-      return this.opts.submitLocally(opts);
+    for (;;) {
+      const owner = this.opts.owners.findOwner(opts.service);
+      const peer = this.opts.peers.find(owner);
+      const ordered = peer?.isOpen ? await peer.submitPiece(opts) : undefined;
+      if (ordered) {
+        return this.recordOwner(owner, ordered);
+      }
+      const result = await this.opts.submitLocally(opts);
+      if (result) {
+        return result;
+      }
     }
-    return this.recordOwner(owner, result);
   };
 
+  /** Submits a piece of another router from this node, which passes it on when it is handed back. */
+  readonly submitForPeer: SubmitPiece = async (opts) =>
+    (await this.opts.submitLocally(opts)) ?? this.submit(opts);
+
   /** Frees results through the node that dispatched their pieces: the owner of the service, or this one. */
   free(handles: readonly string[]): void {
     const byPeer = new Map<string, string[]>();
--- a/packages/router/src/stageWorkers.ts
+++ b/packages/router/src/stageWorkers.ts
@@ -51,6 +51,8 @@
 
   private readonly seenHandles: SeenHandles;
 
+  private batches = 0;
+
   private constructor(private readonly opts: StageWorkersOptions) {
     this.seenHandles = SeenHandles.create(opts);
   }
@@ -60,12 +62,12 @@
     return new StageWorkers(opts);
   }
 
-  /** Submits a piece to the workers of a service. */
+  /** Submits a piece to the workers of a service; undefined when it is handed back. */
   submit(opts: {
     readonly service: string;
     readonly piece: StagePiece;
     readonly signal: AbortSignal;
-  }): Promise<PieceResult> {
+  }): Promise<PieceResult | undefined> {
     return this.getQueue(opts.service).submit(opts);
   }
 
@@ -74,6 +76,20 @@
     return this.queues.get(service)?.length ?? 0;
   }
 
+  /** Number of calls to workers in progress. */
+  get batchesInProgress(): number {
+    return this.batches;
+  }
+
+  /** Hands back the pieces of a service that wait for a worker, for those services that are chosen. */
+  handBack(isChosen: (service: string) => boolean): void {
+    this.queues.forEach((queue, service) => {
+      if (isChosen(service)) {
+        queue.handBack();
+      }
+    });
+  }
+
   /** Wakes the tasks of workers that may have free result memory again. */
   notifyMemoryFreed(): void {
     this.queues.forEach((queue) => queue.wakeWorkers());
@@ -122,13 +138,22 @@
         memoryShare: () => memoryShare(target.service),
         workerSpeed: this.workerSpeed,
         seenHandles: this.seenHandles,
-        runPieces,
+        runPieces: (batch) => this.countBatch(runPieces(batch)),
         onBatch,
         signal: stop.signal,
       }),
     );
   }
 
+  private async countBatch(run: ReturnType<RunPieces>): ReturnType<RunPieces> {
+    this.batches += 1;
+    try {
+      return await run;
+    } finally {
+      this.batches -= 1;
+    }
+  }
+
   /** Throughput of the usable workers of a service with full batches, at their present speed. */
   private throughput(service: string): StageThroughput {
     const limits = this.opts.routes.findService(service)?.batch;
--- a/packages/router/test/serviceOwners.feature
+++ b/packages/router/test/serviceOwners.feature
@@ -11,3 +11,16 @@
     Given routers "a-1,a-2,a-3" with 0.5 cores and "b-1" with 0.6 cores
     Then each of 100 services has one owner, the same for every router
     And the owners are "a-1,a-2,a-3,b-1"
+
+  # Guards against pieces that are made twice and workers that are found full, since no router owned a service in a series of stops.
+  Scenario: Routers that are leaving own no service while others stay
+    Given routers "a-1,a-2" with 0.5 cores and "b-1,b-2" with 0.5 cores
+    When "a-1,b-2" begin to leave
+    Then each of 100 services has one owner, the same for every router
+    And the owners are "a-2,b-1"
+
+  Scenario: The router that began to leave last owns all services when all are leaving
+    Given routers "a-1,a-2" with 0.5 cores and "b-1,b-2" with 0.5 cores
+    When "a-1,b-2,b-1,a-2" begin to leave
+    Then each of 100 services has one owner, the same for every router
+    And the owners are "a-2"
--- a/packages/router/test/serviceOwners.steps.ts
+++ b/packages/router/test/serviceOwners.steps.ts
@@ -1,6 +1,6 @@
 import assert from 'node:assert/strict';
 
-import { Given, Then } from '@cucumber/cucumber';
+import { Given, Then, When } from '@cucumber/cucumber';
 import type { Member } from '@galenatiller/store';
 import createXxhash from 'xxhash-wasm';
 
@@ -8,6 +8,7 @@
 
 interface OwnersWorld {
   ownerRouters: ReadonlyMap<string, ServiceOwners>;
+  routerMembers: readonly Member[];
   serviceOwners: ReadonlySet<string>;
 }
 
@@ -26,11 +27,21 @@
       ...createMembers(first, firstCores),
       ...createMembers(second, secondCores),
     ] as const;
+    this.routerMembers = members;
     this.ownerRouters = new Map(members.map(({ name }) => [name, createOwners(name)]));
     this.ownerRouters.forEach((owners) => owners.setMembers(members));
   },
 );
 
+When('{string} begin to leave', function when(this: OwnersWorld, names: string) {
+  const order = names.split(',');
+  const members = this.routerMembers.map((member) => ({
+    ...member,
+    leavingSince: order.indexOf(member.name) + 1,
+  }));
+  this.ownerRouters.forEach((owners) => owners.setMembers(members));
+});
+
 Then(
   'each of {int} services has one owner, the same for every router',
   function then(this: OwnersWorld, services: number) {
@@ -48,7 +59,9 @@
 });
 
 function createMembers(names: string, cpuCores: number): readonly Member[] {
-  return names.split(',').map((name) => ({ name, address: '127.0.0.1:1', cpuCores }));
+  return names
+    .split(',')
+    .map((name) => ({ name, address: '127.0.0.1:1', cpuCores, leavingSince: 0 }));
 }
 
 function createOwners(selfName: string): ServiceOwners {
--- /dev/null
+++ b/packages/router/test/stageSubmitter.steps.ts
@@ -0,0 +1,195 @@
+import assert from 'node:assert/strict';
+
+import { Given, Then, When } from '@cucumber/cucumber';
+import { ResultMemory } from '@galenatiller/pool';
+import type { PeerRouter } from '@galenatiller/routerLink';
+import { TargetDirectory } from '@galenatiller/target';
+import { TaskGroup } from '@galenatiller/tasks';
+import { ManualClock, TimerService } from '@galenatiller/timer';
+import type { PieceResult, StagePiece } from '@galenatiller/types';
+
+import { RouteTable } from '../src/routeTable.js';
+import { StageSubmitter } from '../src/stageSubmitter.js';
+import { StageWorkers } from '../src/stageWorkers.js';
+import { CONFIGURATION } from './support.js';
+
+interface SubmitterWorld {
+  submitterClock: ManualClock;
+  serviceOwner: string;
+  stageWorkers: StageWorkers;
+  submitter: StageSubmitter;
+  piecesAtPeer: ((result: PieceResult | undefined) => void)[];
+  freedAtPeer: string[];
+  pieceResults: Promise<PieceResult>[];
+}
+
+const CALL_MS = 200;
+const SERVICE = 'stage';
+const LIMITS = {
+  maxPieces: 1,
+  callOverheadMs: CALL_MS,
+  pieceMs: 1,
+  resultMemoryBytes: 1_000_000,
+  resultTtlMs: 60_000,
+};
+
+Given(
+  'a router that owns a stage service with one worker, and a peer',
+  async function given(this: SubmitterWorld) {
+    this.submitterClock = ManualClock.create({ startWallMs: 1_000_000 });
+    const timer = TimerService.create({ clock: this.submitterClock });
+    this.serviceOwner = 'self';
+    this.piecesAtPeer = [];
+    this.freedAtPeer = [];
+    this.pieceResults = [];
+    const targets = TargetDirectory.create({ timer, onChange: () => {} });
+    targets.put({ id: 'worker', target: createWorker(), storeRevision: 1 });
+    const routes = RouteTable.create();
+    routes.update({
+      ...CONFIGURATION,
+      services: [{ name: SERVICE, maxColdRequestsPerSecond: 0, batch: LIMITS }],
+    });
+    const resultMemory = ResultMemory.create({
+      timer,
+      freeResults: () => Promise.resolve(),
+      onMemoryFreed: () => {},
+    });
+    let made = 0;
+    this.stageWorkers = StageWorkers.create({
+      timer,
+      routes,
+      targets,
+      resultMemory,
+      isExcluded: () => false,
+      memoryShare: () => 1,
+      runPieces: async ({ pieces }) => {
+        await timer.sleep({ delayMs: CALL_MS });
+        const results = pieces.map((): PieceResult => {
+          made += 1;
+          return { kind: 'made', handle: `10.0.0.1:1/self-${made}` };
+        });
+        return { kind: 'answered', results };
+      },
+      onBatch: () => {},
+      onStageAbandoned: () => {},
+      tasks: TaskGroup.create({
+        onFailure: (error) => {
+          throw error;
+        },
+      }),
+    });
+    this.stageWorkers.refresh();
+    this.submitter = StageSubmitter.create({
+      owners: { findOwner: () => this.serviceOwner },
+      peers: { find: (name) => (name === 'peer' ? createPeer(this) : undefined) },
+      submitLocally: (submitted) => this.stageWorkers.submit(submitted),
+      resultMemory,
+    });
+    await this.submitterClock.advance({ byMs: 1 });
+  },
+);
+
+When(
+  /^2 pieces for one worker are submitted( by the peer)?, and the peer becomes the owner$/,
+  async function when(this: SubmitterWorld, byPeer: string | null) {
+    const submit = byPeer === null ? this.submitter.submit : this.submitter.submitForPeer;
+    this.pieceResults = [0, 1].map((piece) => submit(createOrder(piece)));
+    await this.submitterClock.advance({ byMs: 10 });
+    this.serviceOwner = 'peer';
+    this.stageWorkers.handBack(() => true);
+    await this.submitterClock.advance({ byMs: 10 });
+  },
+);
+
+When(
+  'a piece is submitted while the peer is the owner, and the link to the peer is lost',
+  async function when(this: SubmitterWorld) {
+    this.serviceOwner = 'peer';
+    this.pieceResults = [this.submitter.submit(createOrder(0))];
+    await this.submitterClock.advance({ byMs: 10 });
+    this.piecesAtPeer.splice(0).forEach((settle) => settle(undefined));
+  },
+);
+
+When('the caller of the pieces frees the results', async function when(this: SubmitterWorld) {
+  const handles = await endPieces(this);
+  this.submitter.free(handles);
+});
+
+Then('the peer gets 1 piece, and the worker ends the other', function then(this: SubmitterWorld) {
+  assert.equal(this.piecesAtPeer.length, 1);
+  assert.equal(this.stageWorkers.batchesInProgress, 1);
+});
+
+Then('each piece has the result of where it ran', async function then(this: SubmitterWorld) {
+  assert.deepEqual(await endPieces(this), ['10.0.0.1:1/self-1', '10.0.0.1:1/peer']);
+});
+
+Then('the peer frees its result', function then(this: SubmitterWorld) {
+  assert.deepEqual(this.freedAtPeer, ['10.0.0.1:1/peer']);
+});
+
+Then('the worker ends the piece', async function then(this: SubmitterWorld) {
+  assert.deepEqual(await endPieces(this), ['10.0.0.1:1/self-1']);
+});
+
+/** Lets the pieces end, and returns their handles. */
+async function endPieces(world: SubmitterWorld): Promise<readonly string[]> {
+  world.piecesAtPeer.forEach((settle) => settle({ kind: 'made', handle: '10.0.0.1:1/peer' }));
+  await world.submitterClock.advance({ byMs: 2 * CALL_MS });
+  const results = await Promise.all(world.pieceResults);
+  return results.map((result) => (result.kind === 'made' ? result.handle : result.reason));
+}
+
+function createPeer(world: SubmitterWorld): PeerRouter {
+  const peer: Pick<PeerRouter, 'isOpen' | 'submitPiece' | 'free'> = {
+    isOpen: true,
+    submitPiece: () =>
+      new Promise((resolve) => {
+        world.piecesAtPeer.push(resolve);
+      }),
+    free: (handles) => {
+      world.freedAtPeer.push(...handles);
+      return true;
+    },
+  };
+  return peer as PeerRouter;
+}
+
+function createWorker(): Parameters<TargetDirectory['put']>[0]['target'] {
+  return {
+    id: 'worker',
+    startedWallMs: 1,
+    service: SERVICE,
+    address: '10.0.0.1:1',
+    availabilityZone: 'zone',
+    version: 'v1',
+    slots: 1,
+    state: 'ready',
+  };
+}
+
+function createOrder(piece: number): {
+  readonly service: string;
+  readonly piece: StagePiece;
+  readonly signal: AbortSignal;
+} {
+  return {
+    service: SERVICE,
+    signal: new AbortController().signal,
+    piece: {
+      requestId: 'request',
+      stage: 0,
+      piece,
+      key: 'key',
+      inputs: [],
+      inputsExpireAtMs: Infinity,
+      resultBytes: 10,
+      zoneHint: '',
+      deadlineAtMs: 60_000,
+      dueAtMs: 60_000,
+      zoneWaitUntilMs: 0,
+      priority: 0,
+    },
+  };
+}
--- a/packages/router/test/stopWorld.ts
+++ b/packages/router/test/stopWorld.ts
@@ -80,6 +80,8 @@
       isReady: () => true,
       serve: (exchange) => this.tasks.start(() => serveCall({ context, exchange })),
       callsInProgress: () => this.tasks.size,
+      batchesInProgress: () => 0,
+      leave: () => {},
       reportGauges: () => {},
       stop: (end) => context.stop.begin(end),
       run: ({ signal }) => whenAborted(signal),
--- a/packages/store/src/membership.ts
+++ b/packages/store/src/membership.ts
@@ -3,7 +3,7 @@
 
 import { jitteredDelayMs } from './jitteredDelayMs.js';
 import { type MirrorEvent, PrefixMirror } from './prefixMirror.js';
-import type { PrefixSource, ReadFailure } from './prefixSource.js';
+import type { PrefixEntry, PrefixSource, ReadFailure } from './prefixSource.js';
 
 /** Creates leases in the store and the keys attached to them. */
 export interface LeaseClient {
@@ -35,6 +35,8 @@
   readonly address: string;
   /** CPU capacity of the node, in cores. */
   readonly cpuCores: number;
+  /** Store revision at which the node began to leave; 0 for one that stays. */
+  readonly leavingSince: number;
 }
 
 /** Options of {@link Membership.create}. */
@@ -42,7 +44,7 @@
   readonly source: PrefixSource;
   readonly leases: LeaseClient;
   readonly timer: TimerService;
-  readonly self: Member;
+  readonly self: Omit<Member, 'leavingSince'>;
   readonly random: () => number;
   readonly onChange: (members: readonly Member[]) => void;
   readonly onEvent: (event: MirrorEvent) => void;
@@ -64,6 +66,12 @@
 /** Time limit of one call, shorter than the renewal interval. */
 const CALL_TIMEOUT_MS = 700;
 
+/** Time limit of the last call: a node must not end later because the store is away. */
+const LEAVE_TIMEOUT_MS = 250;
+
+/** Follows address and capacity in the entry of a node that is about to leave; older nodes ignore it. */
+const LEAVING_MARK = 'leaving';
+
 /** Nodes that left are still counted for this time, since they may only be disconnected. */
 const DEPARTED_RETENTION_MS = 6_000;
 
@@ -83,6 +91,8 @@
 
   private readonly leaving = new AbortController();
 
+  private readonly left = new AbortController();
+
   private constructor(private readonly opts: MembershipOptions) {
     this.mirror = PrefixMirror.create({
       source: opts.source,
@@ -93,12 +103,12 @@
       random: opts.random,
       onEntries: (entries) => {
         this.members.clear();
-        entries.forEach(({ key, value }) => this.add(key, value));
+        entries.forEach((entry) => this.add(entry));
         this.notifyChange();
       },
       onChange: (change) => {
         if (change.kind === 'put') {
-          this.add(change.entry.key, change.entry.value);
+          this.add(change.entry);
         } else {
           this.members.delete(getMemberName(change.key));
         }
@@ -130,15 +140,20 @@
     return Math.max(1, recent.length);
   }
 
+  /** Publishes that this node is about to leave, while it still lives and is reached by the others. */
+  startLeaving(): void {
+    this.leaving.abort();
+  }
+
   /** Ends this node's membership but keeps tracking the others. */
   leave(): void {
-    this.leaving.abort();
+    this.left.abort();
   }
 
   /** Tracks the members and keeps this node registered until the signal aborts. */
   async run(opts: { readonly signal: AbortSignal }): Promise<void> {
     const { signal } = opts;
-    const ownSignal = AbortSignal.any([signal, this.leaving.signal]);
+    const ownSignal = AbortSignal.any([signal, this.left.signal]);
     await Promise.all([this.mirror.run({ signal }), this.maintainOwnMembership(ownSignal)]);
   }
 
@@ -146,8 +161,13 @@
     const { timer, random } = this.opts;
     let leaseId: string | undefined;
     let failures = 0;
+    let isPublished = false;
     while (!signal.aborted) {
+      const isLeaving = this.leaving.signal.aborted;
       leaseId ??= await this.register();
+      if (leaseId !== undefined && isLeaving && !isPublished) {
+        isPublished = await this.publish(leaseId);
+      }
       const renewal = leaseId === undefined ? undefined : await this.renew(leaseId);
       if (renewal === 'ended') {
         leaseId = undefined;
@@ -163,7 +183,8 @@
               maxMs: RENEW_INTERVAL_MS * 2,
               random,
             });
-      await timer.sleep({ delayMs, signal });
+      const wake = isLeaving ? signal : AbortSignal.any([signal, this.leaving.signal]);
+      await timer.sleep({ delayMs, signal: wake });
     }
     if (leaseId !== undefined) {
       await this.endLease(leaseId);
@@ -179,11 +200,11 @@
 
   private async endLease(leaseId: string): Promise<void> {
     const { leases } = this.opts;
-    await this.callWithTimeout((signal) => leases.revoke({ leaseId, signal }));
+    await this.callWithTimeout((signal) => leases.revoke({ leaseId, signal }), LEAVE_TIMEOUT_MS);
   }
 
   private async register(): Promise<string | undefined> {
-    const { leases, self } = this.opts;
+    const { leases } = this.opts;
     const granted = await this.callWithTimeout((signal) =>
       leases.grant({ ttlMs: LEASE_TTL_MS, signal }),
     );
@@ -191,18 +212,30 @@
       return undefined;
     }
     const { leaseId } = granted.value;
-    const value = Buffer.from(`${self.address} ${self.cpuCores}`);
+    return (await this.publish(leaseId)) ? leaseId : undefined;
+  }
+
+  /** Writes the entry of this node; false if the store did not. */
+  private async publish(leaseId: string): Promise<boolean> {
+    const { leases, self } = this.opts;
+    const mark = this.leaving.signal.aborted ? ` ${LEAVING_MARK}` : '';
+    const value = Buffer.from(`${self.address} ${self.cpuCores}${mark}`);
     const key = `${MEMBER_PREFIX}${self.name}`;
     const written = await this.callWithTimeout((signal) =>
       leases.put({ key, value, leaseId, signal }),
     );
-    return written.isOk && written.value === 'written' ? leaseId : undefined;
+    return written.isOk && written.value === 'written';
   }
 
-  private add(key: string, value: Buffer): void {
+  private add({ key, value, revision }: PrefixEntry): void {
     const name = getMemberName(key);
-    const [address = '', cpuCores] = value.toString('utf8').split(' ');
-    this.members.set(name, { name, address, cpuCores: Number(cpuCores) || DEFAULT_CPU_CORES });
+    const [address = '', cpuCores, mark] = value.toString('utf8').split(' ');
+    this.members.set(name, {
+      name,
+      address,
+      cpuCores: Number(cpuCores) || DEFAULT_CPU_CORES,
+      leavingSince: mark === LEAVING_MARK ? revision : 0,
+    });
   }
 
   private notifyChange(): void {
@@ -213,8 +246,9 @@
 
   private async callWithTimeout<Value>(
     call: (signal: AbortSignal) => Promise<Value>,
+    limitMs = CALL_TIMEOUT_MS,
   ): Promise<Value> {
-    const timeLimit = this.opts.timer.startTimeLimit({ limitMs: CALL_TIMEOUT_MS });
+    const timeLimit = this.opts.timer.startTimeLimit({ limitMs });
     try {
       return await call(timeLimit.signal);
     } finally {
