--- a/packages/router/src/stageWorkers.ts
+++ b/packages/router/src/stageWorkers.ts
@@ -57,6 +57,8 @@
 
   private readonly seenHandles: SeenHandles;
 
+  private batches = 0;
+
   private constructor(private readonly opts: StageWorkersOptions) {
     this.seenHandles = SeenHandles.create(opts);
   }
@@ -66,12 +68,12 @@
     return new StageWorkers(opts);
   }
 
-  /** Submits a piece to the workers of a service. */
+  /** Submits a piece to the workers of a service; undefined when it is handed back. */
   submit(opts: {
     readonly service: string;
     readonly piece: StagePiece;
     readonly signal: AbortSignal;
-  }): Promise<PieceResult> {
+  }): Promise<PieceResult | undefined> {
     return this.getQueue(opts.service).submit(opts);
   }
 
@@ -80,6 +82,20 @@
     return this.queues.get(service)?.length ?? 0;
   }
 
+  /** Number of calls to workers in progress. */
+  get batchesInProgress(): number {
+    return this.batches;
+  }
+
+  /** Hands back the pieces of a service that wait for a worker, for those services that are chosen. */
+  handBack(isChosen: (service: string) => boolean): void {
+    this.queues.forEach((queue, service) => {
+      if (isChosen(service)) {
+        queue.handBack();
+      }
+    });
+  }
+
   /** Wakes the tasks of workers that may have free result memory again. */
   notifyMemoryFreed(): void {
     this.queues.forEach((queue) => queue.wakeWorkers());
@@ -119,7 +135,7 @@
         memoryShare: () => memoryShare(target.service),
         workerSpeed: this.workerSpeed,
         seenHandles: this.seenHandles,
-        runPieces,
+        runPieces: (batch) => this.countBatch(runPieces(batch)),
         onBatch,
         onSent: (worker) => notices.recordSent(toTargetStart(worker)),
         onNotice: (worker, notice) =>
@@ -129,6 +145,15 @@
     );
   }
 
+  private async countBatch(run: ReturnType<RunPieces>): ReturnType<RunPieces> {
+    this.batches += 1;
+    try {
+      return await run;
+    } finally {
+      this.batches -= 1;
+    }
+  }
+
   /** Throughput of the usable workers of a service with full batches, at their present speed. */
   private throughput(service: string): StageThroughput {
     const limits = this.opts.routes.findService(service)?.batch;
