Notice that the store has come back from an older copy

A node whose store was restored from an older copy went on to watch from a revision that the store didn't have any more: it saw no change until the revisions had risen past the old ones, and never those in between.

Cause: only a compacted history counted as a gap. Nothing compared what the store says of itself with what it said before.

StoreEra notices a restore by the cluster id in the header of each response, or, from stores that name none, by a revision lower than one that arrived before the call was sent. Whoever reads first notices it for all: open watches end and report a gap, and a response of an older copy fails as broken. Watches only compare the cluster, because a member that lags has low revisions too; one that opens below its revision reports a gap, so that the next read finds out. The fake store can be copied and restored.

--- a/fakes/src/store/fakeStore.ts
+++ b/fakes/src/store/fakeStore.ts
@@ -28,6 +28,8 @@
 
 /** Options of {@link FakeStore.create}; a rate of 0 means no limit. */
 export interface FakeStoreOptions {
+  /** Whether responses name the cluster; the default is yes. */
+  readonly hasClusterId?: boolean;
   readonly timer: TimerService;
   readonly maxWritesPerSecond?: number;
   readonly maxReadsPerSecond?: number;
@@ -167,8 +169,13 @@
   }
 
   private respond(body: object): StoreResult {
-    const header = { revision: String(this.state.revision) };
-    return createResponse(HTTP_OK, JSON.stringify({ header, ...body }));
+    return createResponse(HTTP_OK, JSON.stringify({ header: this.createHeader(), ...body }));
+  }
+
+  private createHeader(): object {
+    const { revision, clusterId } = this.state;
+    const cluster = this.opts.hasClusterId === false ? {} : { cluster_id: String(clusterId) };
+    return { revision: String(revision), ...cluster };
   }
 
   private async *watch(call: StoreCall, request: EtcdWatch): AsyncGenerator<string> {
@@ -176,7 +183,7 @@
     const range = request.create_request;
     const lines = Mailbox.create<string>();
     const send = (body: object): void => {
-      const header = { revision: String(state.revision) };
+      const header = this.createHeader();
       lines.put(`${JSON.stringify({ result: { header, ...body } })}\n`);
     };
     const end = (): void => {
--- a/fakes/src/store/fakeStoreState.ts
+++ b/fakes/src/store/fakeStoreState.ts
@@ -21,11 +21,27 @@
 
 const MS_PER_S = 1_000;
 
+/** A copy of a store's contents, from which it can be restored. */
+export interface FakeStoreCopy {
+  readonly revision: number;
+  readonly compactedRevision: number;
+  readonly nextLeaseId: number;
+  readonly entries: ReadonlyMap<string, EtcdKeyValue>;
+  readonly history: readonly EtcdEvent[];
+  readonly leases: ReadonlyMap<
+    string,
+    { readonly ttlMs: number; readonly keys: readonly string[] }
+  >;
+}
+
 /** Keys, revisions and leases of a fake store, apart from faults and transport. */
 export class FakeStoreState {
   /** Revision of the last write. */
   revision = 1;
 
+  /** Identifies the store between two restores. */
+  clusterId = 1;
+
   /** Changes before this revision have been compacted. */
   compactedRevision = 0;
 
@@ -107,6 +123,36 @@
     });
   }
 
+  /** Copies the contents. */
+  copy(): FakeStoreCopy {
+    const { revision, compactedRevision, nextLeaseId } = this;
+    const leases = [...this.leases].map(
+      ([leaseId, { ttlMs, keys }]) => [leaseId, { ttlMs, keys: [...keys] }] as const,
+    );
+    return {
+      ...{ revision, compactedRevision, nextLeaseId },
+      entries: new Map(this.entries),
+      history: [...this.history],
+      leases: new Map(leases),
+    };
+  }
+
+  /** Restores a copy: later writes are lost, and revisions and lease ids are given out again. */
+  restore(copy: FakeStoreCopy): void {
+    this.leases.forEach(({ cancel }) => cancel());
+    this.leases.clear();
+    this.entries.clear();
+    copy.entries.forEach((entry, key) => this.entries.set(key, entry));
+    this.history.splice(0, this.history.length, ...copy.history);
+    this.revision = copy.revision;
+    this.compactedRevision = copy.compactedRevision;
+    this.nextLeaseId = copy.nextLeaseId;
+    copy.leases.forEach(({ ttlMs, keys }, leaseId) => {
+      this.startLease(leaseId, { ttlMs, keys: new Set(keys), cancel: () => {} });
+    });
+    this.clusterId += 1;
+  }
+
   /** Discards the history up to the current revision. */
   compact(): void {
     this.history.length = 0;
--- a/fakes/src/store/storeFixture.ts
+++ b/fakes/src/store/storeFixture.ts
@@ -11,10 +11,10 @@
 }
 
 /** Creates a fixture with an empty fake store. */
-export function createStoreFixture(): StoreFixture {
+export function createStoreFixture(opts: { readonly hasClusterId?: boolean } = {}): StoreFixture {
   const clock = ManualClock.create({ startWallMs: 1_000_000 });
   const timer = TimerService.create({ clock });
-  return { clock, timer, fakeStore: FakeStore.create({ timer }) };
+  return { clock, timer, fakeStore: FakeStore.create({ ...opts, timer }) };
 }
 
 /** Creates a client of the fake store, with constant jitter by default. */
--- a/packages/store/src/callStore.ts
+++ b/packages/store/src/callStore.ts
@@ -10,7 +10,8 @@
   StoreTransport,
   TransportFailure,
 } from './storeTypes.js';
-import { isLeaseNotFound } from './wire.js';
+import type { StoreEra } from './storeEra.js';
+import { decodeHeader, isLeaseNotFound } from './wire.js';
 
 /** Number of calls made of each kind. */
 export type CallCounts = Record<StoreCallKind, number>;
@@ -22,6 +23,7 @@
   readonly budget: CallBudget;
   readonly counts: CallCounts;
   readonly callTimeoutMs: number;
+  readonly era: StoreEra;
 }
 
 /** Options of {@link callStore}. */
@@ -29,7 +31,8 @@
   readonly context: CallContext;
   readonly kind: StoreCallKind;
   readonly body: string;
-  readonly decode: (text: string) => Decoded;
+  /** Decodes the parsed body of a response. */
+  readonly decode: (body: unknown) => Decoded;
   /** Time limit of this call, if shorter than that of the client. */
   readonly timeoutMs?: number;
 }
@@ -45,12 +48,18 @@
   const { context } = opts;
   const timeoutMs = Math.min(opts.timeoutMs ?? Infinity, context.callTimeoutMs);
   const timeLimit = context.timer.startTimeLimit({ limitMs: timeoutMs });
+  const sentAt = context.era.mark();
   try {
     const response = await openCall({ ...opts, signal: timeLimit.signal });
     if (response.isErr) {
       return Result.err(response.error);
     }
-    return Result.ok(opts.decode(await readAll(response.value.chunks)));
+    const body: unknown = JSON.parse(await readAll(response.value.chunks));
+    if (!context.era.observe(decodeHeader(body), sentAt)) {
+      const detail = 'the response is from before the store was restored';
+      return Result.err(toCallFailure({ kind: 'broken', detail }));
+    }
+    return Result.ok(opts.decode(body));
   } catch (error) {
     return Result.err(toCallFailure({ kind: 'broken', detail: String(error) }));
   } finally {
--- a/packages/store/src/storeClient.ts
+++ b/packages/store/src/storeClient.ts
@@ -1,12 +1,13 @@
 import { randomUUID } from 'node:crypto';
 
 import { GalenatillerError } from '@galenatiller/error';
-import type { TimerService } from '@galenatiller/timer';
+import type { Cancel, TimerService } from '@galenatiller/timer';
 import { Maybe, Result } from 'true-myth';
 
 import type { CallBudget } from './callBudget.js';
 import { type CallContext, type CallCounts, callStore } from './callStore.js';
 import { compareAndSwap, type SwapOptions } from './compareAndSwap.js';
+import { StoreEra } from './storeEra.js';
 import { readPages } from './readPages.js';
 import type {
   KeyRead,
@@ -58,6 +59,7 @@
       timer: opts.timer,
       budget: opts.budget,
       callTimeoutMs: opts.callTimeoutMs ?? CALL_TIMEOUT_MS,
+      era: StoreEra.create(),
       counts: {
         range: 0,
         txn: 0,
@@ -79,6 +81,16 @@
     return { ...this.context.counts };
   }
 
+  /** Number of times that the store was noticed to have come back from an older copy. */
+  get restoreCount(): number {
+    return this.context.era.number;
+  }
+
+  /** Calls `notify` each time the store is noticed to have come back from an older copy. */
+  onRestored(notify: () => void): Cancel {
+    return this.context.era.onRestored(notify);
+  }
+
   /** Reads one key. */
   async read(key: string): Promise<Result<KeyRead, GalenatillerError>> {
     const response = await callStore({
--- a/packages/store/src/watchPrefix.ts
+++ b/packages/store/src/watchPrefix.ts
@@ -28,7 +28,8 @@
 
 /**
  * Yields each change under a prefix exactly once, in order of revision. A broken or silent watch is
- * reopened after the last revision seen; `gap` is yielded if the store no longer has the changes.
+ * reopened after the last revision seen; `gap` is yielded if the store no longer has the changes, or
+ * has come back from an older copy and gives out revisions again.
  */
 export async function* watchPrefix(
   opts: WatchPrefixOptions,
@@ -39,6 +40,7 @@
   let isLost = false;
   while (!signal.aborted) {
     let hasIdled = false;
+    const opened = context.era.mark();
     for await (const message of openOnce({ ...opts, fromRevision })) {
       if (message === 'silent') {
         hasIdled = true;
@@ -49,12 +51,27 @@
       }
       isLost = false;
       failures = 0;
+      // A member of the store that lags has low revisions too, so only the cluster counts here.
+      const isCurrent = context.era.observe(message.header, { ...opened, revision: 0 });
+      if (!isCurrent || context.era.number !== opened.number) {
+        break;
+      }
+      if (message.header.revision < fromRevision - 1) {
+        // The reader finds out with its next read whether the store was restored.
+        fromRevision = message.header.revision + 1;
+        yield { kind: 'gap' };
+      }
       fromRevision = Math.max(fromRevision, message.seenRevision + 1);
       if (message.cancelled) {
         yield { kind: 'gap' };
       }
       yield* message.events;
     }
+    if (context.era.number !== opened.number) {
+      fromRevision = context.era.mark().revision + 1;
+      yield { kind: 'gap' };
+      continue;
+    }
     if (!hasIdled && !signal.aborted) {
       isLost = true;
       yield { kind: 'lost' };
@@ -78,6 +95,7 @@
     controller.abort();
   };
   idleLimit.signal.addEventListener('abort', abort, { once: true });
+  const cancelRestored = context.era.onRestored(abort);
   try {
     const body = encodeWatch(opts);
     const response = await openCall({ context, kind: 'watch', body, signal: controller.signal });
@@ -96,6 +114,7 @@
       yield 'silent';
     }
   } finally {
+    cancelRestored();
     idleLimit.release();
     abort();
   }
--- a/packages/store/src/wire.ts
+++ b/packages/store/src/wire.ts
@@ -1,6 +1,7 @@
 /** Encodes and decodes the store's messages (etcd v3 JSON mapping); no other module knows them. */
 import { z } from 'zod';
 
+import type { StoreHeader } from './storeEra.js';
 import type { KeyExpectation, KeyWrite, StoreEntry, WatchEvent } from './storeTypes.js';
 
 /** One page of a range response. */
@@ -20,6 +21,7 @@
 
 /** One message of a watch. */
 export interface WatchMessage {
+  readonly header: StoreHeader;
   /** Every change up to this revision has been reported. */
   readonly seenRevision: number;
   /** The store no longer has the requested changes. */
@@ -36,7 +38,9 @@
 }
 
 const int64 = z.coerce.number().default(0);
-const headerSchema = z.object({ revision: int64 }).default({ revision: 0 });
+const headerSchema = z
+  .object({ revision: int64, cluster_id: z.string().default('') })
+  .default({ revision: 0, cluster_id: '' });
 const keyValueSchema = z.object({
   key: z.string(),
   value: z.string().default(''),
@@ -65,9 +69,16 @@
   }),
 });
 
+const responseSchema = z.object({ header: headerSchema });
+
 /** Separates the write token from the value in a stored value. */
 const TOKEN_END = '\n';
 
+/** Decodes the header that every response has. */
+export function decodeHeader(body: unknown): StoreHeader {
+  return toHeader(responseSchema.parse(body).header);
+}
+
 /** Encodes a range request for one key, or from a key to the end of a prefix. */
 export function encodeRange(opts: {
   readonly key: string;
@@ -84,8 +95,8 @@
 }
 
 /** Decodes a range response. */
-export function decodeRange(text: string): RangePage {
-  return toRangePage(rangeResponseSchema.parse(JSON.parse(text)));
+export function decodeRange(body: unknown): RangePage {
+  return toRangePage(rangeResponseSchema.parse(body));
 }
 
 /** Encodes a swap as a transaction whose failure branch reads the expected keys. */
@@ -112,8 +123,8 @@
 }
 
 /** Decodes the response to a swap. */
-export function decodeTxn(text: string): TxnResponse {
-  const response = txnResponseSchema.parse(JSON.parse(text));
+export function decodeTxn(body: unknown): TxnResponse {
+  const response = txnResponseSchema.parse(body);
   const current = response.responses.flatMap(({ response_range: range }) => range?.kvs ?? []);
   return {
     succeeded: response.succeeded,
@@ -128,11 +139,11 @@
 }
 
 /** Decodes a granted lease. */
-export function decodeLeaseGrant(text: string): {
+export function decodeLeaseGrant(body: unknown): {
   readonly leaseId: string;
   readonly ttlMs: number;
 } {
-  const response = leaseResponseSchema.parse(JSON.parse(text));
+  const response = leaseResponseSchema.parse(body);
   return { leaseId: response.ID, ttlMs: response.TTL * MS_PER_S };
 }
 
@@ -142,8 +153,8 @@
 }
 
 /** Decodes the remaining time of a lease in milliseconds; 0 if it has expired. */
-export function decodeLeaseKeepAlive(text: string): number {
-  return z.object({ result: leaseResponseSchema }).parse(JSON.parse(text)).result.TTL * MS_PER_S;
+export function decodeLeaseKeepAlive(body: unknown): number {
+  return z.object({ result: leaseResponseSchema }).parse(body).result.TTL * MS_PER_S;
 }
 
 /** Whether an error response says that the lease of a write does not exist any more. */
@@ -173,6 +184,7 @@
   // The first message carries the store revision although older changes have not been sent yet.
   const headerRevision = result.created ? 0 : result.header.revision;
   return {
+    header: toHeader(result.header),
     seenRevision: revisions.length > 0 ? Math.max(...revisions) : headerRevision,
     cancelled: result.canceled,
     events: result.events.map(({ type, kv }) =>
@@ -185,6 +197,10 @@
 
 const MS_PER_S = 1_000;
 
+function toHeader(header: z.infer<typeof headerSchema>): StoreHeader {
+  return { clusterId: header.cluster_id, revision: header.revision };
+}
+
 function toRangePage(response: z.infer<typeof rangeResponseSchema>): RangePage {
   return {
     entries: response.kvs.map(toEntry),
