Keep run records through a restore of the store on the gates that know them

A store that came back from an older copy had lost the records of the last at-most-once runs: a retry with the same key ran a second time, also at the gate that had run it. Records written after the restore could expire within seconds, because the lease whose id a gate kept had been given to another client.

A gate now remembers the runs that ended on it for a minute (bounded in size) and decides claims by that first. When it notices a restore, it takes a new lease and writes the records of these and of its running runs again; a write that finds its claim gone makes it do so too.

What can't be promised: a gate that never knew the run, and gets a retry before the gate that did has written its record again, runs it a second time.

--- a/packages/store/src/runLease.ts
+++ b/packages/store/src/runLease.ts
@@ -48,6 +48,11 @@
     }
   }
 
+  /** Discards the lease, which the store may have forgotten, or given to another node, in a restore. */
+  discard(): void {
+    this.pendingGrant = undefined;
+  }
+
   private async requestLease(): Promise<LeaseIdResult> {
     const { store, retentionMs, bucketMs } = this.opts;
     const granted = await store.grantLease({ ttlMs: retentionMs + bucketMs });
--- a/packages/store/src/runRecords.ts
+++ b/packages/store/src/runRecords.ts
@@ -1,13 +1,16 @@
 import { randomUUID } from 'node:crypto';
 
 import type { GalenatillerError } from '@galenatiller/error';
+import { createLogger } from '@galenatiller/logger';
 import type { TimerService } from '@galenatiller/timer';
 import type { StageEnd } from '@galenatiller/types';
 import { Result } from 'true-myth';
 
 import { GroupCommit } from './groupCommit.js';
 import { LocalRun } from './localRun.js';
+import { RememberedRuns } from './rememberedRuns.js';
 import { RunLease } from './runLease.js';
+import { hasClaimId, isUnfinishedClaim, toClaimResult } from './runRecordClaims.js';
 import {
   createResultTooLargeError,
   toNotRunError,
@@ -62,6 +65,8 @@
 
 const REPAIR_INTERVAL_MS = 1_000;
 
+const log = createLogger('store');
+
 /**
  * Records runs that may happen at most once. A run is claimed in the store before it is dispatched,
  * and is not dispatched unless the claim is known to be stored.
@@ -73,6 +78,11 @@
   /** By key, the ids of claims that may be stored but whose runs were never dispatched. */
   private readonly undispatched = new Map<string, string>();
 
+  private readonly remembered: RememberedRuns;
+
+  /** Whether the store was restored and has not got all records again. */
+  private isRewriteDue = false;
+
   private readonly groupCommit: GroupCommit;
 
   private readonly lease: RunLease;
@@ -87,6 +97,11 @@
     this.groupCommit = GroupCommit.create({ store, timer, windowMs, timeoutMs });
     const durations = { retentionMs: RUN_RECORD_RETENTION_MS, bucketMs: LEASE_BUCKET_MS };
     this.lease = RunLease.create({ store, timer, ...durations });
+    this.remembered = RememberedRuns.create({ timer });
+    store.onRestored(() => {
+      this.lease.discard();
+      this.isRewriteDue = true;
+    });
   }
 
   /** Creates the records of a node that has claimed nothing. */
@@ -109,6 +124,10 @@
         return Result.ok(claim);
       }
     }
+    const remembered = this.remembered.find(key);
+    if (remembered) {
+      return Result.ok(toClaimResult(remembered, request.bodyDigest));
+    }
     const run = LocalRun.create({ ...request, claimId: randomUUID() });
     this.runs.set(key, run);
     const claim = await this.claimInStore(key, run);
@@ -141,7 +160,11 @@
   /** Abandons a run that may have happened; its claim stays, so that no retry runs. */
   abandon(opts: RunName): void {
     const key = createRunRecordKey(opts);
-    this.runs.get(key)?.end({ kind: 'may-have-run' });
+    const run = this.runs.get(key);
+    if (run) {
+      run.end({ kind: 'may-have-run' });
+      this.remembered.add(key, this.toRecord(run));
+    }
     this.runs.delete(key);
   }
 
@@ -166,6 +189,7 @@
     const { signal } = opts;
     while (!signal.aborted) {
       await this.opts.timer.sleep({ delayMs: REPAIR_INTERVAL_MS, signal });
+      await this.rewriteAfterRestore();
       await this.retryUnwrittenResults();
       await this.releaseUndispatched();
     }
@@ -219,14 +243,9 @@
       return { kind: 'may-have-run' };
     }
     const record = decoded.value;
-    if (record.bodyDigest !== run.bodyDigest) {
-      return { kind: 'key-reused' };
-    }
-    if (record.state === 'answered' && record.end) {
-      return { kind: 'answered', end: record.end };
-    }
-    if (this.undispatched.get(key) !== record.claimId) {
-      return { kind: 'may-have-run' };
+    const claim = toClaimResult(record, run.bodyDigest);
+    if (claim.kind !== 'may-have-run' || this.undispatched.get(key) !== record.claimId) {
+      return claim;
     }
     // This node stored the claim without learning of it and never dispatched the run.
     this.undispatched.delete(key);
@@ -254,10 +273,16 @@
     const record: RunRecord = { ...this.toRecord(run), state: 'answered', end };
     const chars = encodeRunRecord(record).length;
     if (chars > MAX_RECORD_CHARS) {
+      this.remembered.add(key, this.toRecord(run));
       this.runs.delete(key);
       return Result.err(createResultTooLargeError(chars));
     }
+    this.remembered.add(key, record, chars);
     const written = await this.writeRecord({ key, modRevision: run.modRevision, record });
+    if (written.isOk && written.value.kind === 'conflict') {
+      // The claim is gone, or has another revision since the store was restored.
+      this.isRewriteDue = true;
+    }
     if (written.isErr && this.runs.size < MAX_PENDING) {
       run.keepUnwrittenResult(end);
     } else {
@@ -266,6 +291,40 @@
     return written.map(() => undefined);
   }
 
+  /** Writes the records of this node again that a restored store may have lost. */
+  private async rewriteAfterRestore(): Promise<void> {
+    if (!this.isRewriteDue) {
+      return;
+    }
+    this.isRewriteDue = false;
+    const claimed = [...this.runs].filter(([, run]) => run.modRevision > 0);
+    const records = new Map([
+      ...claimed.map(([key, run]) => [key, this.toRecord(run)] as const),
+      ...this.remembered.list(),
+    ]);
+    const rewrites = await Promise.all(
+      [...records].map(([key, record]) => this.rewriteRecord(key, record)),
+    );
+    log({ message: `Wrote ${rewrites.length} run records again after a restore of the store.` });
+    this.isRewriteDue ||= rewrites.includes('failed');
+  }
+
+  private async rewriteRecord(key: string, record: RunRecord): Promise<'written' | 'failed'> {
+    const created = await this.writeRecord({ key, modRevision: 0, record });
+    const found =
+      created.isOk && created.value.kind === 'conflict' ? created.value.current : undefined;
+    // A copy may hold an older state of the record, under a lease that is now another one's.
+    const own = found?.unwrapOr(undefined);
+    const written =
+      own && hasClaimId(own, record.claimId)
+        ? await this.writeRecord({ key, modRevision: own.modRevision, record })
+        : created;
+    if (written.isOk && written.value.kind === 'written') {
+      this.runs.get(key)?.markClaimed({ modRevision: written.value.revision });
+    }
+    return written.isOk ? 'written' : 'failed';
+  }
+
   private async retryUnwrittenResults(): Promise<void> {
     const writes = [...this.runs].flatMap(([key, run]) => {
       const end = run.takeUnwrittenResult();
@@ -297,9 +356,3 @@
     return { state: 'claimed', bodyDigest, requestId, claimId, nodeName, incarnation };
   }
 }
-
-function isUnfinishedClaim(entry: StoreEntry, claimId: string): boolean {
-  return decodeRunRecord(entry.value)
-    .map((record) => record.claimId === claimId && record.state === 'claimed')
-    .unwrapOr(false);
-}
