Write a configuration back that a restore of the store has lost

After a restore from an older copy the store had an older revision than the nodes. The next publication was accepted on that one and given a revision that the nodes had already, so that it came into force nowhere, and nodes that started got the older configuration.

A node whose revision is newer than the head in the store writes its head and the missing shards back, if the revision in the store is one that led to its own. A publication based on the older revision then fails with a conflict, as one based on any old revision does.

--- a/packages/configuration/src/activeConfiguration.ts
+++ b/packages/configuration/src/activeConfiguration.ts
@@ -4,6 +4,7 @@
 
 import { parseShardKey } from './configurationKeys.js';
 import type {
+  ConfigurationHead,
   LoadedShard,
   RevisionDelta,
   RevisionManifest,
@@ -22,7 +23,8 @@
 
 /** Options of {@link ActiveConfiguration.advance}. */
 export interface AdvanceOptions {
-  readonly manifest: RevisionManifest;
+  /** The head in the store, or what another node offers. */
+  readonly manifest: RevisionManifest | ConfigurationHead;
   /** Reads the shards that cannot be derived from the deltas. */
   readonly readShards: ShardReader;
 }
@@ -38,6 +40,8 @@
 
   private shards: Shards = new Map();
 
+  private head: ConfigurationHead | undefined;
+
   private constructor(private readonly opts: ActiveConfigurationOptions) {}
 
   /** Creates an empty configuration at revision 0. */
@@ -50,6 +54,11 @@
     return this.configuration;
   }
 
+  /** The head of the active revision; undefined if the revision was adopted from another node. */
+  publishedHead(): ConfigurationHead | undefined {
+    return this.head;
+  }
+
   /** References to the shards of the active revision, to be offered to other nodes. */
   shardReferences(): readonly ShardReference[] {
     return [...this.shards.values()].map(({ index, key }) => ({ index, key }));
@@ -106,12 +115,13 @@
     return new Map([...shards, ...indexShards(changed)]);
   }
 
-  private activate(manifest: RevisionManifest, shards: Shards): AdvanceResult {
+  private activate(manifest: AdvanceOptions['manifest'], shards: Shards): AdvanceResult {
     // Another revision may have been activated while shards were being read.
     if (manifest.revision <= this.configuration.revision) {
       return 'not-newer';
     }
     this.shards = shards;
+    this.head = isHead(manifest) ? manifest : undefined;
     const rules = [...shards.values()].flatMap((shard) => shard.rules);
     this.configuration = indexRules({ revision: manifest.revision, rules });
     this.opts.onConfiguration(this.configuration);
@@ -119,6 +129,10 @@
   }
 }
 
+function isHead(manifest: RevisionManifest | ConfigurationHead): manifest is ConfigurationHead {
+  return 'changeId' in manifest;
+}
+
 function readMissing(
   missingShards: readonly ShardReference[],
   readShards: ShardReader,
--- a/packages/configuration/src/followConfiguration.ts
+++ b/packages/configuration/src/followConfiguration.ts
@@ -9,6 +9,7 @@
 import type { ActiveConfiguration } from './activeConfiguration.js';
 import { readHead } from './readHead.js';
 import { createShardReader } from './createShardReader.js';
+import { writeBackConfiguration } from './writeBackConfiguration.js';
 import { decodeHead } from './wire.js';
 
 /** Options of {@link followConfiguration}. */
@@ -30,6 +31,9 @@
 const RETRY_BASE_MS = 1_000;
 const MAX_RETRY_DELAY_MS = 4_000;
 
+/** Spreads the nodes of a fleet, so that one of them writes a lost revision back. */
+const MAX_WRITE_BACK_DELAY_MS = 1_000;
+
 const log = createLogger('configuration');
 
 /**
@@ -66,6 +70,11 @@
     return Result.err(read.error);
   }
   const { head, storeRevision } = read.value;
+  if (head.revision < active.current().revision) {
+    const { random = Math.random, timer, signal } = opts;
+    await timer.sleep({ delayMs: random() * MAX_WRITE_BACK_DELAY_MS, signal });
+    return writeBackConfiguration({ store, active });
+  }
   const advanced = await active.advance({ manifest: head, readShards: createShardReader(store) });
   return advanced.map(() => storeRevision);
 }
--- a/packages/configuration/src/publishConfiguration.ts
+++ b/packages/configuration/src/publishConfiguration.ts
@@ -124,7 +124,13 @@
       after: changedShards.flatMap(({ rules }) => rules),
     }),
   };
-  const written = await writeShards({ store, revision, shards: changedShards });
+  const written = await writeShards({
+    store,
+    puts: changedShards.map(({ index, digest, text }) => ({
+      key: createShardKey({ revision, index, digest }),
+      value: text,
+    })),
+  });
   return written.map((puts) => ({
     base,
     puts,
--- a/packages/configuration/src/writeShards.ts
+++ b/packages/configuration/src/writeShards.ts
@@ -2,15 +2,11 @@
 import type { KeyWrite, StoreClient } from '@galenatiller/store';
 import { Result } from 'true-myth';
 
-import { createShardKey } from './configurationKeys.js';
-import type { Shard } from './shardRules.js';
-
 /** Options of {@link writeShards}. */
 export interface WriteShardsOptions {
   readonly store: StoreClient;
-  /** The revision for which the shards are written. */
-  readonly revision: number;
-  readonly shards: readonly Shard[];
+  /** The key and the text of each shard. */
+  readonly puts: readonly KeyWrite[];
 }
 
 /** Maximum size of the shards in one swap. */
@@ -24,7 +20,7 @@
 export async function writeShards(
   opts: WriteShardsOptions,
 ): Promise<Result<readonly KeyWrite[], GalenatillerError>> {
-  const batches = splitIntoBatches(opts);
+  const batches = splitIntoBatches(opts.puts);
   const last = batches.pop() ?? [];
   for (const batch of batches) {
     const written = await writeBatch(opts.store, batch);
@@ -35,18 +31,17 @@
   return Result.ok(last);
 }
 
-function splitIntoBatches(opts: WriteShardsOptions): KeyWrite[][] {
+function splitIntoBatches(puts: readonly KeyWrite[]): KeyWrite[][] {
   const batches: KeyWrite[][] = [];
   let bytes = Infinity;
-  opts.shards.forEach(({ index, digest, text }) => {
-    const size = Buffer.byteLength(text);
+  puts.forEach((put) => {
+    const size = Buffer.byteLength(put.value);
     if (bytes + size > MAX_SWAP_BYTES) {
       batches.push([]);
       bytes = 0;
     }
     bytes += size;
-    const key = createShardKey({ revision: opts.revision, index, digest });
-    batches[batches.length - 1]?.push({ key, value: text });
+    batches[batches.length - 1]?.push(put);
   });
   return batches;
 }
