Remove the lease holder, which no role uses

LeaseHolder held a lease for a leader, but nothing has a leader: version moves are decided on each entry, and run records share leases of their own. Were it kept, its fencing number, the revision that created a key, would fall in a restore of the store.

--- a/packages/store/src/index.ts
+++ b/packages/store/src/index.ts
@@ -5,7 +5,6 @@
 export { createHttpTransport, type HttpTransport } from './createHttpTransport.js';
 export { jitteredDelayMs, type JitteredDelayOptions } from './jitteredDelayMs.js';
 export { StoreClient, type StoreClientOptions } from './storeClient.js';
-export { LeaseHolder, type LeaseHolderOptions } from './leaseHolder.js';
 export type { ClaimResult, RunCompletion, RunName, RunRequest } from './runRecordTypes.js';
 export { RUN_RECORD_RETENTION_MS, RunRecords, type RunRecordsOptions } from './runRecords.js';
 export type * from './storeTypes.js';
