Merge configurations that were published before and after a restore of the store

A publication that a restored store accepted before a node had written the lost revisions back got a number that nodes had already: they ignored it, or took the next one and dropped the lost revisions without a word.

Heads are now compared by the change ids of their revisions. A node that finds the head branched from its own publishes its rules with the changes that were made on the copy, under a number above both; where both changed a rule, the later one wins. If those changes are too large for the deltas of a head, the node keeps its revision and logs what has to be published again.

--- a/packages/configuration/src/activeConfiguration.ts
+++ b/packages/configuration/src/activeConfiguration.ts
@@ -12,7 +12,8 @@
   ShardReference,
 } from './headTypes.js';
 import { indexRules } from './indexRules.js';
-import { getRuleKey, getRuleName } from './getRuleName.js';
+import { applyDeltas } from './applyDeltas.js';
+import { getRuleName } from './getRuleName.js';
 import { loadShardHash, createShard, type ShardHash } from './shardRules.js';
 
 /** Options of {@link ActiveConfiguration.create}. */
@@ -161,14 +162,9 @@
   deltas,
   getShardIndex,
 }: ApplyDeltasOptions): readonly Rule[] {
-  const rulesByKey = new Map(rules.map((rule) => [getRuleKey(getRuleName(rule)), rule]));
-  deltas.forEach((delta) => {
-    delta.removed
-      .filter((name) => getShardIndex(name) === index)
-      .forEach((name) => rulesByKey.delete(getRuleKey(name)));
-    delta.changed
-      .filter((rule) => getShardIndex(getRuleName(rule)) === index)
-      .forEach((rule) => rulesByKey.set(getRuleKey(getRuleName(rule)), rule));
-  });
-  return [...rulesByKey.values()];
+  const ownDeltas = deltas.map(({ removed, changed }) => ({
+    removed: removed.filter((name) => getShardIndex(name) === index),
+    changed: changed.filter((rule) => getShardIndex(getRuleName(rule)) === index),
+  }));
+  return applyDeltas(rules, ownDeltas);
 }
--- a/packages/configuration/src/followConfiguration.ts
+++ b/packages/configuration/src/followConfiguration.ts
@@ -9,7 +9,9 @@
 import type { ActiveConfiguration } from './activeConfiguration.js';
 import { readHead } from './readHead.js';
 import { createShardReader } from './createShardReader.js';
-import { writeBackConfiguration } from './writeBackConfiguration.js';
+import { compareHeads, type HeadRelation } from './compareHeads.js';
+import type { ConfigurationHead } from './headTypes.js';
+import { reconcileHead } from './reconcileHead.js';
 import { decodeHead } from './wire.js';
 
 /** Options of {@link followConfiguration}. */
@@ -31,8 +33,8 @@
 const RETRY_BASE_MS = 1_000;
 const MAX_RETRY_DELAY_MS = 4_000;
 
-/** Spreads the nodes of a fleet, so that one of them writes a lost revision back. */
-const MAX_WRITE_BACK_DELAY_MS = 1_000;
+/** Spreads the nodes of a fleet, so that one of them brings a restored store up to date. */
+const MAX_RECONCILE_DELAY_MS = 1_000;
 
 const log = createLogger('configuration');
 
@@ -63,6 +65,7 @@
 /** Activates the newest revision and returns the store revision at which it was read. */
 async function activateNewest(
   opts: FollowConfigurationOptions,
+  hasWaited = false,
 ): Promise<Result<number, GalenatillerError>> {
   const { store, active } = opts;
   const read = await readHead(store);
@@ -70,10 +73,14 @@
     return Result.err(read.error);
   }
   const { head, storeRevision } = read.value;
-  if (head.revision < active.current().revision) {
+  const own = active.publishedHead();
+  if (own && isOutdated(own, head)) {
+    if (hasWaited) {
+      return reconcileHead({ ...opts, own, stored: read.value });
+    }
     const { random = Math.random, timer, signal } = opts;
-    await timer.sleep({ delayMs: random() * MAX_WRITE_BACK_DELAY_MS, signal });
-    return writeBackConfiguration({ store, active });
+    await timer.sleep({ delayMs: random() * MAX_RECONCILE_DELAY_MS, signal });
+    return activateNewest(opts, true);
   }
   const advanced = await active.advance({ manifest: head, readShards: createShardReader(store) });
   return advanced.map(() => storeRevision);
@@ -105,10 +112,20 @@
     log({ message: `Ignored an invalid configuration head: ${head.error.message}.` });
     return true;
   }
+  const own = opts.active.publishedHead();
+  if (own && isOutdated(own, head.value)) {
+    return false;
+  }
   const update = { manifest: head.value, readShards: createShardReader(opts.store) };
   return (await opts.active.advance(update)).isOk;
 }
 
+/** Whether the store lacks the revision of this node, because it was restored from an older copy. */
+function isOutdated(own: ConfigurationHead, stored: ConfigurationHead): boolean {
+  const relation: HeadRelation = compareHeads({ own, stored });
+  return relation === 'earlier' || relation === 'branched';
+}
+
 async function adoptFromPeers(opts: FollowConfigurationOptions): Promise<void> {
   await adoptFromPeer({ active: opts.active, offers: await opts.readPeerOffers() });
 }
--- a/packages/configuration/src/publishConfiguration.ts
+++ b/packages/configuration/src/publishConfiguration.ts
@@ -27,6 +27,8 @@
   readonly baseRevision: number;
   /** The complete set of rules of the new revision. */
   readonly rules: readonly Rule[];
+  /** A revision that the rules include although it is not in the store; the new one is higher. */
+  readonly mergedRevision?: number;
 }
 
 /** The revision after an accepted publication; `unchanged` if the rules were the same. */
@@ -114,7 +116,8 @@
   if (shardsBefore.isErr) {
     return Result.err(shardsBefore.error);
   }
-  const revision = base.head.revision + 1;
+  const { mergedRevision = 0 } = opts;
+  const revision = Math.max(base.head.revision, mergedRevision) + 1;
   const changeId = randomUUID();
   const wallMs = opts.timer.wallMs();
   const delta = {
@@ -138,7 +141,8 @@
       ...{ revision, author, wallMs, changeId },
       shards: replaceReferences({ base: base.head, changedShards, revision }),
       retiredKeys: replacedShards.map(({ key }) => key),
-      deltas: trimDeltas([...base.head.deltas, delta]),
+      // The revisions before a merged one have two deltas each, and nodes may have either.
+      deltas: trimDeltas(mergedRevision > 0 ? [delta] : [...base.head.deltas, delta]),
     },
   }));
 }
