--- a/packages/configuration/src/activeConfiguration.ts
+++ b/packages/configuration/src/activeConfiguration.ts
@@ -4,6 +4,7 @@
 
 import { parseShardKey } from './configurationKeys.js';
 import type {
+  ConfigurationHead,
   LoadedShard,
   RevisionDelta,
   RevisionManifest,
@@ -11,7 +12,8 @@
   ShardReference,
 } from './headTypes.js';
 import { indexRules } from './indexRules.js';
-import { getRuleKey, getRuleName } from './getRuleName.js';
+import { applyDeltas } from './applyDeltas.js';
+import { getRuleName } from './getRuleName.js';
 import { loadShardHash, createShard, type ShardHash } from './shardRules.js';
 
 /** Options of {@link ActiveConfiguration.create}. */
@@ -22,7 +24,8 @@
 
 /** Options of {@link ActiveConfiguration.advance}. */
 export interface AdvanceOptions {
-  readonly manifest: RevisionManifest;
+  /** The head in the store, or what another node offers. */
+  readonly manifest: RevisionManifest | ConfigurationHead;
   /** Reads the shards that cannot be derived from the deltas. */
   readonly readShards: ShardReader;
 }
@@ -38,6 +41,8 @@
 
   private shards: Shards = new Map();
 
+  private head: ConfigurationHead | undefined;
+
   private constructor(private readonly opts: ActiveConfigurationOptions) {}
 
   /** Creates an empty configuration at revision 0. */
@@ -50,6 +55,11 @@
     return this.configuration;
   }
 
+  /** The head of the active revision; undefined if the revision was adopted from another node. */
+  publishedHead(): ConfigurationHead | undefined {
+    return this.head;
+  }
+
   /** References to the shards of the active revision, to be offered to other nodes. */
   shardReferences(): readonly ShardReference[] {
     return [...this.shards.values()].map(({ index, key }) => ({ index, key }));
@@ -106,12 +116,13 @@
     return new Map([...shards, ...indexShards(changed)]);
   }
 
-  private activate(manifest: RevisionManifest, shards: Shards): AdvanceResult {
+  private activate(manifest: AdvanceOptions['manifest'], shards: Shards): AdvanceResult {
     // Another revision may have been activated while shards were being read.
     if (manifest.revision <= this.configuration.revision) {
       return 'not-newer';
     }
     this.shards = shards;
+    this.head = isHead(manifest) ? manifest : undefined;
     const rules = [...shards.values()].flatMap((shard) => shard.rules);
     this.configuration = indexRules({ revision: manifest.revision, rules });
     this.opts.onConfiguration(this.configuration);
@@ -119,6 +130,10 @@
   }
 }
 
+function isHead(manifest: RevisionManifest | ConfigurationHead): manifest is ConfigurationHead {
+  return 'changeId' in manifest;
+}
+
 function readMissing(
   missingShards: readonly ShardReference[],
   readShards: ShardReader,
@@ -147,14 +162,9 @@
   deltas,
   getShardIndex,
 }: ApplyDeltasOptions): readonly Rule[] {
-  const rulesByKey = new Map(rules.map((rule) => [getRuleKey(getRuleName(rule)), rule]));
-  deltas.forEach((delta) => {
-    delta.removed
-      .filter((name) => getShardIndex(name) === index)
-      .forEach((name) => rulesByKey.delete(getRuleKey(name)));
-    delta.changed
-      .filter((rule) => getShardIndex(getRuleName(rule)) === index)
-      .forEach((rule) => rulesByKey.set(getRuleKey(getRuleName(rule)), rule));
-  });
-  return [...rulesByKey.values()];
+  const ownDeltas = deltas.map(({ removed, changed }) => ({
+    removed: removed.filter((name) => getShardIndex(name) === index),
+    changed: changed.filter((rule) => getShardIndex(getRuleName(rule)) === index),
+  }));
+  return applyDeltas(rules, ownDeltas);
 }
