Have gates believe targets that leave or ask for a pause

A gate went on to admit requests to an engine, pool or service that had said in an answer that it is leaving, and to one that had asked for a pause, and polled it meanwhile.

The HTTP client of engines, pools and services reports both from the head of each answer, before its body is read, with the identity of the process that sent it. Admission asks TargetNotices before each run: a leaving target is reported as such and what is queued for it is refused as not run; a pause holds the queue and the polls, and what can't wait for its end is refused at once with the time until then. Entries prefer targets that are not paused; a refusal for a pause reached no target and costs no retry budget. The fakes speak both (fault commands leave and pause).

--- a/fakes/src/createFakeTarget.ts
+++ b/fakes/src/createFakeTarget.ts
@@ -89,10 +89,6 @@
     return `${server.port}-${createdWallMs}-${startCount}`;
   }
 
-  function describeRuns(): RunsResponse {
-    return { startId: startId(), coldOverloads: cold.overloads, runs: ledger.runs };
-  }
-
   async function close(): Promise<void> {
     closing.abort();
     await server.stop();
@@ -112,24 +108,39 @@
       return;
     }
     startCount += 1;
+    faults.apply({ kind: 'leave', on: false });
     turnCold();
     await server.start();
   }
 
   async function handle(exchange: FakeExchange): Promise<void> {
     const { path, response, text } = exchange;
+    sayLeaving(response, faults);
     if (exchange.method === 'POST' && behaviour.workPaths.has(path)) {
       await runs.handle(exchange);
     } else if (path === '/faults') {
       await applyCommand({ response, command: faultCommandSchema.parse(JSON.parse(text)), faults });
     } else if (path === '/runs') {
-      sendJson(response, { status: 200, body: describeRuns() });
+      sendJson(response, { status: 200, body: describeRuns(startId(), { cold, ledger }) });
     } else if (!(await behaviour.handleOther?.(exchange))) {
       sendJson(response, { status: 404, body: {} });
     }
   }
 }
 
+function describeRuns(
+  startId: string,
+  { cold, ledger }: Pick<FakeTarget, 'cold' | 'ledger'>,
+): RunsResponse {
+  return { startId, coldOverloads: cold.overloads, runs: ledger.runs };
+}
+
+function sayLeaving(response: FakeExchange['response'], { current }: FaultInjector): void {
+  if (current.isLeaving) {
+    response.setHeader('server-leaving', '1');
+  }
+}
+
 async function applyCommand({
   response,
   command,
--- a/fakes/src/executor.ts
+++ b/fakes/src/executor.ts
@@ -45,7 +45,11 @@
   /** Executes the run that a request asks for. */
   async handle(exchange: FakeExchange): Promise<void> {
     const { faults, startId } = this.opts;
-    if (faults.current.refuse) {
+    const { refuse, retryAfter } = faults.current;
+    if (retryAfter !== '') {
+      exchange.response.setHeader('retry-after', retryAfter);
+    }
+    if (refuse || retryAfter !== '') {
       sendJson(exchange.response, { status: 503, body: { error: { code: 'overloaded' } } });
       return;
     }
--- a/fakes/src/faultInjector.ts
+++ b/fakes/src/faultInjector.ts
@@ -26,6 +26,8 @@
   z.object({ kind: z.literal('slow'), factor: z.number().positive() }),
   z.object({ kind: z.literal('errors'), share }),
   z.object({ kind: z.literal('refuse'), on: z.boolean() }),
+  z.object({ kind: z.literal('leave'), on: z.boolean() }),
+  z.object({ kind: z.literal('pause'), retryAfter: z.string() }),
   z.object({ kind: z.literal('hang'), on: z.boolean() }),
   z.object({ kind: z.literal('break'), afterTokens: z.int().nonnegative(), share }),
   z.object({ kind: z.literal('lose-answer'), share }),
@@ -43,6 +45,10 @@
   readonly slowFactor: number;
   readonly errorShare: number;
   readonly refuse: boolean;
+  /** Whether each answer says that the target is leaving. */
+  readonly isLeaving: boolean;
+  /** Value of Retry-After with which runs are turned away; empty for none. */
+  readonly retryAfter: string;
   readonly hang: boolean;
   readonly breakAfterTokens: number;
   readonly breakShare: number;
@@ -62,6 +68,8 @@
   slowFactor: 1,
   errorShare: 0,
   refuse: false,
+  isLeaving: false,
+  retryAfter: '',
   hang: false,
   breakAfterTokens: 0,
   breakShare: 0,
@@ -114,6 +122,10 @@
       return { errorShare: command.share };
     case 'refuse':
       return { refuse: command.on };
+    case 'leave':
+      return { isLeaving: command.on };
+    case 'pause':
+      return { retryAfter: command.retryAfter };
     case 'hang':
       return { hang: command.on };
     case 'break':
--- a/fakes/src/platform/fakePlatformWorker.ts
+++ b/fakes/src/platform/fakePlatformWorker.ts
@@ -27,6 +27,15 @@
 
   responseEnd: WorkerResponseEnd = 'length';
 
+  /** Whether each answer says that the worker is leaving. */
+  isLeaving = false;
+
+  /** Value of Retry-After with which requests are turned away; empty for none. */
+  retryAfter = '';
+
+  /** Status of responses. */
+  status = 200;
+
   private readonly acceptedRuns: WorkerRun[] = [];
 
   private server: FakeServer | undefined;
@@ -75,11 +84,20 @@
 
   private async handle(exchange: FakeExchange): Promise<void> {
     const { response, header, url: path, text } = exchange;
-    if (header('x-expect-instance') !== this.id) {
+    if (this.isLeaving) {
+      response.setHeader('Server-Leaving', '1');
+    }
+    const isFree = path === '/-/stage-free';
+    if (header('x-expect-instance') !== this.id && !isFree) {
       response.writeHead(421, { 'X-Instance-Id': this.id }).end();
       return;
     }
     this.acceptedRuns.push({ path, text, header });
+    if (this.retryAfter !== '') {
+      const headers = { 'X-Not-Executed': '1', 'Retry-After': this.retryAfter };
+      response.writeHead(503, { 'X-Request-Id': header('x-request-id'), ...headers }).end();
+      return;
+    }
     await new Promise((resolve) => {
       setTimeout(resolve, this.processingMs);
     });
@@ -87,7 +105,7 @@
       response.removeHeader('Transfer-Encoding');
       response.shouldKeepAlive = false;
     }
-    response.writeHead(200, {
+    response.writeHead(this.status, {
       'X-Request-Id': header('x-request-id'),
       'X-Server-Seal': 'seal',
       'X-Server-Load': '1,0,4',
--- a/features/support/endToEndDeployment.ts
+++ b/features/support/endToEndDeployment.ts
@@ -69,6 +69,7 @@
       timer,
       stop: world.stopGate.signal,
       policy: gatePolicy,
+      random: () => 0,
       probeTarget: probeTargetProcess,
       watchTarget: () => Promise.resolve(),
       record: () => {},
--- a/features/support/simulation/simulatedNodes.ts
+++ b/features/support/simulation/simulatedNodes.ts
@@ -118,6 +118,7 @@
       { ...settings, name: `service-${index}`, kind: 'service', group: 'booking' },
     ],
     timer,
+    random: context.random,
     runners: {
       engine: (opts) =>
         resumeOnClock(
--- a/packages/daemon/src/runGateRole.ts
+++ b/packages/daemon/src/runGateRole.ts
@@ -34,6 +34,7 @@
   try {
     await runGate({
       ...opts,
+      random: Math.random,
       policy: settings.policy === 'naive' ? naivePolicy : standardPolicy,
       probeTarget: probeTargetProcess,
       watchTarget: (watchOptions) => watchTarget(opts, watchOptions),
@@ -55,17 +56,16 @@
 /** Only engines report their identity. They are polled so that a restart is noticed even while idle. */
 function watchTarget(
   { timer }: RunRoleOptions<GateSettings>,
-  { settings, onStartId, signal }: WatchTargetOptions,
+  { settings, ...watch }: WatchTargetOptions,
 ): Promise<void> {
   if (settings.kind !== 'engine') {
     return Promise.resolve();
   }
   return pollEngine({
+    ...watch,
     url: settings.url,
     timer,
-    signal,
     intervalMs: ENGINE_POLL_INTERVAL_MS,
-    onStartId,
     onLoad: () => {},
     onFailure: () => {},
   });
--- a/packages/engine/src/runGeneration.ts
+++ b/packages/engine/src/runGeneration.ts
@@ -2,6 +2,7 @@
 import { GalenatillerError } from '@galenatiller/error';
 import {
   createAttemptHeaders,
+  type OnTargetNotice,
   readAll,
   sendRequest,
   type StreamedResponse,
@@ -23,6 +24,7 @@
   readonly onPart: (part: StagePart) => void;
   /** Called with the identity of the engine process, which changes when the engine restarts. */
   readonly onStartId?: (startId: string) => void;
+  readonly onNotice?: OnTargetNotice;
 }
 
 type GenerationEvents = ReturnType<typeof readGeneration>;
@@ -53,12 +55,11 @@
     );
   }
   const opened = await sendRequest({
-    url: opts.url,
+    ...opts,
     path: '/v1/completions',
     method: 'POST',
     headers: createAttemptHeaders(order),
     body: encodeGeneration({ input, priority: order.priority }),
-    signal,
   });
   if (opened.isErr) {
     return Result.err(opened.error);
--- a/packages/entry/src/chooseTarget.ts
+++ b/packages/entry/src/chooseTarget.ts
@@ -12,6 +12,9 @@
 /** Cost of a cold target, in runs. */
 const COLD_COST = 2;
 
+/** A target that asked for a pause is a last resort; of several the first to return is best. */
+const PAUSE_COST_PER_MS = 0.1;
+
 /** Maximum random cost that spreads load over equal targets, as a fraction of one run. */
 const MAX_RANDOM_COST = 0.05;
 
@@ -52,7 +55,12 @@
   const load = report.inFlight + report.queued + view.sentSinceReport;
   const zoneCost = view.availabilityZone === opts.ownAvailabilityZone ? 0 : CROSS_ZONE_COST;
   const coldCost = report.state === 'cold' ? COLD_COST : 0;
+  const pauseCost = (report.pausedMs ?? 0) * PAUSE_COST_PER_MS;
   return (
-    load / Math.max(1, report.inFlightLimit) + zoneCost + coldCost + opts.random() * MAX_RANDOM_COST
+    load / Math.max(1, report.inFlightLimit) +
+    zoneCost +
+    coldCost +
+    pauseCost +
+    opts.random() * MAX_RANDOM_COST
   );
 }
--- a/packages/entry/src/decideRetry.ts
+++ b/packages/entry/src/decideRetry.ts
@@ -25,6 +25,7 @@
   'link-unopened',
   'no-configuration',
   'target-leaving',
+  'targets-paused',
   'unknown-target',
   'zone-out',
 ]);
--- a/packages/gate/src/claimAndRun.ts
+++ b/packages/gate/src/claimAndRun.ts
@@ -60,6 +60,7 @@
       signal: limit.signal,
       onPart,
       onStartId: (startId) => target.onStartId(startId),
+      onNotice: (notice, startId) => target.onNotice({ notice, startId, source: 'call' }),
     });
     return result.isOk ? createSuccessEnd(result.value) : toStageEnd(result.error);
   } finally {
--- a/packages/gate/src/createGate.ts
+++ b/packages/gate/src/createGate.ts
@@ -8,6 +8,7 @@
   type AuthenticatedLink,
 } from '@galenatiller/node';
 import type { TargetSettings } from '@galenatiller/settings';
+import { type TargetNoticeEvent, TargetNotices } from '@galenatiller/target';
 import { TaskGroup } from '@galenatiller/tasks';
 import type { RecordOptions } from '@galenatiller/timeline';
 import type { TimerService } from '@galenatiller/timer';
@@ -26,6 +27,8 @@
   readonly availabilityZone: string;
   readonly targets: readonly TargetSettings[];
   readonly timer: TimerService;
+  /** Uniformly distributed number from 0 to 1. */
+  readonly random: () => number;
   readonly runners: TargetRunners;
   readonly probeTarget: ProbeTarget;
   readonly watchTarget: WatchTarget;
@@ -131,7 +134,15 @@
 ): void {
   context.targets.forEach((target) => {
     const onStartId = (startId: string): void => target.onStartId(startId);
-    tasks.start(() => opts.watchTarget({ settings: target.settings, onStartId, signal }));
+    tasks.start(() =>
+      opts.watchTarget({
+        settings: target.settings,
+        onStartId,
+        onNotice: (notice, startId) => target.onNotice({ notice, startId, source: 'health' }),
+        mayPoll: () => !target.isPaused,
+        signal,
+      }),
+    );
   });
 }
 
@@ -147,7 +158,14 @@
   opts: CreateGateOptions,
   readConfiguration: () => Configuration,
 ): ReadonlyMap<string, TargetAdmission> {
-  const { timer, policy } = opts;
+  const { timer, policy, random } = opts;
+  const notices = TargetNotices.create({
+    timer,
+    random,
+    // Only this gate calls its targets, and it reports their state to the entries.
+    share: () => {},
+    onEvent: (event) => recordNotice(opts, event),
+  });
   const getWeight = (organisation: string): number =>
     readConfiguration().organisations.get(organisation)?.weight ?? 1;
   return new Map(
@@ -156,6 +174,7 @@
       TargetAdmission.create({
         settings,
         timer,
+        notices,
         queuePolicy: policy.queue,
         concurrencyLimit: policy.createConcurrencyLimit({ settings, timer }),
         loadLimit: policy.createLoadLimit({
@@ -167,3 +186,21 @@
     ]),
   );
 }
+
+/** Timeline event of each change; a later start and the end of a pause make a target ready. */
+const NOTICE_EVENTS = {
+  leaving: 'target-leaving',
+  'leaving-ended': 'target-ready',
+  paused: 'target-paused',
+  'pause-extended': 'target-paused',
+  'pause-ignored': 'target-paused',
+  'pause-ended': 'target-ready',
+} as const;
+
+function recordNotice(opts: CreateGateOptions, event: TargetNoticeEvent): void {
+  const detail =
+    'bound' in event
+      ? `${event.kind}, asked for "${event.text}" (${event.bound}), for ${event.forMs} ms`
+      : `${event.kind}, ${event.source}`;
+  opts.record({ kind: NOTICE_EVENTS[event.kind], subject: event.targetId, detail });
+}
--- a/packages/gate/src/isSignificantChange.ts
+++ b/packages/gate/src/isSignificantChange.ts
@@ -14,7 +14,11 @@
 }
 
 function hasChanged(lastSent: TargetReport | undefined, current: TargetReport): boolean {
-  if (lastSent?.name !== current.name || lastSent.state !== current.state) {
+  if (
+    lastSent?.name !== current.name ||
+    lastSent.state !== current.state ||
+    isPaused(lastSent) !== isPaused(current)
+  ) {
     return true;
   }
   const threshold = Math.max(1, current.inFlightLimit * SIGNIFICANT_LOAD_SHARE);
@@ -24,6 +28,10 @@
   );
 }
 
+function isPaused({ pausedMs = 0 }: TargetReport): boolean {
+  return pausedMs > 0;
+}
+
 function getLoad(report: TargetReport): number {
   return report.inFlight + report.queued;
 }
--- a/packages/gate/src/policy.ts
+++ b/packages/gate/src/policy.ts
@@ -1,6 +1,12 @@
 import type { ConcurrencyLimit } from '@galenatiller/engine';
 import type { GalenatillerError } from '@galenatiller/error';
-import type { StageRequest, StagePart, StageResult, TargetKind } from '@galenatiller/types';
+import type {
+  StageRequest,
+  StagePart,
+  StageResult,
+  TargetKind,
+  TargetNotice,
+} from '@galenatiller/types';
 import type { TargetSettings } from '@galenatiller/settings';
 import type { TimerService } from '@galenatiller/timer';
 import type { Result } from 'true-myth';
@@ -8,6 +14,9 @@
 import type { LoadLimit, LoadLimitOptions } from './loadLimit.js';
 import type { QueuePolicy } from './queuePolicy.js';
 
+/** Receives what an answer says about its target, and the identity of the process that sent it. */
+export type OnNotice = (notice: TargetNotice, startId: string) => void;
+
 /** Options of {@link RunOnTarget}. */
 export interface RunOnTargetOptions {
   readonly url: string;
@@ -18,6 +27,7 @@
   readonly onPart: (part: StagePart) => void;
   /** Called with the identity of the target's process, which changes when it restarts. */
   readonly onStartId: (startId: string) => void;
+  readonly onNotice: OnNotice;
 }
 
 /** Runs a stage on a target of one kind. */
@@ -34,6 +44,7 @@
   /** Latest reported identity of the target's process; empty when none has been reported. */
   readonly knownStartId: string;
   readonly signal: AbortSignal;
+  readonly onNotice: OnNotice;
 }
 
 /** Checks after a broken run whether the target's process has ended. */
@@ -59,6 +70,9 @@
   readonly settings: TargetSettings;
   /** Called with the identity of the target's process after each check. */
   readonly onStartId: (startId: string) => void;
+  readonly onNotice: OnNotice;
+  /** Whether the target may be sent a request now. */
+  readonly mayPoll: () => boolean;
   readonly signal: AbortSignal;
 }
 
--- a/packages/gate/src/runGate.ts
+++ b/packages/gate/src/runGate.ts
@@ -12,6 +12,7 @@
 export interface RunGateOptions {
   readonly settings: GateSettings;
   readonly timer: TimerService;
+  readonly random: CreateGateOptions['random'];
   /** Starts a graceful shutdown when aborted. */
   readonly stop: AbortSignal;
   readonly runners: CreateGateOptions['runners'];
--- a/packages/gate/src/runStageRequest.ts
+++ b/packages/gate/src/runStageRequest.ts
@@ -33,7 +33,7 @@
 }
 
 function findRefusal(context: GateContext, target: TargetAdmission): ResultCodeName | undefined {
-  if (context.isLeaving()) {
+  if (context.isLeaving() || target.isLeaving) {
     return 'target-leaving';
   }
   if (context.stoppedVersions.has(target.settings.group, target.settings.version)) {
@@ -126,13 +126,14 @@
   target: TargetAdmission,
   end: StageEnd,
 ): Promise<boolean> {
-  if (classifyRunEnd(end) !== 'broken') {
+  if (classifyRunEnd(end) !== 'broken' || !target.tryProbe()) {
     return false;
   }
   const limit = context.timer.startTimeLimit({ limitMs: PROBE_TIMEOUT_MS });
   const state = await context.probeTarget({
     url: target.settings.url,
     knownStartId: target.startId,
+    onNotice: (notice, startId) => target.onNotice({ notice, startId, source: 'health' }),
     signal: limit.signal,
   });
   limit.release();
--- a/packages/gate/src/targetAdmission.ts
+++ b/packages/gate/src/targetAdmission.ts
@@ -1,8 +1,9 @@
 import type { EndedRun, RunTicket, ConcurrencyLimit } from '@galenatiller/engine';
 import { GalenatillerError } from '@galenatiller/error';
 import type { TargetSettings } from '@galenatiller/settings';
+import type { NoticeSource, TargetNotices, TargetStart } from '@galenatiller/target';
 import type { TimerService } from '@galenatiller/timer';
-import type { StageRequest, TargetReport } from '@galenatiller/types';
+import type { StageRequest, TargetNotice, TargetReport } from '@galenatiller/types';
 import { Result } from 'true-myth';
 
 import type { RequestQueue, QueuedRequest, QueuePolicy } from './queuePolicy.js';
@@ -12,10 +13,14 @@
 /** Weight of the latest run in the moving average of run times. */
 const SMOOTHING = 0.2;
 
+/** Delay before a request is admitted to a target that takes only some after its pause. */
+const RETURN_CHECK_MS = 20;
+
 /** Options of {@link TargetAdmission.create}. */
 export interface TargetAdmissionOptions {
   readonly settings: TargetSettings;
   readonly timer: TimerService;
+  readonly notices: TargetNotices;
   readonly queuePolicy: QueuePolicy;
   readonly concurrencyLimit: ConcurrencyLimit;
   readonly loadLimit: LoadLimit;
@@ -53,6 +58,8 @@
 
   private knownStartId = '';
 
+  private isReturnScheduled = false;
+
   private constructor(private readonly opts: TargetAdmissionOptions) {
     this.queue = opts.queuePolicy.createQueue<WaitingRequest>({ getWeight: opts.getWeight });
   }
@@ -72,6 +79,33 @@
     return this.knownStartId;
   }
 
+  /** Whether the target has said that it is leaving. */
+  get isLeaving(): boolean {
+    return this.opts.notices.isLeaving(this.start);
+  }
+
+  /** Whether the target has asked to be sent nothing for a time. */
+  get isPaused(): boolean {
+    return this.pausedMs > 0;
+  }
+
+  /** Whether it may be checked now whether the target still runs. */
+  tryProbe(): boolean {
+    return this.opts.notices.tryProbe(this.start);
+  }
+
+  /** Called with what an answer of a process of the target says about it. */
+  onNotice(opts: {
+    readonly notice: TargetNotice;
+    readonly startId: string;
+    readonly source: NoticeSource;
+  }): void {
+    const { notice, startId, source } = opts;
+    const target = createStart(this.settings, startId || this.knownStartId);
+    this.opts.notices.record({ target, notice, source });
+    this.admitNext();
+  }
+
   /** Waits until the request may run. After a success, `release` must be called. */
   async acquire(
     request: StageRequest,
@@ -87,6 +121,10 @@
     const { organisation, priority } = request;
     const budgetMs = request.remainingMs;
     const queued = { organisation, priority, deadlineAtMs, budgetMs, ...estimate };
+    const { pausedMs } = this;
+    if (pausedMs > 0 && nowMs + pausedMs + estimate.expectedRunMs > deadlineAtMs) {
+      return refuse('targets-paused', this.settings.name, Math.ceil(pausedMs));
+    }
     const decision = this.decide(queued);
     if (decision.kind === 'refuse') {
       return refuse('deadline-unreachable', this.settings.name, decision.retryAfterMs);
@@ -123,6 +161,7 @@
   onStartId(startId: string): void {
     this.knownStartId = startId;
     this.opts.concurrencyLimit.onStartId(startId);
+    this.opts.notices.onRegistered([this.start]);
     this.admitNext();
   }
 
@@ -134,15 +173,25 @@
       kind,
       group,
       version,
-      state: this.opts.concurrencyLimit.state(),
+      state: this.isLeaving ? 'leaving' : this.opts.concurrencyLimit.state(),
       inFlight: this.running.size,
       queued: this.queue.size,
       inFlightLimit: this.inFlightLimit,
       runMs: this.smoothedRunMs,
+      pausedMs: Math.ceil(this.pausedMs),
       prefixHashes: [],
     };
   }
 
+  private get start(): TargetStart {
+    return createStart(this.settings, this.knownStartId);
+  }
+
+  /** Time until the target may be sent a request; 0 when it isn't paused. */
+  private get pausedMs(): number {
+    return this.opts.notices.firstReturnMs([this.start]) ?? 0;
+  }
+
   /** The lower of the target's concurrency limit and the limit that lets runs end in time. */
   private get inFlightLimit(): number {
     return Math.min(this.opts.concurrencyLimit.limit(), this.opts.loadLimit.getLimit());
@@ -197,7 +246,7 @@
     this.queue.expire({ nowMs: timer.nowMs() }).forEach((late) => {
       late.settle(refuse('deadline-unreachable', settings.name, 0));
     });
-    while (this.running.size < this.inFlightLimit && this.queue.size > 0) {
+    while (this.canAdmit() && this.queue.size > 0) {
       const next = this.queue.take().unwrapOr(undefined);
       if (!next) {
         break;
@@ -209,12 +258,52 @@
         budgetMs: next.budgetMs,
       };
       this.running.add(admission);
+      this.opts.notices.recordSent(this.start);
       next.settle(Result.ok(admission));
     }
     this.queue.shed({ maxSize: settings.queueLimit }).forEach((shed) => {
       shed.settle(refuse('overloaded', settings.name, Math.ceil(this.smoothedRunMs)));
     });
+    this.refuseIfLeaving();
+    this.scheduleReturn();
+  }
+
+  private canAdmit(): boolean {
+    return this.running.size < this.inFlightLimit && this.opts.notices.canSend(this.start);
   }
+
+  /** Refuses what is queued for a leaving target, so that entries send it to another one. */
+  private refuseIfLeaving(): void {
+    while (this.isLeaving && this.queue.size > 0) {
+      const next = this.queue.take().unwrapOr(undefined);
+      if (!next) {
+        return;
+      }
+      next.settle(refuse('target-leaving', this.settings.name, 0));
+    }
+  }
+
+  /** Admits requests again once the pause of the target ends, and while its sends may grow. */
+  private scheduleReturn(): void {
+    if (this.isReturnScheduled || this.queue.size === 0 || this.opts.notices.canSend(this.start)) {
+      return;
+    }
+    this.isReturnScheduled = true;
+    this.opts.timer.after({
+      delayMs: Math.max(RETURN_CHECK_MS, this.pausedMs),
+      notify: () => {
+        this.isReturnScheduled = false;
+        this.admitNext();
+      },
+    });
+  }
+}
+
+function createStart(
+  { name: targetId, url: address }: TargetSettings,
+  startId: string,
+): TargetStart {
+  return { targetId, start: `${targetId} ${startId}`, address, isStartKnown: startId !== '' };
 }
 
 function countTokensToGenerate({ input }: StageRequest): number {
@@ -222,7 +311,7 @@
 }
 
 function refuse(
-  name: 'cancelled' | 'deadline-unreachable' | 'overloaded',
+  name: 'cancelled' | 'deadline-unreachable' | 'overloaded' | 'target-leaving' | 'targets-paused',
   targetName: string,
   retryAfterMs: number,
 ): Result<never, GalenatillerError> {
--- a/packages/http/src/index.ts
+++ b/packages/http/src/index.ts
@@ -2,7 +2,12 @@
 export { createAttemptHeaders } from './createAttemptHeaders.js';
 export { fetchText, type FetchTextOptions, type TextResponse } from './fetchText.js';
 export { readAll, type ReadAllOptions } from './readAll.js';
-export { sendRequest, type SendRequestOptions, type StreamedResponse } from './sendRequest.js';
+export {
+  type OnTargetNotice,
+  sendRequest,
+  type SendRequestOptions,
+  type StreamedResponse,
+} from './sendRequest.js';
 export { probeTargetProcess, type ProbeTargetProcessOptions } from './probeTargetProcess.js';
 export { decodeTargetNotice, type DecodeTargetNoticeOptions } from './decodeTargetNotice.js';
 export { findStatusError } from './findStatusError.js';
--- a/packages/http/src/probeTargetProcess.ts
+++ b/packages/http/src/probeTargetProcess.ts
@@ -1,4 +1,4 @@
-import { sendRequest } from './sendRequest.js';
+import { type OnTargetNotice, sendRequest } from './sendRequest.js';
 
 /** Options of {@link probeTargetProcess}. */
 export interface ProbeTargetProcessOptions {
@@ -7,20 +7,20 @@
   /** Start id last reported by the target; empty when it has reported none. */
   readonly knownStartId: string;
   readonly signal: AbortSignal;
+  readonly onNotice?: OnTargetNotice;
 }
 
 /** Checks whether a target has crashed: it refuses connections or has another start id. */
 export async function probeTargetProcess(
   opts: ProbeTargetProcessOptions,
 ): Promise<'alive' | 'crashed'> {
-  const { url, signal, knownStartId } = opts;
+  const { knownStartId } = opts;
   const response = await sendRequest({
-    url,
+    ...opts,
     path: '/load',
     method: 'GET',
     headers: {},
     body: '',
-    signal,
   });
   if (response.isErr) {
     // A timeout proves nothing, but a failed connect does.
--- a/packages/http/src/sendRequest.ts
+++ b/packages/http/src/sendRequest.ts
@@ -1,7 +1,9 @@
 import { GalenatillerError } from '@galenatiller/error';
+import type { TargetNotice } from '@galenatiller/types';
 import { Result } from 'true-myth';
 import { type Dispatcher, request } from 'undici';
 
+import { decodeTargetNotice } from './decodeTargetNotice.js';
 import { createTransportError } from './createTransportError.js';
 
 /** Options of {@link sendRequest}. */
@@ -15,8 +17,16 @@
   readonly body: string;
   /** Aborting it closes the connection, which tells the peer to stop. */
   readonly signal: AbortSignal;
+  /**
+   * Called before the body is read with what the answer says about its target, and the identity of
+   * the process that sent it; empty when the answer has none.
+   */
+  readonly onNotice?: OnTargetNotice;
 }
 
+/** Receives what an answer says about its target. */
+export type OnTargetNotice = (notice: TargetNotice, startId: string) => void;
+
 /** A response whose body has not been read yet. */
 export interface StreamedResponse {
   readonly status: number;
@@ -49,7 +59,12 @@
       headersTimeout: 0,
       bodyTimeout: 0,
     });
-    return Result.ok({ status: statusCode, header: (name) => joinValues(headers[name]), body });
+    const header = (name: string): string => joinValues(headers[name]);
+    const notice = decodeTargetNotice({ status: statusCode, header });
+    if (notice) {
+      opts.onNotice?.(notice, header('x-engine-start-id'));
+    }
+    return Result.ok({ status: statusCode, header, body });
   } catch (cause) {
     return Result.err(createTransportError({ cause, signal }));
   }
--- a/packages/node/src/wireSchema.ts
+++ b/packages/node/src/wireSchema.ts
@@ -48,6 +48,7 @@
   queued: count,
   inFlightLimit: count,
   runMs: durationMs,
+  pausedMs: durationMs.optional(),
   prefixHashes: z.array(z.string()),
 });
 
--- a/packages/operator/src/wireSchema.ts
+++ b/packages/operator/src/wireSchema.ts
@@ -20,6 +20,7 @@
   queued: countSchema,
   inFlightLimit: countSchema,
   runMs: z.number().nonnegative(),
+  pausedMs: z.number().nonnegative().optional(),
   prefixHashes: z.array(z.string()),
 });
 
--- a/packages/pool/src/runPoolStage.ts
+++ b/packages/pool/src/runPoolStage.ts
@@ -1,5 +1,10 @@
 import { GalenatillerError } from '@galenatiller/error';
-import { createAttemptHeaders, fetchText, findStatusError } from '@galenatiller/http';
+import {
+  createAttemptHeaders,
+  fetchText,
+  findStatusError,
+  type OnTargetNotice,
+} from '@galenatiller/http';
 import type { StageRequest, StageResult } from '@galenatiller/types';
 import { Result } from 'true-myth';
 
@@ -11,13 +16,14 @@
   readonly url: string;
   readonly order: StageRequest;
   readonly signal: AbortSignal;
+  readonly onNotice?: OnTargetNotice;
 }
 
 /** Runs one encode, retrieve or rerank stage on a pool worker. */
 export async function runPoolStage(
   opts: RunPoolStageOptions,
 ): Promise<Result<StageResult, GalenatillerError>> {
-  const { order, signal } = opts;
+  const { order } = opts;
   const { input } = order;
   if (input.kind === 'generate' || input.kind === 'call') {
     return Result.err(
@@ -29,12 +35,11 @@
   }
   const { path, body } = encodePoolRequest(input);
   const response = await fetchText({
-    url: opts.url,
+    ...opts,
     path,
     method: 'POST',
     headers: createAttemptHeaders(order),
     body,
-    signal,
   });
   return response.andThen(({ status, text }) => {
     const failure = findStatusError({ status, text });
--- a/packages/service/src/runServiceCall.ts
+++ b/packages/service/src/runServiceCall.ts
@@ -3,6 +3,7 @@
   createAttemptHeaders,
   fetchText,
   findStatusError,
+  type OnTargetNotice,
   type TextResponse,
 } from '@galenatiller/http';
 import type { StageRequest, StageResult } from '@galenatiller/types';
@@ -16,6 +17,7 @@
   readonly url: string;
   readonly order: StageRequest;
   readonly signal: AbortSignal;
+  readonly onNotice?: OnTargetNotice;
 }
 
 /** Lowest HTTP status that means that the service failed; a lower one is a result of the call. */
@@ -25,7 +27,7 @@
 export async function runServiceCall(
   opts: RunServiceCallOptions,
 ): Promise<Result<StageResult, GalenatillerError>> {
-  const { order, signal } = opts;
+  const { order } = opts;
   const { input } = order;
   if (input.kind !== 'call') {
     return Result.err(
@@ -36,7 +38,7 @@
     );
   }
   const response = await fetchText({
-    url: opts.url,
+    ...opts,
     path: '/v1/call',
     method: 'POST',
     headers: {
@@ -44,7 +46,6 @@
       ...(order.runKey === '' ? {} : { 'idempotency-key': order.runKey }),
     },
     body: encodeCall(input.body),
-    signal,
   });
   return response.andThen(readResponse);
 }
--- a/packages/timeline/src/describeEvent.ts
+++ b/packages/timeline/src/describeEvent.ts
@@ -19,6 +19,7 @@
   'target-ready': 'reported readiness of target',
   'target-down': 'reported an outage of target',
   'target-leaving': 'reported the shutdown of target',
+  'target-paused': 'reported a pause of target',
   'link-opened': 'opened the link to',
   'link-closed': 'closed the link to',
   'configuration-in-force': 'activated configuration revision',
--- a/packages/timeline/src/renderTimelineSvg.ts
+++ b/packages/timeline/src/renderTimelineSvg.ts
@@ -24,6 +24,7 @@
   'stage-retried',
   'target-cold',
   'target-down',
+  'target-paused',
   'store-lost',
   'lease-lost',
   'version-stopped',
--- a/packages/types/src/target.ts
+++ b/packages/types/src/target.ts
@@ -18,6 +18,8 @@
   readonly inFlightLimit: number;
   /** Moving average of the time of one run on the target. */
   readonly runMs: number;
+  /** Time until the target may be sent requests again; unset or 0 when it asked for no pause. */
+  readonly pausedMs?: number | undefined;
   /** Hashes of the prompt prefixes in the cache of the target. */
   readonly prefixHashes: readonly string[];
 }
--- a/packages/types/src/timelineEvent.ts
+++ b/packages/types/src/timelineEvent.ts
@@ -17,6 +17,7 @@
   | 'target-ready'
   | 'target-down'
   | 'target-leaving'
+  | 'target-paused'
   | 'link-opened'
   | 'link-closed'
   | 'configuration-in-force'
