--- a/packages/error/src/requestCodes.ts
+++ b/packages/error/src/requestCodes.ts
@@ -179,7 +179,7 @@
     'Another node is tried; check the store with status.',
   ),
   defineResultCode(
-    2012,
+    2013,
     'targets-paused',
     'not-run',
     503,
--- a/packages/gate/src/claimAndRun.ts
+++ b/packages/gate/src/claimAndRun.ts
@@ -63,6 +63,7 @@
       signal: limit.signal,
       onPart,
       onStartId: (startId) => target.onStartId(startId),
+      onNotice: (notice, startId) => target.onNotice({ notice, startId, source: 'call' }),
     });
     if (result.isOk) {
       return createSuccessEnd(result.value);
