--- a/packages/hostList/test/hostList.steps.ts
+++ b/packages/hostList/test/hostList.steps.ts
@@ -61,6 +61,14 @@
   this.fakeHostList.setHosts([{ ...HOST, name }]);
 });
 
+When(
+  /^the platform lists the host "([^"]*)" and one whose (\w+) is (.+)$/,
+  function when(this: HostListWorld, name: string, field: string, value: string) {
+    const odd = { ...HOST, name: 'odd', [field]: JSON.parse(value) as never };
+    this.fakeHostList.setHosts([odd, { ...HOST, name }]);
+  },
+);
+
 When('the host list goes down', function when(this: HostListWorld) {
   return this.fakeHostList.close();
 });
