Give each call to a plain service a connection of its own

On the native path a refusal (503 with its code) that a service wrote once more on a kept connection was taken for that of the next call, which had run: it was called not run and could run at a second service. These responses have no id, so only the first on a connection is provably the call's. Calls to plain services must not be repeated, and now get a connection each; stages that may run twice keep theirs.

Evidence: the scenario fails with the option off (target-refused for a call that the service ran), passes with it.

--- a/packages/http/src/sendRequest.ts
+++ b/packages/http/src/sendRequest.ts
@@ -1,6 +1,6 @@
 import { GalenatillerError } from '@galenatiller/error';
 import { Result } from 'true-myth';
-import { type Dispatcher, request } from 'undici';
+import { Client, type Dispatcher, request } from 'undici';
 
 import { createTransportError } from './createTransportError.js';
 
@@ -13,6 +13,11 @@
   readonly headers: Readonly<Record<string, string>>;
   /** Encoded body; empty for none. */
   readonly body: string;
+  /**
+   * Whether the request gets a connection of its own, so that no earlier response can be repeated in
+   * place of its own.
+   */
+  readonly isConnectionNew?: boolean;
   /** Aborting it closes the connection, which tells the peer to stop. */
   readonly signal: AbortSignal;
 }
@@ -40,21 +45,44 @@
     );
   }
   try {
-    const { statusCode, headers, body } = await request(`${opts.url}${opts.path}`, {
-      method: opts.method,
-      headers: opts.headers,
-      body: opts.body === '' ? null : opts.body,
-      signal,
-      // The signal enforces the deadline.
-      headersTimeout: 0,
-      bodyTimeout: 0,
-    });
+    const { statusCode, headers, body } = opts.isConnectionNew
+      ? await requestOnNewConnection(opts)
+      : await request(`${opts.url}${opts.path}`, createRequestOptions(opts));
     return Result.ok({ status: statusCode, header: (name) => joinValues(headers[name]), body });
   } catch (cause) {
     return Result.err(createTransportError({ cause, signal }));
   }
 }
 
+async function requestOnNewConnection(opts: SendRequestOptions): Promise<Dispatcher.ResponseData> {
+  const { origin, pathname, search } = new URL(`${opts.url}${opts.path}`);
+  const client = new Client(origin);
+  try {
+    const path = `${pathname}${search}`;
+    return await client.request({ ...createRequestOptions(opts), path });
+  } finally {
+    // Takes effect once the body has been read; a request that has failed leaves nothing to close.
+    client.close().catch(() => {});
+  }
+}
+
+function createRequestOptions(
+  opts: SendRequestOptions,
+): Pick<
+  Dispatcher.RequestOptions,
+  'method' | 'headers' | 'body' | 'signal' | 'headersTimeout' | 'bodyTimeout'
+> {
+  return {
+    method: opts.method,
+    headers: opts.headers,
+    body: opts.body === '' ? null : opts.body,
+    signal: opts.signal,
+    // The signal enforces the deadline.
+    headersTimeout: 0,
+    bodyTimeout: 0,
+  };
+}
+
 function joinValues(value: string | string[] | undefined): string {
   return Array.isArray(value) ? value.join(', ') : (value ?? '');
 }
--- a/packages/service/src/runServiceCall.ts
+++ b/packages/service/src/runServiceCall.ts
@@ -44,6 +44,7 @@
       ...(order.runKey === '' ? {} : { 'idempotency-key': order.runKey }),
     },
     body: encodeCall(input.body),
+    isConnectionNew: true,
     signal,
   });
   return response.andThen(readResponse);
--- a/packages/service/test/service.feature
+++ b/packages/service/test/service.feature
@@ -21,3 +21,11 @@
     When the service is called with key "k1" and body '{"reorder":"cerium"}'
     Then the service call fails as "target-refused" with outcome "not-run"
     And the service has the effects of keys ""
+
+  # Guards against a call that has run and is called not run, because a refusal was written once more.
+  Scenario: A refusal that is repeated on a kept connection is not the next call's
+    Given a service that refuses its first call, and once more whatever follows on that connection
+    When the service is called with key "k1" and body '{"reorder":"cerium"}'
+    And the service is called with key "k2" and body '{"reorder":"cerium"}'
+    And the service is called with key "k3" and body '{"reorder":"cerium"}'
+    Then the service call succeeds
--- a/packages/service/test/service.steps.ts
+++ b/packages/service/test/service.steps.ts
@@ -1,4 +1,6 @@
 import assert from 'node:assert/strict';
+import { once } from 'node:events';
+import { createServer, type Server } from 'node:net';
 
 import { After, Given, Then, When } from '@cucumber/cucumber';
 import type { GalenatillerError } from '@galenatiller/error';
@@ -15,6 +17,9 @@
 
 interface ServiceWorld {
   fakeService: FakeService;
+  /** A service that writes its responses byte by byte; undefined for the fake one. */
+  rawService: Server | undefined;
+  serviceUrl: string;
   serviceResult: Result<StageResult, GalenatillerError>;
 }
 
@@ -28,9 +33,45 @@
     serviceMs: 1,
     concurrency: 2,
   });
+  this.serviceUrl = this.fakeService.url;
+});
+
+const REFUSAL = '{"error":{"code":"overloaded"}}';
+
+Given(
+  'a service that refuses its first call, and once more whatever follows on that connection',
+  async function given(this: ServiceWorld) {
+    let connections = 0;
+    this.rawService = createServer((socket) => {
+      connections += 1;
+      const response =
+        connections === 1
+          ? `HTTP/1.1 503 Refused\r\nContent-Length: ${REFUSAL.length}\r\n\r\n${REFUSAL}`
+          : 'HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}';
+      socket.on('error', () => {});
+      socket.on('data', (bytes) => {
+        // The head of a request and its body may come apart.
+        if (bytes.includes('HTTP/1.1')) {
+          socket.write(response);
+        }
+      });
+    });
+    this.rawService.listen(0, '127.0.0.1');
+    await once(this.rawService, 'listening');
+    const bound = this.rawService.address();
+    this.serviceUrl = `http://127.0.0.1:${typeof bound === 'object' && bound ? bound.port : 0}`;
+  },
+);
+
+Then('the service call succeeds', function then(this: ServiceWorld) {
+  assert.ok(
+    this.serviceResult.isOk,
+    this.serviceResult.isErr ? this.serviceResult.error.message : '',
+  );
 });
 
 After({ tags: '@service' }, function after(this: Partial<ServiceWorld>) {
+  this.rawService?.close();
   return this.fakeService?.close();
 });
 
@@ -47,7 +88,7 @@
   async function when(this: ServiceWorld, runKey: string, body: string) {
     const order = createSampleStageRequest({ kind: 'call', body: JSON.parse(body) as JsonValue });
     this.serviceResult = await runServiceCall({
-      url: this.fakeService.url,
+      url: this.serviceUrl,
       order: { ...order, idempotent: false, runKey },
       signal: new AbortController().signal,
     });
