Test that a stream whose call fails never looks complete

On the native path a stream that has begun and fails ends with an error event and without the end marker, so no text of the next target's answer is in it. No fault was found; the scenario fails when the error event is replaced by the end marker.

--- a/packages/caller/test/badInput.feature
+++ b/packages/caller/test/badInput.feature
@@ -30,6 +30,11 @@
     When a caller asks for a stream of 3 parts
     Then the stream holds the 3 parts in order and ends with "[DONE]"
 
+  # Guards against a stream that breaks off and looks complete, or that goes on with the text of an error.
+  Scenario: A stream whose call fails holds its parts and an error event, and no end marker
+    When a caller asks for a stream that fails after 2 parts
+    Then the stream holds the 2 parts, then one error event, and no end marker
+
   Scenario: A caller that disconnects cancels its call
     When a caller disconnects in the middle of a call
     Then the call is cancelled
--- a/packages/caller/test/badInput.steps.ts
+++ b/packages/caller/test/badInput.steps.ts
@@ -10,6 +10,7 @@
   type CallerServer,
   serveCallers,
 } from '@galenatiller/caller';
+import { GalenatillerError } from '@galenatiller/error';
 import { TaskGroup } from '@galenatiller/tasks';
 import { Result } from 'true-myth';
 import { type Dispatcher, request } from 'undici';
@@ -52,7 +53,10 @@
       for (let index = 0; index < this.partCount; index += 1) {
         await writePart({ offsetTokens: index, tokens: 1, text: `w${index}` });
       }
-      return Result.ok(echo(call));
+      const detail = 'the next target responded with status 500';
+      return call.prompt === 'fail'
+        ? Result.err(GalenatillerError.create({ name: 'target-failed', detail }))
+        : Result.ok(echo(call));
     },
   });
 });
@@ -93,6 +97,27 @@
   },
 );
 
+When(
+  'a caller asks for a stream that fails after {int} parts',
+  async function when(this: CallerWorld, count: number) {
+    this.partCount = count;
+    this.response = await send(this, { body: '{"prompt":"fail","stream":true}' });
+  },
+);
+
+Then(
+  'the stream holds the {int} parts, then one error event, and no end marker',
+  async function then(this: CallerWorld, count: number) {
+    const events = (await this.response.body.text()).split('\n\n').filter((event) => event !== '');
+    assert.equal(this.response.statusCode, 200);
+    assert.deepEqual(
+      events.map((event) => event.split(/[:{]/, 1)[0]),
+      [...Array.from({ length: count }, () => 'data'), 'event'],
+    );
+    assert.ok(events.at(-1)?.startsWith('event: error\ndata: {'));
+  },
+);
+
 When('a caller disconnects in the middle of a call', async function when(this: CallerWorld) {
   const disconnected = new AbortController();
   const sent = send(this, { body: '{"prompt":"hold"}', signal: disconnected.signal });
