--- a/packages/http/src/sendRequest.ts
+++ b/packages/http/src/sendRequest.ts
@@ -1,7 +1,7 @@
 import { GalenatillerError } from '@galenatiller/error';
 import type { TargetNotice } from '@galenatiller/types';
 import { Result } from 'true-myth';
-import { type Dispatcher, request } from 'undici';
+import { Client, type Dispatcher, request } from 'undici';
 
 import { decodeTargetNotice } from './decodeTargetNotice.js';
 import { createTransportError } from './createTransportError.js';
@@ -15,6 +15,11 @@
   readonly headers: Readonly<Record<string, string>>;
   /** Encoded body; empty for none. */
   readonly body: string;
+  /**
+   * Whether the request gets a connection of its own, so that no earlier response can be repeated in
+   * place of its own.
+   */
+  readonly isConnectionNew?: boolean;
   /** Aborting it closes the connection, which tells the peer to stop. */
   readonly signal: AbortSignal;
   /**
@@ -50,15 +55,9 @@
     );
   }
   try {
-    const { statusCode, headers, body } = await request(`${opts.url}${opts.path}`, {
-      method: opts.method,
-      headers: opts.headers,
-      body: opts.body === '' ? null : opts.body,
-      signal,
-      // The signal enforces the deadline.
-      headersTimeout: 0,
-      bodyTimeout: 0,
-    });
+    const { statusCode, headers, body } = opts.isConnectionNew
+      ? await requestOnNewConnection(opts)
+      : await request(`${opts.url}${opts.path}`, createRequestOptions(opts));
     const header = (name: string): string => joinValues(headers[name]);
     const notice = decodeTargetNotice({ status: statusCode, header });
     if (notice) {
@@ -70,6 +69,35 @@
   }
 }
 
+async function requestOnNewConnection(opts: SendRequestOptions): Promise<Dispatcher.ResponseData> {
+  const { origin, pathname, search } = new URL(`${opts.url}${opts.path}`);
+  const client = new Client(origin);
+  try {
+    const path = `${pathname}${search}`;
+    return await client.request({ ...createRequestOptions(opts), path });
+  } finally {
+    // Takes effect once the body has been read; a request that has failed leaves nothing to close.
+    client.close().catch(() => {});
+  }
+}
+
+function createRequestOptions(
+  opts: SendRequestOptions,
+): Pick<
+  Dispatcher.RequestOptions,
+  'method' | 'headers' | 'body' | 'signal' | 'headersTimeout' | 'bodyTimeout'
+> {
+  return {
+    method: opts.method,
+    headers: opts.headers,
+    body: opts.body === '' ? null : opts.body,
+    signal: opts.signal,
+    // The signal enforces the deadline.
+    headersTimeout: 0,
+    bodyTimeout: 0,
+  };
+}
+
 function joinValues(value: string | string[] | undefined): string {
   return Array.isArray(value) ? value.join(', ') : (value ?? '');
 }
