Check series of stops of all routers over 50 seeds

Four routers on one manual clock share stage workers over links in memory, and stop one after the other while calls of all kinds arrive; workers are up to seven times slower, and with a third of the seeds the store is away for 3 s. Each call that was read must have an answer or a true refusal, and no process may be killed.

--- a/packages/router/test/routerStop.feature
+++ b/packages/router/test/routerStop.feature
@@ -58,3 +58,7 @@
   # Guards against any way in which a stop ends a call without an answer, or refuses one that may have run as not run.
   Scenario: Whatever targets and stage workers do, each call that was read ends, and none that ran is refused as not run
     Then stops with random calls, slow stage workers and a store that is away keep to this with each seed from 1 to 50
+
+  # Guards against calls that end without an answer because the owners of their stage services stop one after the other.
+  Scenario: When all routers stop in a series, each call that was read ends, and none that ran is refused as not run
+    Then series of stops of all routers keep to this with each seed from 1 to 50
--- a/packages/router/test/routerStop.steps.ts
+++ b/packages/router/test/routerStop.steps.ts
@@ -4,6 +4,7 @@
 import type { TimerService } from '@galenatiller/timer';
 
 import type { SendCallOptions, SendResult } from '../src/ports.js';
+import { FleetWorld } from './fleetWorld.js';
 import { respondAfter, type SeenCall, StopWorld, type Surroundings } from './stopWorld.js';
 import { respond } from './support.js';
 
@@ -163,6 +164,16 @@
   },
 );
 
+Then(
+  'series of stops of all routers keep to this with each seed from {int} to {int}',
+  { timeout: 120_000 },
+  async (first: number, last: number) => {
+    for (let seed = first; seed <= last; seed += 1) {
+      await checkRandomSeries(seed);
+    }
+  },
+);
+
 function createWorld(world: StoppingWorld): StopWorld {
   world.stopWorld ??= StopWorld.create({ limitMs: world.stopLimitMs, around: world.around });
   return world.stopWorld;
@@ -176,6 +187,9 @@
 const LIMIT_MS = 8_000;
 const STOP_AT_MS = 2_000;
 const CALLS = 30;
+const CALLS_IN_SERIES = 60;
+const ROUTERS = 4;
+const SERIES_MS = 14_500;
 const KINDS = ['safe', 'order', 'stream', 'resumable', 'staged', 'staged', 'staged'];
 
 async function checkRandomStop(seed: number): Promise<void> {
@@ -204,10 +218,48 @@
   checkEnds(world, seed);
 }
 
-function checkEnds(world: StopWorld, seed: number): void {
+/** All routers stop in a series, and their calls share the stage workers. */
+async function checkRandomSeries(seed: number): Promise<void> {
+  const random = createRandom(seed);
+  const slowness = 1 + random() * 6;
+  const awayFromMs = random() * 8_000;
+  const fleet = FleetWorld.create({
+    routers: ROUTERS,
+    limitMs: LIMIT_MS,
+    random,
+    callMs: () => slowness * (200 + random() * 100),
+    around: {
+      sendCall: (opts, timer) => sendRandomly(opts, timer, random),
+      evidenceAgeMs: () => 0,
+      writeMs: 0,
+    },
+    isStoreAway: (nowMs) => seed % 3 === 0 && nowMs > awayFromMs && nowMs < awayFromMs + 3_000,
+  });
+  const { timer } = fleet;
+  Array.from({ length: CALLS_IN_SERIES }, () => Math.floor(random() * 9_000)).forEach((delayMs) => {
+    const router = Math.floor(random() * ROUTERS);
+    const kind = KINDS[Math.floor(random() * KINDS.length)] ?? '';
+    const stagePieces = [1 + Math.floor(random() * 3), Math.floor(random() * 4)];
+    const notify = (): void => {
+      fleet.find(router)?.makeCall({ path: `/${kind}/x`, stagePieces });
+    };
+    timer.after({ delayMs, notify });
+  });
+  const gapMs = 300 + random() * 1_000;
+  Array.from({ length: ROUTERS }, (_, router) => {
+    const world = fleet.find(router);
+    return timer.after({ delayMs: STOP_AT_MS + router * gapMs, notify: () => world?.askToStop() });
+  });
+  await fleet.clock.advance({ byMs: SERIES_MS });
+  fleet.worlds.slice(0, ROUTERS).forEach((world, router) => {
+    checkEnds(world, seed, STOP_AT_MS + router * gapMs);
+  });
+}
+
+function checkEnds(world: StopWorld, seed: number, stopAtMs = STOP_AT_MS): void {
   assert.deepEqual(world.errors, []);
   const { closedAtMs = Infinity } = world;
-  assert.ok(closedAtMs < STOP_AT_MS + LIMIT_MS, `seed ${seed}: the process was killed`);
+  assert.ok(closedAtMs < stopAtMs + LIMIT_MS, `seed ${seed}: the process was killed`);
   world.seen.forEach((call) => {
     const name = `seed ${seed}, ${call.requestId}`;
     assert.ok(call.endedAtMs !== undefined, `${name} has no answer`);
--- a/packages/router/test/stopWorld.ts
+++ b/packages/router/test/stopWorld.ts
@@ -44,13 +44,25 @@
   readonly writeMs: number;
 }
 
+/** Options of {@link StopWorld.create}; what is left out does nothing. */
+export interface StopWorldOptions {
+  readonly limitMs: number;
+  readonly around: Surroundings;
+  readonly clock?: ManualClock;
+  readonly submitPiece?: SubmitPiece;
+  readonly batchesInProgress?: () => number;
+  readonly onStop?: () => void;
+  readonly onLeave?: () => void;
+  readonly onClose?: () => void;
+}
+
 const LIMIT_MS = 20_000;
 
 /** A router, its callers and its end. */
 export class StopWorld {
-  readonly clock = ManualClock.create({ startWallMs: 1_000_000 });
+  readonly clock: ManualClock;
 
-  readonly timer = TimerService.create({ clock: this.clock });
+  readonly timer: TimerService;
 
   readonly seen: SeenCall[] = [];
 
@@ -75,27 +87,32 @@
 
   private readonly router: Router;
 
-  private constructor(
-    private readonly opts: { readonly limitMs: number; readonly around: Surroundings },
-  ) {
+  private constructor(private readonly opts: StopWorldOptions) {
+    this.clock = opts.clock ?? ManualClock.create({ startWallMs: 1_000_000 });
+    this.timer = TimerService.create({ clock: this.clock });
     const context = { ...this.createContext() };
     this.router = {
       context,
       isReady: () => true,
       serve: (exchange) => this.tasks.start(() => serveCall({ context, exchange })),
       callsInProgress: () => this.tasks.size,
-      batchesInProgress: () => (this.timer.nowMs() < opts.around.batchesEndAtMs ? 1 : 0),
+      batchesInProgress:
+        opts.batchesInProgress ?? (() => (this.timer.nowMs() < opts.around.batchesEndAtMs ? 1 : 0)),
       leave: () => {
         this.leftAtMs = this.timer.nowMs();
+        opts.onLeave?.();
       },
       reportGauges: () => {},
-      stop: (end) => context.stop.begin(end),
+      stop: (end) => {
+        context.stop.begin(end);
+        opts.onStop?.();
+      },
       run: ({ signal }) => whenAborted(signal),
     };
   }
 
   /** Creates and runs a router. */
-  static create(opts: { readonly limitMs: number; readonly around: Surroundings }): StopWorld {
+  static create(opts: StopWorldOptions): StopWorld {
     const world = new StopWorld(opts);
     world.run().catch((error: unknown) => world.failures.push(error));
     return world;
@@ -147,6 +164,7 @@
         this.seen.some(({ endedAtMs }) => endedAtMs !== undefined && endedAtMs > timer.nowMs()),
       close: () => {
         this.closedAtMs = timer.nowMs();
+        this.opts.onClose?.();
       },
     };
     await runRouter({
@@ -171,7 +189,7 @@
       ...base,
       stop: RouterStop.create({ timer, onCallStopped: (event) => this.stopped.push(event) }),
       evidenceAgeMs: around.evidenceAgeMs,
-      submitPiece: createSubmit(timer, around.pieceMs),
+      submitPiece: this.opts.submitPiece ?? createSubmit(timer, around.pieceMs),
       freeResults: () => {},
       targetClient: {
         ...base.targetClient,
