--- a/packages/router/test/stageSubmitter.steps.ts
+++ b/packages/router/test/stageSubmitter.steps.ts
@@ -3,7 +3,7 @@
 import { Given, Then, When } from '@cucumber/cucumber';
 import { ResultMemory } from '@galenatiller/pool';
 import type { PeerRouter } from '@galenatiller/routerLink';
-import { TargetDirectory, TargetNotices } from '@galenatiller/target';
+import { TargetDirectory } from '@galenatiller/target';
 import { TaskGroup } from '@galenatiller/tasks';
 import { ManualClock, TimerService } from '@galenatiller/timer';
 import type { PieceResult, StagePiece } from '@galenatiller/types';
@@ -11,7 +11,7 @@
 import { RouteTable } from '../src/routeTable.js';
 import { StageSubmitter } from '../src/stageSubmitter.js';
 import { StageWorkers } from '../src/stageWorkers.js';
-import { CONFIGURATION } from './support.js';
+import { CONFIGURATION, createSilentNotices } from './support.js';
 
 interface SubmitterWorld {
   submitterClock: ManualClock;
@@ -60,12 +60,7 @@
       timer,
       routes,
       targets,
-      notices: TargetNotices.create({
-        timer,
-        random: () => 0.5,
-        share: () => {},
-        onEvent: () => {},
-      }),
+      notices: createSilentNotices(timer),
       resultMemory,
       isExcluded: () => false,
       memoryShare: () => 1,
--- a/packages/router/test/support.ts
+++ b/packages/router/test/support.ts
@@ -187,6 +187,11 @@
   });
 }
 
+/** Creates notices that tell nobody about what targets say. */
+export function createSilentNotices(timer: TimerService): TargetNotices {
+  return TargetNotices.create({ timer, random: () => 0.5, share: () => {}, onEvent: () => {} });
+}
+
 export function createContext(world: RouterWorld): RouterContext {
   const timer = world.routerTimer;
   const targets = TargetDirectory.create({ timer, onChange: () => {} });
--- a/packages/service/src/runServiceCall.ts
+++ b/packages/service/src/runServiceCall.ts
@@ -46,7 +46,7 @@
       ...(order.runKey === '' ? {} : { 'idempotency-key': order.runKey }),
     },
     body: encodeCall(input.body),
-      isConnectionNew: true,
+    isConnectionNew: true,
   });
   return response.andThen(readResponse);
 }
