Answer calls whose run throws

A call whose run threw, by a fault of ours, left its connection open without an answer: the failure of its task was only logged. None was seen; found by reading, while the stops were looked at. The caller now gets 9001, may have run, and the log line has the request id.

"A call whose run throws is answered" failed on the old code, with the failure of the task.

--- a/packages/caller/src/serveCall.ts
+++ b/packages/caller/src/serveCall.ts
@@ -7,7 +7,7 @@
 import type { Cancel } from '@galenatiller/timer';
 import { Result } from 'true-myth';
 
-import type { CallResponse, FindOrganisation, RunCall } from './call.js';
+import type { Call, CallResponse, FindOrganisation, RunCall, WritePart } from './call.js';
 import { PartWriter } from './partWriter.js';
 import {
   type ResponseIdentity,
@@ -85,7 +85,7 @@
   const call = { ...decoded.value.call, requestId, organisation, signal: disconnected.signal };
   const identity = { requestId, route: call.route };
   const writer = PartWriter.create({ response, identity });
-  const result = await opts.runCall(call, async (part) => {
+  const result = await runCall(opts, call, async (part) => {
     if (decoded.value.isStream) {
       startStream(response, identity);
       await writer.write(part);
@@ -99,6 +99,20 @@
   sendResponse(response, identity, result.value, decoded.value.isStream);
 }
 
+/** Runs a call; one whose run throws is answered too, as the connection would stay open without an answer. */
+async function runCall(
+  opts: ServeCallOptions,
+  call: Call,
+  writePart: WritePart,
+): ReturnType<RunCall> {
+  try {
+    return await opts.runCall(call, writePart);
+  } catch (error) {
+    opts.logger({ message: `Call failed: ${String(error)}.`, requestId: call.requestId });
+    return Result.err(createError('internal', 'the call failed unexpectedly'));
+  }
+}
+
 function findRoute(request: IncomingMessage): Result<string, GalenatillerError> {
   const url = request.url ?? '';
   if (request.method === 'POST' && url === COMPLETIONS_PATH) {
@@ -213,7 +227,7 @@
 }
 
 function createError(
-  name: 'body-too-large' | 'headers-too-slow' | 'unauthorized' | 'unknown-path',
+  name: 'body-too-large' | 'headers-too-slow' | 'internal' | 'unauthorized' | 'unknown-path',
   detail: string,
 ): GalenatillerError {
   return GalenatillerError.create({ name, detail });
--- a/packages/caller/test/badInput.feature
+++ b/packages/caller/test/badInput.feature
@@ -41,3 +41,9 @@
     When the caller reads the response
     Then the caller has all 8 MB of it
     And no call is in progress
+
+  # Guards against a call whose run throws and whose connection then stays open without an answer.
+  Scenario: A call whose run throws is answered
+    When a caller sends a call whose run throws
+    Then the caller is refused with 500, code 9001 and outcome "may-have-run"
+    And a valid call is still answered
--- a/packages/caller/test/badInput.steps.ts
+++ b/packages/caller/test/badInput.steps.ts
@@ -29,6 +29,8 @@
 const KEY = 'secret-key';
 /** Larger than what the socket buffers of both ends hold. */
 const LARGE_CHARS = 8_000_000;
+/** Time after which a call counts as unanswered. */
+const MAX_ANSWER_MS = 2_000;
 const KEY_HASH = createHash('sha256').update(KEY).digest('hex');
 
 Given('a server for callers that echoes prompts', async function given(this: CallerWorld) {
@@ -57,6 +59,9 @@
         await once(call.signal, 'abort');
         markCancelled();
       }
+      if (call.prompt === 'throw') {
+        throw new Error('unexpected');
+      }
       if (call.prompt === 'large') {
         return Result.ok({ ...echo(call), text: 'x'.repeat(LARGE_CHARS) });
       }
@@ -74,6 +79,10 @@
   'a wrong key': () => ({ headers: { authorization: 'Bearer other' } }),
   'no key': () => ({ headers: { authorization: '' } }),
   'a body over the limit': () => ({ body: JSON.stringify({ prompt: 'x'.repeat(300_000) }) }),
+  'a call whose run throws': () => ({
+    body: '{"prompt":"throw"}',
+    signal: AbortSignal.timeout(MAX_ANSWER_MS),
+  }),
   'a negative deadline': () => ({ headers: { 'deadline-ms': '-5' } }),
   'a huge deadline': () => ({ headers: { 'deadline-ms': '999999999' } }),
   'a textual deadline': () => ({ headers: { 'deadline-ms': 'soon' } }),
