Check that notices of frees and of other routers are believed

Without them, as before, two of the three scenarios fail; the one on a worker that was started again fails if the answer concerns whichever target has the address when it comes.

--- a/packages/router/test/stageNotices.feature
+++ b/packages/router/test/stageNotices.feature
@@ -50,3 +50,19 @@
     Given both workers have asked for a pause of 500 ms
     When a piece that has to be done in 2000 ms is submitted
     Then it is made within 1000 ms
+
+  # Guards against a notice that is lost because it came with the answer to a free.
+  Scenario Outline: What the answer to a free says concerns the start that it was sent to
+    Given the answer to a free says that its worker is leaving
+    And <before> the answer worker "a" is started again
+    When a result of worker "a" is freed through the node
+    Then the present start of worker "a" <now> be sent to
+
+    Examples:
+      | before      | now     |
+      | long before | may not |
+      | just before | may     |
+
+  Scenario: What another router says over its link is believed
+    When another router's link says that worker "a" is leaving
+    Then the present start of worker "a" may not be sent to
