Keep a late answer of an earlier start from making a gate's target leave

A late answer of an earlier process of a target set the target's identity back until the next poll, and with it the belief that it is leaving. The gate now follows starts forward only for what targets say about themselves. The scenario on late answers, which now also reports the earlier start, fails without this.

--- a/packages/gate/src/targetAdmission.ts
+++ b/packages/gate/src/targetAdmission.ts
@@ -58,6 +58,11 @@
 
   private knownStartId = '';
 
+  /** The latest start, which an answer of an earlier one that comes late doesn't change. */
+  private latestStartId = '';
+
+  private readonly earlierStartIds = new Set<string>();
+
   private isReturnScheduled = false;
 
   private constructor(private readonly opts: TargetAdmissionOptions) {
@@ -101,7 +106,7 @@
     readonly source: NoticeSource;
   }): void {
     const { notice, startId, source } = opts;
-    const target = createStart(this.settings, startId || this.knownStartId);
+    const target = createStart(this.settings, startId || this.latestStartId);
     this.opts.notices.record({ target, notice, source });
     this.admitNext();
   }
@@ -161,7 +166,7 @@
   onStartId(startId: string): void {
     this.knownStartId = startId;
     this.opts.concurrencyLimit.onStartId(startId);
-    this.opts.notices.onRegistered([this.start]);
+    this.followStart(startId);
     this.admitNext();
   }
 
@@ -183,8 +188,18 @@
     };
   }
 
+  private followStart(startId: string): void {
+    const isLater = startId !== this.latestStartId && !this.earlierStartIds.has(startId);
+    if (startId === '' || !isLater) {
+      return;
+    }
+    this.earlierStartIds.add(this.latestStartId);
+    this.latestStartId = startId;
+    this.opts.notices.onRegistered([this.start]);
+  }
+
   private get start(): TargetStart {
-    return createStart(this.settings, this.knownStartId);
+    return createStart(this.settings, this.latestStartId);
   }
 
   /** Time until the target may be sent a request; 0 when it isn't paused. */
--- a/packages/gate/test/targetNotices.steps.ts
+++ b/packages/gate/test/targetNotices.steps.ts
@@ -91,6 +91,7 @@
   'an answer of the start before says that the target is leaving',
   function when(this: GateNoticeWorld) {
     const notice = { isLeaving: true };
+    this.admission.onStartId('start-1');
     this.admission.onNotice({ notice, startId: 'start-1', source: 'call' });
   },
 );
