Log and measure the era that the platform's store states

Nothing showed that a store had come back from a copy: a lower revision after a 410 was the only trace, and a store that has passed the revision again leaves none.

--- a/packages/metrics/src/routerMetrics.ts
+++ b/packages/metrics/src/routerMetrics.ts
@@ -114,6 +114,15 @@
     role: 'router',
     meaning: 'Targets that are listed.',
   },
+  {
+    name: 'router.store_era',
+    type: 'gauge',
+    unit: '',
+    tags: [],
+    role: 'router',
+    meaning:
+      "Highest era that the platform's store has stated; it rises when the store was restored from a copy.",
+  },
   {
     name: 'router.event_loop_lag',
     type: 'gauge',
--- a/packages/router/src/createRouter.ts
+++ b/packages/router/src/createRouter.ts
@@ -6,6 +6,7 @@
   type Member,
   Membership,
   type PrefixSource,
+  type StoreEra,
   type WriteIfUnchanged,
 } from '@galenatiller/store';
 import type { RouterSettings } from '@galenatiller/settings';
@@ -53,6 +54,7 @@
   readonly log: EventLog;
   readonly metrics: MetricSink;
   readonly source: PrefixSource;
+  readonly storeEra: StoreEra;
   readonly leases: LeaseClient;
   readonly operatorEntries: OperatorEntryDecoder;
   readonly targetEntries: TargetEntryDecoder;
@@ -82,7 +84,7 @@
 
 /** Creates the parts of a router and connects them. */
 export function createRouter(opts: RouterOptions): Router {
-  const { settings, timer, log, metrics, random } = opts;
+  const { settings, timer, log, metrics, random, storeEra } = opts;
   const tasks = TaskGroup.create({ onFailure: (error) => logFailedTask(log, error) });
   const callTasks = TaskGroup.create({ onFailure: (error) => logFailedTask(log, error) });
   const onLag = ({ lagMs }: { readonly lagMs: number }): void => logEventLoopLag(log, lagMs);
@@ -131,7 +133,7 @@
     leave: () => members.leave(),
     reportGauges: (sink) => {
       const eventLoopLagMs = eventLoop.lagMs;
-      reportGauges({ sink, context, calls: callTasks.size, nodeCount, eventLoopLagMs });
+      reportGauges({ sink, context, calls: callTasks.size, nodeCount, eventLoopLagMs, storeEra });
     },
     run: ({ signal }) =>
       runParts({ ...opts, ...rolloutParts, stages, tasks, eventLoop, members, mirrors, signal }),
--- a/packages/router/src/index.ts
+++ b/packages/router/src/index.ts
@@ -6,6 +6,7 @@
   RolloutStatusEntries,
   TargetEntryDecoder,
 } from './entryDecoders.js';
+export { logStoreEra } from './logEvents.js';
 export type {
   BodyFailure,
   CallerExchange,
--- a/packages/router/src/logEvents.ts
+++ b/packages/router/src/logEvents.ts
@@ -1,7 +1,7 @@
 import type { EventLog } from '@galenatiller/logger';
 import type { AbandonedStageEvent, BatchEvent } from '@galenatiller/pool';
 import type { PeerEvent } from '@galenatiller/routerLink';
-import type { Member, MirrorEvent, ReadFailure } from '@galenatiller/store';
+import type { Member, MirrorEvent, ReadFailure, StoreEraEvent } from '@galenatiller/store';
 import type { TargetChange } from '@galenatiller/target';
 import type { Result } from 'true-myth';
 
@@ -13,6 +13,12 @@
   log({ about: 'dependency', event: 'store', ...rest, outcome: kind });
 }
 
+/** Logs that the store states an era for the first time, or a higher one. */
+export function logStoreEra(log: EventLog, event: StoreEraEvent): void {
+  const { kind, ...rest } = event;
+  log({ about: 'dependency', event: 'store-era', ...rest, outcome: kind });
+}
+
 /** Logs a change of the link to another router. */
 export function logLinkEvent(log: EventLog, event: PeerEvent): void {
   const { kind, ...rest } = event;
--- a/packages/router/src/recordMetrics.ts
+++ b/packages/router/src/recordMetrics.ts
@@ -1,6 +1,7 @@
 import type { GalenatillerError } from '@galenatiller/error';
 import type { MetricSink, MetricTags } from '@galenatiller/metrics';
 import type { BatchEvent } from '@galenatiller/pool';
+import type { StoreEra } from '@galenatiller/store';
 import type { CallKind } from '@galenatiller/types';
 
 import type { RouterContext } from './routerContext.js';
@@ -45,6 +46,7 @@
   readonly calls: number;
   readonly nodeCount: () => number;
   readonly eventLoopLagMs: number;
+  readonly storeEra: Pick<StoreEra, 'current'>;
 }
 
 /** Sets the gauges of a router. */
@@ -55,5 +57,6 @@
   sink.gauge({ name: 'router.members', tags: {}, value: opts.nodeCount() });
   sink.gauge({ name: 'router.targets', tags: {}, value: context.targets.size });
   sink.gauge({ name: 'router.evidence_age', tags: {}, value: evidenceAgeMs });
+  sink.gauge({ name: 'router.store_era', tags: {}, value: opts.storeEra.current });
   sink.gauge({ name: 'router.event_loop_lag', tags: {}, value: opts.eventLoopLagMs });
 }
