Read all entries again when the store was restored, even if its history seems complete

Callers could get an older configuration, or calls could reach workers that were draining: a restored store gives revisions out again, so a mirror that asks for changes after its last revision gets no 410 and misses what was written below that number until the next loss of history. Once any reader sees the era rise, each mirror now cancels its call, drops its response and reads all entries; revisions of two eras are never compared.

--- a/packages/router/src/createMirrors.ts
+++ b/packages/router/src/createMirrors.ts
@@ -1,5 +1,5 @@
 import type { EventLog } from '@galenatiller/logger';
-import { PrefixMirror, type PrefixSource } from '@galenatiller/store';
+import { PrefixMirror, type PrefixSource, type StoreEra } from '@galenatiller/store';
 import type { TargetDirectory } from '@galenatiller/target';
 import type { TimerService } from '@galenatiller/timer';
 
@@ -16,6 +16,7 @@
   readonly log: EventLog;
   readonly random: () => number;
   readonly source: PrefixSource;
+  readonly storeEra: StoreEra;
   readonly operatorEntries: OperatorEntryDecoder;
   readonly targetEntries: TargetEntryDecoder;
   readonly routes: RouteTable;
@@ -32,9 +33,10 @@
 
 /** Creates mirrors of what operators and targets write to the store. */
 export function createMirrors(opts: MirrorsOptions): Mirrors {
-  const { source, timer, random, log, targets } = opts;
+  const { source, storeEra, timer, random, log, targets } = opts;
   const common = {
     source,
+    storeEra,
     timer,
     random,
     waitMs: MAX_WATCH_WAIT_MS,
--- a/packages/store/src/membership.ts
+++ b/packages/store/src/membership.ts
@@ -4,6 +4,7 @@
 import { jitteredDelayMs } from './jitteredDelayMs.js';
 import { type MirrorEvent, PrefixMirror } from './prefixMirror.js';
 import type { PrefixSource, ReadFailure } from './prefixSource.js';
+import type { StoreEra } from './storeEra.js';
 
 /** Creates leases in the store and the keys attached to them. */
 export interface LeaseClient {
@@ -41,6 +42,7 @@
 export interface MembershipOptions {
   readonly source: PrefixSource;
   readonly leases: LeaseClient;
+  readonly storeEra: StoreEra;
   readonly timer: TimerService;
   readonly self: Member;
   readonly random: () => number;
@@ -86,6 +88,7 @@
   private constructor(private readonly opts: MembershipOptions) {
     this.mirror = PrefixMirror.create({
       source: opts.source,
+      storeEra: opts.storeEra,
       timer: opts.timer,
       prefix: MEMBER_PREFIX,
       waitMs: WATCH_WAIT_MS,
--- a/packages/store/src/prefixMirror.ts
+++ b/packages/store/src/prefixMirror.ts
@@ -13,6 +13,7 @@
   PrefixSource,
   ReadFailure,
 } from './prefixSource.js';
+import type { StoreEra } from './storeEra.js';
 
 /** State changes that a mirror reports. */
 export type MirrorEvent =
@@ -29,11 +30,13 @@
       readonly evidenceAgeMs: number;
     }
   | { readonly kind: 'regained'; readonly prefix: string; readonly storeRevision: number }
-  | { readonly kind: 'history-lost'; readonly prefix: string; readonly storeRevision: number };
+  | { readonly kind: 'history-lost'; readonly prefix: string; readonly storeRevision: number }
+  | { readonly kind: 'restored'; readonly prefix: string; readonly storeRevision: number };
 
 /** Options of {@link PrefixMirror.create}. */
 export interface PrefixMirrorOptions {
   readonly source: PrefixSource;
+  readonly storeEra: StoreEra;
   readonly timer: TimerService;
   readonly prefix: string;
   /**
@@ -75,6 +78,9 @@
 
   private failures = 0;
 
+  /** Rises of the store's era that had been seen when all entries were last read. */
+  private risesRead = 0;
+
   private constructor(private readonly opts: PrefixMirrorOptions) {}
 
   /** Creates a mirror that has read nothing yet. */
@@ -88,15 +94,33 @@
   }
 
   /**
-   * Reads all entries and follows their changes; reads all again if the change history was lost.
+   * Reads all entries and follows their changes; reads all again if the change history was lost or
+   * the store was restored.
    */
   async run(opts: { readonly signal: AbortSignal }): Promise<void> {
     const { signal } = opts;
     while (!signal.aborted) {
-      const hasRead = await this.readAll(signal);
-      if (hasRead) {
-        await this.follow(signal);
-      }
+      // A rise of the era cancels calls that were sent before it; their responses are never applied.
+      const risen = new AbortController();
+      const stopListening = this.opts.storeEra.onRise(() => risen.abort());
+      await this.readAndFollow(AbortSignal.any([signal, risen.signal]));
+      stopListening();
+    }
+  }
+
+  private async readAndFollow(signal: AbortSignal): Promise<void> {
+    const { storeEra, prefix } = this.opts;
+    const { rises } = storeEra;
+    const isRestored = rises > this.risesRead;
+    if (isRestored) {
+      this.opts.onEvent({ kind: 'restored', prefix, storeRevision: this.storeRevision });
+      this.risesRead = rises;
+    }
+    for (let hasRead = false; !signal.aborted && !hasRead;) {
+      hasRead = await this.readAll(signal);
+    }
+    if (!signal.aborted) {
+      await this.follow(signal);
     }
   }
 
@@ -112,6 +136,9 @@
           signal: callSignal,
         }),
       );
+      if (signal.aborted) {
+        return false;
+      }
       if (page.isErr) {
         await this.backOff(page.error, signal);
         return false;
@@ -147,6 +174,9 @@
           signal: callSignal,
         }),
       );
+      if (signal.aborted) {
+        return;
+      }
       if (result.isOk) {
         this.applyChanges(result.value, sentAt);
       } else if (result.error.kind === 'history-lost') {
--- a/packages/store/test/prefixMirror.feature
+++ b/packages/store/test/prefixMirror.feature
@@ -50,3 +50,53 @@
     When 100 ms pass for the mirror
     And the wall clock steps by -60000 ms while the store is down for 3000 ms
     Then its evidence is at least 3000 ms old
+
+  # Guards against changes that are missed, since a restored store gave their revisions out again.
+  Scenario: Revisions that are given out again are read, though no history was lost
+    When 100 ms pass for the mirror
+    And "c" is added to the store and "a" is deleted
+    And 10 ms pass for the mirror
+    And the store is down for 1000 ms and comes back from its first copy
+    And "d, e, f" are added to the restored store
+    And 1000 ms pass for the mirror
+    Then the mirror contains "a, b, d, e, f"
+
+  # Guards against a read that was waiting across the drill, and whose response lacks changes.
+  Scenario: The response to a read that was sent before the drill is not applied
+    When 100 ms pass for the mirror
+    And "c" is added to the store and "a" is deleted
+    And 10 ms pass for the mirror
+    And the store comes back from its first copy while reads wait
+    And "d, e, f" are added to the restored store
+    And 10 ms pass for the mirror
+    Then the mirror contains "a, b, d, e, f"
+    And the restored store was reported 1 time
+
+  # Guards against a mirror that goes on waiting though another reader has seen that the store was restored.
+  Scenario: A rise of the era that another reader sees is acted on at once
+    When 100 ms pass for the mirror
+    And "c" is added to the store and "a" is deleted
+    And 10 ms pass for the mirror
+    And the store comes back from its first copy while reads wait
+    And another reader sees its era
+    And 10 ms pass for the mirror
+    Then the mirror contains "a, b"
+
+  # Guards against a second drill during the reads after the first.
+  Scenario: Several drills in a row
+    When 100 ms pass for the mirror
+    And the store takes 100 ms for each response
+    And the store comes back from its first copy while reads wait
+    And "d, e, f" are added to the restored store
+    And 50 ms pass for the mirror
+    And the store comes back from its first copy while reads wait
+    And "g, h, i" are added to the restored store
+    And 2000 ms pass for the mirror
+    Then the mirror contains "a, b, g, h, i"
+
+  # Guards against reads that are repeated for a store that states a lower era, or none.
+  Scenario: A lower or missing era is no rise
+    When 100 ms pass for the mirror
+    And responses state the era 0, then none, then 1 again
+    And 10 ms pass for the mirror
+    Then the restored store was reported 0 times
--- a/packages/store/test/prefixMirror.steps.ts
+++ b/packages/store/test/prefixMirror.steps.ts
@@ -7,6 +7,7 @@
   type PrefixEntry,
   PrefixMirror,
   type PrefixSource,
+  StoreEra,
 } from '@galenatiller/store';
 import { type Clock, ManualClock, TimerService } from '@galenatiller/timer';
 import { Result } from 'true-myth';
@@ -15,6 +16,9 @@
   mirrorClock: ManualClock;
   wallOffsetMs: number;
   mirror: PrefixMirror;
+  storeEra: StoreEra;
+  /** Era that the store states in its responses. */
+  statedEra: number | undefined;
   mirrorTimer: TimerService;
   stopMirror: AbortController;
   storedRevisions: Map<string, number>;
@@ -50,8 +54,9 @@
       });
       return failed;
     }
-    const read = value();
+    const [read, statedEra] = [value(), world.statedEra];
     await world.mirrorTimer.sleep({ delayMs: world.delayMs, signal });
+    world.storeEra.observe(statedEra);
     return Result.ok(read);
   };
   return {
@@ -108,9 +113,12 @@
   this.wake = () => {};
   this.mirroredKeys = new Set();
   this.reportedKinds = [];
+  this.statedEra = 1;
+  this.storeEra = StoreEra.create({ onEvent: () => {} });
   this.stopMirror = new AbortController();
   this.mirror = PrefixMirror.create({
     source: createSource(this),
+    storeEra: this.storeEra,
     timer: this.mirrorTimer,
     prefix: 'p/',
     waitMs: 1_000,
@@ -173,6 +181,56 @@
   this.oldestRevision = this.revision;
 });
 
+/** Restores the store from the copy that it had when the mirror was created. */
+function restore(world: MirrorWorld): void {
+  world.statedEra = (world.statedEra ?? 0) + 1;
+  world.storedRevisions = new Map([
+    ['a', 1],
+    ['b', 2],
+  ]);
+  world.history = [];
+  world.revision = 2;
+}
+
+When(
+  'the store is down for {int} ms and comes back from its first copy',
+  async function when(this: MirrorWorld, forMs: number) {
+    this.mode = 'down';
+    this.wake();
+    await this.mirrorClock.advance({ byMs: forMs });
+    restore(this);
+    this.mode = 'up';
+  },
+);
+
+When('the store comes back from its first copy while reads wait', function when(this: MirrorWorld) {
+  restore(this);
+});
+
+When('{string} are added to the restored store', function when(this: MirrorWorld, keys: string) {
+  keys.split(', ').forEach((key) => {
+    this.revision += 1;
+    this.storedRevisions.set(key, this.revision);
+    this.history.push({ kind: 'put', entry: createEntry(key, this.revision) });
+  });
+  this.wake();
+});
+
+When('another reader sees its era', function when(this: MirrorWorld) {
+  this.storeEra.observe(this.statedEra);
+});
+
+When('responses state the era 0, then none, then 1 again', function when(this: MirrorWorld) {
+  [0, undefined, 1].forEach((era) => this.storeEra.observe(era));
+});
+
+Then(
+  /^the restored store was reported (\d+) times?$/,
+  function then(this: MirrorWorld, times: string) {
+    assert.equal(this.reportedKinds.filter((kind) => kind === 'restored').length, Number(times));
+  },
+);
+
 When(
   /^the store (is down|hangs) for (\d+) ms$/,
   async function when(this: MirrorWorld, how: string, forMs: string) {
