Keep targets and evacuations that a restored store lacks, and hold those it still has

After the store came back from an older copy, routers dropped live targets that the copy lacks at once, ended evacuations that had been acknowledged in the lost seconds, and sent calls to targets that had said before that they drain or had left, since the copy has them as ready. What was known now bridges the time in which the writers write their entries again; an entry that is written or deleted after the read applies at once, and a process that has restarted under its id is taken at once.

--- a/packages/router/src/createOperatorHandlers.ts
+++ b/packages/router/src/createOperatorHandlers.ts
@@ -1,13 +1,18 @@
 import type { EventLog } from '@galenatiller/logger';
-import type { PrefixEntry, PrefixMirrorOptions } from '@galenatiller/store';
+import { type PrefixEntry, type PrefixMirrorOptions, RestoredEntries } from '@galenatiller/store';
 import type { TargetDirectory } from '@galenatiller/target';
+import type { TimerService } from '@galenatiller/timer';
 
 import type { OperatorEntryDecoder } from './entryDecoders.js';
 import type { Rollouts } from './rollouts.js';
 import type { RouteTable } from './routeTable.js';
 
+/** Time in which operators write again what a restored store lacks. */
+const REWRITE_TIME_MS = 2_200;
+
 /** Options of {@link createOperatorHandlers}. */
 export interface OperatorHandlersOptions {
+  readonly timer: TimerService;
   readonly log: EventLog;
   readonly operatorEntries: OperatorEntryDecoder;
   readonly routes: RouteTable;
@@ -20,30 +25,36 @@
 export function createOperatorHandlers(
   opts: OperatorHandlersOptions,
 ): Pick<PrefixMirrorOptions, 'prefix' | 'onEntries' | 'onChange'> {
-  const { operatorEntries, targets } = opts;
-  return {
-    prefix: operatorEntries.prefix,
-    onEntries: (entries) => {
-      const zonesOut = new Set(entries.map(({ key }) => operatorEntries.zoneOfKey(key)));
-      targets
-        .zonesTakenOut()
-        .filter((zone) => !zonesOut.has(zone))
-        .forEach((zone) => targets.setZoneOut({ zone, isOut: false, storeRevision: 0 }));
-      entries.forEach((entry) => applyEntry(opts, entry));
-      opts.onChanged();
-    },
-    onChange: (change) => {
-      if (change.kind === 'put') {
-        applyEntry(opts, change.entry);
-      } else {
-        const zone = operatorEntries.zoneOfKey(change.key);
-        if (zone !== undefined) {
-          targets.setZoneOut({ zone, isOut: false, storeRevision: change.revision });
+  const { timer, operatorEntries, targets } = opts;
+  const restored = RestoredEntries.create({
+    timer,
+    keepMissingMs: REWRITE_TIME_MS,
+    holdStaleMs: 0,
+    isStale: () => false,
+    handlers: {
+      onEntries: (entries) => {
+        const zonesOut = new Set(entries.map(({ key }) => operatorEntries.zoneOfKey(key)));
+        targets
+          .zonesTakenOut()
+          .filter((zone) => !zonesOut.has(zone))
+          .forEach((zone) => targets.setZoneOut({ zone, isOut: false, storeRevision: 0 }));
+        entries.forEach((entry) => applyEntry(opts, entry));
+        opts.onChanged();
+      },
+      onChange: (change) => {
+        if (change.kind === 'put') {
+          applyEntry(opts, change.entry);
+        } else {
+          const zone = operatorEntries.zoneOfKey(change.key);
+          if (zone !== undefined) {
+            targets.setZoneOut({ zone, isOut: false, storeRevision: change.revision });
+          }
         }
-      }
-      opts.onChanged();
+        opts.onChanged();
+      },
     },
-  };
+  });
+  return { prefix: operatorEntries.prefix, ...restored.handlers() };
 }
 
 function applyEntry(opts: OperatorHandlersOptions, entry: PrefixEntry): void {
--- a/packages/router/src/createTargetHandlers.ts
+++ b/packages/router/src/createTargetHandlers.ts
@@ -1,11 +1,24 @@
 import type { EventLog } from '@galenatiller/logger';
-import type { PrefixEntry, PrefixMirrorOptions } from '@galenatiller/store';
+import {
+  type KnownAndRead,
+  type PrefixEntry,
+  type PrefixMirrorOptions,
+  RestoredEntries,
+} from '@galenatiller/store';
 import type { TargetDirectory, TargetEntry } from '@galenatiller/target';
+import type { TimerService } from '@galenatiller/timer';
 
 import type { TargetEntryDecoder } from './entryDecoders.js';
 
+/** Live targets write their entries again within two seconds after the store is back. */
+const REWRITE_TIME_MS = 2_200;
+
+/** Entries of targets that have left expire within a few missed heartbeats. */
+const EXPIRY_TIME_MS = 4_500;
+
 /** Options of {@link createTargetHandlers}. */
 export interface TargetHandlersOptions {
+  readonly timer: TimerService;
   readonly log: EventLog;
   readonly targetEntries: TargetEntryDecoder;
   readonly targets: TargetDirectory;
@@ -16,23 +29,43 @@
 export function createTargetHandlers(
   opts: TargetHandlersOptions,
 ): Pick<PrefixMirrorOptions, 'prefix' | 'onEntries' | 'onChange'> {
-  const { targetEntries, targets } = opts;
-  return {
-    prefix: targetEntries.prefix,
-    onEntries: (entries) => {
-      targets.replaceAll(entries.map((entry) => decode(opts, entry)));
-      opts.onChanged();
-    },
-    onChange: (change) => {
-      if (change.kind === 'put') {
-        targets.put(decode(opts, change.entry));
-      } else {
-        const id = targetEntries.idOfKey(change.key);
-        targets.remove({ id, storeRevision: change.revision });
-      }
-      opts.onChanged();
+  const { timer, targetEntries, targets } = opts;
+  const restored = RestoredEntries.create({
+    timer,
+    keepMissingMs: REWRITE_TIME_MS,
+    holdStaleMs: EXPIRY_TIME_MS,
+    isStale: (entries) => isStale(targetEntries, entries),
+    handlers: {
+      onEntries: (entries) => {
+        targets.replaceAll(entries.map((entry) => decode(opts, entry)));
+        opts.onChanged();
+      },
+      onChange: (change) => {
+        if (change.kind === 'put') {
+          targets.put(decode(opts, change.entry));
+        } else {
+          const id = targetEntries.idOfKey(change.key);
+          targets.remove({ id, storeRevision: change.revision });
+        }
+        opts.onChanged();
+      },
     },
-  };
+  });
+  return { prefix: targetEntries.prefix, ...restored.handlers() };
+}
+
+/** A target that was draining or gone never serves again before it has restarted. */
+function isStale(
+  { decode: decodeEntry }: TargetEntryDecoder,
+  { known, isDeleted, read }: KnownAndRead,
+): boolean {
+  const [before, after] = [decodeEntry(known).target, decodeEntry(read).target];
+  return (
+    (isDeleted || before?.state === 'draining') &&
+    after?.state === 'ready' &&
+    before?.startedWallMs === after.startedWallMs &&
+    before.address === after.address
+  );
 }
 
 function decode(opts: TargetHandlersOptions, entry: PrefixEntry): TargetEntry {
--- a/packages/store/src/index.ts
+++ b/packages/store/src/index.ts
@@ -13,5 +13,7 @@
 export type { WatchOptions } from './watchPrefix.js';
 export { type MirrorEvent, PrefixMirror, type PrefixMirrorOptions } from './prefixMirror.js';
 export type * from './prefixSource.js';
+export type { EntryHandlers, KnownAndRead, EntriesRead } from './restoredEntries.js';
+export { RestoredEntries, type RestoredEntriesOptions } from './restoredEntries.js';
 export { StoreEra, type StoreEraEvent, type StoreEraOptions } from './storeEra.js';
 export { type LeaseClient, type Member, Membership, type MembershipOptions } from './membership.js';
--- a/packages/store/src/prefixMirror.ts
+++ b/packages/store/src/prefixMirror.ts
@@ -6,13 +6,8 @@
 } from '@galenatiller/timer';
 
 import { jitteredDelayMs } from './jitteredDelayMs.js';
-import type {
-  PrefixChange,
-  PrefixChanges,
-  PrefixEntry,
-  PrefixSource,
-  ReadFailure,
-} from './prefixSource.js';
+import type { PrefixChanges, PrefixEntry, PrefixSource, ReadFailure } from './prefixSource.js';
+import type { EntryHandlers } from './restoredEntries.js';
 import type { StoreEra } from './storeEra.js';
 
 /** State changes that a mirror reports. */
@@ -34,7 +29,7 @@
   | { readonly kind: 'restored'; readonly prefix: string; readonly storeRevision: number };
 
 /** Options of {@link PrefixMirror.create}. */
-export interface PrefixMirrorOptions {
+export interface PrefixMirrorOptions extends EntryHandlers {
   readonly source: PrefixSource;
   readonly storeEra: StoreEra;
   readonly timer: TimerService;
@@ -47,9 +42,6 @@
   readonly responseMarginMs: number;
   /** Returns a uniform random number from 0 to 1, for jitter. */
   readonly random: () => number;
-  /** Receives all entries under the prefix, which replace those received before. */
-  readonly onEntries: (entries: readonly PrefixEntry[]) => void;
-  readonly onChange: (change: PrefixChange) => void;
   readonly onEvent: (event: MirrorEvent) => void;
 }
 
@@ -117,14 +109,18 @@
       this.risesRead = rises;
     }
     for (let hasRead = false; !signal.aborted && !hasRead;) {
-      hasRead = await this.readAll(signal);
+      hasRead = await this.readAll({ signal, isRestored });
     }
     if (!signal.aborted) {
       await this.follow(signal);
     }
   }
 
-  private async readAll(signal: AbortSignal): Promise<boolean> {
+  private async readAll(opts: {
+    readonly signal: AbortSignal;
+    readonly isRestored: boolean;
+  }): Promise<boolean> {
+    const { signal, isRestored } = opts;
     const sentAt = readClocks(this.opts.timer);
     const entries: PrefixEntry[] = [];
     let storeRevision: number | undefined;
@@ -148,7 +144,7 @@
       storeRevision ??= page.value.storeRevision;
       hasMore = page.value.hasMore && page.value.entries.length > 0;
     }
-    this.opts.onEntries(entries);
+    this.opts.onEntries(entries, { isRestored });
     this.confirm(sentAt, storeRevision ?? 0);
     const { prefix } = this.opts;
     this.opts.onEvent({
--- /dev/null
+++ b/packages/store/src/restoredEntries.ts
@@ -0,0 +1,160 @@
+import type { TimerService } from '@galenatiller/timer';
+
+import type { PrefixChange, PrefixEntry } from './prefixSource.js';
+
+/** Whether entries were read from a store that was restored since the last read. */
+export interface EntriesRead {
+  readonly isRestored: boolean;
+}
+
+/** Receivers of the entries that a mirror reads and of their changes. */
+export interface EntryHandlers {
+  /** Receives all entries under the prefix, which replace those received before. */
+  readonly onEntries: (entries: readonly PrefixEntry[], read: EntriesRead) => void;
+  readonly onChange: (change: PrefixChange) => void;
+}
+
+/** The last known entry of a key, and what the copy has. */
+export interface KnownAndRead {
+  readonly known: PrefixEntry;
+  /** Whether the known entry was deleted before the store was restored. */
+  readonly isDeleted: boolean;
+  readonly read: PrefixEntry;
+}
+
+/** A deleted entry. */
+interface DeletedEntry {
+  readonly entry: PrefixEntry;
+  readonly atMs: number;
+}
+
+/** Options of {@link RestoredEntries.create}. */
+export interface RestoredEntriesOptions {
+  readonly timer: TimerService;
+  readonly handlers: EntryHandlers;
+  /** Time for which an entry that the copy lacks is kept, until its writer has written it again. */
+  readonly keepMissingMs: number;
+  /** Time for which a stale entry isn't taken, unless it is written again. */
+  readonly holdStaleMs: number;
+  /** Whether an entry of the copy is older than the one that was known last. */
+  readonly isStale: (opts: KnownAndRead) => boolean;
+}
+
+/** Copies of the store are younger than this, so that no longer memory of deleted keys is needed. */
+const DELETED_RETENTION_MS = 30_000;
+
+/**
+ * Bridges the time after the store was restored from a copy, until what was written since the copy
+ * has been written again: what the copy lacks isn't deleted at once, and what was deleted since isn't
+ * taken as new. An entry that is written or deleted after the read is applied at once.
+ */
+export class RestoredEntries {
+  private readonly known = new Map<string, PrefixEntry>();
+
+  private readonly deleted = new Map<string, DeletedEntry>();
+
+  /** Changes that apply unless the key is written or deleted first. */
+  private readonly pending = new Map<string, PrefixChange>();
+
+  private bridgedUntilMs = 0;
+
+  private constructor(private readonly opts: RestoredEntriesOptions) {}
+
+  /** Creates an instance that knows no entries. */
+  static create(opts: RestoredEntriesOptions): RestoredEntries {
+    return new RestoredEntries(opts);
+  }
+
+  /** Handlers for the mirror. */
+  handlers(): EntryHandlers {
+    return {
+      onEntries: (entries, read) => this.applyRead(entries, read),
+      onChange: (change) => this.applyChange(change),
+    };
+  }
+
+  private applyRead(entries: readonly PrefixEntry[], read: EntriesRead): void {
+    const nowMs = this.opts.timer.nowMs();
+    if (read.isRestored) {
+      this.bridgedUntilMs = nowMs + this.opts.keepMissingMs;
+    }
+    this.pending.clear();
+    const isBridged = nowMs < this.bridgedUntilMs;
+    const result = isBridged ? this.bridge(entries) : entries;
+    const keys = new Set(result.map(({ key }) => key));
+    [...this.known.keys()].filter((key) => !keys.has(key)).forEach((key) => this.forget(key));
+    result.forEach((entry) => this.known.set(entry.key, entry));
+    this.opts.handlers.onEntries(result, read);
+  }
+
+  /** The entries that apply now; the others follow when their time has passed. */
+  private bridge(entries: readonly PrefixEntry[]): readonly PrefixEntry[] {
+    const { keepMissingMs, holdStaleMs } = this.opts;
+    const read = new Map(entries.map((entry) => [entry.key, entry]));
+    const missing = [...this.known.values()].filter(({ key }) => !read.has(key));
+    missing.forEach(({ key }) =>
+      this.applyLater({ kind: 'delete', key, revision: 0 }, keepMissingMs),
+    );
+    const taken = entries.flatMap((entry) => {
+      if (!this.isStale(entry)) {
+        return [entry];
+      }
+      this.applyLater({ kind: 'put', entry }, holdStaleMs);
+      const known = this.known.get(entry.key);
+      return known ? [known] : [];
+    });
+    return [...taken, ...missing];
+  }
+
+  private isStale(read: PrefixEntry): boolean {
+    const { isStale } = this.opts;
+    const known = this.known.get(read.key);
+    if (known) {
+      return isStale({ known, isDeleted: false, read });
+    }
+    const deleted = this.deleted.get(read.key);
+    return deleted !== undefined && isStale({ known: deleted.entry, isDeleted: true, read });
+  }
+
+  private applyLater(change: PrefixChange, delayMs: number): void {
+    const key = keyOf(change);
+    this.pending.set(key, change);
+    this.opts.timer.after({
+      delayMs,
+      notify: () => {
+        if (this.pending.get(key) === change) {
+          this.applyChange(change);
+        }
+      },
+    });
+  }
+
+  private applyChange(change: PrefixChange): void {
+    const key = keyOf(change);
+    this.pending.delete(key);
+    if (change.kind === 'put') {
+      this.known.set(key, change.entry);
+    } else {
+      this.forget(key);
+    }
+    this.opts.handlers.onChange(change);
+  }
+
+  private forget(key: string): void {
+    const nowMs = this.opts.timer.nowMs();
+    const entry = this.known.get(key);
+    this.known.delete(key);
+    this.deleted.forEach(({ atMs }, deletedKey) => {
+      if (nowMs - atMs >= DELETED_RETENTION_MS) {
+        this.deleted.delete(deletedKey);
+      }
+    });
+    if (entry) {
+      this.deleted.set(key, { entry, atMs: nowMs });
+    }
+  }
+}
+
+function keyOf(change: PrefixChange): string {
+  return change.kind === 'put' ? change.entry.key : change.key;
+}
