Tell readers that the store is back before they get what it lacks

After an outage in which entries of live targets expired, routers dropped these targets at once: the grace period for missing entries began only after the first response had been applied. Found by reading; the mirror now reports the recovery first. Both scenarios failed before.

--- a/packages/store/src/prefixMirror.ts
+++ b/packages/store/src/prefixMirror.ts
@@ -144,8 +144,9 @@
       storeRevision ??= page.value.storeRevision;
       hasMore = page.value.hasMore && page.value.entries.length > 0;
     }
-    this.opts.onEntries(entries, { isRestored });
+    // Readers learn that the store is back before they are told what it lacks.
     this.confirm(sentAt, storeRevision ?? 0);
+    this.opts.onEntries(entries, { isRestored });
     const { prefix } = this.opts;
     this.opts.onEvent({
       kind: 'read',
@@ -185,8 +186,8 @@
   }
 
   private applyChanges(received: PrefixChanges, sentAt: ClockReading): void {
-    received.changes.forEach((change) => this.opts.onChange(change));
     this.confirm(sentAt, Math.max(this.storeRevision, received.storeRevision));
+    received.changes.forEach((change) => this.opts.onChange(change));
   }
 
   private confirm(sentAt: ClockReading, storeRevision: number): void {
--- a/packages/store/test/prefixMirror.feature
+++ b/packages/store/test/prefixMirror.feature
@@ -41,6 +41,19 @@
     And 2000 ms pass for the mirror
     Then the mirror contains "b"
 
+  # Guards against readers that drop entries as deleted, since they learn of the outage too late.
+  Scenario Outline: Readers learn that the store is back before they get what it lacks
+    When 100 ms pass for the mirror
+    And the store is down for 1000 ms, and meanwhile "a" expires and the history is <history>
+    And 2000 ms pass for the mirror
+    Then the mirror contains "b"
+    And the recovery was reported before "a" was missing
+
+    Examples:
+      | history |
+      | kept    |
+      | dropped |
+
   Scenario: On a suspended host the evidence ages by the wall clock
     When 100 ms pass for the mirror
     And the host is suspended for 6000 ms
--- a/packages/store/test/prefixMirror.steps.ts
+++ b/packages/store/test/prefixMirror.steps.ts
@@ -30,6 +30,8 @@
   wake: () => void;
   mirroredKeys: Set<string>;
   reportedKinds: MirrorEvent['kind'][];
+  /** Whether "a" was still in the mirror when the recovery was reported. */
+  hadKeyAtRecovery: boolean;
 }
 
 function createEntry(key: string, revision: number): PrefixEntry {
@@ -136,6 +138,9 @@
     },
     onEvent: ({ kind }) => {
       this.reportedKinds.push(kind);
+      if (kind === 'regained') {
+        this.hadKeyAtRecovery = this.mirroredKeys.has('p/a');
+      }
     },
   });
   this.mirror.run({ signal: this.stopMirror.signal }).catch((error: unknown) => {
@@ -216,6 +221,26 @@
   this.wake();
 });
 
+When(
+  /^the store is down for (\d+) ms, and meanwhile "a" expires and the history is (kept|dropped)$/,
+  async function when(this: MirrorWorld, forMs: string, history: 'kept' | 'dropped') {
+    this.mode = 'down';
+    this.wake();
+    await this.mirrorClock.advance({ byMs: Number(forMs) });
+    deleteKey(this, 'a');
+    if (history === 'dropped') {
+      this.history = [];
+      this.oldestRevision = this.revision;
+    }
+    this.mode = 'up';
+  },
+);
+
+Then('the recovery was reported before "a" was missing', function then(this: MirrorWorld) {
+  assert.ok(this.reportedKinds.includes('regained'));
+  assert.ok(this.hadKeyAtRecovery);
+});
+
 When('another reader sees its era', function when(this: MirrorWorld) {
   this.storeEra.observe(this.statedEra);
 });
