Register members again when the store was restored, and keep those that do

A restored store has lost leases and may give their ids out again: a node whose id another one got renewed that lease for good without being registered, and ended it when it left. Members that the copy lacked were gone at once, and those that had left were live again: in a play of several drills, three routers that were stopping were live for a second after the second drill. Nodes now hold a lease only in the era that granted it and register again as soon as any reader sees a rise; the list of members is bridged as that of targets is.

--- a/packages/store/src/membership.ts
+++ b/packages/store/src/membership.ts
@@ -4,6 +4,7 @@
 import { jitteredDelayMs } from './jitteredDelayMs.js';
 import { type MirrorEvent, PrefixMirror } from './prefixMirror.js';
 import type { PrefixSource, ReadFailure } from './prefixSource.js';
+import { type EntryHandlers, RestoredEntries } from './restoredEntries.js';
 import type { StoreEra } from './storeEra.js';
 
 /** Creates leases in the store and the keys attached to them. */
@@ -66,6 +67,15 @@
 /** Time limit of one call, shorter than the renewal interval. */
 const CALL_TIMEOUT_MS = 700;
 
+/** Live nodes register again at once when the store was restored; leases of others end within this. */
+const RESTORED_LIMIT_MS = LEASE_TTL_MS + CALL_TIMEOUT_MS;
+
+/** A lease, and the rises of the store's era that had been seen when it was granted. */
+interface HeldLease {
+  readonly leaseId: string;
+  readonly rises: number;
+}
+
 /** Nodes that left are still counted for this time, since they may only be disconnected. */
 const DEPARTED_RETENTION_MS = 6_000;
 
@@ -94,19 +104,7 @@
       waitMs: WATCH_WAIT_MS,
       responseMarginMs: CALL_TIMEOUT_MS,
       random: opts.random,
-      onEntries: (entries) => {
-        this.members.clear();
-        entries.forEach(({ key, value }) => this.add(key, value));
-        this.notifyChange();
-      },
-      onChange: (change) => {
-        if (change.kind === 'put') {
-          this.add(change.entry.key, change.entry.value);
-        } else {
-          this.members.delete(getMemberName(change.key));
-        }
-        this.notifyChange();
-      },
+      ...this.createHandlers(),
       onEvent: opts.onEvent,
     });
   }
@@ -145,15 +143,41 @@
     await Promise.all([this.mirror.run({ signal }), this.maintainOwnMembership(ownSignal)]);
   }
 
+  private createHandlers(): EntryHandlers {
+    const restored = RestoredEntries.create({
+      timer: this.opts.timer,
+      keepMissingMs: RESTORED_LIMIT_MS,
+      holdStaleMs: RESTORED_LIMIT_MS,
+      isStale: ({ isDeleted }) => isDeleted,
+      handlers: {
+        onEntries: (entries) => {
+          this.members.clear();
+          entries.forEach(({ key, value }) => this.add(key, value));
+          this.notifyChange();
+        },
+        onChange: (change) => {
+          if (change.kind === 'put') {
+            this.add(change.entry.key, change.entry.value);
+          } else {
+            this.members.delete(getMemberName(change.key));
+          }
+          this.notifyChange();
+        },
+      },
+    });
+    return restored.handlers();
+  }
+
   private async maintainOwnMembership(signal: AbortSignal): Promise<void> {
-    const { timer, random } = this.opts;
-    let leaseId: string | undefined;
+    const { timer, random, storeEra } = this.opts;
+    let lease: HeldLease | undefined;
     let failures = 0;
     while (!signal.aborted) {
-      leaseId ??= await this.register();
-      const renewal = leaseId === undefined ? undefined : await this.renew(leaseId);
-      if (renewal === 'ended') {
-        leaseId = undefined;
+      // A restored store may have lost the lease, and given its id to another node since.
+      lease = this.isHeld(lease) ? lease : await this.register();
+      const renewal = lease && this.isHeld(lease) ? await this.renew(lease.leaseId) : undefined;
+      if (renewal === 'ended' || (lease && !this.isHeld(lease))) {
+        lease = undefined;
         continue;
       }
       failures = renewal === 'kept' ? 0 : failures + 1;
@@ -166,13 +190,20 @@
               maxMs: RENEW_INTERVAL_MS * 2,
               random,
             });
-      await timer.sleep({ delayMs, signal });
+      const risen = new AbortController();
+      const stopListening = storeEra.onRise(() => risen.abort());
+      await timer.sleep({ delayMs, signal: AbortSignal.any([signal, risen.signal]) });
+      stopListening();
     }
-    if (leaseId !== undefined) {
-      await this.endLease(leaseId);
+    if (lease && this.isHeld(lease)) {
+      await this.endLease(lease.leaseId);
     }
   }
 
+  private isHeld(lease: HeldLease | undefined): boolean {
+    return lease?.rises === this.opts.storeEra.rises;
+  }
+
   /** Renews the lease; undefined if the store did not respond. */
   private async renew(leaseId: string): Promise<'kept' | 'ended' | undefined> {
     const { leases } = this.opts;
@@ -185,8 +216,9 @@
     await this.callWithTimeout((signal) => leases.revoke({ leaseId, signal }));
   }
 
-  private async register(): Promise<string | undefined> {
-    const { leases, self } = this.opts;
+  private async register(): Promise<HeldLease | undefined> {
+    const { leases, self, storeEra } = this.opts;
+    const { rises } = storeEra;
     const granted = await this.callWithTimeout((signal) =>
       leases.grant({ ttlMs: LEASE_TTL_MS, signal }),
     );
@@ -199,7 +231,7 @@
     const written = await this.callWithTimeout((signal) =>
       leases.put({ key, value, leaseId, signal }),
     );
-    return written.isOk && written.value === 'written' ? leaseId : undefined;
+    return written.isOk && written.value === 'written' ? { leaseId, rises } : undefined;
   }
 
   private add(key: string, value: Buffer): void {
