Take an order that is written again to a restored store as the known one

An order that was written again after a drill has another revision and started its rollout anew, so that a version that had been rolled back got calls again; an order or a state whose revision was given out again was taken for an earlier one. For some seconds after a rise of the era an order with the same contents is the known one and keeps its state and deadline; states read before bind no later order.

--- a/packages/router/src/createMirrors.ts
+++ b/packages/router/src/createMirrors.ts
@@ -46,7 +46,12 @@
     operator: PrefixMirror.create({
       ...common,
       ...createOperatorHandlers(opts),
-      onEvent: (event) => logStoreEvent(log, event),
+      onEvent: (event) => {
+        if (event.kind === 'restored') {
+          opts.rollouts.onStoreRestored();
+        }
+        logStoreEvent(log, event);
+      },
     }),
     targets: PrefixMirror.create({
       ...common,
--- a/packages/router/src/rollouts.ts
+++ b/packages/router/src/rollouts.ts
@@ -51,6 +51,9 @@
 /** The unproved version never gets quite the allowed share, which holds for all nodes together. */
 const USED_SHARE = 0.9;
 
+/** Time in which operators write orders again that a restored store lacks. */
+const REWRITE_TIME_MS = 5_000;
+
 /** Time before the deadline at which a rollout is decided, for the write to the store. */
 const DECISION_MARGIN_MS = 1_000;
 
@@ -64,6 +67,8 @@
   /** The last state of each service in the store. */
   private readonly stored = new Map<string, StoredStatus>();
 
+  private restoredAtMs = -Infinity;
+
   private constructor(private readonly opts: RolloutsOptions) {}
 
   /** Creates an instance without rollouts. */
@@ -73,8 +78,10 @@
 
   /** Applies an order; the same one again changes nothing. */
   setOrder(order: RolloutOrder): void {
-    const { service, orderRevision } = order;
-    if (this.rollouts.get(service)?.order.orderRevision === orderRevision) {
+    const { service } = order;
+    const known = this.rollouts.get(service);
+    if (known && this.isSameOrder(known.order, order)) {
+      this.rollouts.set(service, { ...known, order });
       return;
     }
     this.rollouts.set(service, {
@@ -89,6 +96,12 @@
     this.applyStored(service);
   }
 
+  /** Compares no more with revisions read before, as the store was restored from a copy. */
+  onStoreRestored(): void {
+    this.restoredAtMs = this.opts.timer.nowMs();
+    this.stored.clear();
+  }
+
   /** Applies a state in the store to the order that was written before it. */
   setStored(stored: StoredStatus): void {
     const { service, targetVersion } = stored.status;
@@ -199,6 +212,17 @@
     });
   }
 
+  /** Whether an order is the known one; a restored store may have it at another revision. */
+  private isSameOrder(known: RolloutOrder, order: RolloutOrder): boolean {
+    const isWrittenAgain =
+      known.durationMs === order.durationMs &&
+      this.opts.timer.nowMs() - this.restoredAtMs < REWRITE_TIME_MS;
+    return (
+      known.targetVersion === order.targetVersion &&
+      (known.orderRevision === order.orderRevision || isWrittenAgain)
+    );
+  }
+
   private applyStored(service: string): void {
     const rollout = this.rollouts.get(service);
     const stored = this.stored.get(service);
--- a/packages/router/test/rollouts.feature
+++ b/packages/router/test/rollouts.feature
@@ -66,3 +66,22 @@
   Scenario: A version that was rolled back gets nothing after its order has been deleted
     Given a router that reads from the store that the rollout was rolled back, and no order
     Then calls only go to "v1"
+
+  # Guards against a bad version that gets calls again, since its order was written again after a drill.
+  Scenario: An order that is written again to a restored store is not a new one
+    When 2600 calls come in 13 s, and runs take 100 ms on "v1" and 400 ms on "v2"
+    And the store has it as "rolled-back"
+    And the store is restored and the same version is ordered once more
+    Then calls only go to "v1"
+
+  # Guards against an order that is ignored, since a restored store gave it the revision of an earlier one.
+  Scenario: Another order at the revision of an earlier one is a new one
+    When the store is restored and "v1" is ordered at the same revision
+    Then the rollout is one to "v1"
+
+  # Guards against a rollout that ends at once, by a state of which a restored store gave the revision out again.
+  Scenario: States read before the store was restored bind no later order
+    When 2600 calls come in 13 s, and runs take 100 ms on "v1" and 400 ms on "v2"
+    And the store has it as "rolled-back"
+    And the store is restored, and 6 s later the same version is ordered at a lower revision
+    Then calls go to "v1" and "v2"
--- a/packages/router/test/rollouts.steps.ts
+++ b/packages/router/test/rollouts.steps.ts
@@ -179,6 +179,38 @@
   this.rollouts.setOrder(this.order);
 });
 
+When(
+  'the store is restored and the same version is ordered once more',
+  function when(this: RolloutWorld) {
+    this.rollouts.onStoreRestored();
+    this.order = { ...this.order, orderRevision: this.order.orderRevision + 10 };
+    this.rollouts.setOrder(this.order);
+  },
+);
+
+When(
+  'the store is restored and {string} is ordered at the same revision',
+  function when(this: RolloutWorld, targetVersion: string) {
+    this.rollouts.onStoreRestored();
+    this.rollouts.setOrder({ ...this.order, targetVersion });
+  },
+);
+
+When(
+  'the store is restored, and {int} s later the same version is ordered at a lower revision',
+  async function when(this: RolloutWorld, s: number) {
+    this.rollouts.onStoreRestored();
+    await this.rolloutClock.advance({ byMs: s * 1_000 });
+    this.order = { ...this.order, orderRevision: this.order.orderRevision - 1 };
+    this.rollouts.setOrder(this.order);
+  },
+);
+
+Then('the rollout is one to {string}', function then(this: RolloutWorld, version: string) {
+  const [decision] = this.rollouts.decide(() => true);
+  assert.equal(decision?.targetVersion, version);
+});
+
 When('the store has it as {string}', function when(this: RolloutWorld, state: RolloutState) {
   setStored(this, state);
 });
