Take no evidence on keys from a store that is older than what the router knows

After a drill the store may state an older configuration than the active one. Its responses counted as proof that no key had been revoked and no route added since. They count no more until the operator has written that configuration or a newer one again; the older one itself was never adopted, and the log says `older`. Calls then get a temporary refusal by the same limits as while the store is unreachable.

The mirror's scenario failed without the check; that on the route table guards the rule itself.

--- a/packages/router/src/createMirrors.ts
+++ b/packages/router/src/createMirrors.ts
@@ -46,6 +46,8 @@
     operator: PrefixMirror.create({
       ...common,
       ...createOperatorHandlers(opts),
+      // A restored store says nothing about keys until the operator has written the newest again.
+      isCurrent: () => !opts.routes.isStoreBehind,
       onEvent: (event) => {
         if (event.kind === 'restored') {
           opts.rollouts.onStoreRestored();
--- a/packages/router/src/routeTable.ts
+++ b/packages/router/src/routeTable.ts
@@ -12,6 +12,8 @@
 export class RouteTable {
   private configuration: RouterConfig | undefined;
 
+  private isBehind = false;
+
   private routesByHost = new Map<string, RouteConfig[]>();
 
   private organisationsByKey = new Map<string, OrganisationConfig>();
@@ -30,9 +32,15 @@
     return this.configuration;
   }
 
+  /** Whether the configuration that was read last is older than the active one. */
+  get isStoreBehind(): boolean {
+    return this.isBehind;
+  }
+
   /** Activates a configuration if its version is newer than the active one. */
   update(configuration: RouterConfig): ConfigurationUpdate {
     const version = this.configuration?.version;
+    this.isBehind = version !== undefined && configuration.version < version;
     if (version !== undefined && configuration.version <= version) {
       return configuration.version === version ? 'same' : 'older';
     }
--- a/packages/router/test/restoredStore.feature
+++ b/packages/router/test/restoredStore.feature
@@ -61,3 +61,11 @@
     When the operator's entries are restored without it
     And 2300 ms pass for the router
     Then the usable targets of the router are "a"
+
+  # Guards against an older configuration that a router goes back to, or takes as proof of being up to date.
+  Scenario: An acknowledged configuration that comes back older is held back, and proves nothing
+    Given the router has the configuration 13
+    When it reads the configuration 10 from the restored store
+    Then it still has the configuration 13, and the store is behind
+    When it reads the configuration 13 from the restored store
+    Then it still has the configuration 13, and the store is not behind
--- a/packages/router/test/restoredStore.steps.ts
+++ b/packages/router/test/restoredStore.steps.ts
@@ -4,7 +4,7 @@
 import type { EntryHandlers, PrefixEntry } from '@galenatiller/store';
 import { TargetDirectory } from '@galenatiller/target';
 import { ManualClock, TimerService } from '@galenatiller/timer';
-import type { RegisteredTarget } from '@galenatiller/types';
+import type { RegisteredTarget, RouterConfig } from '@galenatiller/types';
 
 import { createOperatorHandlers } from '../src/createOperatorHandlers.js';
 import { createTargetHandlers } from '../src/createTargetHandlers.js';
@@ -15,6 +15,7 @@
 interface RestoredWorld {
   restoredClock: ManualClock;
   targets: TargetDirectory;
+  routeTable: RouteTable;
   targetHandlers: EntryHandlers;
   operatorHandlers: EntryHandlers;
 }
@@ -135,3 +136,36 @@
     assert.equal(usable.sort().join(', '), ids);
   },
 );
+
+function createConfiguration(version: number): RouterConfig {
+  const callerLimits = {
+    maxHeaderBytes: 1,
+    maxBodyBytes: 1,
+    headerTimeoutMs: 1,
+    idleTimeoutMs: 1,
+  };
+  return { version, routes: [], services: [], organisations: undefined, callerLimits };
+}
+
+Given(
+  'the router has the configuration {int}',
+  function given(this: RestoredWorld, version: number) {
+    this.routeTable = RouteTable.create();
+    this.routeTable.update(createConfiguration(version));
+  },
+);
+
+When(
+  'it reads the configuration {int} from the restored store',
+  function when(this: RestoredWorld, version: number) {
+    this.routeTable.update(createConfiguration(version));
+  },
+);
+
+Then(
+  /^it still has the configuration (\d+), and the store is( not)? behind$/,
+  function then(this: RestoredWorld, version: string, not: string | null) {
+    assert.equal(this.routeTable.currentConfiguration()?.version, Number(version));
+    assert.equal(this.routeTable.isStoreBehind, not === null);
+  },
+);
--- a/packages/store/src/prefixMirror.ts
+++ b/packages/store/src/prefixMirror.ts
@@ -43,6 +43,11 @@
   /** Returns a uniform random number from 0 to 1, for jitter. */
   readonly random: () => number;
   readonly onEvent: (event: MirrorEvent) => void;
+  /**
+   * Whether the entries are at least as new as what the reader knows; a response is no evidence
+   * otherwise. Always true if omitted.
+   */
+  readonly isCurrent?: () => boolean;
 }
 
 /** First upper bound of the retry delay; a faster retry would most likely hit the same outage. */
@@ -144,9 +149,11 @@
       storeRevision ??= page.value.storeRevision;
       hasMore = page.value.hasMore && page.value.entries.length > 0;
     }
-    // Readers learn that the store is back before they are told what it lacks.
-    this.confirm(sentAt, storeRevision ?? 0);
-    this.opts.onEntries(entries, { isRestored });
+    this.apply({
+      sentAt,
+      storeRevision: storeRevision ?? 0,
+      deliver: () => this.opts.onEntries(entries, { isRestored }),
+    });
     const { prefix } = this.opts;
     this.opts.onEvent({
       kind: 'read',
@@ -186,8 +193,25 @@
   }
 
   private applyChanges(received: PrefixChanges, sentAt: ClockReading): void {
-    this.confirm(sentAt, Math.max(this.storeRevision, received.storeRevision));
-    received.changes.forEach((change) => this.opts.onChange(change));
+    this.apply({
+      sentAt,
+      storeRevision: Math.max(this.storeRevision, received.storeRevision),
+      deliver: () => received.changes.forEach((change) => this.opts.onChange(change)),
+    });
+  }
+
+  private apply(opts: {
+    readonly sentAt: ClockReading;
+    readonly storeRevision: number;
+    readonly deliver: () => void;
+  }): void {
+    const before = this.confirmedAt;
+    // Readers learn that the store is back before they are told what it lacks.
+    this.confirm(opts.sentAt, opts.storeRevision);
+    opts.deliver();
+    if (this.opts.isCurrent?.() === false) {
+      this.confirmedAt = before;
+    }
   }
 
   private confirm(sentAt: ClockReading, storeRevision: number): void {
--- a/packages/store/test/prefixMirror.feature
+++ b/packages/store/test/prefixMirror.feature
@@ -113,3 +113,13 @@
     And responses state the era 0, then none, then 1 again
     And 10 ms pass for the mirror
     Then the restored store was reported 0 times
+
+  # Guards against keys and routes that are judged by a restored store that lacks what the router knows.
+  Scenario: Responses from a copy that is older than what the reader knows are no evidence
+    When 100 ms pass for the mirror
+    And the reader knows something newer than the store has
+    And 3000 ms pass for the mirror
+    Then its evidence is at least 3000 ms old
+    When the store has it again
+    And 1500 ms pass for the mirror
+    Then its evidence is at most 2000 ms old
--- a/packages/store/test/prefixMirror.steps.ts
+++ b/packages/store/test/prefixMirror.steps.ts
@@ -32,6 +32,7 @@
   reportedKinds: MirrorEvent['kind'][];
   /** Whether "a" was still in the mirror when the recovery was reported. */
   hadKeyAtRecovery: boolean;
+  isMirrorCurrent: boolean;
 }
 
 function createEntry(key: string, revision: number): PrefixEntry {
@@ -115,6 +116,7 @@
   this.wake = () => {};
   this.mirroredKeys = new Set();
   this.reportedKinds = [];
+  this.isMirrorCurrent = true;
   this.statedEra = 1;
   this.storeEra = StoreEra.create({ onEvent: () => {} });
   this.stopMirror = new AbortController();
@@ -126,6 +128,7 @@
     waitMs: 1_000,
     responseMarginMs: 500,
     random: () => 0.5,
+    isCurrent: () => this.isMirrorCurrent,
     onEntries: (entries) => {
       this.mirroredKeys = new Set(entries.map(({ key }) => key));
     },
@@ -241,6 +244,14 @@
   assert.ok(this.hadKeyAtRecovery);
 });
 
+When('the reader knows something newer than the store has', function when(this: MirrorWorld) {
+  this.isMirrorCurrent = false;
+});
+
+When('the store has it again', function when(this: MirrorWorld) {
+  this.isMirrorCurrent = true;
+});
+
 When('another reader sees its era', function when(this: MirrorWorld) {
   this.storeEra.observe(this.statedEra);
 });
