--- a/fakes/src/platform/fakePlatformStore.ts
+++ b/fakes/src/platform/fakePlatformStore.ts
@@ -32,6 +32,9 @@
   /** How the next calls are treated. */
   mode: PlatformStoreMode = 'up';
 
+  /** Era that the store states in all responses. */
+  era = 1;
+
   private revision = 1;
 
   private nextLease = 1;
@@ -115,7 +118,7 @@
       return;
     }
     if (this.mode === 'busy') {
-      sendResponse(exchange, 503, {});
+      this.respond(exchange, 503, {});
       return;
     }
     await this.dispatch(exchange, url);
@@ -126,19 +129,19 @@
     const prefix = searchParams.get('prefix') ?? '';
     if (pathname === '/-/kv-range') {
       const items = [...this.items.values()].filter(({ key }) => key.startsWith(prefix));
-      sendResponse(exchange, 200, { items, has_more: false, store_revision: this.revision });
+      this.respond(exchange, 200, { items, has_more: false, store_revision: this.revision });
     } else if (pathname === '/-/kv-watch') {
       await this.watch(exchange, prefix, searchParams);
     } else if (pathname === '/-/kv-lease') {
       const lease = this.nextLease;
       this.nextLease += 1;
-      sendResponse(exchange, 200, { lease, ttl_ms: 3_000 });
+      this.respond(exchange, 200, { lease, ttl_ms: 3_000 });
     } else if (pathname === '/-/kv-txn') {
       const { puts } = JSON.parse(exchange.text) as { readonly puts: readonly StoredWrite[] };
       puts.forEach((put) => this.write(put));
-      sendResponse(exchange, 200, { revision: this.revision });
+      this.respond(exchange, 200, { revision: this.revision });
     } else {
-      sendResponse(exchange, 200, { ttl_ms: 3_000 });
+      this.respond(exchange, 200, { ttl_ms: 3_000 });
     }
   }
 
@@ -151,7 +154,7 @@
     const waitMs = Math.min(MAX_WAIT_MS, Number(query.get('wait_ms')));
     if (this.mode === 'forgets') {
       this.mode = 'up';
-      sendResponse(exchange, 410, {});
+      this.respond(exchange, 410, {});
       return;
     }
     const findEvents = (): StoredEvent[] =>
@@ -161,7 +164,13 @@
     if (findEvents().length === 0) {
       await this.waitForChange(waitMs, exchange.signal);
     }
-    sendResponse(exchange, 200, { events: findEvents(), store_revision: this.revision });
+    this.respond(exchange, 200, { events: findEvents(), store_revision: this.revision });
+  }
+
+  private respond(exchange: FakeExchange, status: number, body: object): void {
+    const headers = { 'Content-Type': 'application/json', 'Store-Era': String(this.era) };
+    exchange.response.writeHead(status, headers);
+    exchange.response.end(JSON.stringify(body));
   }
 
   private waitForChange(waitMs: number, signal: AbortSignal): Promise<void> {
@@ -177,8 +186,3 @@
     });
   }
 }
-
-function sendResponse(exchange: FakeExchange, status: number, body: object): void {
-  exchange.response.writeHead(status, { 'Content-Type': 'application/json' });
-  exchange.response.end(JSON.stringify(body));
-}
