--- a/packages/store/src/callStore.ts
+++ b/packages/store/src/callStore.ts
@@ -10,7 +10,7 @@
   StoreTransport,
   TransportFailure,
 } from './storeTypes.js';
-import type { StoreEra } from './storeEra.js';
+import type { RestoreDetector } from './restoreDetector.js';
 import { decodeHeader, isLeaseNotFound } from './wire.js';
 
 /** Number of calls made of each kind. */
@@ -23,7 +23,7 @@
   readonly budget: CallBudget;
   readonly counts: CallCounts;
   readonly callTimeoutMs: number;
-  readonly era: StoreEra;
+  readonly era: RestoreDetector;
 }
 
 /** Options of {@link callStore}. */
--- a/packages/store/src/membership.ts
+++ b/packages/store/src/membership.ts
@@ -4,6 +4,8 @@
 import { jitteredDelayMs } from './jitteredDelayMs.js';
 import { type MirrorEvent, PrefixMirror } from './prefixMirror.js';
 import type { PrefixEntry, PrefixSource, ReadFailure } from './prefixSource.js';
+import { type EntryHandlers, RestoredEntries } from './restoredEntries.js';
+import type { StoreEra } from './storeEra.js';
 
 /** Creates leases in the store and the keys attached to them. */
 export interface LeaseClient {
@@ -43,6 +45,7 @@
 export interface MembershipOptions {
   readonly source: PrefixSource;
   readonly leases: LeaseClient;
+  readonly storeEra: StoreEra;
   readonly timer: TimerService;
   readonly self: Omit<Member, 'leavingSince'>;
   readonly random: () => number;
@@ -71,6 +74,14 @@
 
 /** Follows address and capacity in the entry of a node that is about to leave; older nodes ignore it. */
 const LEAVING_MARK = 'leaving';
+/** Live nodes register again at once when the store was restored; leases of others end within this. */
+const RESTORED_LIMIT_MS = LEASE_TTL_MS + CALL_TIMEOUT_MS;
+
+/** A lease, and the rises of the store's era that had been seen when it was granted. */
+interface HeldLease {
+  readonly leaseId: string;
+  readonly rises: number;
+}
 
 /** Nodes that left are still counted for this time, since they may only be disconnected. */
 const DEPARTED_RETENTION_MS = 6_000;
@@ -96,24 +107,13 @@
   private constructor(private readonly opts: MembershipOptions) {
     this.mirror = PrefixMirror.create({
       source: opts.source,
+      storeEra: opts.storeEra,
       timer: opts.timer,
       prefix: MEMBER_PREFIX,
       waitMs: WATCH_WAIT_MS,
       responseMarginMs: CALL_TIMEOUT_MS,
       random: opts.random,
-      onEntries: (entries) => {
-        this.members.clear();
-        entries.forEach((entry) => this.add(entry));
-        this.notifyChange();
-      },
-      onChange: (change) => {
-        if (change.kind === 'put') {
-          this.add(change.entry);
-        } else {
-          this.members.delete(getMemberName(change.key));
-        }
-        this.notifyChange();
-      },
+      ...this.createHandlers(),
       onEvent: opts.onEvent,
     });
   }
@@ -157,45 +157,92 @@
     await Promise.all([this.mirror.run({ signal }), this.maintainOwnMembership(ownSignal)]);
   }
 
+  private createHandlers(): EntryHandlers {
+    const restored = RestoredEntries.create({
+      timer: this.opts.timer,
+      keepMissingMs: RESTORED_LIMIT_MS,
+      holdStaleMs: RESTORED_LIMIT_MS,
+      isStale: ({ isDeleted }) => isDeleted,
+      handlers: {
+        onEntries: (entries) => {
+          this.members.clear();
+          entries.forEach((entry) => this.add(entry));
+          this.notifyChange();
+        },
+        onChange: (change) => {
+          if (change.kind === 'put') {
+            this.add(change.entry);
+          } else {
+            this.members.delete(getMemberName(change.key));
+          }
+          this.notifyChange();
+        },
+      },
+    });
+    return restored.handlers();
+  }
+
   private async maintainOwnMembership(signal: AbortSignal): Promise<void> {
-    const { timer, random } = this.opts;
-    let leaseId: string | undefined;
+    let lease: HeldLease | undefined;
     let failures = 0;
     let isPublished = false;
     while (!signal.aborted) {
       const isLeaving = this.leaving.signal.aborted;
-      leaseId ??= await this.register();
-      if (leaseId !== undefined && isLeaving && !isPublished) {
-        isPublished = await this.publish(leaseId);
+      // A restored store may have lost the lease, and given its id to another node since.
+      lease = this.isHeld(lease) ? lease : await this.register();
+      if (lease && isLeaving && !isPublished) {
+        isPublished = await this.publish(lease.leaseId);
       }
-      const renewal = leaseId === undefined ? undefined : await this.renew(leaseId);
+      const renewal = await this.renew(lease);
       if (renewal === 'ended') {
-        leaseId = undefined;
+        lease = undefined;
         continue;
       }
       failures = renewal === 'kept' ? 0 : failures + 1;
-      const delayMs =
-        renewal === 'kept'
-          ? RENEW_INTERVAL_MS
-          : jitteredDelayMs({
-              failures,
-              baseMs: RENEW_INTERVAL_MS / 2,
-              maxMs: RENEW_INTERVAL_MS * 2,
-              random,
-            });
-      const wake = isLeaving ? signal : AbortSignal.any([signal, this.leaving.signal]);
-      await timer.sleep({ delayMs, signal: wake });
+      await this.sleepUntilRenewal({ failures, isLeaving, signal });
     }
-    if (leaseId !== undefined) {
-      await this.endLease(leaseId);
+    if (lease && this.isHeld(lease)) {
+      await this.endLease(lease.leaseId);
     }
   }
 
-  /** Renews the lease; undefined if the store did not respond. */
-  private async renew(leaseId: string): Promise<'kept' | 'ended' | undefined> {
+  /** Sleeps until the lease has to be renewed, a restored store is seen, or this node begins to leave. */
+  private async sleepUntilRenewal(opts: {
+    readonly failures: number;
+    readonly isLeaving: boolean;
+    readonly signal: AbortSignal;
+  }): Promise<void> {
+    const { failures, isLeaving, signal } = opts;
+    const { timer, random, storeEra } = this.opts;
+    const baseMs = RENEW_INTERVAL_MS / 2;
+    const maxMs = RENEW_INTERVAL_MS * 2;
+    const delayMs =
+      failures === 0 ? RENEW_INTERVAL_MS : jitteredDelayMs({ failures, baseMs, maxMs, random });
+    const risen = new AbortController();
+    const stopListening = storeEra.onRise(() => risen.abort());
+    const wakers = isLeaving ? [] : [this.leaving.signal];
+    await timer.sleep({ delayMs, signal: AbortSignal.any([signal, risen.signal, ...wakers]) });
+    stopListening();
+  }
+
+  private isHeld(lease: HeldLease | undefined): boolean {
+    return lease?.rises === this.opts.storeEra.rises;
+  }
+
+  /** Renews the lease; undefined if there is none or the store did not respond. */
+  private async renew(lease: HeldLease | undefined): Promise<'kept' | 'ended' | undefined> {
+    if (!lease) {
+      return undefined;
+    }
+    const { leaseId } = lease;
     const { leases } = this.opts;
-    const renewal = await this.callWithTimeout((signal) => leases.keepAlive({ leaseId, signal }));
-    return renewal.isOk ? renewal.value : undefined;
+    const renewal = this.isHeld(lease)
+      ? await this.callWithTimeout((signal) => leases.keepAlive({ leaseId, signal }))
+      : undefined;
+    if (!this.isHeld(lease)) {
+      return 'ended';
+    }
+    return renewal?.isOk ? renewal.value : undefined;
   }
 
   private async endLease(leaseId: string): Promise<void> {
@@ -203,8 +250,9 @@
     await this.callWithTimeout((signal) => leases.revoke({ leaseId, signal }), LEAVE_TIMEOUT_MS);
   }
 
-  private async register(): Promise<string | undefined> {
-    const { leases } = this.opts;
+  private async register(): Promise<HeldLease | undefined> {
+    const { leases, storeEra } = this.opts;
+    const { rises } = storeEra;
     const granted = await this.callWithTimeout((signal) =>
       leases.grant({ ttlMs: LEASE_TTL_MS, signal }),
     );
@@ -212,7 +260,7 @@
       return undefined;
     }
     const { leaseId } = granted.value;
-    return (await this.publish(leaseId)) ? leaseId : undefined;
+    return (await this.publish(leaseId)) ? { leaseId, rises } : undefined;
   }
 
   /** Writes the entry of this node; false if the store did not. */
--- a/packages/store/src/prefixMirror.ts
+++ b/packages/store/src/prefixMirror.ts
@@ -6,13 +6,9 @@
 } from '@galenatiller/timer';
 
 import { jitteredDelayMs } from './jitteredDelayMs.js';
-import type {
-  PrefixChange,
-  PrefixChanges,
-  PrefixEntry,
-  PrefixSource,
-  ReadFailure,
-} from './prefixSource.js';
+import type { PrefixChanges, PrefixEntry, PrefixSource, ReadFailure } from './prefixSource.js';
+import type { EntryHandlers } from './restoredEntries.js';
+import type { StoreEra } from './storeEra.js';
 
 /** State changes that a mirror reports. */
 export type MirrorEvent =
@@ -29,11 +25,13 @@
       readonly evidenceAgeMs: number;
     }
   | { readonly kind: 'regained'; readonly prefix: string; readonly storeRevision: number }
-  | { readonly kind: 'history-lost'; readonly prefix: string; readonly storeRevision: number };
+  | { readonly kind: 'history-lost'; readonly prefix: string; readonly storeRevision: number }
+  | { readonly kind: 'restored'; readonly prefix: string; readonly storeRevision: number };
 
 /** Options of {@link PrefixMirror.create}. */
-export interface PrefixMirrorOptions {
+export interface PrefixMirrorOptions extends EntryHandlers {
   readonly source: PrefixSource;
+  readonly storeEra: StoreEra;
   readonly timer: TimerService;
   readonly prefix: string;
   /**
@@ -44,10 +42,12 @@
   readonly responseMarginMs: number;
   /** Returns a uniform random number from 0 to 1, for jitter. */
   readonly random: () => number;
-  /** Receives all entries under the prefix, which replace those received before. */
-  readonly onEntries: (entries: readonly PrefixEntry[]) => void;
-  readonly onChange: (change: PrefixChange) => void;
   readonly onEvent: (event: MirrorEvent) => void;
+  /**
+   * Whether the entries are at least as new as what the reader knows; a response is no evidence
+   * otherwise. Always true if omitted.
+   */
+  readonly isCurrent?: () => boolean;
 }
 
 /** First upper bound of the retry delay; a faster retry would most likely hit the same outage. */
@@ -75,6 +75,9 @@
 
   private failures = 0;
 
+  /** Rises of the store's era that had been seen when all entries were last read. */
+  private risesRead = 0;
+
   private constructor(private readonly opts: PrefixMirrorOptions) {}
 
   /** Creates a mirror that has read nothing yet. */
@@ -88,19 +91,41 @@
   }
 
   /**
-   * Reads all entries and follows their changes; reads all again if the change history was lost.
+   * Reads all entries and follows their changes; reads all again if the change history was lost or
+   * the store was restored.
    */
   async run(opts: { readonly signal: AbortSignal }): Promise<void> {
     const { signal } = opts;
     while (!signal.aborted) {
-      const hasRead = await this.readAll(signal);
-      if (hasRead) {
-        await this.follow(signal);
-      }
+      // A rise of the era cancels calls that were sent before it; their responses are never applied.
+      const risen = new AbortController();
+      const stopListening = this.opts.storeEra.onRise(() => risen.abort());
+      await this.readAndFollow(AbortSignal.any([signal, risen.signal]));
+      stopListening();
+    }
+  }
+
+  private async readAndFollow(signal: AbortSignal): Promise<void> {
+    const { storeEra, prefix } = this.opts;
+    const { rises } = storeEra;
+    const isRestored = rises > this.risesRead;
+    if (isRestored) {
+      this.opts.onEvent({ kind: 'restored', prefix, storeRevision: this.storeRevision });
+      this.risesRead = rises;
+    }
+    for (let hasRead = false; !signal.aborted && !hasRead;) {
+      hasRead = await this.readAll({ signal, isRestored });
+    }
+    if (!signal.aborted) {
+      await this.follow(signal);
     }
   }
 
-  private async readAll(signal: AbortSignal): Promise<boolean> {
+  private async readAll(opts: {
+    readonly signal: AbortSignal;
+    readonly isRestored: boolean;
+  }): Promise<boolean> {
+    const { signal, isRestored } = opts;
     const sentAt = readClocks(this.opts.timer);
     const entries: PrefixEntry[] = [];
     let storeRevision: number | undefined;
@@ -112,6 +137,9 @@
           signal: callSignal,
         }),
       );
+      if (signal.aborted) {
+        return false;
+      }
       if (page.isErr) {
         await this.backOff(page.error, signal);
         return false;
@@ -121,8 +149,11 @@
       storeRevision ??= page.value.storeRevision;
       hasMore = page.value.hasMore && page.value.entries.length > 0;
     }
-    this.opts.onEntries(entries);
-    this.confirm(sentAt, storeRevision ?? 0);
+    this.apply({
+      sentAt,
+      storeRevision: storeRevision ?? 0,
+      deliver: () => this.opts.onEntries(entries, { isRestored }),
+    });
     const { prefix } = this.opts;
     this.opts.onEvent({
       kind: 'read',
@@ -147,6 +178,9 @@
           signal: callSignal,
         }),
       );
+      if (signal.aborted) {
+        return;
+      }
       if (result.isOk) {
         this.applyChanges(result.value, sentAt);
       } else if (result.error.kind === 'history-lost') {
@@ -159,8 +193,25 @@
   }
 
   private applyChanges(received: PrefixChanges, sentAt: ClockReading): void {
-    received.changes.forEach((change) => this.opts.onChange(change));
-    this.confirm(sentAt, Math.max(this.storeRevision, received.storeRevision));
+    this.apply({
+      sentAt,
+      storeRevision: Math.max(this.storeRevision, received.storeRevision),
+      deliver: () => received.changes.forEach((change) => this.opts.onChange(change)),
+    });
+  }
+
+  private apply(opts: {
+    readonly sentAt: ClockReading;
+    readonly storeRevision: number;
+    readonly deliver: () => void;
+  }): void {
+    const before = this.confirmedAt;
+    // Readers learn that the store is back before they are told what it lacks.
+    this.confirm(opts.sentAt, opts.storeRevision);
+    opts.deliver();
+    if (this.opts.isCurrent?.() === false) {
+      this.confirmedAt = before;
+    }
   }
 
   private confirm(sentAt: ClockReading, storeRevision: number): void {
--- a/packages/store/src/storeClient.ts
+++ b/packages/store/src/storeClient.ts
@@ -7,7 +7,7 @@
 import type { CallBudget } from './callBudget.js';
 import { type CallContext, type CallCounts, callStore } from './callStore.js';
 import { compareAndSwap, type SwapOptions } from './compareAndSwap.js';
-import { StoreEra } from './storeEra.js';
+import { RestoreDetector } from './restoreDetector.js';
 import { readPages } from './readPages.js';
 import type {
   KeyRead,
@@ -59,7 +59,7 @@
       timer: opts.timer,
       budget: opts.budget,
       callTimeoutMs: opts.callTimeoutMs ?? CALL_TIMEOUT_MS,
-      era: StoreEra.create(),
+      era: RestoreDetector.create(),
       counts: {
         range: 0,
         txn: 0,
--- a/packages/store/src/storeEra.ts
+++ b/packages/store/src/storeEra.ts
@@ -1,85 +1,64 @@
-import { createLogger } from '@galenatiller/logger';
-import type { Cancel } from '@galenatiller/timer';
-
-/** Header of a response: which copy of the store sent it, and the revision of that copy. */
-export interface StoreHeader {
-  /** Empty if the store sends none. */
-  readonly clusterId: string;
-  /** 0 if the response has none. */
-  readonly revision: number;
+/** A first sighting or a rise of the era. */
+export interface StoreEraEvent {
+  readonly kind: 'seen' | 'risen';
+  readonly era: number;
+  /** Era before; undefined for the first. */
+  readonly before: number | undefined;
 }
 
-/** What was known of the store when a call was sent. */
-export interface EraMark {
-  readonly number: number;
-  readonly revision: number;
+/** Options of {@link StoreEra.create}. */
+export interface StoreEraOptions {
+  readonly onEvent: (event: StoreEraEvent) => void;
 }
 
-const log = createLogger('store');
-
 /**
- * Notices that the store has come back from an older copy: its cluster id differs from the one seen
- * before, or a response has a lower revision than one that arrived before its call was sent. What
- * was written since the copy is lost, and its revisions and lease ids are given out again.
+ * The era that the store states in its responses. It rises when the store was restored from a copy
+ * that may be older than what it had acknowledged; revisions and leases of earlier eras then mean
+ * nothing. A lower or missing era is no rise.
  */
 export class StoreEra {
-  private clusterId = '';
-
-  private highestRevision = 0;
+  private era: number | undefined;
 
-  private restoreCount = 0;
+  private riseCount = 0;
 
-  private readonly subscribers = new Set<() => void>();
+  private readonly listeners = new Set<() => void>();
 
-  private constructor() {}
+  private constructor(private readonly opts: StoreEraOptions) {}
 
-  /** Creates the era of a store from which nothing has been read yet. */
-  static create(): StoreEra {
-    return new StoreEra();
+  /** Creates an instance that knows no era yet. */
+  static create(opts: StoreEraOptions): StoreEra {
+    return new StoreEra(opts);
   }
 
-  /** Number of restores that were noticed. */
-  get number(): number {
-    return this.restoreCount;
+  /** The highest era seen; 0 before the first. */
+  get current(): number {
+    return this.era ?? 0;
   }
 
-  /** What is known now; taken before a call is sent and passed to {@link observe} with its response. */
-  mark(): EraMark {
-    return { number: this.restoreCount, revision: this.highestRevision };
+  /** Number of rises seen; revisions read at different numbers can't be compared. */
+  get rises(): number {
+    return this.riseCount;
   }
 
-  /** Takes the header of a response; false if it is from before a restore that is known already. */
-  observe(header: StoreHeader, sentAt: EraMark): boolean {
-    const isOtherCluster = header.clusterId !== '' && header.clusterId !== this.clusterId;
-    const isBehind = header.revision > 0 && header.revision < sentAt.revision;
-    if (sentAt.number !== this.restoreCount) {
-      return !isOtherCluster;
+  /** Takes the era of a response, before the response is used; undefined if it states none. */
+  observe(era: number | undefined): void {
+    const before = this.era;
+    if (era === undefined || (before !== undefined && era <= before)) {
+      return;
     }
-    if ((isOtherCluster && this.clusterId !== '') || isBehind) {
-      this.beginEra(header);
-      return true;
+    this.era = era;
+    if (before === undefined) {
+      this.opts.onEvent({ kind: 'seen', era, before });
+      return;
     }
-    this.clusterId = header.clusterId === '' ? this.clusterId : header.clusterId;
-    this.highestRevision = Math.max(this.highestRevision, header.revision);
-    return true;
-  }
-
-  /** Calls `notify` after each restore that is noticed. */
-  onRestored(notify: () => void): Cancel {
-    this.subscribers.add(notify);
-    return () => {
-      this.subscribers.delete(notify);
-    };
+    this.riseCount += 1;
+    this.opts.onEvent({ kind: 'risen', era, before });
+    [...this.listeners].forEach((notify) => notify());
   }
 
-  private beginEra(header: StoreHeader): void {
-    const { clusterId, revision } = header;
-    log({
-      message: `The store has come back from an older copy: cluster ${clusterId} at revision ${revision}, before ${this.clusterId} at ${this.highestRevision}.`,
-    });
-    this.restoreCount += 1;
-    this.clusterId = clusterId;
-    this.highestRevision = revision;
-    [...this.subscribers].forEach((notify) => notify());
+  /** Calls a function at each rise; returns a function that ends that. */
+  onRise(notify: () => void): () => void {
+    this.listeners.add(notify);
+    return () => this.listeners.delete(notify);
   }
 }
--- a/packages/store/src/wire.ts
+++ b/packages/store/src/wire.ts
@@ -1,7 +1,7 @@
 /** Encodes and decodes the store's messages (etcd v3 JSON mapping); no other module knows them. */
 import { z } from 'zod';
 
-import type { StoreHeader } from './storeEra.js';
+import type { StoreHeader } from './restoreDetector.js';
 import type { KeyExpectation, KeyWrite, StoreEntry, WatchEvent } from './storeTypes.js';
 
 /** One page of a range response. */
--- a/packages/store/test/membership.steps.ts
+++ b/packages/store/test/membership.steps.ts
@@ -8,6 +8,7 @@
   type PrefixEntry,
   type PrefixSource,
   type ReadFailure,
+  StoreEra,
 } from '@galenatiller/store';
 import { ManualClock, TimerService } from '@galenatiller/timer';
 import { Result } from 'true-myth';
@@ -111,6 +112,7 @@
       const membership = Membership.create({
         source: this.memberStore.source,
         leases: this.memberStore.createLeases(),
+        storeEra: StoreEra.create({ onEvent: () => {} }),
         timer,
         self: { name, address: '10.0.0.1:1', cpuCores: 1 },
         random: () => 0.5,
