--- a/packages/router/src/createMirrors.ts
+++ b/packages/router/src/createMirrors.ts
@@ -1,5 +1,5 @@
 import type { EventLog } from '@galenatiller/logger';
-import { PrefixMirror, type PrefixSource, type StoreEra } from '@galenatiller/store';
+import { PrefixMirror, type PrefixSource, type StatedEra } from '@galenatiller/store';
 import type { TargetDirectory } from '@galenatiller/target';
 import type { TimerService } from '@galenatiller/timer';
 
@@ -16,7 +16,7 @@
   readonly log: EventLog;
   readonly random: () => number;
   readonly source: PrefixSource;
-  readonly storeEra: StoreEra;
+  readonly storeEra: StatedEra;
   readonly operatorEntries: OperatorEntryDecoder;
   readonly targetEntries: TargetEntryDecoder;
   readonly routes: RouteTable;
--- a/packages/router/src/createRouter.ts
+++ b/packages/router/src/createRouter.ts
@@ -6,7 +6,7 @@
   type Member,
   Membership,
   type PrefixSource,
-  type StoreEra,
+  type StatedEra,
   type WriteIfUnchanged,
 } from '@galenatiller/store';
 import type { RouterSettings } from '@galenatiller/settings';
@@ -54,7 +54,7 @@
   readonly log: EventLog;
   readonly metrics: MetricSink;
   readonly source: PrefixSource;
-  readonly storeEra: StoreEra;
+  readonly storeEra: StatedEra;
   readonly leases: LeaseClient;
   readonly operatorEntries: OperatorEntryDecoder;
   readonly targetEntries: TargetEntryDecoder;
--- a/packages/router/src/logEvents.ts
+++ b/packages/router/src/logEvents.ts
@@ -1,7 +1,7 @@
 import type { EventLog } from '@galenatiller/logger';
 import type { AbandonedStageEvent, BatchEvent } from '@galenatiller/pool';
 import type { PeerEvent } from '@galenatiller/routerLink';
-import type { Member, MirrorEvent, ReadFailure, StoreEraEvent } from '@galenatiller/store';
+import type { Member, MirrorEvent, ReadFailure, StatedEraEvent } from '@galenatiller/store';
 import type { TargetChange } from '@galenatiller/target';
 import type { Result } from 'true-myth';
 
@@ -14,7 +14,7 @@
 }
 
 /** Logs that the store states an era for the first time, or a higher one. */
-export function logStoreEra(log: EventLog, event: StoreEraEvent): void {
+export function logStoreEra(log: EventLog, event: StatedEraEvent): void {
   const { kind, ...rest } = event;
   log({ about: 'dependency', event: 'store-era', ...rest, outcome: kind });
 }
--- a/packages/router/src/recordMetrics.ts
+++ b/packages/router/src/recordMetrics.ts
@@ -1,7 +1,7 @@
 import type { GalenatillerError } from '@galenatiller/error';
 import type { MetricSink, MetricTags } from '@galenatiller/metrics';
 import type { BatchEvent } from '@galenatiller/pool';
-import type { StoreEra } from '@galenatiller/store';
+import type { StatedEra } from '@galenatiller/store';
 import type { CallKind } from '@galenatiller/types';
 
 import type { RouterContext } from './routerContext.js';
@@ -46,7 +46,7 @@
   readonly calls: number;
   readonly nodeCount: () => number;
   readonly eventLoopLagMs: number;
-  readonly storeEra: Pick<StoreEra, 'current'>;
+  readonly storeEra: Pick<StatedEra, 'current'>;
 }
 
 /** Sets the gauges of a router. */
--- a/packages/store/src/index.ts
+++ b/packages/store/src/index.ts
@@ -15,5 +15,5 @@
 export type * from './prefixSource.js';
 export type { EntryHandlers, KnownAndRead, EntriesRead } from './restoredEntries.js';
 export { RestoredEntries, type RestoredEntriesOptions } from './restoredEntries.js';
-export { StoreEra, type StoreEraEvent, type StoreEraOptions } from './storeEra.js';
+export { StatedEra, type StatedEraEvent, type StatedEraOptions } from './statedEra.js';
 export { type LeaseClient, type Member, Membership, type MembershipOptions } from './membership.js';
--- a/packages/store/src/membership.ts
+++ b/packages/store/src/membership.ts
@@ -5,7 +5,7 @@
 import { type MirrorEvent, PrefixMirror } from './prefixMirror.js';
 import type { PrefixSource, ReadFailure } from './prefixSource.js';
 import { type EntryHandlers, RestoredEntries } from './restoredEntries.js';
-import type { StoreEra } from './storeEra.js';
+import type { StatedEra } from './statedEra.js';
 
 /** Creates leases in the store and the keys attached to them. */
 export interface LeaseClient {
@@ -43,7 +43,7 @@
 export interface MembershipOptions {
   readonly source: PrefixSource;
   readonly leases: LeaseClient;
-  readonly storeEra: StoreEra;
+  readonly storeEra: StatedEra;
   readonly timer: TimerService;
   readonly self: Member;
   readonly random: () => number;
--- a/packages/store/src/prefixMirror.ts
+++ b/packages/store/src/prefixMirror.ts
@@ -8,7 +8,7 @@
 import { jitteredDelayMs } from './jitteredDelayMs.js';
 import type { PrefixChanges, PrefixEntry, PrefixSource, ReadFailure } from './prefixSource.js';
 import type { EntryHandlers } from './restoredEntries.js';
-import type { StoreEra } from './storeEra.js';
+import type { StatedEra } from './statedEra.js';
 
 /** State changes that a mirror reports. */
 export type MirrorEvent =
@@ -31,7 +31,7 @@
 /** Options of {@link PrefixMirror.create}. */
 export interface PrefixMirrorOptions extends EntryHandlers {
   readonly source: PrefixSource;
-  readonly storeEra: StoreEra;
+  readonly storeEra: StatedEra;
   readonly timer: TimerService;
   readonly prefix: string;
   /**
--- a/packages/store/src/storeEra.ts
+++ b/packages/store/src/statedEra.ts
@@ -1,14 +1,14 @@
 /** A first sighting or a rise of the era. */
-export interface StoreEraEvent {
+export interface StatedEraEvent {
   readonly kind: 'seen' | 'risen';
   readonly era: number;
   /** Era before; undefined for the first. */
   readonly before: number | undefined;
 }
 
-/** Options of {@link StoreEra.create}. */
-export interface StoreEraOptions {
-  readonly onEvent: (event: StoreEraEvent) => void;
+/** Options of {@link StatedEra.create}. */
+export interface StatedEraOptions {
+  readonly onEvent: (event: StatedEraEvent) => void;
 }
 
 /**
@@ -16,18 +16,18 @@
  * that may be older than what it had acknowledged; revisions and leases of earlier eras then mean
  * nothing. A lower or missing era is no rise.
  */
-export class StoreEra {
+export class StatedEra {
   private era: number | undefined;
 
   private riseCount = 0;
 
   private readonly listeners = new Set<() => void>();
 
-  private constructor(private readonly opts: StoreEraOptions) {}
+  private constructor(private readonly opts: StatedEraOptions) {}
 
   /** Creates an instance that knows no era yet. */
-  static create(opts: StoreEraOptions): StoreEra {
-    return new StoreEra(opts);
+  static create(opts: StatedEraOptions): StatedEra {
+    return new StatedEra(opts);
   }
 
   /** The highest era seen; 0 before the first. */
--- a/packages/store/test/membership.feature
+++ b/packages/store/test/membershipRestored.feature
@@ -1,4 +1,4 @@
-@membership
+@membersRestored
 Feature: Members register again when the store has lost their leases
 
   Background:
--- a/packages/store/test/membership.steps.ts
+++ b/packages/store/test/membershipRestored.steps.ts
@@ -6,15 +6,15 @@
   Membership,
   type PrefixChange,
   type PrefixSource,
-  StoreEra,
+  StatedEra,
 } from '@galenatiller/store';
 import { ManualClock, TimerService } from '@galenatiller/timer';
 import { Result } from 'true-myth';
 
-interface MembershipWorld {
+interface RestoredMembersWorld {
   memberClock: ManualClock;
   memberTimer: TimerService;
-  memberEra: StoreEra;
+  memberEra: StatedEra;
   statedMemberEra: number;
   membership: Membership;
   stopMembership: AbortController;
@@ -31,7 +31,7 @@
 const KEY_PREFIX = 'galenatiller/members/';
 const REFUSED = { kind: 'refused', detail: 'refused' } as const;
 
-function change(world: MembershipWorld, name: string, kind: PrefixChange['kind']): void {
+function change(world: RestoredMembersWorld, name: string, kind: PrefixChange['kind']): void {
   world.memberRevision += 1;
   const [key, revision] = [`${KEY_PREFIX}${name}`, world.memberRevision];
   if (kind === 'put') {
@@ -45,7 +45,7 @@
   world.wakeWatch();
 }
 
-function createSource(world: MembershipWorld): PrefixSource {
+function createSource(world: RestoredMembersWorld): PrefixSource {
   return {
     readPage: () => {
       world.memberEra.observe(world.statedMemberEra);
@@ -75,7 +75,7 @@
   };
 }
 
-function createLeases(world: MembershipWorld): LeaseClient {
+function createLeases(world: RestoredMembersWorld): LeaseClient {
   return {
     grant: ({ ttlMs }) => {
       world.memberEra.observe(world.statedMemberEra);
@@ -100,7 +100,7 @@
   };
 }
 
-function restore(world: MembershipWorld, names: readonly string[]): void {
+function restore(world: RestoredMembersWorld, names: readonly string[]): void {
   world.statedMemberEra += 1;
   world.memberRevision = 1;
   world.storedMembers = new Map(names.map((name) => [name, 1]));
@@ -110,10 +110,10 @@
 
 Given(
   'a store with the members "n1", "n2" and "n3", watched by "n1"',
-  async function given(this: MembershipWorld) {
+  async function given(this: RestoredMembersWorld) {
     this.memberClock = ManualClock.create({ startWallMs: 1_000_000 });
     this.memberTimer = TimerService.create({ clock: this.memberClock });
-    this.memberEra = StoreEra.create({ onEvent: () => {} });
+    this.memberEra = StatedEra.create({ onEvent: () => {} });
     this.statedMemberEra = 1;
     this.memberRevision = 1;
     this.storedMembers = new Map([
@@ -143,14 +143,14 @@
   },
 );
 
-After({ tags: '@membership' }, async function after(this: MembershipWorld) {
+After({ tags: '@membersRestored' }, async function after(this: RestoredMembersWorld) {
   this.stopMembership.abort();
   await this.memberClock.advance({ byMs: 6_000 });
 });
 
 When(
   /^the store comes back from a copy without "(n\d)"(, in which all leases have other owners|, refusing leases)?$/,
-  function when(this: MembershipWorld, missing: string, how: string | null) {
+  function when(this: RestoredMembersWorld, missing: string, how: string | null) {
     this.refusesLeases = how === ', refusing leases';
     restore(
       this,
@@ -159,36 +159,36 @@
   },
 );
 
-When('the store comes back from a copy with "n3"', function when(this: MembershipWorld) {
+When('the store comes back from a copy with "n3"', function when(this: RestoredMembersWorld) {
   restore(this, ['n1', 'n2', 'n3']);
 });
 
-When('{string} leaves', async function when(this: MembershipWorld, name: string) {
+When('{string} leaves', async function when(this: RestoredMembersWorld, name: string) {
   change(this, name, 'delete');
   await this.memberClock.advance({ byMs: 10 });
 });
 
-When('"n1" leaves by itself', function when(this: MembershipWorld) {
+When('"n1" leaves by itself', function when(this: RestoredMembersWorld) {
   this.membership.leave();
 });
 
-When('{string} registers', function when(this: MembershipWorld, name: string) {
+When('{string} registers', function when(this: RestoredMembersWorld, name: string) {
   change(this, name, 'put');
 });
 
-When('{int} ms pass for the members', function when(this: MembershipWorld, byMs: number) {
+When('{int} ms pass for the members', function when(this: RestoredMembersWorld, byMs: number) {
   return this.memberClock.advance({ byMs });
 });
 
-Then('the store has the member {string}', function then(this: MembershipWorld, name: string) {
+Then('the store has the member {string}', function then(this: RestoredMembersWorld, name: string) {
   assert.ok(this.storedMembers.has(name));
 });
 
-Then('the live members are {string}', function then(this: MembershipWorld, names: string) {
+Then('the live members are {string}', function then(this: RestoredMembersWorld, names: string) {
   const live = this.membership.liveMembers().map(({ name }) => name);
   assert.equal(live.sort().join(', '), names);
 });
 
-Then('no lease was ended', function then(this: MembershipWorld) {
+Then('no lease was ended', function then(this: RestoredMembersWorld) {
   assert.equal(this.endedLeases, 0);
 });
--- a/packages/store/test/prefixMirror.steps.ts
+++ b/packages/store/test/prefixMirror.steps.ts
@@ -7,7 +7,7 @@
   type PrefixEntry,
   PrefixMirror,
   type PrefixSource,
-  StoreEra,
+  StatedEra,
 } from '@galenatiller/store';
 import { type Clock, ManualClock, TimerService } from '@galenatiller/timer';
 import { Result } from 'true-myth';
@@ -16,7 +16,7 @@
   mirrorClock: ManualClock;
   wallOffsetMs: number;
   mirror: PrefixMirror;
-  storeEra: StoreEra;
+  storeEra: StatedEra;
   /** Era that the store states in its responses. */
   statedEra: number | undefined;
   mirrorTimer: TimerService;
@@ -118,7 +118,7 @@
   this.reportedKinds = [];
   this.isMirrorCurrent = true;
   this.statedEra = 1;
-  this.storeEra = StoreEra.create({ onEvent: () => {} });
+  this.storeEra = StatedEra.create({ onEvent: () => {} });
   this.stopMirror = new AbortController();
   this.mirror = PrefixMirror.create({
     source: createSource(this),
