--- a/packages/store/src/membership.ts
+++ b/packages/store/src/membership.ts
@@ -5,7 +5,7 @@
 import { type MirrorEvent, PrefixMirror } from './prefixMirror.js';
 import type { PrefixEntry, PrefixSource, ReadFailure } from './prefixSource.js';
 import { type EntryHandlers, RestoredEntries } from './restoredEntries.js';
-import type { StoreEra } from './storeEra.js';
+import type { StatedEra } from './statedEra.js';
 
 /** Creates leases in the store and the keys attached to them. */
 export interface LeaseClient {
@@ -45,7 +45,7 @@
 export interface MembershipOptions {
   readonly source: PrefixSource;
   readonly leases: LeaseClient;
-  readonly storeEra: StoreEra;
+  readonly storeEra: StatedEra;
   readonly timer: TimerService;
   readonly self: Omit<Member, 'leavingSince'>;
   readonly random: () => number;
@@ -162,7 +162,8 @@
       timer: this.opts.timer,
       keepMissingMs: RESTORED_LIMIT_MS,
       holdStaleMs: RESTORED_LIMIT_MS,
-      isStale: ({ isDeleted }) => isDeleted,
+      isStale: ({ known, isDeleted, read }) =>
+        isDeleted || (isLeavingEntry(known) && !isLeavingEntry(read)),
       handlers: {
         onEntries: (entries) => {
           this.members.clear();
@@ -308,3 +309,7 @@
 function getMemberName(key: string): string {
   return key.slice(MEMBER_PREFIX.length);
 }
+
+function isLeavingEntry({ value }: PrefixEntry): boolean {
+  return value.toString('utf8').split(' ')[2] === LEAVING_MARK;
+}
--- a/packages/store/test/restoredMembers.feature
+++ b/packages/store/test/membershipRestored.feature
@@ -1,4 +1,4 @@
-@restoredMembers
+@membersRestored
 Feature: Members register again when the store has lost their leases
 
   Background:
