--- a/packages/gate/test/scriptedGate.ts
+++ b/packages/gate/test/scriptedGate.ts
@@ -1,6 +1,7 @@
 /** A gate with one scripted target on a manual clock, for the steps in this folder. */
 import { createFixedLimit } from '@galenatiller/engine';
 import { createSampleStageRequest } from '@galenatiller/fakes';
+import { Shutdown } from '@galenatiller/node';
 import { TargetNotices } from '@galenatiller/target';
 import { TaskGroup } from '@galenatiller/tasks';
 import { ManualClock, TimerService } from '@galenatiller/timer';
@@ -37,6 +38,8 @@
   coldInFlightLimit: 1,
   queueLimit: 8,
 };
+const STOP_LIMIT_MS = 2_000;
+
 export const RUN_MS = 50;
 export const GENERATE: StageInput = {
   kind: 'generate',
@@ -88,7 +91,7 @@
     record: () => {},
     availabilityZone: 'zone',
     readConfiguration: () => ({ revision: 1, zones: new Map() }),
-    isLeaving: () => false,
+    shutdown: Shutdown.create({ timer, limitMs: STOP_LIMIT_MS }),
     stoppedVersions: { has: () => false },
     crashGuard: { admit: () => 'run', onStarted: () => {}, onRunEnded: () => {} },
     runRecords: {},
