Keep the platform's name of the header on leaving in its adapter

The decoder of notices read the platform's header name in packages/http, so targets of the native path had to use it too. It now takes the values of the headers; native targets say x-target-leaving. The linter refuses the names of both new headers outside the adapter, and the log line on the store's era is called stated-era.

--- a/eslint.config.js
+++ b/eslint.config.js
@@ -6,6 +6,7 @@
 const PLATFORM_NAMES = [
   '^x-(server|not-executed|expect-|prefix-|token-|piece|inputs|tenant|timeout-ms|instance|cold-ms|request-urgency)',
   '^kv-(from|fetch)',
+  '^(server-leaving|store-era)$',
   '^\\/-\\/(kv|stage|report|readyz)',
   '^(servers|op|status)\\/',
 ].join('|');
--- a/fakes/src/createFakeTarget.ts
+++ b/fakes/src/createFakeTarget.ts
@@ -137,7 +137,7 @@
 
 function sayLeaving(response: FakeExchange['response'], { current }: FaultInjector): void {
   if (current.isLeaving) {
-    response.setHeader('server-leaving', '1');
+    response.setHeader('x-target-leaving', '1');
   }
 }
 
--- a/packages/http/src/decodeTargetNotice.ts
+++ b/packages/http/src/decodeTargetNotice.ts
@@ -3,13 +3,12 @@
 /** Options of {@link decodeTargetNotice}. */
 export interface DecodeTargetNoticeOptions {
   readonly status: number;
-  /** Returns the values of a header separated by commas, or an empty string. */
-  readonly header: (name: string) => string;
+  /** Values, separated by commas, of the header in which a target says that it is leaving. */
+  readonly leaving: string;
+  /** Values of the Retry-After header, separated by commas. */
+  readonly retryAfter: string;
 }
 
-const LEAVING_HEADER = 'server-leaving';
-const PAUSE_HEADER = 'retry-after';
-
 /** Only a target that turns a request away asks for a pause. */
 const SERVICE_UNAVAILABLE = 503;
 
@@ -18,9 +17,8 @@
 
 /** Decodes what the head of an answer says about its target; undefined when it says nothing. */
 export function decodeTargetNotice(opts: DecodeTargetNoticeOptions): TargetNotice | undefined {
-  const { status, header } = opts;
-  const isLeaving = splitValues(header(LEAVING_HEADER)).includes('1');
-  const text = status === SERVICE_UNAVAILABLE ? header(PAUSE_HEADER) : '';
+  const isLeaving = splitValues(opts.leaving).includes('1');
+  const text = opts.status === SERVICE_UNAVAILABLE ? opts.retryAfter : '';
   if (text === '') {
     return isLeaving ? { isLeaving } : undefined;
   }
--- a/packages/http/src/sendRequest.ts
+++ b/packages/http/src/sendRequest.ts
@@ -6,6 +6,9 @@
 import { decodeTargetNotice } from './decodeTargetNotice.js';
 import { createTransportError } from './createTransportError.js';
 
+/** Header in which a target says that it is leaving. */
+const LEAVING_HEADER = 'x-target-leaving';
+
 /** Options of {@link sendRequest}. */
 export interface SendRequestOptions {
   /** Base URL of the peer, without a trailing slash. */
@@ -59,7 +62,11 @@
       ? await requestOnNewConnection(opts)
       : await request(`${opts.url}${opts.path}`, createRequestOptions(opts));
     const header = (name: string): string => joinValues(headers[name]);
-    const notice = decodeTargetNotice({ status: statusCode, header });
+    const notice = decodeTargetNotice({
+      status: statusCode,
+      leaving: header(LEAVING_HEADER),
+      retryAfter: header('retry-after'),
+    });
     if (notice) {
       opts.onNotice?.(notice, header('x-engine-start-id'));
     }
--- a/packages/router/src/logEvents.ts
+++ b/packages/router/src/logEvents.ts
@@ -18,7 +18,7 @@
 /** Logs that the store states an era for the first time, or a higher one. */
 export function logStoreEra(log: EventLog, event: StatedEraEvent): void {
   const { kind, ...rest } = event;
-  log({ about: 'dependency', event: 'store-era', ...rest, outcome: kind });
+  log({ about: 'dependency', event: 'stated-era', ...rest, outcome: kind });
 }
 
 /** Logs a change of the link to another router. */
--- a/packages/target/test/targetNotices.steps.ts
+++ b/packages/target/test/targetNotices.steps.ts
@@ -72,10 +72,7 @@
 );
 
 function respond(world: NoticeWorld, id: string, status: number, text: string): void {
-  const notice = decodeTargetNotice({
-    status,
-    header: (name) => (name === 'retry-after' ? text : ''),
-  });
+  const notice = decodeTargetNotice({ status, leaving: '', retryAfter: text });
   world.notices.record({ target: toStart(id, 1), notice, source: 'call' });
 }
 
