Count down the estimate of a stage that is running when its router stops

A stopping router refused calls shortly before their last stage ended, with seconds to spare: a running stage counted with its whole usual time until it was done, and the check comes every 50 ms. The results were thrown away and made again at another router. The time since the pieces of a stage were submitted is now taken off. The new scenario fails on the code before (refused instead of answered).

--- a/packages/router/src/computeStageDeadlines.ts
+++ b/packages/router/src/computeStageDeadlines.ts
@@ -47,6 +47,8 @@
 /** Options of {@link estimateStagesLeftMs}. */
 export interface EstimateStagesLeftOptions extends EstimateStageOptions {
   readonly isDone: (position: number) => boolean;
+  /** Time since the pieces of a stage were submitted; 0 before. */
+  readonly runningMs: (position: number) => number;
   /** Measured time of a piece of a service, including its wait; 0 when unknown. */
   readonly pieceMs: (service: string) => number;
 }
@@ -57,8 +59,8 @@
   opts.route.stages.forEach(({ service, dependsOn }, position) => {
     const startsInMs = Math.max(0, ...dependsOn.map((dependency) => endsInMs[dependency] ?? 0));
     const hasWork = !opts.isDone(position) && getPieceCount(opts.call, position) > 0;
-    const tookMs = hasWork ? Math.max(estimateStageMs(opts, position), opts.pieceMs(service)) : 0;
-    endsInMs.push(startsInMs + tookMs);
+    const usualMs = hasWork ? Math.max(estimateStageMs(opts, position), opts.pieceMs(service)) : 0;
+    endsInMs.push(startsInMs + Math.max(0, usualMs - opts.runningMs(position)));
   });
   return Math.max(0, ...endsInMs);
 }
--- a/packages/router/src/createEstimate.ts
+++ b/packages/router/src/createEstimate.ts
@@ -3,14 +3,14 @@
 import type { CallerExchange } from './ports.js';
 import type { RouterContext } from './routerContext.js';
 import type { TrackOptions } from './routerStop.js';
+import type { StageProgress } from './stageProgress.js';
 
 /** Options of {@link createEstimate}. */
 export interface CreateEstimateOptions {
   readonly context: RouterContext;
   readonly exchange: Pick<CallerExchange, 'call'>;
   readonly admitted: AdmittedCall;
-  /** Positions of the stages that have their results. */
-  readonly stagesDone: ReadonlySet<number>;
+  readonly stageProgress: StageProgress;
 }
 
 /** Nine of ten responses end within this multiple of the mean, as far as has been measured. */
@@ -18,7 +18,7 @@
 
 /** Creates the estimate of the time until the end of the response of a call without a target. */
 export function createEstimate(opts: CreateEstimateOptions): TrackOptions['estimateMs'] {
-  const { context, exchange, admitted, stagesDone } = opts;
+  const { context, exchange, admitted, stageProgress } = opts;
   const { route } = admitted;
   return (phase) => {
     const nowMs = context.timer.nowMs();
@@ -31,7 +31,8 @@
       route,
       call: exchange.call,
       findLimits: (service) => context.routes.findService(service)?.batch,
-      isDone: (position) => stagesDone.has(position),
+      isDone: (position) => stageProgress.isDone(position),
+      runningMs: (position) => stageProgress.runningMs(position),
       pieceMs: (name) => context.pieceTimes.estimateMs({ name, nowMs }),
     });
     return stagesMs + responseMs;
--- a/packages/router/src/runStages.ts
+++ b/packages/router/src/runStages.ts
@@ -34,6 +34,8 @@
   /** How long the workers of a service keep results. */
   readonly resultTtlMs: (service: string) => number;
   readonly submit: SubmitPiece;
+  /** Called when the pieces of a stage are submitted. */
+  readonly onStageStarted: (position: number) => void;
   /** Called when all pieces of a stage have results. */
   readonly onStageDone: (position: number) => void;
   /** Frees results that no later stage needs. */
@@ -87,6 +89,7 @@
     );
     const run = dependencies.then(async (earlier) => {
       const inputs = earlier.flat();
+      opts.onStageStarted(position);
       const pieces = Array.from({ length: getPieceCount(call, position) }, (_, piece) => piece);
       const results = await Promise.all(
         pieces.map((piece) => {
--- a/packages/router/src/serveCall.ts
+++ b/packages/router/src/serveCall.ts
@@ -31,6 +31,7 @@
   type StagesFailed,
   type SubmitPiece,
 } from './runStages.js';
+import { StageProgress } from './stageProgress.js';
 import { computeStageDeadlines, computeZoneWaitLimits } from './computeStageDeadlines.js';
 
 /** Options of {@link serveCall}. */
@@ -64,15 +65,15 @@
     return;
   }
   const admitted = admission.value;
-  const stagesDone = new Set<number>();
+  const stageProgress = StageProgress.create(context);
   const tracked = context.stop.track({
     requestId: call.requestId,
     route: admitted.route.name,
     receivedAtMs,
-    estimateMs: createEstimate({ ...opts, admitted, stagesDone }),
+    estimateMs: createEstimate({ ...opts, admitted, stageProgress }),
   });
   try {
-    await serveAdmitted({ ...opts, admitted, tracked, stagesDone });
+    await serveAdmitted({ ...opts, admitted, tracked, stageProgress });
   } finally {
     tracked.release();
   }
@@ -82,7 +83,7 @@
   readonly admitted: AdmittedCall;
   readonly tracked: TrackedCall;
   /** Positions of the stages that have their results. */
-  readonly stagesDone: Set<number>;
+  readonly stageProgress: StageProgress;
 }
 
 async function serveAdmitted(opts: ServeAdmittedOptions): Promise<void> {
@@ -145,7 +146,7 @@
   const signal = route.callKind === 'at-most-once' ? deadline : callerSignal;
   for (let round = 1; ; round += 1) {
     opts.tracked.enter('staging');
-    opts.stagesDone.clear();
+    opts.stageProgress.restart();
     const stages = await runStageRound(opts, callerSignal);
     const { free } = stages;
     try {
@@ -206,7 +207,8 @@
     nowMs: () => context.timer.nowMs(),
     resultTtlMs: (service) => deadlineOptions.findLimits(service)?.resultTtlMs ?? 0,
     submit: submitTimed(context),
-    onStageDone: (position) => opts.stagesDone.add(position),
+    onStageStarted: (position) => opts.stageProgress.recordStart(position),
+    onStageDone: (position) => opts.stageProgress.recordDone(position),
     free: (results) => freeResults(context, results),
     signal,
   });
--- a/packages/router/test/routerStop.feature
+++ b/packages/router/test/routerStop.feature
@@ -15,6 +15,14 @@
     When the router is asked to stop, and a "staged" call arrives 2000 ms later
     Then within 2100 ms of the stop the caller gets 503 with a time to retry
 
+  # Guards against calls that are refused shortly before their stages end, although much time is left.
+  Scenario: A call whose stage is about to end is not refused
+    Given a router that is killed 8000 ms after it was asked to stop
+    And stage workers that take 2000 ms for a piece
+    And pieces of stages took 2000 ms each until now
+    When the router is asked to stop, and a "staged" call arrives 1000 ms later
+    Then within 5500 ms of the stop the caller gets the response of a target
+
   Scenario: A call that fits into the time left of a stop is served
     Given a router that is killed 8000 ms after it was asked to stop
     And stage workers that take 500 ms for a piece
