Take a decision on a rollout only for the version that it names

A restored store gives revisions out again, so that the orders of two rollouts may have the same one. A peer that had not seen the restore then ended the later rollout with its decision on the lost one. The new scenario fails on the code before (calls only go to v1).

--- a/packages/router/src/rollouts.ts
+++ b/packages/router/src/rollouts.ts
@@ -116,7 +116,9 @@
   /** Ends a rollout as its owner has decided; one that has ended never runs again. */
   end(decision: RolloutDecision): void {
     const rollout = this.rollouts.get(decision.service);
-    const isCurrent = rollout?.order.orderRevision === decision.orderRevision;
+    const isCurrent =
+      rollout?.order.orderRevision === decision.orderRevision &&
+      rollout.order.targetVersion === decision.targetVersion;
     if (isCurrent && rollout.state === 'running' && decision.state !== 'running') {
       rollout.state = decision.state;
       this.opts.onEnded(decision);
--- a/packages/router/test/rollouts.feature
+++ b/packages/router/test/rollouts.feature
@@ -67,6 +67,11 @@
     Given a router that reads from the store that the rollout was rolled back
     Then calls only go to "v1"
 
+  # Guards against a rollout that ends with the decision on another one, whose order a restored store lost.
+  Scenario: A decision on another version with the same revision ends nothing
+    When a peer shares that "v9" was rolled back, with the revision of the order
+    Then calls go to "v1" and "v2"
+
   # Guards against an owner that restarts and rolls a good version back, since it has no deadline yet.
   Scenario: A running state that is read before its order sets no deadline
     Given a router that reads from the store that the rollout is running, and then its order
--- a/packages/router/test/rollouts.steps.ts
+++ b/packages/router/test/rollouts.steps.ts
@@ -221,6 +221,15 @@
   assert.equal(decision?.targetVersion, version);
 });
 
+When(
+  'a peer shares that {string} was rolled back, with the revision of the order',
+  function when(this: RolloutWorld, targetVersion: string) {
+    const { service, orderRevision } = this.order;
+    const state = 'rolled-back';
+    this.rollouts.end({ service, targetVersion, orderRevision, state, detail: 'slower' });
+  },
+);
+
 When('the store has it as {string}', function when(this: RolloutWorld, state: RolloutState) {
   setStored(this, state);
 });
