Bridge a restored store for its own time, also when its entries are read twice, and for restarts

A target that had said before a drill that it leaves got calls again when the history was lost a few seconds after it: the second read was bridged by the shorter of the two times, so that what the copy still had as ready was taken. And a target that had restarted was replaced by its former process, whose calls went to an address that nobody has. Both times now run from the restored read, each for its own, and an earlier start is never taken for a later one.

--- a/packages/router/src/createTargetHandlers.ts
+++ b/packages/router/src/createTargetHandlers.ts
@@ -54,12 +54,18 @@
   return { prefix: targetEntries.prefix, ...restored.handlers() };
 }
 
-/** A target that was draining or gone never serves again before it has restarted. */
+/**
+ * A target that was draining or gone never serves again before it has restarted, and a process that was
+ * replaced never comes back.
+ */
 function isStale(
   { decode: decodeEntry }: TargetEntryDecoder,
   { known, isDeleted, read }: KnownAndRead,
 ): boolean {
   const [before, after] = [decodeEntry(known).target, decodeEntry(read).target];
+  if (before && after && after.startedWallMs < before.startedWallMs) {
+    return true;
+  }
   return (
     (isDeleted || before?.state === 'draining') &&
     after?.state === 'ready' &&
--- a/packages/router/test/restoredStore.feature
+++ b/packages/router/test/restoredStore.feature
@@ -44,6 +44,21 @@
     When the store is restored with the targets "a, c" of new processes
     Then the usable targets of the router are "a, c"
 
+  # Guards against calls to a target that said that it leaves, since the copy was read twice.
+  Scenario: Targets that drained or left stay so, though the copy is read again
+    When the store is restored with the targets "a, b, c"
+    And 2500 ms pass for the router
+    And the targets "a, b, c" are read again, since the history was lost
+    Then the usable targets of the router are "a"
+    When 2100 ms pass for the router
+    Then the usable targets of the router are "a, b, c"
+
+  # Guards against calls to the process before, since the copy is older than the restart of a target.
+  Scenario: A target that has restarted before the drill is not replaced by its former process
+    Given the target "a" has restarted
+    When the store is restored with the targets "a"
+    Then the process of target "a" is the new one
+
   # Guards against calls to a zone that was taken out in the seconds that the store lost.
   Scenario: An evacuation that the copy lacks holds until the operator had time to write it again
     Given the operator has taken the zone "zone" out
--- a/packages/router/test/restoredStore.steps.ts
+++ b/packages/router/test/restoredStore.steps.ts
@@ -101,6 +101,26 @@
   },
 );
 
+When(
+  'the targets {string} are read again, since the history was lost',
+  function when(this: RestoredWorld, ids: string) {
+    const entries = ids.split(', ').map((id) => createEntry(id));
+    this.targetHandlers.onEntries(entries, { isRestored: false });
+  },
+);
+
+Given('the target {string} has restarted', function given(this: RestoredWorld, id: string) {
+  this.targetHandlers.onChange({ kind: 'put', entry: createEntry(id, { value: 'ready 2' }) });
+});
+
+Then(
+  'the process of target {string} is the new one',
+  function then(this: RestoredWorld, id: string) {
+    const found = this.targets.findUsable('shop').find((target) => target.id === id);
+    assert.equal(found?.startedWallMs, 2);
+  },
+);
+
 When("the operator's entries are restored without it", function when(this: RestoredWorld) {
   this.operatorHandlers.onEntries([], { isRestored: true });
 });
--- a/packages/store/src/restoredEntries.ts
+++ b/packages/store/src/restoredEntries.ts
@@ -56,7 +56,7 @@
   /** Changes that apply unless the key is written or deleted first. */
   private readonly pending = new Map<string, PrefixChange>();
 
-  private bridgedUntilMs = 0;
+  private restoredAtMs = -Infinity;
 
   private constructor(private readonly opts: RestoredEntriesOptions) {}
 
@@ -76,11 +76,10 @@
   private applyRead(entries: readonly PrefixEntry[], read: EntriesRead): void {
     const nowMs = this.opts.timer.nowMs();
     if (read.isRestored) {
-      this.bridgedUntilMs = nowMs + this.opts.keepMissingMs;
+      this.restoredAtMs = nowMs;
     }
     this.pending.clear();
-    const isBridged = nowMs < this.bridgedUntilMs;
-    const result = isBridged ? this.bridge(entries) : entries;
+    const result = this.bridge(entries, nowMs);
     const keys = new Set(result.map(({ key }) => key));
     [...this.known.keys()].filter((key) => !keys.has(key)).forEach((key) => this.forget(key));
     result.forEach((entry) => this.known.set(entry.key, entry));
@@ -88,18 +87,17 @@
   }
 
   /** The entries that apply now; the others follow when their time has passed. */
-  private bridge(entries: readonly PrefixEntry[]): readonly PrefixEntry[] {
-    const { keepMissingMs, holdStaleMs } = this.opts;
+  private bridge(entries: readonly PrefixEntry[], nowMs: number): readonly PrefixEntry[] {
+    const keepForMs = this.restoredAtMs + this.opts.keepMissingMs - nowMs;
+    const holdForMs = this.restoredAtMs + this.opts.holdStaleMs - nowMs;
     const read = new Map(entries.map((entry) => [entry.key, entry]));
-    const missing = [...this.known.values()].filter(({ key }) => !read.has(key));
-    missing.forEach(({ key }) =>
-      this.applyLater({ kind: 'delete', key, revision: 0 }, keepMissingMs),
-    );
+    const missing = [...this.known.values()].filter(({ key }) => keepForMs > 0 && !read.has(key));
+    missing.forEach(({ key }) => this.applyLater({ kind: 'delete', key, revision: 0 }, keepForMs));
     const taken = entries.flatMap((entry) => {
-      if (!this.isStale(entry)) {
+      if (holdForMs <= 0 || !this.isStale(entry)) {
         return [entry];
       }
-      this.applyLater({ kind: 'put', entry }, holdStaleMs);
+      this.applyLater({ kind: 'put', entry }, holdForMs);
       const known = this.known.get(entry.key);
       return known ? [known] : [];
     });
