--- a/packages/pool/src/dispatchBatches.ts
+++ b/packages/pool/src/dispatchBatches.ts
@@ -7,6 +7,7 @@
   TargetNotice,
 } from '@galenatiller/types';
 
+import { computeRefusedPauseMs } from './computeRefusedPauseMs.js';
 import type { ResultMemory } from './resultMemory.js';
 import type { SeenHandles } from './seenHandles.js';
 import type { StageQueue, TakenPiece } from './stageQueue.js';
@@ -58,8 +59,13 @@
   /** Whether the worker may get new work. */
   readonly isUsable: (target: RegisteredTarget) => boolean;
   readonly resultMemory: ResultMemory;
-  /** Share of the worker's result memory that this node may use. */
-  readonly memoryShare: () => number;
+  /**
+   * Number of nodes that may send pieces to the worker together with this one. They share its result
+   * memory, and their attempts while it is full.
+   */
+  readonly senders: () => number;
+  /** Uniformly distributed number from 0 to 1. */
+  readonly random: () => number;
   readonly workerSpeed: WorkerSpeed;
   readonly seenHandles: SeenHandles;
   readonly runPieces: RunPieces;
@@ -83,9 +89,6 @@
 /** Minimum timeout of a batch call: several others may be queued at the worker before it. */
 const MIN_TIMEOUT_MS = 900;
 
-/** Pause after a full worker refused a batch call; about a sixth of the duration of one. */
-const REFUSED_PAUSE_MS = 40;
-
 /** Pause after a batch call failed, doubled with each consecutive failure. */
 const FAILED_PAUSE_MS = 200;
 const MAX_FAILED_PAUSE_MS = 1_600;
@@ -97,6 +100,7 @@
 export async function dispatchBatches(opts: DispatchBatchesOptions): Promise<void> {
   const { timer, queue, target, resultMemory, workerSpeed, signal } = opts;
   let failures = 0;
+  let refusals = 0;
   while (!signal.aborted) {
     const limits = opts.limits();
     if (!limits || !opts.isUsable(target)) {
@@ -107,7 +111,7 @@
       target,
       limits,
       availableBytes: () =>
-        resultMemory.availableBytes({ address: target.address, limits, share: opts.memoryShare() }),
+        resultMemory.availableBytes({ address: target.address, limits, share: 1 / opts.senders() }),
       minWaitMs: workerSpeed.minWaitMs(target.address),
       signal,
     });
@@ -121,12 +125,15 @@
     opts.onSent(target);
     const outcome = await runBatch({ ...opts, limits, taken });
     failures = outcome === 'failed' ? failures + 1 : 0;
+    refusals = outcome === 'refused' ? refusals + 1 : 0;
     if (outcome === 'failed') {
       const delayMs = Math.min(MAX_FAILED_PAUSE_MS, FAILED_PAUSE_MS * 2 ** (failures - 1));
       await timer.sleep({ delayMs, signal });
     }
     if (outcome === 'refused') {
-      await timer.sleep({ delayMs: REFUSED_PAUSE_MS, signal });
+      const { random } = opts;
+      const delayMs = computeRefusedPauseMs({ refusals, senders: opts.senders(), random });
+      await timer.sleep({ delayMs, signal });
     }
   }
 }
--- a/packages/pool/src/index.ts
+++ b/packages/pool/src/index.ts
@@ -1,4 +1,5 @@
 /** Client of encoder, retriever and reranker pools, with the queue that batches their work. */
+export { computeRefusedPauseMs, type RefusedPauseOptions } from './computeRefusedPauseMs.js';
 export { comparePieces } from './comparePieces.js';
 export type { StageThroughput } from './findInfeasible.js';
 export { SeenHandles } from './seenHandles.js';
--- a/packages/pool/src/stageQueue.ts
+++ b/packages/pool/src/stageQueue.ts
@@ -151,13 +151,17 @@
     if (nowMs - oldestSinceMs < opts.minWaitMs && this.waiting.length <= opts.limits.maxPieces) {
       return [];
     }
+    const availableBytes = opts.availableBytes();
+    if (this.waiting.every(({ piece }) => piece.resultBytes > availableBytes)) {
+      return [];
+    }
     const ordered = this.findTakeable(opts, nowMs).sort((left, right) =>
       compare({ left, right, nowMs }),
     );
     const chosen = choosePieces({
       ordered,
       limits: opts.limits,
-      availableBytes: opts.availableBytes(),
+      availableBytes,
     });
     const taken = new Set(chosen);
     this.waiting = this.waiting.filter((pending) => !taken.has(pending));
--- a/packages/router/src/createRouter.ts
+++ b/packages/router/src/createRouter.ts
@@ -96,7 +96,11 @@
   const tasks = TaskGroup.create({ onFailure: (error) => logFailedTask(log, error) });
   const callTasks = TaskGroup.create({ onFailure: (error) => logFailedTask(log, error) });
   const onLag = ({ lagMs }: { readonly lagMs: number }): void => logEventLoopLag(log, lagMs);
-  const eventLoop = EventLoopWatch.create({ timer, onLag });
+  const eventLoop = EventLoopWatch.create({
+    timer,
+    onLag,
+    onCheck: ({ lagMs }) => stages.credit.recordLag(lagMs),
+  });
   const routes = RouteTable.create();
   const targets = TargetDirectory.create({ timer, onChange: (change) => logTarget(log, change) });
   const members = createMembership({ ...opts, onChange: (live) => stages.setMembers(live) });
@@ -196,6 +200,7 @@
       name: settings.nodeName,
       address: settings.linkAddress,
       cpuCores: settings.cpuShare * settings.cores,
+      availabilityZone: settings.availabilityZone,
     },
     onChange: (live) => {
       logMembers(log, live);
--- a/packages/router/src/createStages.ts
+++ b/packages/router/src/createStages.ts
@@ -13,30 +13,40 @@
 import type { TaskGroup } from '@galenatiller/tasks';
 import type { TimerService } from '@galenatiller/timer';
 import type {
+  BatchLimits,
   CrashEvidence,
   LeavingEvidence,
   RolloutDecision,
   RolloutEvidence,
 } from '@galenatiller/types';
 
-import { logAbandonedStage, logLinkEvent, logStageCall } from './logEvents.js';
+import { logAbandonedStage, logLinkEvent, logShards, logStageCall } from './logEvents.js';
+import {
+  chooseShard,
+  MAX_CANDIDATES,
+  OwnerCredit,
+  ServiceOwners,
+  ServiceShards,
+  type Shard,
+  StageSubmitter,
+} from './ownership/index.js';
 import { PeerRouters } from './peerRouters.js';
 import type { TargetClient } from './ports.js';
 import { recordBatchMetrics } from './recordMetrics.js';
 import type { Rollouts } from './rollouts.js';
 import type { RouteTable } from './routeTable.js';
-import { ServiceOwners } from './serviceOwners.js';
-import { StageSubmitter, type SubmitPieceLocally } from './stageSubmitter.js';
 import { StageWorkers } from './stageWorkers.js';
 
 /** Options of {@link createStages}. */
 export interface CreateStagesOptions {
-  readonly settings: Pick<RouterSettings, 'nodeName'>;
+  readonly settings: Pick<RouterSettings, 'availabilityZone' | 'nodeName'>;
   readonly timer: TimerService;
   readonly log: EventLog;
   readonly metrics: MetricSink;
   readonly targetClient: TargetClient;
   readonly hash: (text: string) => number;
+  /** Uniformly distributed number from 0 to 1. */
+  readonly random: () => number;
   readonly routes: RouteTable;
   readonly targets: TargetDirectory;
   readonly notices: TargetNotices;
@@ -52,6 +62,8 @@
   readonly owners: ServiceOwners;
   readonly peers: PeerRouters;
   readonly submitter: StageSubmitter;
+  /** Limits the pieces that this node accepts while it lacks CPU time. */
+  readonly credit: OwnerCredit;
   readonly peerService: PeerService;
   /** Follows the targets that are registered now. */
   readonly onTargetsChanged: () => void;
@@ -62,7 +74,10 @@
 /** Creates the queues and tasks of the stage workers, and the links to the owners of services. */
 export function createStages(opts: CreateStagesOptions): Stages {
   const { timer, log, nodeCount } = opts;
-  const { nodeName: selfName } = opts.settings;
+  const { nodeName: selfName, availabilityZone: ownZone } = opts.settings;
+  const findLimits = (service: string): BatchLimits | undefined =>
+    opts.routes.findService(service)?.batch;
+  const shards = ServiceShards.create({ ...opts, findLimits });
   const owners = ServiceOwners.create({ ...opts, selfName });
   const peers = PeerRouters.create({
     ...opts,
@@ -83,7 +98,8 @@
     ...opts,
     isExcluded: (target) => opts.rollouts.isUnproved(target),
     resultMemory,
-    memoryShare: (service) => (owners.isOwner(service) ? 1 : 1 / nodeCount()),
+    shards,
+    countSenders: (shard) => countSenders({ owners, selfName, nodeCount, shard }),
     runPieces: opts.targetClient.runPieces,
     onBatch: (event) => {
       logStageCall(log, event);
@@ -91,10 +107,34 @@
     },
     onStageAbandoned: (event) => logAbandonedStage(log, event),
   });
-  const submitLocally: SubmitPieceLocally = (submitted) => workers.submit(submitted);
-  const submitter = StageSubmitter.create({ owners, peers, submitLocally, resultMemory });
+  const credit = OwnerCredit.create({ piecesInProgress: () => workers.piecesInProgress });
+  const waitMs = ({ service, key }: Shard): number => {
+    const owner = peers.find(owners.findOwner(key));
+    return owner ? owner.waitMs(key) : workers.waitMs({ service, shard: key });
+  };
+  const submitter = StageSubmitter.create({
+    timer,
+    selfName,
+    owners,
+    peers,
+    chooseShard: ({ service, piece }) =>
+      chooseShard({
+        shards: shards.findShards(service),
+        piece,
+        inputZone: workers.findInputZone(piece.inputs),
+        ownZone,
+        waitMs,
+        hasWorkers: (shard) => workers.hasWorkers(shard),
+        hash: opts.hash,
+      })?.key ?? '',
+    canAcceptLocally: () => credit.canAccept(),
+    submitLocally: (submitted) => workers.submit(submitted),
+    resultMemory,
+  });
   const peerService = {
     runPiece: submitter.submitForPeer,
+    waitMs: (shard: { readonly service: string; readonly shard: string }) => workers.waitMs(shard),
+    maxPieces: (peerCount: number) => credit.perPeer(peerCount),
     free: (handles: readonly string[]) => submitter.free(handles),
     mergeCrashEvidence: (evidence: readonly CrashEvidence[]) => opts.crashSuspects.merge(evidence),
     mergeLeavingEvidence: (evidence: readonly LeavingEvidence[]) =>
@@ -103,17 +143,50 @@
       evidence.forEach((item) => opts.rollouts.addEvidence(item)),
     endRollout: (decision: RolloutDecision) => opts.rollouts.end(decision),
   };
+  let liveMembers: readonly Member[] = [];
+  const handBack = (): void => {
+    const known = new Set(shards.all().map(({ key }) => key));
+    // The owner of a shard fills whole batches; two routers that share its workers find them full.
+    workers.handBack(
+      (shard) => !known.has(shard) || (peers.find(owners.findOwner(shard))?.isOpen ?? false),
+    );
+  };
+  const assign = (change: { readonly areMembersNew: boolean }): void => {
+    const areShardsNew = shards.update({ workers: opts.targets.all(), members: liveMembers });
+    if (areShardsNew) {
+      owners.setShards(shards.all());
+    }
+    workers.refresh();
+    if (areShardsNew || change.areMembersNew) {
+      logShards(log, owners, shards.all());
+      handBack();
+    }
+  };
   const setMembers = (members: readonly Member[]): void => {
+    liveMembers = members;
     owners.setMembers(members);
     peers.setMembers(members);
-    // The owner of a service fills whole batches; two routers that share its workers find them full.
-    workers.handBack((service) => peers.find(owners.findOwner(service))?.isOpen ?? false);
+    assign({ areMembersNew: true });
   };
   const onTargetsChanged = (): void => {
     opts.notices.onRegistered(opts.targets.all().map(toTargetStart));
-    workers.refresh();
+    assign({ areMembersNew: false });
   };
-  return { workers, owners, peers, submitter, peerService, onTargetsChanged, setMembers };
+  return { workers, owners, peers, submitter, credit, peerService, onTargetsChanged, setMembers };
+}
+
+/** Number of nodes that may send pieces to the workers of a shard together with this one. */
+function countSenders(opts: {
+  readonly owners: ServiceOwners;
+  readonly selfName: string;
+  readonly nodeCount: () => number;
+  readonly shard: string;
+}): number {
+  const candidates = opts.owners.findCandidates(opts.shard);
+  if (candidates[0] === opts.selfName) {
+    return 1;
+  }
+  return candidates.includes(opts.selfName) ? MAX_CANDIDATES : Math.max(1, opts.nodeCount());
 }
 
 async function freeResults(
--- a/packages/router/src/eventLoopWatch.ts
+++ b/packages/router/src/eventLoopWatch.ts
@@ -5,6 +5,8 @@
   readonly timer: TimerService;
   /** Called once for each period in which the event loop was blocked for long. */
   readonly onLag: (opts: { readonly lagMs: number }) => void;
+  /** Called at each check. */
+  readonly onCheck: (opts: { readonly lagMs: number }) => void;
 }
 
 const CHECK_INTERVAL_MS = 100;
@@ -45,7 +47,9 @@
 
   private check(): void {
     const nowMs = this.opts.timer.nowMs();
-    this.maxLagMs = Math.max(this.maxLagMs, nowMs - this.dueAtMs);
+    const lagMs = Math.max(0, nowMs - this.dueAtMs);
+    this.maxLagMs = Math.max(this.maxLagMs, lagMs);
+    this.opts.onCheck({ lagMs });
     this.dueAtMs = nowMs + CHECK_INTERVAL_MS;
     if (nowMs < this.reportAtMs) {
       return;
--- a/packages/router/src/logEvents.ts
+++ b/packages/router/src/logEvents.ts
@@ -7,6 +7,7 @@
 
 import type { RolloutDecision } from '@galenatiller/types';
 
+import type { ServiceOwners, Shard } from './ownership/index.js';
 import type { StoppedCallEvent } from './routerStop.js';
 
 /** Logs a change of the connection to the store. */
@@ -47,6 +48,17 @@
   log({ about: 'belief', event: 'members', members, leaving, outcome });
 }
 
+/** Logs how the stage services are split, and which router fills each part. */
+export function logShards(
+  log: EventLog,
+  owners: Pick<ServiceOwners, 'findCandidates'>,
+  shards: readonly Shard[],
+): void {
+  const listed = shards.map(({ key }) => `${key} ${owners.findCandidates(key).join(' ')}`);
+  const outcome = `${shards.length} shards`;
+  log({ about: 'belief', event: 'shards', shards: listed, outcome });
+}
+
 /** Logs one batch call to a stage worker. */
 export function logStageCall(log: EventLog, event: BatchEvent): void {
   const { target, requestIds, stages, tookMs, waitedMs, outcome } = event;
--- a/packages/router/src/peerRouters.ts
+++ b/packages/router/src/peerRouters.ts
@@ -56,6 +56,12 @@
     return [...this.peers.values()].map(({ router }) => router);
   }
 
+  /** Whether there are other routers, and no link to any of them is open. */
+  isIsolated(): boolean {
+    const routers = this.all();
+    return routers.length > 0 && routers.every(({ isOpen }) => !isOpen);
+  }
+
   private open(member: Member): void {
     const { timer, selfName, onLinkEvent, onOpened, tasks } = this.opts;
     const { name: peerName, address } = member;
--- a/packages/router/src/runRollouts.ts
+++ b/packages/router/src/runRollouts.ts
@@ -7,7 +7,7 @@
 import type { PeerRouters } from './peerRouters.js';
 import type { Rollouts } from './rollouts.js';
 import type { RolloutStatuses } from './rolloutStatuses.js';
-import type { ServiceOwners } from './serviceOwners.js';
+import type { ServiceOwners } from './ownership/index.js';
 
 /** Options of {@link runRollouts}. */
 export interface RunRolloutsOptions {
--- a/packages/router/src/stageWorkers.ts
+++ b/packages/router/src/stageWorkers.ts
@@ -3,7 +3,6 @@
   type BatchEvent,
   comparePieces,
   dispatchBatches,
-  type FindInputZone,
   type ResultMemory,
   type RunPieces,
   SeenHandles,
@@ -22,6 +21,7 @@
 import type { TimerService } from '@galenatiller/timer';
 import type { PieceResult, RegisteredTarget, StagePiece } from '@galenatiller/types';
 
+import type { ServiceShards, Shard } from './ownership/index.js';
 import type { RouteTable } from './routeTable.js';
 
 /** Options of {@link StageWorkers.create}. */
@@ -33,8 +33,14 @@
   /** Whether a target must not get pieces, although it is ready. */
   readonly isExcluded: (target: RegisteredTarget) => boolean;
   readonly resultMemory: ResultMemory;
-  /** Share of the result memory of a service's workers that this node may use. */
-  readonly memoryShare: (service: string) => number;
+  readonly shards: ServiceShards;
+  /**
+   * Number of nodes that may send pieces to the workers of a shard together with this one, which
+   * share their result memory and the attempts on full workers.
+   */
+  readonly countSenders: (shard: string) => number;
+  /** Uniformly distributed number from 0 to 1. */
+  readonly random: () => number;
   readonly runPieces: RunPieces;
   readonly onBatch: (event: BatchEvent) => void;
   readonly onStageAbandoned: (event: AbandonedStageEvent & { readonly service: string }) => void;
@@ -44,10 +50,11 @@
 
 interface WorkerTask {
   readonly target: RegisteredTarget;
+  readonly shard: Shard;
   readonly stop: AbortController;
 }
 
-/** The queues of the stage services, and one task for each of their workers. */
+/** The queues of the shards of stage services, and one task for each of their workers. */
 export class StageWorkers {
   private readonly queues = new Map<string, StageQueue>();
 
@@ -59,6 +66,8 @@
 
   private batches = 0;
 
+  private pieces = 0;
+
   private constructor(private readonly opts: StageWorkersOptions) {
     this.seenHandles = SeenHandles.create(opts);
   }
@@ -68,18 +77,39 @@
     return new StageWorkers(opts);
   }
 
-  /** Submits a piece to the workers of a service; undefined when it is handed back. */
-  submit(opts: {
+  /** Submits a piece to the workers of a shard; undefined when it is handed back. */
+  async submit(opts: {
     readonly service: string;
+    /** Key of the shard; another one of the service is used if nodes disagree on how it is split. */
+    readonly shard: string;
     readonly piece: StagePiece;
     readonly signal: AbortSignal;
   }): Promise<PieceResult | undefined> {
-    return this.getQueue(opts.service).submit(opts);
+    const { service, shard: key } = opts;
+    this.pieces += 1;
+    try {
+      return await this.getQueue(this.opts.shards.resolve({ service, key })).submit(opts);
+    } finally {
+      this.pieces -= 1;
+    }
+  }
+
+  /** Pieces that were submitted and have no result yet. */
+  get piecesInProgress(): number {
+    return this.pieces;
   }
 
-  /** Number of pieces that wait for the workers of a service. */
-  queuedPieces(service: string): number {
-    return this.queues.get(service)?.length ?? 0;
+  /** Time that a new piece would wait for a worker of a shard. */
+  waitMs(opts: { readonly service: string; readonly shard: string }): number {
+    const shard = this.opts.shards.resolve({ service: opts.service, key: opts.shard });
+    const queued = this.queues.get(shard.key)?.length ?? 0;
+    const { piecesPerMs } = this.throughput(shard);
+    return piecesPerMs > 0 ? queued / piecesPerMs : NO_WORKER_WAIT_MS;
+  }
+
+  /** Whether any worker of a shard may get new work. */
+  hasWorkers(shard: Shard): boolean {
+    return this.accepting(shard).length > 0;
   }
 
   /** Number of calls to workers in progress. */
@@ -87,10 +117,10 @@
     return this.batches;
   }
 
-  /** Hands back the pieces of a service that wait for a worker, for those services that are chosen. */
-  handBack(isChosen: (service: string) => boolean): void {
-    this.queues.forEach((queue, service) => {
-      if (isChosen(service)) {
+  /** Hands back the pieces of a shard that wait for a worker, for those shards that are chosen. */
+  handBack(isChosen: (shard: string) => boolean): void {
+    this.queues.forEach((queue, shard) => {
+      if (isChosen(shard)) {
         queue.handBack();
       }
     });
@@ -101,15 +131,20 @@
     this.queues.forEach((queue) => queue.wakeWorkers());
   }
 
-  /** Starts a task for each registered stage worker, and stops the tasks of those that are gone. */
+  /**
+   * Starts a task for each registered stage worker, and stops the tasks of those that are gone or
+   * belong to another shard now.
+   */
   refresh(): void {
-    const { targets, routes } = this.opts;
+    const { targets, routes, shards } = this.opts;
     const registered = targets
       .all()
       .filter(({ service }) => routes.findService(service)?.batch !== undefined);
-    const keys = new Set(registered.map(getStartKey));
-    this.workerTasks.forEach(({ stop }, key) => {
-      if (!keys.has(key)) {
+    const shardKeys = new Map(
+      registered.map((target) => [getStartKey(target), shards.findShardOf(target).key]),
+    );
+    this.workerTasks.forEach(({ stop, shard }, key) => {
+      if (shardKeys.get(key) !== shard.key) {
         this.workerTasks.delete(key);
         stop.abort();
       }
@@ -120,19 +155,20 @@
   }
 
   private startWorker(target: RegisteredTarget): void {
-    const { timer, routes, notices, resultMemory, memoryShare, runPieces, onBatch, tasks } =
-      this.opts;
+    const { timer, routes, notices, resultMemory, runPieces, onBatch, tasks } = this.opts;
     const stop = new AbortController();
-    this.workerTasks.set(getStartKey(target), { target, stop });
+    const shard = this.opts.shards.findShardOf(target);
+    this.workerTasks.set(getStartKey(target), { target, shard, stop });
     tasks.start(() =>
       dispatchBatches({
         timer,
-        queue: this.getQueue(target.service),
+        queue: this.getQueue(shard),
         target,
         limits: () => routes.findService(target.service)?.batch,
         isUsable: (worker) => this.canSend(worker),
         resultMemory,
-        memoryShare: () => memoryShare(target.service),
+        senders: () => this.opts.countSenders(shard.key),
+        random: this.opts.random,
         workerSpeed: this.workerSpeed,
         seenHandles: this.seenHandles,
         runPieces: (batch) => this.countBatch(runPieces(batch)),
@@ -154,22 +190,22 @@
     }
   }
 
-  /** Throughput of the usable workers of a service with full batches, at their present speed. */
-  private throughput(service: string): StageThroughput {
-    const limits = this.opts.routes.findService(service)?.batch;
+  /** Throughput of the usable workers of a shard with full batches, at their present speed. */
+  private throughput(shard: Shard): StageThroughput {
+    const limits = this.opts.routes.findService(shard.service)?.batch;
     if (!limits) {
       return { piecesPerMs: 0, callMs: 0, pausedMs: 0 };
     }
     const callMs = limits.callOverheadMs + limits.pieceMs * limits.maxPieces;
-    const piecesPerMs = this.usable(service)
+    const piecesPerMs = this.usable(shard)
       .map(({ address }) => limits.maxPieces / (callMs * this.workerSpeed.slowdown(address)))
       .reduce((sum, rate) => sum + rate, 0);
-    const pausedMs = this.opts.notices.firstReturnMs(this.accepting(service).map(toTargetStart));
+    const pausedMs = this.opts.notices.firstReturnMs(this.accepting(shard).map(toTargetStart));
     return { piecesPerMs, callMs, pausedMs: piecesPerMs === 0 ? (pausedMs ?? 0) : 0 };
   }
 
-  private workerZones(service: string): ReadonlySet<string> {
-    const usable = this.usable(service);
+  private workerZones(shard: Shard): ReadonlySet<string> {
+    const usable = this.usable(shard);
     return new Set(
       usable
         .filter(({ address }) => this.workerSpeed.minWaitMs(address) === 0)
@@ -177,15 +213,15 @@
     );
   }
 
-  private usable(service: string): readonly RegisteredTarget[] {
-    return this.accepting(service).filter((target) => this.canSend(target));
+  private usable(shard: Shard): readonly RegisteredTarget[] {
+    return this.accepting(shard).filter((target) => this.canSend(target));
   }
 
-  /** The workers of a service that get pieces, now or once their pauses end. */
-  private accepting(service: string): readonly RegisteredTarget[] {
+  /** The workers of a shard that get pieces, now or once their pauses end. */
+  private accepting({ key }: Shard): readonly RegisteredTarget[] {
     return [...this.workerTasks.values()]
-      .map(({ target }) => target)
-      .filter((target) => target.service === service && this.isAccepting(target));
+      .filter(({ shard, target }) => shard.key === key && this.isAccepting(target))
+      .map(({ target }) => target);
   }
 
   private isAccepting(target: RegisteredTarget): boolean {
@@ -196,23 +232,29 @@
     return this.isAccepting(target) && this.opts.notices.canSend(toTargetStart(target));
   }
 
-  private getQueue(service: string): StageQueue {
-    const known = this.queues.get(service);
+  private getQueue(shard: Shard): StageQueue {
+    const known = this.queues.get(shard.key);
     if (known) {
       return known;
     }
-    const { timer, targets } = this.opts;
-    const inputZone: FindInputZone = ({ inputs }) =>
-      targets.findMajorityZone(inputs.map(toWorkerAddress));
+    const { timer } = this.opts;
     const queue = StageQueue.create({
       timer,
       compare: comparePieces,
-      inputZone,
-      throughput: () => this.throughput(service),
-      workerZones: () => this.workerZones(service),
-      onStageAbandoned: (event) => this.opts.onStageAbandoned({ ...event, service }),
+      inputZone: ({ inputs }) => this.findInputZone(inputs),
+      throughput: () => this.throughput(shard),
+      workerZones: () => this.workerZones(shard),
+      onStageAbandoned: (event) => this.opts.onStageAbandoned({ ...event, service: shard.service }),
     });
-    this.queues.set(service, queue);
+    this.queues.set(shard.key, queue);
     return queue;
   }
+
+  /** Zone that keeps most of the inputs of a piece; empty when it has none. */
+  findInputZone(inputs: readonly string[]): string {
+    return this.opts.targets.findMajorityZone(inputs.map(toWorkerAddress));
+  }
 }
+
+/** Reported wait for a shard without usable workers, longer than any call can wait. */
+const NO_WORKER_WAIT_MS = 60_000;
--- a/packages/router/test/eventLoopWatch.steps.ts
+++ b/packages/router/test/eventLoopWatch.steps.ts
@@ -24,6 +24,7 @@
   EventLoopWatch.create({
     timer: TimerService.create({ clock }),
     onLag: ({ lagMs }) => this.reportedLagsMs.push(lagMs),
+    onCheck: () => {},
   }).start();
 });
 
--- a/packages/router/test/fleetWorld.ts
+++ b/packages/router/test/fleetWorld.ts
@@ -7,9 +7,8 @@
 import { ManualClock, TimerService } from '@galenatiller/timer';
 import type { PieceResult, RegisteredTarget } from '@galenatiller/types';
 
+import { ServiceOwners, ServiceShards, StageSubmitter } from '../src/ownership/index.js';
 import { RouteTable } from '../src/routeTable.js';
-import { ServiceOwners } from '../src/serviceOwners.js';
-import { StageSubmitter } from '../src/stageSubmitter.js';
 import { StageWorkers } from '../src/stageWorkers.js';
 import { StopWorld, type Surroundings } from './stopWorld.js';
 import { CONFIGURATION, createSilentNotices } from './support.js';
@@ -36,6 +35,7 @@
 }
 
 const SERVICE = 'stage';
+const SHARD = 'stage/0';
 const WORKERS = ['1', '2', '3'];
 const MAX_CALLS = 2;
 const LIMITS = {
@@ -93,7 +93,7 @@
     const router = this.createRouter(name);
     this.routers.set(name, router);
     this.worlds.push(router.world);
-    this.setMember({ name, address: name, cpuCores: 1, leavingSince: 0 });
+    this.setMember({ name, address: name, cpuCores: 1, availabilityZone: '', leavingSince: 0 });
   }
 
   private createRouter(name: string): FleetRouter {
@@ -107,8 +107,15 @@
     });
     const workers = this.createWorkers(resultMemory);
     const submitter = StageSubmitter.create({
+      timer,
+      selfName: name,
       owners,
-      peers: { find: (peer) => (peer === name ? undefined : this.createLink(peer)) },
+      peers: {
+        find: (peer) => (peer === name ? undefined : this.createLink(peer)),
+        isIsolated: () => this.names.every((other) => !this.isReached(other, name)),
+      },
+      chooseShard: () => SHARD,
+      canAcceptLocally: () => true,
       submitLocally: (submitted) => workers.submit(submitted),
       resultMemory,
     });
@@ -120,7 +127,13 @@
       batchesInProgress: () => workers.batchesInProgress,
       onStop: () => {
         this.leavers += 1;
-        this.setMember({ name, address: name, cpuCores: 1, leavingSince: this.leavers });
+        this.setMember({
+          name,
+          address: name,
+          cpuCores: 1,
+          availabilityZone: '',
+          leavingSince: this.leavers,
+        });
       },
       onLeave: () => this.removeMember(name),
       onClose: () => this.end(name),
@@ -149,8 +162,9 @@
     if (!router?.isUp) {
       return undefined;
     }
-    const link: Pick<PeerRouter, 'isOpen' | 'submitPiece' | 'free'> = {
+    const link: Pick<PeerRouter, 'isOpen' | 'canAccept' | 'submitPiece' | 'free'> = {
       isOpen: true,
+      canAccept: true,
       submitPiece: async (order) => {
         const result = router.submitter.submitForPeer(order);
         return Promise.race([result, this.whenLost(router)]);
@@ -171,7 +185,7 @@
   }
 
   private createWorkers(resultMemory: ResultMemory): StageWorkers {
-    const { timer } = this;
+    const { timer, opts } = this;
     const targets = TargetDirectory.create({ timer, onChange: () => {} });
     WORKERS.forEach((id) => targets.put({ id, target: createWorker(id), storeRevision: 1 }));
     const routes = RouteTable.create();
@@ -184,7 +198,9 @@
       notices: createSilentNotices(timer),
       resultMemory,
       isExcluded: () => false,
-      memoryShare: () => 1,
+      shards: ServiceShards.create({ hash: hashText, findLimits: () => LIMITS }),
+      countSenders: () => 1,
+      random: opts.random,
       runPieces: this.runPieces,
       onBatch: () => {},
       onStageAbandoned: () => {},
--- a/packages/router/test/freeNotices.steps.ts
+++ b/packages/router/test/freeNotices.steps.ts
@@ -50,8 +50,9 @@
   const { stageTimer: timer, stageTargets: targets, stageNotices: notices } = world;
   const notUsed = (): Promise<never> => Promise.reject(new Error('not used'));
   return createStages({
-    settings: { nodeName: 'router-1' },
+    settings: { nodeName: 'router-1', availabilityZone: 'zone' },
     timer,
+    random: () => 0.5,
     log: () => {},
     metrics: { count: () => {}, gauge: () => {}, timing: () => {} },
     targetClient: {
--- a/packages/router/test/serviceOwners.steps.ts
+++ b/packages/router/test/serviceOwners.steps.ts
@@ -4,7 +4,7 @@
 import type { Member } from '@galenatiller/store';
 import createXxhash from 'xxhash-wasm';
 
-import { ServiceOwners } from '../src/serviceOwners.js';
+import { ServiceOwners } from '../src/ownership/index.js';
 
 interface OwnersWorld {
   ownerRouters: ReadonlyMap<string, ServiceOwners>;
@@ -61,7 +61,13 @@
 function createMembers(names: string, cpuCores: number): readonly Member[] {
   return names
     .split(',')
-    .map((name) => ({ name, address: '127.0.0.1:1', cpuCores, leavingSince: 0 }));
+    .map((name) => ({
+      name,
+      address: '127.0.0.1:1',
+      cpuCores,
+      availabilityZone: '',
+      leavingSince: 0,
+    }));
 }
 
 function createOwners(selfName: string): ServiceOwners {
--- a/packages/router/test/stageNotices.steps.ts
+++ b/packages/router/test/stageNotices.steps.ts
@@ -13,6 +13,7 @@
   TargetNotice,
 } from '@galenatiller/types';
 
+import { ServiceShards } from '../src/ownership/index.js';
 import { RouteTable } from '../src/routeTable.js';
 import { StageWorkers } from '../src/stageWorkers.js';
 import { CONFIGURATION, createTarget } from './support.js';
@@ -111,7 +112,9 @@
     notices,
     isExcluded: () => false,
     resultMemory: this.stageMemory,
-    memoryShare: () => 1,
+    shards: ServiceShards.create({ hash: () => 0, findLimits: () => undefined }),
+    countSenders: () => 1,
+    random: () => 0.5,
     runPieces: ({ target, pieces }) => runPieces(this, target, pieces),
     onBatch: () => {},
     onStageAbandoned: () => {},
@@ -187,7 +190,7 @@
     priority: 0,
   };
   const { signal } = new AbortController();
-  world.stageWorkers.submit({ service: 'stage', piece, signal }).then(
+  world.stageWorkers.submit({ service: 'stage', shard: 'stage/0', piece, signal }).then(
     (result) => world.results.push(result ?? assert.fail('the piece was handed back')),
     (error: unknown) => {
       throw error;
--- a/packages/router/test/stageSubmitter.steps.ts
+++ b/packages/router/test/stageSubmitter.steps.ts
@@ -9,7 +9,7 @@
 import type { PieceResult, StagePiece } from '@galenatiller/types';
 
 import { RouteTable } from '../src/routeTable.js';
-import { StageSubmitter } from '../src/stageSubmitter.js';
+import { ServiceShards, StageSubmitter } from '../src/ownership/index.js';
 import { StageWorkers } from '../src/stageWorkers.js';
 import { CONFIGURATION, createSilentNotices } from './support.js';
 
@@ -21,10 +21,14 @@
   piecesAtPeer: ((result: PieceResult | undefined) => void)[];
   freedAtPeer: string[];
   pieceResults: Promise<PieceResult>[];
+  isPeerOpen: boolean;
+  /** Whether this router has CPU time for more pieces. */
+  hasCpuTime: boolean;
 }
 
 const CALL_MS = 200;
 const SERVICE = 'stage';
+const SHARD = 'stage/0';
 const LIMITS = {
   maxPieces: 1,
   callOverheadMs: CALL_MS,
@@ -39,6 +43,8 @@
     this.submitterClock = ManualClock.create({ startWallMs: 1_000_000 });
     const timer = TimerService.create({ clock: this.submitterClock });
     this.serviceOwner = 'self';
+    this.isPeerOpen = true;
+    this.hasCpuTime = true;
     this.piecesAtPeer = [];
     this.freedAtPeer = [];
     this.pieceResults = [];
@@ -63,7 +69,9 @@
       notices: createSilentNotices(timer),
       resultMemory,
       isExcluded: () => false,
-      memoryShare: () => 1,
+      shards: ServiceShards.create({ hash: () => 0, findLimits: () => LIMITS }),
+      countSenders: () => 1,
+      random: () => 0.5,
       runPieces: async ({ pieces }) => {
         await timer.sleep({ delayMs: CALL_MS });
         const results = pieces.map((): PieceResult => {
@@ -82,8 +90,17 @@
     });
     this.stageWorkers.refresh();
     this.submitter = StageSubmitter.create({
-      owners: { findOwner: () => this.serviceOwner },
-      peers: { find: (name) => (name === 'peer' ? createPeer(this) : undefined) },
+      timer,
+      selfName: 'self',
+      owners: {
+        findCandidates: () => [this.serviceOwner, this.serviceOwner === 'self' ? 'peer' : 'self'],
+      },
+      peers: {
+        find: (name) => (name === 'peer' ? createPeer(this) : undefined),
+        isIsolated: () => !this.isPeerOpen,
+      },
+      chooseShard: () => SHARD,
+      canAcceptLocally: () => this.hasCpuTime,
       submitLocally: (submitted) => this.stageWorkers.submit(submitted),
       resultMemory,
     });
@@ -94,8 +111,11 @@
 When(
   /^2 pieces for one worker are submitted( by the peer)?, and the peer becomes the owner$/,
   async function when(this: SubmitterWorld, byPeer: string | null) {
-    const submit = byPeer === null ? this.submitter.submit : this.submitter.submitForPeer;
-    this.pieceResults = [0, 1].map((piece) => submit(createOrder(piece)));
+    this.pieceResults = [0, 1].map((piece) =>
+      byPeer === null
+        ? this.submitter.submit(createOrder(piece))
+        : this.submitter.submitForPeer({ ...createOrder(piece), shard: SHARD }),
+    );
     await this.submitterClock.advance({ byMs: 10 });
     this.serviceOwner = 'peer';
     this.stageWorkers.handBack(() => true);
@@ -109,6 +129,7 @@
     this.serviceOwner = 'peer';
     this.pieceResults = [this.submitter.submit(createOrder(0))];
     await this.submitterClock.advance({ byMs: 10 });
+    this.isPeerOpen = false;
     this.piecesAtPeer.splice(0).forEach((settle) => settle(undefined));
   },
 );
@@ -144,8 +165,9 @@
 }
 
 function createPeer(world: SubmitterWorld): PeerRouter {
-  const peer: Pick<PeerRouter, 'isOpen' | 'submitPiece' | 'free'> = {
-    isOpen: true,
+  const peer: Pick<PeerRouter, 'isOpen' | 'canAccept' | 'submitPiece' | 'free'> = {
+    isOpen: world.isPeerOpen,
+    canAccept: world.isPeerOpen,
     submitPiece: () =>
       new Promise((resolve) => {
         world.piecesAtPeer.push(resolve);
--- a/packages/routerLink/src/acceptRouters.ts
+++ b/packages/routerLink/src/acceptRouters.ts
@@ -1,3 +1,4 @@
+import { setMaxListeners } from 'node:events';
 import { createServer, type Server, type Socket } from 'node:net';
 
 import type { TaskGroup } from '@galenatiller/tasks';
@@ -11,18 +12,18 @@
   StagePiece,
 } from '@galenatiller/types';
 
-import { LINK_VERSION } from './followRouter.js';
+import { LINK_VERSION, type ShardPiece } from './followRouter.js';
 import type { PieceOrderFrame, RouterFrame } from './routerFrames.js';
 import { RouterSocket } from './routerSocket.js';
 
 /** Functions that a router runs for its peers. */
 export interface PeerService {
-  /** Has a piece run by a worker of a service that this router owns. */
-  readonly runPiece: (opts: {
-    readonly service: string;
-    readonly piece: StagePiece;
-    readonly signal: AbortSignal;
-  }) => Promise<PieceResult>;
+  /** Has a piece run by a worker of a shard. */
+  readonly runPiece: (opts: ShardPiece) => Promise<PieceResult>;
+  /** Time that a new piece would wait for a worker of a shard. */
+  readonly waitMs: (opts: { readonly service: string; readonly shard: string }) => number;
+  /** Pieces that each of so many peers may have in progress here; Infinity without a limit. */
+  readonly maxPieces: (peers: number) => number;
   readonly free: (handles: readonly string[]) => void;
   readonly mergeCrashEvidence: (evidence: readonly CrashEvidence[]) => void;
   readonly mergeLeavingEvidence: (evidence: readonly LeavingEvidence[]) => void;
@@ -43,10 +44,11 @@
 /** Listens for links from other routers and runs one task for each. */
 export async function acceptRouters(opts: AcceptRoutersOptions): Promise<{ close: () => void }> {
   const sockets = new Set<Socket>();
+  const links = new Set<AcceptedLink>();
   const server = createServer({ noDelay: true }, (socket) => {
     sockets.add(socket);
     socket.once('close', () => sockets.delete(socket));
-    opts.tasks.start(() => serveLink(opts, RouterSocket.create({ socket })));
+    opts.tasks.start(() => serveLink(opts, links, RouterSocket.create({ socket })));
   });
   await listen(server, opts.address);
   return {
@@ -57,71 +59,110 @@
   };
 }
 
-/** The task of one link: reads piece orders and starts a task for each. */
-async function serveLink(opts: AcceptRoutersOptions, socket: RouterSocket): Promise<void> {
-  const running = new Map<number, AbortController>();
+/** A link from another router. */
+interface AcceptedLink {
+  readonly socket: RouterSocket;
+  /** The pieces in progress, by order id, and what cancels them. */
+  readonly running: Map<number, AbortController>;
+}
+
+/** The task of one link: reads piece orders and starts a task for each piece. */
+async function serveLink(
+  opts: AcceptRoutersOptions,
+  links: Set<AcceptedLink>,
+  socket: RouterSocket,
+): Promise<void> {
+  const link: AcceptedLink = { socket, running: new Map() };
   let isHelloReceived = false;
+  links.add(link);
   for await (const frame of socket.read()) {
     if (!isHelloReceived) {
       isHelloReceived = frame.kind === 'hello' && frame.linkVersion === LINK_VERSION;
       if (!isHelloReceived) {
         socket.close();
-        return;
+        break;
       }
       continue;
     }
-    handleFrame(opts, { socket, running, frame });
+    handleFrame({ ...opts, links, link }, frame);
   }
-  running.forEach((controller) => controller.abort());
+  links.delete(link);
+  link.running.forEach((controller) => controller.abort());
 }
 
-function handleFrame(
-  opts: AcceptRoutersOptions,
-  link: {
-    readonly socket: RouterSocket;
-    readonly running: Map<number, AbortController>;
-    readonly frame: RouterFrame;
-  },
-): void {
-  const { socket, running, frame } = link;
-  if (frame.kind === 'ping') {
-    socket.send({ kind: 'pong' });
-  }
-  if (frame.kind === 'piece-cancel') {
-    running.get(frame.orderId)?.abort();
-  }
-  if (frame.kind === 'free') {
-    opts.service.free(frame.handles);
-  }
-  if (frame.kind === 'crash-evidence') {
-    opts.service.mergeCrashEvidence(frame.evidence);
-  }
-  if (frame.kind === 'leaving-evidence') {
-    opts.service.mergeLeavingEvidence(frame.evidence);
-  }
-  if (frame.kind === 'rollout-evidence') {
-    opts.service.addRolloutEvidence(frame.evidence);
-  }
-  if (frame.kind === 'rollout-decision') {
-    opts.service.endRollout(frame.decision);
+interface HandleFrameOptions extends AcceptRoutersOptions {
+  readonly links: ReadonlySet<AcceptedLink>;
+  readonly link: AcceptedLink;
+}
+
+function handleFrame(opts: HandleFrameOptions, frame: RouterFrame): void {
+  const { service, link } = opts;
+  switch (frame.kind) {
+    case 'ping':
+      link.socket.send({ kind: 'pong', maxPieces: service.maxPieces(countBusy(opts.links)) });
+      return;
+    case 'piece-cancel':
+      frame.orderIds.forEach((orderId) => link.running.get(orderId)?.abort());
+      return;
+    case 'piece-order':
+      startPieces(opts, frame);
+      return;
+    case 'free':
+      service.free(frame.handles);
+      return;
+    case 'crash-evidence':
+      service.mergeCrashEvidence(frame.evidence);
+      return;
+    case 'leaving-evidence':
+      service.mergeLeavingEvidence(frame.evidence);
+      return;
+    case 'rollout-evidence':
+      service.addRolloutEvidence(frame.evidence);
+      return;
+    case 'rollout-decision':
+      service.endRollout(frame.decision);
+      return;
+    case 'hello':
+    case 'pong':
+    case 'piece-end':
   }
-  if (frame.kind === 'piece-order') {
-    const controller = new AbortController();
-    running.set(frame.orderId, controller);
-    opts.tasks.start(async () => {
+}
+
+/** Number of links with pieces in progress. */
+function countBusy(links: ReadonlySet<AcceptedLink>): number {
+  return [...links].filter(({ running }) => running.size > 0).length;
+}
+
+/** Starts a task for each piece of an order; they are cancelled together. */
+function startPieces(opts: HandleFrameOptions, frame: PieceOrderFrame): void {
+  const { link, tasks, timer } = opts;
+  const { service, shard } = frame;
+  const controller = new AbortController();
+  // Each piece in progress listens for the abort.
+  setMaxListeners(0, controller.signal);
+  frame.pieces.forEach(({ orderId, piece }) => {
+    link.running.set(orderId, controller);
+    tasks.start(async () => {
       const result = await opts.service.runPiece({
-        service: frame.service,
-        piece: decodePiece(frame, opts.timer.nowMs()),
+        service,
+        shard,
+        piece: decodePiece({ frame, piece, nowMs: timer.nowMs() }),
         signal: controller.signal,
       });
-      running.delete(frame.orderId);
-      socket.send({ kind: 'piece-end', orderId: frame.orderId, result });
+      link.running.delete(orderId);
+      const waitMs = opts.service.waitMs({ service, shard });
+      link.socket.send({ kind: 'piece-end', orderId, result, waitMs });
     });
-  }
+  });
 }
 
-function decodePiece(frame: PieceOrderFrame, nowMs: number): StagePiece {
-  const { requestId, stage, piece, key, inputs, resultBytes, zoneHint, priority } = frame;
+function decodePiece(opts: {
+  readonly frame: PieceOrderFrame;
+  readonly piece: number;
+  readonly nowMs: number;
+}): StagePiece {
+  const { frame, piece, nowMs } = opts;
+  const { requestId, stage, key, inputs, resultBytes, zoneHint, priority } = frame;
   return {
     requestId,
     stage,
--- a/packages/routerLink/src/followRouter.ts
+++ b/packages/routerLink/src/followRouter.ts
@@ -10,7 +10,7 @@
   StagePiece,
 } from '@galenatiller/types';
 
-import type { RouterFrame } from './routerFrames.js';
+import type { OrderedPiece, RouterFrame } from './routerFrames.js';
 import { RouterSocket } from './routerSocket.js';
 
 /** A change of the state of the link to a peer. */
@@ -31,22 +31,55 @@
   readonly onEvent: (event: PeerEvent) => void;
 }
 
+/** A piece and the shard whose workers should run it. */
+export interface ShardPiece {
+  readonly service: string;
+  readonly shard: string;
+  readonly piece: StagePiece;
+  readonly signal: AbortSignal;
+}
+
 interface PendingOrder {
+  readonly shard: string;
   /** Called with undefined when the link is lost. */
   readonly settle: (result: PieceResult | undefined) => void;
 }
 
+/** Pieces of one stage of a call, which are sent in one frame. */
+interface PendingGroup extends Omit<ShardPiece, 'piece'> {
+  /** Any of the pieces; the others differ in their number only. */
+  readonly first: StagePiece;
+  readonly pieces: OrderedPiece[];
+}
+
+interface ReportedWait {
+  readonly waitMs: number;
+  readonly atMs: number;
+}
+
 /** Version of the frames; a router closes links from routers of another version. */
-export const LINK_VERSION = 4;
+export const LINK_VERSION = 5;
 
 const CONNECT_TIMEOUT_MS = 400;
 
-/** A live peer responds within a round trip and its longest pause for garbage collection. */
-const SILENCE_TIMEOUT_MS = 600;
-
 /** Interval of pings, which are sent only while orders wait for a result. */
 const PING_INTERVAL_MS = 200;
 
+/**
+ * Pings without any frame from the peer after which it gets no further pieces for now: it has more
+ * work than CPU time, or is gone.
+ */
+const SLOW_AFTER_PINGS = 3;
+
+/**
+ * Pings without any frame after which the peer counts as gone. An overloaded peer still responds
+ * within this time; one whose process has ended resets the connection at once.
+ */
+const LOST_AFTER_PINGS = 6;
+
+/** Reports of a peer are no longer used after this time. */
+const REPORT_LIFETIME_MS = 1_000;
+
 const REOPEN_DELAY_MS = 300;
 
 /** The link to another router, and the orders sent over it that wait for a result. */
@@ -57,7 +90,23 @@
 
   private readonly orders = new Map<number, PendingOrder>();
 
-  private lastFrameAtMs = 0;
+  /** Pieces of this turn of the event loop, by the signal of their call. */
+  private pendingGroups: PendingGroup[] = [];
+
+  private pendingCancels: number[] = [];
+
+  private isFlushScheduled = false;
+
+  private unansweredPings = 0;
+
+  /** Whether the last link was closed for silence and the peer has sent nothing since. */
+  private isSilent = false;
+
+  private maxPieces = Infinity;
+
+  private lastPongAtMs = -Infinity;
+
+  private readonly waits = new Map<string, ReportedWait>();
 
   private constructor(private readonly opts: PeerRouterOptions) {}
 
@@ -66,29 +115,38 @@
     return new PeerRouter(opts);
   }
 
-  /** Whether orders can be sent now. */
+  /** Whether frames can be sent now. */
   get isOpen(): boolean {
-    return this.socket !== undefined;
+    return this.socket?.isWritable ?? false;
+  }
+
+  /** Whether the peer accepts one more piece, as far as is known. */
+  get canAccept(): boolean {
+    const isReportFresh = this.opts.timer.nowMs() - this.lastPongAtMs < REPORT_LIFETIME_MS;
+    const maxPieces = isReportFresh ? this.maxPieces : Infinity;
+    const isResponsive = !this.isSilent && this.unansweredPings < SLOW_AFTER_PINGS;
+    return this.isOpen && isResponsive && this.orders.size < maxPieces;
+  }
+
+  /** Time that a piece waits for a worker of a shard at the peer; 0 without a recent report. */
+  waitMs(shard: string): number {
+    const report = this.waits.get(shard);
+    const isFresh = report && this.opts.timer.nowMs() - report.atMs < REPORT_LIFETIME_MS;
+    return isFresh ? report.waitMs : 0;
   }
 
   /** Has the peer run a piece; resolves to undefined when the link is lost before the piece ends. */
-  submitPiece(opts: {
-    readonly service: string;
-    readonly piece: StagePiece;
-    readonly signal: AbortSignal;
-  }): Promise<PieceResult | undefined> {
-    const { service, piece, signal } = opts;
-    const { socket } = this;
-    if (!socket) {
+  submitPiece(opts: ShardPiece): Promise<PieceResult | undefined> {
+    const { shard, signal } = opts;
+    if (!this.isOpen) {
       return Promise.resolve(undefined);
     }
     const orderId = this.nextOrderId;
     this.nextOrderId += 1;
-    const nowMs = this.opts.timer.nowMs();
-    const { deadlineAtMs, dueAtMs, zoneWaitUntilMs, inputsExpireAtMs, ...unchanged } = piece;
     return new Promise((resolve) => {
       const cancel = (): void => {
-        this.send({ kind: 'piece-cancel', orderId });
+        this.pendingCancels.push(orderId);
+        this.scheduleFlush();
         end({ kind: 'failed', reason: 'late' });
       };
       const end = (result: PieceResult | undefined): void => {
@@ -97,20 +155,8 @@
         resolve(result);
       };
       signal.addEventListener('abort', cancel, { once: true });
-      this.orders.set(orderId, { settle: end });
-      const isSent = this.send({
-        kind: 'piece-order',
-        orderId,
-        service,
-        ...unchanged,
-        deadlineInMs: deadlineAtMs - nowMs,
-        dueInMs: dueAtMs - nowMs,
-        zoneWaitInMs: zoneWaitUntilMs - nowMs,
-        inputsExpireInMs: inputsExpireAtMs - nowMs,
-      });
-      if (!isSent) {
-        end(undefined);
-      }
+      this.orders.set(orderId, { shard, settle: end });
+      this.addToGroup(opts, orderId);
     });
   }
 
@@ -162,14 +208,16 @@
     signal.addEventListener('abort', close, { once: true });
     socket.send({ kind: 'hello', nodeName, linkVersion: LINK_VERSION });
     this.socket = socket;
-    this.lastFrameAtMs = timer.nowMs();
+    this.unansweredPings = 0;
+    this.lastPongAtMs = -Infinity;
     this.notify('opened', 'connected');
     const cancelPing = timer.every({
       intervalMs: PING_INTERVAL_MS,
       notify: () => this.checkSilence(socket),
     });
     for await (const frame of socket.read()) {
-      this.lastFrameAtMs = timer.nowMs();
+      this.unansweredPings = 0;
+      this.isSilent = false;
       this.handleFrame(frame);
     }
     cancelPing();
@@ -180,11 +228,17 @@
   }
 
   private handleFrame(frame: RouterFrame): void {
+    const nowMs = this.opts.timer.nowMs();
+    if (frame.kind === 'pong') {
+      this.maxPieces = frame.maxPieces;
+      this.lastPongAtMs = nowMs;
+    }
     if (frame.kind !== 'piece-end') {
       return;
     }
     const order = this.orders.get(frame.orderId);
     if (order) {
+      this.waits.set(order.shard, { waitMs: frame.waitMs, atMs: nowMs });
       order.settle(frame.result);
     } else if (frame.result.kind === 'made') {
       // The result was sent before the cancellation of its order arrived, so nothing else frees it.
@@ -192,16 +246,86 @@
     }
   }
 
+  private addToGroup(opts: ShardPiece, orderId: number): void {
+    const { piece, ...common } = opts;
+    const ordered = { orderId, piece: piece.piece };
+    const group = this.pendingGroups.find(
+      ({ signal, shard, first }) =>
+        signal === opts.signal &&
+        shard === opts.shard &&
+        first.requestId === piece.requestId &&
+        first.stage === piece.stage,
+    );
+    if (group) {
+      group.pieces.push(ordered);
+    } else {
+      this.pendingGroups.push({ ...common, first: piece, pieces: [ordered] });
+    }
+    this.scheduleFlush();
+  }
+
+  /** Sends what this turn of the event loop submits and cancels, at its end. */
+  private scheduleFlush(): void {
+    if (!this.isFlushScheduled) {
+      this.isFlushScheduled = true;
+      queueMicrotask(() => {
+        this.isFlushScheduled = false;
+        this.flush();
+      });
+    }
+  }
+
+  private flush(): void {
+    const groups = this.pendingGroups;
+    const orderIds = this.pendingCancels;
+    this.pendingGroups = [];
+    this.pendingCancels = [];
+    groups.forEach((group) => this.sendGroup(group));
+    if (orderIds.length > 0) {
+      this.send({ kind: 'piece-cancel', orderIds });
+    }
+  }
+
+  private sendGroup({ service, shard, first, pieces }: PendingGroup): void {
+    const nowMs = this.opts.timer.nowMs();
+    const { requestId, stage, key, inputs, resultBytes, zoneHint, priority } = first;
+    const isSent = this.send({
+      kind: 'piece-order',
+      pieces,
+      service,
+      shard,
+      requestId,
+      stage,
+      key,
+      inputs,
+      resultBytes,
+      zoneHint,
+      priority,
+      deadlineInMs: first.deadlineAtMs - nowMs,
+      dueInMs: first.dueAtMs - nowMs,
+      zoneWaitInMs: first.zoneWaitUntilMs - nowMs,
+      inputsExpireInMs: first.inputsExpireAtMs - nowMs,
+    });
+    if (!isSent) {
+      pieces.forEach(({ orderId }) => this.orders.get(orderId)?.settle(undefined));
+    }
+  }
+
+  /**
+   * Counts pings rather than time: when this router itself was held up, frames of the peer may wait
+   * unread in the meantime.
+   */
   private checkSilence(socket: RouterSocket): void {
-    const { timer } = this.opts;
-    if (this.orders.size === 0) {
-      this.lastFrameAtMs = timer.nowMs();
+    if (this.orders.size === 0 && !this.isSilent) {
+      this.unansweredPings = 0;
       return;
     }
-    if (timer.nowMs() - this.lastFrameAtMs > SILENCE_TIMEOUT_MS) {
+    if (this.unansweredPings >= LOST_AFTER_PINGS) {
+      this.isSilent = true;
       socket.close();
       return;
     }
+    this.unansweredPings += 1;
     socket.send({ kind: 'ping' });
   }
 
--- a/packages/routerLink/src/routerFrames.ts
+++ b/packages/routerLink/src/routerFrames.ts
@@ -13,14 +13,23 @@
   readonly linkVersion: number;
 }
 
-/** Asks the peer to have a piece run by a worker of a service that the peer owns. */
+/** One piece of an order. */
+export interface OrderedPiece {
+  readonly orderId: number;
+  readonly piece: number;
+}
+
+/**
+ * Asks the peer to have pieces of one stage of a call run by workers of a shard that the peer owns, or
+ * whose owner can't be reached.
+ */
 export interface PieceOrderFrame {
   readonly kind: 'piece-order';
-  readonly orderId: number;
+  readonly pieces: readonly OrderedPiece[];
   readonly service: string;
+  readonly shard: string;
   readonly requestId: string;
   readonly stage: number;
-  readonly piece: number;
   readonly key: string;
   readonly inputs: readonly string[];
   readonly resultBytes: number;
@@ -34,17 +43,19 @@
   readonly inputsExpireInMs: number;
 }
 
-/** Cancels an order whose result is no longer wanted. */
+/** Cancels pieces whose results are no longer wanted. */
 export interface PieceCancelFrame {
   readonly kind: 'piece-cancel';
-  readonly orderId: number;
+  readonly orderIds: readonly number[];
 }
 
-/** How an order ended. */
+/** How a piece of an order ended. */
 export interface PieceEndFrame {
   readonly kind: 'piece-end';
   readonly orderId: number;
   readonly result: PieceResult;
+  /** Time that a new piece would wait for a worker of the shard. */
+  readonly waitMs: number;
 }
 
 /** Frees results that were made for the sender and are no longer needed. */
@@ -77,9 +88,16 @@
   readonly decision: RolloutDecision;
 }
 
-/** Checks that the peer is alive, or confirms it. */
-export interface KeepAliveFrame {
-  readonly kind: 'ping' | 'pong';
+/** Checks that the peer is alive. */
+export interface PingFrame {
+  readonly kind: 'ping';
+}
+
+/** Confirms that the sender is alive, and says how much work it accepts. */
+export interface PongFrame {
+  readonly kind: 'pong';
+  /** Pieces that the receiver may have in progress at the sender; Infinity without a limit. */
+  readonly maxPieces: number;
 }
 
 /** A message between two routers. */
@@ -93,4 +111,5 @@
   | LeavingEvidenceFrame
   | RolloutEvidenceFrame
   | RolloutDecisionFrame
-  | KeepAliveFrame;
+  | PingFrame
+  | PongFrame;
--- a/packages/routerLink/src/routerSocket.ts
+++ b/packages/routerLink/src/routerSocket.ts
@@ -17,6 +17,11 @@
     return new RouterSocket(opts.socket);
   }
 
+  /** Whether frames can be sent. */
+  get isWritable(): boolean {
+    return this.socket.writable;
+  }
+
   /** Sends a frame; false when the connection has ended. Frames of one turn share a write. */
   send(frame: RouterFrame): boolean {
     if (!this.socket.writable) {
--- a/packages/routerLink/src/wireRouterFrame.ts
+++ b/packages/routerLink/src/wireRouterFrame.ts
@@ -77,8 +77,10 @@
 const VALIDATORS: Readonly<Record<RouterFrame['kind'], (fields: Fields) => boolean>> = {
   hello: (fields) => areStrings(fields, ['nodeName']) && areNumbers(fields, ['linkVersion']),
   'piece-order': isPieceOrder,
-  'piece-cancel': (fields) => areNumbers(fields, ['orderId']),
-  'piece-end': (fields) => areNumbers(fields, ['orderId']) && isPieceResult(fields.result),
+  'piece-cancel': ({ orderIds }) =>
+    Array.isArray(orderIds) && orderIds.every((orderId) => typeof orderId === 'number'),
+  'piece-end': (fields) =>
+    areNumbers(fields, ['orderId', 'waitMs']) && isPieceResult(fields.result),
   free: (fields) => isStringList(fields.handles),
   'crash-evidence': ({ evidence }) => Array.isArray(evidence) && evidence.every(isCrashEvidence),
   'leaving-evidence': ({ evidence }) =>
@@ -87,7 +89,7 @@
     Array.isArray(evidence) && evidence.every(isRolloutEvidence),
   'rollout-decision': ({ decision }) => isRolloutDecision(decision),
   ping: () => true,
-  pong: () => true,
+  pong: (fields) => areNumbers(fields, ['maxPieces']),
 };
 
 function validate(fields: Fields): RouterFrame | undefined {
@@ -100,9 +102,7 @@
 
 function isPieceOrder(fields: Fields): boolean {
   const numbers = [
-    'orderId',
     'stage',
-    'piece',
     'resultBytes',
     'priority',
     'deadlineInMs',
@@ -112,8 +112,10 @@
   ];
   return (
     areNumbers(fields, numbers) &&
-    areStrings(fields, ['service', 'requestId', 'key', 'zoneHint']) &&
-    isStringList(fields.inputs)
+    areStrings(fields, ['service', 'shard', 'requestId', 'key', 'zoneHint']) &&
+    isStringList(fields.inputs) &&
+    Array.isArray(fields.pieces) &&
+    fields.pieces.every((ordered) => areNumbers(asFields(ordered), ['orderId', 'piece']))
   );
 }
 
--- a/packages/routerLink/test/routerLink.steps.ts
+++ b/packages/routerLink/test/routerLink.steps.ts
@@ -79,6 +79,7 @@
   world.orderedAtMs = world.linkTimer.nowMs();
   world.peerResult = world.peer.submitPiece({
     service: 'stage',
+    shard: 'stage/0',
     signal: world.cancelOrder.signal,
     piece: {
       requestId: 'request',
@@ -116,6 +117,8 @@
           new Promise((settle) => {
             this.ordersAtOwner.push({ piece, signal, settle });
           }),
+        waitMs: () => 0,
+        maxPieces: () => Infinity,
         free: (handles) => {
           this.freedAtOwner.push(...handles);
         },
@@ -260,7 +263,7 @@
     });
     const socket = RouterSocket.create({ socket: stream as Socket });
     for (let orderId = 1; orderId <= frames; orderId += 1) {
-      socket.send({ kind: 'piece-cancel', orderId });
+      socket.send({ kind: 'piece-cancel', orderIds: [orderId] });
     }
     await setImmediate();
   },
@@ -271,7 +274,7 @@
   const frames = RouterFrameDecoder.create().push(this.writes[0] ?? Buffer.alloc(0));
   const orderIds = frames
     .unwrapOr([])
-    .map((frame) => (frame.kind === 'piece-cancel' ? frame.orderId : 0));
+    .flatMap((frame) => (frame.kind === 'piece-cancel' ? frame.orderIds : [0]));
   assert.deepEqual(
     orderIds,
     Array.from({ length: 20 }, (_, index) => index + 1),
--- a/packages/store/src/membership.ts
+++ b/packages/store/src/membership.ts
@@ -37,6 +37,8 @@
   readonly address: string;
   /** CPU capacity of the node, in cores. */
   readonly cpuCores: number;
+  /** Empty for a member that doesn't state it. */
+  readonly availabilityZone: string;
   /** Store revision at which the node began to leave; 0 for one that stays. */
   readonly leavingSince: number;
 }
@@ -72,8 +74,12 @@
 /** Time limit of the last call: a node must not end later because the store is away. */
 const LEAVE_TIMEOUT_MS = 250;
 
-/** Follows address and capacity in the entry of a node that is about to leave; older nodes ignore it. */
+/** Follows address and capacity in the entry of a node that is about to leave. */
 const LEAVING_MARK = 'leaving';
+
+/** Stands in place of {@link LEAVING_MARK} in the entry of a node that stays. */
+const STAYING_MARK = 'staying';
+
 /** Live nodes register again at once when the store was restored; leases of others end within this. */
 const RESTORED_LIMIT_MS = LEASE_TTL_MS + CALL_TIMEOUT_MS;
 
@@ -267,8 +273,8 @@
   /** Writes the entry of this node; false if the store did not. */
   private async publish(leaseId: string): Promise<boolean> {
     const { leases, self } = this.opts;
-    const mark = this.leaving.signal.aborted ? ` ${LEAVING_MARK}` : '';
-    const value = Buffer.from(`${self.address} ${self.cpuCores}${mark}`);
+    const mark = this.leaving.signal.aborted ? LEAVING_MARK : STAYING_MARK;
+    const value = Buffer.from(`${self.address} ${self.cpuCores} ${mark} ${self.availabilityZone}`);
     const key = `${MEMBER_PREFIX}${self.name}`;
     const written = await this.callWithTimeout((signal) =>
       leases.put({ key, value, leaseId, signal }),
@@ -278,11 +284,12 @@
 
   private add({ key, value, revision }: PrefixEntry): void {
     const name = getMemberName(key);
-    const [address = '', cpuCores, mark] = value.toString('utf8').split(' ');
+    const [address = '', cpuCores, mark, availabilityZone = ''] = value.toString('utf8').split(' ');
     this.members.set(name, {
       name,
       address,
       cpuCores: Number(cpuCores) || DEFAULT_CPU_CORES,
+      availabilityZone,
       leavingSince: mark === LEAVING_MARK ? revision : 0,
     });
   }
--- a/packages/store/test/membership.steps.ts
+++ b/packages/store/test/membership.steps.ts
@@ -114,7 +114,7 @@
         leases: this.memberStore.createLeases(),
         storeEra: StatedEra.create({ onEvent: () => {} }),
         timer,
-        self: { name, address: '10.0.0.1:1', cpuCores: 1 },
+        self: { name, address: '10.0.0.1:1', cpuCores: 1, availabilityZone: 'zone' },
         random: () => 0.5,
         onChange: () => {},
         onEvent: () => {},
--- a/packages/store/test/membershipRestored.steps.ts
+++ b/packages/store/test/membershipRestored.steps.ts
@@ -131,7 +131,7 @@
       leases: createLeases(this),
       storeEra: this.memberEra,
       timer: this.memberTimer,
-      self: { name: 'n1', address: '10.0.0.1:1', cpuCores: 2 },
+      self: { name: 'n1', address: '10.0.0.1:1', cpuCores: 2, availabilityZone: 'zone' },
       random: () => 0.5,
       onChange: () => {},
       onEvent: () => {},
