--- a/packages/router/src/ownership/serviceShards.ts
+++ b/packages/router/src/ownership/serviceShards.ts
@@ -19,7 +19,7 @@
 }
 
 /** CPU time that the owner of a service needs for a piece. */
-export const PIECE_CPU_MS = 0.3;
+export const PIECE_CPU_MS = 0.5;
 
 /** Share of its CPU that a router spends on the pieces of one shard; the rest is for its own calls. */
 export const OWNER_CPU_SHARE = 0.5;
--- a/packages/router/test/serviceOwners.steps.ts
+++ b/packages/router/test/serviceOwners.steps.ts
@@ -59,15 +59,13 @@
 });
 
 function createMembers(names: string, cpuCores: number): readonly Member[] {
-  return names
-    .split(',')
-    .map((name) => ({
-      name,
-      address: '127.0.0.1:1',
-      cpuCores,
-      availabilityZone: '',
-      leavingSince: 0,
-    }));
+  return names.split(',').map((name) => ({
+    name,
+    address: '127.0.0.1:1',
+    cpuCores,
+    availabilityZone: '',
+    leavingSince: 0,
+  }));
 }
 
 function createOwners(selfName: string): ServiceOwners {
