--- a/packages/router/src/createMirrors.ts
+++ b/packages/router/src/createMirrors.ts
@@ -1,5 +1,14 @@
+import { isDeepStrictEqual } from 'node:util';
+
 import type { EventLog } from '@galenatiller/logger';
-import { PrefixMirror, type PrefixSource, type StatedEra } from '@galenatiller/store';
+import {
+  type MirrorObserver,
+  type PrefixEntry,
+  PrefixMirror,
+  type PrefixRelay,
+  type PrefixSource,
+  type StatedEra,
+} from '@galenatiller/store';
 import type { TargetDirectory } from '@galenatiller/target';
 import type { TimerService } from '@galenatiller/timer';
 
@@ -17,6 +26,8 @@
   readonly random: () => number;
   readonly source: PrefixSource;
   readonly storeEra: StatedEra;
+  /** Passes what the mirrors read on to other routers. */
+  readonly relay: PrefixRelay;
   readonly operatorEntries: OperatorEntryDecoder;
   readonly targetEntries: TargetEntryDecoder;
   readonly routes: RouteTable;
@@ -34,6 +45,11 @@
 /** Creates mirrors of what operators and targets write to the store. */
 export function createMirrors(opts: MirrorsOptions): Mirrors {
   const { source, storeEra, timer, random, log, targets } = opts;
+  const observe = (
+    prefix: string,
+    isEquivalent: (before: PrefixEntry, after: PrefixEntry) => boolean,
+  ): MirrorObserver => opts.relay.observe({ prefix, isEquivalent });
+  const { operatorEntries, targetEntries, statuses } = opts;
   const common = {
     source,
     storeEra,
@@ -46,6 +62,7 @@
     operator: PrefixMirror.create({
       ...common,
       ...createOperatorHandlers(opts),
+      observer: observe(operatorEntries.prefix, isNever),
       // A restored store says nothing about keys until the operator has written the newest again.
       isCurrent: () => !opts.routes.isStoreBehind,
       onEvent: (event) => {
@@ -58,6 +75,11 @@
     targets: PrefixMirror.create({
       ...common,
       ...createTargetHandlers(opts),
+      // Each target writes its entry again at every heartbeat, mostly unchanged.
+      observer: observe(targetEntries.prefix, (before, after) =>
+        isDeepStrictEqual(targetEntries.decode(before).target, targetEntries.decode(after).target),
+      ),
+      minIntervalMs: MIN_TARGETS_INTERVAL_MS,
       onEvent: (event) => {
         if (event.kind === 'regained') {
           targets.onStoreReconnected();
@@ -67,7 +89,8 @@
     }),
     rollouts: PrefixMirror.create({
       ...common,
-      ...opts.statuses.handlers(),
+      ...statuses.handlers(),
+      observer: observe(statuses.handlers().prefix, isNever),
       waitMs: MAX_ROLLOUT_WAIT_MS,
       onEvent: (event) => logStoreEvent(log, event),
     }),
@@ -82,3 +105,11 @@
 
 /** Time for the response beyond the wait; a slow store needs a quarter of a second for it. */
 const RESPONSE_MARGIN_MS = 800;
+
+/** Short against the time in which targets that are leaving must get no more calls. */
+const MIN_TARGETS_INTERVAL_MS = 300;
+
+/** Entries of operators and rollouts have an effect whenever they are written. */
+function isNever(): boolean {
+  return false;
+}
--- /dev/null
+++ b/packages/router/src/createPeerService.ts
@@ -0,0 +1,34 @@
+import type { PeerService } from '@galenatiller/routerLink';
+import type { PrefixRelay } from '@galenatiller/store';
+import type { CrashSuspects, TargetNotices } from '@galenatiller/target';
+
+import type { OwnerCredit, StageSubmitter } from './ownership/index.js';
+import type { Rollouts } from './rollouts.js';
+import type { StageWorkers } from './stageWorkers.js';
+
+/** Options of {@link createPeerService}. */
+export interface PeerServiceOptions {
+  readonly submitter: StageSubmitter;
+  readonly workers: StageWorkers;
+  readonly credit: OwnerCredit;
+  readonly crashSuspects: CrashSuspects;
+  readonly notices: TargetNotices;
+  readonly rollouts: Rollouts;
+  readonly relay: PrefixRelay;
+}
+
+/** Creates the functions that this router runs for its peers. */
+export function createPeerService(opts: PeerServiceOptions): PeerService {
+  const { submitter, workers, credit, crashSuspects, notices, rollouts, relay } = opts;
+  return {
+    runPiece: submitter.submitForPeer,
+    waitMs: (shard) => workers.waitMs(shard),
+    maxPieces: (peers) => credit.perPeer(peers),
+    free: (handles) => submitter.free(handles),
+    mergeCrashEvidence: (evidence) => crashSuspects.merge(evidence),
+    mergeLeavingEvidence: (evidence) => notices.mergeLeaving(evidence),
+    addRolloutEvidence: (evidence) => evidence.forEach((item) => rollouts.addEvidence(item)),
+    endRollout: (decision) => rollouts.end(decision),
+    readRelayed: (read) => relay.respond(read),
+  };
+}
--- a/packages/router/src/createRouter.ts
+++ b/packages/router/src/createRouter.ts
@@ -1,13 +1,12 @@
 import type { EventLog } from '@galenatiller/logger';
 import type { MetricSink } from '@galenatiller/metrics';
 import { acceptRouters, type PeerRouter } from '@galenatiller/routerLink';
-import {
-  type LeaseClient,
-  type Member,
+import type {
+  LeaseClient,
   Membership,
-  type PrefixSource,
-  type StatedEra,
-  type WriteIfUnchanged,
+  PrefixSource,
+  StatedEra,
+  WriteIfUnchanged,
 } from '@galenatiller/store';
 import type { RouterSettings } from '@galenatiller/settings';
 import {
@@ -30,7 +29,9 @@
   RolloutStatusEntries,
   TargetEntryDecoder,
 } from './entryDecoders.js';
+import { createStoreReaders } from './createStoreReaders.js';
 import { createMirrors, type Mirrors } from './createMirrors.js';
+import { findStoreRelays } from './findStoreRelays.js';
 import type { CallerExchange, TargetClient } from './ports.js';
 import type { RouterContext } from './routerContext.js';
 import { createStages, type Stages } from './createStages.js';
@@ -41,10 +42,8 @@
 import {
   logEventLoopLag,
   logFailedTask,
-  logMembers,
   logStoppedCall,
   logStoppedFingerprint,
-  logStoreEvent,
   logTarget,
   logTargetNotice,
 } from './logEvents.js';
@@ -95,26 +94,25 @@
   const { settings, timer, log, metrics, random, storeEra } = opts;
   const tasks = TaskGroup.create({ onFailure: (error) => logFailedTask(log, error) });
   const callTasks = TaskGroup.create({ onFailure: (error) => logFailedTask(log, error) });
-  const onLag = ({ lagMs }: { readonly lagMs: number }): void => logEventLoopLag(log, lagMs);
   const eventLoop = EventLoopWatch.create({
     timer,
-    onLag,
+    onLag: ({ lagMs }) => logEventLoopLag(log, lagMs),
     onCheck: ({ lagMs }) => stages.credit.recordLag(lagMs),
   });
   const routes = RouteTable.create();
   const targets = TargetDirectory.create({ timer, onChange: (change) => logTarget(log, change) });
-  const members = createMembership({ ...opts, onChange: (live) => stages.setMembers(live) });
-  const nodeCount = (): number => members.countNodes();
-  const limits = createLimits({
+  const { members, relay, source } = createStoreReaders({
     ...opts,
-    nodeCount,
-    peers: () => stages.peers.all(),
+    findRelays: () => findStoreRelays({ ...opts, ...stages, selfName: settings.nodeName }),
+    onMembers: (live) => stages.setMembers(live),
   });
+  const nodeCount = (): number => members.countNodes();
+  const limits = createLimits({ ...opts, nodeCount, peers: () => stages.peers.all() });
   const rolloutParts = createRollouts(opts);
   const { rollouts } = rolloutParts;
-  const stages = createStages({ ...opts, ...limits, rollouts, routes, targets, nodeCount, tasks });
-  const onChanged = (): void => stages.onTargetsChanged();
-  const mirrors = createMirrors({ ...opts, ...rolloutParts, routes, targets, onChanged });
+  const shared = { ...opts, ...limits, ...rolloutParts, routes, targets, nodeCount, tasks, relay };
+  const stages = createStages(shared);
+  const mirrors = createMirrors({ ...shared, source, onChanged: () => stages.onTargetsChanged() });
   const context: RouterContext = {
     timer,
     log,
@@ -140,10 +138,7 @@
     isReady: () => isReady(context),
     serve: (exchange) => callTasks.start(() => serveCall({ context, exchange })),
     callsInProgress: () => callTasks.size,
-    stop: (stopOptions) => {
-      context.stop.begin(stopOptions);
-      members.startLeaving();
-    },
+    stop: (end) => beginStop(context, members, end),
     batchesInProgress: () => stages.workers.batchesInProgress,
     leave: () => members.leave(),
     reportGauges: (sink) => {
@@ -155,6 +150,15 @@
   };
 }
 
+function beginStop(
+  { stop }: RouterContext,
+  members: Membership,
+  end: { readonly endsAtMs: number },
+): void {
+  stop.begin(end);
+  members.startLeaving();
+}
+
 function isReady({ routes, targets, evidenceAgeMs, keyAgeLimitMs }: RouterContext): boolean {
   return (
     routes.currentConfiguration() !== undefined &&
@@ -190,26 +194,6 @@
   stopWatch();
 }
 
-function createMembership(
-  opts: RouterOptions & { readonly onChange: (members: readonly Member[]) => void },
-): Membership {
-  const { settings, log } = opts;
-  return Membership.create({
-    ...opts,
-    self: {
-      name: settings.nodeName,
-      address: settings.linkAddress,
-      cpuCores: settings.cpuShare * settings.cores,
-      availabilityZone: settings.availabilityZone,
-    },
-    onChange: (live) => {
-      logMembers(log, live);
-      opts.onChange(live);
-    },
-    onEvent: (event) => logStoreEvent(log, event),
-  });
-}
-
 function createDurations(): Pick<
   RouterContext,
   'responseTimes' | 'wholeResponseTimes' | 'pieceTimes'
--- a/packages/router/src/createStages.ts
+++ b/packages/router/src/createStages.ts
@@ -3,7 +3,7 @@
 import { ResultMemory } from '@galenatiller/pool';
 import type { PeerService } from '@galenatiller/routerLink';
 import type { RouterSettings } from '@galenatiller/settings';
-import type { Member } from '@galenatiller/store';
+import type { Member, PrefixRelay } from '@galenatiller/store';
 import {
   type CrashSuspects,
   type TargetDirectory,
@@ -12,15 +12,10 @@
 } from '@galenatiller/target';
 import type { TaskGroup } from '@galenatiller/tasks';
 import type { TimerService } from '@galenatiller/timer';
-import type {
-  BatchLimits,
-  CrashEvidence,
-  LeavingEvidence,
-  RolloutDecision,
-  RolloutEvidence,
-} from '@galenatiller/types';
+import type { BatchLimits } from '@galenatiller/types';
 
-import { logAbandonedStage, logLinkEvent, logShards, logStageCall } from './logEvents.js';
+import { createPeerService } from './createPeerService.js';
+import { logAbandonedStage, logLinkEvent, logStageCall } from './logEvents.js';
 import {
   chooseShard,
   MAX_CANDIDATES,
@@ -35,6 +30,7 @@
 import { recordBatchMetrics } from './recordMetrics.js';
 import type { Rollouts } from './rollouts.js';
 import type { RouteTable } from './routeTable.js';
+import { ShardAssignment } from './shardAssignment.js';
 import { StageWorkers } from './stageWorkers.js';
 
 /** Options of {@link createStages}. */
@@ -54,6 +50,8 @@
   readonly tasks: TaskGroup;
   readonly crashSuspects: CrashSuspects;
   readonly rollouts: Rollouts;
+  /** Passes what this node has read from the store on to other routers. */
+  readonly relay: PrefixRelay;
 }
 
 /** What runs stages: on this node, or through the routers that own their services. */
@@ -74,7 +72,7 @@
 /** Creates the queues and tasks of the stage workers, and the links to the owners of services. */
 export function createStages(opts: CreateStagesOptions): Stages {
   const { timer, log, nodeCount } = opts;
-  const { nodeName: selfName, availabilityZone: ownZone } = opts.settings;
+  const { nodeName: selfName } = opts.settings;
   const findLimits = (service: string): BatchLimits | undefined =>
     opts.routes.findService(service)?.batch;
   const shards = ServiceShards.create({ ...opts, findLimits });
@@ -108,15 +106,42 @@
     onStageAbandoned: (event) => logAbandonedStage(log, event),
   });
   const credit = OwnerCredit.create({ piecesInProgress: () => workers.piecesInProgress });
+  const parts = { shards, owners, peers, workers, credit, resultMemory };
+  const submitter = createSubmitter(opts, parts);
+  const assignment = ShardAssignment.create({ ...opts, ...parts });
+  return {
+    ...parts,
+    submitter,
+    peerService: createPeerService({ ...opts, ...parts, submitter }),
+    setMembers: (members) => assignment.setMembers(members),
+    onTargetsChanged: () => {
+      opts.notices.onRegistered(opts.targets.all().map(toTargetStart));
+      assignment.onTargetsChanged();
+    },
+  };
+}
+
+function createSubmitter(
+  opts: CreateStagesOptions,
+  parts: {
+    readonly shards: ServiceShards;
+    readonly owners: ServiceOwners;
+    readonly peers: PeerRouters;
+    readonly workers: StageWorkers;
+    readonly credit: OwnerCredit;
+    readonly resultMemory: ResultMemory;
+  },
+): StageSubmitter {
+  const { shards, owners, peers, workers, credit } = parts;
+  const { nodeName: selfName, availabilityZone: ownZone } = opts.settings;
   const waitMs = ({ service, key }: Shard): number => {
     const owner = peers.find(owners.findOwner(key));
     return owner ? owner.waitMs(key) : workers.waitMs({ service, shard: key });
   };
-  const submitter = StageSubmitter.create({
-    timer,
+  return StageSubmitter.create({
+    ...parts,
+    timer: opts.timer,
     selfName,
-    owners,
-    peers,
     chooseShard: ({ service, piece }) =>
       chooseShard({
         shards: shards.findShards(service),
@@ -129,50 +154,7 @@
       })?.key ?? '',
     canAcceptLocally: () => credit.canAccept(),
     submitLocally: (submitted) => workers.submit(submitted),
-    resultMemory,
   });
-  const peerService = {
-    runPiece: submitter.submitForPeer,
-    waitMs: (shard: { readonly service: string; readonly shard: string }) => workers.waitMs(shard),
-    maxPieces: (peerCount: number) => credit.perPeer(peerCount),
-    free: (handles: readonly string[]) => submitter.free(handles),
-    mergeCrashEvidence: (evidence: readonly CrashEvidence[]) => opts.crashSuspects.merge(evidence),
-    mergeLeavingEvidence: (evidence: readonly LeavingEvidence[]) =>
-      opts.notices.mergeLeaving(evidence),
-    addRolloutEvidence: (evidence: readonly RolloutEvidence[]) =>
-      evidence.forEach((item) => opts.rollouts.addEvidence(item)),
-    endRollout: (decision: RolloutDecision) => opts.rollouts.end(decision),
-  };
-  let liveMembers: readonly Member[] = [];
-  const handBack = (): void => {
-    const known = new Set(shards.all().map(({ key }) => key));
-    // The owner of a shard fills whole batches; two routers that share its workers find them full.
-    workers.handBack(
-      (shard) => !known.has(shard) || (peers.find(owners.findOwner(shard))?.isOpen ?? false),
-    );
-  };
-  const assign = (change: { readonly areMembersNew: boolean }): void => {
-    const areShardsNew = shards.update({ workers: opts.targets.all(), members: liveMembers });
-    if (areShardsNew) {
-      owners.setShards(shards.all());
-    }
-    workers.refresh();
-    if (areShardsNew || change.areMembersNew) {
-      logShards(log, owners, shards.all());
-      handBack();
-    }
-  };
-  const setMembers = (members: readonly Member[]): void => {
-    liveMembers = members;
-    owners.setMembers(members);
-    peers.setMembers(members);
-    assign({ areMembersNew: true });
-  };
-  const onTargetsChanged = (): void => {
-    opts.notices.onRegistered(opts.targets.all().map(toTargetStart));
-    assign({ areMembersNew: false });
-  };
-  return { workers, owners, peers, submitter, credit, peerService, onTargetsChanged, setMembers };
 }
 
 /** Number of nodes that may send pieces to the workers of a shard together with this one. */
--- a/packages/router/src/logEvents.ts
+++ b/packages/router/src/logEvents.ts
@@ -1,7 +1,13 @@
 import type { EventLog } from '@galenatiller/logger';
 import type { AbandonedStageEvent, BatchEvent } from '@galenatiller/pool';
 import type { PeerEvent } from '@galenatiller/routerLink';
-import type { Member, MirrorEvent, ReadFailure, StatedEraEvent } from '@galenatiller/store';
+import type {
+  Member,
+  MirrorEvent,
+  ReadFailure,
+  RelayEvent,
+  StatedEraEvent,
+} from '@galenatiller/store';
 import type { TargetChange, TargetNoticeEvent } from '@galenatiller/target';
 import type { Result } from 'true-myth';
 
@@ -16,6 +22,12 @@
   log({ about: 'dependency', event: 'store', ...rest, outcome: kind });
 }
 
+/** Logs through which router a prefix of the store is read, or that it is read directly. */
+export function logStoreRelay(log: EventLog, event: RelayEvent): void {
+  const { kind, ...rest } = event;
+  log({ about: 'dependency', event: 'store-relay', ...rest, outcome: kind });
+}
+
 /** Logs that the store states an era for the first time, or a higher one. */
 export function logStoreEra(log: EventLog, event: StatedEraEvent): void {
   const { kind, ...rest } = event;
--- a/packages/router/src/ownership/serviceOwners.ts
+++ b/packages/router/src/ownership/serviceOwners.ts
@@ -33,6 +33,9 @@
   /** Names of the candidates for each service and shard, until the members or shards change. */
   private readonly candidates = new Map<string, readonly string[]>();
 
+  /** Names of the routers that share a task, until the members change. */
+  private readonly sharers = new Map<string, readonly string[]>();
+
   private constructor(private readonly opts: ServiceOwnersOptions) {}
 
   /** Creates an instance that knows only this node. */
@@ -70,13 +73,32 @@
     }
     const ranked = this.rank(name);
     const [first] = ranked;
-    const found = first ? chooseCandidates(first, ranked) : [this.opts.selfName];
+    const found = first ? chooseCandidates(first, ranked, MAX_CANDIDATES) : [this.opts.selfName];
     this.candidates.set(name, found);
     return found;
   }
 
+  /** Names of the routers that have a task which a number of routers share. */
+  findSharers(task: string, count: number): readonly string[] {
+    const known = this.sharers.get(task);
+    if (known) {
+      return known;
+    }
+    const ranked = this.rank(task);
+    const [first] = ranked;
+    const found = first ? chooseCandidates(first, ranked, count) : [];
+    this.sharers.set(task, found);
+    return found;
+  }
+
+  /** Number of live routers, including those that are leaving. */
+  get size(): number {
+    return this.members.length;
+  }
+
   private assignShards(): void {
     this.candidates.clear();
+    this.sharers.clear();
     const eligible = findEligible(this.members);
     const totalCores = eligible.reduce((sum, { cpuCores }) => sum + cpuCores, 0);
     const totalLoad = this.shards.reduce((sum, { loadCores }) => sum + loadCores, 0);
@@ -95,7 +117,7 @@
         return;
       }
       owned.set(owner.name, (owned.get(owner.name) ?? 0) + loadCores);
-      this.candidates.set(key, chooseCandidates(owner, ranked));
+      this.candidates.set(key, chooseCandidates(owner, ranked, MAX_CANDIDATES));
     });
   }
 
@@ -112,19 +134,22 @@
   }
 }
 
-/** Names of an owner and its deputies, in as many zones as possible, since zones are lost as a whole. */
-function chooseCandidates(owner: Member, ranked: readonly Member[]): readonly string[] {
-  const chosen = [owner];
-  while (chosen.length < Math.min(MAX_CANDIDATES, ranked.length)) {
+/**
+ * Names of so many routers, a given one first, spread evenly over zones, since zones are lost as a
+ * whole.
+ */
+function chooseCandidates(
+  first: Member,
+  ranked: readonly Member[],
+  count: number,
+): readonly string[] {
+  const chosen = [first];
+  while (chosen.length < Math.min(count, ranked.length)) {
+    const inZone = ({ availabilityZone: zone }: Member): number =>
+      chosen.filter(({ availabilityZone }) => availabilityZone === zone).length;
     const others = ranked.filter((member) => !chosen.includes(member));
-    const next =
-      others.find(({ availabilityZone }) =>
-        chosen.every((member) => member.availabilityZone !== availabilityZone),
-      ) ?? others[0];
-    if (!next) {
-      break;
-    }
-    chosen.push(next);
+    const fewest = Math.min(...others.map(inZone));
+    chosen.push(...others.filter((member) => inZone(member) === fewest).slice(0, 1));
   }
   return chosen.map(({ name }) => name);
 }
--- a/packages/router/test/freeNotices.steps.ts
+++ b/packages/router/test/freeNotices.steps.ts
@@ -1,6 +1,7 @@
 import assert from 'node:assert/strict';
 
 import { Given, Then, When } from '@cucumber/cucumber';
+import { PrefixRelay, StatedEra } from '@galenatiller/store';
 import {
   CrashSuspects,
   type TargetDirectory,
@@ -53,6 +54,7 @@
     settings: { nodeName: 'router-1', availabilityZone: 'zone' },
     timer,
     random: () => 0.5,
+    relay: PrefixRelay.create({ timer, storeEra: StatedEra.create({ onEvent: () => {} }) }),
     log: () => {},
     metrics: { count: () => {}, gauge: () => {}, timing: () => {} },
     targetClient: {
--- a/packages/router/test/overloadSimulation.ts
+++ b/packages/router/test/overloadSimulation.ts
@@ -2,41 +2,18 @@
  * Routers that share stage workers, without a network: each router has one queue of work for its CPU,
  * and each worker runs one call and queues one. Orders and results only cost CPU time.
  */
-import { computeRefusedPauseMs } from '@galenatiller/pool';
 import type { Member } from '@galenatiller/store';
 import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
 import { uniformInt } from 'pure-rand/distribution/uniformInt';
 
-import { OwnerCredit, ServiceOwners, ServiceShards } from '../src/ownership/index.js';
-
-/** How pieces get to workers. */
-export interface OverloadPolicy {
-  /** Names of the routers that may fill a shard, the owner first. */
-  readonly candidates: (shard: string) => readonly string[];
-  /** The shard of a worker. */
-  readonly shardOf: (worker: SimulatedWorker) => string;
-  /** Shards of a service that pieces are spread over. */
-  readonly shardsOf: (service: string) => readonly string[];
-  /** Whether a router says how much it accepts, and its peers heed that. */
-  readonly hasCredit: boolean;
-  /** Silence of a router after which it gets no further pieces. */
-  readonly slowAfterMs: number;
-  /** Silence of a router after which the pieces that it has are submitted again. */
-  readonly lostAfterMs: number;
-  /** Whether a router submits pieces by itself when no candidate accepts them. */
-  readonly submitsAlone: boolean;
-  readonly refusedPauseMs: (opts: {
-    readonly refusals: number;
-    readonly senders: number;
-  }) => number;
-}
-
-/** A stage worker. */
-export interface SimulatedWorker {
-  readonly id: string;
-  readonly service: string;
-  readonly availabilityZone: string;
-}
+import { OwnerCredit } from '../src/ownership/index.js';
+import { EventQueue } from './eventQueue.js';
+import {
+  LIMITS,
+  type OverloadOptions,
+  type OverloadPolicy,
+  type SimulatedWorker,
+} from './overloadTypes.js';
 
 /** What a simulation has counted in a span of time. */
 export interface OverloadCounts {
@@ -74,28 +51,6 @@
   at: Router | undefined;
 }
 
-interface Event {
-  readonly atMs: number;
-  readonly run: () => void;
-}
-
-/** Options of {@link OverloadSimulation.create}. */
-export interface OverloadOptions {
-  readonly members: readonly Member[];
-  readonly workers: readonly SimulatedWorker[];
-  readonly createPolicy: (opts: OverloadOptions) => OverloadPolicy;
-  readonly callsPerSecond: number;
-  readonly seed: number;
-}
-
-export const LIMITS = {
-  maxPieces: 26,
-  callOverheadMs: 200,
-  pieceMs: 6.6,
-  resultMemoryBytes: 3_400_000,
-  resultTtlMs: 4_000,
-};
-
 const PIECES_OF_STAGE = 8;
 const DEADLINE_MS = 4_000;
 const CALL_CPU_MS = 1.5;
@@ -111,7 +66,7 @@
 export class OverloadSimulation {
   private nowMs = 0;
 
-  private readonly events: Event[] = [];
+  private readonly events = EventQueue.create();
 
   private readonly routers: Map<string, Router>;
 
@@ -144,8 +99,8 @@
   run(forMs: number): OverloadCounts {
     this.counts = { calls: 0, served: 0, workerCalls: 0, foundFull: 0 };
     const untilMs = this.nowMs + forMs;
-    for (let first = this.events[0]; first && first.atMs <= untilMs; first = this.events[0]) {
-      this.takeFirst();
+    for (let { first } = this.events; first && first.atMs <= untilMs; { first } = this.events) {
+      this.events.removeFirst();
       this.nowMs = first.atMs;
       first.run();
     }
@@ -192,7 +147,7 @@
       at: undefined,
     };
     this.work(home, CALL_CPU_MS, () => this.submit(stage));
-    this.after(DEADLINE_MS, () => this.end(stage));
+    this.after(DEADLINE_MS, () => end(stage));
   }
 
   private submit(stage: Stage): void {
@@ -203,7 +158,7 @@
     const name = this.policy.candidates(shard).find((candidate) => this.accepts(candidate, stage));
     if (name === undefined && !this.policy.submitsAlone) {
       if (this.nowMs >= stage.waitsUntilMs) {
-        this.end(stage);
+        end(stage);
         return;
       }
       this.after(RECHECK_MS, () => this.submit(stage));
@@ -238,7 +193,7 @@
         this.watch(stage, router);
         return;
       }
-      this.leave(stage);
+      leave(stage);
       stage.round += 1;
       stage.waitsUntilMs = this.nowMs + MAX_WAIT_MS;
       this.submit(stage);
@@ -319,7 +274,8 @@
     const candidates = this.policy.candidates(shard);
     const isCandidate = candidates.includes(router.member.name);
     const isOwner = candidates[0] === router.member.name;
-    const senders = isOwner ? 1 : isCandidate ? candidates.length : this.routers.size;
+    const fellows = isCandidate ? candidates.length : this.routers.size;
+    const senders = isOwner ? 1 : fellows;
     const pauseMs = this.policy.refusedPauseMs({ refusals, senders });
     router.refusals.set(id, refusals);
     router.calling.delete(id);
@@ -332,21 +288,7 @@
   private serve(stage: Stage): void {
     if (!stage.isEnded) {
       this.counts.served += 1;
-      this.end(stage);
-    }
-  }
-
-  private end(stage: Stage): void {
-    if (!stage.isEnded) {
-      this.leave(stage);
-      stage.isEnded = true;
-    }
-  }
-
-  private leave(stage: Stage): void {
-    if (stage.at) {
-      stage.at.pieces -= stage.pieces;
-      stage.at = undefined;
+      end(stage);
     }
   }
 
@@ -363,44 +305,21 @@
   }
 
   private after(delayMs: number, run: () => void): void {
-    this.events.push({ atMs: this.nowMs + delayMs, run });
-    let child = this.events.length - 1;
-    while (child > 0) {
-      const parent = (child - 1) >> 1;
-      if (this.isOrdered(parent, child)) {
-        return;
-      }
-      this.swap(parent, child);
-      child = parent;
-    }
-  }
-
-  private takeFirst(): void {
-    this.swap(0, this.events.length - 1);
-    this.events.pop();
-    let parent = 0;
-    for (;;) {
-      const left = 2 * parent + 1;
-      const right = left + 1;
-      const child = right < this.events.length && !this.isOrdered(left, right) ? right : left;
-      if (child >= this.events.length || this.isOrdered(parent, child)) {
-        return;
-      }
-      this.swap(parent, child);
-      parent = child;
-    }
+    this.events.add({ atMs: this.nowMs + delayMs, run });
   }
+}
 
-  private isOrdered(first: number, second: number): boolean {
-    return (this.events[first]?.atMs ?? 0) <= (this.events[second]?.atMs ?? 0);
+function end(stage: Stage): void {
+  if (!stage.isEnded) {
+    leave(stage);
+    stage.isEnded = true;
   }
+}
 
-  private swap(first: number, second: number): void {
-    const [left, right] = [this.events[first], this.events[second]];
-    if (left && right) {
-      this.events[first] = right;
-      this.events[second] = left;
-    }
+function leave(stage: Stage): void {
+  if (stage.at) {
+    stage.at.pieces -= stage.pieces;
+    stage.at = undefined;
   }
 }
 
@@ -426,54 +345,3 @@
   }
   return item;
 }
-
-/** The policy of the router. */
-export function createPresentPolicy(
-  hash: (text: string) => number,
-  random: () => number,
-): OverloadOptions['createPolicy'] {
-  return ({ members, workers }) => {
-    const shards = ServiceShards.create({ hash, findLimits: () => LIMITS });
-    const owners = ServiceOwners.create({ selfName: '', hash });
-    shards.update({ workers, members });
-    owners.setMembers(members);
-    owners.setShards(shards.all());
-    return {
-      candidates: (shard) => owners.findCandidates(shard),
-      shardOf: (worker) => shards.findShardOf(worker).key,
-      shardsOf: (service) => shards.findShards(service).map(({ key }) => key),
-      hasCredit: true,
-      slowAfterMs: 600,
-      lostAfterMs: 1_200,
-      submitsAlone: false,
-      refusedPauseMs: (opts) => computeRefusedPauseMs({ ...opts, random }),
-    };
-  };
-}
-
-/**
- * The policy of earlier versions, to compare with: one owner for a whole service, which counts as lost
- * when it is slow; then every router submits the pieces of its calls by itself.
- */
-export function createFormerPolicy(
-  hash: (text: string) => number,
-): OverloadOptions['createPolicy'] {
-  return ({ members }) => {
-    const maxCores = Math.max(...members.map(({ cpuCores }) => cpuCores));
-    const large = members.filter(({ cpuCores }) => cpuCores >= maxCores / 2);
-    const findOwner = (service: string): string =>
-      large
-        .map(({ name }) => ({ name, rank: hash(`${service} ${name}`) }))
-        .reduce((best, one) => (one.rank > best.rank ? one : best)).name;
-    return {
-      candidates: (service) => [findOwner(service)],
-      shardOf: ({ service }) => service,
-      shardsOf: (service) => [service],
-      hasCredit: false,
-      slowAfterMs: 600,
-      lostAfterMs: 600,
-      submitsAlone: true,
-      refusedPauseMs: () => 40,
-    };
-  };
-}
--- a/packages/router/test/slowOwner.steps.ts
+++ b/packages/router/test/slowOwner.steps.ts
@@ -4,15 +4,9 @@
 import type { Member } from '@galenatiller/store';
 import createXxhash from 'xxhash-wasm';
 
-import {
-  createFormerPolicy,
-  createPresentPolicy,
-  LIMITS,
-  type OverloadCounts,
-  type OverloadOptions,
-  OverloadSimulation,
-  type SimulatedWorker,
-} from './overloadSimulation.js';
+import { createFormerPolicy, createPresentPolicy } from './overloadPolicies.js';
+import { type OverloadCounts, OverloadSimulation } from './overloadSimulation.js';
+import { LIMITS, type OverloadOptions, type SimulatedWorker } from './overloadTypes.js';
 
 interface SlowOwnerWorld {
   fleet: Omit<OverloadOptions, 'createPolicy'>;
--- a/packages/routerLink/src/acceptRouters.ts
+++ b/packages/routerLink/src/acceptRouters.ts
@@ -1,6 +1,7 @@
 import { setMaxListeners } from 'node:events';
 import { createServer, type Server, type Socket } from 'node:net';
 
+import type { RelayRequest, RelayResponse } from '@galenatiller/store';
 import type { TaskGroup } from '@galenatiller/tasks';
 import type { TimerService } from '@galenatiller/timer';
 import type {
@@ -13,7 +14,7 @@
 } from '@galenatiller/types';
 
 import { LINK_VERSION, type ShardPiece } from './followRouter.js';
-import type { PieceOrderFrame, RouterFrame } from './routerFrames.js';
+import type { PieceOrderFrame, ReadRequestFrame, RouterFrame } from './routerFrames.js';
 import { RouterSocket } from './routerSocket.js';
 
 /** Functions that a router runs for its peers. */
@@ -30,6 +31,11 @@
   /** Adds evidence to the rollouts that this router owns. */
   readonly addRolloutEvidence: (evidence: readonly RolloutEvidence[]) => void;
   readonly endRollout: (decision: RolloutDecision) => void;
+  /** Responds with what this router has read from the store. */
+  readonly readRelayed: (opts: {
+    readonly request: RelayRequest;
+    readonly signal: AbortSignal;
+  }) => Promise<RelayResponse>;
 }
 
 /** Options of {@link acceptRouters}. */
@@ -64,6 +70,8 @@
   readonly socket: RouterSocket;
   /** The pieces in progress, by order id, and what cancels them. */
   readonly running: Map<number, AbortController>;
+  /** Aborts when the link has ended. */
+  readonly closed: AbortController;
 }
 
 /** The task of one link: reads piece orders and starts a task for each piece. */
@@ -72,7 +80,9 @@
   links: Set<AcceptedLink>,
   socket: RouterSocket,
 ): Promise<void> {
-  const link: AcceptedLink = { socket, running: new Map() };
+  const link: AcceptedLink = { socket, running: new Map(), closed: new AbortController() };
+  // Each read in progress listens for the end of the link.
+  setMaxListeners(0, link.closed.signal);
   let isHelloReceived = false;
   links.add(link);
   for await (const frame of socket.read()) {
@@ -87,6 +97,7 @@
     handleFrame({ ...opts, links, link }, frame);
   }
   links.delete(link);
+  link.closed.abort();
   link.running.forEach((controller) => controller.abort());
 }
 
@@ -100,34 +111,51 @@
   switch (frame.kind) {
     case 'ping':
       link.socket.send({ kind: 'pong', maxPieces: service.maxPieces(countBusy(opts.links)) });
-      return;
+      break;
     case 'piece-cancel':
       frame.orderIds.forEach((orderId) => link.running.get(orderId)?.abort());
-      return;
+      break;
     case 'piece-order':
       startPieces(opts, frame);
-      return;
+      break;
     case 'free':
       service.free(frame.handles);
-      return;
+      break;
+    case 'read-request':
+      opts.tasks.start(() => respondToRead(opts, frame));
+      break;
+    default:
+      handleEvidence(service, frame);
+  }
+}
+
+/** Handles what a peer tells without being asked; other frames are not for the accepting side. */
+function handleEvidence(service: PeerService, frame: RouterFrame): void {
+  switch (frame.kind) {
     case 'crash-evidence':
       service.mergeCrashEvidence(frame.evidence);
-      return;
+      break;
     case 'leaving-evidence':
       service.mergeLeavingEvidence(frame.evidence);
-      return;
+      break;
     case 'rollout-evidence':
       service.addRolloutEvidence(frame.evidence);
-      return;
+      break;
     case 'rollout-decision':
       service.endRollout(frame.decision);
-      return;
-    case 'hello':
-    case 'pong':
-    case 'piece-end':
+      break;
+    default:
   }
 }
 
+async function respondToRead(
+  { link, service }: HandleFrameOptions,
+  { requestId, request }: ReadRequestFrame,
+): Promise<void> {
+  const response = await service.readRelayed({ request, signal: link.closed.signal });
+  link.socket.send({ kind: 'read-response', requestId, response });
+}
+
 /** Number of links with pieces in progress. */
 function countBusy(links: ReadonlySet<AcceptedLink>): number {
   return [...links].filter(({ running }) => running.size > 0).length;
--- a/packages/routerLink/src/followRouter.ts
+++ b/packages/routerLink/src/followRouter.ts
@@ -1,5 +1,4 @@
-import { connect, type Socket } from 'node:net';
-
+import type { RelayRequest, RelayResponse } from '@galenatiller/store';
 import type { TimerService } from '@galenatiller/timer';
 import type {
   CrashEvidence,
@@ -11,6 +10,7 @@
 } from '@galenatiller/types';
 
 import type { OrderedPiece, RouterFrame } from './routerFrames.js';
+import { openSocket } from './openSocket.js';
 import { RouterSocket } from './routerSocket.js';
 
 /** A change of the state of the link to a peer. */
@@ -60,8 +60,6 @@
 /** Version of the frames; a router closes links from routers of another version. */
 export const LINK_VERSION = 5;
 
-const CONNECT_TIMEOUT_MS = 400;
-
 /** Interval of pings, which are sent only while orders wait for a result. */
 const PING_INTERVAL_MS = 200;
 
@@ -90,6 +88,9 @@
 
   private readonly orders = new Map<number, PendingOrder>();
 
+  /** Reads of the peer's copy of the store that wait for a response. */
+  private readonly reads = new Map<number, (response: RelayResponse | undefined) => void>();
+
   /** Pieces of this turn of the event loop, by the signal of their call. */
   private pendingGroups: PendingGroup[] = [];
 
@@ -160,6 +161,29 @@
     });
   }
 
+  /** Asks the peer for what it has read from the store; undefined if it doesn't respond. */
+  read(opts: {
+    readonly request: RelayRequest;
+    readonly signal: AbortSignal;
+  }): Promise<RelayResponse | undefined> {
+    const { request, signal } = opts;
+    const requestId = this.nextOrderId;
+    this.nextOrderId += 1;
+    return new Promise((resolve) => {
+      const end = (response: RelayResponse | undefined): void => {
+        this.reads.delete(requestId);
+        signal.removeEventListener('abort', abandon);
+        resolve(response);
+      };
+      const abandon = (): void => end(undefined);
+      signal.addEventListener('abort', abandon, { once: true });
+      this.reads.set(requestId, end);
+      if (signal.aborted || !this.send({ kind: 'read-request', requestId, request })) {
+        end(undefined);
+      }
+    });
+  }
+
   /** Tells the peer to free results; false when there is no open link. */
   free(handles: readonly string[]): boolean {
     return this.send({ kind: 'free', handles });
@@ -224,7 +248,7 @@
     signal.removeEventListener('abort', close);
     this.socket = undefined;
     this.notify('lost', 'the connection ended');
-    this.failOrders();
+    this.failRequests();
   }
 
   private handleFrame(frame: RouterFrame): void {
@@ -233,6 +257,9 @@
       this.maxPieces = frame.maxPieces;
       this.lastPongAtMs = nowMs;
     }
+    if (frame.kind === 'read-response') {
+      this.reads.get(frame.requestId)?.(frame.response);
+    }
     if (frame.kind !== 'piece-end') {
       return;
     }
@@ -329,10 +356,11 @@
     socket.send({ kind: 'ping' });
   }
 
-  private failOrders(): void {
+  private failRequests(): void {
     const lost = [...this.orders.values()];
     this.orders.clear();
     lost.forEach(({ settle }) => settle(undefined));
+    [...this.reads.values()].forEach((end) => end(undefined));
   }
 
   private send(frame: RouterFrame): boolean {
@@ -344,23 +372,3 @@
     onEvent({ kind, peer, detail, ordersLost: kind === 'lost' ? this.orders.size : 0 });
   }
 }
-
-function openSocket(opts: PeerRouterOptions): Promise<Socket | undefined> {
-  const [host = '', port = ''] = opts.address.split(':');
-  return new Promise((resolve) => {
-    const socket = connect({ host, port: Number(port), noDelay: true });
-    const cancelTimeout = opts.timer.after({
-      delayMs: CONNECT_TIMEOUT_MS,
-      notify: () => socket.destroy(new Error('the connection timed out')),
-    });
-    socket.once('connect', () => {
-      cancelTimeout();
-      socket.removeAllListeners('error');
-      resolve(socket);
-    });
-    socket.once('error', () => {
-      cancelTimeout();
-      resolve(undefined);
-    });
-  });
-}
--- a/packages/routerLink/src/routerFrames.ts
+++ b/packages/routerLink/src/routerFrames.ts
@@ -1,3 +1,4 @@
+import type { RelayRequest, RelayResponse } from '@galenatiller/store';
 import type {
   CrashEvidence,
   LeavingEvidence,
@@ -88,6 +89,20 @@
   readonly decision: RolloutDecision;
 }
 
+/** Asks the peer for what it has read from the store. */
+export interface ReadRequestFrame {
+  readonly kind: 'read-request';
+  readonly requestId: number;
+  readonly request: RelayRequest;
+}
+
+/** Responds to a {@link ReadRequestFrame}. */
+export interface ReadResponseFrame {
+  readonly kind: 'read-response';
+  readonly requestId: number;
+  readonly response: RelayResponse;
+}
+
 /** Checks that the peer is alive. */
 export interface PingFrame {
   readonly kind: 'ping';
@@ -111,5 +126,7 @@
   | LeavingEvidenceFrame
   | RolloutEvidenceFrame
   | RolloutDecisionFrame
+  | ReadRequestFrame
+  | ReadResponseFrame
   | PingFrame
   | PongFrame;
--- a/packages/routerLink/src/wireRouterFrame.ts
+++ b/packages/routerLink/src/wireRouterFrame.ts
@@ -1,5 +1,6 @@
 /** Encodes frames between routers as CBOR. */
 import { addLengthPrefix, FrameSplitter } from '@galenatiller/framing';
+import type { PrefixChange, PrefixEntry, RelayRequest, RelayResponse } from '@galenatiller/store';
 import type {
   CrashEvidence,
   LeavingEvidence,
@@ -88,6 +89,9 @@
   'rollout-evidence': ({ evidence }) =>
     Array.isArray(evidence) && evidence.every(isRolloutEvidence),
   'rollout-decision': ({ decision }) => isRolloutDecision(decision),
+  'read-request': (fields) => areNumbers(fields, ['requestId']) && isRelayRequest(fields.request),
+  'read-response': (fields) =>
+    areNumbers(fields, ['requestId']) && isRelayResponse(fields.response),
   ping: () => true,
   pong: (fields) => areNumbers(fields, ['maxPieces']),
 };
@@ -126,6 +130,44 @@
     : fields.kind === 'failed' && PIECE_FAILURES.includes(fields.reason as PieceFailure);
 }
 
+function isRelayRequest(value: unknown): value is RelayRequest {
+  const fields = asFields(value);
+  const { afterRevision } = fields;
+  return (
+    areStrings(fields, ['prefix']) &&
+    areNumbers(fields, ['waitMs']) &&
+    (afterRevision === undefined || typeof afterRevision === 'number')
+  );
+}
+
+function isRelayResponse(value: unknown): value is RelayResponse {
+  const fields = asFields(value);
+  if (fields.kind === 'unavailable') {
+    return areStrings(fields, ['detail']);
+  }
+  const { entries, changes } = fields;
+  return (
+    areNumbers(fields, ['storeRevision', 'era', 'ageMs', 'heldMs']) &&
+    (fields.kind === 'entries'
+      ? Array.isArray(entries) && entries.every(isPrefixEntry)
+      : fields.kind === 'changes' && Array.isArray(changes) && changes.every(isPrefixChange))
+  );
+}
+
+function isPrefixEntry(value: unknown): value is PrefixEntry {
+  const fields = asFields(value);
+  return (
+    areStrings(fields, ['key']) && areNumbers(fields, ['revision']) && Buffer.isBuffer(fields.value)
+  );
+}
+
+function isPrefixChange(value: unknown): value is PrefixChange {
+  const fields = asFields(value);
+  return fields.kind === 'put'
+    ? isPrefixEntry(fields.entry)
+    : fields.kind === 'delete' && areStrings(fields, ['key']) && areNumbers(fields, ['revision']);
+}
+
 function isRolloutEvidence(value: unknown): value is RolloutEvidence {
   const fields = asFields(value);
   return (
--- /dev/null
+++ b/packages/routerLink/test/linkWorld.ts
@@ -0,0 +1,107 @@
+/** A router that owns a service, and a peer with a link to it, shared by the steps in this folder. */
+import assert from 'node:assert/strict';
+import { once } from 'node:events';
+import { createServer } from 'node:net';
+
+import type { PeerRouter } from '@galenatiller/routerLink';
+import type { RelayRequest, RelayResponse } from '@galenatiller/store';
+import type { TimerService } from '@galenatiller/timer';
+import type {
+  CrashEvidence,
+  LeavingEvidence,
+  PieceResult,
+  RolloutDecision,
+  RolloutEvidence,
+  StagePiece,
+} from '@galenatiller/types';
+
+export const RELAYED: RelayResponse = {
+  kind: 'changes',
+  changes: [
+    { kind: 'put', entry: { key: 'p/a', value: Buffer.from('a'), revision: 8 } },
+    { kind: 'delete', key: 'p/b', revision: 9 },
+  ],
+  storeRevision: 9,
+  era: 3,
+  ageMs: 40.5,
+  heldMs: 7,
+};
+
+interface OrderAtOwner {
+  readonly piece: StagePiece;
+  readonly signal: AbortSignal;
+  readonly settle: (result: PieceResult) => void;
+}
+
+export interface LinkWorld {
+  linkTimer: TimerService;
+  linkAddress: string;
+  owner: { close: () => void };
+  peer: PeerRouter;
+  stopPeer: AbortController;
+  ordersAtOwner: OrderAtOwner[];
+  freedAtOwner: string[];
+  cancelOrder: AbortController;
+  peerResult: Promise<PieceResult | undefined>;
+  orderedAtMs: number;
+  closedLinks: number;
+  writes: Buffer[];
+  evidenceAtOwner: readonly CrashEvidence[] | undefined;
+  leavingAtOwner: readonly LeavingEvidence[] | undefined;
+  rolloutEvidenceAtOwner: readonly RolloutEvidence[] | undefined;
+  decisionAtOwner: RolloutDecision | undefined;
+  requestAtOwner: RelayRequest;
+  relayed: RelayResponse | undefined;
+  maxPiecesAtOwner: number;
+}
+
+export const MAX_WAIT_MS = 4_000;
+const POLL_MS = 10;
+
+export async function waitUntil(isTrue: () => boolean, what: string): Promise<void> {
+  for (let waitedMs = 0; !isTrue(); waitedMs += POLL_MS) {
+    assert.ok(waitedMs < MAX_WAIT_MS, what);
+    await pause();
+  }
+}
+
+function pause(): Promise<void> {
+  return new Promise((resolve) => {
+    setTimeout(resolve, POLL_MS);
+  });
+}
+
+export async function findFreeAddress(): Promise<string> {
+  const server = createServer().listen(0, '127.0.0.1');
+  await once(server, 'listening');
+  const bound = server.address();
+  server.close();
+  return `127.0.0.1:${typeof bound === 'object' && bound ? bound.port : 0}`;
+}
+
+export function orderPiece(
+  world: LinkWorld,
+  changes: { dueInMs: number; deadlineInMs: number },
+): void {
+  world.cancelOrder = new AbortController();
+  world.orderedAtMs = world.linkTimer.nowMs();
+  world.peerResult = world.peer.submitPiece({
+    service: 'stage',
+    shard: 'stage/0',
+    signal: world.cancelOrder.signal,
+    piece: {
+      requestId: 'request',
+      stage: 1,
+      piece: 2,
+      key: '',
+      inputs: ['10.0.0.9:1/x'],
+      inputsExpireAtMs: Infinity,
+      resultBytes: 8,
+      zoneHint: 'zone',
+      zoneWaitUntilMs: 0,
+      deadlineAtMs: world.orderedAtMs + changes.deadlineInMs,
+      dueAtMs: world.orderedAtMs + changes.dueInMs,
+      priority: 1,
+    },
+  });
+}
--- a/packages/routerLink/test/routerLink.feature
+++ b/packages/routerLink/test/routerLink.feature
@@ -47,3 +47,21 @@
   Scenario: Evidence about leaving targets is shared with its age
     When the peer shares that a target was leaving 40 ms ago
     Then the owner gets that evidence
+
+  Scenario: What the owner has read from the store is passed on, with its age
+    When the peer reads changes of the store through the owner
+    Then it gets what the owner has read
+
+  # Guards against a router that gets ever more pieces while it has more work than CPU time.
+  Scenario: A router that says how much it accepts gets no more
+    When the peer orders a piece that is due in 500 ms and has to be done in 2000 ms
+    And the owner accepts 1 piece at once
+    Then the peer submits no more to it
+    When the owner accepts 9 pieces at once
+    Then the peer submits to it again
+
+  # Guards against an overloaded router that is taken for a lost one: its pieces were submitted again by every router.
+  Scenario: A router that is silent gets no more pieces first, and counts as lost later
+    When the owner has no CPU time
+    Then the peer submits no more to it, before it takes the piece for lost
+    And it submits nothing to it while it says nothing
--- a/packages/routerLink/test/routerLink.steps.ts
+++ b/packages/routerLink/test/routerLink.steps.ts
@@ -1,6 +1,5 @@
 import assert from 'node:assert/strict';
-import { once } from 'node:events';
-import { connect, createServer, type Socket } from 'node:net';
+import { connect, type Socket } from 'node:net';
 import { Duplex } from 'node:stream';
 import { setImmediate } from 'node:timers/promises';
 
@@ -12,92 +11,26 @@
   CrashEvidence,
   LeavingEvidence,
   PieceFailure,
-  PieceResult,
   RolloutDecision,
   RolloutEvidence,
-  StagePiece,
 } from '@galenatiller/types';
 import fc from 'fast-check';
 
+import {
+  findFreeAddress,
+  type LinkWorld,
+  MAX_WAIT_MS,
+  orderPiece,
+  RELAYED,
+  waitUntil,
+} from './linkWorld.js';
 import { RouterSocket } from '../src/routerSocket.js';
 import { RouterFrameDecoder } from '../src/wireRouterFrame.js';
 
-interface OrderAtOwner {
-  readonly piece: StagePiece;
-  readonly signal: AbortSignal;
-  readonly settle: (result: PieceResult) => void;
-}
-
-interface LinkWorld {
-  linkTimer: TimerService;
-  linkAddress: string;
-  owner: { close: () => void };
-  peer: PeerRouter;
-  stopPeer: AbortController;
-  ordersAtOwner: OrderAtOwner[];
-  freedAtOwner: string[];
-  cancelOrder: AbortController;
-  peerResult: Promise<PieceResult | undefined>;
-  orderedAtMs: number;
-  closedLinks: number;
-  writes: Buffer[];
-  evidenceAtOwner: readonly CrashEvidence[] | undefined;
-  leavingAtOwner: readonly LeavingEvidence[] | undefined;
-  rolloutEvidenceAtOwner: readonly RolloutEvidence[] | undefined;
-  decisionAtOwner: RolloutDecision | undefined;
-}
-
 const SEED = 20_261_204;
-const MAX_WAIT_MS = 4_000;
-const POLL_MS = 10;
 const TOLERANCE_MS = 200;
 const FRAMES_PER_LINK = 100;
 
-async function waitUntil(isTrue: () => boolean, what: string): Promise<void> {
-  for (let waitedMs = 0; !isTrue(); waitedMs += POLL_MS) {
-    assert.ok(waitedMs < MAX_WAIT_MS, what);
-    await pause();
-  }
-}
-
-function pause(): Promise<void> {
-  return new Promise((resolve) => {
-    setTimeout(resolve, POLL_MS);
-  });
-}
-
-async function findFreeAddress(): Promise<string> {
-  const server = createServer().listen(0, '127.0.0.1');
-  await once(server, 'listening');
-  const bound = server.address();
-  server.close();
-  return `127.0.0.1:${typeof bound === 'object' && bound ? bound.port : 0}`;
-}
-
-function orderPiece(world: LinkWorld, changes: { dueInMs: number; deadlineInMs: number }): void {
-  world.cancelOrder = new AbortController();
-  world.orderedAtMs = world.linkTimer.nowMs();
-  world.peerResult = world.peer.submitPiece({
-    service: 'stage',
-    shard: 'stage/0',
-    signal: world.cancelOrder.signal,
-    piece: {
-      requestId: 'request',
-      stage: 1,
-      piece: 2,
-      key: '',
-      inputs: ['10.0.0.9:1/x'],
-      inputsExpireAtMs: Infinity,
-      resultBytes: 8,
-      zoneHint: 'zone',
-      zoneWaitUntilMs: 0,
-      deadlineAtMs: world.orderedAtMs + changes.deadlineInMs,
-      dueAtMs: world.orderedAtMs + changes.dueInMs,
-      priority: 1,
-    },
-  });
-}
-
 Given(
   'a router that owns a service and a peer with an open link to it',
   async function given(this: LinkWorld) {
@@ -105,6 +38,7 @@
     this.linkAddress = await findFreeAddress();
     this.ordersAtOwner = [];
     this.freedAtOwner = [];
+    this.maxPiecesAtOwner = Infinity;
     const tasks = TaskGroup.create({
       onFailure: (error) => assert.fail(String(error)),
     });
@@ -118,7 +52,11 @@
             this.ordersAtOwner.push({ piece, signal, settle });
           }),
         waitMs: () => 0,
-        maxPieces: () => Infinity,
+        maxPieces: () => this.maxPiecesAtOwner,
+        readRelayed: ({ request }) => {
+          this.requestAtOwner = request;
+          return Promise.resolve(RELAYED);
+        },
         free: (handles) => {
           this.freedAtOwner.push(...handles);
         },
--- a/packages/store/src/index.ts
+++ b/packages/store/src/index.ts
@@ -12,6 +12,14 @@
 export type { WatchOptions } from './watchPrefix.js';
 export { type MirrorEvent, PrefixMirror, type PrefixMirrorOptions } from './prefixMirror.js';
 export type * from './prefixSource.js';
+export { type MirrorObserver, PrefixRelay, type PrefixRelayOptions } from './relay/prefixRelay.js';
+export {
+  createRelayedSource,
+  type RelayedSourceOptions,
+  type RelayEvent,
+  type RelayLink,
+} from './relay/relayedSource.js';
+export type { RelayRequest, RelayResponse } from './relay/relayTypes.js';
 export type { EntryHandlers, KnownAndRead, EntriesRead } from './restoredEntries.js';
 export { RestoredEntries, type RestoredEntriesOptions } from './restoredEntries.js';
 export { StatedEra, type StatedEraEvent, type StatedEraOptions } from './statedEra.js';
--- a/packages/store/src/membership.ts
+++ b/packages/store/src/membership.ts
@@ -3,6 +3,7 @@
 
 import { jitteredDelayMs } from './jitteredDelayMs.js';
 import { type MirrorEvent, PrefixMirror } from './prefixMirror.js';
+import type { PrefixRelay } from './relay/prefixRelay.js';
 import type { PrefixEntry, PrefixSource, ReadFailure } from './prefixSource.js';
 import { type EntryHandlers, RestoredEntries } from './restoredEntries.js';
 import type { StatedEra } from './statedEra.js';
@@ -53,6 +54,8 @@
   readonly random: () => number;
   readonly onChange: (members: readonly Member[]) => void;
   readonly onEvent: (event: MirrorEvent) => void;
+  /** Creates the observer of what is read under the prefix of the members. */
+  readonly observe: PrefixRelay['observe'];
 }
 
 const MEMBER_PREFIX = 'galenatiller/members/';
@@ -68,6 +71,9 @@
  */
 const WATCH_WAIT_MS = 5_000;
 
+/** Many nodes may change at about the same time; their changes are read together. */
+const MIN_WATCH_INTERVAL_MS = 200;
+
 /** Time limit of one call, shorter than the renewal interval. */
 const CALL_TIMEOUT_MS = 700;
 
@@ -121,6 +127,11 @@
       random: opts.random,
       ...this.createHandlers(),
       onEvent: opts.onEvent,
+      minIntervalMs: MIN_WATCH_INTERVAL_MS,
+      observer: opts.observe({
+        prefix: MEMBER_PREFIX,
+        isEquivalent: (before, after) => before.value.equals(after.value),
+      }),
     });
   }
 
--- a/packages/store/src/prefixMirror.ts
+++ b/packages/store/src/prefixMirror.ts
@@ -6,7 +6,14 @@
 } from '@galenatiller/timer';
 
 import { jitteredDelayMs } from './jitteredDelayMs.js';
-import type { PrefixChanges, PrefixEntry, PrefixSource, ReadFailure } from './prefixSource.js';
+import type {
+  PrefixChanges,
+  PrefixEntry,
+  PrefixSource,
+  ReadFailure,
+  RelayedEvidence,
+} from './prefixSource.js';
+import type { MirrorObserver } from './relay/prefixRelay.js';
 import type { EntryHandlers } from './restoredEntries.js';
 import type { StatedEra } from './statedEra.js';
 
@@ -48,6 +55,15 @@
    * otherwise. Always true if omitted.
    */
   readonly isCurrent?: () => boolean;
+  /** Receives what is read, and says which changes have an effect; all have one if omitted. */
+  readonly observer?: MirrorObserver;
+  /** Shortest time between two reads of the store itself, so that one covers several changes. */
+  readonly minIntervalMs?: number;
+}
+
+interface Confirmation {
+  readonly evidenceAt: ClockReading;
+  readonly isDirect: boolean;
 }
 
 /** First upper bound of the retry delay; a faster retry would most likely hit the same outage. */
@@ -127,13 +143,17 @@
   }): Promise<boolean> {
     const { signal, isRestored } = opts;
     const sentAt = readClocks(this.opts.timer);
+    // A restored store gives out revisions again.
+    const seenRevision = isRestored ? 0 : this.storeRevision;
     const entries: PrefixEntry[] = [];
     let storeRevision: number | undefined;
+    let relayed: RelayedEvidence | undefined;
     for (let hasMore = true; hasMore;) {
       const page = await this.callWithTimeout(signal, 0, (callSignal) =>
         this.opts.source.readPage({
           prefix: this.opts.prefix,
           afterKey: entries.at(-1)?.key ?? '',
+          seenRevision,
           signal: callSignal,
         }),
       );
@@ -147,12 +167,17 @@
       entries.push(...page.value.entries);
       // Pages are not a snapshot: changes since the first page are received again when following.
       storeRevision ??= page.value.storeRevision;
+      relayed ??= page.value.relayed;
       hasMore = page.value.hasMore && page.value.entries.length > 0;
     }
+    const readRevision = storeRevision ?? 0;
     this.apply({
-      sentAt,
-      storeRevision: storeRevision ?? 0,
-      deliver: () => this.opts.onEntries(entries, { isRestored }),
+      ...createConfirmation(sentAt, relayed),
+      storeRevision: readRevision,
+      deliver: () => {
+        this.opts.observer?.onEntries(entries, readRevision);
+        this.opts.onEntries(entries, { isRestored });
+      },
     });
     const { prefix } = this.opts;
     this.opts.onEvent({
@@ -183,6 +208,9 @@
       }
       if (result.isOk) {
         this.applyChanges(result.value, sentAt);
+        if (!result.value.relayed) {
+          await this.waitForInterval(sentAt, signal);
+        }
       } else if (result.error.kind === 'history-lost') {
         this.opts.onEvent({ kind: 'history-lost', prefix, storeRevision: this.storeRevision });
         return;
@@ -193,29 +221,51 @@
   }
 
   private applyChanges(received: PrefixChanges, sentAt: ClockReading): void {
+    const { observer } = this.opts;
     this.apply({
-      sentAt,
+      ...createConfirmation(sentAt, received.relayed),
       storeRevision: Math.max(this.storeRevision, received.storeRevision),
-      deliver: () => received.changes.forEach((change) => this.opts.onChange(change)),
+      deliver: () =>
+        received.changes
+          .filter((change) => observer?.onChange(change) ?? true)
+          .forEach((change) => this.opts.onChange(change)),
     });
   }
 
-  private apply(opts: {
-    readonly sentAt: ClockReading;
-    readonly storeRevision: number;
-    readonly deliver: () => void;
-  }): void {
+  /** Waits until the store may be read again; changes in the meantime are read together. */
+  private async waitForInterval(sentAt: ClockReading, signal: AbortSignal): Promise<void> {
+    const { timer, minIntervalMs = 0 } = this.opts;
+    const delayMs = sentAt.monotonicMs + minIntervalMs - timer.nowMs();
+    if (delayMs > 0) {
+      await timer.sleep({ delayMs, signal });
+    }
+  }
+
+  private apply(
+    opts: Confirmation & {
+      readonly storeRevision: number;
+      readonly deliver: () => void;
+    },
+  ): void {
+    const { evidenceAt, isDirect, storeRevision } = opts;
     const before = this.confirmedAt;
     // Readers learn that the store is back before they are told what it lacks.
-    this.confirm(opts.sentAt, opts.storeRevision);
+    this.confirm(opts);
     opts.deliver();
     if (this.opts.isCurrent?.() === false) {
       this.confirmedAt = before;
+      return;
     }
+    this.opts.observer?.onConfirmed({ evidenceAt, storeRevision, isDirect });
   }
 
-  private confirm(sentAt: ClockReading, storeRevision: number): void {
-    this.confirmedAt = sentAt;
+  private confirm(opts: Confirmation & { readonly storeRevision: number }): void {
+    const { evidenceAt, storeRevision } = opts;
+    const { timer } = this.opts;
+    // A relayed read may be older than the last one.
+    if (!this.confirmedAt || elapsedSinceMs(timer, evidenceAt) < this.evidenceAgeMs()) {
+      this.confirmedAt = evidenceAt;
+    }
     this.storeRevision = storeRevision;
     this.failures = 0;
     if (this.isStoreLost) {
@@ -229,6 +279,7 @@
       return;
     }
     const { prefix, timer, random } = this.opts;
+    this.opts.observer?.onLost();
     if (!this.isStoreLost) {
       this.isStoreLost = true;
       const { detail } = failure;
@@ -259,3 +310,22 @@
     }
   }
 }
+
+/**
+ * The time that a read is evidence of: when it was sent, or for a relayed one the earliest time at
+ * which the other node can have composed its response, less the age of its evidence then.
+ */
+function createConfirmation(
+  sentAt: ClockReading,
+  relayed: RelayedEvidence | undefined,
+): Confirmation {
+  if (!relayed) {
+    return { evidenceAt: sentAt, isDirect: true };
+  }
+  const laterMs = relayed.heldMs - relayed.ageMs;
+  const evidenceAt = {
+    monotonicMs: sentAt.monotonicMs + laterMs,
+    wallMs: sentAt.wallMs + laterMs,
+  };
+  return { evidenceAt, isDirect: false };
+}
--- a/packages/store/src/prefixSource.ts
+++ b/packages/store/src/prefixSource.ts
@@ -13,17 +13,29 @@
   | { readonly kind: 'put'; readonly entry: PrefixEntry }
   | { readonly kind: 'delete'; readonly key: string; readonly revision: number };
 
+/** How old a relayed read is. */
+export interface RelayedEvidence {
+  /** Time since the node sent the read that confirmed the entries, when it responded. */
+  readonly ageMs: number;
+  /** Time from the arrival of the request to the response. */
+  readonly heldMs: number;
+}
+
 /** A page of entries in key order, and the store revision at the time of the response. */
 export interface PrefixPage {
   readonly entries: readonly PrefixEntry[];
   readonly hasMore: boolean;
   readonly storeRevision: number;
+  /** Set if another node has read the entries. */
+  readonly relayed?: RelayedEvidence;
 }
 
 /** Changes in order of revision, complete up to `storeRevision`. */
 export interface PrefixChanges {
   readonly changes: readonly PrefixChange[];
   readonly storeRevision: number;
+  /** Set if another node has read the changes. */
+  readonly relayed?: RelayedEvidence;
 }
 
 /**
@@ -41,6 +53,8 @@
     readonly prefix: string;
     /** Key after which the page starts; empty for the first page. */
     readonly afterKey: string;
+    /** Revision that the reader has seen already; entries that another node has read are newer. */
+    readonly seenRevision: number;
     readonly signal: AbortSignal;
   }) => Promise<Result<PrefixPage, ReadFailure>>;
   /** Returns at the first change after a revision, or without changes after `waitMs`. */
--- /dev/null
+++ b/packages/store/src/relay/prefixHistory.ts
@@ -0,0 +1,73 @@
+import type { PrefixChange, PrefixEntry } from '../prefixSource.js';
+
+/** Changes that are kept; a reader that misses more of them reads all entries again. */
+const MAX_CHANGES = 2_000;
+
+/** The entries under a prefix, and their recent changes. */
+export class PrefixHistory {
+  private readonly entries = new Map<string, PrefixEntry>();
+
+  private changes: PrefixChange[] = [];
+
+  /** All changes after this revision are kept. */
+  private completeAfter = 0;
+
+  private constructor() {}
+
+  /** Creates a history without entries. */
+  static create(): PrefixHistory {
+    return new PrefixHistory();
+  }
+
+  /** Replaces all entries, as of a revision. */
+  replace(opts: {
+    readonly entries: readonly PrefixEntry[];
+    readonly storeRevision: number;
+  }): void {
+    this.entries.clear();
+    opts.entries.forEach((entry) => this.entries.set(entry.key, entry));
+    this.changes = [];
+    this.completeAfter = opts.storeRevision;
+  }
+
+  /** The entry of a key. */
+  find(key: string): PrefixEntry | undefined {
+    return this.entries.get(key);
+  }
+
+  /** Applies a change; one that has no effect for readers is not listed among the changes. */
+  apply(change: PrefixChange, opts: { readonly hasEffect: boolean }): void {
+    if (change.kind === 'put') {
+      this.entries.set(change.entry.key, change.entry);
+    } else {
+      this.entries.delete(change.key);
+    }
+    if (!opts.hasEffect) {
+      return;
+    }
+    this.changes.push(change);
+    if (this.changes.length > 2 * MAX_CHANGES) {
+      const dropped = this.changes.splice(0, MAX_CHANGES);
+      this.completeAfter = dropped.reduce(
+        (max, early) => Math.max(max, revisionOf(early)),
+        this.completeAfter,
+      );
+    }
+  }
+
+  /** All entries. */
+  all(): readonly PrefixEntry[] {
+    return [...this.entries.values()];
+  }
+
+  /** Changes after a revision; undefined if not all of them are kept. */
+  changesAfter(revision: number): readonly PrefixChange[] | undefined {
+    return revision < this.completeAfter
+      ? undefined
+      : this.changes.filter((change) => revisionOf(change) > revision);
+  }
+}
+
+function revisionOf(change: PrefixChange): number {
+  return change.kind === 'put' ? change.entry.revision : change.revision;
+}
--- a/packages/store/test/membership.steps.ts
+++ b/packages/store/test/membership.steps.ts
@@ -5,6 +5,7 @@
   type LeaseClient,
   type Member,
   Membership,
+  PrefixRelay,
   type PrefixEntry,
   type PrefixSource,
   type ReadFailure,
@@ -109,10 +110,13 @@
     this.stopMembers = new AbortController();
     this.memberships = new Map();
     [first, second].forEach((name) => {
+      const storeEra = StatedEra.create({ onEvent: () => {} });
+      const relay = PrefixRelay.create({ timer, storeEra });
       const membership = Membership.create({
+        observe: (observed) => relay.observe(observed),
         source: this.memberStore.source,
         leases: this.memberStore.createLeases(),
-        storeEra: StatedEra.create({ onEvent: () => {} }),
+        storeEra,
         timer,
         self: { name, address: '10.0.0.1:1', cpuCores: 1, availabilityZone: 'zone' },
         random: () => 0.5,
--- a/packages/store/test/membershipRestored.steps.ts
+++ b/packages/store/test/membershipRestored.steps.ts
@@ -4,6 +4,7 @@
 import {
   type LeaseClient,
   Membership,
+  PrefixRelay,
   type PrefixChange,
   type PrefixSource,
   StatedEra,
@@ -126,7 +127,9 @@
     this.endedLeases = 0;
     this.wakeWatch = () => {};
     this.stopMembership = new AbortController();
+    const relay = PrefixRelay.create({ timer: this.memberTimer, storeEra: this.memberEra });
     this.membership = Membership.create({
+      observe: (observed) => relay.observe(observed),
       source: createSource(this),
       leases: createLeases(this),
       storeEra: this.memberEra,
