--- a/packages/router/src/runRouter.ts
+++ b/packages/router/src/runRouter.ts
@@ -34,11 +34,17 @@
  */
 const DEREGISTRATION_DELAY_MS = 2_900;
 
+/** Share of the time until the calls end in which calls are taken at most, so that they can end. */
+const MAX_TAKING_SHARE = 0.45;
+
 /** Time reserved before the process is killed, in which its last responses are sent. */
 const STOP_MARGIN_MS = 900;
 
+/** The most that this may be of the whole time. */
+const MAX_MARGIN_SHARE = 0.16;
+
 /** Part of the margin in which responses are written; the rest is for the end of the process. */
-const FLUSH_LIMIT_MS = 400;
+const FLUSH_SHARE = 0.45;
 
 /** How often it is checked what is in progress. */
 const POLL_MS = 50;
@@ -58,15 +64,16 @@
     callsInProgress: router.callsInProgress(),
     outcome: 'no longer ready',
   });
-  const endsAtMs = stoppedAtMs + opts.stopLimitMs - STOP_MARGIN_MS;
+  const { takingMs, endMs, flushMs } = planStop(opts.stopLimitMs);
+  const endsAtMs = stoppedAtMs + endMs;
   frontEnd.startClosing();
   router.stop({ endsAtMs });
-  await timer.sleep({ delayMs: DEREGISTRATION_DELAY_MS });
+  await timer.sleep({ delayMs: takingMs });
   frontEnd.stopAccepting();
   const hasCalls = (): boolean => router.callsInProgress() > 0;
   await waitWhile(opts, endsAtMs, () => hasCalls() || router.batchesInProgress() > 0);
   router.leave();
-  await waitWhile(opts, endsAtMs + FLUSH_LIMIT_MS, () => hasCalls() || frontEnd.hasUnsentData());
+  await waitWhile(opts, endsAtMs + flushMs, () => hasCalls() || frontEnd.hasUnsentData());
   log({
     about: 'process',
     event: 'stopped',
@@ -79,6 +86,27 @@
   await running;
 }
 
+/** The parts of a stop, each since its begin. */
+interface StopPlan {
+  /** How long calls are taken. */
+  readonly takingMs: number;
+  /** When all calls end. */
+  readonly endMs: number;
+  /** How long their responses are written after that. */
+  readonly flushMs: number;
+}
+
+/** Plans a stop, so that calls which are taken have time to end also when the limit is short. */
+function planStop(limitMs: number): StopPlan {
+  const marginMs = Math.min(STOP_MARGIN_MS, MAX_MARGIN_SHARE * limitMs);
+  const endMs = limitMs - marginMs;
+  return {
+    takingMs: Math.min(DEREGISTRATION_DELAY_MS, MAX_TAKING_SHARE * endMs),
+    endMs,
+    flushMs: FLUSH_SHARE * marginMs,
+  };
+}
+
 /** Waits while something is true, until a monotonic time. */
 async function waitWhile(
   { timer }: Pick<RunRouterOptions, 'timer'>,
--- a/packages/router/test/routerStop.feature
+++ b/packages/router/test/routerStop.feature
@@ -63,6 +63,36 @@
     When the router is asked to stop, and a "stream" call arrives 3000 ms later
     Then the call is not taken
 
+  # Guards against calls that a stop takes although too little of its time is left to answer them, and cuts.
+  Scenario Outline: Calls are taken only in the first part of a short stop, and all of them are answered
+    Given a router that is killed <limit> ms after it was asked to stop
+    And targets that never respond
+    When the router is asked to stop, and an "order" call arrives <early> ms later
+    Then within <answered> ms of the stop the caller gets 502
+
+    Examples:
+      | limit | early | answered |
+      | 3000  | 1000  | 2530     |
+      | 5000  | 1800  | 4210     |
+
+  Scenario: A call that can't end within a very short stop is refused
+    Given a router that is killed 1000 ms after it was asked to stop
+    And targets that never respond
+    When the router is asked to stop, and an "order" call arrives 300 ms later
+    Then within 850 ms of the stop the caller gets 503 with a time to retry
+
+  Scenario Outline: Calls that come late in a short stop are not taken
+    Given a router that is killed <limit> ms after it was asked to stop
+    When the router is asked to stop, and an "order" call arrives <late> ms later
+    Then the call is not taken
+
+    Examples:
+      | limit | late |
+      | 500   | 200  |
+      | 1000  | 400  |
+      | 3000  | 1200 |
+      | 5000  | 2000 |
+
   # Guards against any way in which a stop ends a call without an answer, or refuses one that may have run as not run.
   Scenario: Whatever targets and stage workers do, each call that was read ends, and none that ran is refused as not run
     Then stops with random calls, slow stage workers and a store that is away keep to this with each seed from 1 to 50
