--- /dev/null
+++ b/packages/store/test/relay.feature
@@ -0,0 +1,59 @@
+@relay
+Feature: A node that reads the store through another believes nothing longer than its evidence
+
+  Background:
+    Given a reader of a store that contains "a" and "b", and a follower that reads through it
+
+  Scenario: The follower learns changes without reading the store itself
+    When "c" is added to the read store and "a" is deleted from it
+    And 1500 ms pass at the follower
+    Then the follower knows "b, c"
+    And it has read the store 0 times since it found the reader
+
+  # Guards against a price for every heartbeat of every target at every node.
+  Scenario: An entry that is written again unchanged has no effect at the follower
+    When "a" is written again 20 times in 2000 ms
+    Then the follower was told of 0 changes
+    And it has read the store 0 times since it found the reader
+
+  Scenario: The age of relayed evidence includes the age that it had at the reader
+    When each response of the store takes 300 ms
+    And 4000 ms pass at the follower
+    Then the evidence of the follower was never younger than that of the reader when it was given
+
+  Scenario Outline: The follower reads the store itself when the reader fails
+    When the reader <fails>
+    And "c" is added to the read store and "a" is deleted from it
+    And 2500 ms pass at the follower
+    Then the follower knows "b, c"
+    And its evidence was never over 2500 ms old
+
+    Examples:
+      | fails                      |
+      | is killed                  |
+      | is silent                  |
+      | is cut off from the store  |
+      | answers 3000 ms late       |
+      | answers with what it knew  |
+
+  Scenario: Evidence ages while the store is away from both
+    When the store is away for 4000 ms
+    Then the evidence of the follower is at least 4000 ms old
+
+  # Guards against an old state of the store that a reader passes on after a newer one was read.
+  Scenario: Entries that are older than what the follower has read are not taken
+    When the follower has read the store itself up to a later change, and loses its history
+    Then it does not take the older entries of the reader
+
+  Scenario: What was read before the store was restored is not taken after it
+    When the follower has seen the restored store before the reader
+    Then it does not take what the reader read before
+
+  Scenario: The follower learns from the reader that the store was restored
+    When the store is restored without "b", and the reader has read it
+    Then the follower reads everything again and knows "a"
+
+  Scenario: A response that would be too large is read from the store
+    When an entry of 100000 bytes is added to the store
+    And 1500 ms pass at the follower
+    Then the follower knows "a, b, large"
