--- a/packages/error/src/createProblemDetails.ts
+++ b/packages/error/src/createProblemDetails.ts
@@ -16,13 +16,18 @@
   readonly hint: string;
 }
 
+/** Statuses that promise that the request has not run. */
+const NOT_RUN_STATUSES: readonly number[] = [408, 421, 429, 503];
+
+const STATUS_BAD_GATEWAY = 502;
+
 /** Converts an error to a problem details document; the wire modules encode it. */
 export function createProblemDetails(error: GalenatillerError): ProblemDetails {
   const definition = findResultCode(error.codeName);
   return {
     type: `urn:galenatiller:result:${error.code}`,
     title: definition.meaning,
-    status: definition.httpStatus,
+    status: findStatus(error, definition.httpStatus),
     detail: error.detail,
     code: error.code,
     name: error.codeName,
@@ -30,3 +35,9 @@
     hint: error.hint,
   };
 }
+
+/** The status of the result code, unless it promises more than what is known in this case. */
+function findStatus({ outcome }: GalenatillerError, usualStatus: number): number {
+  const isFalse = NOT_RUN_STATUSES.includes(usualStatus) && outcome !== 'not-run';
+  return isFalse ? STATUS_BAD_GATEWAY : usualStatus;
+}
--- a/packages/error/test/resultCodes.steps.ts
+++ b/packages/error/test/resultCodes.steps.ts
@@ -2,7 +2,8 @@
 import { readFile } from 'node:fs/promises';
 
 import { Then, When } from '@cucumber/cucumber';
-import { RESULT_CODES } from '@galenatiller/error';
+import { createProblemDetails, GalenatillerError, RESULT_CODES } from '@galenatiller/error';
+import type { Outcome } from '@galenatiller/types';
 
 interface ResultCodesWorld {
   table: string[];
@@ -34,3 +35,22 @@
     RESULT_CODES.length,
   );
 });
+
+Then('errors of any code that may have run have none of the statuses 408, 421, 429 and 503', () => {
+  const statuses = RESULT_CODES.map(({ name }) => findStatus(name, 'may-have-run'));
+  assert.deepEqual(
+    statuses.filter((status) => [408, 421, 429, 503].includes(status)),
+    [],
+  );
+});
+
+Then('the status of a code is kept where its outcome is known to be not-run', () => {
+  assert.deepEqual(
+    RESULT_CODES.map(({ name }) => findStatus(name, 'not-run')),
+    RESULT_CODES.map(({ httpStatus }) => httpStatus),
+  );
+});
+
+function findStatus(name: (typeof RESULT_CODES)[number]['name'], outcome: Outcome): number {
+  return createProblemDetails(GalenatillerError.create({ name, detail: '', outcome })).status;
+}
