Pass on the first write of each entry after a full read, and delay reads only in a row of changes

Cause: the heartbeat filter held back an entry that a restored copy had and that its writer had written again unchanged, and the interval between reads hid a change that followed another.

--- a/packages/store/src/prefixMirror.ts
+++ b/packages/store/src/prefixMirror.ts
@@ -57,7 +57,7 @@
   readonly isCurrent?: () => boolean;
   /** Receives what is read, and says which changes have an effect; all have one if omitted. */
   readonly observer?: MirrorObserver;
-  /** Shortest time between two reads of the store itself, so that one covers several changes. */
+  /** Time between two reads of the store itself while changes follow closely, so that one covers several. */
   readonly minIntervalMs?: number;
 }
 
@@ -74,6 +74,9 @@
  */
 const MAX_RETRY_DELAY_MS = 600;
 
+/** Quick reads in a row that are not delayed, so that a single change doesn't hide the next one. */
+const MAX_QUICK_READS = 2;
+
 /** Wait of a read that only checks whether the store has recovered. */
 const PROBE_WAIT_MS = 1;
 
@@ -91,6 +94,9 @@
 
   private failures = 0;
 
+  /** Reads in a row that took less than the interval between two reads. */
+  private quickReads = 0;
+
   /** Rises of the store's era that had been seen when all entries were last read. */
   private risesRead = 0;
 
@@ -236,7 +242,8 @@
   private async waitForInterval(sentAt: ClockReading, signal: AbortSignal): Promise<void> {
     const { timer, minIntervalMs = 0 } = this.opts;
     const delayMs = sentAt.monotonicMs + minIntervalMs - timer.nowMs();
-    if (delayMs > 0) {
+    this.quickReads = delayMs > 0 ? this.quickReads + 1 : 0;
+    if (this.quickReads > MAX_QUICK_READS) {
       await timer.sleep({ delayMs, signal });
     }
   }
--- a/packages/store/src/relay/prefixHistory.ts
+++ b/packages/store/src/relay/prefixHistory.ts
@@ -7,6 +7,9 @@
 export class PrefixHistory {
   private readonly entries = new Map<string, PrefixEntry>();
 
+  /** Keys that were written since all entries were read. */
+  private readonly writtenKeys = new Set<string>();
+
   private changes: PrefixChange[] = [];
 
   /** All changes after this revision are kept. */
@@ -25,21 +28,27 @@
     readonly storeRevision: number;
   }): void {
     this.entries.clear();
+    this.writtenKeys.clear();
     opts.entries.forEach((entry) => this.entries.set(entry.key, entry));
     this.changes = [];
     this.completeAfter = opts.storeRevision;
   }
 
-  /** The entry of a key. */
-  find(key: string): PrefixEntry | undefined {
-    return this.entries.get(key);
+  /**
+   * The entry of a key as it was written last; undefined if it is only known from a read of all entries,
+   * which may have come from a restored store, so that even an unchanged write is news.
+   */
+  findWritten(key: string): PrefixEntry | undefined {
+    return this.writtenKeys.has(key) ? this.entries.get(key) : undefined;
   }
 
   /** Applies a change; one that has no effect for readers is not listed among the changes. */
   apply(change: PrefixChange, opts: { readonly hasEffect: boolean }): void {
     if (change.kind === 'put') {
       this.entries.set(change.entry.key, change.entry);
+      this.writtenKeys.add(change.entry.key);
     } else {
+      this.writtenKeys.delete(change.key);
       this.entries.delete(change.key);
     }
     if (!opts.hasEffect) {
--- a/packages/store/src/relay/prefixRelay.ts
+++ b/packages/store/src/relay/prefixRelay.ts
@@ -84,7 +84,8 @@
         relayed.era = this.opts.storeEra.current;
       },
       onChange: (change) => {
-        const before = change.kind === 'put' ? relayed.history.find(change.entry.key) : undefined;
+        const before =
+          change.kind === 'put' ? relayed.history.findWritten(change.entry.key) : undefined;
         const hasEffect =
           change.kind === 'delete' || !before || !opts.isEquivalent(before, change.entry);
         relayed.history.apply(change, { hasEffect });
