--- a/packages/routerLink/src/acceptRouters.ts
+++ b/packages/routerLink/src/acceptRouters.ts
@@ -13,7 +13,8 @@
   StagePiece,
 } from '@galenatiller/types';
 
-import { LINK_VERSION, type ShardPiece } from './followRouter.js';
+import { LINK_VERSION } from './followRouter.js';
+import type { ShardPiece } from './pieceOrders.js';
 import type { PieceOrderFrame, ReadRequestFrame, RouterFrame } from './routerFrames.js';
 import { RouterSocket } from './routerSocket.js';
 
--- a/packages/routerLink/src/followRouter.ts
+++ b/packages/routerLink/src/followRouter.ts
@@ -6,11 +6,11 @@
   PieceResult,
   RolloutDecision,
   RolloutEvidence,
-  StagePiece,
 } from '@galenatiller/types';
 
-import type { OrderedPiece, RouterFrame } from './routerFrames.js';
 import { openSocket } from './openSocket.js';
+import { PieceOrders, type ShardPiece } from './pieceOrders.js';
+import type { RouterFrame } from './routerFrames.js';
 import { RouterSocket } from './routerSocket.js';
 
 /** A change of the state of the link to a peer. */
@@ -31,32 +31,6 @@
   readonly onEvent: (event: PeerEvent) => void;
 }
 
-/** A piece and the shard whose workers should run it. */
-export interface ShardPiece {
-  readonly service: string;
-  readonly shard: string;
-  readonly piece: StagePiece;
-  readonly signal: AbortSignal;
-}
-
-interface PendingOrder {
-  readonly shard: string;
-  /** Called with undefined when the link is lost. */
-  readonly settle: (result: PieceResult | undefined) => void;
-}
-
-/** Pieces of one stage of a call, which are sent in one frame. */
-interface PendingGroup extends Omit<ShardPiece, 'piece'> {
-  /** Any of the pieces; the others differ in their number only. */
-  readonly first: StagePiece;
-  readonly pieces: OrderedPiece[];
-}
-
-interface ReportedWait {
-  readonly waitMs: number;
-  readonly atMs: number;
-}
-
 /** Version of the frames; a router closes links from routers of another version. */
 export const LINK_VERSION = 5;
 
@@ -75,8 +49,8 @@
  */
 const LOST_AFTER_PINGS = 6;
 
-/** Reports of a peer are no longer used after this time. */
-const REPORT_LIFETIME_MS = 1_000;
+/** A pong says nothing about the peer any more after this time. */
+const PONG_LIFETIME_MS = 1_000;
 
 const REOPEN_DELAY_MS = 300;
 
@@ -84,20 +58,13 @@
 export class PeerRouter {
   private socket: RouterSocket | undefined;
 
-  private nextOrderId = 1;
+  private readonly orders: PieceOrders;
 
-  private readonly orders = new Map<number, PendingOrder>();
+  private nextRequestId = 1;
 
   /** Reads of the peer's copy of the store that wait for a response. */
   private readonly reads = new Map<number, (response: RelayResponse | undefined) => void>();
 
-  /** Pieces of this turn of the event loop, by the signal of their call. */
-  private pendingGroups: PendingGroup[] = [];
-
-  private pendingCancels: number[] = [];
-
-  private isFlushScheduled = false;
-
   private unansweredPings = 0;
 
   /** Whether the last link was closed for silence and the peer has sent nothing since. */
@@ -107,9 +74,10 @@
 
   private lastPongAtMs = -Infinity;
 
-  private readonly waits = new Map<string, ReportedWait>();
-
-  private constructor(private readonly opts: PeerRouterOptions) {}
+  private constructor(private readonly opts: PeerRouterOptions) {
+    const { timer } = opts;
+    this.orders = PieceOrders.create({ timer, send: (frame) => this.send(frame) });
+  }
 
   /** Creates a peer whose link is not open yet. */
   static create(opts: PeerRouterOptions): PeerRouter {
@@ -123,7 +91,7 @@
 
   /** Whether the peer accepts one more piece, as far as is known. */
   get canAccept(): boolean {
-    const isReportFresh = this.opts.timer.nowMs() - this.lastPongAtMs < REPORT_LIFETIME_MS;
+    const isReportFresh = this.opts.timer.nowMs() - this.lastPongAtMs < PONG_LIFETIME_MS;
     const maxPieces = isReportFresh ? this.maxPieces : Infinity;
     const isResponsive = !this.isSilent && this.unansweredPings < SLOW_AFTER_PINGS;
     return this.isOpen && isResponsive && this.orders.size < maxPieces;
@@ -131,34 +99,12 @@
 
   /** Time that a piece waits for a worker of a shard at the peer; 0 without a recent report. */
   waitMs(shard: string): number {
-    const report = this.waits.get(shard);
-    const isFresh = report && this.opts.timer.nowMs() - report.atMs < REPORT_LIFETIME_MS;
-    return isFresh ? report.waitMs : 0;
+    return this.orders.waitMs(shard);
   }
 
   /** Has the peer run a piece; resolves to undefined when the link is lost before the piece ends. */
   submitPiece(opts: ShardPiece): Promise<PieceResult | undefined> {
-    const { shard, signal } = opts;
-    if (!this.isOpen) {
-      return Promise.resolve(undefined);
-    }
-    const orderId = this.nextOrderId;
-    this.nextOrderId += 1;
-    return new Promise((resolve) => {
-      const cancel = (): void => {
-        this.pendingCancels.push(orderId);
-        this.scheduleFlush();
-        end({ kind: 'failed', reason: 'late' });
-      };
-      const end = (result: PieceResult | undefined): void => {
-        this.orders.delete(orderId);
-        signal.removeEventListener('abort', cancel);
-        resolve(result);
-      };
-      signal.addEventListener('abort', cancel, { once: true });
-      this.orders.set(orderId, { shard, settle: end });
-      this.addToGroup(opts, orderId);
-    });
+    return this.isOpen ? this.orders.submit(opts) : Promise.resolve(undefined);
   }
 
   /** Asks the peer for what it has read from the store; undefined if it doesn't respond. */
@@ -167,8 +113,8 @@
     readonly signal: AbortSignal;
   }): Promise<RelayResponse | undefined> {
     const { request, signal } = opts;
-    const requestId = this.nextOrderId;
-    this.nextOrderId += 1;
+    const requestId = this.nextRequestId;
+    this.nextRequestId += 1;
     return new Promise((resolve) => {
       const end = (response: RelayResponse | undefined): void => {
         this.reads.delete(requestId);
@@ -252,92 +198,19 @@
   }
 
   private handleFrame(frame: RouterFrame): void {
-    const nowMs = this.opts.timer.nowMs();
     if (frame.kind === 'pong') {
       this.maxPieces = frame.maxPieces;
-      this.lastPongAtMs = nowMs;
+      this.lastPongAtMs = this.opts.timer.nowMs();
     }
     if (frame.kind === 'read-response') {
       this.reads.get(frame.requestId)?.(frame.response);
     }
-    if (frame.kind !== 'piece-end') {
-      return;
-    }
-    const order = this.orders.get(frame.orderId);
-    if (order) {
-      this.waits.set(order.shard, { waitMs: frame.waitMs, atMs: nowMs });
-      order.settle(frame.result);
-    } else if (frame.result.kind === 'made') {
+    if (frame.kind === 'piece-end' && !this.orders.end(frame) && frame.result.kind === 'made') {
       // The result was sent before the cancellation of its order arrived, so nothing else frees it.
       this.free([frame.result.handle]);
     }
   }
 
-  private addToGroup(opts: ShardPiece, orderId: number): void {
-    const { piece, ...common } = opts;
-    const ordered = { orderId, piece: piece.piece };
-    const group = this.pendingGroups.find(
-      ({ signal, shard, first }) =>
-        signal === opts.signal &&
-        shard === opts.shard &&
-        first.requestId === piece.requestId &&
-        first.stage === piece.stage,
-    );
-    if (group) {
-      group.pieces.push(ordered);
-    } else {
-      this.pendingGroups.push({ ...common, first: piece, pieces: [ordered] });
-    }
-    this.scheduleFlush();
-  }
-
-  /** Sends what this turn of the event loop submits and cancels, at its end. */
-  private scheduleFlush(): void {
-    if (!this.isFlushScheduled) {
-      this.isFlushScheduled = true;
-      queueMicrotask(() => {
-        this.isFlushScheduled = false;
-        this.flush();
-      });
-    }
-  }
-
-  private flush(): void {
-    const groups = this.pendingGroups;
-    const orderIds = this.pendingCancels;
-    this.pendingGroups = [];
-    this.pendingCancels = [];
-    groups.forEach((group) => this.sendGroup(group));
-    if (orderIds.length > 0) {
-      this.send({ kind: 'piece-cancel', orderIds });
-    }
-  }
-
-  private sendGroup({ service, shard, first, pieces }: PendingGroup): void {
-    const nowMs = this.opts.timer.nowMs();
-    const { requestId, stage, key, inputs, resultBytes, zoneHint, priority } = first;
-    const isSent = this.send({
-      kind: 'piece-order',
-      pieces,
-      service,
-      shard,
-      requestId,
-      stage,
-      key,
-      inputs,
-      resultBytes,
-      zoneHint,
-      priority,
-      deadlineInMs: first.deadlineAtMs - nowMs,
-      dueInMs: first.dueAtMs - nowMs,
-      zoneWaitInMs: first.zoneWaitUntilMs - nowMs,
-      inputsExpireInMs: first.inputsExpireAtMs - nowMs,
-    });
-    if (!isSent) {
-      pieces.forEach(({ orderId }) => this.orders.get(orderId)?.settle(undefined));
-    }
-  }
-
   /**
    * Counts pings rather than time: when this router itself was held up, frames of the peer may wait
    * unread in the meantime.
@@ -357,9 +230,7 @@
   }
 
   private failRequests(): void {
-    const lost = [...this.orders.values()];
-    this.orders.clear();
-    lost.forEach(({ settle }) => settle(undefined));
+    this.orders.endAll();
     [...this.reads.values()].forEach((end) => end(undefined));
   }
 
--- a/packages/routerLink/src/index.ts
+++ b/packages/routerLink/src/index.ts
@@ -1,8 +1,4 @@
 /** Links between routers, over which stage pieces go to the router that owns their service. */
 export { acceptRouters, type AcceptRoutersOptions, type PeerService } from './acceptRouters.js';
-export {
-  type PeerEvent,
-  PeerRouter,
-  type PeerRouterOptions,
-  type ShardPiece,
-} from './followRouter.js';
+export { type PeerEvent, PeerRouter, type PeerRouterOptions } from './followRouter.js';
+export type { ShardPiece } from './pieceOrders.js';
