--- a/packages/router/test/stageSubmitter.feature
+++ b/packages/router/test/stageSubmitter.feature
@@ -24,3 +24,21 @@
   Scenario: Pieces at an owner whose link is lost are submitted again at once
     When a piece is submitted while the peer is the owner, and the link to the peer is lost
     Then the worker ends the piece
+
+  # Guards against a slow owner that is taken for a lost one, and against routers that then each do its work.
+  Scenario: Pieces of an owner that has no CPU time go to its deputy
+    Given the router has no CPU time for more pieces
+    When a piece is submitted
+    Then the peer gets 1 piece and the workers none
+
+  Scenario: A piece that no candidate accepts fails as busy after a short wait
+    Given the router has no CPU time for more pieces
+    And the peer accepts no pieces
+    When a piece is submitted
+    Then it fails as "busy" after 700 to 800 ms
+
+  Scenario: A router that reaches no other one runs its pieces by itself
+    Given the router has no CPU time for more pieces
+    And the peer can't be reached
+    When a piece is submitted
+    Then the workers get it after 700 to 800 ms
--- a/packages/router/test/stageSubmitter.steps.ts
+++ b/packages/router/test/stageSubmitter.steps.ts
@@ -22,6 +22,7 @@
   freedAtPeer: string[];
   pieceResults: Promise<PieceResult>[];
   isPeerOpen: boolean;
+  isPeerSlow: boolean;
   /** Whether this router has CPU time for more pieces. */
   hasCpuTime: boolean;
 }
@@ -44,6 +45,7 @@
     const timer = TimerService.create({ clock: this.submitterClock });
     this.serviceOwner = 'self';
     this.isPeerOpen = true;
+    this.isPeerSlow = false;
     this.hasCpuTime = true;
     this.piecesAtPeer = [];
     this.freedAtPeer = [];
@@ -156,6 +158,53 @@
   assert.deepEqual(await endPieces(this), ['10.0.0.1:1/self-1']);
 });
 
+Given('the router has no CPU time for more pieces', function given(this: SubmitterWorld) {
+  this.hasCpuTime = false;
+});
+
+Given('the peer accepts no pieces', function given(this: SubmitterWorld) {
+  this.isPeerSlow = true;
+});
+
+Given("the peer can't be reached", function given(this: SubmitterWorld) {
+  this.isPeerOpen = false;
+});
+
+When('a piece is submitted', async function when(this: SubmitterWorld) {
+  this.pieceResults = [this.submitter.submit(createOrder(0))];
+  await this.submitterClock.advance({ byMs: 10 });
+});
+
+Then('the peer gets 1 piece and the workers none', function then(this: SubmitterWorld) {
+  assert.equal(this.piecesAtPeer.length, 1);
+  assert.equal(this.stageWorkers.piecesInProgress, 0);
+});
+
+Then(
+  'it fails as {string} after {int} to {int} ms',
+  async function then(this: SubmitterWorld, reason: string, minMs: number, maxMs: number) {
+    let result: PieceResult | undefined;
+    this.pieceResults[0]?.then((settled) => {
+      result = settled;
+    }, assert.ifError);
+    await this.submitterClock.advance({ byMs: minMs - 11 });
+    assert.equal(result, undefined);
+    await this.submitterClock.advance({ byMs: maxMs - minMs });
+    assert.deepEqual(result, { kind: 'failed', reason });
+    assert.equal(this.stageWorkers.piecesInProgress, 0);
+  },
+);
+
+Then(
+  'the workers get it after {int} to {int} ms',
+  async function then(this: SubmitterWorld, minMs: number, maxMs: number) {
+    await this.submitterClock.advance({ byMs: minMs - 11 });
+    assert.equal(this.stageWorkers.piecesInProgress, 0);
+    await this.submitterClock.advance({ byMs: maxMs - minMs });
+    assert.equal(this.stageWorkers.piecesInProgress, 1);
+  },
+);
+
 /** Lets the pieces end, and returns their handles. */
 async function endPieces(world: SubmitterWorld): Promise<readonly string[]> {
   world.piecesAtPeer.forEach((settle) => settle({ kind: 'made', handle: '10.0.0.1:1/peer' }));
@@ -167,7 +216,7 @@
 function createPeer(world: SubmitterWorld): PeerRouter {
   const peer: Pick<PeerRouter, 'isOpen' | 'canAccept' | 'submitPiece' | 'free'> = {
     isOpen: world.isPeerOpen,
-    canAccept: world.isPeerOpen,
+    canAccept: world.isPeerOpen && !world.isPeerSlow,
     submitPiece: () =>
       new Promise((resolve) => {
         world.piecesAtPeer.push(resolve);
