--- a/review/1/case.mjs
+++ b/review/1/case.mjs
@@ -1,7 +1,7 @@
 /** One of three workers spoils a byte in the first line of some of its answers. */
 import { setTimeout as sleep } from 'node:timers/promises';
 
-import { createConfiguration, hasTrouble, runCase } from '../lib/case.mjs';
+import { createConfiguration, hasTrouble, recordCalls, runCase } from '../lib/case.mjs';
 import { startRouters } from '../lib/routers.mjs';
 import { isServed, startTraffic } from '../lib/send.mjs';
 import { Worker } from '../lib/worker.mjs';
@@ -93,6 +93,7 @@
   isSpoiling = false;
   await sleep(AFTER_MS);
   const seen = await traffic.stop();
+  recordCalls({ seen, workers, record });
   const ran = new Set(workers.flatMap(({ runs }) => runs.map(({ id }) => id)));
   routers.forEach((router) => record(describe(router, seen, ran)));
   return check(seen, record);
--- a/review/2/case.mjs
+++ b/review/2/case.mjs
@@ -1,7 +1,7 @@
 /** A router is killed while it forwards streams whose worker sends no length. */
 import { setTimeout as sleep } from 'node:timers/promises';
 
-import { createConfiguration, hasTrouble, runCase } from '../lib/case.mjs';
+import { createConfiguration, hasTrouble, recordCalls, runCase } from '../lib/case.mjs';
 import { startRouters } from '../lib/routers.mjs';
 import { post } from '../lib/send.mjs';
 import { Worker } from '../lib/worker.mjs';
@@ -26,7 +26,8 @@
 }
 
 await runCase(import.meta.url, async ({ store, record }) => {
-  await new Worker({ store, id: 'i-0', service: SERVICE, slots: 96, run: stream }).listen();
+  const worker = new Worker({ store, id: 'i-0', service: SERVICE, slots: 96, run: stream });
+  await worker.listen();
   const route = {
     name: 'flat-walk',
     prefix: '/flat/',
@@ -53,9 +54,10 @@
     record(`SIGKILL to ${killed.name}`);
   }
   const seen = await Promise.all(calls);
+  recordCalls({ seen, workers: [worker], record });
   return seen.flatMap(({ id, router, end, status, text }) => {
     const events = text.split('\n\n').length - 1;
-    record(`${id} at ${router}: ${status}, ${end}, ${events} of ${EVENTS} events`);
+    record(`${id} at ${router}: ${end}, ${events} of ${EVENTS} events`);
     return end === 'complete' && status === 200 && events < EVENTS
       ? [`ORDER: the stream ${id} ended as complete after ${events} of ${EVENTS} events`]
       : [];
--- a/review/3/case.mjs
+++ b/review/3/case.mjs
@@ -1,7 +1,7 @@
 /** A new version takes five times as long to the first event of a stream, and is rolled out. */
 import { setTimeout as sleep } from 'node:timers/promises';
 
-import { createConfiguration, hasTrouble, runCase } from '../lib/case.mjs';
+import { createConfiguration, hasTrouble, recordCalls, runCase } from '../lib/case.mjs';
 import { startRouters } from '../lib/routers.mjs';
 import { isServed, startTraffic } from '../lib/send.mjs';
 import { Worker } from '../lib/worker.mjs';
@@ -145,6 +145,7 @@
   const deadlineAtMs = orderedAtMs + DURATION_MS;
   await followRollout({ store, record, old, untilMs: deadlineAtMs + AFTER_MS });
   const seen = await traffic.stop();
+  recordCalls({ seen, workers: [...old, ...newer], record });
   const late = seen.filter(({ sentAtMs }) => sentAtMs > deadlineAtMs);
   const abandoned = late.filter(({ end }) => end === 'timeout').length;
   record(
--- a/review/4/case.mjs
+++ b/review/4/case.mjs
@@ -1,7 +1,7 @@
 /** A request crashes each worker that begins to run it, after the worker has sent its first event. */
 import { setTimeout as sleep } from 'node:timers/promises';
 
-import { createConfiguration, hasTrouble, runCase } from '../lib/case.mjs';
+import { createConfiguration, hasTrouble, recordCalls, runCase } from '../lib/case.mjs';
 import { startRouters } from '../lib/routers.mjs';
 import { isServed, post, startTraffic } from '../lib/send.mjs';
 import { Worker } from '../lib/worker.mjs';
@@ -28,12 +28,11 @@
 
 const crashesMs = [];
 const poisonRuns = [];
-let started = 0;
+const workers = [];
 
 /** Starts a worker; it crashes as often as it begins to run the poison request. */
 async function startWorker({ store, record, zone }) {
-  const id = `i-${started}`;
-  started += 1;
+  const id = `i-${workers.length}`;
   const run = async ({ worker, atMs, headers, response, body }) => {
     const isPoison = body.toString() === POISON;
     if (isPoison) {
@@ -55,17 +54,22 @@
     }
     response.end();
   };
-  return new Worker({ store, id, service: SERVICE, zone, slots: 96, run }).listen();
+  const started = new Worker({ store, id, service: SERVICE, zone, slots: 96, run });
+  workers.push(started);
+  await started.listen();
 }
 
 /** Sends the poison request again and again, as its caller does. */
 async function sendPoison({ routers, record, createRequest }) {
+  const seen = [];
   for (let index = 0; index < POISON_SENDS; index += 1) {
     const router = routers[index % routers.length];
-    const { id, status, end } = await post({ router, ...createRequest(POISON) });
-    record(`the request comes as ${id} at ${router.name}: ${status}, ${end}`);
+    const call = await post({ router, ...createRequest(POISON) });
+    record(`the request came as ${call.id}: ${call.status}, ${call.end}`);
+    seen.push(call);
     await sleep(POISON_INTERVAL_MS);
   }
+  return seen;
 }
 
 function check(record) {
@@ -104,8 +108,9 @@
     intervalMs: INTERVAL_MS,
     createRequest: (index) => createRequest(`question ${index}`),
   });
-  await sendPoison({ routers, record, createRequest });
+  const poison = await sendPoison({ routers, record, createRequest });
   const others = await traffic.stop();
+  recordCalls({ seen: [...poison, ...others], workers, record });
   const served = others.filter(isServed).length;
   record(`of ${others.length} requests of other callers, ${served} were answered whole`);
   return check(record);
--- a/review/5/case.mjs
+++ b/review/5/case.mjs
@@ -1,7 +1,7 @@
 /** Workers leave without reporting it, while the store closes watches that wait now and then. */
 import { setTimeout as sleep } from 'node:timers/promises';
 
-import { createConfiguration, hasTrouble, runCase } from '../lib/case.mjs';
+import { createConfiguration, hasTrouble, recordCalls, runCase } from '../lib/case.mjs';
 import { startRouters } from '../lib/routers.mjs';
 import { isServed, startTraffic } from '../lib/send.mjs';
 import { Worker } from '../lib/worker.mjs';
@@ -106,9 +106,10 @@
   isEnded = true;
   await cutting;
   const seen = await traffic.stop();
-  seen
-    .filter(({ status }) => status === 502)
-    .forEach(({ id, tookMs }) => record(`${id}: 502 after ${tookMs} ms, it may have run`));
-  record(`${seen.filter(isServed).length} of ${seen.length} requests were served`);
+  recordCalls({ seen, workers: [...workers, ...left.map(({ worker }) => worker)], record });
+  const lost = seen.filter(({ status }) => status === 502).length;
+  record(
+    `${seen.filter(isServed).length} of ${seen.length} requests were served, ${lost} ended with 502`,
+  );
   return check(left, record);
 });
--- a/review/lib/case.mjs
+++ b/review/lib/case.mjs
@@ -12,6 +12,8 @@
 /** Key of the only tenant. */
 const KEY = '9dnn2ctnfzs989anu6ws';
 
+const startedAtMs = performance.now();
+
 let nextId = Math.floor(Math.random() * 2 ** 32);
 
 /** Creates a request id. */
@@ -25,10 +27,9 @@
  * of what breaks the rule.
  */
 export async function runCase(moduleUrl, run) {
-  const startedAtMs = performance.now();
   const lines = [];
   const record = (text) => {
-    lines.push(`${((performance.now() - startedAtMs) / 1_000).toFixed(3)} ${text}`);
+    lines.push(`${toSeconds(performance.now())} ${text}`);
   };
   const finish = (code, text) => {
     record(text);
@@ -48,6 +49,25 @@
   }
 }
 
+/** Records what clients sent and saw, and which workers ran it. */
+export function recordCalls({ seen, workers, record }) {
+  const runs = new Map();
+  workers.forEach((worker) => {
+    worker.runs.forEach(({ id, atMs }) => {
+      runs.set(id, [...(runs.get(id) ?? []), `${worker.id} at ${toSeconds(atMs)}`]);
+    });
+  });
+  seen.forEach(({ id, router, sentAtMs, status, end, tookMs }) => {
+    const ran = runs.get(id)?.join(', ') ?? 'no worker';
+    const answer = `${status === 0 ? 'no status' : status}, ${end} after ${tookMs} ms`;
+    record(`request ${id} sent to ${router} at ${toSeconds(sentAtMs)}: ${answer}; run by ${ran}`);
+  });
+}
+
+function toSeconds(timeMs) {
+  return ((timeMs - startedAtMs) / 1_000).toFixed(3);
+}
+
 /** Creates a configuration like that of a small deployment, with the given routes and services. */
 export function createConfiguration({ routes, services, version = 1 }) {
   return {
--- a/review/lib/routers.mjs
+++ b/review/lib/routers.mjs
@@ -44,6 +44,8 @@
   rmSync(folder, { recursive: true, force: true });
 });
 
+['SIGINT', 'SIGTERM', 'SIGHUP'].forEach((signal) => process.once(signal, () => process.exit(2)));
+
 function render(template, fields) {
   return template.replace(/\{\{([\w.]+)\}\}/g, (_, path) =>
     String(path.split('.').reduce((value, name) => value?.[name], fields) ?? ''),
