Keep a failed assertion of the HTTP client from blocking the event loop

Callers of a router got no answer for over five seconds, whichever target or route they used, after one target had sent a status below 100.

Cause: undici asserts what a response looks like. When an assertion of node:assert without a message fails, Node.js reads the source file at that position and parses it to quote the expression; in the minified bundle that takes seconds of the only thread. A status of 000, 099 or 101 fails such an assertion, and any other one of the bundle has the same effect.

Change: the bundle replaces node:assert by a module that only throws.

--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -54,6 +54,16 @@
   },
 };
 
+/** Replaces the assertions of Node.js, which parse the bundle when one fails. */
+const plainAssert = {
+  name: 'plain-assert',
+  setup(builder) {
+    builder.onResolve({ filter: /^(node:)?assert$/ }, () => ({
+      path: join(process.cwd(), 'scripts', 'plainAssert.cjs'),
+    }));
+  },
+};
+
 await build({
   entryPoints: { router: 'platform/src/main.ts' },
   outdir: 'target',
@@ -69,6 +79,6 @@
   banner: {
     js: "import { createRequire as makeRequire } from 'node:module'; const require = makeRequire(import.meta.url);",
   },
-  plugins: [workspace, leanClient, oneLocale],
+  plugins: [workspace, leanClient, oneLocale, plainAssert],
   logLevel: 'warning',
 });
