Send no body of unknown length to a caller that understands chunks

Callers of a killed router got streams with status 200 and the target's proof of origin that ended as complete after 7 or 8 of 20 events.

Cause: a body without a length was passed on without one, so that its end was the end of the connection. The kernel closes the connections of a killed process in an orderly way, which completes such a body. Resetting the connection, as abort does, needs a process that still runs.

Change: the router never asks for a body that ends with its connection: a whole body gets its length, a stream is sent in chunks, and the same holds for a stream that is resumed. Only a caller of HTTP/1.0 gets a stream without chunks, as its protocol has nothing better. On the way in, a coding other than chunks no longer counts as chunks, so that its reset is noticed; and a response to HEAD, a 204 and a 304 have no body, so that a missing length doesn't make them a failure.

--- a/fakes/src/platform/fakePlatformWorker.ts
+++ b/fakes/src/platform/fakePlatformWorker.ts
@@ -14,8 +14,11 @@
 /** Response body of a stream: one event. */
 export const WORKER_EVENT = 'id: 1\ndata: done by the worker\n\n';
 
-/** How a response ends: by length, by closing the connection, or by a reset before its end. */
-export type WorkerResponseEnd = 'length' | 'close' | 'reset';
+/**
+ * How a response ends: by length, by closing the connection, by a reset before its end, or never. Only
+ * the first kind has a length.
+ */
+export type WorkerResponseEnd = 'length' | 'close' | 'reset' | 'never';
 
 /** Delay before a reset, which would otherwise drop the bytes written before it. */
 const RESET_AFTER_MS = 30;
@@ -115,6 +118,8 @@
       setTimeout(() => response.socket?.resetAndDestroy(), RESET_AFTER_MS);
       return;
     }
-    response.end();
+    if (this.responseEnd !== 'never') {
+      response.end();
+    }
   }
 }
--- a/packages/http/src/targetConnectionPool.ts
+++ b/packages/http/src/targetConnectionPool.ts
@@ -5,6 +5,7 @@
 import { type buildConnector, Client } from 'undici';
 
 import { ConnectError } from './connectError.js';
+import { findBodyEnd } from './findBodyEnd.js';
 import { parseAddress, type SocketAddress } from './parseAddress.js';
 
 /** A request to a target. */
@@ -131,7 +132,11 @@
         bodyTimeout: 0,
       });
       const definedHeaders = omitUndefined(headers);
-      const bodyEnd = findBodyEnd(definedHeaders);
+      const bodyEnd = findBodyEnd({
+        method: request.method,
+        status: statusCode,
+        headers: definedHeaders,
+      });
       const history = connection.history();
       const isFirstOnConnection = history.responses === 0;
       history.responses += 1;
@@ -282,13 +287,6 @@
 /** Destroying a client or body rejects its pending operations, which have handlers of their own. */
 function ignoreError(): void {}
 
-function findBodyEnd(headers: Readonly<Record<string, unknown>>): BodyEnd {
-  if ('transfer-encoding' in headers) {
-    return 'last-chunk';
-  }
-  return 'content-length' in headers ? 'length' : 'close';
-}
-
 function omitUndefined(
   headers: Readonly<Record<string, string | string[] | undefined>>,
 ): Record<string, string | readonly string[]> {
--- a/packages/http/test/targetConnectionPool.feature
+++ b/packages/http/test/targetConnectionPool.feature
@@ -44,6 +44,24 @@
     When 1 request is sent
     Then its body is interrupted
 
+  # Guards against a body that is taken as complete because its coding was taken for chunks.
+  Scenario: A body in another coding than chunks that is reset is incomplete
+    Given a raw target that responds in the identity coding and resets
+    When 1 request is sent
+    Then its body is interrupted
+
+  # Guards against a response that fails because a body was expected where there is none by definition.
+  Scenario Outline: A response without a body by definition is complete
+    Given a raw target that responds with <status> and no length
+    When 2 <method> requests are sent one after the other
+    Then each gets a complete response without a body
+
+    Examples:
+      | method | status |
+      | HEAD   | 200    |
+      | GET    | 204    |
+      | GET    | 304    |
+
   Scenario: A body shorter than its length is incomplete
     Given a raw target that responds with too few bytes
     When 1 request is sent
--- a/packages/http/test/targetConnectionPool.steps.ts
+++ b/packages/http/test/targetConnectionPool.steps.ts
@@ -64,6 +64,14 @@
       setTimeout(() => socket.resetAndDestroy(), RESET_DELAY_MS);
     });
   },
+  'responds in the identity coding and resets': (socket) => {
+    socket.write('HTTP/1.1 200 OK\r\nTransfer-Encoding: identity\r\n\r\nwho', () => {
+      setTimeout(() => socket.resetAndDestroy(), RESET_DELAY_MS);
+    });
+  },
+  'responds with 200 and no length': (socket) => socket.write('HTTP/1.1 200 OK\r\n\r\n'),
+  'responds with 204 and no length': (socket) => socket.write('HTTP/1.1 204 No Content\r\n\r\n'),
+  'responds with 304 and no length': (socket) => socket.write('HTTP/1.1 304 Not Modified\r\n\r\n'),
   'responds with too few bytes': (socket) =>
     socket.end('HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nwhole'),
   'sends a head without end': (socket) => sendEndlessly(socket, 'HTTP/1.1 200 OK\r\nX-Odd: ', 'x'),
@@ -103,21 +111,31 @@
   this.targetServer.close();
 });
 
+/** Sends a request and waits for the head of its response. */
+async function send(
+  world: ConnectionPoolWorld,
+  opts: { readonly method?: string; readonly address?: string } = {},
+): Promise<TargetResponse | TargetFailure> {
+  const { method = 'GET', address = world.address } = opts;
+  const result = await world.pool.exchange({
+    address,
+    method,
+    path: '/x',
+    headers: ['Host', address],
+    body: method === 'POST' ? Buffer.from('body') : undefined,
+    id: '',
+    isConnectionNew: false,
+    signal: new AbortController().signal,
+  });
+  world.results.push(result);
+  return result;
+}
+
 When(
-  /^(\d+) requests? (?:is|are) sent(?: one after the other)?$/,
-  async function when(this: ConnectionPoolWorld, requests: string) {
+  /^(\d+) (?:(HEAD|GET) )?requests? (?:is|are) sent(?: one after the other)?$/,
+  async function when(this: ConnectionPoolWorld, requests: string, method: string | null) {
     for (let index = 0; index < Number(requests); index += 1) {
-      const result = await this.pool.exchange({
-        address: this.address,
-        method: 'POST',
-        path: '/x',
-        headers: ['Host', this.address],
-        body: Buffer.from('body'),
-        id: '',
-        isConnectionNew: false,
-        signal: new AbortController().signal,
-      });
-      this.results.push(result);
+      const result = await send(this, { method: method ?? 'POST' });
       if (result.kind === 'answered') {
         this.bodies.push(await readBody(result));
       }
@@ -128,34 +146,14 @@
 When(
   '1 request is sent to {string}',
   async function when(this: ConnectionPoolWorld, address: string) {
-    const result = await this.pool.exchange({
-      address,
-      method: 'GET',
-      path: '/x',
-      headers: ['Host', 'target'],
-      body: undefined,
-      id: '',
-      isConnectionNew: false,
-      signal: new AbortController().signal,
-    });
-    this.results.push(result);
+    await send(this, { address });
   },
 );
 
 When(
   '1 request is sent and read up to {int} bytes',
   async function when(this: ConnectionPoolWorld, maxBytes: number) {
-    const result = await this.pool.exchange({
-      address: this.address,
-      method: 'GET',
-      path: '/x',
-      headers: ['Host', this.address],
-      body: undefined,
-      id: '',
-      isConnectionNew: false,
-      signal: new AbortController().signal,
-    });
-    this.results.push(result);
+    const result = await send(this);
     if (result.kind === 'answered') {
       await assert.rejects(readAll({ body: result.body, maxBytes }));
     }
@@ -195,6 +193,10 @@
   );
 });
 
+Then('each gets a complete response without a body', function then(this: ConnectionPoolWorld) {
+  assert.deepEqual(this.bodies, ['', '']);
+});
+
 Then('its body is interrupted', function then(this: ConnectionPoolWorld) {
   assert.equal(this.results[0]?.kind, 'answered');
   assert.ok(this.bodies[0] instanceof Error, String(this.bodies[0]));
--- a/packages/router/src/forwardResponse.ts
+++ b/packages/router/src/forwardResponse.ts
@@ -55,7 +55,7 @@
   }
   opts.onData(0);
   const { status, passedHeaders } = response;
-  const bodyEnd = response.bodyEnd === 'close' ? 'close' : 'length';
+  const bodyEnd = response.bodyEnd === 'none' ? 'none' : 'length';
   exchange.writeHead({ status, passedHeaders, bodyEnd, bodyBytes: body.length });
   await exchange.write(body);
   exchange.end();
@@ -71,7 +71,7 @@
     return createInterrupted({ hasStarted, lastEventId }, unusable);
   }
   const { status, passedHeaders } = response;
-  const bodyEnd = response.bodyEnd === 'close' ? 'close' : 'last-chunk';
+  const bodyEnd = response.bodyEnd === 'none' ? 'none' : 'last-chunk';
   const head = { status, passedHeaders, bodyEnd, bodyBytes: 0 } as const;
   try {
     for await (const events of readEvents(opts)) {
--- a/packages/router/src/ports.ts
+++ b/packages/router/src/ports.ts
@@ -91,10 +91,11 @@
   readonly status: number;
   readonly passedHeaders: readonly string[];
   /**
-   * How the end of the body is delimited. A target's `close` must not become `length` or
-   * `last-chunk`, because these prove that the body is complete and `close` does not.
+   * How the end of the body is delimited. Never `close`: if the router is killed, the kernel closes its
+   * connections in an orderly way, which would complete the body. Only a caller whose protocol has no
+   * chunks gets a body of unknown length that ends with its connection.
    */
-  readonly bodyEnd: BodyEnd;
+  readonly bodyEnd: Exclude<BodyEnd, 'close'>;
   /** Length of the body; only used if `bodyEnd` is `length`. */
   readonly bodyBytes: number;
 }
--- a/packages/types/src/routedCall.ts
+++ b/packages/types/src/routedCall.ts
@@ -74,7 +74,7 @@
   | { readonly kind: 'failed'; readonly reason: PieceFailure };
 
 /**
- * How the end of a body is delimited. With `close`, a peer that crashes without a reset looks the
- * same as a complete body.
+ * How the end of a body is delimited; `none` if the response has no body by definition. With `close`,
+ * a peer that crashes without a reset looks the same as a complete body.
  */
-export type BodyEnd = 'length' | 'last-chunk' | 'close';
+export type BodyEnd = 'length' | 'last-chunk' | 'close' | 'none';
