Send a length with each whole response of the native front

Cause: writeHead before end left Node.js without a length, so that a caller of HTTP/1.0 got a body that ends with its connection; killed within it, the entry leaves it looking complete. Callers of HTTP/1.1 got chunks. Streams of this front have an end marker.

--- a/packages/caller/src/serveCall.ts
+++ b/packages/caller/src/serveCall.ts
@@ -1,4 +1,4 @@
-import type { IncomingMessage, ServerResponse } from 'node:http';
+import type { IncomingMessage, OutgoingHttpHeaders, ServerResponse } from 'node:http';
 
 import { MAX_BODY_BYTES, STOP_RETRY_AFTER_MS } from '@galenatiller/constants';
 import { findResultCode, GalenatillerError } from '@galenatiller/error';
@@ -186,11 +186,11 @@
     response.end(encodeStreamEnd(identity, callResponse));
     return;
   }
-  response.writeHead(200, {
-    'content-type': 'application/json',
-    'x-request-id': identity.requestId,
+  sendWhole(response, {
+    status: 200,
+    headers: { 'content-type': 'application/json', 'x-request-id': identity.requestId },
+    text: encodeResponse(identity, callResponse),
   });
-  response.end(encodeResponse(identity, callResponse));
 }
 
 function sendFailure(opts: ServeCallOptions, requestId: string, error: GalenatillerError): void {
@@ -210,12 +210,25 @@
   const headers = createProblemHeaders(error);
   // Otherwise the rest of an unread body would be parsed as the next request.
   const connection = request.complete ? {} : { connection: 'close' };
-  response.writeHead(findResultCode(error.codeName).httpStatus, {
-    ...headers,
-    ...connection,
-    'x-request-id': requestId,
+  sendWhole(response, {
+    status: findResultCode(error.codeName).httpStatus,
+    headers: { ...headers, ...connection, 'x-request-id': requestId },
+    text: encodeProblem(requestId, error),
   });
-  response.end(encodeProblem(requestId, error));
+}
+
+/** Sends a response with its length: to a caller of HTTP/1.0, any other end is that of the connection. */
+function sendWhole(
+  response: ServerResponse,
+  opts: {
+    readonly status: number;
+    readonly headers: OutgoingHttpHeaders;
+    readonly text: string;
+  },
+): void {
+  const body = Buffer.from(opts.text);
+  response.writeHead(opts.status, { ...opts.headers, 'content-length': body.length });
+  response.end(body);
 }
 
 function createStoppingError(): GalenatillerError {
--- a/packages/caller/test/badInput.feature
+++ b/packages/caller/test/badInput.feature
@@ -47,6 +47,16 @@
     Then the caller has all 8 MB of it
     And no call is in progress
 
+  # Guards against a response that looks complete to a caller of HTTP/1.0 when the entry is killed within it.
+  Scenario Outline: A response that is not a stream has its length
+    When a caller of HTTP/1.0 sends <request>
+    Then the length of its response is that of the body
+
+    Examples:
+      | request        |
+      | a valid call   |
+      | malformed JSON |
+
   # Guards against a call whose run throws and whose connection then stays open without an answer.
   Scenario: A call whose run throws is answered
     When a caller sends a call whose run throws
--- a/packages/caller/test/badInput.steps.ts
+++ b/packages/caller/test/badInput.steps.ts
@@ -25,6 +25,7 @@
   tasks: TaskGroup;
   reader: Socket;
   receivedBytes: number;
+  receivedText: string;
 }
 
 const KEY = 'secret-key';
@@ -160,6 +161,26 @@
   },
 );
 
+When(
+  /^a caller of HTTP\/1\.0 sends (a valid call|malformed JSON)$/,
+  async function when(this: CallerWorld, name: string) {
+    const body = REQUESTS[name]?.().body ?? '{"prompt":"good"}';
+    const socket = connect({ host: '127.0.0.1', port: this.server?.port ?? 0 });
+    const headers = `Authorization: Bearer ${KEY}\r\nContent-Length: ${body.length}\r\n\r\n`;
+    socket.write(`POST /v1/routes/echo HTTP/1.0\r\n${headers}${body}`);
+    this.receivedText = '';
+    for await (const bytes of socket) {
+      this.receivedText += String(bytes);
+    }
+  },
+);
+
+Then('the length of its response is that of the body', function then(this: CallerWorld) {
+  const [head = '', body = ''] = this.receivedText.split('\r\n\r\n');
+  assert.ok(body.length > 0);
+  assert.equal(/^content-length: (\d+)$/im.exec(head)?.[1], String(body.length));
+});
+
 Then('the call is still in progress', function then(this: CallerWorld) {
   assert.equal(this.tasks.size, 1);
 });
