Judge versions by the starts of their streams and by the callers they lose

A version whose streams started five times later was rolled out, and most of its callers left without an event.

Cause: the pace of a stream was the time between its events only, and a run whose caller left, or whose deadline passed, before anything came was not recorded at all.

Change: the evidence has the times to the first event of streams, and the runs of which the caller got nothing. The owner compares both with the old version: starts by route, with the standard error of their mean, so that one held-up response proves nothing, and with an allowance for prompts that a new target has not cached; lost runs like failures, so that callers who leave either version alike prove nothing. Nodes of older builds send neither and are still understood. The end of a run by the stop of its router is no evidence any more.

Two scenarios said that a caller who leaves says nothing about a version; they ask for a lost run now, still without a pace or a failure.

--- a/packages/router/src/paceMeter.ts
+++ b/packages/router/src/paceMeter.ts
@@ -21,6 +21,11 @@
     return new PaceMeter(opts);
   }
 
+  /** Time at which the first events arrived; undefined before. */
+  get startedAtMs(): number | undefined {
+    return this.firstAtMs;
+  }
+
   /** Time for one event; undefined before the second. */
   get paceMs(): number | undefined {
     return this.eventsAfterFirst === 0 ? undefined : this.elapsedMs / this.eventsAfterFirst;
--- a/packages/router/src/rollouts.ts
+++ b/packages/router/src/rollouts.ts
@@ -10,7 +10,7 @@
   VersionRuns,
 } from '@galenatiller/types';
 
-import { addToRoute, type RunsByRoute, sumRoutes } from './versionRuns.js';
+import { addToRoute, type RunsByRoute, sumRoutes, toVersionRuns } from './versionRuns.js';
 
 /** Options of {@link Rollouts.create}. */
 export interface RolloutsOptions {
@@ -28,9 +28,20 @@
   readonly target: RegisteredTarget;
   /** Name of the route of the call. */
   readonly route: string;
-  readonly isFailed: boolean;
+  /** `lost`: the caller got nothing of the response before it left or the deadline passed. */
+  readonly ending: 'good' | 'failed' | 'lost';
   /** Undefined when the run ended before its pace could be measured. */
   readonly paceMs: number | undefined;
+  /** The first event of a stream; undefined for other runs, and before it. */
+  readonly start?: RunStart | undefined;
+}
+
+/** When the first event of a stream arrived. */
+export interface RunStart {
+  /** Time since the call was sent. */
+  readonly tookMs: number;
+  /** Time by which it may be later on a target that has no part of the prompt cached. */
+  readonly allowanceMs: number;
 }
 
 /** A state in the store, and the revision at which it was written. */
@@ -158,12 +169,7 @@
     if (rollout?.state !== 'running') {
       return;
     }
-    const runs: VersionRuns = {
-      runs: 1,
-      failures: run.isFailed ? 1 : 0,
-      measured: run.paceMs === undefined ? 0 : 1,
-      paceSumMs: run.paceMs ?? 0,
-    };
+    const runs = toVersionRuns(run);
     const isNew = run.target.version === rollout.order.targetVersion;
     const added = isNew ? { newRuns: runs } : { oldRuns: runs };
     rollout.unsent = addToRoute(rollout.unsent, run.route, added);
@@ -255,8 +261,19 @@
 }
 
 function describeComparison({ newRuns, oldRuns }: VersionComparison): string {
-  const [newMs, oldMs] = [newRuns, oldRuns].map(({ measured, paceSumMs }) =>
-    Math.round(paceSumMs / Math.max(1, measured)),
-  );
-  return `${newRuns.failures} of ${newRuns.runs} runs failed, pace ${newMs} ms against ${oldMs} ms`;
+  const [newText, oldText] = [newRuns, oldRuns].map(describeVersion);
+  return `${newText} against ${oldText}`;
+}
+
+function describeVersion({
+  runs,
+  failures,
+  measured,
+  paceSumMs,
+  lost,
+  starts,
+}: VersionRuns): string {
+  const paceMs = Math.round(paceSumMs / Math.max(1, measured));
+  const startMs = Math.round((starts?.sumMs ?? 0) / Math.max(1, starts?.count ?? 0));
+  return `${failures} failed and ${lost ?? 0} lost of ${runs} runs, pace ${paceMs} ms, start ${startMs} ms`;
 }
--- a/packages/router/src/runAttempts.ts
+++ b/packages/router/src/runAttempts.ts
@@ -53,6 +53,10 @@
 /** Share of the time left that a call waits for a target; then it is refused with a time to retry. */
 const NO_TARGET_WAIT_SHARE = 0.25;
 
+/** A prompt that a target has not cached delays its first event by this at most, and this share of the objective. */
+const MAX_START_ALLOWANCE_MS = 300;
+const START_ALLOWANCE_SHARE = 0.25;
+
 /** Sends a call to one target after another until one responds or no further attempt is allowed. */
 export async function runAttempts(opts: RunAttemptsOptions): Promise<AttemptsResult> {
   const { context, admitted, progress, signal } = opts;
@@ -144,9 +148,7 @@
   context.notices.recordSent(toTargetStart(target));
   const decrement = context.inFlight.increment(target.id);
   const remainingMs = admitted.deadlineAtMs - sentAtMs;
-  const isStream = admitted.route.callKind === 'stream';
-  const route = admitted.route.name;
-  const observation = RunObservation.create({ ...context, target, route, isStream });
+  const observation = createObservation(opts, target);
   try {
     const response = await context.targetClient.sendCall({
       target,
@@ -164,8 +166,8 @@
     context.metrics.count({ name: 'router.sends', tags: { send: response.kind } });
     logAttempt({ ...opts, target, reason: choice.reason, response, sentAtMs });
     if (response.kind !== 'answered') {
-      if (response.kind === 'broken' && !signal.aborted) {
-        observation.end({ isFailed: true });
+      if (response.kind === 'broken') {
+        observeBroken(opts, observation);
       }
       return await handleFailure(opts, progress, target, response);
     }
@@ -216,10 +218,10 @@
     },
   });
   progress.recordForwarded(forwarded);
-  if (exchange.disconnected.aborted) {
-    observation.abandon();
+  if (forwarded.kind === 'interrupted') {
+    observeBroken(opts, observation);
   } else {
-    observation.end({ isFailed: response.status >= 500 || forwarded.kind === 'interrupted' });
+    observation.end({ isFailed: response.status >= 500 });
   }
   if (forwarded.kind === 'complete') {
     recordWholeResponse(opts);
@@ -241,6 +243,38 @@
     : endWithError(progress, 'target-failed', forwarded.detail);
 }
 
+function createObservation(opts: RunAttemptsOptions, target: RegisteredTarget): RunObservation {
+  const { name: route, callKind } = opts.admitted.route;
+  return RunObservation.create({
+    ...opts.context,
+    target,
+    route,
+    isStream: callKind === 'stream',
+    startAllowanceMs: computeStartAllowanceMs(opts),
+  });
+}
+
+/** Observes a run without a whole response, unless the stop of this router has ended it. */
+function observeBroken(opts: RunAttemptsOptions, observation: RunObservation): void {
+  if (opts.tracked.signal.aborted) {
+    return;
+  }
+  const isDeadlineOver = opts.signal.aborted && !observation.hasStarted;
+  if (isDeadlineOver || opts.exchange.disconnected.aborted) {
+    observation.abandon();
+  } else {
+    observation.end({ isFailed: true });
+  }
+}
+
+/** Time by which the first event may come later on a target of a version that has nothing cached. */
+function computeStartAllowanceMs({ exchange, admitted }: RunAttemptsOptions): number {
+  const { latencyObjectiveMs } = admitted.route;
+  return exchange.call.promptParts.length === 0
+    ? 0
+    : Math.min(MAX_START_ALLOWANCE_MS, latencyObjectiveMs * START_ALLOWANCE_SHARE);
+}
+
 async function handleFailure(
   opts: RunAttemptsOptions,
   progress: CallProgress,
--- a/packages/router/src/runObservation.ts
+++ b/packages/router/src/runObservation.ts
@@ -2,7 +2,7 @@
 import type { RegisteredTarget } from '@galenatiller/types';
 
 import { PaceMeter } from './paceMeter.js';
-import type { Rollouts } from './rollouts.js';
+import type { ObservedRun, Rollouts } from './rollouts.js';
 
 /** Options of {@link RunObservation.create}. */
 export interface RunObservationOptions {
@@ -12,6 +12,8 @@
   /** Name of the route of the call. */
   readonly route: string;
   readonly isStream: boolean;
+  /** Time by which a stream may start later on a target that has no part of its prompt cached. */
+  readonly startAllowanceMs: number;
 }
 
 /** Observes one run of a call for the rollout of its service, and records it once. */
@@ -33,6 +35,11 @@
     return new RunObservation(opts);
   }
 
+  /** Whether data of the response has come in. */
+  get hasStarted(): boolean {
+    return this.meter.startedAtMs !== undefined;
+  }
+
   /** Counts events of the response; a long stream is recorded before its end. */
   addEvents(events: number): void {
     this.meter.add(events);
@@ -44,22 +51,36 @@
   /** Records the run as ended. */
   end({ isFailed }: { readonly isFailed: boolean }): void {
     const { timer, isStream } = this.opts;
-    this.record(isFailed, isStream ? this.meter.paceMs : timer.nowMs() - this.sentAtMs);
+    const paceMs = isStream ? this.meter.paceMs : timer.nowMs() - this.sentAtMs;
+    this.record({ ending: isFailed ? 'failed' : 'good', paceMs });
   }
 
-  /** Records a stream as far as it came; a caller that leaves says nothing else about the target. */
+  /**
+   * Records a run that its caller did not wait for, or that reached its deadline: a stream as far as it
+   * came, and one of which the caller got nothing as lost.
+   */
   abandon(): void {
-    const { paceMs } = this.meter;
-    if (this.opts.isStream && paceMs !== undefined) {
-      this.record(false, paceMs);
+    const { paceMs, startedAtMs } = this.meter;
+    if (startedAtMs === undefined) {
+      this.record({ ending: 'lost', paceMs: undefined });
+    } else if (this.opts.isStream) {
+      this.record({ ending: 'good', paceMs });
     }
   }
 
-  private record(isFailed: boolean, paceMs: number | undefined): void {
+  private record(run: Pick<ObservedRun, 'ending' | 'paceMs'>): void {
     if (!this.isRecorded) {
       this.isRecorded = true;
       const { rollouts, target, route } = this.opts;
-      rollouts.observe({ target, route, isFailed, paceMs });
+      rollouts.observe({ target, route, start: this.findStart(), ...run });
+    }
+  }
+
+  private findStart(): ObservedRun['start'] {
+    const { startedAtMs } = this.meter;
+    if (!this.opts.isStream || startedAtMs === undefined) {
+      return undefined;
     }
+    return { tookMs: startedAtMs - this.sentAtMs, allowanceMs: this.opts.startAllowanceMs };
   }
 }
--- a/packages/router/src/versionRuns.ts
+++ b/packages/router/src/versionRuns.ts
@@ -1,12 +1,43 @@
-import type { VersionComparison, VersionRuns } from '@galenatiller/types';
+import type { StartTimes, VersionComparison, VersionRuns } from '@galenatiller/types';
 
-const NO_RUNS: VersionRuns = { runs: 0, failures: 0, measured: 0, paceSumMs: 0 };
+import type { ObservedRun } from './rollouts.js';
+
+const NO_STARTS: StartTimes = { count: 0, sumMs: 0, squareSumMs2: 0, allowanceSumMs: 0 };
+
+const NO_RUNS: VersionRuns = {
+  runs: 0,
+  failures: 0,
+  measured: 0,
+  paceSumMs: 0,
+  lost: 0,
+  starts: NO_STARTS,
+};
 
 const NO_COMPARISON: VersionComparison = { newRuns: NO_RUNS, oldRuns: NO_RUNS };
 
 /** What was seen of both versions of a rollout, by the name of the route. */
 export type RunsByRoute = ReadonlyMap<string, VersionComparison>;
 
+/** One run in the form in which runs are added up. */
+export function toVersionRuns(run: ObservedRun): VersionRuns {
+  const { ending, paceMs, start } = run;
+  return {
+    runs: 1,
+    failures: ending === 'failed' ? 1 : 0,
+    measured: paceMs === undefined ? 0 : 1,
+    paceSumMs: paceMs ?? 0,
+    lost: ending === 'lost' ? 1 : 0,
+    starts: start
+      ? {
+          count: 1,
+          sumMs: start.tookMs,
+          squareSumMs2: start.tookMs ** 2,
+          allowanceSumMs: start.allowanceMs,
+        }
+      : NO_STARTS,
+  };
+}
+
 /** Adds runs of the versions to those of a route. */
 export function addToRoute(
   byRoute: RunsByRoute,
@@ -35,5 +66,16 @@
     failures: left.failures + right.failures,
     measured: left.measured + right.measured,
     paceSumMs: left.paceSumMs + right.paceSumMs,
+    lost: (left.lost ?? 0) + (right.lost ?? 0),
+    starts: addStarts(left.starts ?? NO_STARTS, right.starts ?? NO_STARTS),
+  };
+}
+
+function addStarts(left: StartTimes, right: StartTimes): StartTimes {
+  return {
+    count: left.count + right.count,
+    sumMs: left.sumMs + right.sumMs,
+    squareSumMs2: left.squareSumMs2 + right.squareSumMs2,
+    allowanceSumMs: left.allowanceSumMs + right.allowanceSumMs,
   };
 }
--- a/packages/router/test/rollouts.feature
+++ b/packages/router/test/rollouts.feature
@@ -30,6 +30,43 @@
     When 2600 calls come in 13 s, and 2 of 10 runs fail on "v2"
     Then the rollout was rolled back within 3 s
 
+  # Guards against a version that is rolled out although its streams start several times later.
+  Scenario Outline: A version whose streams start several times later is rolled back
+    When 1300 calls come in 13 s, and streams start after <old> ms on "v1" and <new> ms on "v2"
+    Then the rollout was rolled back within 4 s
+
+    Examples:
+      | old  | new  |
+      | 1000 | 5000 |
+      | 1000 | 3000 |
+      | 150  | 750  |
+
+  # Guards against a version that is rolled out because it got too few calls to be called bad.
+  Scenario: A version that got few calls and starts its streams later is not completed
+    When 160 calls come in 14 s, and streams start after 300 ms on "v1" and 900 ms on "v2"
+    Then the owner wants the rollout to be "rolled-back"
+
+  # Guards against a good version that is rolled back because its targets have cached no prompts yet.
+  Scenario: Later starts that come from empty caches are no fault of a version
+    When 1300 calls come in 13 s, and streams start after 100 ms on "v1" and 380 ms on "v2" with 300 ms allowed
+    And 200 calls come in 2 s, and streams start after 100 ms on "v1" and 100 ms on "v2" with 300 ms allowed
+    Then the owner wants the rollout to be "completed"
+
+  # Guards against a good version that is rolled back because a link held up one response.
+  Scenario: One late start is no fault of a version
+    When 130 calls come in 13 s, and streams start after 200 ms, but once after 4000 ms on "v2"
+    Then the rollout still runs
+
+  # Guards against a version that is rolled out although its callers leave before they have got anything.
+  Scenario: A version that loses its callers before its responses start is rolled back
+    When 1300 calls come in 13 s, and callers leave without a response in 5 of 10 runs on "v2" and 0 on "v1"
+    Then the rollout was rolled back within 4 s
+
+  # Guards against a good version that is rolled back because callers leave, whichever version has their calls.
+  Scenario: A version that loses as many callers as the old one is completed
+    When 1500 calls come in 15 s, and callers leave without a response in 4 of 10 runs on "v2" and 4 on "v1"
+    Then the owner wants the rollout to be "completed"
+
   Scenario: A good version gets its share until it is proved, then everything
     When 2600 calls come in 13 s, and runs take 100 ms on "v1" and 120 ms on "v2"
     Then the rollout still runs
--- a/packages/router/test/rollouts.steps.ts
+++ b/packages/router/test/rollouts.steps.ts
@@ -4,6 +4,8 @@
 import { ManualClock } from '@galenatiller/timer';
 import type { RolloutState } from '@galenatiller/types';
 
+import type { ObservedRun } from '../src/rollouts.js';
+
 import {
   createRollouts,
   createTarget,
@@ -68,7 +70,7 @@
       forS,
       run: ({ version }) => ({
         route: 'buy',
-        isFailed: false,
+        ending: 'good',
         paceMs: version === 'v2' ? newMs : oldMs,
       }),
     });
@@ -83,7 +85,7 @@
       forS,
       run: ({ version }) => ({
         route: 'buy',
-        isFailed: version === 'v2' && this.newCalls % 10 < failing,
+        ending: toEnding(version === 'v2' && this.newCalls % 10 < failing),
         paceMs: 100,
       }),
     });
@@ -110,7 +112,7 @@
         if (isSlow) {
           this.slowRunsAtMs.push(this.rolloutClock.nowMs());
         }
-        return { route: `route ${route}`, isFailed: false, paceMs: isSlow ? slowMs : otherMs };
+        return { route: `route ${route}`, ending: 'good', paceMs: isSlow ? slowMs : otherMs };
       },
     });
   },
@@ -133,7 +135,7 @@
         const run = version === 'v2' ? this.newCalls : this.calls;
         const percent = version === 'v2' ? newPercent : oldPercent;
         const isFailed = run % routes === 0 && drawUnevenly(run) < percent / 100;
-        return { route: `route ${run % routes}`, isFailed, paceMs: 100 };
+        return { route: `route ${run % routes}`, ending: toEnding(isFailed), paceMs: 100 };
       },
     });
   },
@@ -157,7 +159,9 @@
         forS,
         run: () => ({
           route: `route ${this.calls % routes}`,
-          isFailed: this.calls % routes === 0 && drawUnevenly(this.calls, seed) < percent / 100,
+          ending: toEnding(
+            this.calls % routes === 0 && drawUnevenly(this.calls, seed) < percent / 100,
+          ),
           paceMs: 100,
         }),
       });
@@ -291,6 +295,10 @@
   }
 });
 
+function toEnding(isFailed: boolean): ObservedRun['ending'] {
+  return isFailed ? 'failed' : 'good';
+}
+
 function setStored(world: RolloutWorld, state: RolloutState): void {
   const { service, targetVersion, orderRevision } = world.order;
   world.rollouts.setStored({
--- a/packages/router/test/router.feature
+++ b/packages/router/test/router.feature
@@ -185,20 +185,36 @@
     When 2 "order" calls are made
     Then the rollout saw 2 runs of the old version, 2 failed and 2 with a pace
 
-  Scenario: A caller that leaves says nothing about a version
+  # Guards against a version that loses its callers and is rolled out, since nothing is known of their calls.
+  Scenario: A call whose caller leaves without a response is a lost run of a version
     Given a rollout to the version of target "b"
     And the targets never respond
     When a "stream" call is made
     And the caller disconnects
-    Then the rollout saw 0 runs of the old version, 0 failed and 0 with a pace
+    Then the rollout saw 1 run of the old version, 0 failed and 0 with a pace
+    And 1 of them was lost
+
+  Scenario: A call whose deadline passes without a response is a lost run of a version
+    Given a rollout to the version of target "b"
+    And the targets never respond
+    When a "safe" call is made
+    And its deadline passes
+    Then the rollout saw 1 run of the old version, 0 failed and 0 with a pace
+    And 1 of them was lost
 
   # Guards against a slow version that is taken for a fast one, since its callers leave before its responses end.
-  Scenario: A response that its caller leaves is no run of a version
+  Scenario: A response that its caller leaves is no measured run of a version
     Given a rollout to the version of target "b"
     And responses begin and never end
     When a "safe" call is made
     And the caller disconnects
-    Then the rollout saw 0 runs of the old version, 0 failed and 0 with a pace
+    Then the rollout saw 1 run of the old version, 0 failed and 0 with a pace
+    And 1 of them was lost
+
+  Scenario: The time to the first event of a stream is observed
+    Given a rollout to the version of target "b"
+    When 3 "stream" calls are made
+    Then the rollout saw the starts of 3 runs of the old version
 
   Scenario: Keys are not accepted on old evidence
     Given the evidence for the configuration is 5001 ms old
--- a/packages/router/test/router.steps.ts
+++ b/packages/router/test/router.steps.ts
@@ -5,6 +5,7 @@
 
 import { RouteTable } from '../src/routeTable.js';
 import {
+  CALL,
   CONFIGURATION,
   createChunks,
   createContext,
@@ -157,6 +158,10 @@
   await this.routerClock.advance({ byMs: 100 });
 });
 
+When('its deadline passes', async function when(this: RouterWorld) {
+  await this.routerClock.advance({ byMs: CALL.callerTimeoutMs });
+});
+
 When(
   'the route table is updated to version 5 without routes after version 7',
   function when(this: RouterWorld) {
--- a/packages/router/test/routerEvidence.steps.ts
+++ b/packages/router/test/routerEvidence.steps.ts
@@ -3,6 +3,7 @@
 import { once } from 'node:events';
 
 import { Given, Then, When } from '@cucumber/cucumber';
+import type { VersionRuns } from '@galenatiller/types';
 
 import {
   createChunks,
@@ -65,10 +66,26 @@
 });
 
 Then(
-  'the rollout saw {int} runs of the old version, {int} failed and {int} with a pace',
+  'the rollout saw {int} run(s) of the old version, {int} failed and {int} with a pace',
   function then(this: RouterWorld, runs: number, failures: number, measured: number) {
-    const [evidence] = this.context.rollouts.takeEvidence();
-    const seen = evidence?.oldRuns ?? { runs: 0, failures: 0, measured: 0 };
+    this.oldRuns = takeOldRuns(this);
+    const seen = this.oldRuns;
     assert.deepEqual([seen.runs, seen.failures, seen.measured], [runs, failures, measured]);
   },
 );
+
+Then('{int} of them was lost', function then(this: RouterWorld, lost: number) {
+  assert.equal(this.oldRuns.lost, lost);
+});
+
+Then(
+  'the rollout saw the starts of {int} runs of the old version',
+  function then(this: RouterWorld, starts: number) {
+    assert.equal(takeOldRuns(this).starts?.count, starts);
+  },
+);
+
+function takeOldRuns(world: RouterWorld): VersionRuns {
+  const [evidence] = world.context.rollouts.takeEvidence();
+  return evidence?.oldRuns ?? { runs: 0, failures: 0, measured: 0, paceSumMs: 0 };
+}
--- a/packages/router/test/support.ts
+++ b/packages/router/test/support.ts
@@ -20,6 +20,7 @@
   RouteConfig,
   RoutedCall,
   RouterConfig,
+  VersionRuns,
 } from '@galenatiller/types';
 import { Result } from 'true-myth';
 
@@ -65,6 +66,8 @@
   /** Bytes that were read of response bodies without end. */
   readBytes: number;
   received: ReceivedResponse;
+  /** Runs of the old version that the rollout saw last. */
+  oldRuns: VersionRuns;
   /** Log lines of the calls. */
   logged: LoggedEvent[];
   pieceInputs: (readonly string[])[];
--- a/packages/routerLink/src/wireRouterFrame.ts
+++ b/packages/routerLink/src/wireRouterFrame.ts
@@ -8,6 +8,7 @@
   PieceResult,
   RolloutDecision,
   RolloutEvidence,
+  VersionRuns,
 } from '@galenatiller/types';
 import { Encoder } from 'cbor-x';
 import { Result } from 'true-myth';
@@ -174,9 +175,17 @@
     areStrings(fields, ['service']) &&
     (fields.route === undefined || typeof fields.route === 'string') &&
     areNumbers(fields, ['orderRevision']) &&
-    [fields.newRuns, fields.oldRuns].every((runs) =>
-      areNumbers(asFields(runs), ['runs', 'failures', 'measured', 'paceSumMs']),
-    )
+    [fields.newRuns, fields.oldRuns].every(isVersionRuns)
+  );
+}
+
+function isVersionRuns(value: unknown): value is VersionRuns {
+  const fields = asFields(value);
+  return (
+    areNumbers(fields, ['runs', 'failures', 'measured', 'paceSumMs']) &&
+    (fields.lost === undefined || areNumbers(fields, ['lost'])) &&
+    (fields.starts === undefined ||
+      areNumbers(asFields(fields.starts), ['count', 'sumMs', 'squareSumMs2', 'allowanceSumMs']))
   );
 }
 
--- a/packages/routerLink/test/routerLink.steps.ts
+++ b/packages/routerLink/test/routerLink.steps.ts
@@ -233,7 +233,14 @@
   assert.deepEqual(this.evidenceAtOwner, EVIDENCE);
 });
 
-const RUNS = { runs: 3, failures: 1, measured: 2, paceSumMs: 80.5 };
+const RUNS = {
+  runs: 3,
+  failures: 1,
+  measured: 2,
+  paceSumMs: 80.5,
+  lost: 1,
+  starts: { count: 2, sumMs: 900, squareSumMs2: 410_000, allowanceSumMs: 250 },
+};
 
 const ROLLOUT_EVIDENCE: RolloutEvidence = {
   service: 'shop',
--- a/packages/target/src/judgeVersion.ts
+++ b/packages/target/src/judgeVersion.ts
@@ -1,4 +1,4 @@
-import type { VersionComparison, VersionRuns } from '@galenatiller/types';
+import type { StartTimes, VersionComparison, VersionRuns } from '@galenatiller/types';
 
 /** Options of {@link judgeVersion}. */
 export interface JudgeVersionOptions {
@@ -30,20 +30,38 @@
 /** A new version whose failure share exceeds the old one's by no more than this can be good. */
 const ACCEPTED_FAILURE_SHARE = 0.08;
 
+/** Runs of the new version that are needed to call it bad by its lost runs, or by the starts of its streams. */
+const MIN_LOST_RUNS_TO_REJECT = 12;
+const MIN_STARTS_TO_REJECT = 12;
+
+/** Runs with a start that are needed to keep a new version from being called good. */
+const MIN_STARTS_TO_DOUBT = 4;
+
+/** Standard errors by which a mean time to the first event may exceed the usual one by chance. */
+const START_DEVIATIONS = 1;
+
 /** Standard deviations by which the failures of a few runs may exceed the usual share. */
 const FAILURE_DEVIATIONS = 1.5;
 
-/** Compares a new version with the old one by the pace and the failures of their runs. */
+/**
+ * Compares a new version with the old one by the pace, the failures and the lost runs, and by the times
+ * to the first event of streams.
+ */
 export function judgeVersion(opts: JudgeVersionOptions): VersionJudgement {
   const { total, routes } = opts;
-  if ([total, ...routes].some(isBad)) {
+  // Routes differ in their prompts, so the starts of their streams are only compared by route.
+  if ([total, ...routes].some(isBad) || routes.some(startsFarLater)) {
     return 'bad';
   }
   const isProved =
-    hasPaces(total) && total.newRuns.runs >= MIN_RUNS_TO_ACCEPT && isWithinAccepted(total);
-  const isSuspect = routes
-    .filter(({ newRuns }) => newRuns.runs >= MIN_RUNS_TO_ACCEPT)
-    .some((route) => hasPaces(route) && !isWithinAccepted(route));
+    (hasPaces(total) || countStarts(total) >= MIN_RUNS_TO_REJECT) &&
+    total.newRuns.runs >= MIN_RUNS_TO_ACCEPT &&
+    isWithinAccepted(total);
+  const isSuspect =
+    routes.some(startsLater) ||
+    routes
+      .filter(({ newRuns }) => newRuns.runs >= MIN_RUNS_TO_ACCEPT)
+      .some((route) => !isWithinAccepted(route));
   return isProved && !isSuspect ? 'good' : 'unproved';
 }
 
@@ -52,17 +70,67 @@
   const failsOften =
     newRuns.runs >= MIN_RUNS_TO_REJECT &&
     newRuns.failures >= MIN_FAILURES_TO_REJECT &&
-    getMoreFailures(runs) >= REJECTED_FAILURE_SHARE + getFailureMargin(runs);
-  return failsOften || (hasPaces(runs) && getPaceFactor(runs) >= REJECTED_PACE_FACTOR);
+    getMore(runs, getFailureShare) >= REJECTED_FAILURE_SHARE + getMargin(runs, getFailureShare);
+  const losesOften =
+    newRuns.runs >= MIN_LOST_RUNS_TO_REJECT &&
+    getMore(runs, getLostShare) >= REJECTED_FAILURE_SHARE + getMargin(runs, getLostShare);
+  return (
+    failsOften || losesOften || (hasPaces(runs) && getPaceFactor(runs) >= REJECTED_PACE_FACTOR)
+  );
 }
 
 function isWithinAccepted(runs: VersionComparison): boolean {
   return (
-    getPaceFactor(runs) <= ACCEPTED_PACE_FACTOR &&
-    getMoreFailures(runs) <= ACCEPTED_FAILURE_SHARE + getFailureMargin(runs)
+    (!hasPaces(runs) || getPaceFactor(runs) <= ACCEPTED_PACE_FACTOR) &&
+    [getFailureShare, getLostShare].every(
+      (getShare) => getMore(runs, getShare) <= ACCEPTED_FAILURE_SHARE + getMargin(runs, getShare),
+    )
   );
 }
 
+/** Whether the streams of the new version provably start several times later. */
+function startsFarLater(runs: VersionComparison): boolean {
+  const { starts } = runs.newRuns;
+  if (!starts || countStarts(runs) < MIN_RUNS_TO_REJECT || starts.count < MIN_STARTS_TO_REJECT) {
+    return false;
+  }
+  const leastMs = getStartMs(starts) - START_DEVIATIONS * getStartErrorMs(starts);
+  return (
+    leastMs >= REJECTED_PACE_FACTOR * getStartMs(runs.oldRuns.starts) && exceedsAllowance(runs)
+  );
+}
+
+/** Whether the streams of the new version seem to start later, by more than their caches explain. */
+function startsLater(runs: VersionComparison): boolean {
+  const { newRuns, oldRuns } = runs;
+  return (
+    countStarts(runs) >= MIN_STARTS_TO_DOUBT &&
+    getStartMs(newRuns.starts) > ACCEPTED_PACE_FACTOR * getStartMs(oldRuns.starts) &&
+    exceedsAllowance(runs)
+  );
+}
+
+function exceedsAllowance({ newRuns, oldRuns }: VersionComparison): boolean {
+  const allowanceMs =
+    (newRuns.starts?.allowanceSumMs ?? 0) / Math.max(1, newRuns.starts?.count ?? 0);
+  return getStartMs(newRuns.starts) - getStartMs(oldRuns.starts) > allowanceMs;
+}
+
+/** Number of runs with a start of the version that has fewer of them. */
+function countStarts({ newRuns, oldRuns }: VersionComparison): number {
+  return Math.min(newRuns.starts?.count ?? 0, oldRuns.starts?.count ?? 0);
+}
+
+function getStartMs(starts: StartTimes | undefined): number {
+  return (starts?.sumMs ?? 0) / Math.max(1, starts?.count ?? 0);
+}
+
+/** Standard error of the mean time to the first event. */
+function getStartErrorMs(starts: StartTimes): number {
+  const varianceMs2 = starts.squareSumMs2 / starts.count - getStartMs(starts) ** 2;
+  return Math.sqrt(Math.max(0, varianceMs2) / starts.count);
+}
+
 function hasPaces({ newRuns, oldRuns }: VersionComparison): boolean {
   return Math.min(newRuns.measured, oldRuns.measured) >= MIN_RUNS_TO_REJECT;
 }
@@ -71,13 +139,15 @@
   return getPaceMs(newRuns) / getPaceMs(oldRuns);
 }
 
-function getMoreFailures({ newRuns, oldRuns }: VersionComparison): number {
-  return getFailureShare(newRuns) - getFailureShare(oldRuns);
+type GetShare = (runs: VersionRuns) => number;
+
+function getMore({ newRuns, oldRuns }: VersionComparison, getShare: GetShare): number {
+  return getShare(newRuns) - getShare(oldRuns);
 }
 
-/** Share of failures by which a few runs of a version exceed the old one's share by chance. */
-function getFailureMargin({ newRuns, oldRuns }: VersionComparison): number {
-  const share = getFailureShare(oldRuns);
+/** Share by which a few runs of a version exceed the old one's share by chance. */
+function getMargin({ newRuns, oldRuns }: VersionComparison, getShare: GetShare): number {
+  const share = getShare(oldRuns);
   return FAILURE_DEVIATIONS * Math.sqrt((share * (1 - share)) / Math.max(1, newRuns.runs));
 }
 
@@ -85,6 +155,10 @@
   return failures / Math.max(1, runs);
 }
 
+function getLostShare({ runs, lost = 0 }: VersionRuns): number {
+  return lost / Math.max(1, runs);
+}
+
 function getPaceMs({ measured, paceSumMs }: VersionRuns): number {
   return paceSumMs / Math.max(1, measured);
 }
--- a/packages/types/src/rollout.ts
+++ b/packages/types/src/rollout.ts
@@ -26,6 +26,22 @@
   readonly measured: number;
   /** The pace of a stream is the time for one event, that of another call its whole time. */
   readonly paceSumMs: number;
+  /**
+   * Number of runs of which the caller got nothing before it left or the deadline passed; nodes of
+   * older builds don't state it.
+   */
+  readonly lost?: number;
+  /** Times to the first event of streams; nodes of older builds don't state them. */
+  readonly starts?: StartTimes;
+}
+
+/** Sums over the times to the first event of streams. */
+export interface StartTimes {
+  readonly count: number;
+  readonly sumMs: number;
+  readonly squareSumMs2: number;
+  /** Sum of the times by which prompts may start later on a target that has no part of them cached. */
+  readonly allowanceSumMs: number;
 }
 
 /** What was seen of both versions of a rollout. */
