Suspect a call until one of its responses is whole

A request that crashed each target after its first event was never stopped: 16 of 16 targets crashed, with the streams of other callers.

Cause: the first data of a response cleared all that was known of the call, and a target that crashed later was not recorded for it.

Change: only a whole response clears a call, and each call that ran on a target when it crashed is a suspect, at whatever point. A call that only shared targets with another one goes on: the crashes of the other one explain its own. A part that many prompts share is cleared as well by a stream that goes on for 2 s, since long streams may all be cut while one call crashes their targets. The native front does the same for prompts that begin alike; the contents of its calls were suspects already.

--- a/packages/gate/src/crashGuard.ts
+++ b/packages/gate/src/crashGuard.ts
@@ -21,8 +21,8 @@
   readonly request: StageRequest;
   /** The start of the target that ran it. */
   readonly targetStart: string;
-  /** Whether the target began to respond. */
-  readonly hasStarted: boolean;
+  /** Whether the target responded, and the response was whole. */
+  readonly isWhole: boolean;
   readonly hasCrashed: boolean;
 }
 
@@ -55,16 +55,14 @@
     return 'run';
   }
 
-  /** Records that a target began to respond. */
-  onStarted(request: StageRequest): void {
-    this.opts.crashes.prefixes.recordSound(computePrefixFingerprints(request));
-  }
-
   /** Records that a run ended and whether the target crashed during it. */
-  onRunEnded({ request, targetStart, hasStarted, hasCrashed }: GuardedRun): void {
-    if (hasCrashed && !hasStarted) {
+  onRunEnded({ request, targetStart, isWhole, hasCrashed }: GuardedRun): void {
+    const { prefixes } = this.opts.crashes;
+    if (hasCrashed) {
       const fingerprints = computePrefixFingerprints(request);
-      this.opts.crashes.prefixes.recordCrash({ targetStart, fingerprints });
+      prefixes.recordCrash({ targetStart, fingerprints });
+    } else if (isWhole) {
+      prefixes.recordSound(computePrefixFingerprints(request));
     }
     this.recordContent(request, hasCrashed);
   }
--- a/packages/gate/src/runStageRequest.ts
+++ b/packages/gate/src/runStageRequest.ts
@@ -75,10 +75,7 @@
   const targetStart = `${request.targetName} ${target.startId}`;
   try {
     const onPart = (part: StagePart): void => {
-      if (firstPartAtMs === 0) {
-        firstPartAtMs = context.timer.nowMs();
-        context.crashGuard.onStarted(request);
-      }
+      firstPartAtMs ||= context.timer.nowMs();
       opts.onPart(part);
     };
     result = await runAdmitted({ ...opts, onPart }, target, remainingMs);
@@ -93,7 +90,7 @@
     context.crashGuard.onRunEnded({
       request,
       targetStart,
-      hasStarted: firstPartAtMs > 0,
+      isWhole: classifyRunEnd(result.end) === 'ok',
       hasCrashed: await hasCrashed(context, target, result.end),
     });
   }
--- a/packages/gate/test/scriptedGate.ts
+++ b/packages/gate/test/scriptedGate.ts
@@ -93,7 +93,7 @@
     readConfiguration: () => ({ revision: 1, zones: new Map() }),
     shutdown: Shutdown.create({ timer, limitMs: STOP_LIMIT_MS }),
     stoppedVersions: { has: () => false },
-    crashGuard: { admit: () => 'run', onStarted: () => {}, onRunEnded: () => {} },
+    crashGuard: { admit: () => 'run', onRunEnded: () => {} },
     runRecords: {},
   } as unknown as GateContext;
 }
--- a/packages/router/src/computeFingerprints.ts
+++ b/packages/router/src/computeFingerprints.ts
@@ -8,6 +8,11 @@
   readonly hash: (text: string) => number;
 }
 
+/** The fingerprints of a call without that of its content. */
+export function getSharedFingerprints(fingerprints: readonly string[]): readonly string[] {
+  return fingerprints.slice(1);
+}
+
 /**
  * Computes the fingerprints of a call that other calls may have too: that of its content, and those of
  * the parts of its prompt without the last one, which is its own.
--- a/packages/router/src/runAttempts.ts
+++ b/packages/router/src/runAttempts.ts
@@ -13,6 +13,7 @@
   endWithError,
   type Refused,
 } from './endAttempts.js';
+import { getSharedFingerprints } from './computeFingerprints.js';
 import { chooseTargetForCall } from './chooseTargetForCall.js';
 import { endForPause } from './endForPause.js';
 import { findPauseWait } from './findPauseWait.js';
@@ -53,6 +54,12 @@
 /** Share of the time left that a call waits for a target; then it is refused with a time to retry. */
 const NO_TARGET_WAIT_SHARE = 0.25;
 
+/**
+ * A stream that goes on for this long shows that the parts of its prompt crash no target; streams of
+ * calls that share a part may take longer than targets live that another call crashes.
+ */
+const PROOF_INTERVAL_MS = 2_000;
+
 /** A prompt that a target has not cached delays its first event by this at most, and this share of the objective. */
 const MAX_START_ALLOWANCE_MS = 300;
 const START_ALLOWANCE_SHARE = 0.25;
@@ -200,7 +207,7 @@
   response: SendResponse,
 ): Promise<AttemptsResult | undefined> {
   const { exchange, admitted, context, observation } = opts;
-  let isSound = false;
+  let provedAtMs: number | undefined;
   const forwarded: ForwardResult = await forwardResponse({
     exchange,
     response,
@@ -211,9 +218,11 @@
       opts.onInputsConsumed();
       opts.tracked.enter('streaming');
       observation.addEvents(events);
-      if (!isSound && response.status < 500) {
-        isSound = true;
-        context.crashSuspects.recordSound(opts.fingerprints);
+      const nowMs = context.timer.nowMs();
+      provedAtMs ??= nowMs;
+      if (nowMs - provedAtMs >= PROOF_INTERVAL_MS) {
+        provedAtMs = nowMs;
+        context.crashSuspects.recordSound(getSharedFingerprints(opts.fingerprints));
       }
     },
   });
@@ -225,14 +234,16 @@
   }
   if (forwarded.kind === 'complete') {
     recordWholeResponse(opts);
+    if (response.status < 500) {
+      // A target may crash after the first data of its response, so only a whole one shows that it won't.
+      context.crashSuspects.recordSound(opts.fingerprints);
+    }
     return { kind: 'answered', status: response.status, target: target.id };
   }
   progress.recordFailure(forwarded.detail);
   if (!opts.signal.aborted && !exchange.disconnected.aborted) {
     context.health.record({ targetId: target.id, result: 'failed' });
-    if (!isSound) {
-      await recordIfCrashed(opts, target);
-    }
+    await recordIfCrashed(opts, target);
     if (canRunAgain(opts, progress)) {
       logBrokenResponse({ ...opts, target });
       return undefined;
--- a/packages/router/test/router.feature
+++ b/packages/router/test/router.feature
@@ -168,6 +168,29 @@
     When 1 "stream" calls are made with the prompt parts "shared,other" and one of their own
     Then the caller gets 200 from the target
 
+  # Guards against a call that crashes one target after another once its response has begun.
+  Scenario Outline: A call that crashed three targets is not sent, whenever it crashes them
+    Given 6 targets that crash <when> of responses to the prompt part "deadly"
+    When 1 "stream" calls are made with the prompt parts "shared" and one of their own
+    And 8 "stream" calls are made with the prompt parts "shared,deadly" and one of their own
+    Then the targets got 4 sends
+    When 1 "stream" calls are made with the prompt parts "shared,other" and one of their own
+    Then the caller gets 200 from the target
+
+    Examples:
+      | when                       |
+      | after the head             |
+      | within the first event     |
+      | after the first event      |
+      | before the last event      |
+
+  # Guards against a call that crashes its targets for ever, because its first events count as a response.
+  Scenario: The same call is not sent once it has crashed three targets after its first event
+    Given 6 targets that crash after the first event of responses to the prompt part "deadly"
+    When the same "stream" call with the prompt part "deadly" is made 8 times
+    Then the targets got 3 sends
+    And the caller gets 422
+
   Scenario: Broken connections to targets that live stop no calls
     Given 6 targets that break connections before they respond to the prompt part "deadly"
     When 8 "stream" calls are made with the prompt parts "shared,deadly" and one of their own
--- a/packages/router/test/routerEvidence.steps.ts
+++ b/packages/router/test/routerEvidence.steps.ts
@@ -8,6 +8,7 @@
 import {
   createChunks,
   createContext,
+  createEvents,
   makeCall,
   respond,
   type RouterWorld,
@@ -27,6 +28,38 @@
   },
 );
 
+/** What comes of a response of four events before its target crashes. */
+const CUT_RESPONSES: Readonly<Record<string, readonly string[]>> = {
+  'after the head': [],
+  'within the first event': ['id: 1\nda'],
+  'after the first event': createEvents(1, 1),
+  'before the last event': createEvents(1, 3),
+};
+
+Given(
+  /^(\d+) targets that crash (after|within|before) the (.+) of responses to the prompt part "([^"]*)"$/,
+  function given(this: RouterWorld, targets: string, at: string, point: string, part: string) {
+    const texts = CUT_RESPONSES[`${at} the ${point}`];
+    assert.ok(texts);
+    this.targetIds = Array.from({ length: Number(targets) }, (_, index) => `target-${index}`);
+    this.isTargetGone = true;
+    this.context = createContext(this);
+    this.fallback = (opts) =>
+      opts.call.promptParts.some(({ id }) => id === part)
+        ? respond({ body: createChunks(texts, 'other side closed') })
+        : streamEvents(opts);
+  },
+);
+
+When(
+  'the same {string} call with the prompt part {string} is made {int} times',
+  async function when(this: RouterWorld, name: string, id: string, times: number) {
+    for (let index = 0; index < times; index += 1) {
+      await makeCall(this, { path: `/${name}/x`, promptParts: [{ id, tokens: 100 }] });
+    }
+  },
+);
+
 When(
   '{int} {string} calls are made with the prompt parts {string} and one of their own',
   async function when(this: RouterWorld, calls: number, name: string, parts: string) {
--- a/packages/target/src/crashSuspects.ts
+++ b/packages/target/src/crashSuspects.ts
@@ -30,7 +30,7 @@
 
 /**
  * Finds the calls, and the parts of prompts, that crash each target that runs them: several targets
- * crashed during such calls and none has responded to one. Nodes share what they see, since the calls
+ * crashed during such calls and none has completed one. Nodes share what they see, since the calls
  * come through any of them.
  */
 export class CrashSuspects {
@@ -60,7 +60,7 @@
     );
   }
 
-  /** Records that a target crashed while a call ran on it and had no response yet. */
+  /** Records that a target crashed while a call ran on it; each call that ran there is a suspect. */
   recordCrash(opts: {
     readonly targetStart: string;
     readonly fingerprints: readonly string[];
@@ -78,7 +78,7 @@
     this.share(evidence);
   }
 
-  /** Records that a target responded to a call. */
+  /** Records that a target responded to a call, and the response was whole. */
   recordSound(fingerprints: readonly string[]): void {
     fingerprints.forEach((fingerprint) => {
       setNewest(this.soundAtMs, fingerprint, this.opts.timer.nowMs());
--- a/packages/target/test/crashSuspects.feature
+++ b/packages/target/test/crashSuspects.feature
@@ -46,6 +46,16 @@
     Then calls with "deadly" are stopped at "a" and "b"
     And calls with "common" are allowed at "a" and "b"
 
+  # Guards against calls that are refused because they ran on targets that another call crashed.
+  Scenario: Calls that only ran on targets that another one crashed go on
+    When targets 1 to 3 crash during calls with "poison" at node "a"
+    And targets 1 to 3 crash during calls with "neighbour" at node "b"
+    And target 4 crashes during a call with "poison" at node "a"
+    And targets 3 to 4 crash during calls with "late neighbour" at node "b"
+    Then calls with "poison" are stopped at "a" and "b"
+    And calls with "neighbour" are allowed at "a" and "b"
+    And calls with "late neighbour" are allowed at "a" and "b"
+
   Scenario: A node that joins learns of the crashes
     When targets 1 to 3 crash during calls with "deadly" at node "a"
     And node "c" joins and gets the crashes that node "a" knows
--- a/packages/types/src/crashEvidence.ts
+++ b/packages/types/src/crashEvidence.ts
@@ -1,6 +1,6 @@
 /**
  * What a node has seen of calls with a certain content. `crashed`: a target crashed while such a call
- * ran on it and had no response yet. `sound`: a target responded to such a call.
+ * ran on it. `sound`: a target responded to such a call, and the response was whole.
  */
 export interface CrashEvidence {
   readonly kind: 'crashed' | 'sound';
