Bound what a target may send besides data of a body

Cause: undici limits the size of one head, but a target that sent one informational head after the other, a status line or a chunk extension without end was read until the caller left or its time was over.

Change: a connection of the pool is closed once 1 MiB has come without the head of a response or data of a body. Requests of the native front end after 16 informational heads; a status line or chunk extension without end ends there with the deadline only, as its connections are undici's own.

A body that is read slowly still comes whole.

--- a/packages/http/src/sendRequest.ts
+++ b/packages/http/src/sendRequest.ts
@@ -88,17 +88,32 @@
   }
 }
 
+/** Maximum number of informational responses before the final one. */
+const MAX_INFORMATIONAL_RESPONSES = 16;
+
+/** Creates a handler that aborts a request to a peer that sends informational responses without end. */
+function limitInformational(): () => void {
+  let responses = 0;
+  return () => {
+    responses += 1;
+    if (responses > MAX_INFORMATIONAL_RESPONSES) {
+      throw new Error(`over ${MAX_INFORMATIONAL_RESPONSES} informational responses`);
+    }
+  };
+}
+
 function createRequestOptions(
   opts: SendRequestOptions,
 ): Pick<
   Dispatcher.RequestOptions,
-  'method' | 'headers' | 'body' | 'signal' | 'headersTimeout' | 'bodyTimeout'
+  'method' | 'headers' | 'body' | 'signal' | 'headersTimeout' | 'bodyTimeout' | 'onInfo'
 > {
   return {
     method: opts.method,
     headers: opts.headers,
     body: opts.body === '' ? null : opts.body,
     signal: opts.signal,
+    onInfo: limitInformational(),
     // The signal enforces the deadline.
     headersTimeout: 0,
     bodyTimeout: 0,
--- a/packages/http/src/targetConnectionPool.ts
+++ b/packages/http/src/targetConnectionPool.ts
@@ -60,6 +60,8 @@
   /** Whether the target has closed its side cleanly (FIN), after all of its bytes were read. */
   isEnded: boolean;
   responses: number;
+  /** Records that a request is sent, or that data of a body has come. */
+  recordProgress: () => void;
   /** Ids of the requests that were answered. */
   readonly ids: Set<string>;
 }
@@ -82,6 +84,9 @@
 /** Maximum number of idle connections per target; the oldest ones beyond it are closed. */
 const MAX_IDLE_CONNECTIONS = 8;
 
+/** Maximum bytes on a connection without data of a body; a head is smaller, and so are its buffers. */
+const MAX_OVERHEAD_BYTES = 1_048_576;
+
 /** Idle time before the kernel sends TCP keep-alive probes, which detect a silent peer. */
 const KEEP_ALIVE_PROBE_DELAY_MS = 1_000;
 
@@ -120,6 +125,7 @@
       return { kind: 'unsent', detail: 'the address is not HOST:PORT' };
     }
     const connection = this.takeConnection(request, address);
+    connection.history().recordProgress();
     try {
       const { statusCode, headers, body } = await connection.client.request({
         method: request.method,
@@ -138,6 +144,7 @@
         headers: definedHeaders,
       });
       const history = connection.history();
+      history.recordProgress();
       const isFirstOnConnection = history.responses === 0;
       history.responses += 1;
       if (request.id !== '') {
@@ -178,7 +185,10 @@
     const { request, connection } = opts;
     let isComplete = false;
     try {
-      yield* opts.body;
+      for await (const chunk of opts.body) {
+        connection.history().recordProgress();
+        yield chunk;
+      }
       // undici treats a reset as the end of a body without length.
       if (opts.bodyEnd === 'close' && !connection.history().isEnded) {
         throw new Error('the connection was reset within a body without length');
@@ -233,10 +243,7 @@
       connect: (_options, callback) => {
         const opened = createHistory();
         history = opened;
-        const onEnded = (): void => {
-          opened.isEnded = true;
-        };
-        this.openSocket({ address, callback, onEnded });
+        this.openSocket({ address, callback, history: opened });
       },
     });
     return { client, history: () => history };
@@ -245,9 +252,9 @@
   private openSocket(opts: {
     readonly address: SocketAddress;
     readonly callback: buildConnector.Callback;
-    readonly onEnded: () => void;
+    readonly history: SocketHistory;
   }): void {
-    const { address, callback } = opts;
+    const { address, callback, history } = opts;
     const { connectLimitMs } = this.opts;
     const socket: Socket = connect({
       ...address,
@@ -269,7 +276,10 @@
     socket.once('connect', () => {
       cancelTimeout();
       socket.off('error', onConnectError);
-      socket.once('end', opts.onEnded);
+      socket.once('end', () => {
+        history.isEnded = true;
+      });
+      history.recordProgress = limitOverhead(socket);
       this.opts.onOpened(`${address.host}:${address.port}`);
       callback(null, socket);
     });
@@ -277,7 +287,24 @@
 }
 
 function createHistory(): SocketHistory {
-  return { isEnded: false, responses: 0, ids: new Set() };
+  return { isEnded: false, responses: 0, recordProgress: () => {}, ids: new Set() };
+}
+
+/**
+ * Closes a connection on which too many bytes come that belong to no body, such as informational
+ * responses or extensions of chunks; the HTTP client would read them for as long as the request waits.
+ * Returns a function to call when a request is sent and when data comes.
+ */
+function limitOverhead(socket: Socket): () => void {
+  let progressAtBytes = 0;
+  socket.prependListener('readable', () => {
+    if (socket.bytesRead - progressAtBytes > MAX_OVERHEAD_BYTES) {
+      socket.destroy(new Error(`over ${MAX_OVERHEAD_BYTES} bytes without data of a body`));
+    }
+  });
+  return () => {
+    progressAtBytes = socket.bytesRead;
+  };
 }
 
 function close(connection: Connection): void {
--- a/packages/http/test/targetConnectionPool.feature
+++ b/packages/http/test/targetConnectionPool.feature
@@ -80,7 +80,23 @@
     Then no complete response comes and the connection is closed
 
     Examples:
-      | part           |
-      | head           |
-      | body           |
-      | body in chunks |
+      | part                    |
+      | head                    |
+      | status line             |
+      | row of headers          |
+      | row of informational heads |
+      | body                    |
+      | body in chunks          |
+      | chunk extension         |
+      | row of trailers         |
+
+  Scenario: A plain request is not answered by informational heads without end
+    Given a raw target that sends a row of informational heads without end
+    When 1 plain request is sent
+    Then no complete response comes and the connection is closed
+
+  # Guards against a connection that is closed because a slow reader leaves bytes of a body unread.
+  Scenario: A body that is read slowly is not cut
+    Given a raw target that responds with a body of 8000000 bytes
+    When 1 request is sent and its body is read slowly
+    Then the whole body has come
--- a/packages/http/test/targetConnectionPool.steps.ts
+++ b/packages/http/test/targetConnectionPool.steps.ts
@@ -5,6 +5,7 @@
 import { After, Given, Then, When } from '@cucumber/cucumber';
 import {
   readAll,
+  sendRequest,
   type TargetResponse,
   TargetConnectionPool,
   type TargetFailure,
@@ -42,6 +43,12 @@
  */
 const RESET_DELAY_MS = 30;
 
+/** Time limit of a plain request. */
+const MAX_PLAIN_MS = 5_000;
+
+/** Pause of a slow reader after each piece of a body. */
+const SLOW_READ_MS = 5;
+
 /** Sends bytes until the connection is closed. */
 function sendEndlessly(socket: Socket, start: string, repeated: string): void {
   const bytes = repeated.repeat(1_000);
@@ -75,6 +82,25 @@
   'responds with too few bytes': (socket) =>
     socket.end('HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nwhole'),
   'sends a head without end': (socket) => sendEndlessly(socket, 'HTTP/1.1 200 OK\r\nX-Odd: ', 'x'),
+  'sends a status line without end': (socket) => sendEndlessly(socket, 'HTTP/1.1 200 ', 'O'),
+  'sends a row of headers without end': (socket) =>
+    sendEndlessly(socket, 'HTTP/1.1 200 OK\r\n', 'X-Odd: 1\r\n'),
+  'sends a row of informational heads without end': (socket) =>
+    sendEndlessly(socket, '', 'HTTP/1.1 103 Early Hints\r\nLink: </x>\r\n\r\n'),
+  'sends a chunk extension without end': (socket) =>
+    sendEndlessly(
+      socket,
+      'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nx\r\n5;odd=',
+      'x',
+    ),
+  'sends a row of trailers without end': (socket) =>
+    sendEndlessly(
+      socket,
+      'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nx\r\n0\r\n',
+      'X-Odd: 1\r\n',
+    ),
+  'responds with a body of 8000000 bytes': (socket) =>
+    socket.write(`HTTP/1.1 200 OK\r\nContent-Length: 8000000\r\n\r\n${'x'.repeat(8_000_000)}`),
   'sends a body without end': (socket) => sendEndlessly(socket, 'HTTP/1.1 200 OK\r\n\r\n', 'x'),
   'sends a body in chunks without end': (socket) =>
     sendEndlessly(socket, 'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n', '1\r\nx\r\n'),
@@ -160,6 +186,39 @@
   },
 );
 
+When('1 plain request is sent', async function when(this: ConnectionPoolWorld) {
+  const response = await sendRequest({
+    url: `http://${this.address}`,
+    path: '/x',
+    method: 'GET',
+    headers: {},
+    body: '',
+    signal: AbortSignal.timeout(MAX_PLAIN_MS),
+  });
+  assert.ok(response.isErr);
+  assert.notEqual(response.error.codeName, 'cancelled', 'nothing but the time limit ended it');
+});
+
+When(
+  '1 request is sent and its body is read slowly',
+  async function when(this: ConnectionPoolWorld) {
+    const result = await send(this);
+    assert.equal(result.kind, 'answered');
+    let bytes = 0;
+    for await (const chunk of result.body) {
+      bytes += chunk.length;
+      await new Promise((resolve) => {
+        setTimeout(resolve, SLOW_READ_MS);
+      });
+    }
+    this.bodies.push(String(bytes));
+  },
+);
+
+Then('the whole body has come', function then(this: ConnectionPoolWorld) {
+  assert.deepEqual(this.bodies, ['8000000']);
+});
+
 Then(
   'no complete response comes and the connection is closed',
   async function then(this: ConnectionPoolWorld) {
