Bound the memory of responses that are read as a whole

Cause: each response of a call may have 8 MiB, and nothing bounded them together; a target that sends bodies without end to many calls could use up the memory of the router.

Change: these responses share 32 MiB. The first 64 KiB of each don't count, so that short ones are read whatever the others do.

--- a/fakes/src/index.ts
+++ b/fakes/src/index.ts
@@ -4,6 +4,7 @@
 export type { ColdBehaviour, ColdOverloadAction } from './coldPhase.js';
 export type { FakeEngineLoad } from './engine/engineSimulator.js';
 export type { FakeEngineOrder } from './engine/orderHandler.js';
+export { type EndlessResponseOptions, sendEndlessResponse } from './endlessResponses.js';
 export {
   createFakeHostList,
   type FakeHostList,
--- a/packages/constants/src/index.ts
+++ b/packages/constants/src/index.ts
@@ -30,5 +30,11 @@
 /** Maximum size of a response that is read as a whole, in bytes; a faulty peer may never end one. */
 export const MAX_RESPONSE_BYTES = 8_388_608;
 
+/** Maximum size of all responses together that are being read as a whole, in bytes. */
+export const MAX_RESPONSE_MEMORY_BYTES = 33_554_432;
+
+/** Part of each response that doesn't count against that maximum, in bytes. */
+export const FREE_RESPONSE_BYTES = 65_536;
+
 /** Maximum size of one event of a stream, in bytes. */
 export const MAX_EVENT_BYTES = 1_048_576;
--- a/packages/http/src/index.ts
+++ b/packages/http/src/index.ts
@@ -1,4 +1,5 @@
 /** HTTP client for peers; its errors say whether the request may have run. */
+export { BodyMemory, type BodyMemoryOptions, createResponseMemory } from './bodyMemory.js';
 export { createAttemptHeaders } from './createAttemptHeaders.js';
 export { fetchText, type FetchTextOptions, type TextResponse } from './fetchText.js';
 export { readAll, type ReadAllOptions } from './readAll.js';
--- a/packages/http/test/targetConnectionPool.feature
+++ b/packages/http/test/targetConnectionPool.feature
@@ -86,6 +86,7 @@
       | row of headers          |
       | row of informational heads |
       | body                    |
+      | body with a length      |
       | body in chunks          |
       | chunk extension         |
       | row of trailers         |
--- a/packages/http/test/targetConnectionPool.steps.ts
+++ b/packages/http/test/targetConnectionPool.steps.ts
@@ -10,6 +10,7 @@
   TargetConnectionPool,
   type TargetFailure,
 } from '@galenatiller/http';
+import { sendEndlessResponse } from '@galenatiller/fakes';
 import { systemClock, TimerService } from '@galenatiller/timer';
 
 interface ConnectionPoolWorld {
@@ -49,19 +50,6 @@
 /** Pause of a slow reader after each piece of a body. */
 const SLOW_READ_MS = 5;
 
-/** Sends bytes until the connection is closed. */
-function sendEndlessly(socket: Socket, start: string, repeated: string): void {
-  const bytes = repeated.repeat(1_000);
-  const sendMore = (): void => {
-    while (!socket.destroyed && socket.write(bytes)) {
-      // The socket takes more bytes now.
-    }
-  };
-  socket.on('drain', sendMore);
-  socket.write(start);
-  sendMore();
-}
-
 const TARGETS: Readonly<Record<string, (socket: Socket) => void>> = {
   'responds "whole"': (socket) => socket.write(COMPLETE_RESPONSE),
   'closes each connection after the request': (socket) => socket.destroy(),
@@ -81,29 +69,8 @@
   'responds with 304 and no length': (socket) => socket.write('HTTP/1.1 304 Not Modified\r\n\r\n'),
   'responds with too few bytes': (socket) =>
     socket.end('HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nwhole'),
-  'sends a head without end': (socket) => sendEndlessly(socket, 'HTTP/1.1 200 OK\r\nX-Odd: ', 'x'),
-  'sends a status line without end': (socket) => sendEndlessly(socket, 'HTTP/1.1 200 ', 'O'),
-  'sends a row of headers without end': (socket) =>
-    sendEndlessly(socket, 'HTTP/1.1 200 OK\r\n', 'X-Odd: 1\r\n'),
-  'sends a row of informational heads without end': (socket) =>
-    sendEndlessly(socket, '', 'HTTP/1.1 103 Early Hints\r\nLink: </x>\r\n\r\n'),
-  'sends a chunk extension without end': (socket) =>
-    sendEndlessly(
-      socket,
-      'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nx\r\n5;odd=',
-      'x',
-    ),
-  'sends a row of trailers without end': (socket) =>
-    sendEndlessly(
-      socket,
-      'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nx\r\n0\r\n',
-      'X-Odd: 1\r\n',
-    ),
   'responds with a body of 8000000 bytes': (socket) =>
     socket.write(`HTTP/1.1 200 OK\r\nContent-Length: 8000000\r\n\r\n${'x'.repeat(8_000_000)}`),
-  'sends a body without end': (socket) => sendEndlessly(socket, 'HTTP/1.1 200 OK\r\n\r\n', 'x'),
-  'sends a body in chunks without end': (socket) =>
-    sendEndlessly(socket, 'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n', '1\r\nx\r\n'),
   'sends a second response after each': (socket) =>
     socket.write(`${COMPLETE_RESPONSE}${COMPLETE_RESPONSE}`),
 };
@@ -111,7 +78,11 @@
 Given(
   /^a raw target that (.+)$/,
   async function given(this: ConnectionPoolWorld, behaviour: string) {
-    const serve = TARGETS[behaviour];
+    const endlessPart = /^sends a (.+) without end$/.exec(behaviour)?.[1];
+    const serve =
+      endlessPart === undefined
+        ? TARGETS[behaviour]
+        : (socket: Socket): void => sendEndlessResponse({ socket, part: endlessPart });
     await listen(this, serve ?? (() => {}));
     if (behaviour === 'has no listener') {
       this.targetServer.close();
--- a/packages/router/src/createRouter.ts
+++ b/packages/router/src/createRouter.ts
@@ -1,3 +1,4 @@
+import { createResponseMemory } from '@galenatiller/http';
 import type { EventLog } from '@galenatiller/logger';
 import type { MetricSink } from '@galenatiller/metrics';
 import { acceptRouters, type PeerRouter } from '@galenatiller/routerLink';
@@ -217,7 +218,13 @@
 
 type Limits = Pick<
   RouterContext,
-  'health' | 'notices' | 'coldRateLimiter' | 'retryBudget' | 'crashDetector' | 'crashSuspects'
+  | 'health'
+  | 'notices'
+  | 'coldRateLimiter'
+  | 'retryBudget'
+  | 'bodyMemory'
+  | 'crashDetector'
+  | 'crashSuspects'
 >;
 
 /** Creates the limits that all nodes share, and the tracking of target health and crashes. */
@@ -258,6 +265,7 @@
       ...opts.targetClient,
       mayProbe: (target) => notices.tryProbe(toTargetStart(target)),
     }),
+    bodyMemory: createResponseMemory(),
     crashSuspects: CrashSuspects.create({
       timer,
       share: (evidence) => opts.peers().forEach((peer) => peer.shareCrashEvidence(evidence)),
--- a/packages/router/src/forwardResponse.ts
+++ b/packages/router/src/forwardResponse.ts
@@ -1,5 +1,5 @@
 import { MAX_RESPONSE_BYTES } from '@galenatiller/constants';
-import { readAll } from '@galenatiller/http';
+import { type BodyMemory, readAll } from '@galenatiller/http';
 
 import type { CallerExchange, SendResponse } from './ports.js';
 import { type CompleteEvent, EventSplitter } from './wireEventStream.js';
@@ -9,6 +9,8 @@
   readonly exchange: CallerExchange;
   readonly response: SendResponse;
   readonly isStream: boolean;
+  /** Memory for bodies that are no streams. */
+  readonly bodyMemory: BodyMemory;
   /** Whether an earlier attempt has started the response to the caller. */
   readonly hasStarted: boolean;
   /** Id of the last event that the caller has; empty when it has none. */
@@ -49,7 +51,11 @@
   }
   let body: Buffer;
   try {
-    body = await readAll({ body: response.body, maxBytes: MAX_RESPONSE_BYTES });
+    body = await readAll({
+      body: response.body,
+      maxBytes: MAX_RESPONSE_BYTES,
+      memory: opts.bodyMemory,
+    });
   } catch (error) {
     return createInterrupted({ ...opts, lastEventId }, describeError(error));
   }
--- a/packages/router/src/rollouts.ts
+++ b/packages/router/src/rollouts.ts
@@ -10,6 +10,7 @@
   VersionRuns,
 } from '@galenatiller/types';
 
+import type { ObservedRun } from './observedRun.js';
 import { addToRoute, type RunsByRoute, sumRoutes, toVersionRuns } from './versionRuns.js';
 
 /** Options of {@link Rollouts.create}. */
@@ -23,27 +24,6 @@
   readonly onEnded: (decision: RolloutDecision) => void;
 }
 
-/** One run of a call on a target. */
-export interface ObservedRun {
-  readonly target: RegisteredTarget;
-  /** Name of the route of the call. */
-  readonly route: string;
-  /** `lost`: the caller got nothing of the response before it left or the deadline passed. */
-  readonly ending: 'good' | 'failed' | 'lost';
-  /** Undefined when the run ended before its pace could be measured. */
-  readonly paceMs: number | undefined;
-  /** The first event of a stream; undefined for other runs, and before it. */
-  readonly start?: RunStart | undefined;
-}
-
-/** When the first event of a stream arrived. */
-export interface RunStart {
-  /** Time since the call was sent. */
-  readonly tookMs: number;
-  /** Time by which it may be later on a target that has no part of the prompt cached. */
-  readonly allowanceMs: number;
-}
-
 /** A state in the store, and the revision at which it was written. */
 export interface StoredStatus {
   readonly status: RolloutStatus;
--- a/packages/router/src/routerContext.ts
+++ b/packages/router/src/routerContext.ts
@@ -1,3 +1,4 @@
+import type { BodyMemory } from '@galenatiller/http';
 import type { EventLog } from '@galenatiller/logger';
 import type { MetricSink } from '@galenatiller/metrics';
 import type {
@@ -37,6 +38,8 @@
   readonly pieceTimes: SmoothedDurations;
   readonly retryBudget: RetryBudget;
   readonly inFlight: CallCounter;
+  /** Memory for responses of targets that are no streams. */
+  readonly bodyMemory: BodyMemory;
   readonly crashDetector: CrashDetector;
   readonly crashSuspects: CrashSuspects;
   readonly rollouts: Rollouts;
--- a/packages/router/src/runAttempts.ts
+++ b/packages/router/src/runAttempts.ts
@@ -21,7 +21,8 @@
 import type { CallerExchange, SendResponse, SendResult } from './ports.js';
 import type { RouterContext } from './routerContext.js';
 import type { TrackedCall } from './routerStop.js';
-import { RunObservation } from './runObservation.js';
+import { createObservation, observeBroken } from './observeRun.js';
+import type { RunObservation } from './runObservation.js';
 import type { StageResultHandle } from './runStages.js';
 
 /** Options of {@link runAttempts}. */
@@ -60,10 +61,6 @@
  */
 const PROOF_INTERVAL_MS = 2_000;
 
-/** A prompt that a target has not cached delays its first event by this at most, and this share of the objective. */
-const MAX_START_ALLOWANCE_MS = 300;
-const START_ALLOWANCE_SHARE = 0.25;
-
 /** Sends a call to one target after another until one responds or no further attempt is allowed. */
 export async function runAttempts(opts: RunAttemptsOptions): Promise<AttemptsResult> {
   const { context, admitted, progress, signal } = opts;
@@ -211,6 +208,7 @@
   const forwarded: ForwardResult = await forwardResponse({
     exchange,
     response,
+    bodyMemory: context.bodyMemory,
     isStream: admitted.route.callKind === 'stream' && response.status === 200,
     hasStarted: progress.hasStarted,
     resumeAfter: progress.resumeAfter,
@@ -254,38 +252,6 @@
     : endWithError(progress, 'target-failed', forwarded.detail);
 }
 
-function createObservation(opts: RunAttemptsOptions, target: RegisteredTarget): RunObservation {
-  const { name: route, callKind } = opts.admitted.route;
-  return RunObservation.create({
-    ...opts.context,
-    target,
-    route,
-    isStream: callKind === 'stream',
-    startAllowanceMs: computeStartAllowanceMs(opts),
-  });
-}
-
-/** Observes a run without a whole response, unless the stop of this router has ended it. */
-function observeBroken(opts: RunAttemptsOptions, observation: RunObservation): void {
-  if (opts.tracked.signal.aborted) {
-    return;
-  }
-  const isDeadlineOver = opts.signal.aborted && !observation.hasStarted;
-  if (isDeadlineOver || opts.exchange.disconnected.aborted) {
-    observation.abandon();
-  } else {
-    observation.end({ isFailed: true });
-  }
-}
-
-/** Time by which the first event may come later on a target of a version that has nothing cached. */
-function computeStartAllowanceMs({ exchange, admitted }: RunAttemptsOptions): number {
-  const { latencyObjectiveMs } = admitted.route;
-  return exchange.call.promptParts.length === 0
-    ? 0
-    : Math.min(MAX_START_ALLOWANCE_MS, latencyObjectiveMs * START_ALLOWANCE_SHARE);
-}
-
 async function handleFailure(
   opts: RunAttemptsOptions,
   progress: CallProgress,
--- a/packages/router/src/runObservation.ts
+++ b/packages/router/src/runObservation.ts
@@ -2,7 +2,8 @@
 import type { RegisteredTarget } from '@galenatiller/types';
 
 import { PaceMeter } from './paceMeter.js';
-import type { ObservedRun, Rollouts } from './rollouts.js';
+import type { ObservedRun } from './observedRun.js';
+import type { Rollouts } from './rollouts.js';
 
 /** Options of {@link RunObservation.create}. */
 export interface RunObservationOptions {
--- a/packages/router/src/versionRuns.ts
+++ b/packages/router/src/versionRuns.ts
@@ -1,6 +1,6 @@
 import type { StartTimes, VersionComparison, VersionRuns } from '@galenatiller/types';
 
-import type { ObservedRun } from './rollouts.js';
+import type { ObservedRun } from './observedRun.js';
 
 const NO_STARTS: StartTimes = { count: 0, sumMs: 0, squareSumMs2: 0, allowanceSumMs: 0 };
 
--- a/packages/router/test/rolloutStarts.steps.ts
+++ b/packages/router/test/rolloutStarts.steps.ts
@@ -1,7 +1,7 @@
 /** Steps on calls whose versions differ in what their callers get first. */
 import { When } from '@cucumber/cucumber';
 
-import type { ObservedRun } from '../src/rollouts.js';
+import type { ObservedRun } from '../src/observedRun.js';
 import { makeCalls, type RolloutWorld } from './rolloutWorld.js';
 
 When(
--- a/packages/router/test/rolloutWorld.ts
+++ b/packages/router/test/rolloutWorld.ts
@@ -4,7 +4,8 @@
 import { TimerService } from '@galenatiller/timer';
 import type { RegisteredTarget, RolloutOrder, RolloutState } from '@galenatiller/types';
 
-import { type ObservedRun, Rollouts } from '../src/rollouts.js';
+import type { ObservedRun } from '../src/observedRun.js';
+import { Rollouts } from '../src/rollouts.js';
 
 /** The rollouts of one scenario. */
 export interface RolloutWorld {
--- a/packages/router/test/rollouts.steps.ts
+++ b/packages/router/test/rollouts.steps.ts
@@ -4,7 +4,7 @@
 import { ManualClock } from '@galenatiller/timer';
 import type { RolloutState } from '@galenatiller/types';
 
-import type { ObservedRun } from '../src/rollouts.js';
+import type { ObservedRun } from '../src/observedRun.js';
 
 import {
   createRollouts,
--- a/packages/router/test/routerEvidence.steps.ts
+++ b/packages/router/test/routerEvidence.steps.ts
@@ -28,6 +28,11 @@
   },
 );
 
+interface EvidenceWorld extends RouterWorld {
+  /** Runs of the old version that the rollout saw last. */
+  oldRuns: VersionRuns;
+}
+
 /** What comes of a response of four events before its target crashes. */
 const CUT_RESPONSES: Readonly<Record<string, readonly string[]>> = {
   'after the head': [],
@@ -100,14 +105,14 @@
 
 Then(
   'the rollout saw {int} run(s) of the old version, {int} failed and {int} with a pace',
-  function then(this: RouterWorld, runs: number, failures: number, measured: number) {
+  function then(this: EvidenceWorld, runs: number, failures: number, measured: number) {
     this.oldRuns = takeOldRuns(this);
     const seen = this.oldRuns;
     assert.deepEqual([seen.runs, seen.failures, seen.measured], [runs, failures, measured]);
   },
 );
 
-Then('{int} of them was lost', function then(this: RouterWorld, lost: number) {
+Then('{int} of them was lost', function then(this: EvidenceWorld, lost: number) {
   assert.equal(this.oldRuns.lost, lost);
 });
 
--- a/packages/router/test/support.ts
+++ b/packages/router/test/support.ts
@@ -2,6 +2,7 @@
 import assert from 'node:assert/strict';
 
 import type { GalenatillerError } from '@galenatiller/error';
+import { createResponseMemory } from '@galenatiller/http';
 import type { LoggedEvent } from '@galenatiller/logger';
 import {
   ColdRateLimiter,
@@ -20,7 +21,6 @@
   RouteConfig,
   RoutedCall,
   RouterConfig,
-  VersionRuns,
 } from '@galenatiller/types';
 import { Result } from 'true-myth';
 
@@ -66,8 +66,6 @@
   /** Bytes that were read of response bodies without end. */
   readBytes: number;
   received: ReceivedResponse;
-  /** Runs of the old version that the rollout saw last. */
-  oldRuns: VersionRuns;
   /** Log lines of the calls. */
   logged: LoggedEvent[];
   pieceInputs: (readonly string[])[];
@@ -260,6 +258,7 @@
       },
       mayProbe: (target) => notices.tryProbe(toTargetStart(target)),
     }),
+    bodyMemory: createResponseMemory(),
     crashSuspects: CrashSuspects.create({ timer, share: () => {}, onStopped: () => {} }),
     submitPiece: ({ piece }) => {
       world.pieceInputs[piece.stage] = piece.inputs;
