Keep the end of a short body as uncertain as its target sent it

Cause: since callers get no body of unknown length, one that ended with its connection got its length, which proves what the target has not.

Change: a body that leaves the router in one write keeps the end that its target gave it: a router that is killed later can't cut it. A longer one and a stream are only ended as complete if the process of the target still lives, since the kernel closes the connections of a crashed one in an orderly way.

--- a/packages/router/src/forwardResponse.ts
+++ b/packages/router/src/forwardResponse.ts
@@ -1,5 +1,6 @@
 import { MAX_RESPONSE_BYTES } from '@galenatiller/constants';
 import { type BodyMemory, readAll } from '@galenatiller/http';
+import type { BodyEnd } from '@galenatiller/types';
 
 import type { CallerExchange, SendResponse } from './ports.js';
 import { type CompleteEvent, EventSplitter } from './wireEventStream.js';
@@ -15,6 +16,8 @@
   readonly hasStarted: boolean;
   /** Id of the last event that the caller has; empty when it has none. */
   readonly resumeAfter: string;
+  /** Whether the process of the target is gone. */
+  readonly hasTargetCrashed: () => Promise<boolean>;
   /**
    * Called, possibly more than once, when data of the response has come in, with the number of its
    * events.
@@ -59,9 +62,12 @@
   } catch (error) {
     return createInterrupted({ ...opts, lastEventId }, describeError(error));
   }
+  const bodyEnd = findBufferedEnd(response.bodyEnd, body.length);
+  if (bodyEnd !== 'close' && (await isCutByCrash(opts))) {
+    return createInterrupted({ ...opts, lastEventId }, CUT_BY_CRASH);
+  }
   opts.onData(0);
   const { status, passedHeaders } = response;
-  const bodyEnd = response.bodyEnd === 'none' ? 'none' : 'length';
   exchange.writeHead({ status, passedHeaders, bodyEnd, bodyBytes: body.length });
   await exchange.write(body);
   exchange.end();
@@ -92,6 +98,9 @@
   } catch (error) {
     return createInterrupted({ hasStarted, lastEventId }, describeError(error));
   }
+  if (await isCutByCrash(opts)) {
+    return createInterrupted({ hasStarted, lastEventId }, CUT_BY_CRASH);
+  }
   if (!hasStarted) {
     exchange.writeHead(head);
   }
@@ -99,6 +108,30 @@
   return { kind: 'complete', hasStarted: true, lastEventId };
 }
 
+/** Bytes that a new connection surely takes in one write. */
+const MAX_SINGLE_WRITE_BYTES = 16_384;
+
+/**
+ * How a body that was read as a whole is sent. The target's `close` doesn't prove that it is complete, so
+ * it becomes a length only where the body would take several writes.
+ */
+function findBufferedEnd(targetEnd: BodyEnd, bodyBytes: number): BodyEnd {
+  if (targetEnd === 'close' && bodyBytes <= MAX_SINGLE_WRITE_BYTES) {
+    return 'close';
+  }
+  return targetEnd === 'none' ? 'none' : 'length';
+}
+
+const CUT_BY_CRASH = 'the target crashed, so the end of a body without length proves nothing';
+
+/**
+ * Whether a body may have been cut by a crash of its target: the kernel closes the connections of a
+ * process that crashed in an orderly way, which looks like the end of a body without a length.
+ */
+async function isCutByCrash(opts: ForwardResponseOptions): Promise<boolean> {
+  return opts.response.bodyEnd === 'close' && (await opts.hasTargetCrashed());
+}
+
 /** Why the head of a response shows that its body must not reach the caller; undefined if it may. */
 function findStreamFault(opts: ForwardResponseOptions): string | undefined {
   const { response, hasStarted } = opts;
--- a/packages/router/src/ports.ts
+++ b/packages/router/src/ports.ts
@@ -91,11 +91,11 @@
   readonly status: number;
   readonly passedHeaders: readonly string[];
   /**
-   * How the end of the body is delimited. Never `close`: if the router is killed, the kernel closes its
-   * connections in an orderly way, which would complete the body. Only a caller whose protocol has no
-   * chunks gets a body of unknown length that ends with its connection.
+   * How the end of the body is delimited. `close` proves nothing to the caller, like that of the target,
+   * and is only used for a body that leaves the router in one write: if the router is killed later, the
+   * kernel closes its connections in an orderly way, which would complete a body that is cut.
    */
-  readonly bodyEnd: Exclude<BodyEnd, 'close'>;
+  readonly bodyEnd: BodyEnd;
   /** Length of the body; only used if `bodyEnd` is `length`. */
   readonly bodyBytes: number;
 }
--- a/packages/router/src/runAttempts.ts
+++ b/packages/router/src/runAttempts.ts
@@ -209,6 +209,7 @@
     exchange,
     response,
     bodyMemory: context.bodyMemory,
+    hasTargetCrashed: () => context.crashDetector.hasCrashed(target),
     isStream: admitted.route.callKind === 'stream' && response.status === 200,
     hasStarted: progress.hasStarted,
     resumeAfter: progress.resumeAfter,
--- a/packages/router/test/router.feature
+++ b/packages/router/test/router.feature
@@ -184,6 +184,29 @@
       | after the first event      |
       | before the last event      |
 
+  # Guards against a body that looks complete although it isn't: its target has cut it, or a killed router.
+  Scenario Outline: A body without a length is only forwarded as complete if its target lives
+    Given a target that <state> after a response of <bytes> bytes that ends with its connection
+    When an "order" call is made
+    Then <outcome>
+
+    Examples:
+      | state   | bytes | outcome                                            |
+      | crashes | 16385 | the caller gets 502                                |
+      | lives   | 16385 | the caller gets a response that ends by its length |
+      | crashes | 800   | the caller gets a response that ends by its close  |
+      | lives   | 800   | the caller gets a response that ends by its close  |
+
+  Scenario Outline: A stream without a length is only forwarded as complete if its target lives
+    Given a target that <state> after a response of 32 bytes that ends with its connection
+    When a "stream" call is made
+    Then the caller gets the events 1 to 2 and <end> response
+
+    Examples:
+      | state   | end         |
+      | crashes | an aborted  |
+      | lives   | a complete  |
+
   # Guards against a call that crashes its targets for ever, because its first events count as a response.
   Scenario: The same call is not sent once it has crashed three targets after its first event
     Given 6 targets that crash after the first event of responses to the prompt part "deadly"
--- a/packages/router/test/routerEvidence.steps.ts
+++ b/packages/router/test/routerEvidence.steps.ts
@@ -56,6 +56,29 @@
   },
 );
 
+Given(
+  /^a target that (crashes|lives) after a response of (\d+) bytes that ends with its connection$/,
+  function given(this: RouterWorld, state: string, bytes: string) {
+    this.targetIds = ['a'];
+    this.isTargetGone = state === 'crashes';
+    this.context = createContext(this);
+    this.fallback = (opts) => {
+      const texts = opts.call.path.includes('stream')
+        ? createEvents(1, 2)
+        : ['x'.repeat(Number(bytes))];
+      return respond({ bodyEnd: 'close', body: createChunks(texts) });
+    };
+  },
+);
+
+Then(
+  /^the caller gets a response that ends by its (length|close)$/,
+  function then(this: RouterWorld, bodyEnd: string) {
+    assert.equal(this.received.head?.bodyEnd, bodyEnd);
+    assert.equal(this.received.isEnded, true);
+  },
+);
+
 When(
   'the same {string} call with the prompt part {string} is made {int} times',
   async function when(this: RouterWorld, name: string, id: string, times: number) {
