--- a/packages/types/src/index.ts
+++ b/packages/types/src/index.ts
@@ -2,6 +2,7 @@
 export type * from './callPhase.js';
 export type * from './configuration.js';
 export type * from './crashEvidence.js';
+export type * from './duty.js';
 export type * from './rollout.js';
 export type * from './routerConfig.js';
 export type * from './host.js';
