Grant sends beyond the equal share of a target's limit

Change: one router for each target grants what the equal shares leave over, over the links; none is granted while the routers may disagree. Link version 6.

--- a/packages/metrics/src/routerMetrics.ts
+++ b/packages/metrics/src/routerMetrics.ts
@@ -90,6 +90,14 @@
     role: 'router',
     meaning: 'Log lines left out for their rate or for a full buffer.',
   },
+  {
+    name: 'router.permits',
+    type: 'count',
+    unit: 'permits',
+    tags: ['result'],
+    role: 'router',
+    meaning: "Permits asked for sends beyond the equal share of a target's rate limit.",
+  },
   {
     name: 'router.paused_refusals',
     type: 'count',
--- a/packages/router/src/chooseTargetForCall.ts
+++ b/packages/router/src/chooseTargetForCall.ts
@@ -14,9 +14,40 @@
   readonly admitted: Pick<AdmittedCall, 'service'>;
 }
 
-/** Chooses the target that a call is sent to next. */
+/** Options and inputs of a call whose target is chosen. */
+interface ChoiceOptions extends ChooseTargetForCallOptions {
+  readonly inputs: readonly StageResultHandle[];
+  /** Id of a target that the rate limits don't rule out; unset for none. */
+  readonly permitted?: string;
+}
+
+/** A choice, and whether it was made under a permit, which doesn't use up the share of this node. */
+export type PermittedChoice = TargetChoice & { readonly hasPermit?: boolean };
+
+/**
+ * Chooses the target that a call is sent to next. If only the share of this node rules out the target that has
+ * the prompt cached, it asks for a permit.
+ */
+export async function chooseTargetWithPermit(
+  opts: ChoiceOptions,
+  progress: Pick<CallProgress, 'tried'>,
+): Promise<PermittedChoice> {
+  const choice = chooseTargetForCall(opts, progress);
+  if (choice.kind !== 'chosen' || !choice.limited) {
+    return choice;
+  }
+  const { id, address, service } = choice.limited;
+  if (!(await opts.context.obtainPermit({ service, address }))) {
+    return chooseTargetForCall(opts, progress);
+  }
+  const permitted = chooseTargetForCall({ ...opts, permitted: id }, progress);
+  const hasPermit = permitted.kind === 'chosen' && permitted.target.id === id;
+  return { ...permitted, hasPermit };
+}
+
+/** Chooses the target that a call is sent to next within the share of this node. */
 export function chooseTargetForCall(
-  opts: ChooseTargetForCallOptions & { readonly inputs: readonly StageResultHandle[] },
+  opts: ChoiceOptions,
   progress: Pick<CallProgress, 'tried'>,
 ): TargetChoice {
   const { context, admitted, exchange } = opts;
@@ -36,7 +67,8 @@
     inFlight: ({ id }) => context.inFlight.count(id),
     isSuspended: ({ id }) => context.health.isSuspended(id),
     failureShare: ({ id }) => context.health.failureShare(id),
-    canAccept: ({ address }) =>
+    canAccept: ({ id, address }) =>
+      id === opts.permitted ||
       context.coldRateLimiter.canSend({ address, maxColdRequestsPerSecond }),
     hash: context.hash,
   });
--- a/packages/router/src/createPeerService.ts
+++ b/packages/router/src/createPeerService.ts
@@ -2,6 +2,7 @@
 import type { PrefixRelay } from '@galenatiller/store';
 import type { CrashSuspects, TargetNotices } from '@galenatiller/target';
 
+import type { Permits } from './permits.js';
 import type { OwnerCredit, StageSubmitter } from './ownership/index.js';
 import type { Rollouts } from './rollouts.js';
 import type { StageWorkers } from './stageWorkers.js';
@@ -15,6 +16,7 @@
   readonly notices: TargetNotices;
   readonly rollouts: Rollouts;
   readonly relay: PrefixRelay;
+  readonly permits: Permits;
 }
 
 /** Creates the functions that this router runs for its peers. */
@@ -28,6 +30,7 @@
     mergeCrashEvidence: (evidence) => crashSuspects.merge(evidence),
     mergeLeavingEvidence: (evidence) => notices.mergeLeaving(evidence),
     addRolloutEvidence: (evidence) => evidence.forEach((item) => rollouts.addEvidence(item)),
+    tryGrantPermit: (target) => opts.permits.tryGrant(target),
     endRollout: (decision) => rollouts.end(decision),
     readRelayed: (read) => relay.respond(read),
   };
--- a/packages/router/src/createRouter.ts
+++ b/packages/router/src/createRouter.ts
@@ -111,7 +111,9 @@
   const limits = createLimits({ ...opts, nodeCount, peers: () => stages.peers.all() });
   const rolloutParts = createRollouts(opts);
   const { rollouts } = rolloutParts;
-  const shared = { ...opts, ...limits, ...rolloutParts, routes, targets, nodeCount, tasks, relay };
+  const evidenceAgeMs = (): number => mirrors.operator.evidenceAgeMs();
+  const known = { routes, targets, nodeCount, evidenceAgeMs, tasks, relay };
+  const shared = { ...opts, ...limits, ...rolloutParts, ...known };
   const stages = createStages(shared);
   const mirrors = createMirrors({ ...shared, source, onChanged: () => stages.onTargetsChanged() });
   const context: RouterContext = {
@@ -127,9 +129,8 @@
     inFlight: CallCounter.create(),
     ...createDurations(),
     targetClient: opts.targetClient,
-    submitPiece: stages.submitter.submit,
-    freeResults: (handles) => stages.submitter.free(handles),
-    evidenceAgeMs: () => mirrors.operator.evidenceAgeMs(),
+    ...bindStages(stages),
+    evidenceAgeMs,
     keyAgeLimitMs: settings.keyAgeLimitMs,
     hash: opts.hash,
     random,
@@ -143,8 +144,8 @@
     batchesInProgress: () => stages.workers.batchesInProgress,
     leave: () => members.leave(),
     reportGauges: (sink) => {
-      const eventLoopLagMs = eventLoop.lagMs;
-      reportGauges({ sink, context, calls: callTasks.size, nodeCount, eventLoopLagMs, storeEra });
+      const load = { calls: callTasks.size, eventLoopLagMs: eventLoop.lagMs };
+      reportGauges({ ...load, sink, context, nodeCount, storeEra });
     },
     run: ({ signal }) =>
       runParts({ ...opts, ...rolloutParts, stages, tasks, eventLoop, members, mirrors, signal }),
@@ -195,6 +196,17 @@
   stopWatch();
 }
 
+function bindStages({
+  submitter,
+  permits,
+}: Stages): Pick<RouterContext, 'submitPiece' | 'freeResults' | 'obtainPermit'> {
+  return {
+    submitPiece: submitter.submit,
+    freeResults: (handles) => submitter.free(handles),
+    obtainPermit: (target) => permits.obtain(target),
+  };
+}
+
 function createDurations(): Pick<
   RouterContext,
   'responseTimes' | 'wholeResponseTimes' | 'pieceTimes'
--- a/packages/router/src/createStages.ts
+++ b/packages/router/src/createStages.ts
@@ -5,6 +5,7 @@
 import type { RouterSettings } from '@galenatiller/settings';
 import type { Member, PrefixRelay } from '@galenatiller/store';
 import {
+  type ColdRateLimiter,
   type CrashSuspects,
   type TargetDirectory,
   type TargetNotices,
@@ -26,6 +27,7 @@
   StageSubmitter,
 } from './ownership/index.js';
 import { PeerRouters } from './peerRouters.js';
+import { Permits } from './permits.js';
 import type { TargetClient } from './ports.js';
 import { recordBatchMetrics } from './recordMetrics.js';
 import type { Rollouts } from './rollouts.js';
@@ -46,12 +48,15 @@
   readonly routes: RouteTable;
   readonly targets: TargetDirectory;
   readonly notices: TargetNotices;
+  readonly coldRateLimiter: ColdRateLimiter;
   readonly nodeCount: () => number;
   readonly tasks: TaskGroup;
   readonly crashSuspects: CrashSuspects;
   readonly rollouts: Rollouts;
   /** Passes what this node has read from the store on to other routers. */
   readonly relay: PrefixRelay;
+  /** Time since the store last proved what this node knows. */
+  readonly evidenceAgeMs: () => number;
 }
 
 /** What runs stages: on this node, or through the routers that own their services. */
@@ -63,6 +68,8 @@
   /** Limits the pieces that this node accepts while it lacks CPU time. */
   readonly credit: OwnerCredit;
   readonly peerService: PeerService;
+  /** Sends beyond the equal share of this node. */
+  readonly permits: Permits;
   /** Follows the targets that are registered now. */
   readonly onTargetsChanged: () => void;
   /** Sets the live routers. */
@@ -106,14 +113,18 @@
     onStageAbandoned: (event) => logAbandonedStage(log, event),
   });
   const credit = OwnerCredit.create({ piecesInProgress: () => workers.piecesInProgress });
-  const parts = { shards, owners, peers, workers, credit, resultMemory };
+  const permits = createPermits(opts, { owners, peers });
+  const parts = { shards, owners, peers, workers, credit, resultMemory, permits };
   const submitter = createSubmitter(opts, parts);
   const assignment = ShardAssignment.create({ ...opts, ...parts });
   return {
     ...parts,
     submitter,
     peerService: createPeerService({ ...opts, ...parts, submitter }),
-    setMembers: (members) => assignment.setMembers(members),
+    setMembers: (members) => {
+      assignment.setMembers(members);
+      permits.setMembers(members);
+    },
     onTargetsChanged: () => {
       opts.notices.onRegistered(opts.targets.all().map(toTargetStart));
       assignment.onTargetsChanged();
@@ -121,6 +132,19 @@
   };
 }
 
+function createPermits(
+  opts: CreateStagesOptions,
+  parts: { readonly owners: ServiceOwners; readonly peers: PeerRouters },
+): Permits {
+  return Permits.create({
+    ...opts,
+    ...parts,
+    selfName: opts.settings.nodeName,
+    maxColdRequestsPerSecond: (service) =>
+      opts.routes.findService(service)?.maxColdRequestsPerSecond ?? 0,
+  });
+}
+
 function createSubmitter(
   opts: CreateStagesOptions,
   parts: {
--- a/packages/router/src/routerContext.ts
+++ b/packages/router/src/routerContext.ts
@@ -13,6 +13,7 @@
 
 import type { CallCounter } from './callCounter.js';
 import type { CrashDetector } from './crashDetector.js';
+import type { PermitTarget } from './permits.js';
 import type { TargetClient } from './ports.js';
 import type { Rollouts } from './rollouts.js';
 import type { RouterStop } from './routerStop.js';
@@ -45,6 +46,8 @@
   readonly rollouts: Rollouts;
   readonly stop: RouterStop;
   readonly targetClient: TargetClient;
+  /** Obtains a permit for one send to a target beyond the equal share of this node. */
+  readonly obtainPermit: (target: PermitTarget) => Promise<boolean>;
   readonly submitPiece: SubmitPiece;
   /** Frees stage results, by their handles. */
   readonly freeResults: (handles: readonly string[]) => void;
--- a/packages/router/src/runAttempts.ts
+++ b/packages/router/src/runAttempts.ts
@@ -14,7 +14,7 @@
   type Refused,
 } from './endAttempts.js';
 import { getSharedFingerprints } from './computeFingerprints.js';
-import { chooseTargetForCall } from './chooseTargetForCall.js';
+import { chooseTargetWithPermit, type PermittedChoice } from './chooseTargetForCall.js';
 import { endForPause } from './endForPause.js';
 import { findPauseWait } from './findPauseWait.js';
 import { logAttempt, logBrokenResponse, recordWholeResponse } from './observeAttempt.js';
@@ -70,11 +70,11 @@
     startedAtMs + (admitted.deadlineAtMs - startedAtMs) * NO_TARGET_WAIT_SHARE;
   context.retryBudget.recordRequest(admitted.service);
   while (!signal.aborted) {
+    const choice = await chooseTargetWithPermit(opts, progress);
     const end = endBeforeSend(opts, progress);
     if (end) {
       return end;
     }
-    const choice = chooseTargetForCall(opts, progress);
     if (choice.kind !== 'chosen') {
       const waitEnd = endWait(opts, progress, { choice, stopWaitingAtMs });
       if (waitEnd) {
@@ -140,7 +140,7 @@
 async function runAttempt(
   opts: RunAttemptsOptions,
   progress: CallProgress,
-  choice: Extract<TargetChoice, { kind: 'chosen' }>,
+  choice: Extract<PermittedChoice, { kind: 'chosen' }>,
 ): Promise<AttemptsResult | undefined> {
   const { context, exchange, admitted, signal } = opts;
   const { timer, health } = context;
@@ -148,7 +148,9 @@
   const sentAtMs = timer.nowMs();
   progress.recordSend(target.id);
   opts.tracked.enter('sent');
-  context.coldRateLimiter.recordSent(target.address);
+  if (!choice.hasPermit) {
+    context.coldRateLimiter.recordSent(target.address);
+  }
   context.notices.recordSent(toTargetStart(target));
   const decrement = context.inFlight.increment(target.id);
   const remainingMs = admitted.deadlineAtMs - sentAtMs;
--- a/packages/router/test/freeNotices.steps.ts
+++ b/packages/router/test/freeNotices.steps.ts
@@ -3,6 +3,7 @@
 import { Given, Then, When } from '@cucumber/cucumber';
 import { PrefixRelay, StatedEra } from '@galenatiller/store';
 import {
+  ColdRateLimiter,
   CrashSuspects,
   type TargetDirectory,
   type TargetNotices,
@@ -54,6 +55,13 @@
     settings: { nodeName: 'router-1', availabilityZone: 'zone' },
     timer,
     random: () => 0.5,
+    coldRateLimiter: ColdRateLimiter.create({
+      timer,
+      nodeCount: () => 1,
+      overFactor: 1,
+      slackRequests: 0,
+    }),
+    evidenceAgeMs: () => 0,
     relay: PrefixRelay.create({ timer, storeEra: StatedEra.create({ onEvent: () => {} }) }),
     log: () => {},
     metrics: { count: () => {}, gauge: () => {}, timing: () => {} },
--- a/packages/router/test/support.ts
+++ b/packages/router/test/support.ts
@@ -232,6 +232,7 @@
     }),
     stop: RouterStop.create({ timer, onCallStopped: () => {} }),
     inFlight: CallCounter.create(),
+    obtainPermit: () => Promise.resolve(false),
     responseTimes: SmoothedDurations.create(),
     wholeResponseTimes: SmoothedDurations.create({ expireAfterMs: 60_000 }),
     pieceTimes: SmoothedDurations.create(),
--- a/packages/routerLink/src/acceptRouters.ts
+++ b/packages/routerLink/src/acceptRouters.ts
@@ -32,6 +32,11 @@
   /** Adds evidence to the rollouts that this router owns. */
   readonly addRolloutEvidence: (evidence: readonly RolloutEvidence[]) => void;
   readonly endRollout: (decision: RolloutDecision) => void;
+  /** Whether one more send to a target is granted to a peer. */
+  readonly tryGrantPermit: (opts: {
+    readonly service: string;
+    readonly address: string;
+  }) => boolean;
   /** Responds with what this router has read from the store. */
   readonly readRelayed: (opts: {
     readonly request: RelayRequest;
@@ -122,6 +127,12 @@
     case 'free':
       service.free(frame.handles);
       break;
+    case 'permit-request': {
+      const { requestId } = frame;
+      const isGranted = service.tryGrantPermit(frame);
+      link.socket.send({ kind: 'permit-response', requestId, isGranted });
+      break;
+    }
     case 'read-request':
       opts.tasks.start(() => respondToRead(opts, frame));
       break;
--- a/packages/routerLink/src/followRouter.ts
+++ b/packages/routerLink/src/followRouter.ts
@@ -32,7 +32,7 @@
 }
 
 /** Version of the frames; a router closes links from routers of another version. */
-export const LINK_VERSION = 5;
+export const LINK_VERSION = 6;
 
 /** Interval of pings, which are sent only while orders wait for a result. */
 const PING_INTERVAL_MS = 200;
@@ -65,6 +65,9 @@
   /** Reads of the peer's copy of the store that wait for a response. */
   private readonly reads = new Map<number, (response: RelayResponse | undefined) => void>();
 
+  /** Requests for permits that wait for a response. */
+  private readonly permits = new Map<number, (isGranted: boolean) => void>();
+
   private unansweredPings = 0;
 
   /** Whether the last link was closed for silence and the peer has sent nothing since. */
@@ -130,6 +133,30 @@
     });
   }
 
+  /** Asks the peer for one more send to a target; false also if it doesn't respond in time. */
+  requestPermit(opts: {
+    readonly service: string;
+    readonly address: string;
+    readonly signal: AbortSignal;
+  }): Promise<boolean> {
+    const { service, address, signal } = opts;
+    const requestId = this.nextRequestId;
+    this.nextRequestId += 1;
+    return new Promise((resolve) => {
+      const end = (isGranted: boolean): void => {
+        this.permits.delete(requestId);
+        signal.removeEventListener('abort', abandon);
+        resolve(isGranted);
+      };
+      const abandon = (): void => end(false);
+      signal.addEventListener('abort', abandon, { once: true });
+      this.permits.set(requestId, end);
+      if (signal.aborted || !this.send({ kind: 'permit-request', requestId, service, address })) {
+        end(false);
+      }
+    });
+  }
+
   /** Tells the peer to free results; false when there is no open link. */
   free(handles: readonly string[]): boolean {
     return this.send({ kind: 'free', handles });
@@ -205,6 +232,9 @@
     if (frame.kind === 'read-response') {
       this.reads.get(frame.requestId)?.(frame.response);
     }
+    if (frame.kind === 'permit-response') {
+      this.permits.get(frame.requestId)?.(frame.isGranted);
+    }
     if (frame.kind === 'piece-end' && !this.orders.end(frame) && frame.result.kind === 'made') {
       // The result was sent before the cancellation of its order arrived, so nothing else frees it.
       this.free([frame.result.handle]);
@@ -232,6 +262,7 @@
   private failRequests(): void {
     this.orders.endAll();
     [...this.reads.values()].forEach((end) => end(undefined));
+    [...this.permits.values()].forEach((end) => end(false));
   }
 
   private send(frame: RouterFrame): boolean {
--- a/packages/routerLink/src/routerFrames.ts
+++ b/packages/routerLink/src/routerFrames.ts
@@ -103,6 +103,22 @@
   readonly response: RelayResponse;
 }
 
+/** Asks the peer for a send to a target beyond the equal share of the sender. */
+export interface PermitRequestFrame {
+  readonly kind: 'permit-request';
+  readonly requestId: number;
+  /** Address of the target. */
+  readonly address: string;
+  readonly service: string;
+}
+
+/** Responds to a {@link PermitRequestFrame}. */
+export interface PermitResponseFrame {
+  readonly kind: 'permit-response';
+  readonly requestId: number;
+  readonly isGranted: boolean;
+}
+
 /** Checks that the peer is alive. */
 export interface PingFrame {
   readonly kind: 'ping';
@@ -128,5 +144,7 @@
   | RolloutDecisionFrame
   | ReadRequestFrame
   | ReadResponseFrame
+  | PermitRequestFrame
+  | PermitResponseFrame
   | PingFrame
   | PongFrame;
--- a/packages/routerLink/src/wireRouterFrame.ts
+++ b/packages/routerLink/src/wireRouterFrame.ts
@@ -93,6 +93,10 @@
   'read-request': (fields) => areNumbers(fields, ['requestId']) && isRelayRequest(fields.request),
   'read-response': (fields) =>
     areNumbers(fields, ['requestId']) && isRelayResponse(fields.response),
+  'permit-request': (fields) =>
+    areNumbers(fields, ['requestId']) && areStrings(fields, ['address', 'service']),
+  'permit-response': (fields) =>
+    areNumbers(fields, ['requestId']) && typeof fields.isGranted === 'boolean',
   ping: () => true,
   pong: (fields) => areNumbers(fields, ['maxPieces']),
 };
--- a/packages/routerLink/test/routerLink.steps.ts
+++ b/packages/routerLink/test/routerLink.steps.ts
@@ -53,6 +53,7 @@
           }),
         waitMs: () => 0,
         maxPieces: () => this.maxPiecesAtOwner,
+        tryGrantPermit: () => true,
         readRelayed: ({ request }) => {
           this.requestAtOwner = request;
           return Promise.resolve(RELAYED);
--- a/packages/target/src/chooseTarget.ts
+++ b/packages/target/src/chooseTarget.ts
@@ -23,7 +23,13 @@
  * limits allow no request to any candidate now.
  */
 export type TargetChoice =
-  | { readonly kind: 'chosen'; readonly target: RegisteredTarget; readonly reason: ChoiceReason }
+  | {
+      readonly kind: 'chosen';
+      readonly target: RegisteredTarget;
+      readonly reason: ChoiceReason;
+      /** Target that has the prompt cached, and that only the rate limits rule out. */
+      readonly limited: RegisteredTarget | undefined;
+    }
   | { readonly kind: 'none' | 'all-limited' };
 
 /**
@@ -69,14 +75,36 @@
   }
   const healthy = allowed.filter((target) => !opts.isSuspended(target));
   if (healthy.length === 0) {
-    return { kind: 'chosen', target: findLeastLoaded(allowed, opts), reason: 'last-resort' };
+    const target = findLeastLoaded(allowed, opts);
+    return { kind: 'chosen', target, reason: 'last-resort', limited: undefined };
   }
   const least = findLeastLoaded(healthy, opts);
+  const isOverloaded = (target: RegisteredTarget): boolean =>
+    computeLoad(target, opts) > computeLoad(least, opts) + AFFINITY_SLACK;
+  const limited = findLimited({ ...opts, candidates, allowed, isOverloaded });
   const preferred = findPreferredByPrompt(healthy, opts);
-  if (preferred && computeLoad(preferred, opts) <= computeLoad(least, opts) + AFFINITY_SLACK) {
-    return { kind: 'chosen', target: preferred, reason: 'affinity' };
+  return preferred && !isOverloaded(preferred)
+    ? { kind: 'chosen', target: preferred, reason: 'affinity', limited }
+    : { kind: 'chosen', target: least, reason: 'least-loaded', limited };
+}
+
+/** The target that would be chosen for the prompt if the rate limits allowed it; undefined if they do. */
+function findLimited(
+  opts: ChooseTargetOptions & {
+    readonly candidates: readonly RegisteredTarget[];
+    readonly allowed: readonly RegisteredTarget[];
+    readonly isOverloaded: (target: RegisteredTarget) => boolean;
+  },
+): RegisteredTarget | undefined {
+  const { candidates, allowed, isOverloaded } = opts;
+  if (candidates.length === allowed.length || opts.promptParts.length === 0) {
+    return undefined;
   }
-  return { kind: 'chosen', target: least, reason: 'least-loaded' };
+  const healthy = candidates.filter((target) => !opts.isSuspended(target));
+  const preferred = findPreferredByPrompt(healthy, opts);
+  return preferred && !allowed.includes(preferred) && !isOverloaded(preferred)
+    ? preferred
+    : undefined;
 }
 
 function findLeastLoaded(
--- a/packages/target/src/coldRateLimiter.ts
+++ b/packages/target/src/coldRateLimiter.ts
@@ -15,6 +15,9 @@
 
 const WINDOW_MS = 1_000;
 
+/** A node that has just started may send its first requests before the others know of it. */
+const SPARE_RESERVE = 1;
+
 /**
  * Limits the requests of all nodes to one target to what it can handle while cold. A target may
  * become cold without notice, so the limit always applies. A node only sees its own requests, so
@@ -36,10 +39,25 @@
     if (maxColdRequestsPerSecond === 0) {
       return true;
     }
+    const { ownPerSecond } = this.share(maxColdRequestsPerSecond);
+    return (this.sentCounters.get(address)?.count() ?? 0) < ownPerSecond;
+  }
+
+  /** Requests per second that the equal shares of the nodes leave over, less a reserve. */
+  sparePerSecond(maxColdRequestsPerSecond: number): number {
+    const { totalPerSecond, ownPerSecond, nodes } = this.share(maxColdRequestsPerSecond);
+    return Math.max(0, Math.floor(totalPerSecond) - ownPerSecond * nodes - SPARE_RESERVE);
+  }
+
+  private share(maxColdRequestsPerSecond: number): {
+    readonly totalPerSecond: number;
+    readonly ownPerSecond: number;
+    readonly nodes: number;
+  } {
     const { overFactor, slackRequests, nodeCount } = this.opts;
-    const totalLimit = maxColdRequestsPerSecond * overFactor + slackRequests;
-    const ownLimit = Math.max(1, Math.floor(totalLimit / Math.max(1, nodeCount())));
-    return (this.sentCounters.get(address)?.count() ?? 0) < ownLimit;
+    const totalPerSecond = maxColdRequestsPerSecond * overFactor + slackRequests;
+    const nodes = Math.max(1, nodeCount());
+    return { totalPerSecond, nodes, ownPerSecond: Math.max(1, Math.floor(totalPerSecond / nodes)) };
   }
 
   /** Records that a request is sent. */
--- a/packages/target/src/index.ts
+++ b/packages/target/src/index.ts
@@ -27,4 +27,5 @@
   TargetNotices,
   type TargetNoticesOptions,
 } from './targetNotices.js';
+export { SparePermits, type SparePermitsOptions } from './sparePermits.js';
 export { type TargetStart, toTargetStart } from './targetStart.js';
