Start a stage beside a longer chain so that it ends with it

Cause: all stages without dependencies started at once, so the large result of a stage beside a chain of three others waited for the chain for 1.5 to 3 s and took up a quarter to a third of all room.

Stages on the longest path never wait.

--- a/packages/router/src/computeStageDeadlines.ts
+++ b/packages/router/src/computeStageDeadlines.ts
@@ -44,29 +44,42 @@
   });
 }
 
-/** Options of {@link estimateStagesLeftMs}. */
-export interface EstimateStagesLeftOptions extends EstimateStageOptions {
+/** Options of {@link estimateStageEndsMs}. */
+export interface EstimateStageEndsOptions extends EstimateStageOptions {
   readonly isDone: (position: number) => boolean;
   /** Time since the pieces of a stage were submitted; 0 before. */
   readonly runningMs: (position: number) => number;
-  /** Measured time of a piece of a service, including its wait; 0 when unknown. */
-  readonly pieceMs: (service: string) => number;
+  /** Measured time of a stage, including the wait of its pieces; 0 when unknown. */
+  readonly usualMs: (position: number) => number;
 }
 
-/** Usual time until the last of the stages that are not done has its results. */
-export function estimateStagesLeftMs(opts: EstimateStagesLeftOptions): number {
+/** Usual time until each stage has its results. */
+export function estimateStageEndsMs(opts: EstimateStageEndsOptions): readonly number[] {
   const endsInMs: number[] = [];
-  opts.route.stages.forEach(({ service, dependsOn }, position) => {
+  opts.route.stages.forEach(({ dependsOn }, position) => {
     const startsInMs = Math.max(0, ...dependsOn.map((dependency) => endsInMs[dependency] ?? 0));
     const hasWork = !opts.isDone(position) && getPieceCount(opts.call, position) > 0;
-    const usualMs = hasWork ? Math.max(estimateStageMs(opts, position), opts.pieceMs(service)) : 0;
+    const usualMs = hasWork ? Math.max(estimateStageMs(opts, position), opts.usualMs(position)) : 0;
     endsInMs.push(startsInMs + Math.max(0, usualMs - opts.runningMs(position)));
   });
-  return Math.max(0, ...endsInMs);
+  return endsInMs;
+}
+
+/** Options of {@link estimateStagesLeftMs}. */
+export interface EstimateStagesLeftOptions extends Omit<EstimateStageEndsOptions, 'usualMs'> {
+  /** Measured time of a piece of a service, including its wait; 0 when unknown. */
+  readonly pieceMs: (service: string) => number;
+}
+
+/** Usual time until the last of the stages that are not done has its results. */
+export function estimateStagesLeftMs(opts: EstimateStagesLeftOptions): number {
+  const usualMs = (position: number): number =>
+    opts.pieceMs(opts.route.stages[position]?.service ?? '');
+  return Math.max(0, ...estimateStageEndsMs({ ...opts, usualMs }));
 }
 
 /** Time of one batch call with the pieces of a stage; 0 for a stage without pieces. */
-function estimateStageMs(opts: EstimateStageOptions, position: number): number {
+export function estimateStageMs(opts: EstimateStageOptions, position: number): number {
   const pieces = getPieceCount(opts.call, position);
   const limits = opts.findLimits(opts.route.stages[position]?.service ?? '');
   if (!limits || pieces === 0) {
--- a/packages/router/src/createRouter.ts
+++ b/packages/router/src/createRouter.ts
@@ -20,10 +20,11 @@
   toTargetStart,
 } from '@galenatiller/target';
 import { TaskGroup } from '@galenatiller/tasks';
-import { SmoothedDurations, type TimerService } from '@galenatiller/timer';
+import type { TimerService } from '@galenatiller/timer';
 
 import { CallCounter } from './callCounter.js';
 import { CrashDetector } from './crashDetector.js';
+import { createDurations } from './createDurations.js';
 import { EventLoopWatch } from './eventLoopWatch.js';
 import type {
   OperatorEntryDecoder,
@@ -195,17 +196,6 @@
   stopWatch();
 }
 
-function createDurations(): Pick<
-  RouterContext,
-  'responseTimes' | 'wholeResponseTimes' | 'pieceTimes'
-> {
-  return {
-    responseTimes: SmoothedDurations.create(),
-    wholeResponseTimes: SmoothedDurations.create({ expireAfterMs: RESPONSE_TIME_EXPIRES_MS }),
-    pieceTimes: SmoothedDurations.create(),
-  };
-}
-
 function createStop({ timer, log, metrics }: RouterOptions): RouterStop {
   return RouterStop.create({
     timer,
@@ -275,6 +265,3 @@
 }
 
 const MS_PER_S = 1_000;
-
-/** Routes with few calls still have a measured response time when the router stops. */
-const RESPONSE_TIME_EXPIRES_MS = 60_000;
--- a/packages/router/src/routerContext.ts
+++ b/packages/router/src/routerContext.ts
@@ -18,6 +18,7 @@
 import type { RouterStop } from './routerStop.js';
 import type { RouteTable } from './routeTable.js';
 import type { SubmitPiece } from './runStages.js';
+import type { StageTimes } from './stageTimes.js';
 
 /** State and functions that the task of a call uses. */
 export interface RouterContext {
@@ -36,6 +37,7 @@
   readonly wholeResponseTimes: SmoothedDurations;
   /** Time from the submission of a piece to its result, by service. */
   readonly pieceTimes: SmoothedDurations;
+  readonly stageTimes: StageTimes;
   readonly retryBudget: RetryBudget;
   readonly inFlight: CallCounter;
   /** Memory for responses of targets that are no streams. */
--- a/packages/router/src/runStages.ts
+++ b/packages/router/src/runStages.ts
@@ -1,5 +1,6 @@
 import { setMaxListeners } from 'node:events';
 
+import type { TimerService } from '@galenatiller/timer';
 import type {
   PieceFailure,
   PieceResult,
@@ -34,6 +35,9 @@
   /** How long the workers of a service keep results. */
   readonly resultTtlMs: (service: string) => number;
   readonly submit: SubmitPiece;
+  /** Time for which a stage whose dependencies are done should still wait, as far as is known now. */
+  readonly startDelayMs: (position: number) => number;
+  readonly sleep: TimerService['sleep'];
   /** Called when the pieces of a stage are submitted. */
   readonly onStageStarted: (position: number) => void;
   /** Called when all pieces of a stage have results. */
@@ -89,6 +93,7 @@
     );
     const run = dependencies.then(async (earlier) => {
       const inputs = earlier.flat();
+      await waitForStart({ ...opts, position, signal });
       opts.onStageStarted(position);
       const pieces = Array.from({ length: getPieceCount(call, position) }, (_, piece) => piece);
       const results = await Promise.all(
@@ -157,6 +162,23 @@
   };
 }
 
+/** Other stages of a call may end earlier than was expected, which is noticed within this time. */
+const START_CHECK_INTERVAL_MS = 100;
+
+/** Waits until a stage should start, or until the signal aborts. */
+async function waitForStart(
+  opts: Pick<RunStagesOptions, 'startDelayMs' | 'sleep' | 'signal'> & { readonly position: number },
+): Promise<void> {
+  const { signal, position } = opts;
+  for (let waitMs = opts.startDelayMs(position); waitMs > 0; waitMs = opts.startDelayMs(position)) {
+    const delayMs = Math.min(Math.ceil(waitMs), START_CHECK_INTERVAL_MS);
+    await opts.sleep({ delayMs, signal });
+    if (signal.aborted) {
+      return;
+    }
+  }
+}
+
 /** Frees the results of each stage as soon as every stage that depends on it is done. */
 function freeWhenUsed(opts: {
   readonly route: RouteConfig;
--- a/packages/router/src/serveCall.ts
+++ b/packages/router/src/serveCall.ts
@@ -24,14 +24,9 @@
   settleEnding,
 } from './endAttempts.js';
 import { runAttempts } from './runAttempts.js';
-import {
-  runStages,
-  type StageResultHandle,
-  type StagesDone,
-  type StagesFailed,
-  type SubmitPiece,
-} from './runStages.js';
+import { runStages, type StagesDone, type StagesFailed } from './runStages.js';
 import { StageProgress } from './stageProgress.js';
+import { findStartDelayMs, freeResults, recordStageDone, submitTimed } from './stageTiming.js';
 import { computeStageDeadlines, computeZoneWaitLimits } from './computeStageDeadlines.js';
 
 /** Options of {@link serveCall}. */
@@ -207,33 +202,15 @@
     nowMs: () => context.timer.nowMs(),
     resultTtlMs: (service) => deadlineOptions.findLimits(service)?.resultTtlMs ?? 0,
     submit: submitTimed(context),
+    startDelayMs: (position) => findStartDelayMs(opts, position),
+    sleep: (sleep) => context.timer.sleep(sleep),
     onStageStarted: (position) => opts.stageProgress.recordStart(position),
-    onStageDone: (position) => opts.stageProgress.recordDone(position),
+    onStageDone: (position) => recordStageDone(opts, position),
     free: (results) => freeResults(context, results),
     signal,
   });
 }
 
-/** Submits pieces and measures how long they take. */
-function submitTimed(context: RouterContext): SubmitPiece {
-  return async (submitted) => {
-    const startedAtMs = context.timer.nowMs();
-    const result = await context.submitPiece(submitted);
-    if (result.kind === 'made') {
-      const nowMs = context.timer.nowMs();
-      const durationMs = nowMs - startedAtMs;
-      context.pieceTimes.observe({ name: submitted.service, durationMs, nowMs });
-    }
-    return result;
-  };
-}
-
-function freeResults(context: RouterContext, results: readonly StageResultHandle[]): void {
-  if (results.length > 0) {
-    context.freeResults(results.map(({ handle }) => handle));
-  }
-}
-
 function endFailedStages(opts: RunCallOptions, failure: StagesFailed): Refused {
   const { context, admitted, progress } = opts;
   if (progress.runs > 0) {
--- a/packages/router/test/support.ts
+++ b/packages/router/test/support.ts
@@ -14,7 +14,7 @@
   TargetNotices,
   toTargetStart,
 } from '@galenatiller/target';
-import { type ManualClock, SmoothedDurations, type TimerService } from '@galenatiller/timer';
+import type { ManualClock, TimerService } from '@galenatiller/timer';
 import type {
   PieceFailure,
   RegisteredTarget,
@@ -26,6 +26,7 @@
 
 import { CallCounter } from '../src/callCounter.js';
 import { CrashDetector } from '../src/crashDetector.js';
+import { createDurations } from '../src/createDurations.js';
 import type { CallerExchange, ResponseHead, SendCallOptions, SendResult } from '../src/ports.js';
 import { Rollouts } from '../src/rollouts.js';
 import type { RouterContext } from '../src/routerContext.js';
@@ -232,9 +233,7 @@
     }),
     stop: RouterStop.create({ timer, onCallStopped: () => {} }),
     inFlight: CallCounter.create(),
-    responseTimes: SmoothedDurations.create(),
-    wholeResponseTimes: SmoothedDurations.create({ expireAfterMs: 60_000 }),
-    pieceTimes: SmoothedDurations.create(),
+    ...createDurations(),
     targetClient: {
       sendCall: async (opts) => {
         world.sends.push(opts);
