Free the inputs of pieces once their batch call has begun

Cause: a worker fetches the inputs of a batch call when its turn comes, but they were freed only after all pieces of the later stage were done, 0.3 s later. In a burst of chains the room of the stage before limits how full its calls are.

Change: the only sender of calls to a worker knows that a call begins when it arrives. 80 ms after the send it reports that the pieces have begun, over links in one frame for the pieces of a call and only where the order asked for it; the router of the call frees the inputs once all consumers have begun. It is not reported when the last call to the worker did not end well, when the worker is slow, when other routers may send to it, or when less than 5 % of its room is left, since a piece that finds no room needs its inputs again. A piece that fails after the report fails as input-gone at once.

--- a/packages/pool/src/dispatchBatches.ts
+++ b/packages/pool/src/dispatchBatches.ts
@@ -7,10 +7,13 @@
   TargetNotice,
 } from '@galenatiller/types';
 
+import { abortWhenAllCancelled } from './abortWhenAllCancelled.js';
+import type { BatchOutcome } from './beginsAtOnce.js';
 import { computeRefusedPauseMs } from './computeRefusedPauseMs.js';
 import type { ResultMemory } from './resultMemory.js';
 import type { SeenHandles } from './seenHandles.js';
 import type { StageQueue, TakenPiece } from './stageQueue.js';
+import { watchStart } from './watchStart.js';
 import type { WorkerSpeed } from './workerSpeed.js';
 
 /** Response to a batch call: one result for each piece, or why there is none. */
@@ -101,6 +104,7 @@
   const { timer, queue, target, resultMemory, workerSpeed, signal } = opts;
   let failures = 0;
   let refusals = 0;
+  let lastOutcome: BatchOutcome = 'none';
   while (!signal.aborted) {
     const limits = opts.limits();
     if (!limits || !opts.isUsable(target)) {
@@ -123,7 +127,8 @@
       continue;
     }
     opts.onSent(target);
-    const outcome = await runBatch({ ...opts, limits, taken });
+    const outcome = await runBatch({ ...opts, limits, taken, lastOutcome });
+    lastOutcome = outcome;
     failures = outcome === 'failed' ? failures + 1 : 0;
     refusals = outcome === 'refused' ? refusals + 1 : 0;
     if (outcome === 'failed') {
@@ -138,12 +143,11 @@
   }
 }
 
-type BatchOutcome = 'done' | 'refused' | 'failed';
-
 async function runBatch(
   opts: Omit<DispatchBatchesOptions, 'limits'> & {
     readonly limits: BatchLimits;
     readonly taken: readonly TakenPiece[];
+    readonly lastOutcome: BatchOutcome;
   },
 ): Promise<BatchOutcome> {
   const { timer, target, taken, limits, resultMemory, workerSpeed } = opts;
@@ -159,6 +163,7 @@
   const pieces = taken.map(({ queued: queuedPiece }) => queuedPiece.piece);
   const bytes = pieces.reduce((sum, piece) => sum + piece.resultBytes, 0);
   resultMemory.reserve(target.address, bytes);
+  const start = watchStart(opts);
   const received = await opts.runPieces({
     target,
     pieces,
@@ -168,24 +173,18 @@
   passNotice(opts, response);
   timeout.release();
   cancellation.release();
+  start.release();
   resultMemory.releaseReservation(target.address, bytes);
   const tookMs = timer.nowMs() - startedAtMs;
-  opts.onBatch({
-    target,
-    requestIds: pieces.map((piece) => piece.requestId),
-    stages: pieces.map((piece) => piece.stage),
-    tookMs: Math.round(tookMs),
-    waitedMs: Math.round(
-      startedAtMs - Math.min(...taken.map(({ queued: queuedPiece }) => queuedPiece.queuedSinceMs)),
-    ),
-    kind: response.kind,
-    outcome:
-      response.kind === 'answered'
-        ? describeResults(response.results)
-        : `${response.kind}: ${response.detail}`,
-  });
+  opts.onBatch(describeBatch({ ...opts, response, startedAtMs, tookMs }));
   if (response.kind !== 'answered') {
-    taken.forEach((piece) => retryOrFail(piece, response.kind !== 'refused'));
+    taken.forEach((piece) =>
+      retryOrFail({
+        piece,
+        countsAsAttempt: response.kind !== 'refused',
+        areInputsFreed: start.isBegun(),
+      }),
+    );
     if (!cancellation.signal.aborted && response.kind !== 'refused') {
       workerSpeed.recordFailure(target.address);
     }
@@ -195,12 +194,35 @@
   response.results.forEach((result, position) => {
     const piece = taken[position];
     if (piece) {
-      settlePiece({ ...opts, piece, result });
+      settlePiece({ ...opts, piece, result, areInputsFreed: start.isBegun() });
     }
   });
   return 'done';
 }
 
+function describeBatch(opts: {
+  readonly target: RegisteredTarget;
+  readonly taken: readonly TakenPiece[];
+  readonly response: BatchResponse;
+  readonly startedAtMs: number;
+  readonly tookMs: number;
+}): BatchEvent {
+  const { target, taken, response, startedAtMs, tookMs } = opts;
+  const queuedSinceMs = taken.map(({ queued }) => queued.queuedSinceMs);
+  return {
+    target,
+    requestIds: taken.map(({ queued }) => queued.piece.requestId),
+    stages: taken.map(({ queued }) => queued.piece.stage),
+    tookMs: Math.round(tookMs),
+    waitedMs: Math.round(startedAtMs - Math.min(...queuedSinceMs)),
+    kind: response.kind,
+    outcome:
+      response.kind === 'answered'
+        ? describeResults(response.results)
+        : `${response.kind}: ${response.detail}`,
+  };
+}
+
 /**
  * Rejects a response that belongs to another batch call: it has the wrong number of results, or
  * results seen before. One without any result may repeat an earlier response, but does no harm.
@@ -241,6 +263,7 @@
   readonly resultMemory: ResultMemory;
   readonly piece: TakenPiece;
   readonly result: PieceResult;
+  readonly areInputsFreed: boolean;
 }): void {
   const { piece, result, resultMemory } = opts;
   if (result.kind === 'made') {
@@ -256,13 +279,25 @@
     resultMemory.recordFull(opts.target.address);
   }
   if (result.reason === 'no-room' || result.reason === 'failed') {
-    retryOrFail(piece, result.reason === 'failed');
+    retryOrFail({ ...opts, countsAsAttempt: result.reason === 'failed' });
     return;
   }
   piece.settle(result);
 }
 
-function retryOrFail(piece: TakenPiece, countsAsAttempt: boolean): void {
+const INPUT_GONE: PieceResult = { kind: 'failed', reason: 'input-gone' };
+
+function retryOrFail(opts: {
+  readonly piece: TakenPiece;
+  readonly countsAsAttempt: boolean;
+  readonly areInputsFreed: boolean;
+}): void {
+  const { piece, countsAsAttempt } = opts;
+  if (opts.areInputsFreed && piece.onBegun) {
+    // A worker would only find out when the turn of the next call comes.
+    piece.settle(INPUT_GONE);
+    return;
+  }
   if (countsAsAttempt && piece.queued.attempts + 1 >= MAX_ATTEMPTS) {
     piece.settle({ kind: 'failed', reason: 'unreachable' });
     return;
@@ -276,24 +311,3 @@
     ? 'made'
     : `made ${results.length - failed.length}, ${failed.join(' ')}`;
 }
-
-/** Creates a signal that aborts once all pieces are cancelled. */
-function abortWhenAllCancelled(taken: readonly TakenPiece[]): {
-  readonly signal: AbortSignal;
-  readonly release: () => void;
-} {
-  const controller = new AbortController();
-  // The pieces of a stage of a request share a signal.
-  const signals = new Set(taken.map((piece) => piece.signal));
-  const check = (): void => {
-    if ([...signals].every((signal) => signal.aborted)) {
-      controller.abort();
-    }
-  };
-  signals.forEach((signal) => signal.addEventListener('abort', check, { once: true }));
-  check();
-  const release = (): void => {
-    signals.forEach((signal) => signal.removeEventListener('abort', check));
-  };
-  return { signal: controller.signal, release };
-}
--- a/packages/pool/src/stageQueue.ts
+++ b/packages/pool/src/stageQueue.ts
@@ -49,6 +49,7 @@
   readonly preferredZone: string;
   /** Called with undefined when the piece is handed back. */
   readonly settle: (result: PieceResult | undefined) => void;
+  readonly onBegun: (() => void) | undefined;
   readonly signal: AbortSignal;
 }
 
@@ -61,6 +62,8 @@
    * it.
    */
   readonly requeue: (opts: { readonly countsAsAttempt: boolean }) => void;
+  /** Says that a worker has fetched the inputs, which may be freed then; undefined where none asked. */
+  readonly onBegun: (() => void) | undefined;
   /** Aborts when the result is no longer needed. */
   readonly signal: AbortSignal;
 }
@@ -95,8 +98,10 @@
   submit(opts: {
     readonly piece: StagePiece;
     readonly signal: AbortSignal;
+    /** Called once a worker has surely fetched the inputs of the piece; may never be called. */
+    readonly onBegun?: (() => void) | undefined;
   }): Promise<PieceResult | undefined> {
-    const { piece, signal } = opts;
+    const { piece, signal, onBegun } = opts;
     if (signal.aborted) {
       return Promise.resolve(LATE);
     }
@@ -115,6 +120,7 @@
         preferredZone: piece.zoneHint || this.opts.inputZone(piece),
         signal,
         settle,
+        onBegun,
         queuedSinceMs: this.opts.timer.nowMs(),
         attempts: 0,
       });
@@ -189,6 +195,7 @@
       queued: pending,
       settle: pending.settle,
       signal: pending.signal,
+      onBegun: pending.onBegun,
       requeue: ({ countsAsAttempt }) => {
         if (!pending.signal.aborted) {
           this.add({ ...pending, attempts: pending.attempts + (countsAsAttempt ? 1 : 0) });
--- a/packages/router/src/ownership/stageSubmitter.ts
+++ b/packages/router/src/ownership/stageSubmitter.ts
@@ -13,6 +13,8 @@
   readonly shard: string;
   readonly piece: StagePiece;
   readonly signal: AbortSignal;
+  /** Called once a worker has surely fetched the inputs of the piece; may never be called. */
+  readonly onBegun?: (() => void) | undefined;
 }
 
 /** Submits a piece to workers from this node; resolves to undefined when no worker took it and it is handed back. */
--- a/packages/router/src/runStages.ts
+++ b/packages/router/src/runStages.ts
@@ -11,12 +11,15 @@
 } from '@galenatiller/types';
 
 import { getPieceCount } from './computeStageDeadlines.js';
+import { StageStart } from './stageStart.js';
 
 /** Submits a piece to the workers of a service. */
 export type SubmitPiece = (opts: {
   readonly service: string;
   readonly piece: StagePiece;
   readonly signal: AbortSignal;
+  /** Called once a worker has surely fetched the inputs of the piece; may never be called. */
+  readonly onBegun?: (() => void) | undefined;
 }) => Promise<PieceResult>;
 
 /** Options of {@link runStages}. */
@@ -87,6 +90,7 @@
   setMaxListeners(0, signal);
   let failure: StagesFailed | undefined;
   const runs: Promise<readonly StageResultHandle[]>[] = [];
+  const starts = route.stages.map(() => StageStart.create());
   route.stages.forEach((stage, position) => {
     const dependencies = Promise.all(
       stage.dependsOn.map((earlier) => runs[earlier] ?? Promise.resolve([])),
@@ -104,30 +108,29 @@
           return opts.submit({
             service: stage.service,
             signal,
+            onBegun:
+              inputs.length > 0 ? () => starts[position]?.record(piece, pieces.length) : undefined,
             piece: createPiece({ ...opts, stage, position, piece, inputs }),
           });
         }),
       );
-      const made: StageResultHandle[] = [];
-      results.forEach((result) => {
-        if (result.kind === 'made') {
-          const expiresAtMs = opts.nowMs() + opts.resultTtlMs(stage.service);
-          made.push({ handle: result.handle, bytes: stage.resultBytes, expiresAtMs });
-        } else if (!failure) {
-          failure = { kind: 'failed', stage: position, reason: result.reason, free };
-          // The results of the other pieces are no longer needed.
-          abort.abort();
-        }
-      });
+      const made = findMade({ ...opts, stage, results });
       made.forEach((result) => heldResults.add(result));
+      const failed = results.find((result) => result.kind === 'failed');
+      if (failed && !failure) {
+        failure = { kind: 'failed', stage: position, reason: failed.reason, free };
+        // The results of the other pieces are no longer needed.
+        abort.abort();
+      }
       if (!failure) {
         opts.onStageDone(position);
+        starts[position]?.recordAll();
       }
       return made;
     });
     runs.push(run);
   });
-  freeWhenUsed({ route, runs, release });
+  freeWhenUsed({ route, runs, starts, release });
   const results = await Promise.all(runs);
   if (failure) {
     return failure;
@@ -137,6 +140,21 @@
   return { kind: 'done', inputs, free };
 }
 
+function findMade(
+  opts: Pick<RunStagesOptions, 'nowMs' | 'resultTtlMs'> & {
+    readonly stage: RouteStage;
+    readonly results: readonly PieceResult[];
+  },
+): readonly StageResultHandle[] {
+  const { stage } = opts;
+  const expiresAtMs = opts.nowMs() + opts.resultTtlMs(stage.service);
+  return opts.results.flatMap((result) =>
+    result.kind === 'made'
+      ? [{ handle: result.handle, bytes: stage.resultBytes, expiresAtMs }]
+      : [],
+  );
+}
+
 function createPiece(
   opts: RunStagesOptions & {
     readonly stage: RouteStage;
@@ -179,16 +197,19 @@
   }
 }
 
-/** Frees the results of each stage as soon as every stage that depends on it is done. */
+/** Frees the results of each stage as soon as every piece that depends on it has begun or is done. */
 function freeWhenUsed(opts: {
   readonly route: RouteConfig;
   readonly runs: readonly Promise<readonly StageResultHandle[]>[];
+  readonly starts: readonly StageStart[];
   readonly release: (results: readonly StageResultHandle[]) => void;
 }): void {
-  const { runs, release } = opts;
+  const { runs, starts, release } = opts;
   const { stages } = opts.route;
   runs.forEach((run, position) => {
-    const dependents = runs.filter((_, later) => stages[later]?.dependsOn.includes(position));
+    const dependents = starts
+      .filter((_, later) => stages[later]?.dependsOn.includes(position))
+      .map(({ allBegun }) => allBegun);
     if (dependents.length > 0) {
       Promise.all([run, ...dependents]).then(
         ([made]) => release(made),
--- a/packages/router/src/stageWorkers.ts
+++ b/packages/router/src/stageWorkers.ts
@@ -84,6 +84,7 @@
     readonly shard: string;
     readonly piece: StagePiece;
     readonly signal: AbortSignal;
+    readonly onBegun?: (() => void) | undefined;
   }): Promise<PieceResult | undefined> {
     const { service, shard: key } = opts;
     this.pieces += 1;
--- a/packages/router/test/roomTypes.ts
+++ b/packages/router/test/roomTypes.ts
@@ -29,6 +29,8 @@
   readonly sizeSpread?: number;
   /** Whether each stage starts as soon as its dependencies are done. */
   readonly startsAtOnce?: boolean;
+  /** Whether inputs are freed only when the pieces that used them are done. */
+  readonly freesWhenDone?: boolean;
 }
 
 /** How the calls of a class ended that began in a span of time. */
--- a/packages/routerLink/src/acceptRouters.ts
+++ b/packages/routerLink/src/acceptRouters.ts
@@ -71,6 +71,8 @@
   readonly socket: RouterSocket;
   /** The pieces in progress, by order id, and what cancels them. */
   readonly running: Map<number, AbortController>;
+  /** Pieces that have begun since the last frame about them. */
+  readonly begun: number[];
   /** Aborts when the link has ended. */
   readonly closed: AbortController;
 }
@@ -81,7 +83,12 @@
   links: Set<AcceptedLink>,
   socket: RouterSocket,
 ): Promise<void> {
-  const link: AcceptedLink = { socket, running: new Map(), closed: new AbortController() };
+  const link: AcceptedLink = {
+    socket,
+    running: new Map(),
+    begun: [],
+    closed: new AbortController(),
+  };
   // Each read in progress listens for the end of the link.
   setMaxListeners(0, link.closed.signal);
   let isHelloReceived = false;
@@ -177,6 +184,7 @@
         shard,
         piece: decodePiece({ frame, piece, nowMs: timer.nowMs() }),
         signal: controller.signal,
+        onBegun: frame.reportsBegun ? () => reportBegun(link, orderId) : undefined,
       });
       link.running.delete(orderId);
       const waitMs = opts.service.waitMs({ service, shard });
@@ -185,6 +193,17 @@
   });
 }
 
+/** Reports a piece that has begun; the pieces of one batch call share a frame. */
+function reportBegun(link: AcceptedLink, orderId: number): void {
+  link.begun.push(orderId);
+  if (link.begun.length === 1) {
+    queueMicrotask(() => {
+      const orderIds = link.begun.splice(0);
+      link.socket.send({ kind: 'pieces-begun', orderIds });
+    });
+  }
+}
+
 function decodePiece(opts: {
   readonly frame: PieceOrderFrame;
   readonly piece: number;
--- a/packages/routerLink/src/followRouter.ts
+++ b/packages/routerLink/src/followRouter.ts
@@ -205,6 +205,9 @@
     if (frame.kind === 'read-response') {
       this.reads.get(frame.requestId)?.(frame.response);
     }
+    if (frame.kind === 'pieces-begun') {
+      this.orders.begin(frame.orderIds);
+    }
     if (frame.kind === 'piece-end' && !this.orders.end(frame) && frame.result.kind === 'made') {
       // The result was sent before the cancellation of its order arrived, so nothing else frees it.
       this.free([frame.result.handle]);
--- a/packages/routerLink/src/pieceOrders.ts
+++ b/packages/routerLink/src/pieceOrders.ts
@@ -9,16 +9,20 @@
   readonly shard: string;
   readonly piece: StagePiece;
   readonly signal: AbortSignal;
+  /** Called once a worker has surely fetched the inputs of the piece; may never be called. */
+  readonly onBegun?: (() => void) | undefined;
 }
 
 interface PendingOrder {
   readonly shard: string;
+  readonly onBegun: (() => void) | undefined;
   /** Called with undefined when the link is lost. */
   readonly settle: (result: PieceResult | undefined) => void;
 }
 
 /** Pieces of one stage of a call, which are sent in one frame. */
-interface PendingGroup extends Omit<ShardPiece, 'piece'> {
+interface PendingGroup extends Omit<ShardPiece, 'piece' | 'onBegun'> {
+  readonly reportsBegun: boolean;
   /** Any of the pieces; the others differ in their number only. */
   readonly first: StagePiece;
   readonly pieces: OrderedPiece[];
@@ -75,7 +79,7 @@
 
   /** Orders a piece; resolves to undefined when the link is lost before the piece ends. */
   submit(opts: ShardPiece): Promise<PieceResult | undefined> {
-    const { shard, signal } = opts;
+    const { shard, signal, onBegun } = opts;
     const orderId = this.nextOrderId;
     this.nextOrderId += 1;
     return new Promise((resolve) => {
@@ -90,7 +94,7 @@
         resolve(result);
       };
       signal.addEventListener('abort', cancel, { once: true });
-      this.orders.set(orderId, { shard, settle: end });
+      this.orders.set(orderId, { shard, onBegun, settle: end });
       this.addToGroup(opts, orderId);
     });
   }
@@ -106,13 +110,19 @@
     return true;
   }
 
+  /** Notes that workers have fetched the inputs of pieces. */
+  begin(orderIds: readonly number[]): void {
+    orderIds.forEach((orderId) => this.orders.get(orderId)?.onBegun?.());
+  }
+
   /** Ends all orders without a result, since the link is lost. */
   endAll(): void {
     [...this.orders.values()].forEach(({ settle }) => settle(undefined));
   }
 
   private addToGroup(opts: ShardPiece, orderId: number): void {
-    const { piece, ...common } = opts;
+    const { piece, onBegun, ...common } = opts;
+    const reportsBegun = onBegun !== undefined;
     const ordered = { orderId, piece: piece.piece };
     const group = this.pendingGroups.find(
       ({ signal, shard, first }) =>
@@ -124,7 +134,7 @@
     if (group) {
       group.pieces.push(ordered);
     } else {
-      this.pendingGroups.push({ ...common, first: piece, pieces: [ordered] });
+      this.pendingGroups.push({ ...common, reportsBegun, first: piece, pieces: [ordered] });
     }
     this.scheduleFlush();
   }
@@ -151,7 +161,8 @@
     }
   }
 
-  private sendGroup({ service, shard, first, pieces }: PendingGroup): void {
+  private sendGroup(group: PendingGroup): void {
+    const { service, shard, first, pieces, reportsBegun } = group;
     const nowMs = this.opts.timer.nowMs();
     const { requestId, stage, key, inputs, resultBytes, zoneHint, priority } = first;
     const isSent = this.opts.send({
@@ -170,6 +181,7 @@
       dueInMs: first.dueAtMs - nowMs,
       zoneWaitInMs: first.zoneWaitUntilMs - nowMs,
       inputsExpireInMs: first.inputsExpireAtMs - nowMs,
+      ...(reportsBegun ? { reportsBegun } : {}),
     });
     if (!isSent) {
       pieces.forEach(({ orderId }) => this.orders.get(orderId)?.settle(undefined));
--- a/packages/routerLink/src/routerFrames.ts
+++ b/packages/routerLink/src/routerFrames.ts
@@ -42,6 +42,14 @@
   readonly zoneWaitInMs: number;
   /** Infinity for a piece without inputs. */
   readonly inputsExpireInMs: number;
+  /** Whether the sender wants to know when the pieces have begun; routers of an earlier release don't. */
+  readonly reportsBegun?: boolean;
+}
+
+/** Says that workers have fetched the inputs of pieces whose order asked for that. */
+export interface PiecesBegunFrame {
+  readonly kind: 'pieces-begun';
+  readonly orderIds: readonly number[];
 }
 
 /** Cancels pieces whose results are no longer wanted. */
@@ -120,6 +128,7 @@
   | HelloFrame
   | PieceOrderFrame
   | PieceCancelFrame
+  | PiecesBegunFrame
   | PieceEndFrame
   | FreeFrame
   | CrashEvidenceFrame
--- a/packages/routerLink/src/wireRouterFrame.ts
+++ b/packages/routerLink/src/wireRouterFrame.ts
@@ -81,6 +81,8 @@
   'piece-order': isPieceOrder,
   'piece-cancel': ({ orderIds }) =>
     Array.isArray(orderIds) && orderIds.every((orderId) => typeof orderId === 'number'),
+  'pieces-begun': ({ orderIds }) =>
+    Array.isArray(orderIds) && orderIds.every((orderId) => typeof orderId === 'number'),
   'piece-end': (fields) =>
     areNumbers(fields, ['orderId', 'waitMs']) && isPieceResult(fields.result),
   free: (fields) => isStringList(fields.handles),
@@ -119,6 +121,7 @@
     areNumbers(fields, numbers) &&
     areStrings(fields, ['service', 'shard', 'requestId', 'key', 'zoneHint']) &&
     isStringList(fields.inputs) &&
+    (fields.reportsBegun === undefined || typeof fields.reportsBegun === 'boolean') &&
     Array.isArray(fields.pieces) &&
     fields.pieces.every((ordered) => areNumbers(asFields(ordered), ['orderId', 'piece']))
   );
--- a/packages/routerLink/test/routerLink.feature
+++ b/packages/routerLink/test/routerLink.feature
@@ -10,6 +10,17 @@
     Then the peer gets the result "10.0.0.1:1/a"
     And at the owner the piece had to be done in about 2000 ms and was due in about 500 ms
 
+  # Guards against an order that a router of an earlier release sent, which could not read the frame.
+  Scenario Outline: The owner reports that a piece has begun to those that ask for it
+    When the peer orders a piece and <asks> to know when it has begun
+    And the owner has a worker that has begun it
+    Then the peer knows of <times> pieces that have begun
+
+    Examples:
+      | asks         | times |
+      | asks         | 1     |
+      | does not ask | 0     |
+
   Scenario: An order that is cancelled is also cancelled at the owner
     When the peer orders a piece that is due in 500 ms and has to be done in 2000 ms
     And the peer cancels it
