--- a/packages/router/src/runStages.ts
+++ b/packages/router/src/runStages.ts
@@ -1,5 +1,6 @@
 import { setMaxListeners } from 'node:events';
 
+import type { TimerService } from '@galenatiller/timer';
 import type {
   PieceFailure,
   PieceResult,
@@ -10,12 +11,15 @@
 } from '@galenatiller/types';
 
 import { getPieceCount } from './computeStageDeadlines.js';
+import { StageStart } from './stageStart.js';
 
 /** Submits a piece to the workers of a service. */
 export type SubmitPiece = (opts: {
   readonly service: string;
   readonly piece: StagePiece;
   readonly signal: AbortSignal;
+  /** Called once a worker has surely fetched the inputs of the piece; may never be called. */
+  readonly onBegun?: (() => void) | undefined;
 }) => Promise<PieceResult>;
 
 /** Options of {@link runStages}. */
@@ -34,6 +38,9 @@
   /** How long the workers of a service keep results. */
   readonly resultTtlMs: (service: string) => number;
   readonly submit: SubmitPiece;
+  /** Time for which a stage whose dependencies are done should still wait, as far as is known now. */
+  readonly startDelayMs: (position: number) => number;
+  readonly sleep: TimerService['sleep'];
   /** Called when the pieces of a stage are submitted. */
   readonly onStageStarted: (position: number) => void;
   /** Called when all pieces of a stage have results. */
@@ -83,12 +90,14 @@
   setMaxListeners(0, signal);
   let failure: StagesFailed | undefined;
   const runs: Promise<readonly StageResultHandle[]>[] = [];
+  const starts = route.stages.map(() => StageStart.create());
   route.stages.forEach((stage, position) => {
     const dependencies = Promise.all(
       stage.dependsOn.map((earlier) => runs[earlier] ?? Promise.resolve([])),
     );
     const run = dependencies.then(async (earlier) => {
       const inputs = earlier.flat();
+      await waitForStart({ ...opts, position, signal });
       opts.onStageStarted(position);
       const pieces = Array.from({ length: getPieceCount(call, position) }, (_, piece) => piece);
       const results = await Promise.all(
@@ -99,30 +108,29 @@
           return opts.submit({
             service: stage.service,
             signal,
+            onBegun:
+              inputs.length > 0 ? () => starts[position]?.record(piece, pieces.length) : undefined,
             piece: createPiece({ ...opts, stage, position, piece, inputs }),
           });
         }),
       );
-      const made: StageResultHandle[] = [];
-      results.forEach((result) => {
-        if (result.kind === 'made') {
-          const expiresAtMs = opts.nowMs() + opts.resultTtlMs(stage.service);
-          made.push({ handle: result.handle, bytes: stage.resultBytes, expiresAtMs });
-        } else if (!failure) {
-          failure = { kind: 'failed', stage: position, reason: result.reason, free };
-          // The results of the other pieces are no longer needed.
-          abort.abort();
-        }
-      });
+      const made = findMade({ ...opts, stage, results });
       made.forEach((result) => heldResults.add(result));
+      const failed = results.find((result) => result.kind === 'failed');
+      if (failed && !failure) {
+        failure = { kind: 'failed', stage: position, reason: failed.reason, free };
+        // The results of the other pieces are no longer needed.
+        abort.abort();
+      }
       if (!failure) {
         opts.onStageDone(position);
+        starts[position]?.recordAll();
       }
       return made;
     });
     runs.push(run);
   });
-  freeWhenUsed({ route, runs, release });
+  freeWhenUsed({ route, runs, starts, release });
   const results = await Promise.all(runs);
   if (failure) {
     return failure;
@@ -132,6 +140,21 @@
   return { kind: 'done', inputs, free };
 }
 
+function findMade(
+  opts: Pick<RunStagesOptions, 'nowMs' | 'resultTtlMs'> & {
+    readonly stage: RouteStage;
+    readonly results: readonly PieceResult[];
+  },
+): readonly StageResultHandle[] {
+  const { stage } = opts;
+  const expiresAtMs = opts.nowMs() + opts.resultTtlMs(stage.service);
+  return opts.results.flatMap((result) =>
+    result.kind === 'made'
+      ? [{ handle: result.handle, bytes: stage.resultBytes, expiresAtMs }]
+      : [],
+  );
+}
+
 function createPiece(
   opts: RunStagesOptions & {
     readonly stage: RouteStage;
@@ -157,16 +180,36 @@
   };
 }
 
-/** Frees the results of each stage as soon as every stage that depends on it is done. */
+/** Other stages of a call may end earlier than was expected, which is noticed within this time. */
+const START_CHECK_INTERVAL_MS = 100;
+
+/** Waits until a stage should start, or until the signal aborts. */
+async function waitForStart(
+  opts: Pick<RunStagesOptions, 'startDelayMs' | 'sleep' | 'signal'> & { readonly position: number },
+): Promise<void> {
+  const { signal, position } = opts;
+  for (let waitMs = opts.startDelayMs(position); waitMs > 0; waitMs = opts.startDelayMs(position)) {
+    const delayMs = Math.min(Math.ceil(waitMs), START_CHECK_INTERVAL_MS);
+    await opts.sleep({ delayMs, signal });
+    if (signal.aborted) {
+      return;
+    }
+  }
+}
+
+/** Frees the results of each stage as soon as every piece that depends on it has begun or is done. */
 function freeWhenUsed(opts: {
   readonly route: RouteConfig;
   readonly runs: readonly Promise<readonly StageResultHandle[]>[];
+  readonly starts: readonly StageStart[];
   readonly release: (results: readonly StageResultHandle[]) => void;
 }): void {
-  const { runs, release } = opts;
+  const { runs, starts, release } = opts;
   const { stages } = opts.route;
   runs.forEach((run, position) => {
-    const dependents = runs.filter((_, later) => stages[later]?.dependsOn.includes(position));
+    const dependents = starts
+      .filter((_, later) => stages[later]?.dependsOn.includes(position))
+      .map(({ allBegun }) => allBegun);
     if (dependents.length > 0) {
       Promise.all([run, ...dependents]).then(
         ([made]) => release(made),
