Order stage work so that the most calls are on time

Cause: pieces were taken by the due time of their whole call. In a burst all calls of a class became a little late together, and pieces of calls that were late already kept the queues long afterwards.

Change: packages/scheduling decides the order without a network. The pool asks it which stages can start in time for their call to be on time, delays the rest at once (Moore's algorithm, fair between organisations, half of the requests exempt from the choice by size), and orders late work by what remains. Piece orders carry the facts in an optional field. The gate sheds by the same order.

--- a/packages/gate/src/fairPriorityQueue.ts
+++ b/packages/gate/src/fairPriorityQueue.ts
@@ -1,6 +1,6 @@
+import { compareOnTime, YieldOrder } from '@galenatiller/scheduling';
 import type { Maybe } from 'true-myth';
 
-import { chooseRequestToShed } from './chooseRequestToShed.js';
 import { getCostMs, FairQueue } from './fairQueue.js';
 import type { CreateQueueOptions, RequestQueue, QueuedRequest } from './queuePolicy.js';
 
@@ -99,12 +99,24 @@
     return late;
   }
 
-  /** Removes requests of the organisations that exceed their share the most. */
+  /** Removes requests of the organisations that exceed their share the most, the last ones first. */
   shed(opts: { readonly maxSize: number }): readonly Request[] {
+    if (this.waitingCount <= opts.maxSize) {
+      return [];
+    }
+    const yieldOrder = YieldOrder.create<Request>({
+      getCostMs,
+      getUsedMs: () => 0,
+      getWeight: this.opts.getWeight,
+      compare: (left, right) => compareOnTime(toWork(left), toWork(right)),
+    });
+    this.listRequests().forEach((request) => yieldOrder.add(request));
     const shed: Request[] = [];
     while (this.waitingCount > opts.maxSize) {
-      const requests = this.listRequests();
-      const request = chooseRequestToShed({ requests, getWeight: this.opts.getWeight });
+      const request = yieldOrder.takeNext();
+      if (!request) {
+        break;
+      }
       this.remove(request);
       shed.push(request);
     }
@@ -142,3 +154,11 @@
     return new FairPriorityQueue(this.opts, classes, this.waitingCount, this.batchCreditMs);
   }
 }
+
+function toWork(request: QueuedRequest): Parameters<typeof compareOnTime>[0] {
+  return {
+    priority: request.priority === 'interactive' ? 0 : 1,
+    hasBegun: false,
+    latestStartAtMs: request.deadlineAtMs,
+  };
+}
--- a/packages/pool/src/findInfeasible.ts
+++ b/packages/pool/src/findInfeasible.ts
@@ -1,15 +1,6 @@
 import { groupByStage } from './groupByStage.js';
 import type { QueuedPiece } from './queuedPiece.js';
-
-/** Throughput of all workers of a service together. */
-export interface StageThroughput {
-  /** 0 when no worker is usable. */
-  readonly piecesPerMs: number;
-  /** Duration of a full batch call. */
-  readonly callMs: number;
-  /** Time until the first worker accepts calls again; 0 unless all of them are paused. */
-  readonly pausedMs: number;
-}
+import type { StageThroughput } from './stageThroughput.js';
 
 /** Pieces of one stage of one request that can't finish before their deadline. */
 export interface InfeasibleGroup<Piece> {
--- a/packages/pool/src/groupByStage.ts
+++ b/packages/pool/src/groupByStage.ts
@@ -6,12 +6,11 @@
 ): readonly (readonly Piece[])[] {
   const groups = new Map<string, Piece[]>();
   ordered.forEach((queued) => {
-    const key = `${queued.piece.requestId} ${queued.piece.stage}`;
-    const group = groups.get(key);
+    const group = groups.get(queued.groupKey);
     if (group) {
       group.push(queued);
     } else {
-      groups.set(key, [queued]);
+      groups.set(queued.groupKey, [queued]);
     }
   });
   return [...groups.values()];
--- a/packages/pool/src/index.ts
+++ b/packages/pool/src/index.ts
@@ -1,7 +1,7 @@
 /** Client of encoder, retriever and reranker pools, with the queue that batches their work. */
 export { computeRefusedPauseMs, type RefusedPauseOptions } from './computeRefusedPauseMs.js';
-export { comparePieces } from './comparePieces.js';
-export type { StageThroughput } from './findInfeasible.js';
+export { orderPieces } from './orderPieces.js';
+export type { StageThroughput } from './stageThroughput.js';
 export { SeenHandles } from './seenHandles.js';
 export { toWorkerAddress, ResultMemory, type ResultMemoryOptions } from './resultMemory.js';
 export { runPoolStage, type RunPoolStageOptions } from './runPoolStage.js';
@@ -19,4 +19,4 @@
   type StageQueueOptions,
 } from './stageQueue.js';
 export { WorkerSpeed } from './workerSpeed.js';
-export type { ComparePieces, QueuedPiece } from './queuedPiece.js';
+export type { OrderedPieces, OrderPieces, QueuedPiece } from './queuedPiece.js';
--- a/packages/pool/src/stageQueue.ts
+++ b/packages/pool/src/stageQueue.ts
@@ -1,15 +1,17 @@
+import { isSizeExempt, OrganisationUsage } from '@galenatiller/scheduling';
 import type { TimerService } from '@galenatiller/timer';
 import type { BatchLimits, RegisteredTarget, PieceResult, StagePiece } from '@galenatiller/types';
 
 import { choosePieces } from './choosePieces.js';
 import { findIdleZones } from './findIdleZones.js';
-import { findInfeasible, type StageThroughput } from './findInfeasible.js';
-import type { ComparePieces, QueuedPiece } from './queuedPiece.js';
+import { findInfeasible } from './findInfeasible.js';
+import type { OrderPieces, QueuedPiece } from './queuedPiece.js';
+import type { StageThroughput } from './stageThroughput.js';
 
 /** Options of {@link StageQueue.create}. */
 export interface StageQueueOptions {
   readonly timer: TimerService;
-  readonly compare: ComparePieces;
+  readonly order: OrderPieces;
   readonly inputZone: FindInputZone;
   readonly throughput: () => StageThroughput;
   /** Zones that have a usable worker of normal speed. */
@@ -74,6 +76,8 @@
 
   private readonly wakers = new Set<() => void>();
 
+  private readonly usage = OrganisationUsage.create();
+
   private isCheckScheduled = false;
 
   private constructor(private readonly opts: StageQueueOptions) {}
@@ -112,6 +116,8 @@
       signal.addEventListener('abort', cancel, { once: true });
       this.add({
         piece,
+        groupKey: `${piece.requestId} ${piece.stage}`,
+        isSizeExempt: isSizeExempt(piece.requestId),
         preferredZone: piece.zoneHint || this.opts.inputZone(piece),
         signal,
         settle,
@@ -139,7 +145,7 @@
   }
 
   private takeNow(opts: TakeOptions): readonly TakenPiece[] {
-    const { timer, compare } = this.opts;
+    const { timer, order } = this.opts;
     const nowMs = timer.nowMs();
     if (this.waiting.length === 0) {
       return [];
@@ -155,19 +161,33 @@
     if (this.waiting.every(({ piece }) => piece.resultBytes > availableBytes)) {
       return [];
     }
-    const ordered = this.findTakeable(opts, nowMs).sort((left, right) =>
-      compare({ left, right, nowMs }),
-    );
+    const pieces = this.findTakeable(opts, nowMs);
+    const { usage } = this;
+    const throughput = this.opts.throughput();
+    const { ordered } = order({ pieces, nowMs, throughput, usage });
     const chosen = choosePieces({
       ordered,
       limits: opts.limits,
       availableBytes,
     });
+    this.recordUsage(chosen, nowMs, throughput);
     const taken = new Set(chosen);
     this.waiting = this.waiting.filter((pending) => !taken.has(pending));
     return chosen.map((pending) => this.toTaken(pending));
   }
 
+  private recordUsage(
+    chosen: readonly QueuedPiece[],
+    nowMs: number,
+    { piecesPerMs }: StageThroughput,
+  ): void {
+    chosen.forEach(({ piece }) => {
+      const { priority, urgency } = piece;
+      const holder = { priority, organisation: urgency?.organisation ?? '' };
+      this.usage.record({ holder, nowMs, costMs: piecesPerMs > 0 ? 1 / piecesPerMs : 0 });
+    });
+  }
+
   /** Pieces that a worker may take, since they don't wait for one in the zone that they prefer. */
   private findTakeable({ target }: TakeOptions, nowMs: number): PendingPiece[] {
     const ownZone = target.availabilityZone;
@@ -236,11 +256,12 @@
 
   /** Abandons groups of pieces that can't meet their deadline. */
   private abandonInfeasible(): void {
-    const { timer, compare, throughput, onStageAbandoned } = this.opts;
+    const { timer, order, onStageAbandoned } = this.opts;
     const nowMs = timer.nowMs();
     this.failExpired(nowMs);
-    const ordered = this.waiting.toSorted((left, right) => compare({ left, right, nowMs }));
-    findInfeasible({ ordered, nowMs, throughput: throughput() }).forEach((group) => {
+    const throughput = this.opts.throughput();
+    const { ordered } = order({ pieces: this.waiting, nowMs, throughput, usage: this.usage });
+    findInfeasible({ ordered, nowMs, throughput }).forEach((group) => {
       const { pieces, neededMs, leftMs } = group;
       const abandoned = new Set(pieces);
       this.waiting = this.waiting.filter((pending) => !abandoned.has(pending));
--- a/packages/pool/test/matchingCost.steps.ts
+++ b/packages/pool/test/matchingCost.steps.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict';
 
 import { After, Given, Then, When } from '@cucumber/cucumber';
-import { comparePieces, StageQueue } from '@galenatiller/pool';
+import { orderPieces, StageQueue } from '@galenatiller/pool';
 import { ManualClock, TimerService } from '@galenatiller/timer';
 
 import { LIMITS, newRequest, type QueueWorld, RESULT_BYTES, submit } from './queueWorld.js';
@@ -23,7 +23,7 @@
     this.requestAborts = [];
     this.stageQueue = StageQueue.create({
       timer: this.stageTimer,
-      compare: comparePieces,
+      order: orderPieces,
       inputZone: () => {
         this.zoneLookups += 1;
         return 'west';
--- a/packages/pool/test/stageQueue.steps.ts
+++ b/packages/pool/test/stageQueue.steps.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict';
 
 import { After, Given, Then, When } from '@cucumber/cucumber';
-import { comparePieces, toWorkerAddress, ResultMemory, StageQueue } from '@galenatiller/pool';
+import { orderPieces, toWorkerAddress, ResultMemory, StageQueue } from '@galenatiller/pool';
 import { ManualClock, TimerService } from '@galenatiller/timer';
 import type { PieceFailure } from '@galenatiller/types';
 
@@ -44,7 +44,7 @@
     });
     this.stageQueue = StageQueue.create({
       timer: this.stageTimer,
-      compare: comparePieces,
+      order: orderPieces,
       inputZone: ({ inputs }) => (inputs.map(toWorkerAddress).includes('10.0.0.1:2') ? 'west' : ''),
       throughput: () => ({ piecesPerMs: LIMITS.maxPieces / CALL_MS, callMs: CALL_MS, pausedMs: 0 }),
       workerZones: () => new Set(['east', 'west']),
--- a/packages/router/src/computeStageDeadlines.ts
+++ b/packages/router/src/computeStageDeadlines.ts
@@ -1,4 +1,4 @@
-import type { BatchLimits, RouteConfig, RoutedCall } from '@galenatiller/types';
+import type { BatchLimits, PieceUrgency, RouteConfig, RoutedCall } from '@galenatiller/types';
 
 interface EstimateStageOptions {
   readonly route: RouteConfig;
@@ -44,6 +44,36 @@
   });
 }
 
+/** Options of {@link computeStageUrgencies}. */
+export interface ComputeStageUrgenciesOptions extends ComputeStageDeadlinesOptions {
+  readonly organisation: string;
+}
+
+/** What decides, besides the priority, when the pieces of each stage are taken. */
+export function computeStageUrgencies(opts: ComputeStageUrgenciesOptions): readonly PieceUrgency[] {
+  const { route, organisation } = opts;
+  // While work waits, batch calls are full, whatever the number of pieces that a call adds.
+  const stagePieces = route.stages.map((_, position) =>
+    getPieceCount(opts.call, position) === 0 ? 0 : Infinity,
+  );
+  const fullBatches = { ...opts, call: { ...opts.call, stagePieces } };
+  const doneBy = computeStageDeadlines(fullBatches);
+  const ownMs = route.stages.map((_, position) => estimateWorkMs(opts, position));
+  return route.stages.map(({ dependsOn }, position) => ({
+    latestStartAtMs: (doneBy[position] ?? 0) - estimateStageMs(fullBatches, position),
+    remainingMs: ownMs.slice(position).reduce((sum, workMs) => sum + workMs, 0),
+    hasBegun: dependsOn.length > 0,
+    organisation,
+  }));
+}
+
+/** Time of workers that the pieces of a stage need, with their part of the overhead of full calls. */
+function estimateWorkMs(opts: EstimateStageOptions, position: number): number {
+  const limits = opts.findLimits(opts.route.stages[position]?.service ?? '');
+  const pieceMs = limits ? limits.pieceMs + limits.callOverheadMs / limits.maxPieces : 0;
+  return getPieceCount(opts.call, position) * pieceMs;
+}
+
 /** Options of {@link estimateStagesLeftMs}. */
 export interface EstimateStagesLeftOptions extends EstimateStageOptions {
   readonly isDone: (position: number) => boolean;
--- a/packages/router/src/runStages.ts
+++ b/packages/router/src/runStages.ts
@@ -3,6 +3,7 @@
 import type {
   PieceFailure,
   PieceResult,
+  PieceUrgency,
   RouteConfig,
   RoutedCall,
   RouteStage,
@@ -28,6 +29,7 @@
   /** Monotonic times by which the stages have to be done for the call to get a response. */
   readonly deadlinesAtMs: readonly number[];
   readonly dueAtMs: number;
+  readonly urgencies: readonly PieceUrgency[];
   /** Monotonic times until which the pieces of a stage may wait for a worker in the hinted zone. */
   readonly zoneWaitsUntilMs: readonly number[];
   readonly nowMs: () => number;
@@ -154,6 +156,7 @@
     dueAtMs: opts.dueAtMs,
     zoneWaitUntilMs: opts.zoneWaitsUntilMs[position] ?? 0,
     priority: opts.priority,
+    urgency: opts.urgencies[position],
   };
 }
 
--- a/packages/router/src/serveCall.ts
+++ b/packages/router/src/serveCall.ts
@@ -32,7 +32,11 @@
   type SubmitPiece,
 } from './runStages.js';
 import { StageProgress } from './stageProgress.js';
-import { computeStageDeadlines, computeZoneWaitLimits } from './computeStageDeadlines.js';
+import {
+  computeStageDeadlines,
+  computeStageUrgencies,
+  computeZoneWaitLimits,
+} from './computeStageDeadlines.js';
 
 /** Options of {@link serveCall}. */
 export interface ServeCallOptions {
@@ -199,6 +203,11 @@
       respondByMs: admitted.firstByteDeadlineAtMs,
     }),
     dueAtMs: admitted.dueAtMs,
+    urgencies: computeStageUrgencies({
+      ...deadlineOptions,
+      respondByMs: admitted.dueAtMs,
+      organisation: admitted.organisation,
+    }),
     zoneWaitsUntilMs: computeZoneWaitLimits({
       ...deadlineOptions,
       respondByMs: admitted.dueAtMs,
--- a/packages/router/src/stageWorkers.ts
+++ b/packages/router/src/stageWorkers.ts
@@ -1,8 +1,8 @@
 import {
   type AbandonedStageEvent,
   type BatchEvent,
-  comparePieces,
   dispatchBatches,
+  orderPieces,
   type ResultMemory,
   type RunPieces,
   SeenHandles,
@@ -240,7 +240,7 @@
     const { timer } = this.opts;
     const queue = StageQueue.create({
       timer,
-      compare: comparePieces,
+      order: orderPieces,
       inputZone: ({ inputs }) => this.findInputZone(inputs),
       throughput: () => this.throughput(shard),
       workerZones: () => this.workerZones(shard),
--- a/packages/routerLink/src/acceptRouters.ts
+++ b/packages/routerLink/src/acceptRouters.ts
@@ -8,6 +8,7 @@
   CrashEvidence,
   LeavingEvidence,
   PieceResult,
+  PieceUrgency,
   RolloutDecision,
   RolloutEvidence,
   StagePiece,
@@ -15,7 +16,12 @@
 
 import { LINK_VERSION } from './followRouter.js';
 import type { ShardPiece } from './pieceOrders.js';
-import type { PieceOrderFrame, ReadRequestFrame, RouterFrame } from './routerFrames.js';
+import type {
+  OrderedUrgency,
+  PieceOrderFrame,
+  ReadRequestFrame,
+  RouterFrame,
+} from './routerFrames.js';
 import { RouterSocket } from './routerSocket.js';
 
 /** Functions that a router runs for its peers. */
@@ -205,9 +211,15 @@
     dueAtMs: nowMs + frame.dueInMs,
     zoneWaitUntilMs: nowMs + frame.zoneWaitInMs,
     inputsExpireAtMs: nowMs + frame.inputsExpireInMs,
+    urgency: frame.urgency && decodeUrgency(frame.urgency, nowMs),
   };
 }
 
+function decodeUrgency(urgency: OrderedUrgency, nowMs: number): PieceUrgency {
+  const { latestStartInMs, ...rest } = urgency;
+  return { ...rest, latestStartAtMs: nowMs + latestStartInMs };
+}
+
 function listen(server: Server, address: string): Promise<void> {
   const [host = '', port = ''] = address.split(':');
   return new Promise((resolve, reject) => {
--- a/packages/routerLink/src/pieceOrders.ts
+++ b/packages/routerLink/src/pieceOrders.ts
@@ -1,7 +1,7 @@
 import type { TimerService } from '@galenatiller/timer';
-import type { PieceResult, StagePiece } from '@galenatiller/types';
+import type { PieceResult, PieceUrgency, StagePiece } from '@galenatiller/types';
 
-import type { OrderedPiece, PieceEndFrame, RouterFrame } from './routerFrames.js';
+import type { OrderedPiece, OrderedUrgency, PieceEndFrame, RouterFrame } from './routerFrames.js';
 
 /** A piece and the shard whose workers should run it. */
 export interface ShardPiece {
@@ -170,9 +170,15 @@
       dueInMs: first.dueAtMs - nowMs,
       zoneWaitInMs: first.zoneWaitUntilMs - nowMs,
       inputsExpireInMs: first.inputsExpireAtMs - nowMs,
+      ...(first.urgency && { urgency: encodeUrgency(first.urgency, nowMs) }),
     });
     if (!isSent) {
       pieces.forEach(({ orderId }) => this.orders.get(orderId)?.settle(undefined));
     }
   }
 }
+
+function encodeUrgency(urgency: PieceUrgency, nowMs: number): OrderedUrgency {
+  const { latestStartAtMs, ...rest } = urgency;
+  return { ...rest, latestStartInMs: latestStartAtMs - nowMs };
+}
--- a/packages/routerLink/src/routerFrames.ts
+++ b/packages/routerLink/src/routerFrames.ts
@@ -20,6 +20,15 @@
   readonly piece: number;
 }
 
+/** What decides, besides its priority, when a piece is taken. */
+export interface OrderedUrgency {
+  /** Time left until the pieces have to start for the call to be on time; negative when past. */
+  readonly latestStartInMs: number;
+  readonly remainingMs: number;
+  readonly hasBegun: boolean;
+  readonly organisation: string;
+}
+
 /**
  * Asks the peer to have pieces of one stage of a call run by workers of a shard that the peer owns, or
  * whose owner can't be reached.
@@ -42,6 +51,8 @@
   readonly zoneWaitInMs: number;
   /** Infinity for a piece without inputs. */
   readonly inputsExpireInMs: number;
+  /** Routers of earlier versions send and expect none. */
+  readonly urgency?: OrderedUrgency | undefined;
 }
 
 /** Cancels pieces whose results are no longer wanted. */
--- a/packages/routerLink/src/wireRouterFrame.ts
+++ b/packages/routerLink/src/wireRouterFrame.ts
@@ -119,11 +119,21 @@
     areNumbers(fields, numbers) &&
     areStrings(fields, ['service', 'shard', 'requestId', 'key', 'zoneHint']) &&
     isStringList(fields.inputs) &&
+    (fields.urgency === undefined || isUrgency(fields.urgency)) &&
     Array.isArray(fields.pieces) &&
     fields.pieces.every((ordered) => areNumbers(asFields(ordered), ['orderId', 'piece']))
   );
 }
 
+function isUrgency(value: unknown): boolean {
+  const fields = asFields(value);
+  return (
+    areNumbers(fields, ['latestStartInMs', 'remainingMs']) &&
+    typeof fields.hasBegun === 'boolean' &&
+    areStrings(fields, ['organisation'])
+  );
+}
+
 function isPieceResult(value: unknown): value is PieceResult {
   const fields = asFields(value);
   return fields.kind === 'made'
--- a/packages/routerLink/test/linkWorld.ts
+++ b/packages/routerLink/test/linkWorld.ts
@@ -81,7 +81,7 @@
 
 export function orderPiece(
   world: LinkWorld,
-  changes: { dueInMs: number; deadlineInMs: number },
+  changes: { dueInMs: number; deadlineInMs: number; startInMs?: number },
 ): void {
   world.cancelOrder = new AbortController();
   world.orderedAtMs = world.linkTimer.nowMs();
@@ -102,6 +102,14 @@
       deadlineAtMs: world.orderedAtMs + changes.deadlineInMs,
       dueAtMs: world.orderedAtMs + changes.dueInMs,
       priority: 1,
+      ...(changes.startInMs !== undefined && {
+        urgency: {
+          latestStartAtMs: world.orderedAtMs + changes.startInMs,
+          remainingMs: 70,
+          hasBegun: true,
+          organisation: 'shop',
+        },
+      }),
     },
   });
 }
--- a/packages/routerLink/test/routerLink.feature
+++ b/packages/routerLink/test/routerLink.feature
@@ -9,6 +9,14 @@
     And the owner completes it with "10.0.0.1:1/a"
     Then the peer gets the result "10.0.0.1:1/a"
     And at the owner the piece had to be done in about 2000 ms and was due in about 500 ms
+    And at the owner nothing else orders the piece
+
+  # Guards against an owner that orders the pieces of other routers by less than its own.
+  Scenario: What decides when a piece is taken is passed on
+    When the peer orders a piece that has to start in 300 ms to be on time
+    And the owner completes it with "10.0.0.1:1/a"
+    Then the peer gets the result "10.0.0.1:1/a"
+    And at the owner the piece had to start in about 300 ms, with all else that orders it
 
   Scenario: An order that is cancelled is also cancelled at the owner
     When the peer orders a piece that is due in 500 ms and has to be done in 2000 ms
--- a/packages/routerLink/test/routerLink.steps.ts
+++ b/packages/routerLink/test/routerLink.steps.ts
@@ -104,6 +104,29 @@
   this.ordersAtOwner[0]?.settle({ kind: 'made', handle });
 });
 
+When(
+  'the peer orders a piece that has to start in {int} ms to be on time',
+  async function when(this: LinkWorld, startInMs: number) {
+    orderPiece(this, { dueInMs: 500, deadlineInMs: 2_000, startInMs });
+    await waitUntil(() => this.ordersAtOwner.length === 1, 'the order never arrived');
+  },
+);
+
+Then(
+  'at the owner the piece had to start in about {int} ms, with all else that orders it',
+  function then(this: LinkWorld, startInMs: number) {
+    const { urgency } = this.ordersAtOwner[0]?.piece ?? assert.fail();
+    const { latestStartAtMs = NaN, ...rest } = urgency ?? {};
+    const lateMs = latestStartAtMs - this.orderedAtMs - startInMs;
+    assert.ok(Math.abs(lateMs) < TOLERANCE_MS, String(lateMs));
+    assert.deepEqual(rest, { remainingMs: 70, hasBegun: true, organisation: 'shop' });
+  },
+);
+
+Then('at the owner nothing else orders the piece', function then(this: LinkWorld) {
+  assert.equal((this.ordersAtOwner[0] ?? assert.fail()).piece.urgency, undefined);
+});
+
 When('the peer cancels it', function when(this: LinkWorld) {
   this.cancelOrder.abort();
 });
--- a/packages/types/src/routedCall.ts
+++ b/packages/types/src/routedCall.ts
@@ -42,6 +42,18 @@
  */
 export type PieceFailure = 'late' | 'input-gone' | 'no-room' | 'failed' | 'unreachable' | 'busy';
 
+/** What decides, besides its priority, when a piece is taken. */
+export interface PieceUrgency {
+  /** Monotonic time by which the piece has to start for its call to be on time. */
+  readonly latestStartAtMs: number;
+  /** Time of workers that the call still needs, for this stage and all later ones. */
+  readonly remainingMs: number;
+  /** Whether earlier stages of the call are done. */
+  readonly hasBegun: boolean;
+  /** Empty when the call needs no key. */
+  readonly organisation: string;
+}
+
 /** One piece of a stage of one call. */
 export interface StagePiece {
   readonly requestId: string;
@@ -64,6 +76,8 @@
   readonly dueAtMs: number;
   /** 0 is the highest. */
   readonly priority: number;
+  /** Unset when a router of an earlier version ordered the piece. */
+  readonly urgency?: PieceUrgency | undefined;
 }
 
 /**
