--- a/packages/router/src/runStages.ts
+++ b/packages/router/src/runStages.ts
@@ -4,6 +4,7 @@
 import type {
   PieceFailure,
   PieceResult,
+  PieceUrgency,
   RouteConfig,
   RoutedCall,
   RouteStage,
@@ -32,6 +33,7 @@
   /** Monotonic times by which the stages have to be done for the call to get a response. */
   readonly deadlinesAtMs: readonly number[];
   readonly dueAtMs: number;
+  readonly urgencies: readonly PieceUrgency[];
   /** Monotonic times until which the pieces of a stage may wait for a worker in the hinted zone. */
   readonly zoneWaitsUntilMs: readonly number[];
   readonly nowMs: () => number;
@@ -177,6 +179,7 @@
     dueAtMs: opts.dueAtMs,
     zoneWaitUntilMs: opts.zoneWaitsUntilMs[position] ?? 0,
     priority: opts.priority,
+    urgency: opts.urgencies[position],
   };
 }
 
--- a/packages/router/src/serveCall.ts
+++ b/packages/router/src/serveCall.ts
@@ -27,7 +27,11 @@
 import { runStages, type StagesDone, type StagesFailed } from './runStages.js';
 import { StageProgress } from './stageProgress.js';
 import { findStartDelayMs, freeResults, recordStageDone, submitTimed } from './stageTiming.js';
-import { computeStageDeadlines, computeZoneWaitLimits } from './computeStageDeadlines.js';
+import {
+  computeStageDeadlines,
+  computeStageUrgencies,
+  computeZoneWaitLimits,
+} from './computeStageDeadlines.js';
 
 /** Options of {@link serveCall}. */
 export interface ServeCallOptions {
@@ -194,6 +198,11 @@
       respondByMs: admitted.firstByteDeadlineAtMs,
     }),
     dueAtMs: admitted.dueAtMs,
+    urgencies: computeStageUrgencies({
+      ...deadlineOptions,
+      respondByMs: admitted.dueAtMs,
+      organisation: admitted.organisation,
+    }),
     zoneWaitsUntilMs: computeZoneWaitLimits({
       ...deadlineOptions,
       respondByMs: admitted.dueAtMs,
--- a/packages/router/test/roomSimulation.ts
+++ b/packages/router/test/roomSimulation.ts
@@ -3,7 +3,7 @@
  * those of the program; workers, links and targets are simulated.
  */
 import {
-  comparePieces,
+  orderPieces,
   dispatchBatches,
   ResultMemory,
   SeenHandles,
@@ -14,7 +14,11 @@
 import { TimerService } from '@galenatiller/timer';
 import type { BatchLimits, RouteConfig } from '@galenatiller/types';
 
-import { computeStageDeadlines, computeZoneWaitLimits } from '../src/computeStageDeadlines.js';
+import {
+  computeStageDeadlines,
+  computeStageUrgencies,
+  computeZoneWaitLimits,
+} from '../src/computeStageDeadlines.js';
 import { computeStartDelayMs } from '../src/computeStartDelay.js';
 import { StageProgress } from '../src/stageProgress.js';
 import { StageTimes } from '../src/stageTimes.js';
@@ -144,7 +148,7 @@
     const callMs = limits.callOverheadMs + limits.pieceMs * limits.maxPieces;
     const queue = StageQueue.create({
       timer,
-      compare: comparePieces,
+      order: orderPieces,
       inputZone: () => '',
       throughput: () => ({
         piecesPerMs: (workers * limits.maxPieces) / callMs,
@@ -255,6 +259,11 @@
         zoneHint: '',
         deadlinesAtMs: computeStageDeadlines({ ...deadlineOptions, respondByMs }),
         dueAtMs,
+        urgencies: computeStageUrgencies({
+          ...deadlineOptions,
+          respondByMs: dueAtMs,
+          organisation: '',
+        }),
         zoneWaitsUntilMs: computeZoneWaitLimits({ ...deadlineOptions, respondByMs: dueAtMs }),
         nowMs: () => timer.nowMs(),
         resultTtlMs: (service) => this.limits.get(service)?.resultTtlMs ?? 0,
--- a/packages/routerLink/src/routerFrames.ts
+++ b/packages/routerLink/src/routerFrames.ts
@@ -20,6 +20,15 @@
   readonly piece: number;
 }
 
+/** What decides, besides its priority, when a piece is taken. */
+export interface OrderedUrgency {
+  /** Time left until the pieces have to start for the call to be on time; negative when past. */
+  readonly latestStartInMs: number;
+  readonly remainingMs: number;
+  readonly hasBegun: boolean;
+  readonly organisation: string;
+}
+
 /**
  * Asks the peer to have pieces of one stage of a call run by workers of a shard that the peer owns, or
  * whose owner can't be reached.
@@ -44,6 +53,8 @@
   readonly inputsExpireInMs: number;
   /** Whether the sender wants to know when the pieces have begun; routers of an earlier release don't. */
   readonly reportsBegun?: boolean;
+  /** Routers of earlier versions send and expect none. */
+  readonly urgency?: OrderedUrgency | undefined;
 }
 
 /** Says that workers have fetched the inputs of pieces whose order asked for that. */
--- a/packages/routerLink/src/wireRouterFrame.ts
+++ b/packages/routerLink/src/wireRouterFrame.ts
@@ -126,11 +126,21 @@
     areStrings(fields, ['service', 'shard', 'requestId', 'key', 'zoneHint']) &&
     isStringList(fields.inputs) &&
     (fields.reportsBegun === undefined || typeof fields.reportsBegun === 'boolean') &&
+    (fields.urgency === undefined || isUrgency(fields.urgency)) &&
     Array.isArray(fields.pieces) &&
     fields.pieces.every((ordered) => areNumbers(asFields(ordered), ['orderId', 'piece']))
   );
 }
 
+function isUrgency(value: unknown): boolean {
+  const fields = asFields(value);
+  return (
+    areNumbers(fields, ['latestStartInMs', 'remainingMs']) &&
+    typeof fields.hasBegun === 'boolean' &&
+    areStrings(fields, ['organisation'])
+  );
+}
+
 function isPieceResult(value: unknown): value is PieceResult {
   const fields = asFields(value);
   return fields.kind === 'made'
--- a/packages/routerLink/test/linkWorld.ts
+++ b/packages/routerLink/test/linkWorld.ts
@@ -83,7 +83,7 @@
 
 export function orderPiece(
   world: LinkWorld,
-  changes: { dueInMs: number; deadlineInMs: number; onBegun?: () => void },
+  changes: { dueInMs: number; deadlineInMs: number; startInMs?: number; onBegun?: () => void },
 ): void {
   world.cancelOrder = new AbortController();
   world.orderedAtMs = world.linkTimer.nowMs();
@@ -105,6 +105,14 @@
       deadlineAtMs: world.orderedAtMs + changes.deadlineInMs,
       dueAtMs: world.orderedAtMs + changes.dueInMs,
       priority: 1,
+      ...(changes.startInMs !== undefined && {
+        urgency: {
+          latestStartAtMs: world.orderedAtMs + changes.startInMs,
+          remainingMs: 70,
+          hasBegun: true,
+          organisation: 'shop',
+        },
+      }),
     },
   });
 }
