Tell how long the own membership lease surely lasts

Whoever acts on the strength of the membership lease has to know when it may have ended. Membership now states the time left since its last successful renewal was sent, by the larger of the monotonic and the wall clock, and a number that rises with each new lease. A node can also ask the store itself whether another one is a member. The decoding of entries moves to member.ts.

--- a/packages/store/src/index.ts
+++ b/packages/store/src/index.ts
@@ -23,4 +23,10 @@
 export type { EntryHandlers, KnownAndRead, EntriesRead } from './restoredEntries.js';
 export { RestoredEntries, type RestoredEntriesOptions } from './restoredEntries.js';
 export { StatedEra, type StatedEraEvent, type StatedEraOptions } from './statedEra.js';
-export { type LeaseClient, type Member, Membership, type MembershipOptions } from './membership.js';
+export { type Member, readMember } from './member.js';
+export {
+  type LeaseClient,
+  Membership,
+  type MembershipOptions,
+  type OwnLease,
+} from './membership.js';
--- a/packages/store/src/membership.ts
+++ b/packages/store/src/membership.ts
@@ -1,7 +1,21 @@
-import type { TimerService } from '@galenatiller/timer';
+import {
+  type ClockReading,
+  elapsedSinceMs,
+  readClocks,
+  type TimerService,
+} from '@galenatiller/timer';
 import type { Result } from 'true-myth';
 
 import { jitteredDelayMs } from './jitteredDelayMs.js';
+import {
+  decodeMember,
+  getMemberName,
+  isLeavingEntry,
+  LEAVING_MARK,
+  type Member,
+  MEMBER_PREFIX,
+  STAYING_MARK,
+} from './member.js';
 import { type MirrorEvent, PrefixMirror } from './prefixMirror.js';
 import type { PrefixRelay } from './relay/prefixRelay.js';
 import type { PrefixEntry, PrefixSource, ReadFailure } from './prefixSource.js';
@@ -32,16 +46,14 @@
   }) => Promise<void>;
 }
 
-/** A live node and the address at which other nodes reach it. */
-export interface Member {
-  readonly name: string;
-  readonly address: string;
-  /** CPU capacity of the node, in cores. */
-  readonly cpuCores: number;
-  /** Empty for a member that doesn't state it. */
-  readonly availabilityZone: string;
-  /** Store revision at which the node began to leave; 0 for one that stays. */
-  readonly leavingSince: number;
+/** The lease of this node, as far as it is known to be kept. */
+export interface OwnLease {
+  /** Rises with each lease; the node may not have been a member between two leases. */
+  readonly generation: number;
+  /** Rises of the store's era that had been seen when it was granted. */
+  readonly rises: number;
+  /** Time for which the lease surely lasts, from when the last successful renewal was sent. */
+  readonly leftMs: number;
 }
 
 /** Options of {@link Membership.create}. */
@@ -58,8 +70,6 @@
   readonly observe: PrefixRelay['observe'];
 }
 
-const MEMBER_PREFIX = 'galenatiller/members/';
-
 /** Time after which a killed node is removed. */
 const LEASE_TTL_MS = 3_000;
 
@@ -80,12 +90,6 @@
 /** Time limit of the last call: a node must not end later because the store is away. */
 const LEAVE_TIMEOUT_MS = 250;
 
-/** Follows address and capacity in the entry of a node that is about to leave. */
-const LEAVING_MARK = 'leaving';
-
-/** Stands in place of {@link LEAVING_MARK} in the entry of a node that stays. */
-const STAYING_MARK = 'staying';
-
 /** Live nodes register again at once when the store was restored; leases of others end within this. */
 const RESTORED_LIMIT_MS = LEASE_TTL_MS + CALL_TIMEOUT_MS;
 
@@ -95,12 +99,17 @@
   readonly rises: number;
 }
 
+/** The last successful renewal of the own lease, or its grant. */
+interface RenewedLease {
+  readonly generation: number;
+  readonly rises: number;
+  readonly ttlMs: number;
+  readonly sentAt: ClockReading;
+}
+
 /** Nodes that left are still counted for this time, since they may only be disconnected. */
 const DEPARTED_RETENTION_MS = 6_000;
 
-/** Capacity of a member that doesn't state it. */
-const DEFAULT_CPU_CORES = 1;
-
 /** Node count assumed for shared limits before the members are known; more than any site has. */
 const ASSUMED_NODE_COUNT = 8;
 
@@ -116,6 +125,10 @@
 
   private readonly left = new AbortController();
 
+  private renewed: RenewedLease | undefined;
+
+  private generation = 0;
+
   private constructor(private readonly opts: MembershipOptions) {
     this.mirror = PrefixMirror.create({
       source: opts.source,
@@ -157,6 +170,15 @@
     return Math.max(1, recent.length);
   }
 
+  /** The lease of this node; undefined while it has none, or has lost it. */
+  ownLease(): OwnLease | undefined {
+    if (!this.renewed) {
+      return undefined;
+    }
+    const { generation, rises, ttlMs, sentAt } = this.renewed;
+    return { generation, rises, leftMs: ttlMs - elapsedSinceMs(this.opts.timer, sentAt) };
+  }
+
   /** Publishes that this node is about to leave, while it still lives and is reached by the others. */
   startLeaving(): void {
     this.leaving.abort();
@@ -253,32 +275,45 @@
       return undefined;
     }
     const { leaseId } = lease;
-    const { leases } = this.opts;
+    const { leases, timer } = this.opts;
+    const sentAt = readClocks(timer);
     const renewal = this.isHeld(lease)
       ? await this.callWithTimeout((signal) => leases.keepAlive({ leaseId, signal }))
       : undefined;
-    if (!this.isHeld(lease)) {
+    if (!this.isHeld(lease) || (renewal?.isOk && renewal.value === 'ended')) {
+      this.renewed = undefined;
       return 'ended';
     }
+    if (renewal?.isOk && this.renewed) {
+      this.renewed = { ...this.renewed, sentAt };
+    }
     return renewal?.isOk ? renewal.value : undefined;
   }
 
   private async endLease(leaseId: string): Promise<void> {
     const { leases } = this.opts;
+    this.renewed = undefined;
     await this.callWithTimeout((signal) => leases.revoke({ leaseId, signal }), LEAVE_TIMEOUT_MS);
   }
 
   private async register(): Promise<HeldLease | undefined> {
     const { leases, storeEra } = this.opts;
     const { rises } = storeEra;
+    const sentAt = readClocks(this.opts.timer);
     const granted = await this.callWithTimeout((signal) =>
       leases.grant({ ttlMs: LEASE_TTL_MS, signal }),
     );
     if (granted.isErr) {
       return undefined;
     }
-    const { leaseId } = granted.value;
-    return (await this.publish(leaseId)) ? { leaseId, rises } : undefined;
+    const { leaseId, ttlMs: grantedMs } = granted.value;
+    if (!(await this.publish(leaseId))) {
+      return undefined;
+    }
+    this.generation += 1;
+    const ttlMs = Math.min(LEASE_TTL_MS, grantedMs);
+    this.renewed = { generation: this.generation, rises, ttlMs, sentAt };
+    return { leaseId, rises };
   }
 
   /** Writes the entry of this node; false if the store did not. */
@@ -293,16 +328,9 @@
     return written.isOk && written.value === 'written';
   }
 
-  private add({ key, value, revision }: PrefixEntry): void {
-    const name = getMemberName(key);
-    const [address = '', cpuCores, mark, availabilityZone = ''] = value.toString('utf8').split(' ');
-    this.members.set(name, {
-      name,
-      address,
-      cpuCores: Number(cpuCores) || DEFAULT_CPU_CORES,
-      availabilityZone,
-      leavingSince: mark === LEAVING_MARK ? revision : 0,
-    });
+  private add(entry: PrefixEntry): void {
+    const member = decodeMember(entry);
+    this.members.set(member.name, member);
   }
 
   private notifyChange(): void {
@@ -323,11 +351,3 @@
     }
   }
 }
-
-function getMemberName(key: string): string {
-  return key.slice(MEMBER_PREFIX.length);
-}
-
-function isLeavingEntry({ value }: PrefixEntry): boolean {
-  return value.toString('utf8').split(' ')[2] === LEAVING_MARK;
-}
--- a/scripts/externalNames.mjs
+++ b/scripts/externalNames.mjs
@@ -49,7 +49,7 @@
   'packages/error/src/{requestCodes,systemCodes}.ts',
   'packages/router/src/{callCounter,recordMetrics,callProgress,ports,runAttempts,chooseTargetForCall,routeTable}.ts',
   'packages/target/src/chooseTarget.ts',
-  'packages/store/src/{prefixMirror,membership}.ts',
+  'packages/store/src/{prefixMirror,member,membership}.ts',
   'packages/routerLink/src/followRouter.ts',
   'bench/src/scenario/scenarios.ts',
   'scripts/*.mjs',
