Read the provider's address and the duties from the settings

The section [provider] states the API's address, the duties that this router may perform, and the time within which a duty must not return. All keys are optional. The review's renderer leaves sections out.

--- a/packages/settings/src/readRouterSettings.ts
+++ b/packages/settings/src/readRouterSettings.ts
@@ -1,7 +1,7 @@
 import { Result } from 'true-myth';
 
 import { findUnknownKeys } from './findUnknownKeys.js';
-import { parseEntries } from './parseEntries.js';
+import { parseEntries, type SettingsEntry } from './parseEntries.js';
 import { readKeys } from './readKeys.js';
 import { ROUTER_KEYS, type RouterSettings } from './routerKeys.js';
 import type { SettingsProblem } from './settingsProblem.js';
@@ -10,13 +10,15 @@
 export interface ReadRouterSettingsOptions {
   readonly fileName: string;
   readonly text: string;
+  /** Translates the text of a value into the words of the settings. */
+  readonly translate?: (entry: Pick<SettingsEntry, 'section' | 'key' | 'text'>) => string;
 }
 
 /** Reads the settings of a router from INI text, or reports all problems at once. */
 export function readRouterSettings(
   opts: ReadRouterSettingsOptions,
 ): Result<RouterSettings, readonly SettingsProblem[]> {
-  const { fileName } = opts;
+  const { fileName, translate = ({ text }) => text } = opts;
   const parsed = parseEntries(opts.text);
   if (parsed.isErr) {
     const found = parsed.error;
@@ -24,7 +26,7 @@
       { fileName, line: 0, section: '', key: '', found, expected: 'INI', nearest: '' },
     ]);
   }
-  const entries = parsed.value;
+  const entries = parsed.value.map((entry) => ({ ...entry, text: translate(entry) }));
   const settings = readKeys({ fileName, entries, table: ROUTER_KEYS });
   const problems = [
     ...findUnknownKeys({ role: 'router', fileName, entries }),
--- a/packages/settings/src/routerKeys.ts
+++ b/packages/settings/src/routerKeys.ts
@@ -1,4 +1,11 @@
-import { figureKey, integerKey, type KeyTable, socketKey, type ValuesOf } from './settingKey.js';
+import {
+  figureKey,
+  integerKey,
+  type KeyTable,
+  socketKey,
+  type ValuesOf,
+  wordsKey,
+} from './settingKey.js';
 import { COMMON_KEYS } from './settingKeys.js';
 
 /** Setting keys of the router role. */
@@ -124,6 +131,28 @@
     max: 100_000,
     defaultText: '10',
   }),
+  providerAddress: socketKey({
+    section: 'provider',
+    key: 'address',
+    meaning: "Address of the infrastructure provider's API; empty if the router calls none.",
+    defaultText: '',
+  }),
+  dutyNames: wordsKey({
+    section: 'provider',
+    key: 'duties',
+    meaning: 'Duties that one router at a time performs there.',
+    choices: ['usage', 'scale'],
+    defaultText: '',
+  }),
+  dutyLeaseMs: figureKey({
+    section: 'provider',
+    key: 'lease-ms',
+    meaning: 'Time within which a duty must not return to a router that has lost it.',
+    unit: 'ms',
+    min: 0,
+    max: 600_000,
+    defaultText: '3000',
+  }),
 } satisfies KeyTable;
 
 /** Settings of the router role. */
--- a/packages/settings/src/settingKey.ts
+++ b/packages/settings/src/settingKey.ts
@@ -130,14 +130,16 @@
 const STATES_NO_NUMBER = /^(true|false|null)?$/;
 const NUMBER_PATTERN = /^-?(\d+(\.\d*)?|\.\d+)([eE][+-]?\d+)?$/;
 
-/** Defines a key whose value is an IPv4 address and a port. */
+/** Defines a key whose value is an IPv4 address and a port; it may be empty only if its default is empty. */
 export function socketKey(opts: KeyOptions): SettingKey<string> {
+  const canBeEmpty = opts.defaultText === '';
+  const bounds = 'IPv4 address and a port from 1 to 65535';
   return {
     ...opts,
     unit: 'IP:PORT',
-    bounds: 'IPv4 address and a port from 1 to 65535',
+    bounds: canBeEmpty ? `${bounds}, or empty` : bounds,
     isSecret: false,
-    schema: z.string().refine(isSocketAddress),
+    schema: z.string().refine((text) => isSocketAddress(text) || (canBeEmpty && text === '')),
   };
 }
 
@@ -188,6 +190,23 @@
   };
 }
 
+/** Defines a key whose value is a list of some of several words, each at most once. */
+export function wordsKey<const Choice extends string>(
+  opts: KeyOptions & { readonly choices: readonly Choice[] },
+): SettingKey<readonly Choice[]> {
+  const { choices, ...rest } = opts;
+  return {
+    ...rest,
+    unit: 'words, separated by commas',
+    bounds: choices.join(', '),
+    isSecret: false,
+    schema: z
+      .string()
+      .transform((text) => [...new Set(splitList(text).filter((word) => word !== ''))])
+      .pipe(z.array(z.enum(choices) as z.ZodType<Choice, string>)),
+  };
+}
+
 function splitList(text: string): string[] {
   return text.split(',').map((part) => part.trim().toLowerCase());
 }
--- a/review/lib/routers.mjs
+++ b/review/lib/routers.mjs
@@ -47,8 +47,10 @@
 
 ['SIGINT', 'SIGTERM', 'SIGHUP'].forEach((signal) => process.once(signal, () => process.exit(2)));
 
+/** Fills in the template; its sections are left out, as the deployments of the review have none of them. */
 function render(template, fields) {
-  return template.replace(/\{\{([\w.]+)\}\}/g, (_, path) =>
+  const withoutSections = template.replace(/^\{\{#(\w+)\}\}\n.*?^\{\{\/\1\}\}\n/gms, '');
+  return withoutSections.replace(/\{\{([\w.]+)\}\}/g, (_, path) =>
     String(path.split('.').reduce((value, name) => value?.[name], fields) ?? ''),
   );
 }
