--- a/fakes/src/index.ts
+++ b/fakes/src/index.ts
@@ -37,6 +37,7 @@
 export { createSampleStageRequest } from './createSampleStageRequest.js';
 export * from './store/index.js';
 export { FakePlatformStore, type PlatformStoreMode } from './platform/fakePlatformStore.js';
+export { FakeProvider, type ProviderCall, type ProviderMode } from './platform/fakeProvider.js';
 export {
   FakePlatformWorker,
   WORKER_BODY,
--- a/packages/types/src/index.ts
+++ b/packages/types/src/index.ts
@@ -14,3 +14,4 @@
 export type * from './target.js';
 export type * from './targetNotice.js';
 export type * from './timelineEvent.js';
+export type * from './usage.js';
--- a/packages/types/src/routerConfig.ts
+++ b/packages/types/src/routerConfig.ts
@@ -52,6 +52,14 @@
   readonly resultTtlMs: number;
 }
 
+/** Within which limits the number of workers of a service is set, in each zone. */
+export interface ScalingRange {
+  readonly minWorkers: number;
+  readonly maxWorkers: number;
+  /** Time from an order until new workers start serving. */
+  readonly bootMs: number;
+}
+
 /** A service that the router sends calls to. */
 export interface ServiceConfig {
   readonly name: string;
@@ -62,6 +70,8 @@
   readonly maxColdRequestsPerSecond: number;
   /** Set only for services that run pieces of stages. */
   readonly batch: BatchLimits | undefined;
+  /** Set only for services whose number of workers is set by the routers. */
+  readonly scaling?: ScalingRange | undefined;
 }
 
 /** An organisation that may call, identified by its bearer keys. */
