Count requests, collect the counts over links and report them from a router

Change: a hook in the attempts of a call, frames usage-counts and service-load (sent only where a provider is configured, so the link version stays), the ledger entry galenatiller/usage, the client of the provider's API, settings of section [provider], logs and metrics; a pure decision on numbers of workers and the orders that follow from it.

--- a/eslint.config.js
+++ b/eslint.config.js
@@ -4,7 +4,7 @@
 
 /** Headers, calls and keys of the platform; only the adapter in platform/ may contain them. */
 const PLATFORM_NAMES = [
-  '^x-(server|not-executed|expect-|prefix-|token-|piece|inputs|tenant|timeout-ms|instance|cold-ms|request-urgency)',
+  '^x-(server|not-executed|expect-|prefix-|token-|piece|inputs|tenant|timeout-ms|instance|cold-ms|request-urgency|duty|fencing)',
   '^kv-(from|fetch)',
   '^(server-leaving|store-era)$',
   '^\\/-\\/(kv|stage|report|readyz)',
--- a/fakes/src/platform/fakePlatformStore.ts
+++ b/fakes/src/platform/fakePlatformStore.ts
@@ -15,6 +15,11 @@
   readonly lease: number;
 }
 
+interface StoredTransaction {
+  readonly expected_rev: readonly { readonly key: string; readonly revision: number }[];
+  readonly puts: readonly StoredWrite[];
+}
+
 type StoredEvent =
   StoredItem | { readonly key: string; readonly revision: number; readonly tombstone: true };
 
@@ -107,6 +112,11 @@
     this.recordEvent(item);
   }
 
+  /** Revision of the last change of a key; 0 if it does not exist. */
+  private revisionOf(key: string): number {
+    return this.items.get(key)?.revision ?? 0;
+  }
+
   private recordEvent(event: StoredEvent): void {
     this.history.push(event);
     [...this.waiters].forEach((wake) => wake());
@@ -142,7 +152,11 @@
       this.nextLease += 1;
       this.respond(exchange, 200, { lease, ttl_ms: 3_000 });
     } else if (pathname === '/-/kv-txn') {
-      const { puts } = JSON.parse(exchange.text) as { readonly puts: readonly StoredWrite[] };
+      const { expected_rev: expected, puts } = JSON.parse(exchange.text) as StoredTransaction;
+      if (expected.some(({ key, revision }) => this.revisionOf(key) !== revision)) {
+        this.respond(exchange, 412, {});
+        return;
+      }
       puts.forEach((put) => this.write(put));
       this.respond(exchange, 200, { revision: this.revision });
     } else {
--- a/packages/metrics/src/metricDefinition.ts
+++ b/packages/metrics/src/metricDefinition.ts
@@ -1,6 +1,7 @@
 import type {
   CallKind,
   CallPhase,
+  DutyName,
   NodeRole,
   Outcome,
   Priority,
@@ -33,6 +34,12 @@
   readonly send: 'answered' | 'refused' | 'moved' | 'inputs-gone' | 'unsent' | 'broken' | 'foreign';
   /** How a call to a stage worker ended. */
   readonly batch: 'answered' | 'refused' | 'moved' | 'unreachable' | 'broken';
+  /** The duty for which the provider was called. */
+  readonly duty: DutyName;
+  /** How a call to the provider ended. */
+  readonly providerCall: 'accepted' | 'superseded' | 'limited' | 'unknown';
+  /** What was decided on the report of a window. */
+  readonly usageWindow: 'fixed' | 'left-out';
   readonly storeCall: 'range' | 'watch' | 'txn' | 'lease-grant' | 'lease-keep' | 'lease-end';
 }
 
--- a/packages/provider/test/usage.feature
+++ b/packages/provider/test/usage.feature
@@ -165,7 +165,9 @@
   Scenario: The holder dies while a window waits for the store
     When 3 requests of "shop" begin at "b" 1000 ms after the start of window 0
     And the store treats writes as "away"
-    And 9.5 s have passed
+    And 9.3 s have passed
+    And 1 requests of "shop" begin at "b" 5400 ms after the start of window 1
+    And 0.05 s have passed
     And the store treats writes as "up"
     And "a" dies and "c" becomes the holder
     And 4 s have passed
--- a/packages/router/src/callCounter.ts
+++ b/packages/router/src/callCounter.ts
@@ -1,4 +1,4 @@
-/** Counts calls in flight by target. */
+/** Counts calls by a key, such as those in flight by target. */
 export class CallCounter {
   private readonly counts = new Map<string, number>();
 
@@ -9,25 +9,25 @@
     return new CallCounter();
   }
 
-  /** Number of calls in flight at a target. */
-  count(targetId: string): number {
-    return this.counts.get(targetId) ?? 0;
+  /** Number of calls that are counted for a key. */
+  count(key: string): number {
+    return this.counts.get(key) ?? 0;
   }
 
   /** Counts a call until the returned function is called. */
-  increment(targetId: string): () => void {
-    this.counts.set(targetId, this.count(targetId) + 1);
+  increment(key: string): () => void {
+    this.counts.set(key, this.count(key) + 1);
     let isReleased = false;
     return () => {
       if (isReleased) {
         return;
       }
       isReleased = true;
-      const remaining = this.count(targetId) - 1;
+      const remaining = this.count(key) - 1;
       if (remaining > 0) {
-        this.counts.set(targetId, remaining);
+        this.counts.set(key, remaining);
       } else {
-        this.counts.delete(targetId);
+        this.counts.delete(key);
       }
     };
   }
--- a/packages/router/src/callProgress.ts
+++ b/packages/router/src/callProgress.ts
@@ -6,6 +6,8 @@
 
   private runCount = 0;
 
+  private hasBegun = false;
+
   private lastEventId: string;
 
   private isResponseStarted = false;
@@ -62,6 +64,13 @@
     this.runCount += 1;
   }
 
+  /** Records that a target began to run the call; true for the first time. */
+  recordBegin(): boolean {
+    const isFirst = !this.hasBegun;
+    this.hasBegun = true;
+    return isFirst;
+  }
+
   /** Records how much of the response has been forwarded. */
   recordForwarded(opts: { readonly hasStarted: boolean; readonly lastEventId: string }): void {
     this.isResponseStarted = opts.hasStarted;
--- a/packages/router/src/createPeerService.ts
+++ b/packages/router/src/createPeerService.ts
@@ -2,6 +2,7 @@
 import type { PrefixRelay } from '@galenatiller/store';
 import type { CrashSuspects, TargetNotices } from '@galenatiller/target';
 
+import type { ProviderDuties } from './createProviderDuties.js';
 import type { OwnerCredit, StageSubmitter } from './ownership/index.js';
 import type { Rollouts } from './rollouts.js';
 import type { StageWorkers } from './stageWorkers.js';
@@ -15,11 +16,12 @@
   readonly notices: TargetNotices;
   readonly rollouts: Rollouts;
   readonly relay: PrefixRelay;
+  readonly provider: Pick<ProviderDuties, 'addUsage' | 'addLoad'>;
 }
 
 /** Creates the functions that this router runs for its peers. */
 export function createPeerService(opts: PeerServiceOptions): PeerService {
-  const { submitter, workers, credit, crashSuspects, notices, rollouts, relay } = opts;
+  const { submitter, workers, credit, crashSuspects, notices, rollouts, relay, provider } = opts;
   return {
     runPiece: submitter.submitForPeer,
     waitMs: (shard) => workers.waitMs(shard),
@@ -29,6 +31,8 @@
     mergeLeavingEvidence: (evidence) => notices.mergeLeaving(evidence),
     addRolloutEvidence: (evidence) => evidence.forEach((item) => rollouts.addEvidence(item)),
     endRollout: (decision) => rollouts.end(decision),
+    addUsage: provider.addUsage,
+    addLoad: provider.addLoad,
     readRelayed: (read) => relay.respond(read),
   };
 }
--- a/packages/router/src/createRouter.ts
+++ b/packages/router/src/createRouter.ts
@@ -22,6 +22,11 @@
 import { TaskGroup } from '@galenatiller/tasks';
 import { SmoothedDurations, type TimerService } from '@galenatiller/timer';
 
+import {
+  createProviderDuties,
+  type ProviderDuties,
+  type ProviderPorts,
+} from './createProviderDuties.js';
 import { CallCounter } from './callCounter.js';
 import { CrashDetector } from './crashDetector.js';
 import { EventLoopWatch } from './eventLoopWatch.js';
@@ -65,6 +70,8 @@
   readonly rolloutStatusEntries: RolloutStatusEntries;
   readonly writeIfUnchanged: WriteIfUnchanged;
   readonly targetClient: TargetClient;
+  /** Undefined if the router calls no provider. */
+  readonly provider?: ProviderPorts | undefined;
   readonly hash: (text: string) => number;
   readonly random: () => number;
 }
@@ -92,7 +99,7 @@
 
 /** Creates the parts of a router and connects them. */
 export function createRouter(opts: RouterOptions): Router {
-  const { settings, timer, log, metrics, random, storeEra } = opts;
+  const { settings, timer, log, storeEra } = opts;
   const tasks = TaskGroup.create({ onFailure: (error) => logFailedTask(log, error) });
   const callTasks = TaskGroup.create({ onFailure: (error) => logFailedTask(log, error) });
   const eventLoop = EventLoopWatch.create({
@@ -108,31 +115,29 @@
     onMembers: (live) => stages.setMembers(live),
   });
   const nodeCount = (): number => members.countNodes();
+  const calls = { inFlight: CallCounter.create(), waiting: CallCounter.create() };
   const limits = createLimits({ ...opts, nodeCount, peers: () => stages.peers.all() });
   const rolloutParts = createRollouts(opts);
-  const { rollouts } = rolloutParts;
-  const shared = { ...opts, ...limits, ...rolloutParts, routes, targets, nodeCount, tasks, relay };
+  const provider = createProviderDuties({
+    ...opts,
+    scaled: { routes, targets, ...calls },
+    findPeer: (name) => stages.peers.find(name),
+  });
+  const known = { ...opts, ...limits, ...rolloutParts, routes, targets, nodeCount };
+  const shared = { ...known, provider, tasks, relay };
   const stages = createStages(shared);
   const mirrors = createMirrors({ ...shared, source, onChanged: () => stages.onTargetsChanged() });
   const context: RouterContext = {
-    timer,
-    log,
-    metrics,
+    ...known,
+    ...calls,
+    ...createDurations(),
     ownZone: settings.availabilityZone,
-    routes,
-    targets,
-    ...limits,
-    rollouts,
+    countRequest: provider.countRequest,
     stop: createStop(opts),
-    inFlight: CallCounter.create(),
-    ...createDurations(),
-    targetClient: opts.targetClient,
     submitPiece: stages.submitter.submit,
     freeResults: (handles) => stages.submitter.free(handles),
     evidenceAgeMs: () => mirrors.operator.evidenceAgeMs(),
     keyAgeLimitMs: settings.keyAgeLimitMs,
-    hash: opts.hash,
-    random,
   };
   return {
     context,
@@ -145,9 +150,9 @@
     reportGauges: (sink) => {
       const eventLoopLagMs = eventLoop.lagMs;
       reportGauges({ sink, context, calls: callTasks.size, nodeCount, eventLoopLagMs, storeEra });
+      provider.reportGauges(sink);
     },
-    run: ({ signal }) =>
-      runParts({ ...opts, ...rolloutParts, stages, tasks, eventLoop, members, mirrors, signal }),
+    run: ({ signal }) => runParts({ ...shared, stages, eventLoop, members, mirrors, signal }),
   };
 }
 
@@ -170,8 +175,9 @@
 
 /** Runs the parts of a router until the signal aborts. */
 async function runParts(
-  opts: RouterOptions &
+  opts: Omit<RouterOptions, 'provider'> &
     RolloutParts & {
+      readonly provider: ProviderDuties;
       readonly tasks: TaskGroup;
       readonly eventLoop: EventLoopWatch;
       readonly members: Membership;
@@ -189,6 +195,7 @@
     mirrors.targets.run({ signal }),
     mirrors.rollouts.run({ signal }),
     members.run({ signal }),
+    opts.provider.run({ signal }),
     runRollouts({ ...opts, owners, peers, entries: opts.rolloutStatusEntries }),
   ]);
   links.close();
--- a/packages/router/src/createStages.ts
+++ b/packages/router/src/createStages.ts
@@ -14,6 +14,7 @@
 import type { TimerService } from '@galenatiller/timer';
 import type { BatchLimits } from '@galenatiller/types';
 
+import type { ProviderDuties } from './createProviderDuties.js';
 import { createPeerService } from './createPeerService.js';
 import { logAbandonedStage, logLinkEvent, logStageCall } from './logEvents.js';
 import {
@@ -52,6 +53,7 @@
   readonly rollouts: Rollouts;
   /** Passes what this node has read from the store on to other routers. */
   readonly relay: PrefixRelay;
+  readonly provider: ProviderDuties;
 }
 
 /** What runs stages: on this node, or through the routers that own their services. */
@@ -84,6 +86,7 @@
     onOpened: (peer) => {
       peer.shareCrashEvidence(opts.crashSuspects.currentCrashes());
       peer.shareLeavingEvidence(opts.notices.currentLeaving());
+      opts.provider.onLinkOpened(peer.name);
     },
   });
   const resultMemory = ResultMemory.create({
--- a/packages/router/src/logEvents.ts
+++ b/packages/router/src/logEvents.ts
@@ -9,6 +9,7 @@
   StatedEraEvent,
 } from '@galenatiller/store';
 import type { TargetChange, TargetNoticeEvent } from '@galenatiller/target';
+import type { ClockEvent, ScaleEvent, UsageReportEvent } from '@galenatiller/provider';
 import type { Result } from 'true-myth';
 
 import type { RolloutDecision } from '@galenatiller/types';
@@ -149,6 +150,36 @@
   log({ about: 'belief', event: 'rollout-write', ...rest, state, outcome });
 }
 
+/** Logs what was fixed for, sent of and left out of the usage reports, and jumps of the wall clock. */
+export function logUsage(log: EventLog, event: UsageReportEvent | ClockEvent): void {
+  const { kind, ...rest } = event;
+  switch (event.kind) {
+    case 'sent': {
+      const { outcome } = event;
+      const verb = event.attempt > 1 ? 'repeated' : 'sent';
+      log({ about: 'belief', event: 'usage-report', ...rest, outcome: `${verb}: ${outcome}` });
+      break;
+    }
+    case 'fixed':
+    case 'left-out':
+      log({ about: 'belief', event: 'usage-report', ...rest, outcome: kind });
+      break;
+    case 'ledger-read':
+    case 'ledger-write':
+      log({ about: 'dependency', event: 'usage-ledger', ...rest, outcome: kind });
+      break;
+    default:
+      log({ about: 'belief', event: 'window-clock', ...rest, outcome: kind });
+  }
+}
+
+/** Logs why a number of workers was decided, and how the call that orders it ended. */
+export function logScale(log: EventLog, event: ScaleEvent): void {
+  const { kind, ...rest } = event;
+  const outcome = event.kind === 'sent' ? `sent: ${event.outcome}` : kind;
+  log({ about: 'belief', event: 'scale-order', ...rest, outcome });
+}
+
 /** Logs a task that threw. */
 export function logFailedTask(log: EventLog, error: unknown): void {
   const outcome = error instanceof Error ? (error.stack ?? error.message) : String(error);
--- a/packages/router/src/observeAttempt.ts
+++ b/packages/router/src/observeAttempt.ts
@@ -3,7 +3,7 @@
 
 import type { AdmittedCall } from './admitCall.js';
 import type { CallProgress } from './callProgress.js';
-import type { CallerExchange, SendResult } from './ports.js';
+import type { CallerExchange, SendResponse, SendResult } from './ports.js';
 import type { RouterContext } from './routerContext.js';
 
 /** An attempt to send a call to a target. */
@@ -43,6 +43,55 @@
   });
 }
 
+/** Statuses that promise that the request has not run. */
+const NOT_RUN_STATUSES: readonly number[] = [408, 421, 429, 503];
+
+/**
+ * Counts the request of an organisation when an attempt shows for the first time that a target began to
+ * run it, or may have begun: at the answer, at the first event of a stream, or when the answer was lost.
+ */
+export function countBegunRequest(opts: {
+  readonly context: Pick<RouterContext, 'countRequest'>;
+  readonly admitted: Pick<AdmittedCall, 'organisation'>;
+  readonly progress: Pick<CallProgress, 'recordBegin'>;
+}): void {
+  const { organisation } = opts.admitted;
+  if (organisation !== '' && opts.progress.recordBegin()) {
+    opts.context.countRequest(organisation);
+  }
+}
+
+/** Counts the request of a stream at its first event, or at its end without one. */
+export function countBegunStream(
+  opts: Parameters<typeof countBegunRequest>[0] & {
+    readonly admitted: Pick<AdmittedCall, 'route'>;
+  },
+  response: SendResponse,
+): void {
+  if (isStream(opts, response)) {
+    countBegunRequest(opts);
+  }
+}
+
+/** Whether the end of a send shows that the target began to run the call, or that it may have. */
+export function mayHaveBegun(
+  opts: { readonly admitted: Pick<AdmittedCall, 'route'> },
+  response: SendResult,
+): boolean {
+  if (response.kind === 'answered') {
+    return !isStream(opts, response) && !NOT_RUN_STATUSES.includes(response.status);
+  }
+  return response.kind === 'broken' || response.kind === 'foreign';
+}
+
+/** Whether a response is the stream that its route asks for. */
+export function isStream(
+  { admitted }: { readonly admitted: Pick<AdmittedCall, 'route'> },
+  response: Pick<SendResponse, 'status'>,
+): boolean {
+  return admitted.route.callKind === 'stream' && response.status === 200;
+}
+
 /** Logs a response that broke off, before the call is sent to another target. */
 export function logBrokenResponse(opts: ObservedAttempt): void {
   const { context, exchange, progress, target } = opts;
--- a/packages/router/src/routerContext.ts
+++ b/packages/router/src/routerContext.ts
@@ -37,13 +37,18 @@
   /** Time from the submission of a piece to its result, by service. */
   readonly pieceTimes: SmoothedDurations;
   readonly retryBudget: RetryBudget;
+  /** Calls in flight, by target. */
   readonly inFlight: CallCounter;
+  /** Calls that wait for a target, by service. */
+  readonly waiting: CallCounter;
   /** Memory for responses of targets that are no streams. */
   readonly bodyMemory: BodyMemory;
   readonly crashDetector: CrashDetector;
   readonly crashSuspects: CrashSuspects;
   readonly rollouts: Rollouts;
   readonly stop: RouterStop;
+  /** Counts a request of an organisation that a target has begun to run. */
+  readonly countRequest: (organisation: string) => void;
   readonly targetClient: TargetClient;
   readonly submitPiece: SubmitPiece;
   /** Frees stage results, by their handles. */
--- a/packages/router/src/runAttempts.ts
+++ b/packages/router/src/runAttempts.ts
@@ -17,7 +17,15 @@
 import { chooseTargetForCall } from './chooseTargetForCall.js';
 import { endForPause } from './endForPause.js';
 import { findPauseWait } from './findPauseWait.js';
-import { logAttempt, logBrokenResponse, recordWholeResponse } from './observeAttempt.js';
+import {
+  countBegunRequest,
+  countBegunStream,
+  isStream,
+  logAttempt,
+  logBrokenResponse,
+  mayHaveBegun,
+  recordWholeResponse,
+} from './observeAttempt.js';
 import type { CallerExchange, SendResponse, SendResult } from './ports.js';
 import type { RouterContext } from './routerContext.js';
 import type { TrackedCall } from './routerStop.js';
@@ -80,7 +88,9 @@
       if (waitEnd) {
         return waitEnd;
       }
+      const endWaiting = context.waiting.increment(admitted.service);
       await timer.sleep({ delayMs: RECHECK_DELAY_MS, signal });
+      endWaiting();
       continue;
     }
     if (progress.sends > 0 && !context.retryBudget.tryWithdraw(admitted.service)) {
@@ -169,6 +179,9 @@
     context.notices.record({ target: toTargetStart(target), notice, source: 'call' });
     context.metrics.count({ name: 'router.sends', tags: { send: response.kind } });
     logAttempt({ ...opts, target, reason: choice.reason, response, sentAtMs });
+    if (mayHaveBegun(opts, response)) {
+      countBegunRequest(opts);
+    }
     if (response.kind !== 'answered') {
       if (response.kind === 'broken') {
         observeBroken(opts, observation);
@@ -203,20 +216,21 @@
   target: RegisteredTarget,
   response: SendResponse,
 ): Promise<AttemptsResult | undefined> {
-  const { exchange, admitted, context, observation } = opts;
+  const { exchange, context, observation } = opts;
   let provedAtMs: number | undefined;
   const forwarded: ForwardResult = await forwardResponse({
     exchange,
     response,
     bodyMemory: context.bodyMemory,
     hasTargetCrashed: () => context.crashDetector.hasCrashed(target),
-    isStream: admitted.route.callKind === 'stream' && response.status === 200,
+    isStream: isStream(opts, response),
     hasStarted: progress.hasStarted,
     resumeAfter: progress.resumeAfter,
     onData: (events) => {
       opts.onInputsConsumed();
       opts.tracked.enter('streaming');
       observation.addEvents(events);
+      countBegunStream(opts, response);
       const nowMs = context.timer.nowMs();
       provedAtMs ??= nowMs;
       if (nowMs - provedAtMs >= PROOF_INTERVAL_MS) {
@@ -226,6 +240,8 @@
     },
   });
   progress.recordForwarded(forwarded);
+  // A stream that ended before its first event may have begun.
+  countBegunStream(opts, response);
   if (forwarded.kind === 'interrupted') {
     observeBroken(opts, observation);
   } else {
--- a/packages/router/test/freeNotices.steps.ts
+++ b/packages/router/test/freeNotices.steps.ts
@@ -77,6 +77,14 @@
     nodeCount: () => 1,
     tasks: TaskGroup.create({ onFailure: () => {} }),
     crashSuspects: CrashSuspects.create({ timer, share: () => {}, onStopped: () => {} }),
+    provider: {
+      countRequest: () => {},
+      addUsage: () => {},
+      addLoad: () => {},
+      onLinkOpened: () => {},
+      reportGauges: () => {},
+      run: () => Promise.resolve(),
+    },
     rollouts: Rollouts.create({
       timer,
       random: () => 0.5,
--- a/packages/router/test/router.steps.ts
+++ b/packages/router/test/router.steps.ts
@@ -37,6 +37,7 @@
     this.pieceInputs = [];
     this.resultHandles = [];
     this.freedHandles = [];
+    this.counted = [];
     this.pieceFailure = undefined;
     this.context = createContext(this);
   },
--- a/packages/router/test/support.ts
+++ b/packages/router/test/support.ts
@@ -71,6 +71,8 @@
   pieceInputs: (readonly string[])[];
   resultHandles: string[];
   freedHandles: string[];
+  /** Organisations of the requests that were counted. */
+  counted: string[];
   /** Reason that every piece fails with; undefined when none fails. */
   pieceFailure: PieceFailure | undefined;
 }
@@ -231,7 +233,9 @@
       nodeCount: () => 1,
     }),
     stop: RouterStop.create({ timer, onCallStopped: () => {} }),
+    countRequest: (organisation) => world.counted.push(organisation),
     inFlight: CallCounter.create(),
+    waiting: CallCounter.create(),
     responseTimes: SmoothedDurations.create(),
     wholeResponseTimes: SmoothedDurations.create({ expireAfterMs: 60_000 }),
     pieceTimes: SmoothedDurations.create(),
@@ -269,9 +273,7 @@
       world.resultHandles.push(handle);
       return Promise.resolve({ kind: 'made', handle });
     },
-    freeResults: (handles) => {
-      world.freedHandles.push(...handles);
-    },
+    freeResults: (handles) => world.freedHandles.push(...handles),
     evidenceAgeMs: () => world.evidenceAgeMs,
     keyAgeLimitMs: 5_000,
     hash: (text) => text.length,
--- a/packages/routerLink/src/acceptRouters.ts
+++ b/packages/routerLink/src/acceptRouters.ts
@@ -7,10 +7,12 @@
 import type {
   CrashEvidence,
   LeavingEvidence,
+  LoadUpdate,
   PieceResult,
   RolloutDecision,
   RolloutEvidence,
   StagePiece,
+  UsageUpdate,
 } from '@galenatiller/types';
 
 import { LINK_VERSION } from './followRouter.js';
@@ -32,6 +34,10 @@
   /** Adds evidence to the rollouts that this router owns. */
   readonly addRolloutEvidence: (evidence: readonly RolloutEvidence[]) => void;
   readonly endRollout: (decision: RolloutDecision) => void;
+  /** Takes what a peer has counted. */
+  readonly addUsage: (update: UsageUpdate) => void;
+  /** Takes how busy a peer sees the workers. */
+  readonly addLoad: (update: LoadUpdate) => void;
   /** Responds with what this router has read from the store. */
   readonly readRelayed: (opts: {
     readonly request: RelayRequest;
@@ -145,6 +151,12 @@
     case 'rollout-decision':
       service.endRollout(frame.decision);
       break;
+    case 'usage-counts':
+      service.addUsage(frame.update);
+      break;
+    case 'service-load':
+      service.addLoad(frame.update);
+      break;
     default:
   }
 }
--- a/packages/routerLink/src/followRouter.ts
+++ b/packages/routerLink/src/followRouter.ts
@@ -3,9 +3,11 @@
 import type {
   CrashEvidence,
   LeavingEvidence,
+  LoadUpdate,
   PieceResult,
   RolloutDecision,
   RolloutEvidence,
+  UsageUpdate,
 } from '@galenatiller/types';
 
 import { openSocket } from './openSocket.js';
@@ -84,6 +86,11 @@
     return new PeerRouter(opts);
   }
 
+  /** Name of the peer. */
+  get name(): string {
+    return this.opts.peerName;
+  }
+
   /** Whether frames can be sent now. */
   get isOpen(): boolean {
     return this.socket?.isWritable ?? false;
@@ -159,6 +166,16 @@
     this.send({ kind: 'rollout-decision', decision });
   }
 
+  /** Sends counts of requests; false when there is no open link. */
+  sendUsage(update: UsageUpdate): boolean {
+    return this.send({ kind: 'usage-counts', update });
+  }
+
+  /** Sends how busy workers are, if the link is open. */
+  sendLoad(update: LoadUpdate): void {
+    this.send({ kind: 'service-load', update });
+  }
+
   /** The task of the link: opens it, reads frames until it ends, and opens it again. */
   async run(opts: { readonly signal: AbortSignal }): Promise<void> {
     const { signal } = opts;
--- a/packages/routerLink/src/routerFrames.ts
+++ b/packages/routerLink/src/routerFrames.ts
@@ -2,9 +2,11 @@
 import type {
   CrashEvidence,
   LeavingEvidence,
+  LoadUpdate,
   PieceResult,
   RolloutDecision,
   RolloutEvidence,
+  UsageUpdate,
 } from '@galenatiller/types';
 
 /** The first frame on a link, sent by the router that opened it. */
@@ -89,6 +91,18 @@
   readonly decision: RolloutDecision;
 }
 
+/** Tells a router that reports usage what the sender has counted; sent only where usage is reported. */
+export interface UsageCountsFrame {
+  readonly kind: 'usage-counts';
+  readonly update: UsageUpdate;
+}
+
+/** Tells a router that sets numbers of workers how busy they are; sent only where it does so. */
+export interface ServiceLoadFrame {
+  readonly kind: 'service-load';
+  readonly update: LoadUpdate;
+}
+
 /** Asks the peer for what it has read from the store. */
 export interface ReadRequestFrame {
   readonly kind: 'read-request';
@@ -126,6 +140,8 @@
   | LeavingEvidenceFrame
   | RolloutEvidenceFrame
   | RolloutDecisionFrame
+  | UsageCountsFrame
+  | ServiceLoadFrame
   | ReadRequestFrame
   | ReadResponseFrame
   | PingFrame
--- a/packages/routerLink/src/wireRouterFrame.ts
+++ b/packages/routerLink/src/wireRouterFrame.ts
@@ -4,10 +4,12 @@
 import type {
   CrashEvidence,
   LeavingEvidence,
+  LoadUpdate,
   PieceFailure,
   PieceResult,
   RolloutDecision,
   RolloutEvidence,
+  UsageUpdate,
   VersionRuns,
 } from '@galenatiller/types';
 import { Encoder } from 'cbor-x';
@@ -90,6 +92,8 @@
   'rollout-evidence': ({ evidence }) =>
     Array.isArray(evidence) && evidence.every(isRolloutEvidence),
   'rollout-decision': ({ decision }) => isRolloutDecision(decision),
+  'usage-counts': ({ update }) => isUsageUpdate(update),
+  'service-load': ({ update }) => isLoadUpdate(update),
   'read-request': (fields) => areNumbers(fields, ['requestId']) && isRelayRequest(fields.request),
   'read-response': (fields) =>
     areNumbers(fields, ['requestId']) && isRelayResponse(fields.response),
@@ -198,6 +202,42 @@
   );
 }
 
+function isUsageUpdate(value: unknown): value is UsageUpdate {
+  const fields = asFields(value);
+  return (
+    areStrings(fields, ['router', 'start']) &&
+    areNumbers(fields, ['closedThrough']) &&
+    Array.isArray(fields.windows) &&
+    fields.windows.every((item) => {
+      const { window, counts } = asFields(item);
+      return Number.isSafeInteger(window) && isCountList(counts);
+    })
+  );
+}
+
+function isLoadUpdate(value: unknown): value is LoadUpdate {
+  const fields = asFields(value);
+  return (
+    areStrings(fields, ['router']) &&
+    isCountList(fields.waiting) &&
+    Array.isArray(fields.zones) &&
+    fields.zones.every((item) => {
+      const load = asFields(item);
+      return areStrings(load, ['service', 'zone']) && areNumbers(load, ['inFlight']);
+    })
+  );
+}
+
+/** Whether a value is a list of names with numbers. */
+function isCountList(value: unknown): boolean {
+  return (
+    Array.isArray(value) &&
+    value.every(
+      (item) => Array.isArray(item) && typeof item[0] === 'string' && Number.isSafeInteger(item[1]),
+    )
+  );
+}
+
 function asFields(value: unknown): Fields {
   return typeof value === 'object' && value !== null ? (value as Fields) : {};
 }
--- a/packages/routerLink/test/linkWorld.ts
+++ b/packages/routerLink/test/linkWorld.ts
@@ -9,10 +9,12 @@
 import type {
   CrashEvidence,
   LeavingEvidence,
+  LoadUpdate,
   PieceResult,
   RolloutDecision,
   RolloutEvidence,
   StagePiece,
+  UsageUpdate,
 } from '@galenatiller/types';
 
 export const RELAYED: RelayResponse = {
@@ -50,6 +52,8 @@
   leavingAtOwner: readonly LeavingEvidence[] | undefined;
   rolloutEvidenceAtOwner: readonly RolloutEvidence[] | undefined;
   decisionAtOwner: RolloutDecision | undefined;
+  usageAtOwner: UsageUpdate | undefined;
+  loadAtOwner: LoadUpdate | undefined;
   requestAtOwner: RelayRequest;
   relayed: RelayResponse | undefined;
   maxPiecesAtOwner: number;
--- a/packages/routerLink/test/routerLink.feature
+++ b/packages/routerLink/test/routerLink.feature
@@ -65,3 +65,8 @@
     When the owner has no CPU time
     Then the peer submits no more to it, before it takes the piece for lost
     And it submits nothing to it while it says nothing
+
+  # Guards against counts or loads that are lost or changed by the encoding.
+  Scenario: Counts of requests and loads of services are passed on
+    When the peer sends counts of requests and the load of a service
+    Then the owner gets the counts and the load
--- a/packages/routerLink/test/routerLink.steps.ts
+++ b/packages/routerLink/test/routerLink.steps.ts
@@ -63,6 +63,12 @@
         addRolloutEvidence: (evidence) => {
           this.rolloutEvidenceAtOwner = evidence;
         },
+        addUsage: (update) => {
+          this.usageAtOwner = update;
+        },
+        addLoad: (update) => {
+          this.loadAtOwner = update;
+        },
         endRollout: (decision) => {
           this.decisionAtOwner = decision;
         },
--- a/packages/settings/src/routerKeys.ts
+++ b/packages/settings/src/routerKeys.ts
@@ -124,6 +124,33 @@
     max: 100_000,
     defaultText: '10',
   }),
+  providerRatePerS: figureKey({
+    section: 'provider',
+    key: 'rate-per-s',
+    meaning: 'Calls to the infrastructure provider that it accepts from all routers; half is used.',
+    unit: 'calls/s',
+    min: 0.1,
+    max: 100_000,
+    defaultText: '10',
+  }),
+  usageWindowS: figureKey({
+    section: 'provider',
+    key: 'usage-window-s',
+    meaning: 'Length of the windows for which usage is reported.',
+    unit: 's',
+    min: 0.5,
+    max: 86_400,
+    defaultText: '5',
+  }),
+  usageLateS: figureKey({
+    section: 'provider',
+    key: 'usage-late-s',
+    meaning: 'Time after the end of a window within which its usage is due.',
+    unit: 's',
+    min: 1,
+    max: 86_400,
+    defaultText: '10',
+  }),
 } satisfies KeyTable;
 
 /** Settings of the router role. */
