--- a/packages/router/src/createPeerService.ts
+++ b/packages/router/src/createPeerService.ts
@@ -3,6 +3,7 @@
 import type { CrashSuspects, TargetNotices } from '@galenatiller/target';
 
 import type { Permits } from './permits.js';
+import type { ProviderDuties } from './createProviderDuties.js';
 import type { OwnerCredit, StageSubmitter } from './ownership/index.js';
 import type { Rollouts } from './rollouts.js';
 import type { StageWorkers } from './stageWorkers.js';
@@ -17,11 +18,12 @@
   readonly rollouts: Rollouts;
   readonly relay: PrefixRelay;
   readonly permits: Permits;
+  readonly provider: Pick<ProviderDuties, 'addUsage' | 'addLoad'>;
 }
 
 /** Creates the functions that this router runs for its peers. */
 export function createPeerService(opts: PeerServiceOptions): PeerService {
-  const { submitter, workers, credit, crashSuspects, notices, rollouts, relay } = opts;
+  const { submitter, workers, credit, crashSuspects, notices, rollouts, relay, provider } = opts;
   return {
     runPiece: submitter.submitForPeer,
     waitMs: (shard) => workers.waitMs(shard),
@@ -32,6 +34,8 @@
     addRolloutEvidence: (evidence) => evidence.forEach((item) => rollouts.addEvidence(item)),
     tryGrantPermit: (target) => opts.permits.tryGrant(target),
     endRollout: (decision) => rollouts.end(decision),
+    addUsage: provider.addUsage,
+    addLoad: provider.addLoad,
     readRelayed: (read) => relay.respond(read),
   };
 }
--- a/packages/router/src/createRouter.ts
+++ b/packages/router/src/createRouter.ts
@@ -22,6 +22,11 @@
 import { TaskGroup } from '@galenatiller/tasks';
 import type { TimerService } from '@galenatiller/timer';
 
+import {
+  createProviderDuties,
+  type ProviderDuties,
+  type ProviderPorts,
+} from './createProviderDuties.js';
 import { CallCounter } from './callCounter.js';
 import { CrashDetector } from './crashDetector.js';
 import { createDurations } from './createDurations.js';
@@ -66,6 +71,8 @@
   readonly rolloutStatusEntries: RolloutStatusEntries;
   readonly writeIfUnchanged: WriteIfUnchanged;
   readonly targetClient: TargetClient;
+  /** Undefined if the router calls no provider. */
+  readonly provider?: ProviderPorts | undefined;
   readonly hash: (text: string) => number;
   readonly random: () => number;
 }
@@ -93,7 +100,7 @@
 
 /** Creates the parts of a router and connects them. */
 export function createRouter(opts: RouterOptions): Router {
-  const { settings, timer, log, metrics, random, storeEra } = opts;
+  const { settings, timer, log, storeEra } = opts;
   const tasks = TaskGroup.create({ onFailure: (error) => logFailedTask(log, error) });
   const callTasks = TaskGroup.create({ onFailure: (error) => logFailedTask(log, error) });
   const eventLoop = EventLoopWatch.create({
@@ -109,32 +116,28 @@
     onMembers: (live) => stages.setMembers(live),
   });
   const nodeCount = (): number => members.countNodes();
+  const calls = { inFlight: CallCounter.create(), waiting: CallCounter.create() };
   const limits = createLimits({ ...opts, nodeCount, peers: () => stages.peers.all() });
   const rolloutParts = createRollouts(opts);
-  const { rollouts } = rolloutParts;
   const evidenceAgeMs = (): number => mirrors.operator.evidenceAgeMs();
-  const known = { routes, targets, nodeCount, evidenceAgeMs, tasks, relay };
-  const shared = { ...opts, ...limits, ...rolloutParts, ...known };
+  const provider = createProviderDuties({
+    ...opts,
+    scaled: { routes, targets, ...calls },
+    findPeer: (name) => stages.peers.find(name),
+  });
+  const known = { ...opts, ...limits, ...rolloutParts, routes, targets, nodeCount, evidenceAgeMs };
+  const shared = { ...known, provider, tasks, relay };
   const stages = createStages(shared);
   const mirrors = createMirrors({ ...shared, source, onChanged: () => stages.onTargetsChanged() });
   const context: RouterContext = {
-    timer,
-    log,
-    metrics,
-    ownZone: settings.availabilityZone,
-    routes,
-    targets,
-    ...limits,
-    rollouts,
-    stop: createStop(opts),
-    inFlight: CallCounter.create(),
+    ...known,
+    ...calls,
     ...createDurations(),
-    targetClient: opts.targetClient,
     ...bindStages(stages),
-    evidenceAgeMs,
+    ownZone: settings.availabilityZone,
+    countRequest: provider.countRequest,
+    stop: createStop(opts),
     keyAgeLimitMs: settings.keyAgeLimitMs,
-    hash: opts.hash,
-    random,
   };
   return {
     context,
@@ -147,9 +150,9 @@
     reportGauges: (sink) => {
       const load = { calls: callTasks.size, eventLoopLagMs: eventLoop.lagMs };
       reportGauges({ ...load, sink, context, nodeCount, storeEra });
+      provider.reportGauges(sink);
     },
-    run: ({ signal }) =>
-      runParts({ ...opts, ...rolloutParts, stages, tasks, eventLoop, members, mirrors, signal }),
+    run: ({ signal }) => runParts({ ...shared, stages, eventLoop, members, mirrors, signal }),
   };
 }
 
@@ -172,8 +175,9 @@
 
 /** Runs the parts of a router until the signal aborts. */
 async function runParts(
-  opts: RouterOptions &
+  opts: Omit<RouterOptions, 'provider'> &
     RolloutParts & {
+      readonly provider: ProviderDuties;
       readonly tasks: TaskGroup;
       readonly eventLoop: EventLoopWatch;
       readonly members: Membership;
@@ -191,6 +195,7 @@
     mirrors.targets.run({ signal }),
     mirrors.rollouts.run({ signal }),
     members.run({ signal }),
+    opts.provider.run({ signal }),
     runRollouts({ ...opts, owners, peers, entries: opts.rolloutStatusEntries }),
   ]);
   links.close();
--- a/packages/router/src/createStages.ts
+++ b/packages/router/src/createStages.ts
@@ -15,6 +15,7 @@
 import type { TimerService } from '@galenatiller/timer';
 import type { BatchLimits } from '@galenatiller/types';
 
+import type { ProviderDuties } from './createProviderDuties.js';
 import { createPeerService } from './createPeerService.js';
 import { logAbandonedStage, logLinkEvent, logStageCall } from './logEvents.js';
 import {
@@ -57,6 +58,7 @@
   readonly relay: PrefixRelay;
   /** Time since the store last proved what this node knows. */
   readonly evidenceAgeMs: () => number;
+  readonly provider: ProviderDuties;
 }
 
 /** What runs stages: on this node, or through the routers that own their services. */
@@ -91,6 +93,7 @@
     onOpened: (peer) => {
       peer.shareCrashEvidence(opts.crashSuspects.currentCrashes());
       peer.shareLeavingEvidence(opts.notices.currentLeaving());
+      opts.provider.onLinkOpened(peer.name);
     },
   });
   const resultMemory = ResultMemory.create({
--- a/packages/router/src/routerContext.ts
+++ b/packages/router/src/routerContext.ts
@@ -40,13 +40,18 @@
   readonly pieceTimes: SmoothedDurations;
   readonly stageTimes: StageTimes;
   readonly retryBudget: RetryBudget;
+  /** Calls in flight, by target. */
   readonly inFlight: CallCounter;
+  /** Calls that wait for a target, by service. */
+  readonly waiting: CallCounter;
   /** Memory for responses of targets that are no streams. */
   readonly bodyMemory: BodyMemory;
   readonly crashDetector: CrashDetector;
   readonly crashSuspects: CrashSuspects;
   readonly rollouts: Rollouts;
   readonly stop: RouterStop;
+  /** Counts a request of an organisation that a target has begun to run. */
+  readonly countRequest: (organisation: string) => void;
   readonly targetClient: TargetClient;
   /** Obtains a permit for one send to a target beyond the equal share of this node. */
   readonly obtainPermit: (target: PermitTarget) => Promise<boolean>;
--- a/packages/routerLink/src/acceptRouters.ts
+++ b/packages/routerLink/src/acceptRouters.ts
@@ -7,11 +7,13 @@
 import type {
   CrashEvidence,
   LeavingEvidence,
+  LoadUpdate,
   PieceResult,
   PieceUrgency,
   RolloutDecision,
   RolloutEvidence,
   StagePiece,
+  UsageUpdate,
 } from '@galenatiller/types';
 
 import { LINK_VERSION } from './followRouter.js';
@@ -43,6 +45,10 @@
     readonly service: string;
     readonly address: string;
   }) => boolean;
+  /** Takes what a peer has counted. */
+  readonly addUsage: (update: UsageUpdate) => void;
+  /** Takes how busy a peer sees the workers. */
+  readonly addLoad: (update: LoadUpdate) => void;
   /** Responds with what this router has read from the store. */
   readonly readRelayed: (opts: {
     readonly request: RelayRequest;
@@ -169,6 +175,12 @@
     case 'rollout-decision':
       service.endRollout(frame.decision);
       break;
+    case 'usage-counts':
+      service.addUsage(frame.update);
+      break;
+    case 'service-load':
+      service.addLoad(frame.update);
+      break;
     default:
   }
 }
