--- a/packages/pool/src/dispatchBatches.ts
+++ b/packages/pool/src/dispatchBatches.ts
@@ -10,7 +10,7 @@
 import { abortWhenAllCancelled } from './abortWhenAllCancelled.js';
 import type { BatchOutcome } from './beginsAtOnce.js';
 import { computeRefusedPauseMs } from './computeRefusedPauseMs.js';
-import { recordFullWorker } from './recordFullWorker.js';
+import { isRefused, recordFullWorker } from './recordFullWorker.js';
 import type { ResultMemory } from './resultMemory.js';
 import type { SeenHandles } from './seenHandles.js';
 import type { StageQueue, TakenPiece } from './stageQueue.js';
@@ -49,6 +49,10 @@
   readonly stages: readonly number[];
   readonly tookMs: number;
   readonly waitedMs: number;
+  /** Whether the inputs of the call could be freed before its end. */
+  readonly isBegunEarly: boolean;
+  /** Results for which the worker had no memory. */
+  readonly withoutRoom: number;
   readonly kind: BatchResponse['kind'];
   readonly outcome: string;
 }
@@ -183,7 +187,9 @@
   start.release();
   resultMemory.releaseReservation(target.address, bytes);
   const tookMs = timer.nowMs() - startedAtMs;
-  opts.onBatch(describeBatch({ ...opts, response, startedAtMs, tookMs }));
+  opts.onBatch(
+    describeBatch({ ...opts, response, startedAtMs, tookMs, isBegunEarly: start.isBegun() }),
+  );
   if (response.kind !== 'answered') {
     const isCancelled = cancellation.signal.aborted;
     return endUnanswered({ ...opts, kind: response.kind, bytes, isCancelled, start });
@@ -230,6 +236,7 @@
   readonly response: BatchResponse;
   readonly startedAtMs: number;
   readonly tookMs: number;
+  readonly isBegunEarly: boolean;
 }): BatchEvent {
   const { target, taken, response, startedAtMs, tookMs } = opts;
   const queuedSinceMs = taken.map(({ queued }) => queued.queuedSinceMs);
@@ -239,6 +246,8 @@
     stages: taken.map(({ queued }) => queued.piece.stage),
     tookMs: Math.round(tookMs),
     waitedMs: Math.round(startedAtMs - Math.min(...queuedSinceMs)),
+    isBegunEarly: opts.isBegunEarly,
+    withoutRoom: response.kind === 'answered' ? response.results.filter(isRefused).length : 0,
     kind: response.kind,
     outcome:
       response.kind === 'answered'
--- a/packages/pool/src/recordFullWorker.ts
+++ b/packages/pool/src/recordFullWorker.ts
@@ -29,6 +29,7 @@
   }
 }
 
-function isRefused(result: PieceResult | undefined): boolean {
+/** Whether the worker had no memory for a result. */
+export function isRefused(result: PieceResult | undefined): boolean {
   return result?.kind === 'failed' && result.reason === 'no-room';
 }
--- a/packages/router/src/logEvents.ts
+++ b/packages/router/src/logEvents.ts
@@ -73,7 +73,7 @@
 
 /** Logs one batch call to a stage worker. */
 export function logStageCall(log: EventLog, event: BatchEvent): void {
-  const { target, requestIds, stages, tookMs, waitedMs, outcome } = event;
+  const { target, requestIds, stages, tookMs, waitedMs, isBegunEarly, outcome } = event;
   const { id, service } = target;
   log({
     about: 'decision',
@@ -84,6 +84,7 @@
     stages,
     tookMs,
     waitedMs,
+    isBegunEarly,
     outcome,
   });
 }
--- a/packages/router/src/recordMetrics.ts
+++ b/packages/router/src/recordMetrics.ts
@@ -11,6 +11,13 @@
   const { kind, tookMs, waitedMs, requestIds } = event;
   metrics.count({ name: 'router.stage_calls', tags: { batch: kind } });
   metrics.count({ name: 'router.stage_pieces', tags: {}, amount: requestIds.length });
+  if (event.withoutRoom > 0) {
+    const amount = event.withoutRoom;
+    metrics.count({ name: 'router.stage_results_without_room', tags: {}, amount });
+  }
+  if (event.isBegunEarly) {
+    metrics.count({ name: 'router.stage_calls_begun', tags: {} });
+  }
   metrics.timing({ name: 'router.stage_call_time', tags: {}, durationMs: tookMs });
   metrics.timing({ name: 'router.stage_wait_time', tags: {}, durationMs: waitedMs });
 }
--- a/packages/router/src/runStages.ts
+++ b/packages/router/src/runStages.ts
@@ -41,8 +41,8 @@
   /** Time for which a stage whose dependencies are done should still wait, as far as is known now. */
   readonly startDelayMs: (position: number) => number;
   readonly sleep: TimerService['sleep'];
-  /** Called when the pieces of a stage are submitted. */
-  readonly onStageStarted: (position: number) => void;
+  /** Called when the pieces of a stage are submitted, with the time for which that was put off. */
+  readonly onStageStarted: (position: number, delayedMs: number) => void;
   /** Called when all pieces of a stage have results. */
   readonly onStageDone: (position: number) => void;
   /** Frees results that no later stage needs. */
@@ -97,8 +97,7 @@
     );
     const run = dependencies.then(async (earlier) => {
       const inputs = earlier.flat();
-      await waitForStart({ ...opts, position, signal });
-      opts.onStageStarted(position);
+      opts.onStageStarted(position, await waitForStart({ ...opts, position, signal }));
       const pieces = Array.from({ length: getPieceCount(call, position) }, (_, piece) => piece);
       const results = await Promise.all(
         pieces.map((piece) => {
@@ -183,18 +182,22 @@
 /** Other stages of a call may end earlier than was expected, which is noticed within this time. */
 const START_CHECK_INTERVAL_MS = 100;
 
-/** Waits until a stage should start, or until the signal aborts. */
+/** Waits until a stage should start, or until the signal aborts; resolves to the time that it took. */
 async function waitForStart(
-  opts: Pick<RunStagesOptions, 'startDelayMs' | 'sleep' | 'signal'> & { readonly position: number },
-): Promise<void> {
+  opts: Pick<RunStagesOptions, 'startDelayMs' | 'sleep' | 'nowMs' | 'signal'> & {
+    readonly position: number;
+  },
+): Promise<number> {
   const { signal, position } = opts;
+  const readyAtMs = opts.nowMs();
   for (let waitMs = opts.startDelayMs(position); waitMs > 0; waitMs = opts.startDelayMs(position)) {
     const delayMs = Math.min(Math.ceil(waitMs), START_CHECK_INTERVAL_MS);
     await opts.sleep({ delayMs, signal });
     if (signal.aborted) {
-      return;
+      break;
     }
   }
+  return opts.nowMs() - readyAtMs;
 }
 
 /** Frees the results of each stage as soon as every piece that depends on it has begun or is done. */
--- a/packages/router/src/serveCall.ts
+++ b/packages/router/src/serveCall.ts
@@ -26,7 +26,13 @@
 import { runAttempts } from './runAttempts.js';
 import { runStages, type StagesDone, type StagesFailed } from './runStages.js';
 import { StageProgress } from './stageProgress.js';
-import { findStartDelayMs, freeResults, recordStageDone, submitTimed } from './stageTiming.js';
+import {
+  findStartDelayMs,
+  freeResults,
+  recordStageDone,
+  recordStageStart,
+  submitTimed,
+} from './stageTiming.js';
 import { computeStageDeadlines, computeZoneWaitLimits } from './computeStageDeadlines.js';
 
 /** Options of {@link serveCall}. */
@@ -204,7 +210,7 @@
     submit: submitTimed(context),
     startDelayMs: (position) => findStartDelayMs(opts, position),
     sleep: (sleep) => context.timer.sleep(sleep),
-    onStageStarted: (position) => opts.stageProgress.recordStart(position),
+    onStageStarted: (position, delayedMs) => recordStageStart(opts, position, delayedMs),
     onStageDone: (position) => recordStageDone(opts, position),
     free: (results) => freeResults(context, results),
     signal,
--- a/packages/router/src/stageTiming.ts
+++ b/packages/router/src/stageTiming.ts
@@ -29,6 +29,15 @@
   });
 }
 
+/** Records that a stage of a call starts, and for how long that was put off. */
+export function recordStageStart(opts: StagedCall, position: number, delayedMs: number): void {
+  opts.stageProgress.recordStart(position);
+  if (delayedMs > 0) {
+    const { metrics } = opts.context;
+    metrics.timing({ name: 'router.stage_start_delay', tags: {}, durationMs: delayedMs });
+  }
+}
+
 /** Records that a stage of a call has its results, and how long it took. */
 export function recordStageDone(opts: StagedCall, position: number): void {
   const { context, admitted, stageProgress } = opts;
