--- a/packages/pool/test/queueWorld.ts
+++ b/packages/pool/test/queueWorld.ts
@@ -45,6 +45,7 @@
   resultsLeft: number;
   /** Calls that found no memory for a result. */
   fullCalls: number;
+  closedCalls: number;
   losesResponses: boolean;
   freeMs: number;
   requests: number;
@@ -86,7 +87,12 @@
     random: () => 0.5,
     workerSpeed: WorkerSpeed.create(),
     seenHandles: SeenHandles.create({ timer: world.stageTimer }),
-    runPieces: ({ pieces }) => runPieces(world, target, pieces),
+    runPieces: ({ pieces, signal }) => {
+      signal.addEventListener('abort', () => {
+        world.closedCalls += 1;
+      });
+      return runPieces(world, target, pieces);
+    },
     onBatch: () => {},
     onSent: () => {},
     onNotice: () => {},
--- a/packages/pool/test/resultMemory.steps.ts
+++ b/packages/pool/test/resultMemory.steps.ts
@@ -1,6 +1,6 @@
 import assert from 'node:assert/strict';
 
-import { Given, Then } from '@cucumber/cucumber';
+import { Given, Then, When } from '@cucumber/cucumber';
 
 import { LIMITS, type QueueWorld, RESULT_BYTES } from './queueWorld.js';
 
@@ -28,6 +28,15 @@
   assert.equal(availableBytes / RESULT_BYTES, left);
 });
 
+When('the request that runs is cancelled', async function when(this: QueueWorld) {
+  this.requestAborts[0]?.abort();
+  await this.stageClock.advance({ byMs: 1 });
+});
+
+Then('its call was not closed', function then(this: QueueWorld) {
+  assert.equal(this.closedCalls, 0);
+});
+
 Then('{int} call(s) found no memory for a result', function then(this: QueueWorld, calls: number) {
   assert.equal(this.fullCalls, calls);
 });
--- a/packages/pool/test/stageQueue.feature
+++ b/packages/pool/test/stageQueue.feature
@@ -48,6 +48,15 @@
     And 350 ms pass
     Then the worker has memory left for 4 results
 
+  # Guards against results without handles: the worker goes on with a call whose connection is closed.
+  Scenario: A batch call whose pieces are all cancelled runs to its end, and its results are freed
+    Given the only worker is busy
+    When the request that runs is cancelled
+    Then its call was not closed
+    When the worker is free again
+    And 20 ms pass
+    Then the worker has memory left for 10 results
+
   # Guards against calls that fail again and again because results are larger than configured.
   Scenario: A worker without memory for a result gets fewer of them for a while
     Given the worker keeps 5 results instead of 10
--- a/packages/routerLink/test/routerLink.steps.ts
+++ b/packages/routerLink/test/routerLink.steps.ts
@@ -123,6 +123,7 @@
   async function then(this: LinkWorld, pieces: number) {
     assert.deepEqual(await this.peerResult, { kind: 'made', handle: '10.0.0.1:1/a' });
     assert.equal(this.begunAtPeer, pieces);
+    assert.equal(this.ordersAtOwner[0]?.onBegun !== undefined, pieces > 0);
   },
 );
 
