--- a/packages/router/test/resultRoom.steps.ts
+++ b/packages/router/test/resultRoom.steps.ts
@@ -38,10 +38,12 @@
 });
 
 Then(
-  'a large result beside a chain was kept for less than {int} ms on average',
-  function then(this: RoomWorld, maxMs: number) {
-    const { results, keptMs } = this.simulation.countLarge('C');
-    assert.ok(results > 50 && keptMs / results < maxMs, `${results} for ${keptMs / results} ms`);
+  /^a result of (\d+) KB (of|beside) a chain was kept for less than (\d+) ms on average$/,
+  function then(this: RoomWorld, kilobytes: string, of: string, maxMs: string) {
+    const name = of === 'of' ? 'B' : 'C';
+    const { results, keptMs } = this.simulation.countKept(name, Number(kilobytes) * 1_000);
+    const meanMs = keptMs / results;
+    assert.ok(results > 50 && meanMs < Number(maxMs), `${results} for ${meanMs} ms`);
   },
 );
 
--- a/packages/router/test/roomSimulation.ts
+++ b/packages/router/test/roomSimulation.ts
@@ -44,8 +44,6 @@
 
 const SEED_STEP = 1_000;
 
-const LARGE_BYTES = 1_000_000;
-
 /** Stage workers, their owner and callers. */
 export class RoomSimulation {
   readonly clock = SimulatedClock.create();
@@ -68,7 +66,7 @@
 
   private readonly stageTimes = StageTimes.create();
 
-  private readonly large = new Map<string, { results: number; keptMs: number }>();
+  private readonly kept = new Map<string, { results: number; keptMs: number }>();
 
   private readonly factors = new Map<string, number>();
 
@@ -127,9 +125,9 @@
       }));
   }
 
-  /** Large results of the calls of a class, and the time from their start to when they were freed. */
-  countLarge(name: string): { readonly results: number; readonly keptMs: number } {
-    return this.large.get(name) ?? { results: 0, keptMs: 0 };
+  /** Results of a size that were freed for the calls of a class, and the time for which they were kept. */
+  countKept(name: string, bytes: number): { readonly results: number; readonly keptMs: number } {
+    return this.kept.get(`${name} ${bytes}`) ?? { results: 0, keptMs: 0 };
   }
 
   /** Ends all tasks. */
@@ -311,15 +309,12 @@
   }
 
   private recordFreed(name: string, results: readonly StageResultHandle[]): void {
-    const counts = this.large.get(name) ?? { results: 0, keptMs: 0 };
-    results
-      .filter(({ bytes }) => bytes >= LARGE_BYTES)
-      .forEach(({ handle }) => {
-        const ageMs = this.workers.get(toWorkerAddress(handle))?.ageMs(handle) ?? 0;
-        this.large.set(name, counts);
-        counts.results += 1;
-        counts.keptMs += ageMs;
-      });
+    results.forEach(({ handle, bytes }) => {
+      const counts = this.kept.get(`${name} ${bytes}`) ?? { results: 0, keptMs: 0 };
+      this.kept.set(`${name} ${bytes}`, counts);
+      counts.results += 1;
+      counts.keptMs += this.workers.get(toWorkerAddress(handle))?.ageMs(handle) ?? 0;
+    });
   }
 
   private readonly submit: SubmitPiece = async ({ service, piece, signal, onBegun }) => {
