Wait for the whole membership lease after a restore, and report no doubt at a stop

A holder that hasn't learnt of a restore acts until its membership lease may have ended, so other routers wait for that time also if lease-ms is shorter. A stopping router reports the release alone.

--- a/packages/duty/src/dutyBelief.ts
+++ b/packages/duty/src/dutyBelief.ts
@@ -58,7 +58,7 @@
       const isSame = name === before.holder && token === before.token;
       const sinceMs = isSame ? before.sinceMs : Math.floor(timer.wallMs());
       this.report(chooseChange(before, name, token), { holder: name, token, sinceMs, own: 'none' });
-    } else if (before.own === 'sure') {
+    } else if (before.own === 'sure' && !holder.isStopping) {
       this.report('in-doubt', { ...before, own: 'in-doubt' });
     }
   }
--- a/packages/duty/src/dutyHolder.ts
+++ b/packages/duty/src/dutyHolder.ts
@@ -1,4 +1,4 @@
-import type { Member, OwnLease, StatedEra } from '@galenatiller/store';
+import { type Member, MEMBER_LEASE_MS, type OwnLease, type StatedEra } from '@galenatiller/store';
 import type { TimerService } from '@galenatiller/timer';
 import type { DutyHolding, DutyName } from '@galenatiller/types';
 
@@ -235,7 +235,7 @@
     this.goneAtRevision = -1;
     this.vacantSinceMs = undefined;
     // A holder that hasn't seen it yet acts until its lease may have ended.
-    this.notBeforeMs.restored = timer.nowMs() + leaseMs;
+    this.notBeforeMs.restored = timer.nowMs() + Math.max(leaseMs, MEMBER_LEASE_MS);
   }
 
   /** A call with this token was rejected, as a higher one was seen. */
@@ -254,6 +254,10 @@
     this.renewAbove = this.held?.token ?? -1;
   }
 
+  get isStopping(): boolean {
+    return this.hasStopped;
+  }
+
   /** Stops acting at once; the next step writes that nobody holds the duty. */
   stop(): void {
     this.hasStopped = true;
--- a/packages/store/src/index.ts
+++ b/packages/store/src/index.ts
@@ -26,6 +26,7 @@
 export { type Member, readMember } from './member.js';
 export {
   type LeaseClient,
+  MEMBER_LEASE_MS,
   Membership,
   type MembershipOptions,
   type OwnLease,
--- a/packages/store/src/membership.ts
+++ b/packages/store/src/membership.ts
@@ -71,7 +71,7 @@
 }
 
 /** Time after which a killed node is removed. */
-const LEASE_TTL_MS = 3_000;
+export const MEMBER_LEASE_MS = 3_000;
 
 /** Short enough that two renewals in a row may fail before the lease ends. */
 const RENEW_INTERVAL_MS = 900;
@@ -91,7 +91,7 @@
 const LEAVE_TIMEOUT_MS = 250;
 
 /** Live nodes register again at once when the store was restored; leases of others end within this. */
-const RESTORED_LIMIT_MS = LEASE_TTL_MS + CALL_TIMEOUT_MS;
+const RESTORED_LIMIT_MS = MEMBER_LEASE_MS + CALL_TIMEOUT_MS;
 
 /** A lease, and the rises of the store's era that had been seen when it was granted. */
 interface HeldLease {
@@ -301,7 +301,7 @@
     const { rises } = storeEra;
     const sentAt = readClocks(this.opts.timer);
     const granted = await this.callWithTimeout((signal) =>
-      leases.grant({ ttlMs: LEASE_TTL_MS, signal }),
+      leases.grant({ ttlMs: MEMBER_LEASE_MS, signal }),
     );
     if (granted.isErr) {
       return undefined;
@@ -311,7 +311,7 @@
       return undefined;
     }
     this.generation += 1;
-    const ttlMs = Math.min(LEASE_TTL_MS, grantedMs);
+    const ttlMs = Math.min(MEMBER_LEASE_MS, grantedMs);
     this.renewed = { generation: this.generation, rises, ttlMs, sentAt };
     return { leaseId, rises };
   }
