--- a/packages/metrics/src/metricDefinition.ts
+++ b/packages/metrics/src/metricDefinition.ts
@@ -1,6 +1,7 @@
 import type {
   CallKind,
   CallPhase,
+  DutyName,
   NodeRole,
   Outcome,
   Priority,
@@ -33,6 +34,9 @@
   readonly send: 'answered' | 'refused' | 'moved' | 'inputs-gone' | 'unsent' | 'broken' | 'foreign';
   /** How a call to a stage worker ended. */
   readonly batch: 'answered' | 'refused' | 'moved' | 'unreachable' | 'broken';
+  readonly duty: DutyName;
+  /** How the holding of a duty changed, as the router saw it. */
+  readonly dutyChange: 'taken' | 'renewed' | 'in-doubt' | 'regained' | 'lost' | 'released';
   readonly storeCall: 'range' | 'watch' | 'txn' | 'lease-grant' | 'lease-keep' | 'lease-end';
 }
 
--- a/packages/metrics/src/routerMetrics.ts
+++ b/packages/metrics/src/routerMetrics.ts
@@ -155,6 +155,23 @@
     meaning:
       "Highest era that the platform's store has stated; it rises when the store was restored from a copy.",
   },
+  {
+    name: 'router.duty_held',
+    type: 'gauge',
+    unit: '',
+    tags: ['duty'],
+    role: 'router',
+    meaning:
+      '1 while the router holds the duty and is sure of it; the sum over all routers is at most 1.',
+  },
+  {
+    name: 'router.duty_changes',
+    type: 'count',
+    unit: 'changes',
+    tags: ['duty', 'dutyChange'],
+    role: 'router',
+    meaning: 'Changes of the holder of a duty that the router has seen, and of its own holding.',
+  },
   {
     name: 'router.event_loop_lag',
     type: 'gauge',
--- a/packages/router/src/createRouter.ts
+++ b/packages/router/src/createRouter.ts
@@ -1,4 +1,5 @@
 import { createResponseMemory } from '@galenatiller/http';
+import type { Duties } from '@galenatiller/duty';
 import type { EventLog } from '@galenatiller/logger';
 import type { MetricSink } from '@galenatiller/metrics';
 import { acceptRouters, type PeerRouter } from '@galenatiller/routerLink';
@@ -30,6 +31,7 @@
   RolloutStatusEntries,
   TargetEntryDecoder,
 } from './entryDecoders.js';
+import { createDuties } from './createDuties.js';
 import { createStoreReaders } from './createStoreReaders.js';
 import { createMirrors, type Mirrors } from './createMirrors.js';
 import { findStoreRelays } from './findStoreRelays.js';
@@ -82,6 +84,8 @@
   /** Ends the links to the other routers, at the end of the stop. */
   readonly leave: () => void;
   readonly context: RouterContext;
+  /** What one router at a time performs; undefined if the settings name no duties. */
+  readonly duties: Duties | undefined;
   /** Sets the gauges of the router. */
   readonly reportGauges: (sink: MetricSink) => void;
   /** Begins to stop: calls end by a monotonic time, and stage services go to routers that stay. */
@@ -92,7 +96,7 @@
 
 /** Creates the parts of a router and connects them. */
 export function createRouter(opts: RouterOptions): Router {
-  const { settings, timer, log, metrics, random, storeEra } = opts;
+  const { settings, timer, log, storeEra } = opts;
   const tasks = TaskGroup.create({ onFailure: (error) => logFailedTask(log, error) });
   const callTasks = TaskGroup.create({ onFailure: (error) => logFailedTask(log, error) });
   const eventLoop = EventLoopWatch.create({
@@ -105,59 +109,81 @@
   const { members, relay, source } = createStoreReaders({
     ...opts,
     findRelays: () => findStoreRelays({ ...opts, ...stages, selfName: settings.nodeName }),
-    onMembers: (live) => stages.setMembers(live),
+    onMembers: (live) => [stages, duties].forEach((part) => part?.setMembers(live)),
   });
   const nodeCount = (): number => members.countNodes();
   const limits = createLimits({ ...opts, nodeCount, peers: () => stages.peers.all() });
   const rolloutParts = createRollouts(opts);
-  const { rollouts } = rolloutParts;
   const shared = { ...opts, ...limits, ...rolloutParts, routes, targets, nodeCount, tasks, relay };
   const stages = createStages(shared);
+  const duties = createDuties({ ...shared, source, directSource: opts.source, members });
   const mirrors = createMirrors({ ...shared, source, onChanged: () => stages.onTargetsChanged() });
-  const context: RouterContext = {
-    timer,
-    log,
-    metrics,
-    ownZone: settings.availabilityZone,
-    routes,
-    targets,
-    ...limits,
-    rollouts,
-    stop: createStop(opts),
-    inFlight: CallCounter.create(),
-    ...createDurations(),
-    targetClient: opts.targetClient,
-    submitPiece: stages.submitter.submit,
-    freeResults: (handles) => stages.submitter.free(handles),
-    evidenceAgeMs: () => mirrors.operator.evidenceAgeMs(),
-    keyAgeLimitMs: settings.keyAgeLimitMs,
-    hash: opts.hash,
-    random,
-  };
+  const context = createContext({ ...shared, stages, mirrors });
+  const parts = { ...opts, ...rolloutParts, stages, tasks, eventLoop, members, duties, mirrors };
   return {
     context,
+    duties,
     isReady: () => isReady(context),
     serve: (exchange) => callTasks.start(() => serveCall({ context, exchange })),
     callsInProgress: () => callTasks.size,
-    stop: (end) => beginStop(context, members, end),
+    stop: (end) => beginStop({ ...parts, context, ...end }),
     batchesInProgress: () => stages.workers.batchesInProgress,
     leave: () => members.leave(),
-    reportGauges: (sink) => {
-      const eventLoopLagMs = eventLoop.lagMs;
-      reportGauges({ sink, context, calls: callTasks.size, nodeCount, eventLoopLagMs, storeEra });
+    reportGauges: (sink) =>
+      reportGauges({
+        sink,
+        context,
+        calls: callTasks.size,
+        nodeCount,
+        eventLoop,
+        storeEra,
+        duties,
+      }),
+    run: ({ signal }) => runParts({ ...parts, signal }),
+  };
+}
+
+/** What the task of each call uses. */
+function createContext(
+  opts: RouterOptions &
+    Limits &
+    Pick<RouterContext, 'routes' | 'targets' | 'rollouts'> & {
+      readonly stages: Stages;
+      readonly mirrors: Mirrors;
     },
-    run: ({ signal }) =>
-      runParts({ ...opts, ...rolloutParts, stages, tasks, eventLoop, members, mirrors, signal }),
+): RouterContext {
+  const { settings, stages, mirrors } = opts;
+  return {
+    ...opts,
+    ownZone: settings.availabilityZone,
+    stop: createStop(opts),
+    inFlight: CallCounter.create(),
+    ...createDurations(),
+    submitPiece: stages.submitter.submit,
+    freeResults: (handles) => stages.submitter.free(handles),
+    evidenceAgeMs: () => mirrors.operator.evidenceAgeMs(),
+    keyAgeLimitMs: settings.keyAgeLimitMs,
   };
 }
 
-function beginStop(
-  { stop }: RouterContext,
-  members: Membership,
-  end: { readonly endsAtMs: number },
-): void {
-  stop.begin(end);
-  members.startLeaving();
+/** Begins the stop; duties are released before the others learn that this router leaves. */
+function beginStop(opts: {
+  readonly context: RouterContext;
+  readonly members: Membership;
+  readonly duties: Duties | undefined;
+  readonly tasks: TaskGroup;
+  readonly endsAtMs: number;
+}): void {
+  const { context, members, duties, tasks } = opts;
+  context.stop.begin(opts);
+  if (!duties) {
+    members.startLeaving();
+    return;
+  }
+  tasks.start(async () => {
+    await duties.release();
+    members.startLeaving();
+  });
 }
 
 function isReady({ routes, targets, evidenceAgeMs, keyAgeLimitMs }: RouterContext): boolean {
@@ -175,6 +201,7 @@
       readonly tasks: TaskGroup;
       readonly eventLoop: EventLoopWatch;
       readonly members: Membership;
+      readonly duties: Duties | undefined;
       readonly mirrors: Mirrors;
       readonly stages: Stages;
       readonly signal: AbortSignal;
@@ -189,6 +216,7 @@
     mirrors.targets.run({ signal }),
     mirrors.rollouts.run({ signal }),
     members.run({ signal }),
+    opts.duties?.run({ signal }),
     runRollouts({ ...opts, owners, peers, entries: opts.rolloutStatusEntries }),
   ]);
   links.close();
--- a/packages/router/src/logEvents.ts
+++ b/packages/router/src/logEvents.ts
@@ -1,3 +1,4 @@
+import type { DutyEvent } from '@galenatiller/duty';
 import type { EventLog } from '@galenatiller/logger';
 import type { AbandonedStageEvent, BatchEvent } from '@galenatiller/pool';
 import type { PeerEvent } from '@galenatiller/routerLink';
@@ -138,6 +139,12 @@
   log({ about: 'belief', event: 'rollout', ...rest, outcome: state });
 }
 
+/** Logs a change of the holder of a duty, or of how sure this router is that it holds it. */
+export function logDuty(log: EventLog, event: DutyEvent): void {
+  const { kind, ...rest } = event;
+  log({ about: 'belief', event: 'duty', ...rest, outcome: kind });
+}
+
 /** Logs a write of the state of a rollout, and why it was decided. */
 export function logRolloutWrite(
   log: EventLog,
--- a/packages/router/src/recordMetrics.ts
+++ b/packages/router/src/recordMetrics.ts
@@ -1,9 +1,11 @@
+import type { Duties } from '@galenatiller/duty';
 import type { GalenatillerError } from '@galenatiller/error';
 import type { MetricSink, MetricTags } from '@galenatiller/metrics';
 import type { BatchEvent } from '@galenatiller/pool';
 import type { StatedEra } from '@galenatiller/store';
 import type { CallKind } from '@galenatiller/types';
 
+import type { EventLoopWatch } from './eventLoopWatch.js';
 import type { RouterContext } from './routerContext.js';
 
 /** Records one batch call to a stage worker. */
@@ -45,8 +47,10 @@
   /** Number of calls in progress. */
   readonly calls: number;
   readonly nodeCount: () => number;
-  readonly eventLoopLagMs: number;
+  readonly eventLoop: Pick<EventLoopWatch, 'lagMs'>;
   readonly storeEra: Pick<StatedEra, 'current'>;
+  /** Undefined if the settings name none. */
+  readonly duties: Pick<Duties, 'all'> | undefined;
 }
 
 /** Sets the gauges of a router. */
@@ -61,5 +65,8 @@
   sink.gauge({ name: 'router.targets_leaving', tags: {}, value: leaving });
   sink.gauge({ name: 'router.evidence_age', tags: {}, value: evidenceAgeMs });
   sink.gauge({ name: 'router.store_era', tags: {}, value: opts.storeEra.current });
-  sink.gauge({ name: 'router.event_loop_lag', tags: {}, value: opts.eventLoopLagMs });
+  opts.duties?.all().forEach(({ name: duty, current }) => {
+    sink.gauge({ name: 'router.duty_held', tags: { duty }, value: current() ? 1 : 0 });
+  });
+  sink.gauge({ name: 'router.event_loop_lag', tags: {}, value: opts.eventLoop.lagMs });
 }
--- a/packages/router/test/stopWorld.ts
+++ b/packages/router/test/stopWorld.ts
@@ -93,6 +93,7 @@
     const context = { ...this.createContext() };
     this.router = {
       context,
+      duties: undefined,
       isReady: () => true,
       serve: (exchange) => this.tasks.start(() => serveCall({ context, exchange })),
       callsInProgress: () => this.tasks.size,
