--- a/packages/metrics/src/metricDefinition.ts
+++ b/packages/metrics/src/metricDefinition.ts
@@ -40,6 +40,8 @@
   readonly providerCall: 'accepted' | 'superseded' | 'limited' | 'unknown';
   /** What was decided on the report of a window. */
   readonly usageWindow: 'fixed' | 'left-out';
+  /** How the holding of a duty changed, as the router saw it. */
+  readonly dutyChange: 'taken' | 'renewed' | 'in-doubt' | 'regained' | 'lost' | 'released';
   readonly storeCall: 'range' | 'watch' | 'txn' | 'lease-grant' | 'lease-keep' | 'lease-end';
 }
 
--- a/packages/router/src/createProviderDuties.ts
+++ b/packages/router/src/createProviderDuties.ts
@@ -22,8 +22,6 @@
 /** What a router needs to perform duties at the provider. */
 export interface ProviderPorts {
   readonly client: ProviderClient;
-  /** The duties that are configured. */
-  readonly duties: Readonly<Partial<Record<DutyName, Duty>>>;
   /** Time for which the host has been suspended, which the monotonic clock does not count. */
   readonly suspendedMs: () => number;
 }
@@ -43,6 +41,8 @@
   readonly writeIfUnchanged: WriteIfUnchanged;
   readonly random: () => number;
   readonly provider?: ProviderPorts | undefined;
+  /** The duties that the settings name; undefined if they name none. */
+  readonly duties: { readonly find: (name: DutyName) => Duty | undefined } | undefined;
   readonly findPeer: (name: string) => PeerRouter | undefined;
   /** What is known of the services whose number of workers is set. */
   readonly scaled: ScaledParts;
@@ -96,8 +96,8 @@
 
 function createConfiguredUsage(opts: ProviderDutiesOptions): Usage | undefined {
   const { settings, metrics, provider } = opts;
-  const duty = provider?.duties.usage;
-  if (!duty) {
+  const duty = opts.duties?.find('usage');
+  if (!duty || !provider) {
     return undefined;
   }
   return createUsage({
@@ -125,8 +125,8 @@
 
 function createConfiguredScale(opts: ProviderDutiesOptions): Scale | undefined {
   const { settings, metrics, provider } = opts;
-  const duty = provider?.duties.scale;
-  if (!duty) {
+  const duty = opts.duties?.find('scale');
+  if (!duty || !provider) {
     return undefined;
   }
   const scaled = ScaledServices.create(opts.scaled);
--- a/packages/router/src/createRouter.ts
+++ b/packages/router/src/createRouter.ts
@@ -1,4 +1,5 @@
 import { createResponseMemory } from '@galenatiller/http';
+import type { Duties } from '@galenatiller/duty';
 import type { EventLog } from '@galenatiller/logger';
 import type { MetricSink } from '@galenatiller/metrics';
 import { acceptRouters, type PeerRouter } from '@galenatiller/routerLink';
@@ -36,6 +37,7 @@
   RolloutStatusEntries,
   TargetEntryDecoder,
 } from './entryDecoders.js';
+import { createDuties } from './createDuties.js';
 import { createStoreReaders } from './createStoreReaders.js';
 import { createMirrors, type Mirrors } from './createMirrors.js';
 import { findStoreRelays } from './findStoreRelays.js';
@@ -90,6 +92,8 @@
   /** Ends the links to the other routers, at the end of the stop. */
   readonly leave: () => void;
   readonly context: RouterContext;
+  /** What one router at a time performs; undefined if the settings name no duties. */
+  readonly duties: Duties | undefined;
   /** Sets the gauges of the router. */
   readonly reportGauges: (sink: MetricSink) => void;
   /** Begins to stop: calls end by a monotonic time, and stage services go to routers that stay. */
@@ -113,56 +117,86 @@
   const { members, relay, source } = createStoreReaders({
     ...opts,
     findRelays: () => findStoreRelays({ ...opts, ...stages, selfName: settings.nodeName }),
-    onMembers: (live) => stages.setMembers(live),
+    onMembers: (live) => [stages, duties].forEach((part) => part?.setMembers(live)),
   });
   const nodeCount = (): number => members.countNodes();
   const calls = { inFlight: CallCounter.create(), waiting: CallCounter.create() };
   const limits = createLimits({ ...opts, nodeCount, peers: () => stages.peers.all() });
   const rolloutParts = createRollouts(opts);
   const evidenceAgeMs = (): number => mirrors.operator.evidenceAgeMs();
+  const duties = createDuties({ ...opts, relay, source, directSource: opts.source, members });
   const provider = createProviderDuties({
     ...opts,
+    duties,
     scaled: { routes, targets, ...calls },
     findPeer: (name) => stages.peers.find(name),
   });
   const known = { ...opts, ...limits, ...rolloutParts, routes, targets, nodeCount, evidenceAgeMs };
-  const shared = { ...known, provider, tasks, relay };
+  const shared = { ...known, ...calls, provider, tasks, relay };
   const stages = createStages(shared);
   const mirrors = createMirrors({ ...shared, source, onChanged: () => stages.onTargetsChanged() });
-  const context: RouterContext = {
-    ...known,
-    ...calls,
-    ...createDurations(),
-    ...bindStages(stages),
-    ownZone: settings.availabilityZone,
-    countRequest: provider.countRequest,
-    stop: createStop(opts),
-    keyAgeLimitMs: settings.keyAgeLimitMs,
-  };
+  const context = createContext({ ...shared, stages });
+  const parts = { ...shared, stages, eventLoop, members, duties, mirrors };
   return {
     context,
+    duties,
     isReady: () => isReady(context),
     serve: (exchange) => callTasks.start(() => serveCall({ context, exchange })),
     callsInProgress: () => callTasks.size,
-    stop: (end) => beginStop(context, members, end),
+    stop: (end) => beginStop({ ...parts, context, ...end }),
     batchesInProgress: () => stages.workers.batchesInProgress,
     leave: () => members.leave(),
     reportGauges: (sink) => {
-      const load = { calls: callTasks.size, eventLoopLagMs: eventLoop.lagMs };
-      reportGauges({ ...load, sink, context, nodeCount, storeEra });
+      const load = { calls: callTasks.size, nodeCount, eventLoop };
+      reportGauges({ ...load, sink, context, storeEra, duties });
       provider.reportGauges(sink);
     },
-    run: ({ signal }) => runParts({ ...shared, stages, eventLoop, members, mirrors, signal }),
+    run: ({ signal }) => runParts({ ...parts, signal }),
+  };
+}
+
+/** What the task of each call uses. */
+function createContext(
+  opts: Omit<RouterOptions, 'provider'> &
+    Limits &
+    Pick<
+      RouterContext,
+      'routes' | 'targets' | 'rollouts' | 'inFlight' | 'waiting' | 'evidenceAgeMs'
+    > & {
+      readonly provider: ProviderDuties;
+      readonly stages: Stages;
+    },
+): RouterContext {
+  const { settings, stages, provider } = opts;
+  return {
+    ...opts,
+    ...createDurations(),
+    ...bindStages(stages),
+    ownZone: settings.availabilityZone,
+    countRequest: provider.countRequest,
+    stop: createStop(opts),
+    keyAgeLimitMs: settings.keyAgeLimitMs,
   };
 }
 
-function beginStop(
-  { stop }: RouterContext,
-  members: Membership,
-  end: { readonly endsAtMs: number },
-): void {
-  stop.begin(end);
-  members.startLeaving();
+/** Begins the stop; duties are released before the others learn that this router leaves. */
+function beginStop(opts: {
+  readonly context: RouterContext;
+  readonly members: Membership;
+  readonly duties: Duties | undefined;
+  readonly tasks: TaskGroup;
+  readonly endsAtMs: number;
+}): void {
+  const { context, members, duties, tasks } = opts;
+  context.stop.begin(opts);
+  if (!duties) {
+    members.startLeaving();
+    return;
+  }
+  tasks.start(async () => {
+    await duties.release();
+    members.startLeaving();
+  });
 }
 
 function isReady({ routes, targets, evidenceAgeMs, keyAgeLimitMs }: RouterContext): boolean {
@@ -181,6 +215,7 @@
       readonly tasks: TaskGroup;
       readonly eventLoop: EventLoopWatch;
       readonly members: Membership;
+      readonly duties: Duties | undefined;
       readonly mirrors: Mirrors;
       readonly stages: Stages;
       readonly signal: AbortSignal;
@@ -196,6 +231,7 @@
     mirrors.rollouts.run({ signal }),
     members.run({ signal }),
     opts.provider.run({ signal }),
+    opts.duties?.run({ signal }),
     runRollouts({ ...opts, owners, peers, entries: opts.rolloutStatusEntries }),
   ]);
   links.close();
@@ -213,7 +249,11 @@
   };
 }
 
-function createStop({ timer, log, metrics }: RouterOptions): RouterStop {
+function createStop({
+  timer,
+  log,
+  metrics,
+}: Pick<RouterOptions, 'timer' | 'log' | 'metrics'>): RouterStop {
   return RouterStop.create({
     timer,
     onCallStopped: (event) => {
