Abort a wait for counts only once

Cause: each counted request called abort on a signal that was aborted already, which creates an error each time. Change: Wake.notify looks first; one test file is formatted.

--- a/packages/provider/src/wake.ts
+++ b/packages/provider/src/wake.ts
@@ -13,7 +13,10 @@
 
   /** Ends the current wait, or the next one. */
   notify(): void {
-    this.notified.abort();
+    // Each call of abort would create an error for its reason.
+    if (!this.notified.signal.aborted) {
+      this.notified.abort();
+    }
   }
 
   /** Waits until notified, for a time at most. */
--- a/packages/router/test/requestCounts.steps.ts
+++ b/packages/router/test/requestCounts.steps.ts
@@ -21,9 +21,12 @@
   startCall(this, { path: `/${name}/x` });
 });
 
-When('the clock of the router goes on by {int} ms', async function when(this: RouterWorld, byMs: number) {
-  await this.routerClock.advance({ byMs });
-});
+When(
+  'the clock of the router goes on by {int} ms',
+  async function when(this: RouterWorld, byMs: number) {
+    await this.routerClock.advance({ byMs });
+  },
+);
 
 Then(
   /^(\d) requests? of "shop" (?:is|are) counted$/,
