--- a/packages/provider/test/usage.feature
+++ b/packages/provider/test/usage.feature
@@ -216,7 +216,7 @@
     And 3 requests of "shop" begin at "b" 1000 ms after the start of window 0
     And 2 requests of "shop" begin at "c" 1000 ms after the start of window 0
     And 11 s have passed
-    And the store is restored from the copy
+    And the store of the ledger is restored from the copy
     And "c" has its links again
     And "a" dies and "b" becomes the holder
     And 22 s have passed
@@ -231,7 +231,7 @@
     And the provider is "down"
     And 3 requests of "shop" begin at "b" 1000 ms after the start of window 0
     And 8 s have passed
-    And the store is restored from the copy
+    And the store of the ledger is restored from the copy
     And 1.5 s have passed
     And the provider is "up"
     And 16 s have passed
--- a/packages/provider/test/usage.steps.ts
+++ b/packages/provider/test/usage.steps.ts
@@ -113,7 +113,7 @@
   this.fleet.store.takeCopy();
 });
 
-When('the store is restored from the copy', function when(this: UsageStepsWorld) {
+When('the store of the ledger is restored from the copy', function when(this: UsageStepsWorld) {
   this.fleet.store.restore();
 });
 
