--- a/fakes/src/index.ts
+++ b/fakes/src/index.ts
@@ -34,6 +34,7 @@
 export { findFreePorts } from './findFreePorts.js';
 export type { FaultCommand, VersionFault } from './faultInjector.js';
 export type { RunEnd, RunRecord } from './runLedger.js';
+export { type HostileForm, HostileCallers, type HostileCallersOptions } from './hostileCallers.js';
 export { createSampleStageRequest } from './createSampleStageRequest.js';
 export * from './store/index.js';
 export { FakePlatformStore, type PlatformStoreMode } from './platform/fakePlatformStore.js';
--- /dev/null
+++ b/features/hostileCallers.steps.ts
@@ -0,0 +1,127 @@
+import assert from 'node:assert/strict';
+import { readdir, readFile } from 'node:fs/promises';
+import { setTimeout as sleep } from 'node:timers/promises';
+
+import { After, Given, Then, When } from '@cucumber/cucumber';
+import { type HostileForm, HostileCallers } from '@galenatiller/fakes';
+import { request } from 'undici';
+
+import { type HostileFront, startEntryFront, startRouterFront } from './support/hostileFronts.js';
+
+interface HostileWorld {
+  front: HostileFront;
+  crowd: HostileCallers;
+  /** What the machine of the process has. */
+  memoryMb: number;
+  maxDescriptors: number;
+  openDescriptors: number;
+}
+
+const KB_PER_MB = 1_024;
+const POLL_MS = 50;
+
+/** The crowd sends for this long at most; its connections stay open after that. */
+const CROWD_MS = 1_500;
+
+/** Only a process that hangs leaves an ordinary caller without an answer for so long. */
+const MAX_ANSWER_MS = 20_000;
+const STEP_OPTIONS = { timeout: 60_000 };
+
+Given(
+  /^(a router|an entry) on a machine with (\d+) MB of memory and (\d+) descriptors$/,
+  STEP_OPTIONS,
+  async function given(this: HostileWorld, kind: string, memoryMb: string, descriptors: string) {
+    this.memoryMb = Number(memoryMb);
+    this.maxDescriptors = Number(descriptors);
+    const start = kind === 'a router' ? startRouterFront : startEntryFront;
+    this.front = await start();
+    this.openDescriptors = 0;
+  },
+);
+
+When(
+  /^(\d+) hostile callers (?:of the (\w+) port )?send (.+)$/,
+  STEP_OPTIONS,
+  async function when(this: HostileWorld, callers: string, port: string | null, forms: string) {
+    const { front } = this;
+    this.crowd = HostileCallers.start({
+      ...front.sending,
+      port: front.ports[port ?? 'callers'] ?? 0,
+      callers: Number(callers),
+      forms: forms.split(', ') as HostileForm[],
+    });
+    const timeout = sleep(CROWD_MS);
+    let isOver = false;
+    Promise.race([this.crowd.sent, timeout]).then(
+      () => {
+        isOver = true;
+      },
+      () => {},
+    );
+    while (!isOver) {
+      await countDescriptors(this);
+      await sleep(POLL_MS);
+    }
+    await countDescriptors(this);
+  },
+);
+
+async function countDescriptors(world: HostileWorld): Promise<void> {
+  const open = await readdir(`/proc/${world.front.process.pid}/fd`).catch(() => []);
+  world.openDescriptors = Math.max(world.openDescriptors, open.length);
+}
+
+Then('an ordinary request is answered', STEP_OPTIONS, async function then(this: HostileWorld) {
+  const untilMs = performance.now() + MAX_ANSWER_MS;
+  let outcome = '';
+  while (outcome !== '200' && performance.now() < untilMs) {
+    outcome = await sendOrdinary(this.front);
+    await sleep(POLL_MS);
+  }
+  assert.equal(outcome, '200');
+});
+
+/** Sends one ordinary request on a connection of its own; returns its status or why it has none. */
+async function sendOrdinary({ ports, sending, headers }: HostileFront): Promise<string> {
+  try {
+    const response = await request(`http://127.0.0.1:${ports.callers}${sending.path}`, {
+      method: 'POST',
+      body: sending.body,
+      headers: { ...headers, connection: 'close' },
+      signal: AbortSignal.timeout(MAX_ANSWER_MS),
+    });
+    await response.body.dump();
+    return String(response.statusCode);
+  } catch (error) {
+    return String(error);
+  }
+}
+
+Then(
+  'the process lives, within the memory and the descriptors of its machine',
+  async function then(this: HostileWorld) {
+    const { front, memoryMb, maxDescriptors, openDescriptors } = this;
+    assert.equal(front.process.exitCode ?? front.process.signalCode, null, front.readErrors());
+    const peakMb = await readPeakMb(front);
+    assert.ok(peakMb <= memoryMb, `${peakMb} MB`);
+    assert.ok(openDescriptors <= maxDescriptors, `${openDescriptors} descriptors`);
+  },
+);
+
+async function readPeakMb({ process: child }: HostileFront): Promise<number> {
+  const status = await readFile(`/proc/${child.pid}/status`, 'utf8');
+  return Math.round(Number(/^VmHWM:\s+(\d+) kB$/m.exec(status)?.[1]) / KB_PER_MB);
+}
+
+After(
+  { tags: '@hostile', ...STEP_OPTIONS },
+  async function after(this: Partial<HostileWorld>, { pickle, result }) {
+    if (this.front && process.env.PRINT_FIGURES) {
+      const peakMb = await readPeakMb(this.front).catch(() => 'none');
+      const figures = `${peakMb} MB, ${this.openDescriptors} descriptors`;
+      process.stderr.write(`${pickle.name}: ${figures}, ${result?.status}\n`);
+    }
+    this.crowd?.close();
+    await this.front?.close();
+  },
+);
