Bound what callers take of memory and descriptors

Cause: bodies, pipelined requests, unread answers and connections of callers were unbounded; responses that waited behind another one on a connection that closed never ended, and kept their bodies (arrays of 250 MB after 5 s of the mixed crowd). Change: packages/caller derives limits from memory-mb and max-descriptors and applies them to the ports for callers, readiness, metrics and operators: a budget for bodies with back-pressure, blocks that are used again, bounds on chunks, connections, heads, pipelined requests and unread answers, a deadline for bodies, and early collection of buffers. A status for bytes that are no request is sent only if no request of the connection is in progress. The expected message of one settings scenario lists the two new keys.

--- a/features/hostileCallers.steps.ts
+++ b/features/hostileCallers.steps.ts
@@ -34,7 +34,7 @@
     this.memoryMb = Number(memoryMb);
     this.maxDescriptors = Number(descriptors);
     const start = kind === 'a router' ? startRouterFront : startEntryFront;
-    this.front = await start();
+    this.front = await start(this);
     this.openDescriptors = 0;
   },
 );
--- a/features/support/endToEndDeployment.ts
+++ b/features/support/endToEndDeployment.ts
@@ -36,6 +36,8 @@
 const DEFAULT_STOP_LIMIT_MS = 10_000;
 const DEFAULT_IN_FLIGHT_LIMIT = 8;
 const commonSettings = {
+  memoryMb: 256,
+  maxDescriptors: 4_096,
   linkAddress: '127.0.0.1',
   linkPort: 0,
   linkKeys: LINK_KEYS,
--- a/features/support/hostileFronts.ts
+++ b/features/support/hostileFronts.ts
@@ -38,6 +38,16 @@
   readonly close: () => Promise<void>;
 }
 
+/** What the machine of the process has, as its settings state it. */
+export interface HostileMachine {
+  readonly memoryMb: number;
+  readonly maxDescriptors: number;
+}
+
+function renderMachine({ memoryMb, maxDescriptors }: HostileMachine): readonly string[] {
+  return [`memory-mb = ${memoryMb}`, `max-descriptors = ${maxDescriptors}`];
+}
+
 const KEY = 'example-key-lautoka-floor';
 const SECRET = 'a1'.repeat(32);
 const ROUTE_TIMEOUT_MS = 2_000;
@@ -58,7 +68,7 @@
 type CleanUp = () => unknown;
 
 /** Starts a router with a store and a worker in this process. */
-export async function startRouterFront(): Promise<HostileFront> {
+export async function startRouterFront(machine: HostileMachine): Promise<HostileFront> {
   const store = await FakePlatformStore.listen();
   const worker = await listen(answerAsWorker);
   store.put({ key: 'op/config', value: createRouterConfiguration() });
@@ -80,6 +90,7 @@
     '[node]',
     'name = router-1',
     'availability-zone = zone-a',
+    ...renderMachine(machine),
     '[caller]',
     `listen = 127.0.0.1:${callers}`,
     `listen-ready = 127.0.0.1:${readiness}`,
@@ -108,7 +119,7 @@
 }
 
 /** Starts an entry with a store, a host list, a gate and a service in this process. */
-export async function startEntryFront(): Promise<HostileFront> {
+export async function startEntryFront(machine: HostileMachine): Promise<HostileFront> {
   const service = await listen(answerAsService);
   const serviceUrl = `http://127.0.0.1:${portOf(service)}`;
   const { rules } = parseRules({
@@ -135,6 +146,7 @@
     '[node]',
     'name = entry-1',
     'availability-zone = north-a',
+    ...renderMachine(machine),
     '[caller]',
     `listen-port = ${callers}`,
     '[link]',
--- /dev/null
+++ b/packages/caller/src/callerGuard.ts
@@ -0,0 +1,274 @@
+import type { IncomingMessage, Server, ServerResponse } from 'node:http';
+import type { Socket } from 'node:net';
+
+import type { Cancel, TimerService } from '@galenatiller/timer';
+
+import { BlockPool } from './blockPool.js';
+import { BodyBudget, type BodyEndReason } from './bodyBudget.js';
+import {
+  chooseHeads,
+  chooseIdle,
+  chooseNotReading,
+  chooseUnread,
+  type CloseReason,
+  type ConnectionLimits,
+  type ConnectionState,
+  type PipelineLimits,
+  PIPELINE_LIMITS,
+} from './chooseConnections.js';
+import { ChunkPacer } from './chunkPacer.js';
+import type { CallerFigures } from './callerFigures.js';
+import { sendClientError } from './sendClientError.js';
+
+/** A limit that ended a connection or a body. */
+export type CallerLimit = CloseReason | BodyEndReason | 'busy';
+
+/** Options of {@link CallerGuard.create}. */
+export interface CallerGuardOptions {
+  readonly figures: CallerFigures;
+  readonly timer: TimerService;
+  /** Requests in progress on a connection; the default is for callers that send ahead. */
+  readonly pipeline?: PipelineLimits;
+  /** Called for each connection that is closed, and for each body that is given up. */
+  readonly onLimit: (limit: CallerLimit) => void;
+}
+
+interface Connection extends ConnectionState {
+  readonly socket: Socket;
+  readonly responses: Set<ServerResponse>;
+  requests: number;
+  idleSinceMs: number;
+  /** Bytes read when the last request ended. */
+  readBytes: number;
+  /** Bytes that the caller had taken when it was last seen to read. */
+  takenBytes: number;
+  unreadSinceMs: number;
+  isPaused: boolean;
+}
+
+/** How often limits that depend on time are checked. */
+const CHECK_INTERVAL_MS = 250;
+
+/** A caller that reads nothing of its response for this long is gone. */
+const UNREAD_LIMIT_MS = 30_000;
+
+/** Share of the memory for unread answers after whose writing it is checked at once. */
+const CHECK_AFTER_SHARE = 0.125;
+
+/** Bounds what the callers of one server take: connections, requests, bodies and unread answers. */
+export class CallerGuard {
+  readonly bodies: BodyBudget;
+
+  readonly blocks: BlockPool;
+
+  readonly pacer = ChunkPacer.create();
+
+  private readonly connections = new Map<Socket, Connection>();
+
+  private readonly limits: ConnectionLimits;
+
+  private readonly pipeline: PipelineLimits;
+
+  private requestCount = 0;
+
+  private uncheckedBytes = 0;
+
+  private constructor(private readonly opts: CallerGuardOptions) {
+    const { figures, timer } = opts;
+    this.pipeline = opts.pipeline ?? PIPELINE_LIMITS;
+    this.blocks = BlockPool.create({ maxBytes: figures.bodyBytes });
+    this.limits = { ...figures, unreadLimitMs: UNREAD_LIMIT_MS };
+    this.bodies = BodyBudget.create({
+      limitBytes: figures.bodyBytes,
+      reservedBytes: figures.reservedBytes,
+      nowMs: () => timer.nowMs(),
+      onClosed: ({ reason }) => opts.onLimit(reason),
+    });
+  }
+
+  /** Creates a guard without connections. */
+  static create(opts: CallerGuardOptions): CallerGuard {
+    return new CallerGuard(opts);
+  }
+
+  /** Number of open connections. */
+  get openConnections(): number {
+    return this.connections.size;
+  }
+
+  /** Whether so many requests are in progress that a new one must be turned away. */
+  get isBusy(): boolean {
+    return this.requestCount > this.opts.figures.maxRequests;
+  }
+
+  /** Watches the connections and requests of a server; call it before its requests are handled. */
+  watch(server: Server): void {
+    server.on('connection', (socket: Socket) => this.addConnection(socket));
+    server.prependListener('request', (request: IncomingMessage, response: ServerResponse) => {
+      this.addRequest(request.socket, response);
+    });
+    server.on('clientError', (error: NodeJS.ErrnoException, stream) => {
+      const socket = stream as Socket;
+      sendClientError({ error, socket, hasRequests: this.hasRequests(socket) });
+    });
+  }
+
+  /** Checks the limits that depend on time until cancelled. */
+  start(): Cancel {
+    return this.opts.timer.every({ intervalMs: CHECK_INTERVAL_MS, notify: () => this.check() });
+  }
+
+  /** Records that bytes were written which the connection did not take at once. */
+  recordUnread(bytes: number): void {
+    this.uncheckedBytes += bytes;
+    if (this.uncheckedBytes >= this.limits.unreadBytes * CHECK_AFTER_SHARE) {
+      this.checkUnread();
+    }
+  }
+
+  private hasRequests(socket: Socket): boolean {
+    return (this.connections.get(socket)?.requests ?? 0) > 0;
+  }
+
+  private addConnection(socket: Socket): void {
+    const nowMs = this.opts.timer.nowMs();
+    const connection: Connection = {
+      socket,
+      responses: new Set(),
+      requests: 0,
+      idleSinceMs: nowMs,
+      readBytes: 0,
+      takenBytes: 0,
+      unreadSinceMs: nowMs,
+      isPaused: false,
+      get isReceiving() {
+        const [response] = this.responses;
+        return this.requests === 1 && response?.req.complete === false;
+      },
+      get headBytes() {
+        return this.requests === 0 ? socket.bytesRead - this.readBytes : 0;
+      },
+      get unreadBytes() {
+        return [...this.responses].reduce((sum, response) => sum + response.writableLength, 0);
+      },
+    };
+    // Each request of a connection listens for its end.
+    socket.setMaxListeners(0);
+    if (this.connections.size >= this.limits.maxConnections) {
+      this.close(chooseIdle(this.connections.values()) ?? connection, 'connections');
+    }
+    if (socket.destroyed) {
+      return;
+    }
+    this.connections.set(socket, connection);
+    socket.once('close', () => {
+      this.connections.delete(socket);
+      this.requestCount -= connection.requests;
+      connection.requests = 0;
+      setImmediate(() => closeResponses(connection.responses));
+    });
+  }
+
+  private addRequest(socket: Socket, response: ServerResponse): void {
+    const connection = this.connections.get(socket);
+    if (!connection) {
+      return;
+    }
+    connection.requests += 1;
+    this.requestCount += 1;
+    connection.responses.add(response);
+    response.once('close', () => this.endRequest(connection, response));
+    const { pauseAt, closeAt } = this.pipeline;
+    if (connection.requests >= closeAt) {
+      this.close(connection, 'requests');
+    } else if (connection.requests >= pauseAt) {
+      connection.isPaused = true;
+      socket.pause();
+    }
+  }
+
+  private endRequest(ended: Connection, response: ServerResponse): void {
+    const connection = ended;
+    const { socket } = connection;
+    if (!connection.responses.delete(response) || connection.requests === 0) {
+      return;
+    }
+    connection.requests -= 1;
+    this.requestCount -= 1;
+    connection.idleSinceMs = this.opts.timer.nowMs();
+    connection.readBytes = socket.bytesRead;
+    if (connection.isPaused && connection.requests < this.pipeline.pauseAt) {
+      connection.isPaused = false;
+      socket.resume();
+    }
+  }
+
+  private check(): void {
+    this.bodies.check();
+    this.pacer.resumeNext();
+    if (this.connections.size === 0) {
+      return;
+    }
+    const nowMs = this.opts.timer.nowMs();
+    const connections = [...this.connections.values()];
+    connections.forEach((connection) => recordProgress(connection, nowMs));
+    const { limits } = this;
+    chooseHeads(connections, limits).forEach((chosen) => this.close(chosen, 'heads'));
+    chooseNotReading(connections, limits, nowMs).forEach((chosen) =>
+      this.close(chosen, 'not-reading'),
+    );
+    this.checkUnread();
+  }
+
+  private checkUnread(): void {
+    this.uncheckedBytes = 0;
+    chooseUnread([...this.connections.values()], this.limits).forEach((chosen) =>
+      this.close(chosen, 'unread'),
+    );
+  }
+
+  /** Closes a connection; requests that have been read but not parsed are dropped. */
+  private close({ socket }: Connection, reason: CloseReason): void {
+    if (socket.destroyed) {
+      return;
+    }
+    this.opts.onLimit(reason);
+    stopParsing(socket);
+    socket.destroy();
+  }
+}
+
+function recordProgress(checked: Connection, nowMs: number): void {
+  const connection = checked;
+  const { socket } = connection;
+  const takenBytes = socket.bytesWritten - socket.writableLength;
+  if (takenBytes !== connection.takenBytes || socket.writableLength === 0) {
+    connection.takenBytes = takenBytes;
+    connection.unreadSinceMs = nowMs;
+  }
+}
+
+/**
+ * Closes the responses of a connection that has closed. Node.js only does that for the one whose turn it
+ * was, so that what writes the others would wait for ever and keep their bodies.
+ */
+function closeResponses(responses: ReadonlySet<ServerResponse>): void {
+  [...responses].forEach((response) => {
+    response.destroy();
+    response.emit('close');
+  });
+}
+
+/** What a parser's function returns to Node.js to leave the rest of its bytes unparsed. */
+const LEAVE_REST_UNPARSED = 2;
+
+/**
+ * Stops the parser of a connection, which would otherwise go on to create all requests of the bytes that
+ * were read together: thousands, if they are short. Where Node.js has no such function, they are created.
+ */
+function stopParsing(socket: Socket): void {
+  const { parser } = socket as { readonly parser?: { onIncoming?: () => number } | null };
+  if (parser?.onIncoming) {
+    parser.onIncoming = () => LEAVE_REST_UNPARSED;
+  }
+}
--- a/packages/caller/src/serveCall.ts
+++ b/packages/caller/src/serveCall.ts
@@ -1,4 +1,4 @@
-import type { IncomingMessage, OutgoingHttpHeaders, ServerResponse } from 'node:http';
+import type { OutgoingHttpHeaders, ServerResponse } from 'node:http';
 
 import { MAX_BODY_BYTES, STOP_RETRY_AFTER_MS } from '@galenatiller/constants';
 import { findResultCode, GalenatillerError } from '@galenatiller/error';
@@ -8,7 +8,10 @@
 import { Result } from 'true-myth';
 
 import type { Call, CallResponse, FindOrganisation, RunCall, WritePart } from './call.js';
+import type { CallerGuard, CallerLimit } from './callerGuard.js';
+import type { HeldRequest } from './heldRequest.js';
 import { PartWriter } from './partWriter.js';
+import { type BodyFailure, readBody, type ReadBody } from './readBody.js';
 import {
   type ResponseIdentity,
   decodeRequest,
@@ -22,8 +25,13 @@
 
 /** Options of {@link serveCall}. */
 export interface ServeCallOptions {
-  readonly request: IncomingMessage;
+  readonly request: HeldRequest;
   readonly response: ServerResponse;
+  readonly guard: CallerGuard;
+  /** Monotonic time until which the body must be complete. */
+  readonly bodyDeadlineAtMs: number;
+  /** Called when a request is turned away as too many are in progress. */
+  readonly onLimit: (limit: CallerLimit) => void;
   readonly logger: Logger;
   readonly findOrganisation: FindOrganisation;
   readonly createRequestId: () => string;
@@ -34,6 +42,8 @@
 }
 
 const ROUTE_PATH = /^\/v1\/routes\/([^/?]+)$/;
+/** Time to retry when callers take all that they may. */
+const BUSY_RETRY_AFTER_MS = 500;
 const COMPLETIONS_PATH = '/v1/completions';
 
 /** Serves one call, from its first byte to its last. */
@@ -45,9 +55,12 @@
     disconnected.abort();
   };
   // The connection closes only after the entry's side has ended too, which takes longer.
-  request.socket.once('end', onEnded);
+  const { socket } = request;
+  socket.once('end', onEnded);
+  socket.once('close', onEnded);
   response.once('close', () => {
-    request.socket.off('end', onEnded);
+    socket.off('end', onEnded);
+    socket.off('close', onEnded);
     onEnded();
   });
 
@@ -61,6 +74,11 @@
     sendProblem(opts, requestId, createError('unauthorized', 'no organisation has this key'));
     return;
   }
+  if (opts.guard.isBusy) {
+    opts.onLimit('busy');
+    sendProblem(opts, requestId, createBusyError('too many requests are in progress'));
+    return;
+  }
   // A refusal before the body has arrived could be lost: closing a connection with unread data resets it.
   const bytes = await readBodyUntilWorkEnds(opts);
   await whenPolled();
@@ -68,14 +86,38 @@
     sendProblem(opts, requestId, bytes.error);
     return;
   }
+  try {
+    await serveBody(opts, {
+      requestId,
+      organisation,
+      route: route.value,
+      disconnected,
+      body: bytes.value,
+    });
+  } finally {
+    bytes.value.release();
+  }
+}
+
+interface ReceivedCall {
+  readonly requestId: string;
+  readonly organisation: string;
+  readonly route: string;
+  readonly disconnected: AbortController;
+  readonly body: ReadBody;
+}
+
+async function serveBody(opts: ServeCallOptions, received: ReceivedCall): Promise<void> {
+  const { request, response } = opts;
+  const { requestId, organisation, disconnected, body } = received;
   if (!opts.isReady()) {
     sendProblem(opts, requestId, createStoppingError());
     return;
   }
   const decoded = decodeRequest({
-    route: route.value,
+    route: received.route,
     headers: request.headers,
-    bytes: bytes.value,
+    bytes: body.bytes,
   });
   if (decoded.isErr) {
     sendProblem(opts, requestId, decoded.error);
@@ -113,7 +155,7 @@
   }
 }
 
-function findRoute(request: IncomingMessage): Result<string, GalenatillerError> {
+function findRoute(request: HeldRequest): Result<string, GalenatillerError> {
   const url = request.url ?? '';
   if (request.method === 'POST' && url === COMPLETIONS_PATH) {
     return Result.ok('');
@@ -133,32 +175,32 @@
 }
 
 /** Reads the body; refuses a call whose body is still incomplete when a shutdown ends. */
-function readBodyUntilWorkEnds({
-  request,
-  onWorkEnd,
-}: ServeCallOptions): Promise<Result<Buffer, GalenatillerError>> {
+function readBodyUntilWorkEnds(
+  opts: ServeCallOptions,
+): Promise<Result<ReadBody, GalenatillerError>> {
+  const { request, guard, bodyDeadlineAtMs: deadlineAtMs } = opts;
+  const { bodies: budget, blocks, pacer } = guard;
   return new Promise((resolve, reject) => {
-    const cancel = onWorkEnd(() => resolve(Result.err(createStoppingError())));
-    readBody(request).then(resolve, reject).finally(cancel);
+    const cancel = opts.onWorkEnd(() => resolve(Result.err(createStoppingError())));
+    readBody({ request, budget, blocks, pacer, deadlineAtMs, maxBytes: MAX_BODY_BYTES })
+      .then((body) => resolve(body.mapErr(createBodyError)), reject)
+      .finally(cancel);
   });
 }
 
-async function readBody(request: IncomingMessage): Promise<Result<Buffer, GalenatillerError>> {
-  const chunks: Buffer[] = [];
-  let sizeBytes = 0;
-  try {
-    // The connection must stay open for the refusal of a body that is too large.
-    for await (const chunk of request.iterator({ destroyOnReturn: false })) {
-      sizeBytes += (chunk as Buffer).length;
-      if (sizeBytes > MAX_BODY_BYTES) {
-        return Result.err(createError('body-too-large', `body of over ${MAX_BODY_BYTES} bytes`));
-      }
-      chunks.push(chunk as Buffer);
-    }
-  } catch {
-    return Result.err(createError('headers-too-slow', 'the request was interrupted'));
+function createBodyError(failure: BodyFailure): GalenatillerError {
+  switch (failure) {
+    case 'too-large':
+      return createError('body-too-large', `body of over ${MAX_BODY_BYTES} bytes`);
+    case 'too-many-chunks':
+      return createError('body-too-large', 'the body has too many chunks for its size');
+    case 'no-memory':
+      return createBusyError('the memory for bodies is needed for other calls');
+    case 'too-slow':
+      return createError('headers-too-slow', 'the request was not complete in time');
+    default:
+      return createError('headers-too-slow', 'the request was interrupted');
   }
-  return Result.ok(Buffer.concat(chunks));
 }
 
 function startStream(response: ServerResponse, identity: ResponseIdentity): void {
@@ -231,6 +273,14 @@
   response.end(body);
 }
 
+function createBusyError(detail: string): GalenatillerError {
+  return GalenatillerError.create({
+    name: 'overloaded',
+    detail,
+    retryAfterMs: BUSY_RETRY_AFTER_MS,
+  });
+}
+
 function createStoppingError(): GalenatillerError {
   return GalenatillerError.create({
     name: 'stopping',
--- a/packages/caller/src/serveCallers.ts
+++ b/packages/caller/src/serveCallers.ts
@@ -1,11 +1,14 @@
 import { once } from 'node:events';
-import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
+import { createServer, type Server, type ServerResponse } from 'node:http';
 
 import type { Logger } from '@galenatiller/logger';
 import type { TaskGroup } from '@galenatiller/tasks';
-import type { Cancel } from '@galenatiller/timer';
+import type { Cancel, TimerService } from '@galenatiller/timer';
 
 import type { FindOrganisation, RunCall } from './call.js';
+import { CallerGuard, type CallerLimit } from './callerGuard.js';
+import type { CallerFigures } from './callerFigures.js';
+import { HeldRequest } from './heldRequest.js';
 import { serveCall } from './serveCall.js';
 
 /** Options of {@link serveCallers}. */
@@ -14,6 +17,11 @@
   readonly port: number;
   readonly logger: Logger;
   readonly tasks: TaskGroup;
+  readonly timer: TimerService;
+  /** Limits for all callers together. */
+  readonly figures: CallerFigures;
+  /** Called for each connection or body that such a limit ended. */
+  readonly onLimit: (limit: CallerLimit) => void;
   readonly findOrganisation: FindOrganisation;
   readonly createRequestId: () => string;
   readonly runCall: RunCall;
@@ -36,17 +44,32 @@
 /** Timeout for receiving a complete request. */
 const REQUEST_TIMEOUT_MS = 30_000;
 
+/** Node.js closes a connection whose request is still incomplete later than it was refused. */
+const REQUEST_MARGIN_MS = 5_000;
+
 /** Serves callers' requests, health and readiness over HTTP; each request is a task. */
 export async function serveCallers(opts: ServeCallersOptions): Promise<CallerServer> {
+  const guard = CallerGuard.create(opts);
   const server = createServer(
-    { headersTimeout: HEADERS_TIMEOUT_MS, requestTimeout: REQUEST_TIMEOUT_MS, noDelay: true },
+    {
+      headersTimeout: HEADERS_TIMEOUT_MS,
+      requestTimeout: REQUEST_TIMEOUT_MS + REQUEST_MARGIN_MS,
+      noDelay: true,
+      IncomingMessage: HeldRequest,
+    },
     (request, response) => {
+      if (request.socket.destroyed) {
+        return;
+      }
       opts.tasks.start(async () => {
-        await serveRequest(opts, request, response);
+        await serveRequest(opts, guard, request, response);
         await whenSent(response);
       });
     },
   );
+  guard.watch(server);
+  const cancelChecks = guard.start();
+  server.once('close', cancelChecks);
   server.listen(opts.port, opts.address);
   await once(server, 'listening');
   return { port: getBoundPort(server, opts.port), stop: () => stopServer(server) };
@@ -54,7 +77,8 @@
 
 async function serveRequest(
   opts: ServeCallersOptions,
-  request: IncomingMessage,
+  guard: CallerGuard,
+  request: HeldRequest,
   response: ServerResponse,
 ): Promise<void> {
   response.on('error', () => {});
@@ -71,7 +95,13 @@
     response.writeHead(ready ? 200 : 503).end(ready ? 'ready\n' : 'not ready\n');
     return;
   }
-  await serveCall({ ...opts, request, response });
+  await serveCall({
+    ...opts,
+    guard,
+    bodyDeadlineAtMs: opts.timer.nowMs() + REQUEST_TIMEOUT_MS,
+    request,
+    response,
+  });
 }
 
 /** Resolves once the response has left the process, or its connection has closed. */
@@ -80,6 +110,8 @@
     await new Promise((resolve) => {
       response.once('finish', resolve);
       response.once('close', resolve);
+      // A response that waits behind another one has no event for a connection that closes.
+      response.req.socket.once('close', resolve);
     });
   }
 }
--- a/packages/caller/test/badInput.steps.ts
+++ b/packages/caller/test/badInput.steps.ts
@@ -9,10 +9,12 @@
   type Call,
   type CallResponse,
   type CallerServer,
+  computeCallerFigures,
   serveCallers,
 } from '@galenatiller/caller';
 import { GalenatillerError } from '@galenatiller/error';
 import { TaskGroup } from '@galenatiller/tasks';
+import { systemClock, TimerService } from '@galenatiller/timer';
 import { Result } from 'true-myth';
 import { type Dispatcher, request } from 'undici';
 
@@ -51,6 +53,9 @@
     port: 0,
     logger: () => {},
     tasks: this.tasks,
+    timer: TimerService.create({ clock: systemClock }),
+    figures: computeCallerFigures({ memoryMb: 256, maxDescriptors: 4_096, baseMb: 176 }),
+    onLimit: () => {},
     findOrganisation: (hash) => (hash === KEY_HASH ? 'lautoka-floor' : ''),
     createRequestId: () => 'request-1',
     isReady: () => true,
--- a/packages/cli/test/connectPlatform.steps.ts
+++ b/packages/cli/test/connectPlatform.steps.ts
@@ -137,6 +137,7 @@
   world.node.start(() => followConfiguration(followOptions));
   const node = { name: 'entry-1', role: 'entry', availabilityZone: 'north-a' } as const;
   world.operatorServer = await startOperatorServer({
+    limitClients: () => {},
     address: '127.0.0.1',
     port: 0,
     keys: [OPERATOR_KEY],
--- a/packages/daemon/src/nodeObservability.ts
+++ b/packages/daemon/src/nodeObservability.ts
@@ -39,7 +39,7 @@
   start(readStatus: () => NodeStatus): void {
     const { settings, timer } = this.opts;
     const { timeline, metrics } = this;
-    this.servers.push(startNodeOperatorServer({ settings, timeline, readStatus }));
+    this.servers.push(startNodeOperatorServer({ settings, timeline, timer, readStatus }));
     this.cancelGauges = scheduleGauges({ timer, metrics, timeline, readStatus });
   }
 
--- a/packages/daemon/src/runEntryRole.ts
+++ b/packages/daemon/src/runEntryRole.ts
@@ -1,3 +1,4 @@
+import { watchMemory } from '@galenatiller/caller';
 import {
   type Entry,
   type ListeningEntry,
@@ -18,6 +19,7 @@
   const { settings } = opts;
   const observability = NodeObservability.create(opts);
   const platform = connectPlatform(opts);
+  const cancelWatch = watchMemory({ ...settings, timer: opts.timer });
   try {
     await runEntry({
       ...opts,
@@ -27,12 +29,14 @@
       followConfiguration: platform.followConfiguration,
       exchange: platform.exchange,
       followHosts: platform.followHosts,
+      onLimit: (limit) => observability.metrics.count({ name: 'request.limited', tags: { limit } }),
       onCallEnded: (ended) => recordCallMetrics(observability.metrics, ended),
       onListening: (listening) => {
         observability.start(() => createEntryStatus(listening, platform));
       },
     });
   } finally {
+    cancelWatch();
     await observability.close();
     await platform.close();
   }
--- a/packages/entry/src/runEntry.ts
+++ b/packages/entry/src/runEntry.ts
@@ -1,6 +1,12 @@
 import { randomUUID } from 'node:crypto';
 
-import { type CallerServer, serveCallers } from '@galenatiller/caller';
+import {
+  type CallerFigures,
+  type CallerLimit,
+  type CallerServer,
+  computeCallerFigures,
+  serveCallers,
+} from '@galenatiller/caller';
 import { createLogger } from '@galenatiller/logger';
 import { type NodeIdentity, openLink } from '@galenatiller/node';
 import type { EntrySettings } from '@galenatiller/settings';
@@ -21,6 +27,8 @@
   readonly policy: CreateEntryOptions['policy'];
   readonly random: () => number;
   readonly record: CreateEntryOptions['record'];
+  /** Called for each connection or body that a limit for callers ended. */
+  readonly onLimit?: (limit: CallerLimit) => void;
   readonly onCallEnded?: (ended: EndedCall) => void;
   readonly followConfiguration: CreateEntryOptions['followConfiguration'];
   readonly exchange: CreateEntryOptions['exchange'];
@@ -61,7 +69,7 @@
       logger({ message: `Call failed: ${String(error)}.` });
     },
   });
-  const server = await openCallerPort(settings, entry, calls);
+  const server = await openCallerPort(opts, entry, calls);
   opts.onListening?.({ port: server.port, identity, entry, countActiveCalls: () => calls.size });
   await whenAborted(opts.stop);
   logger({ message: 'Graceful shutdown started.' });
@@ -69,8 +77,16 @@
   logger({ message: 'Graceful shutdown complete.' });
 }
 
+/** Memory that the process takes under ordinary calls. */
+const BASE_MEMORY_MB = 176;
+
+/** Derives the limits for callers from the settings of an entry. */
+export function computeEntryFigures(settings: EntrySettings): CallerFigures {
+  return computeCallerFigures({ ...settings, baseMb: BASE_MEMORY_MB });
+}
+
 function openCallerPort(
-  settings: EntrySettings,
+  { settings, timer, onLimit = () => {} }: RunEntryOptions,
   entry: Entry,
   tasks: TaskGroup,
 ): Promise<CallerServer> {
@@ -80,6 +96,9 @@
     port: settings.callerPort,
     logger: createLogger('caller'),
     tasks,
+    timer,
+    figures: computeEntryFigures(settings),
+    onLimit,
     findOrganisation: (keyHash) => organisations.findByKeyHash(keyHash),
     createRequestId: randomUUID,
     runCall: entry.runCall,
--- a/packages/http/src/bodyMemory.ts
+++ b/packages/http/src/bodyMemory.ts
@@ -39,10 +39,10 @@
   }
 }
 
-/** Memory for responses that are read as a whole, in a process of usual size. */
-export function createResponseMemory(): BodyMemory {
+/** Memory for responses that are read as a whole; the default is for a process of usual size. */
+export function createResponseMemory(limitBytes = MAX_RESPONSE_MEMORY_BYTES): BodyMemory {
   return BodyMemory.create({
-    limitBytes: MAX_RESPONSE_MEMORY_BYTES,
+    limitBytes: Math.min(limitBytes, MAX_RESPONSE_MEMORY_BYTES),
     freeBytes: FREE_RESPONSE_BYTES,
   });
 }
--- a/packages/metrics/src/metricDefinition.ts
+++ b/packages/metrics/src/metricDefinition.ts
@@ -33,6 +33,16 @@
   readonly send: 'answered' | 'refused' | 'moved' | 'inputs-gone' | 'unsent' | 'broken' | 'foreign';
   /** How a call to a stage worker ended. */
   readonly batch: 'answered' | 'refused' | 'moved' | 'unreachable' | 'broken';
+  /** The limit for callers that ended a connection, a body or a request. */
+  readonly limit:
+    | 'connections'
+    | 'heads'
+    | 'unread'
+    | 'not-reading'
+    | 'requests'
+    | 'too-slow'
+    | 'no-memory'
+    | 'busy';
   readonly storeCall: 'range' | 'watch' | 'txn' | 'lease-grant' | 'lease-keep' | 'lease-end';
 }
 
--- a/packages/metrics/src/metricTable.ts
+++ b/packages/metrics/src/metricTable.ts
@@ -19,6 +19,15 @@
     role: 'entry',
     meaning: 'Requests refused or failed, by result code and outcome.',
   },
+  {
+    name: 'request.limited',
+    type: 'count',
+    unit: 'callers',
+    tags: ['limit'],
+    role: 'entry',
+    meaning:
+      'Connections closed and requests refused to keep memory and descriptors, by the limit.',
+  },
   {
     name: 'request.answered',
     type: 'count',
--- a/packages/metrics/src/routerMetrics.ts
+++ b/packages/metrics/src/routerMetrics.ts
@@ -90,6 +90,15 @@
     role: 'router',
     meaning: 'Log lines left out for their rate or for a full buffer.',
   },
+  {
+    name: 'router.callers_limited',
+    type: 'count',
+    unit: 'callers',
+    tags: ['limit'],
+    role: 'router',
+    meaning:
+      'Connections closed and requests refused to keep memory and descriptors, by the limit.',
+  },
   {
     name: 'router.paused_refusals',
     type: 'count',
--- a/packages/operator/src/startOperatorServer.ts
+++ b/packages/operator/src/startOperatorServer.ts
@@ -29,6 +29,8 @@
   /** Accepted bearer keys; there are two while one is rotated out. */
   readonly keys: readonly string[];
   readonly logger: Logger;
+  /** Bounds what clients of the server may take; called before it listens. */
+  readonly limitClients: (server: Server) => void;
   readonly readStatus: () => NodeStatus;
   readonly readTimeline: (query: TimelineQuery) => TimelineResponse;
   readonly explain: (requestId: string) => RequestExplanation;
@@ -51,9 +53,13 @@
   const server = createServer(
     { headersTimeout: REQUEST_TIMEOUT_MS, requestTimeout: REQUEST_TIMEOUT_MS },
     (request, response) => {
+      if (request.socket.destroyed) {
+        return;
+      }
       handleRequest(opts, request, response);
     },
   );
+  opts.limitClients(server);
   server.listen(opts.port, opts.address);
   await once(server, 'listening');
   return { port: getBoundPort(server, opts.port), stop: () => stopServer(server) };
--- a/packages/operator/test/sendOperatorRequest.steps.ts
+++ b/packages/operator/test/sendOperatorRequest.steps.ts
@@ -70,6 +70,7 @@
     this.clock = ManualClock.create({ startWallMs: 0 });
     this.log = [];
     this.node = await startOperatorServer({
+      limitClients: () => {},
       address: '127.0.0.1',
       port: 0,
       keys: [first, second],
--- a/packages/router/src/createRouter.ts
+++ b/packages/router/src/createRouter.ts
@@ -66,6 +66,8 @@
   readonly writeIfUnchanged: WriteIfUnchanged;
   readonly targetClient: TargetClient;
   readonly hash: (text: string) => number;
+  /** Memory for responses that are read as a whole; the default is for a process of usual size. */
+  readonly maxResponseBytes?: number;
   readonly random: () => number;
 }
 
@@ -265,7 +267,7 @@
       ...opts.targetClient,
       mayProbe: (target) => notices.tryProbe(toTargetStart(target)),
     }),
-    bodyMemory: createResponseMemory(),
+    bodyMemory: createResponseMemory(opts.maxResponseBytes),
     crashSuspects: CrashSuspects.create({
       timer,
       share: (evidence) => opts.peers().forEach((peer) => peer.shareCrashEvidence(evidence)),
--- a/packages/router/src/forwardResponse.ts
+++ b/packages/router/src/forwardResponse.ts
@@ -86,14 +86,14 @@
   const bodyEnd = response.bodyEnd === 'none' ? 'none' : 'last-chunk';
   const head = { status, passedHeaders, bodyEnd, bodyBytes: 0 } as const;
   try {
-    for await (const events of readEvents(opts)) {
+    for await (const part of readEvents(opts)) {
       if (!hasStarted) {
         exchange.writeHead(head);
         hasStarted = true;
       }
-      opts.onData(events.length);
-      lastEventId = events.findLast(({ id }) => id !== '')?.id ?? lastEventId;
-      await exchange.write(Buffer.concat(events.map(({ bytes }) => bytes)));
+      opts.onData(part.events);
+      lastEventId = part.lastEventId ?? lastEventId;
+      await exchange.write(part.bytes);
     }
   } catch (error) {
     return createInterrupted({ hasStarted, lastEventId }, describeError(error));
@@ -141,25 +141,30 @@
   return hasStarted && !response.isEventStream ? 'no events instead of the rest' : undefined;
 }
 
+/**
+ * Events that came together. The events themselves take ten times their bytes, which would be kept for each
+ * caller that is slow to read.
+ */
+interface StreamPart {
+  readonly events: number;
+  /** Id of the last event that has one. */
+  readonly lastEventId: string | undefined;
+  readonly bytes: Buffer;
+}
+
 /**
  * Yields the events of a response as they complete; throws when its body breaks off, or when it
  * isn't the rest of a stream that has started.
  */
-async function* readEvents(
-  opts: ForwardResponseOptions,
-): AsyncGenerator<readonly CompleteEvent[], void, void> {
+async function* readEvents(opts: ForwardResponseOptions): AsyncGenerator<StreamPart, void, void> {
   const splitter = EventSplitter.create();
   let isRest = !opts.hasStarted;
   for await (const chunk of opts.response.body) {
-    const events = splitter.push(chunk);
-    if (events.length === 0) {
-      continue;
-    }
-    if (!isRest && !isAfter(events, opts.resumeAfter)) {
-      throw new Error('events that the caller has instead of the rest');
+    const part = joinEvents(splitter.push(chunk), isRest ? undefined : opts.resumeAfter);
+    if (part) {
+      isRest = true;
+      yield part;
     }
-    isRest = true;
-    yield events;
   }
   if (!splitter.isBetweenEvents) {
     throw new Error('the stream ended in the middle of an event');
@@ -169,6 +174,24 @@
   }
 }
 
+/** Joins events; throws if they are not those after an id. */
+function joinEvents(
+  events: readonly CompleteEvent[],
+  after: string | undefined,
+): StreamPart | undefined {
+  if (events.length === 0) {
+    return undefined;
+  }
+  if (after !== undefined && !isAfter(events, after)) {
+    throw new Error('events that the caller has instead of the rest');
+  }
+  return {
+    events: events.length,
+    lastEventId: events.findLast(({ id }) => id !== '')?.id,
+    bytes: Buffer.concat(events.map(({ bytes }) => bytes)),
+  };
+}
+
 /** Whether events follow the last one that the caller has; ids that are no numbers prove nothing. */
 function isAfter(events: readonly CompleteEvent[], lastEventId: string): boolean {
   const first = Number(events.find(({ id }) => id !== '')?.id ?? Number.NaN);
--- a/packages/router/src/ports.ts
+++ b/packages/router/src/ports.ts
@@ -83,8 +83,11 @@
   readonly probe: ProbeTarget;
 }
 
-/** Why the body of a call could not be read. */
-export type BodyFailure = 'too-large' | 'broken';
+/**
+ * Why the body of a call could not be read. `no-memory`: it was given up for others. `too-many-chunks`: its
+ * chunks are too small for their number.
+ */
+export type BodyFailure = 'too-large' | 'broken' | 'too-slow' | 'no-memory' | 'too-many-chunks';
 
 /** The head of a response to a caller. */
 export interface ResponseHead {
@@ -107,7 +110,13 @@
   readonly receivedAtMs: number;
   /** Aborts when the caller closes its connection before the response is complete. */
   readonly disconnected: AbortSignal;
-  readonly readBody: (maxBytes: number) => Promise<Result<Buffer, BodyFailure>>;
+  readonly readBody: (opts: {
+    readonly maxBytes: number;
+    /** Monotonic time until which the body must be complete. */
+    readonly deadlineAtMs: number;
+  }) => Promise<Result<Buffer, BodyFailure>>;
+  /** Releases the memory of the body, once the task of the call has ended. */
+  readonly release: () => void;
   /** Responds with an error of the router itself. */
   readonly refuse: (error: GalenatillerError) => void;
   readonly writeHead: (head: ResponseHead) => void;
--- a/packages/router/src/serveCall.ts
+++ b/packages/router/src/serveCall.ts
@@ -5,6 +5,7 @@
 import { admitCall, type AdmittedCall } from './admitCall.js';
 import { predictZone } from './chooseTargetForCall.js';
 import { classifyEnding, recordCallMetrics } from './recordMetrics.js';
+import { createBodyError } from './createBodyError.js';
 import type { CallerExchange } from './ports.js';
 import type { RouterContext } from './routerContext.js';
 import type { TrackedCall } from './routerStop.js';
@@ -76,6 +77,7 @@
     await serveAdmitted({ ...opts, admitted, tracked, stageProgress });
   } finally {
     tracked.release();
+    exchange.release();
   }
 }
 
@@ -90,7 +92,10 @@
   const { context, exchange, admitted, tracked } = opts;
   const { call } = exchange;
   const body = await Promise.race([
-    exchange.readBody(admitted.maxBodyBytes),
+    exchange.readBody({
+      maxBytes: admitted.maxBodyBytes,
+      deadlineAtMs: admitted.deadlineAtMs,
+    }),
     whenAborted(tracked.signal),
   ]);
   tracked.enter('staging');
@@ -99,9 +104,8 @@
     return;
   }
   if (body.isErr) {
-    if (body.error === 'too-large') {
-      const detail = `the body is over ${admitted.maxBodyBytes} bytes`;
-      refuse(opts, GalenatillerError.create({ name: 'body-too-large', detail }));
+    if (body.error !== 'broken') {
+      refuse(opts, createBodyError(body.error, admitted));
     }
     return;
   }
--- a/packages/router/test/stopWorld.ts
+++ b/packages/router/test/stopWorld.ts
@@ -219,6 +219,7 @@
       receivedAtMs: this.timer.nowMs(),
       disconnected: new AbortController().signal,
       readBody: () => Promise.resolve(Result.ok(Buffer.from('body'))),
+      release: () => {},
       refuse: (error) => {
         const status = error.codeName === 'target-failed' ? 502 : 503;
         const isNotRun = error.outcome === 'not-run';
--- a/packages/router/test/support.ts
+++ b/packages/router/test/support.ts
@@ -293,6 +293,7 @@
     receivedAtMs,
     disconnected: received.disconnect.signal,
     readBody: () => Promise.resolve(Result.ok(Buffer.from('body'))),
+    release: () => {},
     refuse: (error) => {
       assert.equal(received.head, undefined, 'a refusal after the head of a response');
       received.refusal = error;
--- a/packages/settings/src/nodeSettings.ts
+++ b/packages/settings/src/nodeSettings.ts
@@ -8,6 +8,9 @@
   readonly availabilityZone: string;
   /** Timeout of the graceful shutdown, `[node] stop-limit-ms`. */
   readonly stopLimitMs: number;
+  /** What the host has for the process, `[node] memory-mb` and `max-descriptors`. */
+  readonly memoryMb: number;
+  readonly maxDescriptors: number;
   /** Listen address for links from other nodes, `[link] listen-address` and `listen-port`. */
   readonly linkAddress: string;
   readonly linkPort: number;
--- a/packages/settings/test/settings.feature
+++ b/packages/settings/test/settings.feature
@@ -24,7 +24,7 @@
     Examples:
       | role  | line                       | invalid                   | problem                                                                                                          |
       | entry | stop-limit-ms = 30000      | stop-limit-ms = 5         | node.ini:4: [node] stop-limit-ms: found "5", expected ms: 100 to 900000                                           |
-      | entry | stop-limit-ms = 30000      | stop-limt-ms = 5          | node.ini:4: [node] stop-limt-ms: found an unknown key, expected one of name, availability-zone, stop-limit-ms (did you mean stop-limit-ms?) |
+      | entry | stop-limit-ms = 30000      | stop-limt-ms = 5          | node.ini:4: [node] stop-limt-ms: found an unknown key, expected one of name, availability-zone, stop-limit-ms, memory-mb, max-descriptors (did you mean stop-limit-ms?) |
       | entry | stop-limit-ms = 30000      | name = b                  | node.ini:4: [node] name: found a duplicate key, expected each key only once; it is also on line 2                |
       | entry | availability-zone = z1     |                           | node.ini: [node] availability-zone: found nothing, expected name: 1 to 63 of A-Z a-z 0-9 . _ -, first a letter or digit |
       | entry | stop-limit-ms = 30000      | [nod]                     | node.ini: [nod]: found an unknown section, expected a section of the role entry: node, link, operator, platform, metrics, routing, caller (did you mean node?) |
