--- a/packages/metrics/src/metricDefinition.ts
+++ b/packages/metrics/src/metricDefinition.ts
@@ -42,6 +42,16 @@
   readonly usageWindow: 'fixed' | 'left-out';
   /** How the holding of a duty changed, as the router saw it. */
   readonly dutyChange: 'taken' | 'renewed' | 'in-doubt' | 'regained' | 'lost' | 'released';
+  /** The limit for callers that ended a connection, a body or a request. */
+  readonly limit:
+    | 'connections'
+    | 'heads'
+    | 'unread'
+    | 'not-reading'
+    | 'requests'
+    | 'too-slow'
+    | 'no-memory'
+    | 'busy';
   readonly storeCall: 'range' | 'watch' | 'txn' | 'lease-grant' | 'lease-keep' | 'lease-end';
 }
 
--- a/packages/metrics/src/routerMetrics.ts
+++ b/packages/metrics/src/routerMetrics.ts
@@ -122,6 +122,15 @@
     role: 'router',
     meaning: "Permits asked for sends beyond the equal share of a target's rate limit.",
   },
+  {
+    name: 'router.callers_limited',
+    type: 'count',
+    unit: 'callers',
+    tags: ['limit'],
+    role: 'router',
+    meaning:
+      'Connections closed and requests refused to keep memory and descriptors, by the limit.',
+  },
   {
     name: 'router.paused_refusals',
     type: 'count',
--- a/packages/router/src/createRouter.ts
+++ b/packages/router/src/createRouter.ts
@@ -76,6 +76,8 @@
   /** Undefined if the router calls no provider. */
   readonly provider?: ProviderPorts | undefined;
   readonly hash: (text: string) => number;
+  /** Memory for responses that are read as a whole; the default is for a process of usual size. */
+  readonly maxResponseBytes?: number;
   readonly random: () => number;
 }
 
@@ -312,7 +314,7 @@
       ...opts.targetClient,
       mayProbe: (target) => notices.tryProbe(toTargetStart(target)),
     }),
-    bodyMemory: createResponseMemory(),
+    bodyMemory: createResponseMemory(opts.maxResponseBytes),
     crashSuspects: CrashSuspects.create({
       timer,
       share: (evidence) => opts.peers().forEach((peer) => peer.shareCrashEvidence(evidence)),
