--- a/packages/caller/src/memoryPressure.ts
+++ b/packages/caller/src/memoryPressure.ts
@@ -17,7 +17,7 @@
 const MIN_GROWTH_BYTES = 8_388_608;
 
 const BYTES_PER_MB = 1_048_576;
-const CHECK_INTERVAL_MS = 100;
+const CHECK_INTERVAL_MS = 200;
 
 /**
  * Decides when garbage is collected. Left to itself, V8 lets buffers grow by 64 MB between two collections,
@@ -33,12 +33,16 @@
     return new MemoryPressure(opts.memoryMb * BYTES_PER_MB * PRESSURE_SHARE);
   }
 
+  /** Whether the process takes so much of the machine that its buffers are looked at. */
+  isShort(residentBytes: number): boolean {
+    return residentBytes >= this.limitBytes;
+  }
+
   /** Whether to collect now; `recordCollected` must follow. */
   mustCollect(use: MemoryUse): boolean {
     this.collectedBytes = Math.min(this.collectedBytes, use.bufferBytes);
     return (
-      use.residentBytes >= this.limitBytes &&
-      use.bufferBytes - this.collectedBytes >= MIN_GROWTH_BYTES
+      this.isShort(use.residentBytes) && use.bufferBytes - this.collectedBytes >= MIN_GROWTH_BYTES
     );
   }
 
@@ -54,12 +58,18 @@
   readonly timer: TimerService;
 }): Cancel {
   const pressure = MemoryPressure.create(opts);
-  const collect = loadCollector();
+  let collect: (() => void) | undefined;
   return opts.timer.every({
     intervalMs: CHECK_INTERVAL_MS,
     notify: () => {
-      const { rss: residentBytes, arrayBuffers: bufferBytes } = process.memoryUsage();
+      const residentBytes = process.memoryUsage.rss();
+      if (!pressure.isShort(residentBytes)) {
+        return;
+      }
+      const { arrayBuffers: bufferBytes } = process.memoryUsage();
       if (pressure.mustCollect({ residentBytes, bufferBytes })) {
+        // Most processes never need it.
+        collect ??= loadCollector();
         collect();
         pressure.recordCollected(process.memoryUsage().arrayBuffers);
       }
