--- a/packages/caller/src/chunkPacer.ts
+++ b/packages/caller/src/chunkPacer.ts
@@ -16,7 +16,7 @@
   readonly bodyBytes: number;
 }
 
-/** Whether a body has so many chunks that it is not read further. */
+/** Whether a body has so many chunks that it is not read further beside other bodies like it. */
 export function hasTooManyChunks({ chunks, bodyBytes }: ChunkCount): boolean {
   return chunks > MAX_CHUNKS && bodyBytes < chunks * SMALL_AVERAGE_BYTES;
 }
@@ -35,6 +35,11 @@
     return new ChunkPacer();
   }
 
+  /** Whether several bodies in very small chunks are being read; a single one is read whole. */
+  get isContended(): boolean {
+    return this.bodies.size > 1;
+  }
+
   /** Whether a body must pause; `resume` is called when its turn comes. */
   mustPause(body: object, count: ChunkCount & { readonly sincePause: number }): boolean {
     const { chunks, bodyBytes, sincePause } = count;
@@ -42,7 +47,7 @@
       return false;
     }
     this.bodies.add(body);
-    return this.bodies.size > 1 && sincePause >= CHUNKS_PER_TURN;
+    return this.isContended && sincePause >= CHUNKS_PER_TURN;
   }
 
   /** Queues a paused body for its turn. */
--- a/packages/caller/src/readBody.ts
+++ b/packages/caller/src/readBody.ts
@@ -64,7 +64,7 @@
       const { chunks, bodyBytes, heldBytes } = collector;
       if (bodyBytes > maxBytes) {
         fail('too-large');
-      } else if (hasTooManyChunks(collector)) {
+      } else if (pacer.isContended && hasTooManyChunks(collector)) {
         fail('too-many-chunks');
       } else if (!claim.charge(heldBytes)) {
         request.hold();
