Refuse calls on arrival that can't be served in time

Cause: a call was admitted however much work waited, so that stage results were made for callers that had left by the time of the response, and a router whose event loop lags took on more staged calls.

Change: packages/router/src/admission decides before the body is read. A staged call is refused when its caller's time is shorter than its stages, when the mean lag of the event loop is over 50 ms (least urgent priority) to 100 ms (most urgent), or when the waits that the owners of its shards report by priority are too long and have lasted for half of the caller's time. Retry-After follows the wait, with jitter, within a third of the time left. piece-end has an optional field for the waits. Metrics count what was turned away and delayed by priority.

--- a/packages/metrics/src/metricDefinition.ts
+++ b/packages/metrics/src/metricDefinition.ts
@@ -1,4 +1,5 @@
 import type {
+  AdmissionRefusal,
   CallKind,
   CallPhase,
   NodeRole,
@@ -29,6 +30,10 @@
   readonly ending: 'answered' | 'refused-not-run' | 'failed' | 'cut' | 'caller-gone';
   /** How far a call had come when the stop of its router ended it. */
   readonly callPhase: CallPhase;
+  /** Priority of a call; 0 is the highest. */
+  readonly callPriority: '0' | '1' | '2' | '3' | 'lower';
+  /** Why a call was turned away before any work for it began. */
+  readonly refusal: AdmissionRefusal;
   /** How one attempt to send a call to a target ended. */
   readonly send: 'answered' | 'refused' | 'moved' | 'inputs-gone' | 'unsent' | 'broken' | 'foreign';
   /** How a call to a stage worker ended. */
--- a/packages/metrics/src/routerMetrics.ts
+++ b/packages/metrics/src/routerMetrics.ts
@@ -26,6 +26,14 @@
     role: 'router',
     meaning: 'Calls that the stop of the router ended, by how far they had come.',
   },
+  {
+    name: 'router.calls_turned_away',
+    type: 'count',
+    unit: 'calls',
+    tags: ['callPriority', 'refusal'],
+    role: 'router',
+    meaning: 'Calls that were refused before any work for them began, by priority and reason.',
+  },
   {
     name: 'router.sends',
     type: 'count',
@@ -50,6 +58,14 @@
     role: 'router',
     meaning: 'Pieces in calls to stage workers.',
   },
+  {
+    name: 'router.stage_pieces_delayed',
+    type: 'count',
+    unit: 'pieces',
+    tags: ['callPriority'],
+    role: 'router',
+    meaning: 'Pieces that workers took although their call could not be on time any more.',
+  },
   {
     name: 'router.stage_call_time',
     type: 'timing',
--- a/packages/pool/src/stageQueue.ts
+++ b/packages/pool/src/stageQueue.ts
@@ -1,10 +1,17 @@
 import { isSizeExempt, OrganisationUsage } from '@galenatiller/scheduling';
 import type { TimerService } from '@galenatiller/timer';
-import type { BatchLimits, RegisteredTarget, PieceResult, StagePiece } from '@galenatiller/types';
+import type {
+  BatchLimits,
+  PieceResult,
+  PriorityWait,
+  RegisteredTarget,
+  StagePiece,
+} from '@galenatiller/types';
 
 import { choosePieces } from './choosePieces.js';
 import { findIdleZones } from './findIdleZones.js';
 import { findInfeasible } from './findInfeasible.js';
+import { PieceWaits } from './pieceWaits.js';
 import type { OrderPieces, QueuedPiece } from './queuedPiece.js';
 import type { StageThroughput } from './stageThroughput.js';
 
@@ -17,6 +24,8 @@
   /** Zones that have a usable worker of normal speed. */
   readonly workerZones: () => ReadonlySet<string>;
   readonly onStageAbandoned: (event: AbandonedStageEvent) => void;
+  /** Called when a worker takes a piece of a call that can't be on time. */
+  readonly onDelayedTaken?: (piece: StagePiece) => void;
 }
 
 /** A stage of a request that was abandoned, because it can't finish before its deadline. */
@@ -78,6 +87,8 @@
 
   private readonly usage = OrganisationUsage.create();
 
+  private readonly pieceWaits = PieceWaits.create();
+
   private isCheckScheduled = false;
 
   private constructor(private readonly opts: StageQueueOptions) {}
@@ -92,6 +103,11 @@
     return this.waiting.length;
   }
 
+  /** How long new pieces have to expect to wait, for the priorities that wait for long. */
+  get waits(): readonly PriorityWait[] {
+    return this.waiting.length > 0 ? this.pieceWaits.current : [];
+  }
+
   /**
    * Waits until a worker has run the piece or failed to; fails as `late` if the signal aborts first, and
    * resolves to undefined if the piece is handed back before a worker takes it.
@@ -164,13 +180,21 @@
     const pieces = this.findTakeable(opts, nowMs);
     const { usage } = this;
     const throughput = this.opts.throughput();
-    const { ordered } = order({ pieces, nowMs, throughput, usage });
+    const { ordered, onTimeCount } = order({ pieces, nowMs, throughput, usage });
     const chosen = choosePieces({
       ordered,
       limits: opts.limits,
       availableBytes,
     });
     this.recordUsage(chosen, nowMs, throughput);
+    const delayed = new Set(ordered.slice(onTimeCount));
+    this.pieceWaits.recordTaken(
+      chosen.filter((pending) => !delayed.has(pending)),
+      nowMs,
+    );
+    chosen
+      .filter((pending) => delayed.has(pending))
+      .forEach(({ piece }) => this.opts.onDelayedTaken?.(piece));
     const taken = new Set(chosen);
     this.waiting = this.waiting.filter((pending) => !taken.has(pending));
     return chosen.map((pending) => this.toTaken(pending));
@@ -260,7 +284,13 @@
     const nowMs = timer.nowMs();
     this.failExpired(nowMs);
     const throughput = this.opts.throughput();
-    const { ordered } = order({ pieces: this.waiting, nowMs, throughput, usage: this.usage });
+    const { ordered, onTimeCount } = order({
+      pieces: this.waiting,
+      nowMs,
+      throughput,
+      usage: this.usage,
+    });
+    this.pieceWaits.update({ ordered, onTimeCount, nowMs });
     findInfeasible({ ordered, nowMs, throughput }).forEach((group) => {
       const { pieces, neededMs, leftMs } = group;
       const abandoned = new Set(pieces);
--- /dev/null
+++ b/packages/router/src/admission/callAdmission.ts
@@ -0,0 +1,109 @@
+import { GalenatillerError } from '@galenatiller/error';
+import type { MetricSink } from '@galenatiller/metrics';
+import type { SmoothedDurations, TimerService } from '@galenatiller/timer';
+import type { RouteConfig, RoutedCall } from '@galenatiller/types';
+
+import { estimateStageTimes } from '../computeStageDeadlines.js';
+import { toPriorityTag } from '../priorityTag.js';
+import type { RouteTable } from '../routeTable.js';
+import { decideAdmission } from './decideAdmission.js';
+import { estimateCall, type FindWaits } from './estimateCall.js';
+import type { LoopLag } from './loopLag.js';
+
+/** Options of {@link CallAdmission.create}. */
+export interface CallAdmissionOptions {
+  readonly timer: TimerService;
+  readonly metrics: MetricSink;
+  readonly routes: RouteTable;
+  /** Time from a send to the start of its response, by service. */
+  readonly responseTimes: SmoothedDurations;
+  readonly findWaits: FindWaits;
+  readonly loopLag: Pick<LoopLag, 'meanMs'>;
+  /** Uniformly distributed number from 0 to 1. */
+  readonly random: () => number;
+}
+
+/** What is known of a call on arrival. */
+export interface ArrivedCall {
+  readonly route: RouteConfig;
+  /** Service that the call is routed to. */
+  readonly service: string;
+  readonly priority: number;
+  /** Monotonic time by which the caller must have its final response. */
+  readonly deadlineAtMs: number;
+  /** Monotonic time after which the caller no longer waits for the start of a response. */
+  readonly firstByteDeadlineAtMs: number;
+}
+
+/** Decides on arrival whether a call may begin. */
+export class CallAdmission {
+  private constructor(private readonly opts: CallAdmissionOptions) {}
+
+  /** Creates an instance. */
+  static create(opts: CallAdmissionOptions): CallAdmission {
+    return new CallAdmission(opts);
+  }
+
+  /** The error that refuses a call; undefined when it may begin. */
+  findRefusal(opts: {
+    readonly admitted: ArrivedCall;
+    readonly call: RoutedCall;
+  }): GalenatillerError | undefined {
+    const { admitted, call } = opts;
+    const { route, priority } = admitted;
+    const nowMs = this.opts.timer.nowMs();
+    if (nowMs >= admitted.deadlineAtMs) {
+      return this.refuse({ reason: 'past-deadline', retryAfterMs: 0, detail: '', priority });
+    }
+    if (route.stages.length === 0) {
+      return undefined;
+    }
+    const { routes, responseTimes, findWaits, loopLag, random } = this.opts;
+    const findLimits = (name: string) => routes.findService(name)?.batch;
+    const leftMs = admitted.firstByteDeadlineAtMs - nowMs;
+    const estimate = estimateCall({
+      route,
+      priority,
+      stagesMs: estimateStageTimes({ route, call, findLimits }),
+      responseMs: responseTimes.estimateMs({ name: admitted.service, nowMs }),
+      findWaits,
+    });
+    const decision = decideAdmission({
+      estimate,
+      leftMs,
+      priority,
+      stagedPriorities: this.listStagedPriorities(),
+      loopLagMs: loopLag.meanMs,
+      random,
+    });
+    if (decision.kind === 'admit') {
+      return undefined;
+    }
+    const numbers = [
+      `needs ${Math.round(estimate.neededMs)} of ${Math.round(leftMs)} ms`,
+      `event loop ${Math.round(loopLag.meanMs)} ms late`,
+    ];
+    return this.refuse({ ...decision, detail: `: ${numbers.join(', ')}`, priority });
+  }
+
+  private listStagedPriorities(): readonly number[] {
+    const routes = this.opts.routes.currentConfiguration()?.routes ?? [];
+    return routes.filter(({ stages }) => stages.length > 0).map(({ priority }) => priority);
+  }
+
+  private refuse(opts: {
+    readonly reason: Extract<ReturnType<typeof decideAdmission>, { kind: 'refuse' }>['reason'];
+    readonly retryAfterMs: number;
+    readonly detail: string;
+    readonly priority: number;
+  }): GalenatillerError {
+    const { reason: refusal, retryAfterMs, priority } = opts;
+    const tags = { callPriority: toPriorityTag(priority), refusal };
+    this.opts.metrics.count({ name: 'router.calls_turned_away', tags });
+    return GalenatillerError.create({
+      name: 'deadline-unreachable',
+      detail: `not admitted as ${refusal}${opts.detail}`,
+      retryAfterMs,
+    });
+  }
+}
--- a/packages/router/src/computeStageDeadlines.ts
+++ b/packages/router/src/computeStageDeadlines.ts
@@ -95,6 +95,11 @@
   return Math.max(0, ...endsInMs);
 }
 
+/** Time of each stage without any wait. */
+export function estimateStageTimes(opts: EstimateStageOptions): readonly number[] {
+  return opts.route.stages.map((_, position) => estimateStageMs(opts, position));
+}
+
 /** Time of one batch call with the pieces of a stage; 0 for a stage without pieces. */
 function estimateStageMs(opts: EstimateStageOptions, position: number): number {
   const pieces = getPieceCount(opts.call, position);
--- a/packages/router/src/createPeerService.ts
+++ b/packages/router/src/createPeerService.ts
@@ -23,6 +23,7 @@
   return {
     runPiece: submitter.submitForPeer,
     waitMs: (shard) => workers.waitMs(shard),
+    waits: (shard) => workers.waits(shard),
     maxPieces: (peers) => credit.perPeer(peers),
     free: (handles) => submitter.free(handles),
     mergeCrashEvidence: (evidence) => crashSuspects.merge(evidence),
--- a/packages/router/src/createRouter.ts
+++ b/packages/router/src/createRouter.ts
@@ -22,6 +22,7 @@
 import { TaskGroup } from '@galenatiller/tasks';
 import { SmoothedDurations, type TimerService } from '@galenatiller/timer';
 
+import { CallAdmission, LoopLag } from './admission/index.js';
 import { CallCounter } from './callCounter.js';
 import { CrashDetector } from './crashDetector.js';
 import { EventLoopWatch } from './eventLoopWatch.js';
@@ -95,11 +96,7 @@
   const { settings, timer, log, metrics, random, storeEra } = opts;
   const tasks = TaskGroup.create({ onFailure: (error) => logFailedTask(log, error) });
   const callTasks = TaskGroup.create({ onFailure: (error) => logFailedTask(log, error) });
-  const eventLoop = EventLoopWatch.create({
-    timer,
-    onLag: ({ lagMs }) => logEventLoopLag(log, lagMs),
-    onCheck: ({ lagMs }) => stages.credit.recordLag(lagMs),
-  });
+  const { eventLoop, loopLag } = watchEventLoop(opts, (lagMs) => stages.credit.recordLag(lagMs));
   const routes = RouteTable.create();
   const targets = TargetDirectory.create({ timer, onChange: (change) => logTarget(log, change) });
   const { members, relay, source } = createStoreReaders({
@@ -114,6 +111,8 @@
   const shared = { ...opts, ...limits, ...rolloutParts, routes, targets, nodeCount, tasks, relay };
   const stages = createStages(shared);
   const mirrors = createMirrors({ ...shared, source, onChanged: () => stages.onTargetsChanged() });
+  const durations = createDurations();
+  const { findWaits } = stages;
   const context: RouterContext = {
     timer,
     log,
@@ -125,7 +124,8 @@
     rollouts,
     stop: createStop(opts),
     inFlight: CallCounter.create(),
-    ...createDurations(),
+    ...durations,
+    admission: CallAdmission.create({ ...opts, ...durations, routes, findWaits, loopLag }),
     targetClient: opts.targetClient,
     submitPiece: stages.submitter.submit,
     freeResults: (handles) => stages.submitter.free(handles),
@@ -151,6 +151,22 @@
   };
 }
 
+function watchEventLoop(
+  { timer, log }: RouterOptions,
+  recordLag: (lagMs: number) => void,
+): { readonly eventLoop: EventLoopWatch; readonly loopLag: LoopLag } {
+  const loopLag = LoopLag.create();
+  const eventLoop = EventLoopWatch.create({
+    timer,
+    onLag: ({ lagMs }) => logEventLoopLag(log, lagMs),
+    onCheck: ({ lagMs }) => {
+      recordLag(lagMs);
+      loopLag.record(lagMs);
+    },
+  });
+  return { eventLoop, loopLag };
+}
+
 function beginStop(
   { stop }: RouterContext,
   members: Membership,
--- a/packages/router/src/createStages.ts
+++ b/packages/router/src/createStages.ts
@@ -12,7 +12,7 @@
 } from '@galenatiller/target';
 import type { TaskGroup } from '@galenatiller/tasks';
 import type { TimerService } from '@galenatiller/timer';
-import type { BatchLimits } from '@galenatiller/types';
+import type { BatchLimits, PriorityWait } from '@galenatiller/types';
 
 import { createPeerService } from './createPeerService.js';
 import { logAbandonedStage, logLinkEvent, logStageCall } from './logEvents.js';
@@ -27,6 +27,7 @@
 } from './ownership/index.js';
 import { PeerRouters } from './peerRouters.js';
 import type { TargetClient } from './ports.js';
+import { toPriorityTag } from './priorityTag.js';
 import { recordBatchMetrics } from './recordMetrics.js';
 import type { Rollouts } from './rollouts.js';
 import type { RouteTable } from './routeTable.js';
@@ -63,6 +64,8 @@
   /** Limits the pieces that this node accepts while it lacks CPU time. */
   readonly credit: OwnerCredit;
   readonly peerService: PeerService;
+  /** Waits for the workers of each shard of a service, as far as they are known. */
+  readonly findWaits: (service: string) => readonly (readonly PriorityWait[])[];
   /** Follows the targets that are registered now. */
   readonly onTargetsChanged: () => void;
   /** Sets the live routers. */
@@ -104,6 +107,11 @@
       recordBatchMetrics(opts.metrics, event);
     },
     onStageAbandoned: (event) => logAbandonedStage(log, event),
+    onDelayedTaken: ({ priority }) =>
+      opts.metrics.count({
+        name: 'router.stage_pieces_delayed',
+        tags: { callPriority: toPriorityTag(priority) },
+      }),
   });
   const credit = OwnerCredit.create({ piecesInProgress: () => workers.piecesInProgress });
   const parts = { shards, owners, peers, workers, credit, resultMemory };
@@ -112,6 +120,11 @@
   return {
     ...parts,
     submitter,
+    findWaits: (service) =>
+      shards.findShards(service).map(({ key }) => {
+        const owner = peers.find(owners.findOwner(key));
+        return owner ? owner.waits(key) : workers.waits({ service, shard: key });
+      }),
     peerService: createPeerService({ ...opts, ...parts, submitter }),
     setMembers: (members) => assignment.setMembers(members),
     onTargetsChanged: () => {
--- a/packages/router/src/routerContext.ts
+++ b/packages/router/src/routerContext.ts
@@ -11,6 +11,7 @@
 } from '@galenatiller/target';
 import type { SmoothedDurations, TimerService } from '@galenatiller/timer';
 
+import type { CallAdmission } from './admission/index.js';
 import type { CallCounter } from './callCounter.js';
 import type { CrashDetector } from './crashDetector.js';
 import type { TargetClient } from './ports.js';
@@ -44,6 +45,7 @@
   readonly crashSuspects: CrashSuspects;
   readonly rollouts: Rollouts;
   readonly stop: RouterStop;
+  readonly admission: CallAdmission;
   readonly targetClient: TargetClient;
   readonly submitPiece: SubmitPiece;
   /** Frees stage results, by their handles. */
--- a/packages/router/src/serveCall.ts
+++ b/packages/router/src/serveCall.ts
@@ -69,6 +69,11 @@
     return;
   }
   const admitted = admission.value;
+  const refusal = context.admission.findRefusal({ admitted, call });
+  if (refusal) {
+    refuse(opts, refusal, admitted);
+    return;
+  }
   const stageProgress = StageProgress.create(context);
   const tracked = context.stop.track({
     requestId: call.requestId,
--- a/packages/router/src/stageWorkers.ts
+++ b/packages/router/src/stageWorkers.ts
@@ -19,7 +19,7 @@
 } from '@galenatiller/target';
 import type { TaskGroup } from '@galenatiller/tasks';
 import type { TimerService } from '@galenatiller/timer';
-import type { PieceResult, RegisteredTarget, StagePiece } from '@galenatiller/types';
+import type { PieceResult, PriorityWait, RegisteredTarget, StagePiece } from '@galenatiller/types';
 
 import type { ServiceShards, Shard } from './ownership/index.js';
 import type { RouteTable } from './routeTable.js';
@@ -44,6 +44,8 @@
   readonly runPieces: RunPieces;
   readonly onBatch: (event: BatchEvent) => void;
   readonly onStageAbandoned: (event: AbandonedStageEvent & { readonly service: string }) => void;
+  /** Called when a worker takes a piece of a call that can't be on time. */
+  readonly onDelayedTaken: (piece: StagePiece) => void;
   /** Each stage worker has a task in this group. */
   readonly tasks: TaskGroup;
 }
@@ -107,6 +109,12 @@
     return piecesPerMs > 0 ? queued / piecesPerMs : NO_WORKER_WAIT_MS;
   }
 
+  /** How long new pieces wait for the workers of a shard, by priority. */
+  waits(opts: { readonly service: string; readonly shard: string }): readonly PriorityWait[] {
+    const shard = this.opts.shards.resolve({ service: opts.service, key: opts.shard });
+    return this.queues.get(shard.key)?.waits ?? [];
+  }
+
   /** Whether any worker of a shard may get new work. */
   hasWorkers(shard: Shard): boolean {
     return this.accepting(shard).length > 0;
@@ -245,6 +253,7 @@
       throughput: () => this.throughput(shard),
       workerZones: () => this.workerZones(shard),
       onStageAbandoned: (event) => this.opts.onStageAbandoned({ ...event, service: shard.service }),
+      onDelayedTaken: this.opts.onDelayedTaken,
     });
     this.queues.set(shard.key, queue);
     return queue;
--- a/packages/router/test/burst.feature
+++ b/packages/router/test/burst.feature
@@ -25,3 +25,16 @@
       | class | percent |
       | A     | 50      |
       | B     | 70      |
+
+  # Guards against stages that run for calls whose callers have left by the time of the response.
+  Scenario: Calls that would fail are refused in a long overload
+    Given the usual load of A, B and C calls
+    When calls of class A come 2.5 times as often for 15 s
+    Then at most 5 of 100 stage results of the burst are for calls without a response
+
+  # Shows that the scenario above depends on the refusal on arrival.
+  Scenario: Without refusals more stage results are never used
+    Given the usual load of A, B and C calls
+    And no call is refused on arrival
+    When calls of class A come 2.5 times as often for 15 s
+    Then at least 6 of 100 stage results of the burst are for calls without a response
--- /dev/null
+++ b/packages/router/test/callAdmission.steps.ts
@@ -0,0 +1,116 @@
+import assert from 'node:assert/strict';
+
+import { Given, Then } from '@cucumber/cucumber';
+import { ManualClock, SmoothedDurations, TimerService } from '@galenatiller/timer';
+import type { PriorityWait, RouteConfig } from '@galenatiller/types';
+
+import { CallAdmission } from '../src/admission/index.js';
+import type { AdmittedCall } from '../src/admitCall.js';
+import { RouteTable } from '../src/routeTable.js';
+import { BASE_ROUTE, CALL, CONFIGURATION } from './support.js';
+
+interface AdmissionWorld {
+  admissionRoute: RouteConfig;
+  patienceMs: number;
+  waits: readonly PriorityWait[];
+  meanLagMs: number;
+}
+
+const BATCH = {
+  maxPieces: 10,
+  callOverheadMs: 400,
+  pieceMs: 100,
+  resultMemoryBytes: 1_000,
+  resultTtlMs: 4_000,
+};
+const STAGES = [{ service: 'stage', dependsOn: [], resultBytes: 1 }];
+
+Given(
+  'a staged call of priority {int} that needs 500 ms, and whose caller waits for {int} ms',
+  function given(this: AdmissionWorld, priority: number, patienceMs: number) {
+    this.admissionRoute = { ...BASE_ROUTE, priority, stages: STAGES };
+    this.patienceMs = patienceMs;
+    this.waits = [];
+    this.meanLagMs = 0;
+  },
+);
+
+Given('a call without stages', function given(this: AdmissionWorld) {
+  this.admissionRoute = BASE_ROUTE;
+  this.patienceMs = 100;
+});
+
+Given(
+  'at its stage service new pieces of priority {int} wait for {int} ms, the oldest for {int} ms',
+  function given(this: AdmissionWorld, priority: number, waitMs: number, oldestMs: number) {
+    this.waits = [{ priority, waitMs, oldestMs }];
+  },
+);
+
+Given('timers are {int} ms late in the mean', function given(this: AdmissionWorld, lagMs: number) {
+  this.meanLagMs = lagMs;
+});
+
+Then('it is admitted', function then(this: AdmissionWorld) {
+  assert.equal(findRefusal(this), undefined);
+});
+
+Then('it is refused as {string}', function then(this: AdmissionWorld, reason: string) {
+  const refusal = findRefusal(this) ?? assert.fail('it was admitted');
+  assert.equal(refusal.outcome, 'not-run');
+  assert.ok(refusal.detail.includes(`as ${reason}`), refusal.detail);
+});
+
+Then('it should not be sent again', function then(this: AdmissionWorld) {
+  assert.equal(findRefusal(this)?.retryAfterMs, 0);
+});
+
+Then(
+  'its time to retry is between {int} and {int} ms, and not always the same',
+  function then(this: AdmissionWorld, minMs: number, maxMs: number) {
+    const times = [0, 0.3, 0.6, 0.99].map((random) => findRefusal(this, random)?.retryAfterMs ?? 0);
+    times.forEach((timeMs) => assert.ok(timeMs >= minMs && timeMs <= maxMs, String(timeMs)));
+    assert.equal(new Set(times).size, times.length);
+  },
+);
+
+function findRefusal(
+  world: AdmissionWorld,
+  random = 0.5,
+): ReturnType<CallAdmission['findRefusal']> {
+  const timer = TimerService.create({ clock: ManualClock.create({ startWallMs: 1_000_000 }) });
+  const routes = RouteTable.create();
+  const limits = { maxColdRequestsPerSecond: 0, batch: BATCH };
+  const priorities = [0, 1, 2];
+  routes.update({
+    ...CONFIGURATION,
+    routes: priorities.map((priority) => ({
+      ...BASE_ROUTE,
+      name: `route-${priority}`,
+      pathPrefix: `/${priority}/`,
+      priority,
+      stages: STAGES,
+    })),
+    services: [{ name: 'stage', ...limits }],
+  });
+  const admitted: AdmittedCall = {
+    route: world.admissionRoute,
+    service: 'service',
+    organisation: '',
+    priority: world.admissionRoute.priority,
+    configurationVersion: 1,
+    maxBodyBytes: 1,
+    deadlineAtMs: 60_000,
+    dueAtMs: 1_000,
+    firstByteDeadlineAtMs: world.patienceMs,
+  };
+  return CallAdmission.create({
+    timer,
+    metrics: { count: () => {}, gauge: () => {}, timing: () => {} },
+    routes,
+    responseTimes: SmoothedDurations.create(),
+    findWaits: () => [world.waits],
+    loopLag: { meanMs: world.meanLagMs },
+    random: () => random,
+  }).findRefusal({ admitted, call: CALL });
+}
--- a/packages/router/test/fleetWorld.ts
+++ b/packages/router/test/fleetWorld.ts
@@ -204,6 +204,7 @@
       runPieces: this.runPieces,
       onBatch: () => {},
       onStageAbandoned: () => {},
+      onDelayedTaken: () => {},
       tasks: TaskGroup.create({
         onFailure: (error) => {
           throw error;
--- a/packages/router/test/router.feature
+++ b/packages/router/test/router.feature
@@ -311,6 +311,13 @@
     Then the caller gets 503 and should retry after 240 ms
     And the targets got 0 sends
 
+  # Guards against stages that run for a call which can't be served in time.
+  Scenario: A call that can't be served in time is refused before its stages begin
+    Given new pieces wait for 5000 ms at the stage workers
+    When a "staged" call with 2 and 3 pieces is made
+    Then the caller gets 503 with a time to retry
+    And no stage of the call has begun
+
   Scenario: Stages run once more when their results are gone
     Given the first send ends as "inputs-gone"
     When a "staged" call with 1 and 1 pieces is made
--- a/packages/router/test/stageNotices.steps.ts
+++ b/packages/router/test/stageNotices.steps.ts
@@ -118,6 +118,7 @@
     runPieces: ({ target, pieces }) => runPieces(this, target, pieces),
     onBatch: () => {},
     onStageAbandoned: () => {},
+    onDelayedTaken: () => {},
     tasks: TaskGroup.create({
       onFailure: (error) => {
         throw error;
--- a/packages/router/test/stageSubmitter.steps.ts
+++ b/packages/router/test/stageSubmitter.steps.ts
@@ -84,6 +84,7 @@
       },
       onBatch: () => {},
       onStageAbandoned: () => {},
+      onDelayedTaken: () => {},
       tasks: TaskGroup.create({
         onFailure: (error) => {
           throw error;
--- a/packages/routerLink/src/acceptRouters.ts
+++ b/packages/routerLink/src/acceptRouters.ts
@@ -9,6 +9,7 @@
   LeavingEvidence,
   PieceResult,
   PieceUrgency,
+  PriorityWait,
   RolloutDecision,
   RolloutEvidence,
   StagePiece,
@@ -30,6 +31,11 @@
   readonly runPiece: (opts: ShardPiece) => Promise<PieceResult>;
   /** Time that a new piece would wait for a worker of a shard. */
   readonly waitMs: (opts: { readonly service: string; readonly shard: string }) => number;
+  /** How long new pieces wait for the workers of a shard, by priority. */
+  readonly waits: (opts: {
+    readonly service: string;
+    readonly shard: string;
+  }) => readonly PriorityWait[];
   /** Pieces that each of so many peers may have in progress here; Infinity without a limit. */
   readonly maxPieces: (peers: number) => number;
   readonly free: (handles: readonly string[]) => void;
@@ -186,7 +192,14 @@
       });
       link.running.delete(orderId);
       const waitMs = opts.service.waitMs({ service, shard });
-      link.socket.send({ kind: 'piece-end', orderId, result, waitMs });
+      const waits = opts.service.waits({ service, shard });
+      link.socket.send({
+        kind: 'piece-end',
+        orderId,
+        result,
+        waitMs,
+        ...(waits.length > 0 && { waits }),
+      });
     });
   });
 }
--- a/packages/routerLink/src/followRouter.ts
+++ b/packages/routerLink/src/followRouter.ts
@@ -4,6 +4,7 @@
   CrashEvidence,
   LeavingEvidence,
   PieceResult,
+  PriorityWait,
   RolloutDecision,
   RolloutEvidence,
 } from '@galenatiller/types';
@@ -102,6 +103,11 @@
     return this.orders.waitMs(shard);
   }
 
+  /** Waits for the workers of a shard at the peer, by priority; empty without a recent report. */
+  waits(shard: string): readonly PriorityWait[] {
+    return this.orders.waits(shard);
+  }
+
   /** Has the peer run a piece; resolves to undefined when the link is lost before the piece ends. */
   submitPiece(opts: ShardPiece): Promise<PieceResult | undefined> {
     return this.isOpen ? this.orders.submit(opts) : Promise.resolve(undefined);
--- a/packages/routerLink/src/pieceOrders.ts
+++ b/packages/routerLink/src/pieceOrders.ts
@@ -1,5 +1,5 @@
 import type { TimerService } from '@galenatiller/timer';
-import type { PieceResult, PieceUrgency, StagePiece } from '@galenatiller/types';
+import type { PieceResult, PieceUrgency, PriorityWait, StagePiece } from '@galenatiller/types';
 
 import type { OrderedPiece, OrderedUrgency, PieceEndFrame, RouterFrame } from './routerFrames.js';
 
@@ -26,6 +26,7 @@
 
 interface ReportedWait {
   readonly waitMs: number;
+  readonly waits: readonly PriorityWait[];
   readonly atMs: number;
 }
 
@@ -52,7 +53,7 @@
 
   private isFlushScheduled = false;
 
-  private readonly waits = new Map<string, ReportedWait>();
+  private readonly reports = new Map<string, ReportedWait>();
 
   private constructor(private readonly opts: PieceOrdersOptions) {}
 
@@ -68,9 +69,18 @@
 
   /** Time that a piece waits for a worker of a shard at the peer; 0 without a recent report. */
   waitMs(shard: string): number {
-    const report = this.waits.get(shard);
+    return this.findFresh(shard)?.waitMs ?? 0;
+  }
+
+  /** Waits for the workers of a shard at the peer, by priority; empty without a recent report. */
+  waits(shard: string): readonly PriorityWait[] {
+    return this.findFresh(shard)?.waits ?? [];
+  }
+
+  private findFresh(shard: string): ReportedWait | undefined {
+    const report = this.reports.get(shard);
     const isFresh = report && this.opts.timer.nowMs() - report.atMs < REPORT_LIFETIME_MS;
-    return isFresh ? report.waitMs : 0;
+    return isFresh ? report : undefined;
   }
 
   /** Orders a piece; resolves to undefined when the link is lost before the piece ends. */
@@ -96,12 +106,12 @@
   }
 
   /** Takes the result of a piece; false if its order was cancelled before. */
-  end({ orderId, result, waitMs }: PieceEndFrame): boolean {
+  end({ orderId, result, waitMs, waits = [] }: PieceEndFrame): boolean {
     const order = this.orders.get(orderId);
     if (!order) {
       return false;
     }
-    this.waits.set(order.shard, { waitMs, atMs: this.opts.timer.nowMs() });
+    this.reports.set(order.shard, { waitMs, waits, atMs: this.opts.timer.nowMs() });
     order.settle(result);
     return true;
   }
--- a/packages/routerLink/src/routerFrames.ts
+++ b/packages/routerLink/src/routerFrames.ts
@@ -3,6 +3,7 @@
   CrashEvidence,
   LeavingEvidence,
   PieceResult,
+  PriorityWait,
   RolloutDecision,
   RolloutEvidence,
 } from '@galenatiller/types';
@@ -68,6 +69,8 @@
   readonly result: PieceResult;
   /** Time that a new piece would wait for a worker of the shard. */
   readonly waitMs: number;
+  /** Longer waits for the workers of the shard, by priority; unset without any, or in earlier versions. */
+  readonly waits?: readonly PriorityWait[] | undefined;
 }
 
 /** Frees results that were made for the sender and are no longer needed. */
--- a/packages/routerLink/src/wireRouterFrame.ts
+++ b/packages/routerLink/src/wireRouterFrame.ts
@@ -82,7 +82,9 @@
   'piece-cancel': ({ orderIds }) =>
     Array.isArray(orderIds) && orderIds.every((orderId) => typeof orderId === 'number'),
   'piece-end': (fields) =>
-    areNumbers(fields, ['orderId', 'waitMs']) && isPieceResult(fields.result),
+    areNumbers(fields, ['orderId', 'waitMs']) &&
+    isPieceResult(fields.result) &&
+    (fields.waits === undefined || areWaits(fields.waits)),
   free: (fields) => isStringList(fields.handles),
   'crash-evidence': ({ evidence }) => Array.isArray(evidence) && evidence.every(isCrashEvidence),
   'leaving-evidence': ({ evidence }) =>
@@ -134,6 +136,13 @@
   );
 }
 
+function areWaits(value: unknown): boolean {
+  return (
+    Array.isArray(value) &&
+    value.every((item) => areNumbers(asFields(item), ['priority', 'waitMs', 'oldestMs']))
+  );
+}
+
 function isPieceResult(value: unknown): value is PieceResult {
   const fields = asFields(value);
   return fields.kind === 'made'
--- a/packages/routerLink/test/linkWorld.ts
+++ b/packages/routerLink/test/linkWorld.ts
@@ -13,6 +13,7 @@
   RolloutDecision,
   RolloutEvidence,
   StagePiece,
+  PriorityWait,
 } from '@galenatiller/types';
 
 export const RELAYED: RelayResponse = {
@@ -40,6 +41,7 @@
   peer: PeerRouter;
   stopPeer: AbortController;
   ordersAtOwner: OrderAtOwner[];
+  waitsAtOwner: readonly PriorityWait[];
   freedAtOwner: string[];
   cancelOrder: AbortController;
   peerResult: Promise<PieceResult | undefined>;
--- a/packages/routerLink/test/routerLink.feature
+++ b/packages/routerLink/test/routerLink.feature
@@ -18,6 +18,14 @@
     Then the peer gets the result "10.0.0.1:1/a"
     And at the owner the piece had to start in about 300 ms, with all else that orders it
 
+  # Guards against routers that admit calls which the owner of a service can't serve in time.
+  Scenario: The peer learns how long pieces wait at the owner
+    Given pieces of priority 2 wait for 1500 ms at the owner, the oldest for 900 ms
+    When the peer orders a piece that is due in 500 ms and has to be done in 2000 ms
+    And the owner completes it with "10.0.0.1:1/a"
+    Then the peer gets the result "10.0.0.1:1/a"
+    And the peer knows of these waits
+
   Scenario: An order that is cancelled is also cancelled at the owner
     When the peer orders a piece that is due in 500 ms and has to be done in 2000 ms
     And the peer cancels it
--- a/packages/routerLink/test/routerLink.steps.ts
+++ b/packages/routerLink/test/routerLink.steps.ts
@@ -37,6 +37,7 @@
     this.linkTimer = TimerService.create({ clock: systemClock });
     this.linkAddress = await findFreeAddress();
     this.ordersAtOwner = [];
+    this.waitsAtOwner = [];
     this.freedAtOwner = [];
     this.maxPiecesAtOwner = Infinity;
     const tasks = TaskGroup.create({
@@ -52,6 +53,7 @@
             this.ordersAtOwner.push({ piece, signal, settle });
           }),
         waitMs: () => 0,
+        waits: () => this.waitsAtOwner,
         maxPieces: () => this.maxPiecesAtOwner,
         readRelayed: ({ request }) => {
           this.requestAtOwner = request;
@@ -127,6 +129,17 @@
   assert.equal((this.ordersAtOwner[0] ?? assert.fail()).piece.urgency, undefined);
 });
 
+Given(
+  'pieces of priority {int} wait for {int} ms at the owner, the oldest for {int} ms',
+  function given(this: LinkWorld, priority: number, waitMs: number, oldestMs: number) {
+    this.waitsAtOwner = [{ priority, waitMs, oldestMs }];
+  },
+);
+
+Then('the peer knows of these waits', function then(this: LinkWorld) {
+  assert.deepEqual(this.peer.waits('stage/0'), this.waitsAtOwner);
+});
+
 When('the peer cancels it', function when(this: LinkWorld) {
   this.cancelOrder.abort();
 });
--- a/packages/types/src/routedCall.ts
+++ b/packages/types/src/routedCall.ts
@@ -80,6 +80,17 @@
   readonly urgency?: PieceUrgency | undefined;
 }
 
+/** How long a new piece of a priority has to expect to wait for a worker, and still be on time. */
+export interface PriorityWait {
+  readonly priority: number;
+  readonly waitMs: number;
+  /** For how long the oldest piece of the priority has waited, whether it can be on time or not. */
+  readonly oldestMs: number;
+}
+
+/** Why a call was turned away before any work for it began. */
+export type AdmissionRefusal = 'past-deadline' | 'hopeless' | 'event-loop';
+
 /**
  * The result of a piece is kept by the worker that ran it, under a handle of the form IP:PORT/NAME.
  */
