--- a/packages/router/src/createRouter.ts
+++ b/packages/router/src/createRouter.ts
@@ -23,6 +23,7 @@
 import { TaskGroup } from '@galenatiller/tasks';
 import type { TimerService } from '@galenatiller/timer';
 
+import { CallAdmission, LoopLag } from './admission/index.js';
 import {
   createProviderDuties,
   type ProviderDuties,
@@ -109,11 +110,7 @@
   const { settings, timer, log, storeEra } = opts;
   const tasks = TaskGroup.create({ onFailure: (error) => logFailedTask(log, error) });
   const callTasks = TaskGroup.create({ onFailure: (error) => logFailedTask(log, error) });
-  const eventLoop = EventLoopWatch.create({
-    timer,
-    onLag: ({ lagMs }) => logEventLoopLag(log, lagMs),
-    onCheck: ({ lagMs }) => stages.credit.recordLag(lagMs),
-  });
+  const { eventLoop, loopLag } = watchEventLoop(opts, (lagMs) => stages.credit.recordLag(lagMs));
   const routes = RouteTable.create();
   const targets = TargetDirectory.create({ timer, onChange: (change) => logTarget(log, change) });
   const { members, relay, source } = createStoreReaders({
@@ -137,7 +134,7 @@
   const shared = { ...known, ...calls, provider, tasks, relay };
   const stages = createStages(shared);
   const mirrors = createMirrors({ ...shared, source, onChanged: () => stages.onTargetsChanged() });
-  const context = createContext({ ...shared, stages });
+  const context = createContext({ ...shared, stages, loopLag });
   const parts = { ...shared, stages, eventLoop, members, duties, mirrors };
   return {
     context,
@@ -157,6 +154,22 @@
   };
 }
 
+function watchEventLoop(
+  { timer, log }: Pick<RouterOptions, 'timer' | 'log'>,
+  recordLag: (lagMs: number) => void,
+): { readonly eventLoop: EventLoopWatch; readonly loopLag: LoopLag } {
+  const loopLag = LoopLag.create();
+  const eventLoop = EventLoopWatch.create({
+    timer,
+    onLag: ({ lagMs }) => logEventLoopLag(log, lagMs),
+    onCheck: ({ lagMs }) => {
+      recordLag(lagMs);
+      loopLag.record(lagMs);
+    },
+  });
+  return { eventLoop, loopLag };
+}
+
 /** What the task of each call uses. */
 function createContext(
   opts: Omit<RouterOptions, 'provider'> &
@@ -167,12 +180,16 @@
     > & {
       readonly provider: ProviderDuties;
       readonly stages: Stages;
+      readonly loopLag: LoopLag;
     },
 ): RouterContext {
   const { settings, stages, provider } = opts;
+  const durations = createDurations();
+  const { findWaits } = stages;
   return {
     ...opts,
-    ...createDurations(),
+    ...durations,
+    admission: CallAdmission.create({ ...opts, ...durations, findWaits }),
     ...bindStages(stages),
     ownZone: settings.availabilityZone,
     countRequest: provider.countRequest,
--- a/packages/router/src/createStages.ts
+++ b/packages/router/src/createStages.ts
@@ -13,7 +13,7 @@
 } from '@galenatiller/target';
 import type { TaskGroup } from '@galenatiller/tasks';
 import type { TimerService } from '@galenatiller/timer';
-import type { BatchLimits } from '@galenatiller/types';
+import type { BatchLimits, PriorityWait } from '@galenatiller/types';
 
 import type { ProviderDuties } from './createProviderDuties.js';
 import { createPeerService } from './createPeerService.js';
@@ -30,6 +30,7 @@
 import { PeerRouters } from './peerRouters.js';
 import { Permits } from './permits.js';
 import type { TargetClient } from './ports.js';
+import { toPriorityTag } from './priorityTag.js';
 import { recordBatchMetrics } from './recordMetrics.js';
 import type { Rollouts } from './rollouts.js';
 import type { RouteTable } from './routeTable.js';
@@ -72,6 +73,8 @@
   readonly peerService: PeerService;
   /** Sends beyond the equal share of this node. */
   readonly permits: Permits;
+  /** Waits for the workers of each shard of a service, as far as they are known. */
+  readonly findWaits: (service: string) => readonly (readonly PriorityWait[])[];
   /** Follows the targets that are registered now. */
   readonly onTargetsChanged: () => void;
   /** Sets the live routers. */
@@ -114,6 +117,11 @@
       recordBatchMetrics(opts.metrics, event);
     },
     onStageAbandoned: (event) => logAbandonedStage(log, event),
+    onDelayedTaken: ({ priority }) =>
+      opts.metrics.count({
+        name: 'router.stage_pieces_delayed',
+        tags: { callPriority: toPriorityTag(priority) },
+      }),
   });
   const credit = OwnerCredit.create({ piecesInProgress: () => workers.piecesInProgress });
   const permits = createPermits(opts, { owners, peers });
@@ -123,6 +131,11 @@
   return {
     ...parts,
     submitter,
+    findWaits: (service) =>
+      shards.findShards(service).map(({ key }) => {
+        const owner = peers.find(owners.findOwner(key));
+        return owner ? owner.waits(key) : workers.waits({ service, shard: key });
+      }),
     peerService: createPeerService({ ...opts, ...parts, submitter }),
     setMembers: (members) => {
       assignment.setMembers(members);
--- a/packages/router/src/routerContext.ts
+++ b/packages/router/src/routerContext.ts
@@ -11,6 +11,7 @@
 } from '@galenatiller/target';
 import type { SmoothedDurations, TimerService } from '@galenatiller/timer';
 
+import type { CallAdmission } from './admission/index.js';
 import type { CallCounter } from './callCounter.js';
 import type { CrashDetector } from './crashDetector.js';
 import type { PermitTarget } from './permits.js';
@@ -52,6 +53,7 @@
   readonly stop: RouterStop;
   /** Counts a request of an organisation that a target has begun to run. */
   readonly countRequest: (organisation: string) => void;
+  readonly admission: CallAdmission;
   readonly targetClient: TargetClient;
   /** Obtains a permit for one send to a target beyond the equal share of this node. */
   readonly obtainPermit: (target: PermitTarget) => Promise<boolean>;
--- a/packages/routerLink/src/routerFrames.ts
+++ b/packages/routerLink/src/routerFrames.ts
@@ -4,6 +4,7 @@
   LeavingEvidence,
   LoadUpdate,
   PieceResult,
+  PriorityWait,
   RolloutDecision,
   RolloutEvidence,
   UsageUpdate,
@@ -78,6 +79,8 @@
   readonly result: PieceResult;
   /** Time that a new piece would wait for a worker of the shard. */
   readonly waitMs: number;
+  /** Longer waits for the workers of the shard, by priority; unset without any, or in earlier versions. */
+  readonly waits?: readonly PriorityWait[] | undefined;
 }
 
 /** Frees results that were made for the sender and are no longer needed. */
--- a/packages/routerLink/test/linkWorld.ts
+++ b/packages/routerLink/test/linkWorld.ts
@@ -15,6 +15,7 @@
   RolloutEvidence,
   StagePiece,
   UsageUpdate,
+  PriorityWait,
 } from '@galenatiller/types';
 
 export const RELAYED: RelayResponse = {
@@ -43,6 +44,7 @@
   peer: PeerRouter;
   stopPeer: AbortController;
   ordersAtOwner: OrderAtOwner[];
+  waitsAtOwner: readonly PriorityWait[];
   freedAtOwner: string[];
   begunAtPeer: number;
   cancelOrder: AbortController;
