--- a/packages/router/src/createRouter.ts
+++ b/packages/router/src/createRouter.ts
@@ -23,7 +23,7 @@
 import { TaskGroup } from '@galenatiller/tasks';
 import type { TimerService } from '@galenatiller/timer';
 
-import { CallAdmission, LoopLag } from './admission/index.js';
+import { LoopLag } from './admission/index.js';
 import {
   createProviderDuties,
   type ProviderDuties,
@@ -31,13 +31,13 @@
 } from './createProviderDuties.js';
 import { CallCounter } from './callCounter.js';
 import { CrashDetector } from './crashDetector.js';
-import { createDurations } from './createDurations.js';
 import { EventLoopWatch } from './eventLoopWatch.js';
 import type {
   OperatorEntryDecoder,
   RolloutStatusEntries,
   TargetEntryDecoder,
 } from './entryDecoders.js';
+import { createRouterContext } from './createRouterContext.js';
 import { createDuties } from './createDuties.js';
 import { createStoreReaders } from './createStoreReaders.js';
 import { createMirrors, type Mirrors } from './createMirrors.js';
@@ -52,12 +52,10 @@
 import {
   logEventLoopLag,
   logFailedTask,
-  logStoppedCall,
   logStoppedFingerprint,
   logTarget,
   logTargetNotice,
 } from './logEvents.js';
-import { RouterStop } from './routerStop.js';
 import { serveCall } from './serveCall.js';
 
 /** Options of {@link createRouter}. */
@@ -134,7 +132,7 @@
   const shared = { ...known, ...calls, provider, tasks, relay };
   const stages = createStages(shared);
   const mirrors = createMirrors({ ...shared, source, onChanged: () => stages.onTargetsChanged() });
-  const context = createContext({ ...shared, stages, loopLag });
+  const context = createRouterContext({ ...shared, stages, loopLag });
   const parts = { ...shared, stages, eventLoop, members, duties, mirrors };
   return {
     context,
@@ -170,34 +168,6 @@
   return { eventLoop, loopLag };
 }
 
-/** What the task of each call uses. */
-function createContext(
-  opts: Omit<RouterOptions, 'provider'> &
-    Limits &
-    Pick<
-      RouterContext,
-      'routes' | 'targets' | 'rollouts' | 'inFlight' | 'waiting' | 'evidenceAgeMs'
-    > & {
-      readonly provider: ProviderDuties;
-      readonly stages: Stages;
-      readonly loopLag: LoopLag;
-    },
-): RouterContext {
-  const { settings, stages, provider } = opts;
-  const durations = createDurations();
-  const { findWaits } = stages;
-  return {
-    ...opts,
-    ...durations,
-    admission: CallAdmission.create({ ...opts, ...durations, findWaits }),
-    ...bindStages(stages),
-    ownZone: settings.availabilityZone,
-    countRequest: provider.countRequest,
-    stop: createStop(opts),
-    keyAgeLimitMs: settings.keyAgeLimitMs,
-  };
-}
-
 /** Begins the stop; duties are released before the others learn that this router leaves. */
 function beginStop(opts: {
   readonly context: RouterContext;
@@ -257,31 +227,6 @@
   stopWatch();
 }
 
-function bindStages({
-  submitter,
-  permits,
-}: Stages): Pick<RouterContext, 'submitPiece' | 'freeResults' | 'obtainPermit'> {
-  return {
-    submitPiece: submitter.submit,
-    freeResults: (handles) => submitter.free(handles),
-    obtainPermit: (target) => permits.obtain(target),
-  };
-}
-
-function createStop({
-  timer,
-  log,
-  metrics,
-}: Pick<RouterOptions, 'timer' | 'log' | 'metrics'>): RouterStop {
-  return RouterStop.create({
-    timer,
-    onCallStopped: (event) => {
-      logStoppedCall(log, event);
-      metrics.count({ name: 'router.calls_stopped', tags: { callPhase: event.phase } });
-    },
-  });
-}
-
 type Limits = Pick<
   RouterContext,
   | 'health'
--- a/packages/router/src/createStages.ts
+++ b/packages/router/src/createStages.ts
@@ -117,11 +117,7 @@
       recordBatchMetrics(opts.metrics, event);
     },
     onStageAbandoned: (event) => logAbandonedStage(log, event),
-    onDelayedTaken: ({ priority }) =>
-      opts.metrics.count({
-        name: 'router.stage_pieces_delayed',
-        tags: { callPriority: toPriorityTag(priority) },
-      }),
+    onDelayedTaken: ({ priority }) => recordDelayed(opts.metrics, priority),
   });
   const credit = OwnerCredit.create({ piecesInProgress: () => workers.piecesInProgress });
   const permits = createPermits(opts, { owners, peers });
@@ -131,11 +127,7 @@
   return {
     ...parts,
     submitter,
-    findWaits: (service) =>
-      shards.findShards(service).map(({ key }) => {
-        const owner = peers.find(owners.findOwner(key));
-        return owner ? owner.waits(key) : workers.waits({ service, shard: key });
-      }),
+    findWaits: (service) => findWaits(service, parts),
     peerService: createPeerService({ ...opts, ...parts, submitter }),
     setMembers: (members) => {
       assignment.setMembers(members);
@@ -148,6 +140,28 @@
   };
 }
 
+function recordDelayed(metrics: MetricSink, priority: number): void {
+  const callPriority = toPriorityTag(priority);
+  metrics.count({ name: 'router.stage_pieces_delayed', tags: { callPriority } });
+}
+
+function findWaits(
+  service: string,
+  {
+    shards,
+    owners,
+    peers,
+    workers,
+  }: Pick<Stages, 'owners' | 'peers' | 'workers'> & {
+    readonly shards: ServiceShards;
+  },
+): ReturnType<Stages['findWaits']> {
+  return shards.findShards(service).map(({ key }) => {
+    const owner = peers.find(owners.findOwner(key));
+    return owner ? owner.waits(key) : workers.waits({ service, shard: key });
+  });
+}
+
 function createPermits(
   opts: CreateStagesOptions,
   parts: { readonly owners: ServiceOwners; readonly peers: PeerRouters },
--- a/packages/router/src/runAttempts.ts
+++ b/packages/router/src/runAttempts.ts
@@ -146,6 +146,17 @@
     : endWithError(progress, 'no-target', `no target of ${admitted.service} accepts calls`);
 }
 
+/** Records a send for the limits of its target; one under a permit uses up no share of this node. */
+function recordSent(
+  { coldRateLimiter, notices }: RouterContext,
+  { target, hasPermit }: Extract<PermittedChoice, { kind: 'chosen' }>,
+): void {
+  if (!hasPermit) {
+    coldRateLimiter.recordSent(target.address);
+  }
+  notices.recordSent(toTargetStart(target));
+}
+
 /** Makes one attempt; undefined when another one may follow. */
 async function runAttempt(
   opts: RunAttemptsOptions,
@@ -158,10 +169,7 @@
   const sentAtMs = timer.nowMs();
   progress.recordSend(target.id);
   opts.tracked.enter('sent');
-  if (!choice.hasPermit) {
-    context.coldRateLimiter.recordSent(target.address);
-  }
-  context.notices.recordSent(toTargetStart(target));
+  recordSent(context, choice);
   const decrement = context.inFlight.increment(target.id);
   const remainingMs = admitted.deadlineAtMs - sentAtMs;
   const observation = createObservation(opts, target);
--- a/packages/router/test/support.ts
+++ b/packages/router/test/support.ts
@@ -246,15 +246,10 @@
         return script(opts);
       },
       runPieces: () => Promise.reject(new Error('not used')),
-      freeResults: () => Promise.resolve(undefined),
-      probe: () => Promise.resolve('connected'),
+      freeResults: async () => undefined,
+      probe: async () => 'connected',
     },
-    rollouts: Rollouts.create({
-      timer,
-      random: () => 0.5,
-      unprovedShare: 0.1,
-      onEnded: () => {},
-    }),
+    rollouts: Rollouts.create({ timer, random: () => 0.5, unprovedShare: 0.1, onEnded: () => {} }),
     crashDetector: CrashDetector.create({
       probe: () => {
         world.probes += 1;
@@ -318,7 +313,7 @@
   };
 }
 
-/** Starts a call without waiting for anything. */
+/** Starts a call. */
 export function startCall(world: RouterWorld, changes: Partial<RoutedCall>): void {
   const exchange = createExchange(world, changes);
   serveCall({ context: world.context, exchange }).catch((error: unknown) => {
@@ -326,7 +321,7 @@
   });
 }
 
-export async function makeCall(world: RouterWorld, changes: Partial<RoutedCall>): Promise<void> {
+export function makeCall(world: RouterWorld, changes: Partial<RoutedCall>): Promise<void> {
   startCall(world, changes);
-  await world.routerClock.advance({ byMs: 400 });
+  return world.routerClock.advance({ byMs: 400 });
 }
