--- a/features/hostileCallers.feature
+++ b/features/hostileCallers.feature
@@ -63,3 +63,15 @@
       | a router | 160    | metrics   | 40      | requests without headers |
       | an entry | 256    | operator  | 400     | heads without end        |
       | an entry | 256    | operator  | 40      | requests without headers |
+
+  # Guards against limits that a single caller inside the documented ones meets.
+  Scenario Outline: A single request of the largest size is served: <body>
+    Given a router on a machine with 160 MB of memory and 300 descriptors
+    When one caller sends 4194304 bytes <body>
+    Then that request is answered with 200
+
+    Examples:
+      | body                  |
+      | with a length         |
+      | in chunks of 65536    |
+      | in chunks of 32       |
--- a/features/hostileCallers.steps.ts
+++ b/features/hostileCallers.steps.ts
@@ -1,5 +1,7 @@
 import assert from 'node:assert/strict';
+import { once } from 'node:events';
 import { readdir, readFile } from 'node:fs/promises';
+import { connect } from 'node:net';
 import { setTimeout as sleep } from 'node:timers/promises';
 
 import { After, Given, Then, When } from '@cucumber/cucumber';
@@ -15,6 +17,7 @@
   memoryMb: number;
   maxDescriptors: number;
   openDescriptors: number;
+  answer: string;
 }
 
 const KB_PER_MB = 1_024;
@@ -108,6 +111,38 @@
   },
 );
 
+When(
+  /^one caller sends (\d+) bytes (?:with a length|in chunks of (\d+))$/,
+  STEP_OPTIONS,
+  async function when(this: HostileWorld, bytes: string, chunkBytes: string | null) {
+    this.answer = await sendLargest(this.front, Number(bytes), Number(chunkBytes ?? 0));
+  },
+);
+
+/** Sends a body over a connection of its own, in chunks if their size isn't 0; returns the start of the answer. */
+async function sendLargest(
+  front: HostileFront,
+  bytes: number,
+  chunkBytes: number,
+): Promise<string> {
+  const socket = connect(front.ports.callers ?? 0, '127.0.0.1');
+  const named = Object.entries(front.headers).map(([name, value]) => `${name}: ${value}`);
+  const framing = chunkBytes > 0 ? 'Transfer-Encoding: chunked' : `Content-Length: ${bytes}`;
+  const { path, headers } = front.sending;
+  const head = [`POST ${path} HTTP/1.1`, ...headers, ...named, framing, '', ''];
+  socket.write(head.join('\r\n'));
+  const chunk = `${chunkBytes.toString(16)}\r\n${'a'.repeat(chunkBytes)}\r\n`;
+  const chunked = (): string => `${chunk.repeat(bytes / chunkBytes)}0\r\n\r\n`;
+  socket.write(chunkBytes > 0 ? chunked() : 'a'.repeat(bytes));
+  const [answer] = (await once(socket, 'data')) as [Buffer];
+  socket.destroy();
+  return answer.toString('latin1');
+}
+
+Then('that request is answered with {int}', function then(this: HostileWorld, status: number) {
+  assert.ok(this.answer.startsWith(`HTTP/1.1 ${status} `), this.answer);
+});
+
 async function readPeakMb({ process: child }: HostileFront): Promise<number> {
   const status = await readFile(`/proc/${child.pid}/status`, 'utf8');
   return Math.round(Number(/^VmHWM:\s+(\d+) kB$/m.exec(status)?.[1]) / KB_PER_MB);
