Close the connection with the most requests when too many are in progress

Change: when as many requests are in progress as memory allows, the connection with the most of them is closed, if it has sent any ahead.

--- a/packages/caller/src/callerGuard.ts
+++ b/packages/caller/src/callerGuard.ts
@@ -8,6 +8,7 @@
 import {
   chooseHeads,
   chooseIdle,
+  chooseMostRequests,
   chooseNotReading,
   chooseUnread,
   type CloseReason,
@@ -178,6 +179,9 @@
     this.requestCount += 1;
     connection.responses.add(response);
     response.once('close', () => this.endRequest(connection, response));
+    if (this.isBusy) {
+      this.closeMostRequests();
+    }
     const { pauseAt, closeAt } = this.pipeline;
     if (connection.requests >= closeAt) {
       this.close(connection, 'requests');
@@ -187,6 +191,15 @@
     }
   }
 
+  /** Makes room: callers that have sent many requests ahead must not keep others from being served. */
+  private closeMostRequests(): void {
+    const open = [...this.connections.values()].filter(({ socket }) => !socket.destroyed);
+    const chosen = chooseMostRequests(open);
+    if (chosen) {
+      this.close(chosen, 'requests');
+    }
+  }
+
   private endRequest(ended: Connection, response: ServerResponse): void {
     const connection = ended;
     const { socket } = connection;
--- a/packages/caller/src/chooseConnections.ts
+++ b/packages/caller/src/chooseConnections.ts
@@ -111,3 +111,16 @@
       return isChosen;
     });
 }
+
+/**
+ * The connection with the most requests in progress, which makes room for other callers; undefined if none
+ * has sent requests ahead.
+ */
+export function chooseMostRequests<Chosen extends { readonly requests: number }>(
+  connections: Iterable<Chosen>,
+): Chosen | undefined {
+  return [...connections].reduce<Chosen | undefined>(
+    (most, connection) => (connection.requests > (most?.requests ?? 1) ? connection : most),
+    undefined,
+  );
+}
--- a/packages/caller/src/index.ts
+++ b/packages/caller/src/index.ts
@@ -17,6 +17,7 @@
 export {
   chooseHeads,
   chooseIdle,
+  chooseMostRequests,
   chooseNotReading,
   chooseUnread,
   type CloseReason,
--- a/packages/caller/test/callerLimits.feature
+++ b/packages/caller/test/callerLimits.feature
@@ -68,6 +68,11 @@
     And without idle ones, the one that receives a body makes room
     And with answers of 10, 70 and 30 bytes unread and a limit of 60 bytes, the one with 70 bytes is closed
 
+  # Guards against callers that send ahead and keep all others at a refusal, and against closing an ordinary one.
+  Scenario: Room for requests is made by the connection with the most of them
+    Then of connections with 1, 8 and 3 requests, the one with 8 is closed
+    And of connections with 1 and 1 requests, none is closed
+
   # Guards against limits that an ordinary caller meets on the default machine.
   Scenario: The default machine has room for ordinary callers
     Then the default machine has memory for 8 bodies of the largest size and room for 900 connections and requests
--- a/packages/caller/test/callerLimits.steps.ts
+++ b/packages/caller/test/callerLimits.steps.ts
@@ -7,6 +7,7 @@
   BodyBudget,
   type BodyClaim,
   chooseIdle,
+  chooseMostRequests,
   chooseUnread,
   ChunkCollector,
   computeCallerFigures,
@@ -203,6 +204,15 @@
   },
 );
 
+Then('of connections with 1, 8 and 3 requests, the one with 8 is closed', () => {
+  const connections = [1, 8, 3].map((requests) => ({ requests }));
+  assert.deepEqual(chooseMostRequests(connections), { requests: 8 });
+});
+
+Then('of connections with 1 and 1 requests, none is closed', () => {
+  assert.equal(chooseMostRequests([{ requests: 1 }, { requests: 1 }]), undefined);
+});
+
 Then(
   'with answers of 10, 70 and 30 bytes unread and a limit of 60 bytes, the one with 70 bytes is closed',
   () => {
