--- a/features/testEnd.steps.ts
+++ b/features/testEnd.steps.ts
@@ -12,7 +12,9 @@
     // Experimental in Node.js 20, and only used to say what was left.
     // eslint-disable-next-line n/no-unsupported-features/node-builtins
     const resources = process.getActiveResourcesInfo().join(', ');
-    process.stderr.write(`the test process was still alive after the last scenario: ${resources}\n`);
+    process.stderr.write(
+      `the test process was still alive after the last scenario: ${resources}\n`,
+    );
     // eslint-disable-next-line n/no-process-exit
     process.exit(EXIT_CODE_STILL_ALIVE);
   }, MAX_END_MS);
