Take the fair queue of the native front from packages/scheduling

Cause: the native gate kept a queue and an order within organisations of its own, beside the module that both fronts use. Change: FairQueue moves to packages/scheduling with order and cost as arguments, shares the sorted insertion with YieldOrder, and orders requests of an organisation by compareOnTime.

--- a/packages/gate/src/fairPriorityQueue.ts
+++ b/packages/gate/src/fairPriorityQueue.ts
@@ -1,12 +1,14 @@
-import { compareOnTime, YieldOrder } from '@galenatiller/scheduling';
+import { compareOnTime, FairQueue, YieldOrder } from '@galenatiller/scheduling';
 import type { Maybe } from 'true-myth';
 
-import { getCostMs, FairQueue } from './fairQueue.js';
 import type { CreateQueueOptions, RequestQueue, QueuedRequest } from './queuePolicy.js';
 
 /** Minimum share of the work that batch requests get while any are queued. */
 export const MIN_BATCH_SHARE = 0.1;
 
+/** Minimum cost of a request, so that requests of unknown run time count too. */
+const MIN_COST_MS = 1;
+
 /** Batch credit earned per unit of interactive cost. */
 const BATCH_CREDIT_RATIO = MIN_BATCH_SHARE / (1 - MIN_BATCH_SHARE);
 
@@ -32,9 +34,10 @@
   static create<Request extends QueuedRequest>(
     opts: CreateQueueOptions,
   ): FairPriorityQueue<Request> {
+    const order = { getWeight: opts.getWeight, getCostMs, compare: compareRequests };
     const classes: PriorityClasses<Request> = {
-      interactive: FairQueue.create(opts),
-      batch: FairQueue.create(opts),
+      interactive: FairQueue.create<Request>(order),
+      batch: FairQueue.create<Request>(order),
     };
     return new FairPriorityQueue(opts, classes, 0, 0);
   }
@@ -85,9 +88,9 @@
       request.deadlineAtMs - opts.nowMs - getCostMs(request);
     const isSafe = (request: Request): boolean => getSlackMs(request) >= request.safetyMarginMs;
     const { interactive, batch } = this.classes;
-    const hasSafeInteractive = interactive.requests.some(isSafe);
+    const hasSafeInteractive = interactive.works.some(isSafe);
     // A safe batch request is no reason to drop an interactive one.
-    const hasSafe = hasSafeInteractive || batch.requests.some(isSafe);
+    const hasSafe = hasSafeInteractive || batch.works.some(isSafe);
     const isLate = (request: Request): boolean => {
       const hasSaferWaiting = request.priority === 'interactive' ? hasSafeInteractive : hasSafe;
       return getSlackMs(request) < (hasSaferWaiting ? request.safetyMarginMs : 0);
@@ -108,7 +111,7 @@
       getCostMs,
       getUsedMs: () => 0,
       getWeight: this.opts.getWeight,
-      compare: (left, right) => compareOnTime(toWork(left), toWork(right)),
+      compare: compareRequests,
     });
     this.listRequests().forEach((request) => yieldOrder.add(request));
     const shed: Request[] = [];
@@ -143,7 +146,7 @@
   }
 
   private listRequests(): readonly Request[] {
-    return [...this.classes.interactive.requests, ...this.classes.batch.requests];
+    return [...this.classes.interactive.works, ...this.classes.batch.works];
   }
 
   private clone(): FairPriorityQueue<Request> {
@@ -155,6 +158,15 @@
   }
 }
 
+/** Cost of a request that is charged to its organisation. */
+function getCostMs({ expectedRunMs }: QueuedRequest): number {
+  return Math.max(MIN_COST_MS, expectedRunMs);
+}
+
+function compareRequests(left: QueuedRequest, right: QueuedRequest): number {
+  return compareOnTime(toWork(left), toWork(right));
+}
+
 function toWork(request: QueuedRequest): Parameters<typeof compareOnTime>[0] {
   return {
     priority: request.priority === 'interactive' ? 0 : 1,
--- a/packages/scheduling/src/yieldOrder.ts
+++ b/packages/scheduling/src/yieldOrder.ts
@@ -1,3 +1,5 @@
+import { insertSorted } from './insertSorted.js';
+
 /** Options of {@link YieldOrder.create}. */
 export interface YieldOrderOptions<Work> {
   readonly getCostMs: (work: Work) => number;
@@ -107,23 +109,3 @@
       : false;
   }
 }
-
-/** Works that compare as equal stay in the order in which they were added. */
-function insertSorted<Work>(
-  works: Work[],
-  work: Work,
-  compare: (left: Work, right: Work) => number,
-): void {
-  let low = 0;
-  let high = works.length;
-  while (low < high) {
-    const middle = Math.floor((low + high) / 2);
-    const other = works[middle];
-    if (other !== undefined && compare(other, work) <= 0) {
-      low = middle + 1;
-    } else {
-      high = middle;
-    }
-  }
-  works.splice(low, 0, work);
-}
