Decode the relative duration of targets and choose by it

Cause: targets on some deployments state how long work takes on them, and the router only removed the header, so that calls went to slow machines as often as to others.

Change: platform/ decodes the load header of a target's own answers, if it has four plausible figures. TargetLoads keeps the figure by start: the last one decays to the mean of the last minute (time constant 330 ms). chooseTarget uses it while the candidates are uneven (a ratio over 1.25 to the median): the load of a target is then the time in which the call would end, and the less loaded of two random good candidates is chosen.

Even targets, and targets that state nothing, are chosen as before.

--- a/packages/target/src/chooseTarget.ts
+++ b/packages/target/src/chooseTarget.ts
@@ -1,4 +1,6 @@
-import type { RegisteredTarget, PromptPart } from '@galenatiller/types';
+import type { ExpectedLoad, RegisteredTarget, PromptPart } from '@galenatiller/types';
+
+import { chooseOfTwo, type CompareLoad, compareTargets } from './unevenTargets.js';
 
 /** Options of {@link chooseTarget}. */
 export interface ChooseTargetOptions {
@@ -16,6 +18,20 @@
   readonly canAccept: (target: RegisteredTarget) => boolean;
   /** Hash of a text, the same on every node. */
   readonly hash: (text: string) => number;
+  /** Set if targets state how long work takes on them. */
+  readonly uneven?: UnevenChoice | undefined;
+}
+
+/** What the choice among targets that state how long work takes on them needs. */
+export interface UnevenChoice {
+  readonly findLoad: (target: RegisteredTarget) => ExpectedLoad | undefined;
+  /** Uniformly distributed number from 0 to 1. */
+  readonly random: () => number;
+}
+
+/** Options of {@link chooseTarget}, and how the targets compare while they are uneven. */
+interface ComparedOptions extends ChooseTargetOptions {
+  readonly compare: CompareLoad | undefined;
 }
 
 /**
@@ -33,10 +49,10 @@
   | { readonly kind: 'none' | 'all-limited' };
 
 /**
- * `affinity`: the target most likely has the shared parts of the prompt cached. `last-resort`: all
- * targets are suspended.
+ * `affinity`: the target most likely has the shared parts of the prompt cached. `soonest`: the targets are
+ * uneven, and the call is expected to end early on this one. `last-resort`: all targets are suspended.
  */
-export type ChoiceReason = 'affinity' | 'least-loaded' | 'last-resort';
+export type ChoiceReason = 'affinity' | 'least-loaded' | 'soonest' | 'last-resort';
 
 /** Load that is added to a target in another zone. */
 const ZONE_PENALTY = 0.02;
@@ -63,9 +79,11 @@
  * Chooses a target by cached prompt, load, health and zone. Avoids targets that were already tried
  * and those that are suspended, unless no other is left.
  */
-export function chooseTarget(opts: ChooseTargetOptions): TargetChoice {
-  const untried = opts.targets.filter((target) => !opts.tried.has(target.id));
-  const candidates = untried.length > 0 ? untried : opts.targets;
+export function chooseTarget(given: ChooseTargetOptions): TargetChoice {
+  const untried = given.targets.filter((target) => !given.tried.has(target.id));
+  const candidates = untried.length > 0 ? untried : given.targets;
+  const compare = given.uneven && compareTargets(candidates, given.uneven.findLoad);
+  const opts: ComparedOptions = { ...given, compare };
   if (candidates.length === 0) {
     return { kind: 'none' };
   }
@@ -85,12 +103,27 @@
   const preferred = findPreferredByPrompt(healthy, opts);
   return preferred && !isOverloaded(preferred)
     ? { kind: 'chosen', target: preferred, reason: 'affinity', limited }
-    : { kind: 'chosen', target: least, reason: 'least-loaded', limited };
+    : { kind: 'chosen', ...chooseByLoad(healthy, least, opts), limited };
+}
+
+/** The least loaded target or, while the targets are uneven, one that is expected to end the call early. */
+function chooseByLoad(
+  healthy: readonly RegisteredTarget[],
+  least: RegisteredTarget,
+  opts: ComparedOptions,
+): { readonly target: RegisteredTarget; readonly reason: ChoiceReason } {
+  const { compare, uneven } = opts;
+  if (!compare || !uneven) {
+    return { target: least, reason: 'least-loaded' };
+  }
+  const candidates = healthy.map((target) => ({ target, load: computeLoad(target, opts) }));
+  const chosen = chooseOfTwo({ candidates, slack: AFFINITY_SLACK, random: uneven.random });
+  return { target: chosen ?? least, reason: 'soonest' };
 }
 
 /** The target that would be chosen for the prompt if the rate limits allowed it; undefined if they do. */
 function findLimited(
-  opts: ChooseTargetOptions & {
+  opts: ComparedOptions & {
     readonly candidates: readonly RegisteredTarget[];
     readonly allowed: readonly RegisteredTarget[];
     readonly isOverloaded: (target: RegisteredTarget) => boolean;
@@ -109,28 +142,42 @@
 
 function findLeastLoaded(
   targets: readonly RegisteredTarget[],
-  opts: ChooseTargetOptions,
+  opts: ComparedOptions,
 ): RegisteredTarget {
   const loads = targets.map((target) => ({ target, load: computeLoad(target, opts) }));
   return loads.reduce((least, candidate) => (candidate.load < least.load ? candidate : least))
     .target;
 }
 
-function computeLoad(target: RegisteredTarget, opts: ChooseTargetOptions): number {
+function computeLoad(target: RegisteredTarget, opts: ComparedOptions): number {
   const isOtherZone = target.availabilityZone !== opts.ownZone;
   const crossZoneBytes = opts.crossZoneInputBytes(target.availabilityZone);
   return (
-    opts.inFlight(target) / Math.max(1, target.slots) +
+    computeWork(target, opts) +
     opts.failureShare(target) * FAILURE_PENALTY +
     (isOtherZone ? ZONE_PENALTY : 0) +
     crossZoneBytes / FULL_LOAD_BYTES
   );
 }
 
+/**
+ * Share of the target's slots in use by this node. While targets are uneven: the time in which the call would
+ * end on the target with all requests on it, less the usual time, both in usual times.
+ */
+function computeWork(target: RegisteredTarget, opts: ComparedOptions): number {
+  const slots = Math.max(1, target.slots);
+  const own = opts.inFlight(target);
+  if (!opts.compare) {
+    return own / slots;
+  }
+  const { factor, otherRequests } = opts.compare(target);
+  return factor * (1 + (own + otherRequests) / slots) - 1;
+}
+
 /** Rendezvous hashing: every node prefers the same targets for the same shared prompt parts. */
 function findPreferredByPrompt(
   targets: readonly RegisteredTarget[],
-  opts: ChooseTargetOptions,
+  opts: ComparedOptions,
 ): RegisteredTarget | undefined {
   const key = findSharedPartId(opts.promptParts);
   if (key === '') {
@@ -147,7 +194,7 @@
 /** The first target in order, unless a later one is clearly less loaded. */
 function firstUnlessOverloaded(
   ranked: readonly RegisteredTarget[],
-  opts: ChooseTargetOptions,
+  opts: ComparedOptions,
 ): RegisteredTarget {
   return ranked.reduce((best, candidate) =>
     computeLoad(candidate, opts) + AFFINITY_SLACK < computeLoad(best, opts) ? candidate : best,
--- a/packages/target/src/index.ts
+++ b/packages/target/src/index.ts
@@ -27,5 +27,6 @@
   TargetNotices,
   type TargetNoticesOptions,
 } from './targetNotices.js';
+export { type TargetLoadEvent, TargetLoads, type TargetLoadsOptions } from './targetLoads.js';
 export { SparePermits, type SparePermitsOptions } from './sparePermits.js';
 export { type TargetStart, toTargetStart } from './targetStart.js';
