Choose stage workers by expected completion time

Cause: batch calls were taken by any idle worker, so that urgent pieces went to slow machines although a faster one would have ended them earlier, and slow workers were taken for failing ones.

Change, only where workers state the relative duration: a slow worker leaves pieces to faster ones that would end them earlier (leaveToFaster, WorkerRoster), its calls end in time for the most urgent pieces (limitCallSize), time-outs scale, and WorkerSpeed compares calls with the time that the worker states.

--- a/packages/pool/src/abortWhenAllCancelled.ts
+++ b/packages/pool/src/abortWhenAllCancelled.ts
@@ -1,4 +1,4 @@
-import type { TakenPiece } from './stageQueue.js';
+import type { TakenPiece } from './takeOptions.js';
 
 /** Creates a signal that aborts once all pieces are cancelled. */
 export function abortWhenAllCancelled(taken: readonly TakenPiece[]): {
--- a/packages/pool/src/dispatchBatches.ts
+++ b/packages/pool/src/dispatchBatches.ts
@@ -13,8 +13,10 @@
 import { isRefused, recordFullWorker } from './recordFullWorker.js';
 import type { ResultMemory } from './resultMemory.js';
 import type { SeenHandles } from './seenHandles.js';
-import type { StageQueue, TakenPiece } from './stageQueue.js';
+import type { StageQueue } from './stageQueue.js';
+import type { TakenPiece } from './takeOptions.js';
 import { watchStart } from './watchStart.js';
+import { type FindWorkerLoad, toDurationFactor, type UnevenWorker } from './workerLoad.js';
 import type { WorkerSpeed } from './workerSpeed.js';
 
 /** Response to a batch call: one result for each piece, or why there is none. */
@@ -82,6 +84,8 @@
   readonly onSent: (target: RegisteredTarget) => void;
   /** Called with what the worker says about itself in an answer. */
   readonly onNotice: (target: RegisteredTarget, notice: TargetNotice) => void;
+  /** What the worker states about how long work takes on it; unset where no worker can. */
+  readonly findLoad?: FindWorkerLoad | undefined;
   readonly signal: AbortSignal;
 }
 
@@ -122,6 +126,7 @@
       availableBytes: () =>
         resultMemory.availableBytes({ address: target.address, limits, share: 1 / opts.senders() }),
       minWaitMs: workerSpeed.minWaitMs(target.address),
+      uneven: describeUneven(opts),
       signal,
     });
     if (taken.length === 0) {
@@ -148,6 +153,11 @@
   }
 }
 
+function describeUneven(opts: DispatchBatchesOptions): UnevenWorker | undefined {
+  const { target, findLoad, senders, random } = opts;
+  return findLoad && { findLoad, senders, random, isUsable: () => opts.isUsable(target) };
+}
+
 async function runBatch(
   opts: Omit<DispatchBatchesOptions, 'limits'> & {
     readonly limits: BatchLimits;
@@ -158,10 +168,11 @@
   const { timer, target, taken, limits, resultMemory, workerSpeed } = opts;
   const startedAtMs = timer.nowMs();
   const expectedMs = limits.callOverheadMs + limits.pieceMs * taken.length;
+  const factorBefore = toDurationFactor(opts.findLoad?.());
   const timeout = timer.startTimeLimit({
     limitMs: Math.max(
       MIN_TIMEOUT_MS,
-      TIMEOUT_FACTOR * expectedMs * workerSpeed.slowdown(target.address),
+      TIMEOUT_FACTOR * expectedMs * factorBefore * workerSpeed.slowdown(target.address),
     ),
   });
   const cancellation = abortWhenAllCancelled(taken);
@@ -194,7 +205,13 @@
     const isCancelled = cancellation.signal.aborted;
     return endUnanswered({ ...opts, kind: response.kind, bytes, isCancelled, start });
   }
-  workerSpeed.recordSuccess({ address: target.address, tookMs, expectedMs });
+  // A worker that states that it is slow, before or after the call, is not taken for a failing one.
+  const factor = Math.max(factorBefore, toDurationFactor(opts.findLoad?.()));
+  workerSpeed.recordSuccess({
+    address: target.address,
+    tookMs,
+    expectedMs: expectedMs * factor,
+  });
   recordFullWorker({ ...opts, results: response.results, knownBytes });
   response.results.forEach((result, position) => {
     const piece = taken[position];
--- a/packages/pool/src/index.ts
+++ b/packages/pool/src/index.ts
@@ -17,6 +17,8 @@
   type FindInputZone,
   StageQueue,
   type StageQueueOptions,
+  type UnevenEvent,
 } from './stageQueue.js';
+export { type FindWorkerLoad, isStatedSlow, toDurationFactor } from './workerLoad.js';
 export { WorkerSpeed } from './workerSpeed.js';
 export type { OrderedPieces, OrderPieces, QueuedPiece } from './queuedPiece.js';
--- a/packages/pool/src/recordFullWorker.ts
+++ b/packages/pool/src/recordFullWorker.ts
@@ -1,7 +1,7 @@
 import type { BatchLimits, PieceResult, RegisteredTarget } from '@galenatiller/types';
 
 import type { ResultMemory } from './resultMemory.js';
-import type { TakenPiece } from './stageQueue.js';
+import type { TakenPiece } from './takeOptions.js';
 
 /** Records the smallest result for which the worker had no memory beside those made by the same call. */
 export function recordFullWorker(opts: {
--- a/packages/pool/src/stageQueue.ts
+++ b/packages/pool/src/stageQueue.ts
@@ -1,19 +1,17 @@
 import { isSizeExempt, OrganisationUsage } from '@galenatiller/scheduling';
 import type { TimerService } from '@galenatiller/timer';
-import type {
-  BatchLimits,
-  PieceResult,
-  PriorityWait,
-  RegisteredTarget,
-  StagePiece,
-} from '@galenatiller/types';
+import type { PieceResult, PriorityWait, StagePiece } from '@galenatiller/types';
 
 import { choosePieces } from './choosePieces.js';
 import { findIdleZones } from './findIdleZones.js';
 import { findInfeasible } from './findInfeasible.js';
 import { PieceWaits } from './pieceWaits.js';
+import type { WaitingPiece } from './leaveToFaster.js';
+import { limitCallSize } from './limitCallSize.js';
 import type { OrderPieces, QueuedPiece } from './queuedPiece.js';
 import type { StageThroughput } from './stageThroughput.js';
+import type { TakenPiece, TakeOptions } from './takeOptions.js';
+import { WorkerRoster } from './workerRoster.js';
 
 /** Options of {@link StageQueue.create}. */
 export interface StageQueueOptions {
@@ -26,8 +24,16 @@
   readonly onStageAbandoned: (event: AbandonedStageEvent) => void;
   /** Called when a worker takes a piece of a call that can't be on time. */
   readonly onDelayedTaken?: (piece: StagePiece) => void;
+  /**
+   * Called when a worker that states that it is slow leaves all pieces to faster ones, or takes fewer, so that
+   * its call ends in time.
+   */
+  readonly onUneven?: (event: UnevenEvent) => void;
 }
 
+/** What a worker that states that it is slow did instead of taking a full call. */
+export type UnevenEvent = 'deferred' | 'shortened';
+
 /** A stage of a request that was abandoned, because it can't finish before its deadline. */
 export interface AbandonedStageEvent {
   readonly requestId: string;
@@ -41,44 +47,17 @@
   readonly leftMs: number;
 }
 
-/** What a worker can accept in its next batch call. */
-export interface TakeOptions {
-  readonly target: RegisteredTarget;
-  readonly limits: BatchLimits;
-  /** Memory for results that the worker has left now. */
-  readonly availableBytes: () => number;
-  /** Time that a piece has to have waited before this worker takes it. */
-  readonly minWaitMs: number;
-  readonly signal: AbortSignal;
-}
-
 /** Finds the zone that keeps the inputs of a piece; empty when it has none or they are small. */
 export type FindInputZone = (piece: StagePiece) => string;
 
-interface PendingPiece extends QueuedPiece {
-  /** Zone in which the piece should run; empty when any will do. */
-  readonly preferredZone: string;
+interface PendingPiece extends QueuedPiece, WaitingPiece {
+  readonly piece: StagePiece;
   /** Called with undefined when the piece is handed back. */
   readonly settle: (result: PieceResult | undefined) => void;
   readonly onBegun: (() => void) | undefined;
   readonly signal: AbortSignal;
 }
 
-/** A piece taken by a worker; it is either settled once or requeued. */
-export interface TakenPiece {
-  readonly queued: QueuedPiece;
-  readonly settle: (result: PieceResult) => void;
-  /**
-   * Queues the piece for another batch call; the attempt doesn't count when the worker did not start
-   * it.
-   */
-  readonly requeue: (opts: { readonly countsAsAttempt: boolean }) => void;
-  /** Says that a worker has fetched the inputs, which may be freed then; undefined where none asked. */
-  readonly onBegun: (() => void) | undefined;
-  /** Aborts when the result is no longer needed. */
-  readonly signal: AbortSignal;
-}
-
 /** Queue of the pieces of many calls for the workers of one service. */
 export class StageQueue {
   private waiting: PendingPiece[] = [];
@@ -88,6 +67,8 @@
 
   private readonly wakers = new Set<() => void>();
 
+  private readonly roster = WorkerRoster.create();
+
   private readonly usage = OrganisationUsage.create();
 
   private readonly pieceWaits = PieceWaits.create();
@@ -151,18 +132,21 @@
 
   /** Waits for pieces and takes as many as fit in one batch call; empty when the signal aborts. */
   async take(opts: TakeOptions): Promise<readonly TakenPiece[]> {
+    const { timer } = this.opts;
     this.idleWorkers.add(opts);
+    this.roster.recordIdle(opts, timer.nowMs());
+    let taken: readonly TakenPiece[] = [];
     try {
-      while (!opts.signal.aborted) {
-        const taken = this.takeNow(opts);
-        if (taken.length > 0) {
-          return taken;
+      while (!opts.signal.aborted && taken.length === 0) {
+        taken = this.takeNow(opts);
+        if (taken.length === 0) {
+          await this.waitForChange(opts);
         }
-        await this.waitForChange(opts);
       }
-      return [];
+      return taken;
     } finally {
       this.idleWorkers.delete(opts);
+      this.roster.recordTaken(opts, taken.length, timer.nowMs());
     }
   }
 
@@ -187,11 +171,15 @@
     const { usage } = this;
     const throughput = this.opts.throughput();
     const { ordered, onTimeCount } = order({ pieces, nowMs, throughput, usage });
-    const chosen = choosePieces({
-      ordered,
-      limits: opts.limits,
-      availableBytes,
-    });
+    const left = this.roster.leaveToFaster(opts, ordered, nowMs);
+    const limits = limitCallSize({ ...opts, ordered: left, nowMs });
+    const chosen = choosePieces({ ordered: left, limits, availableBytes });
+    if (left.length === 0 && ordered.length > 0) {
+      this.opts.onUneven?.('deferred');
+    }
+    if (limits.maxPieces < opts.limits.maxPieces && chosen.length > 0) {
+      this.opts.onUneven?.('shortened');
+    }
     this.recordUsage(chosen, nowMs, throughput);
     const delayed = new Set(ordered.slice(onTimeCount));
     this.pieceWaits.recordTaken(
--- a/packages/pool/src/watchStart.ts
+++ b/packages/pool/src/watchStart.ts
@@ -3,7 +3,8 @@
 
 import { type BatchOutcome, beginsAtOnce } from './beginsAtOnce.js';
 import type { ResultMemory } from './resultMemory.js';
-import type { TakenPiece } from './stageQueue.js';
+import type { TakenPiece } from './takeOptions.js';
+import { type FindWorkerLoad, isStatedSlow } from './workerLoad.js';
 import type { WorkerSpeed } from './workerSpeed.js';
 
 /** Options of {@link watchStart}. */
@@ -13,8 +14,9 @@
   readonly resultMemory: Pick<ResultMemory, 'availableBytes'>;
   readonly senders: () => number;
   readonly workerSpeed: Pick<WorkerSpeed, 'minWaitMs'>;
+  readonly findLoad?: FindWorkerLoad | undefined;
   readonly limits: BatchLimits;
-  readonly taken: readonly TakenPiece[];
+  readonly taken: readonly Pick<TakenPiece, 'onBegun'>[];
   readonly lastOutcome: BatchOutcome;
 }
 
@@ -38,7 +40,7 @@
     beginsAtOnce({
       senders,
       lastOutcome,
-      isSlow: opts.workerSpeed.minWaitMs(address) > 0,
+      isSlow: opts.workerSpeed.minWaitMs(address) > 0 || isStatedSlow(opts.findLoad?.()),
       limits,
       leftBytes: opts.resultMemory.availableBytes({ address, limits, share: 1 / senders }),
     });
