Use the relative duration of targets in the router

Cause: the figures were decoded but not kept.

Change: answers to calls, batch calls and frees are recorded in TargetLoads, which the choice of a target, the tasks of stage workers and the throughput of a shard ask. target-load lines report a target that was slow over the last minute; metrics: targets_slow, stage_takes_deferred, stage_calls_shortened.

--- a/packages/metrics/src/routerMetrics.ts
+++ b/packages/metrics/src/routerMetrics.ts
@@ -171,6 +171,31 @@
     role: 'router',
     meaning: 'Targets that said that they are leaving.',
   },
+  {
+    name: 'router.targets_slow',
+    type: 'gauge',
+    unit: 'targets',
+    tags: [],
+    role: 'router',
+    meaning: 'Targets that said that work took much longer than usual over the last minute.',
+  },
+  {
+    name: 'router.stage_takes_deferred',
+    type: 'count',
+    unit: 'waits',
+    tags: [],
+    role: 'router',
+    meaning:
+      'Times that a slow stage worker left the waiting pieces to faster ones that end them earlier.',
+  },
+  {
+    name: 'router.stage_calls_shortened',
+    type: 'count',
+    unit: 'calls',
+    tags: [],
+    role: 'router',
+    meaning: 'Calls to slow stage workers with fewer pieces, so that they end in time.',
+  },
   {
     name: 'router.calls_in_progress',
     type: 'gauge',
--- a/packages/router/src/chooseTargetForCall.ts
+++ b/packages/router/src/chooseTargetForCall.ts
@@ -53,6 +53,8 @@
   const { context, admitted, exchange } = opts;
   const maxColdRequestsPerSecond =
     context.routes.findService(admitted.service)?.maxColdRequestsPerSecond ?? 0;
+  const nowMs = context.timer.nowMs();
+  const workMs = context.responseTimes.estimateMs({ name: admitted.service, nowMs });
   return chooseTarget({
     targets: context.rollouts.select(
       admitted.service,
@@ -71,6 +73,12 @@
       id === opts.permitted ||
       context.coldRateLimiter.canSend({ address, maxColdRequestsPerSecond }),
     hash: context.hash,
+    uneven: context.loads.hasAny
+      ? {
+          findLoad: (target) => context.loads.find({ target: toTargetStart(target), workMs }),
+          random: context.random,
+        }
+      : undefined,
   });
 }
 
--- a/packages/router/src/createRouter.ts
+++ b/packages/router/src/createRouter.ts
@@ -17,6 +17,7 @@
   RetryBudget,
   TargetDirectory,
   TargetHealth,
+  TargetLoads,
   TargetNotices,
   toTargetStart,
 } from '@galenatiller/target';
@@ -54,6 +55,7 @@
   logFailedTask,
   logStoppedFingerprint,
   logTarget,
+  logTargetLoad,
   logTargetNotice,
 } from './logEvents.js';
 import { serveCall } from './serveCall.js';
@@ -231,6 +233,7 @@
   RouterContext,
   | 'health'
   | 'notices'
+  | 'loads'
   | 'coldRateLimiter'
   | 'retryBudget'
   | 'bodyMemory'
@@ -254,6 +257,7 @@
   });
   return {
     notices,
+    loads: TargetLoads.create({ timer, onEvent: (event) => logTargetLoad(log, event) }),
     health: TargetHealth.create({
       timer,
       onEvent: (event) =>
--- a/packages/router/src/createStages.ts
+++ b/packages/router/src/createStages.ts
@@ -8,6 +8,7 @@
   type ColdRateLimiter,
   type CrashSuspects,
   type TargetDirectory,
+  type TargetLoads,
   type TargetNotices,
   toTargetStart,
 } from '@galenatiller/target';
@@ -31,7 +32,7 @@
 import { Permits } from './permits.js';
 import type { TargetClient } from './ports.js';
 import { toPriorityTag } from './priorityTag.js';
-import { recordBatchMetrics } from './recordMetrics.js';
+import { recordBatchMetrics, recordUneven } from './recordMetrics.js';
 import type { Rollouts } from './rollouts.js';
 import type { RouteTable } from './routeTable.js';
 import { ShardAssignment } from './shardAssignment.js';
@@ -50,6 +51,7 @@
   readonly routes: RouteTable;
   readonly targets: TargetDirectory;
   readonly notices: TargetNotices;
+  readonly loads: TargetLoads;
   readonly coldRateLimiter: ColdRateLimiter;
   readonly nodeCount: () => number;
   readonly tasks: TaskGroup;
@@ -118,6 +120,7 @@
     },
     onStageAbandoned: (event) => logAbandonedStage(log, event),
     onDelayedTaken: ({ priority }) => recordDelayed(opts.metrics, priority),
+    onUneven: (event) => recordUneven(opts.metrics, event),
   });
   const credit = OwnerCredit.create({ piecesInProgress: () => workers.piecesInProgress });
   const permits = createPermits(opts, { owners, peers });
@@ -226,13 +229,15 @@
 }
 
 async function freeResults(
-  { targets, notices, targetClient }: CreateStagesOptions,
+  { targets, notices, loads, targetClient }: CreateStagesOptions,
   freed: { readonly address: string; readonly handles: readonly string[] },
 ): Promise<void> {
   // Another target may have the address by the time of the answer.
   const target = targets.all().find(({ address }) => address === freed.address);
   const notice = await targetClient.freeResults({ ...freed, targetId: target?.id ?? '' });
   if (target) {
-    notices.record({ target: toTargetStart(target), notice, source: 'free' });
+    const start = toTargetStart(target);
+    notices.record({ target: start, notice, source: 'free' });
+    loads.record({ target: start, load: notice?.load, ownRequests: undefined });
   }
 }
--- a/packages/router/src/logEvents.ts
+++ b/packages/router/src/logEvents.ts
@@ -9,7 +9,7 @@
   RelayEvent,
   StatedEraEvent,
 } from '@galenatiller/store';
-import type { TargetChange, TargetNoticeEvent } from '@galenatiller/target';
+import type { TargetChange, TargetLoadEvent, TargetNoticeEvent } from '@galenatiller/target';
 import type { ClockEvent, ScaleEvent, UsageReportEvent } from '@galenatiller/provider';
 import type { Result } from 'true-myth';
 
@@ -54,6 +54,12 @@
   log({ about: 'belief', event: 'target-notice', target, ...rest, outcome: kind });
 }
 
+/** Logs that a target has become slow over the last minute, or takes about the usual time again. */
+export function logTargetLoad(log: EventLog, event: TargetLoadEvent): void {
+  const { kind, targetId: target, ...rest } = event;
+  log({ about: 'belief', event: 'target-load', target, ...rest, outcome: kind });
+}
+
 /** Logs which routers are live, and which of them are leaving. */
 export function logMembers(log: EventLog, live: readonly Member[]): void {
   const members = live.map(({ name }) => name);
--- a/packages/router/src/observeAttempt.ts
+++ b/packages/router/src/observeAttempt.ts
@@ -1,5 +1,6 @@
 /** Log lines and measurements of the attempts of a call. */
-import type { RegisteredTarget } from '@galenatiller/types';
+import { toTargetStart } from '@galenatiller/target';
+import type { RegisteredTarget, TargetNotice } from '@galenatiller/types';
 
 import type { AdmittedCall } from './admitCall.js';
 import type { CallProgress } from './callProgress.js';
@@ -114,3 +115,14 @@
   const { name } = opts.admitted.route;
   wholeResponseTimes.observe({ name, durationMs: nowMs - opts.sentAtMs, nowMs });
 }
+
+/** Records what an answer says about its target. */
+export function recordNotice(
+  { notices, loads, inFlight }: RouterContext,
+  target: RegisteredTarget,
+  notice: TargetNotice | undefined,
+): void {
+  const start = toTargetStart(target);
+  notices.record({ target: start, notice, source: 'call' });
+  loads.record({ target: start, load: notice?.load, ownRequests: inFlight.count(target.id) });
+}
--- a/packages/router/src/recordMetrics.ts
+++ b/packages/router/src/recordMetrics.ts
@@ -1,7 +1,7 @@
 import type { Duties } from '@galenatiller/duty';
 import type { GalenatillerError } from '@galenatiller/error';
 import type { MetricSink, MetricTags } from '@galenatiller/metrics';
-import type { BatchEvent } from '@galenatiller/pool';
+import type { BatchEvent, UnevenEvent } from '@galenatiller/pool';
 import type { StatedEra } from '@galenatiller/store';
 import type { CallKind } from '@galenatiller/types';
 
@@ -24,6 +24,13 @@
   metrics.timing({ name: 'router.stage_wait_time', tags: {}, durationMs: waitedMs });
 }
 
+/** Records that a stage worker that states that it is slow takes less than it could. */
+export function recordUneven(metrics: MetricSink, event: UnevenEvent): void {
+  const name =
+    event === 'deferred' ? 'router.stage_takes_deferred' : 'router.stage_calls_shortened';
+  metrics.count({ name, tags: {} });
+}
+
 /** Options of {@link recordCallMetrics}. */
 export interface RecordCallMetricsOptions {
   readonly metrics: MetricSink;
@@ -70,6 +77,7 @@
   const { paused, leaving } = context.notices.counts();
   sink.gauge({ name: 'router.targets_paused', tags: {}, value: paused });
   sink.gauge({ name: 'router.targets_leaving', tags: {}, value: leaving });
+  sink.gauge({ name: 'router.targets_slow', tags: {}, value: context.loads.countSlow() });
   sink.gauge({ name: 'router.evidence_age', tags: {}, value: evidenceAgeMs });
   sink.gauge({ name: 'router.store_era', tags: {}, value: opts.storeEra.current });
   opts.duties?.all().forEach(({ name: duty, current }) => {
--- a/packages/router/src/routerContext.ts
+++ b/packages/router/src/routerContext.ts
@@ -7,6 +7,7 @@
   RetryBudget,
   TargetDirectory,
   TargetHealth,
+  TargetLoads,
   TargetNotices,
 } from '@galenatiller/target';
 import type { SmoothedDurations, TimerService } from '@galenatiller/timer';
@@ -32,6 +33,7 @@
   readonly targets: TargetDirectory;
   readonly health: TargetHealth;
   readonly notices: TargetNotices;
+  readonly loads: TargetLoads;
   readonly coldRateLimiter: ColdRateLimiter;
   /** Time from a send to the start of its response, by service. */
   readonly responseTimes: SmoothedDurations;
--- a/packages/router/src/runAttempts.ts
+++ b/packages/router/src/runAttempts.ts
@@ -24,6 +24,7 @@
   logAttempt,
   logBrokenResponse,
   mayHaveBegun,
+  recordNotice,
   recordWholeResponse,
 } from './observeAttempt.js';
 import type { CallerExchange, SendResponse, SendResult } from './ports.js';
@@ -186,7 +187,7 @@
       signal,
     });
     const { notice } = response;
-    context.notices.record({ target: toTargetStart(target), notice, source: 'call' });
+    recordNotice(context, target, notice);
     context.metrics.count({ name: 'router.sends', tags: { send: response.kind } });
     logAttempt({ ...opts, target, reason: choice.reason, response, sentAtMs });
     if (mayHaveBegun(opts, response)) {
--- a/packages/router/src/stageWorkers.ts
+++ b/packages/router/src/stageWorkers.ts
@@ -2,24 +2,36 @@
   type AbandonedStageEvent,
   type BatchEvent,
   dispatchBatches,
+  isStatedSlow,
   orderPieces,
   type ResultMemory,
   type RunPieces,
   SeenHandles,
   StageQueue,
   type StageThroughput,
+  toDurationFactor,
   toWorkerAddress,
+  type UnevenEvent,
   WorkerSpeed,
 } from '@galenatiller/pool';
 import {
   getStartKey,
   type TargetDirectory,
+  type TargetLoads,
   type TargetNotices,
   toTargetStart,
 } from '@galenatiller/target';
 import type { TaskGroup } from '@galenatiller/tasks';
 import type { TimerService } from '@galenatiller/timer';
-import type { PieceResult, PriorityWait, RegisteredTarget, StagePiece } from '@galenatiller/types';
+import type {
+  BatchLimits,
+  ExpectedLoad,
+  PieceResult,
+  PriorityWait,
+  RegisteredTarget,
+  StagePiece,
+  TargetNotice,
+} from '@galenatiller/types';
 
 import type { ServiceShards, Shard } from './ownership/index.js';
 import type { RouteTable } from './routeTable.js';
@@ -30,6 +42,7 @@
   readonly routes: RouteTable;
   readonly targets: TargetDirectory;
   readonly notices: TargetNotices;
+  readonly loads: TargetLoads;
   /** Whether a target must not get pieces, although it is ready. */
   readonly isExcluded: (target: RegisteredTarget) => boolean;
   readonly resultMemory: ResultMemory;
@@ -46,6 +59,8 @@
   readonly onStageAbandoned: (event: AbandonedStageEvent & { readonly service: string }) => void;
   /** Called when a worker takes a piece of a call that can't be on time. */
   readonly onDelayedTaken: (piece: StagePiece) => void;
+  /** Called when a worker that states that it is slow takes less than it could. */
+  readonly onUneven: (event: UnevenEvent) => void;
   /** Each stage worker has a task in this group. */
   readonly tasks: TaskGroup;
 }
@@ -183,13 +198,28 @@
         runPieces: (batch) => this.countBatch(runPieces(batch)),
         onBatch,
         onSent: (worker) => notices.recordSent(toTargetStart(worker)),
-        onNotice: (worker, notice) =>
-          notices.record({ target: toTargetStart(worker), notice, source: 'stage-call' }),
+        onNotice: (worker, notice) => this.recordNotice(worker, notice),
+        findLoad: () => this.findLoad(target),
         signal: stop.signal,
       }),
     );
   }
 
+  private recordNotice(worker: RegisteredTarget, notice: TargetNotice): void {
+    const target = toTargetStart(worker);
+    this.opts.notices.record({ target, notice, source: 'stage-call' });
+    // The call that has just ended is the only one of this node.
+    this.opts.loads.record({ target, load: notice.load, ownRequests: 1 });
+  }
+
+  private findLoad(target: RegisteredTarget): ExpectedLoad | undefined {
+    const { loads, routes } = this.opts;
+    const limits = loads.hasAny && routes.findService(target.service)?.batch;
+    return limits
+      ? loads.find({ target: toTargetStart(target), workMs: computeCallMs(limits) })
+      : undefined;
+  }
+
   private async countBatch(run: ReturnType<RunPieces>): ReturnType<RunPieces> {
     this.batches += 1;
     try {
@@ -205,9 +235,9 @@
     if (!limits) {
       return { piecesPerMs: 0, callMs: 0, pausedMs: 0 };
     }
-    const callMs = limits.callOverheadMs + limits.pieceMs * limits.maxPieces;
+    const callMs = computeCallMs(limits);
     const piecesPerMs = this.usable(shard)
-      .map(({ address }) => limits.maxPieces / (callMs * this.workerSpeed.slowdown(address)))
+      .map((target) => limits.maxPieces / (callMs * this.findSlowdown(target)))
       .reduce((sum, rate) => sum + rate, 0);
     const pausedMs = this.opts.notices.firstReturnMs(this.accepting(shard).map(toTargetStart));
     return { piecesPerMs, callMs, pausedMs: piecesPerMs === 0 ? (pausedMs ?? 0) : 0 };
@@ -217,11 +247,21 @@
     const usable = this.usable(shard);
     return new Set(
       usable
-        .filter(({ address }) => this.workerSpeed.minWaitMs(address) === 0)
+        .filter((target) => this.isNormal(target))
         .map(({ availabilityZone }) => availabilityZone),
     );
   }
 
+  private findSlowdown(target: RegisteredTarget): number {
+    const stated = toDurationFactor(this.findLoad(target));
+    return stated * this.workerSpeed.slowdown(target.address);
+  }
+
+  private isNormal(target: RegisteredTarget): boolean {
+    const isSlow = isStatedSlow(this.findLoad(target));
+    return !isSlow && this.workerSpeed.minWaitMs(target.address) === 0;
+  }
+
   private usable(shard: Shard): readonly RegisteredTarget[] {
     return this.accepting(shard).filter((target) => this.canSend(target));
   }
@@ -255,6 +295,7 @@
       workerZones: () => this.workerZones(shard),
       onStageAbandoned: (event) => this.opts.onStageAbandoned({ ...event, service: shard.service }),
       onDelayedTaken: this.opts.onDelayedTaken,
+      onUneven: this.opts.onUneven,
     });
     this.queues.set(shard.key, queue);
     return queue;
@@ -266,5 +307,10 @@
   }
 }
 
+/** Usual duration of a full batch call. */
+function computeCallMs({ callOverheadMs, pieceMs, maxPieces }: BatchLimits): number {
+  return callOverheadMs + pieceMs * maxPieces;
+}
+
 /** Reported wait for a shard without usable workers, longer than any call can wait. */
 const NO_WORKER_WAIT_MS = 60_000;
--- a/packages/router/test/fleetWorld.ts
+++ b/packages/router/test/fleetWorld.ts
@@ -2,7 +2,7 @@
 import { ResultMemory, type RunPieces } from '@galenatiller/pool';
 import type { PeerRouter } from '@galenatiller/routerLink';
 import type { Member } from '@galenatiller/store';
-import { TargetDirectory } from '@galenatiller/target';
+import { TargetDirectory, TargetLoads } from '@galenatiller/target';
 import { TaskGroup } from '@galenatiller/tasks';
 import { ManualClock, TimerService } from '@galenatiller/timer';
 import type { PieceResult, RegisteredTarget } from '@galenatiller/types';
@@ -196,6 +196,7 @@
       routes,
       targets,
       notices: createSilentNotices(timer),
+      loads: TargetLoads.create({ timer, onEvent: () => {} }),
       resultMemory,
       isExcluded: () => false,
       shards: ServiceShards.create({ hash: hashText, findLimits: () => LIMITS }),
@@ -205,6 +206,7 @@
       onBatch: () => {},
       onStageAbandoned: () => {},
       onDelayedTaken: () => {},
+      onUneven: () => {},
       tasks: TaskGroup.create({
         onFailure: (error) => {
           throw error;
--- a/packages/router/test/freeNotices.steps.ts
+++ b/packages/router/test/freeNotices.steps.ts
@@ -6,6 +6,7 @@
   ColdRateLimiter,
   CrashSuspects,
   type TargetDirectory,
+  TargetLoads,
   type TargetNotices,
   toTargetStart,
 } from '@galenatiller/target';
@@ -23,6 +24,7 @@
   stageTargets: TargetDirectory;
   stageNotices: TargetNotices;
   isFreeAnsweredLeaving: boolean;
+  stageLoads: TargetLoads;
   /** When worker "a" is started again, seen from the answer to a free. */
   restart: string;
 }
@@ -51,6 +53,7 @@
 function createNode(world: FreeWorld): Stages {
   const { stageTimer: timer, stageTargets: targets, stageNotices: notices } = world;
   const notUsed = (): Promise<never> => Promise.reject(new Error('not used'));
+  world.stageLoads = TargetLoads.create({ timer, onEvent: () => {} });
   return createStages({
     settings: { nodeName: 'router-1', availabilityZone: 'zone' },
     timer,
@@ -75,13 +78,15 @@
         if (world.restart === 'just') {
           startAgain(world);
         }
-        return { isLeaving: world.isFreeAnsweredLeaving };
+        const load = { running: 1, waiting: 0, relativeDuration: 3 };
+        return { isLeaving: world.isFreeAnsweredLeaving, load };
       },
     },
     hash: (text) => text.length,
     routes: RouteTable.create(),
     targets,
     notices,
+    loads: world.stageLoads,
     nodeCount: () => 1,
     tasks: TaskGroup.create({ onFailure: () => {} }),
     crashSuspects: CrashSuspects.create({ timer, share: () => {}, onStopped: () => {} }),
@@ -125,3 +130,7 @@
     assert.equal(this.stageNotices.canSend(toTargetStart(target)), expected === 'may');
   },
 );
+
+Then('the load of worker {string} is known', function then(this: FreeWorld, id: string) {
+  assert.ok(this.stageLoads.find({ target: toTargetStart(createTarget(id)), workMs: 0 }));
+});
--- a/packages/router/test/stageNotices.feature
+++ b/packages/router/test/stageNotices.feature
@@ -29,6 +29,17 @@
     Then worker "a" got 0 batches
     And all pieces were made
 
+  # Guards against figures that never reach the choice, or are those of another batch.
+  Scenario Outline: A worker that states that it is slow gets no piece while a faster one is idle
+    Given worker "a" states a load of 400 % with a batch that is "<answer>"
+    When 8 pieces are submitted, one each 50 ms
+    Then worker "a" got <batches>
+
+    Examples:
+      | answer          | batches             |
+      | answered        | 1 batch             |
+      | of other pieces | more than 1 batch |
+
   # Guards against batches and freed results that reach a worker that asked for a pause.
   Scenario: A worker that asked for a pause is sent nothing until it ends
     Given worker "a" asks for a pause of 2000 ms with a batch that is "refused"
@@ -63,6 +74,10 @@
       | long before | may not |
       | just before | may     |
 
+  Scenario: The load that the answer to a free states is kept
+    When a result of worker "a" is freed through the node
+    Then the load of worker "a" is known
+
   Scenario: What another router says over its link is believed
     When another router's link says that worker "a" is leaving
     Then the present start of worker "a" may not be sent to
--- a/packages/router/test/stageNotices.steps.ts
+++ b/packages/router/test/stageNotices.steps.ts
@@ -2,7 +2,7 @@
 
 import { After, Given, Then, When } from '@cucumber/cucumber';
 import { type BatchResponse, ResultMemory } from '@galenatiller/pool';
-import { TargetDirectory, TargetNotices, toTargetStart } from '@galenatiller/target';
+import { TargetDirectory, TargetLoads, TargetNotices, toTargetStart } from '@galenatiller/target';
 import { TaskGroup } from '@galenatiller/tasks';
 import { ManualClock, TimerService } from '@galenatiller/timer';
 import type {
@@ -110,6 +110,7 @@
     routes,
     targets: this.stageTargets,
     notices,
+    loads: TargetLoads.create({ timer, onEvent: () => {} }),
     isExcluded: () => false,
     resultMemory: this.stageMemory,
     shards: ServiceShards.create({ hash: () => 0, findLimits: () => undefined }),
@@ -119,6 +120,7 @@
     onBatch: () => {},
     onStageAbandoned: () => {},
     onDelayedTaken: () => {},
+    onUneven: () => {},
     tasks: TaskGroup.create({
       onFailure: (error) => {
         throw error;
@@ -153,6 +155,14 @@
   },
 );
 
+Given(
+  'worker {string} states a load of {int} % with a batch that is {string}',
+  function given(this: StageNoticeWorld, id: string, percent: number, kind: string) {
+    const load = { running: 1, waiting: 0, relativeDuration: percent / 100 };
+    this.firstAnswers.set(id, { kind, notice: { isLeaving: false, load } });
+  },
+);
+
 Given(
   'another router says that worker {string} is leaving',
   function given(this: StageNoticeWorld, targetId: string) {
--- a/packages/router/test/stageSubmitter.steps.ts
+++ b/packages/router/test/stageSubmitter.steps.ts
@@ -3,7 +3,7 @@
 import { Given, Then, When } from '@cucumber/cucumber';
 import { ResultMemory } from '@galenatiller/pool';
 import type { PeerRouter } from '@galenatiller/routerLink';
-import { TargetDirectory } from '@galenatiller/target';
+import { TargetDirectory, TargetLoads } from '@galenatiller/target';
 import { TaskGroup } from '@galenatiller/tasks';
 import { ManualClock, TimerService } from '@galenatiller/timer';
 import type { PieceResult, StagePiece } from '@galenatiller/types';
@@ -69,6 +69,7 @@
       routes,
       targets,
       notices: createSilentNotices(timer),
+      loads: TargetLoads.create({ timer, onEvent: () => {} }),
       resultMemory,
       isExcluded: () => false,
       shards: ServiceShards.create({ hash: () => 0, findLimits: () => LIMITS }),
@@ -85,6 +86,7 @@
       onBatch: () => {},
       onStageAbandoned: () => {},
       onDelayedTaken: () => {},
+      onUneven: () => {},
       tasks: TaskGroup.create({
         onFailure: (error) => {
           throw error;
--- a/packages/router/test/support.ts
+++ b/packages/router/test/support.ts
@@ -11,6 +11,7 @@
   TargetDirectory,
   type TargetNoticeEvent,
   TargetHealth,
+  TargetLoads,
   TargetNotices,
   toTargetStart,
 } from '@galenatiller/target';
@@ -219,6 +220,7 @@
     targets,
     health: TargetHealth.create({ timer, onEvent: () => {} }),
     notices,
+    loads: TargetLoads.create({ timer, onEvent: () => {} }),
     coldRateLimiter: ColdRateLimiter.create({
       timer,
       nodeCount: () => 1,
--- a/packages/router/test/targetNotices.feature
+++ b/packages/router/test/targetNotices.feature
@@ -53,6 +53,13 @@
       | 1500  | 1500  | refused |
       | 1500  | 1500  | 503     |
 
+  # Guards against figures that never reach the choice of a target.
+  Scenario: A target that states that it is slow gets no call while a faster one has slots
+    Given target "a" states a load of 300 %
+    When 1 "safe" calls are made
+    And 4 "safe" calls are made at once
+    Then target "a" got 1 send
+
   # Guards against ejecting a target that only asked for a pause.
   Scenario Outline: A pause is no failure of the target
     Given each target asks for a pause of 100 ms with an answer that is "<answer>"
--- a/packages/router/test/targetNotices.steps.ts
+++ b/packages/router/test/targetNotices.steps.ts
@@ -102,6 +102,16 @@
   },
 );
 
+Given(
+  'target {string} states a load of {int} %',
+  function given(this: NoticeWorld, id: string, percent: number) {
+    const load = { running: 1, waiting: 0, relativeDuration: percent / 100 };
+    script(this, (opts) =>
+      opts.target.id === id ? respond({ notice: { isLeaving: false, load } }) : respondWell(opts),
+    );
+  },
+);
+
 Given(
   'each target asks for a pause of {int} ms with an answer that is {string}',
   function given(this: NoticeWorld, pauseMs: number, answer: string) {
