Measure what changes and calls cost a router by the size of its fleet

The cost of a change grew with the number of targets and routers, and no measurement showed by how much. The scenario 'scale' of the bench runs a whole router on a store in memory, without callers, targets and links, and states CPU time, reads of targets, hashes, decoded entries and log characters for each operation at 30, 300 and 3,000 targets.

--- a/bench/src/main.ts
+++ b/bench/src/main.ts
@@ -9,13 +9,15 @@
 import { renderCapacity } from './report/renderCapacity.js';
 import { renderOverhead } from './report/renderOverhead.js';
 import { renderCounts, renderReport } from './report/renderReport.js';
+import { measureScale, type ScaleRow } from './scale/measureScale.js';
+import { renderScale } from './scale/renderScale.js';
 import { type CapacityReport, measureCapacity } from './scenario/measureCapacity.js';
 import { measureOverhead, type OverheadReport } from './scenario/measureOverhead.js';
 import { runScenario } from './scenario/runScenario.js';
 import { SCENARIO_NAMES, type ScenarioName, createScenario } from './scenario/scenarios.js';
 
 interface BenchOptions {
-  readonly scenario: ScenarioName | 'capacity' | 'overhead';
+  readonly scenario: ScenarioName | 'capacity' | 'overhead' | 'scale';
   readonly deployment: DeploymentName;
   readonly seed: string;
   readonly seconds: string;
@@ -25,7 +27,8 @@
 
 /** A report, and the number of violated invariants in it. */
 interface BenchResult {
-  readonly report: BenchReport | CapacityReport | OverheadReport;
+  readonly report:
+    BenchReport | CapacityReport | OverheadReport | { readonly rows: readonly ScaleRow[] };
   readonly violations: number;
 }
 
@@ -36,7 +39,7 @@
   .description('Runs one scenario over real processes on loopback and checks its history.')
   .addOption(
     new Option('--scenario <name>', 'scenario to run')
-      .choices([...SCENARIO_NAMES, 'overhead', 'capacity'])
+      .choices([...SCENARIO_NAMES, 'overhead', 'capacity', 'scale'])
       .default('steady'),
   )
   .addOption(
@@ -77,6 +80,8 @@
       return runOverhead();
     case 'capacity':
       return runCapacity();
+    case 'scale':
+      return runScale();
     default:
       return runMixedLoad(scenario);
   }
@@ -117,6 +122,12 @@
   return { report, violations: 0 };
 }
 
+async function runScale(): Promise<BenchResult> {
+  const rows = await measureScale({ printProgress });
+  printLine(renderScale(rows));
+  return { report: { rows }, violations: 0 };
+}
+
 function printLine(text: string): void {
   process.stdout.write(`${text}\n`);
 }
