Find targets by service and address in indexes

A call went through all targets several times, and hashed and sorted all targets of its service for its prompt. The directory now keeps indexes by service and address, the usable targets of each service until one of them or a zone changes, and the rankings of the prompt keys used last (64 for each service). Start keys are computed once for each entry, and a registered target is compared with leaving ones by lookup. Order and content of lookups stay the same, which a property test compares with a scan.

--- a/packages/router/src/chooseTargetForCall.ts
+++ b/packages/router/src/chooseTargetForCall.ts
@@ -71,6 +71,8 @@
       id === opts.permitted ||
       context.coldRateLimiter.canSend({ address, maxColdRequestsPerSecond }),
     hash: context.hash,
+    rank: (key) =>
+      context.targets.rankUsable({ service: admitted.service, key, hash: context.hash }),
   });
 }
 
--- a/packages/router/src/createStages.ts
+++ b/packages/router/src/createStages.ts
@@ -7,6 +7,7 @@
 import {
   type ColdRateLimiter,
   type CrashSuspects,
+  getStartKey,
   type TargetDirectory,
   type TargetNotices,
   toTargetStart,
@@ -134,7 +135,10 @@
       permits.setMembers(members);
     },
     onTargetsChanged: () => {
-      opts.notices.onRegistered(opts.targets.all().map(toTargetStart));
+      opts.notices.followRegistered((id) => {
+        const target = opts.targets.find(id);
+        return target && getStartKey(target);
+      });
       assignment.onTargetsChanged();
     },
   };
@@ -230,7 +234,7 @@
   freed: { readonly address: string; readonly handles: readonly string[] },
 ): Promise<void> {
   // Another target may have the address by the time of the answer.
-  const target = targets.all().find(({ address }) => address === freed.address);
+  const target = targets.findAtAddress(freed.address);
   const notice = await targetClient.freeResults({ ...freed, targetId: target?.id ?? '' });
   if (target) {
     notices.record({ target: toTargetStart(target), notice, source: 'free' });
--- a/packages/router/src/scaledServices.ts
+++ b/packages/router/src/scaledServices.ts
@@ -8,7 +8,7 @@
 /** What is known of services and their workers. */
 export interface ScaledParts {
   readonly routes: Pick<RouteTable, 'currentConfiguration'>;
-  readonly targets: Pick<TargetDirectory, 'all' | 'zonesTakenOut'>;
+  readonly targets: Pick<TargetDirectory, 'findRegistered' | 'zonesTakenOut'>;
   /** Calls in flight, by target. */
   readonly inFlight: Pick<CallCounter, 'count'>;
   /** Calls that wait for a target, by service. */
@@ -73,7 +73,7 @@
   }
 
   private findTargets(service: string): readonly RegisteredTarget[] {
-    return this.parts.targets.all().filter((target) => target.service === service);
+    return this.parts.targets.findRegistered(service);
   }
 
   private ranges(): readonly { readonly service: string; readonly range: ScalingRange }[] {
--- a/packages/target/src/chooseTarget.ts
+++ b/packages/target/src/chooseTarget.ts
@@ -1,5 +1,7 @@
 import type { RegisteredTarget, PromptPart } from '@galenatiller/types';
 
+import { rankTargets } from './rankTargets.js';
+
 /** Options of {@link chooseTarget}. */
 export interface ChooseTargetOptions {
   readonly targets: readonly RegisteredTarget[];
@@ -16,6 +18,11 @@
   readonly canAccept: (target: RegisteredTarget) => boolean;
   /** Hash of a text, the same on every node. */
   readonly hash: (text: string) => number;
+  /**
+   * The targets and perhaps others, from the one that most prefers the prompts with a key down; computed
+   * for each choice if omitted.
+   */
+  readonly rank?: (key: string) => readonly RegisteredTarget[];
 }
 
 /**
@@ -127,7 +134,7 @@
   );
 }
 
-/** Rendezvous hashing: every node prefers the same targets for the same shared prompt parts. */
+/** The target that prefers the shared prompt parts, of a few that do. */
 function findPreferredByPrompt(
   targets: readonly RegisteredTarget[],
   opts: ChooseTargetOptions,
@@ -136,12 +143,27 @@
   if (key === '') {
     return undefined;
   }
-  const ranked = targets
-    .map((target) => ({ target, rank: opts.hash(`${key} ${target.id}`) }))
-    .sort((left, right) => right.rank - left.rank)
-    .slice(0, AFFINITY_CHOICES)
-    .map(({ target }) => target);
-  return ranked.length > 0 ? firstUnlessOverloaded(ranked, opts) : undefined;
+  const ranked = opts.rank?.(key) ?? rankTargets(targets, key, opts.hash);
+  const preferred = takeFirst(ranked, new Set(targets), AFFINITY_CHOICES);
+  return preferred.length > 0 ? firstUnlessOverloaded(preferred, opts) : undefined;
+}
+
+/** The first targets in order that belong to a set. */
+function takeFirst(
+  ranked: readonly RegisteredTarget[],
+  among: ReadonlySet<RegisteredTarget>,
+  count: number,
+): readonly RegisteredTarget[] {
+  const taken: RegisteredTarget[] = [];
+  for (const target of ranked) {
+    if (among.has(target)) {
+      taken.push(target);
+    }
+    if (taken.length === count) {
+      break;
+    }
+  }
+  return taken;
 }
 
 /** The first target in order, unless a later one is clearly less loaded. */
--- a/packages/target/src/index.ts
+++ b/packages/target/src/index.ts
@@ -9,9 +9,10 @@
 export { judgeVersion, type JudgeVersionOptions, type VersionJudgement } from './judgeVersion.js';
 export { RetryBudget, type RetryBudgetOptions } from './retryBudget.js';
 export { SlidingWindowCounter, type SlidingWindowCounterOptions } from './slidingWindowCounter.js';
+export type { TargetChange } from './targetChange.js';
 export {
+  type DirectoryChanges,
   type TargetEntry,
-  type TargetChange,
   TargetDirectory,
   type TargetDirectoryOptions,
 } from './targetDirectory.js';
--- a/packages/target/src/leavingTargets.ts
+++ b/packages/target/src/leavingTargets.ts
@@ -124,12 +124,14 @@
 
   /** Notes the starts that are registered now; earlier starts of the same targets have ended. */
   onRegistered(targets: readonly Pick<TargetStart, 'targetId' | 'start'>[]): void {
-    if (this.beliefs.size === 0) {
-      return;
-    }
     const starts = new Map(targets.map(({ targetId, start }) => [targetId, start]));
+    this.followRegistered((targetId) => starts.get(targetId));
+  }
+
+  /** Notes the starts that are registered now, which are looked up only for targets that are leaving. */
+  followRegistered(findStart: (targetId: string) => string | undefined): void {
     this.beliefs.forEach((belief, start) => {
-      const registered = starts.get(belief.target.targetId);
+      const registered = findStart(belief.target.targetId);
       if (!belief.isReplaced && registered !== undefined && registered !== start) {
         this.beliefs.set(start, { ...belief, isReplaced: true });
         this.notify('leaving-ended', 'a later start is registered', belief);
--- a/packages/target/src/targetDirectory.ts
+++ b/packages/target/src/targetDirectory.ts
@@ -1,18 +1,9 @@
 import type { TimerService } from '@galenatiller/timer';
 import type { RegisteredTarget } from '@galenatiller/types';
 
-/**
- * A change in this node's view of a target or a zone. `lapsed`: the entry of the target is missing
- * after a store outage, and the target is kept for now.
- */
-export interface TargetChange {
-  readonly kind: 'listed' | 'draining' | 'restarted' | 'gone' | 'lapsed' | 'zone-out' | 'zone-in';
-  /** Id of the target, or name of the zone. */
-  readonly name: string;
-  readonly service: string;
-  readonly availabilityZone: string;
-  readonly storeRevision: number;
-}
+import { findChangeKind, isAssignedAnew, type TargetChange } from './targetChange.js';
+import { TargetIndex } from './targetIndex.js';
+import { UsableTargets } from './usableTargets.js';
 
 /** Options of {@link TargetDirectory.create}. */
 export interface TargetDirectoryOptions {
@@ -28,10 +19,12 @@
   readonly storeRevision: number;
 }
 
-interface DirectoryEntry {
-  readonly target: RegisteredTarget;
-  /** Set while the entry is missing after a store outage and may still return. */
-  readonly expiresAtMs: number | undefined;
+/** What has changed in a directory, as far as the assignment of targets to routers depends on it. */
+export interface DirectoryChanges {
+  /** Ids of the targets. */
+  readonly ids: ReadonlySet<string>;
+  /** Services that they belong to, or have belonged to. */
+  readonly services: ReadonlySet<string>;
 }
 
 /** Live targets write their entries again within two seconds after the store is back. */
@@ -39,7 +32,14 @@
 
 /** The targets that are registered in the store, and the zones that operators have taken out. */
 export class TargetDirectory {
-  private entries = new Map<string, DirectoryEntry>();
+  private readonly index = TargetIndex.create();
+
+  /** Usable targets by service, until one of the service or a zone changes. */
+  private readonly usable = new Map<string, UsableTargets>();
+
+  private changedIds = new Set<string>();
+
+  private changedServices = new Set<string>();
 
   private readonly zonesOut = new Set<string>();
 
@@ -54,22 +54,50 @@
 
   /** Number of targets, whether ready or not. */
   get size(): number {
-    return this.entries.size;
+    return this.index.size;
   }
 
   /** Targets of a service that may get new work. */
   findUsable(service: string): readonly RegisteredTarget[] {
-    return this.all().filter((target) => target.service === service && this.isUsable(target));
+    return this.usableOf(service).targets;
+  }
+
+  /**
+   * Targets of a service that may get new work, from the one that most prefers the prompts with a key
+   * down: every node prefers the same targets.
+   */
+  rankUsable(opts: {
+    readonly service: string;
+    readonly key: string;
+    /** Hash of a text, the same on every node. */
+    readonly hash: (text: string) => number;
+  }): readonly RegisteredTarget[] {
+    return this.usableOf(opts.service).rank(opts.key, opts.hash);
+  }
+
+  /** All registered targets of a service. */
+  findRegistered(service: string): readonly RegisteredTarget[] {
+    return this.index.ofService(service);
+  }
+
+  /** The target with an id. */
+  find(id: string): RegisteredTarget | undefined {
+    return this.index.find(id)?.target;
+  }
+
+  /** The first registered target at an address. */
+  findAtAddress(address: string): RegisteredTarget | undefined {
+    return this.atAddresses([address])[0];
   }
 
   /** All registered targets. */
   all(): readonly RegisteredTarget[] {
-    return [...this.entries.values()].map(({ target }) => target);
+    return this.index.all();
   }
 
   /** Whether the target may get new work; false when it was restarted or moved since. */
   isUsable(target: RegisteredTarget): boolean {
-    const known = this.entries.get(target.id);
+    const known = this.index.find(target.id);
     return (
       known?.target.startedWallMs === target.startedWallMs &&
       known.target.address === target.address &&
@@ -80,11 +108,9 @@
 
   /** Zone that most of the given addresses belong to; empty when no target is known at them. */
   findMajorityZone(addresses: readonly string[]): string {
-    const zones = this.all()
-      .filter(({ address }) => addresses.includes(address))
-      .flatMap(({ address, availabilityZone }) =>
-        addresses.filter((givenAddress) => givenAddress === address).map(() => availabilityZone),
-      );
+    const zones = this.atAddresses(addresses).flatMap(({ address, availabilityZone }) =>
+      addresses.filter((givenAddress) => givenAddress === address).map(() => availabilityZone),
+    );
     const counts = new Map<string, number>();
     zones.forEach((zone) => counts.set(zone, (counts.get(zone) ?? 0) + 1));
     return [...counts].sort(([, left], [, right]) => right - left)[0]?.[0] ?? '';
@@ -93,7 +119,8 @@
   /** Replaces all entries. */
   replaceAll(entries: readonly TargetEntry[]): void {
     const ids = new Set(entries.map(({ id }) => id));
-    [...this.entries.keys()]
+    this.index
+      .ids()
       .filter((id) => !ids.has(id))
       .forEach((id) => {
         this.remove({ id, storeRevision: 0 });
@@ -104,12 +131,12 @@
   /** Applies an entry that was written. */
   put(entry: TargetEntry): void {
     const { id, target, storeRevision } = entry;
-    const before = this.entries.get(id);
+    const before = this.index.find(id);
     if (!target) {
       this.remove(entry);
       return;
     }
-    this.entries.set(id, { target, expiresAtMs: undefined });
+    this.set(target, undefined);
     const kind = findChangeKind(before?.target, target);
     if (kind) {
       this.notify(kind, target, storeRevision);
@@ -122,18 +149,18 @@
    */
   remove(opts: { readonly id: string; readonly storeRevision: number }): void {
     const { id, storeRevision } = opts;
-    const before = this.entries.get(id);
+    const before = this.index.find(id);
     if (!before || before.expiresAtMs !== undefined) {
       return;
     }
     const nowMs = this.opts.timer.nowMs();
     if (nowMs < this.graceUntilMs && before.target.state === 'ready') {
-      this.entries.set(id, { ...before, expiresAtMs: this.graceUntilMs });
+      this.set(before.target, this.graceUntilMs);
       this.opts.timer.after({ delayMs: this.graceUntilMs - nowMs, notify: () => this.expire(id) });
       this.notify('lapsed', before.target, storeRevision);
       return;
     }
-    this.entries.delete(id);
+    this.delete(before.target);
     this.notify('gone', before.target, storeRevision);
   }
 
@@ -159,6 +186,7 @@
     } else {
       this.zonesOut.delete(zone);
     }
+    this.usable.clear();
     this.opts.onChange({
       kind: isOut ? 'zone-out' : 'zone-in',
       name: zone,
@@ -173,12 +201,58 @@
     return [...this.zonesOut];
   }
 
+  /** Takes what has changed since the last call. */
+  takeChanges(): DirectoryChanges {
+    const changes = { ids: this.changedIds, services: this.changedServices };
+    this.changedIds = new Set();
+    this.changedServices = new Set();
+    return changes;
+  }
+
+  private usableOf(service: string): UsableTargets {
+    const known = this.usable.get(service);
+    if (known) {
+      return known;
+    }
+    const usable = this.findRegistered(service).filter((target) => this.isUsable(target));
+    const found = UsableTargets.create(usable);
+    this.usable.set(service, found);
+    return found;
+  }
+
+  private atAddresses(addresses: readonly string[]): readonly RegisteredTarget[] {
+    return [...new Set(addresses)]
+      .flatMap((address) => this.index.atAddress(address))
+      .sort((left, right) => left.position - right.position)
+      .map(({ target }) => target);
+  }
+
+  private set(target: RegisteredTarget, expiresAtMs: number | undefined): void {
+    const before = this.index.find(target.id)?.target;
+    this.index.set(target, expiresAtMs);
+    [before, target].forEach((changed) => changed && this.usable.delete(changed.service));
+    if (!before || isAssignedAnew(before, target)) {
+      [before, target].forEach((changed) => changed && this.noteChange(changed));
+    }
+  }
+
+  private delete(target: RegisteredTarget): void {
+    this.index.delete(target.id);
+    this.usable.delete(target.service);
+    this.noteChange(target);
+  }
+
+  private noteChange({ id, service }: RegisteredTarget): void {
+    this.changedIds.add(id);
+    this.changedServices.add(service);
+  }
+
   private expire(id: string): void {
-    const known = this.entries.get(id);
+    const known = this.index.find(id);
     if (known?.expiresAtMs === undefined) {
       return;
     }
-    this.entries.delete(id);
+    this.delete(known.target);
     this.notify('gone', known.target, 0);
   }
 
@@ -191,16 +265,3 @@
     this.opts.onChange({ kind, name, service, availabilityZone, storeRevision });
   }
 }
-
-function findChangeKind(
-  before: RegisteredTarget | undefined,
-  after: RegisteredTarget,
-): TargetChange['kind'] | undefined {
-  if (after.state === 'draining') {
-    return before?.state === 'draining' ? undefined : 'draining';
-  }
-  if (!before) {
-    return 'listed';
-  }
-  return before.startedWallMs === after.startedWallMs ? undefined : 'restarted';
-}
--- a/packages/target/src/targetNotices.ts
+++ b/packages/target/src/targetNotices.ts
@@ -111,4 +111,9 @@
   onRegistered(targets: readonly Pick<TargetStart, 'targetId' | 'start'>[]): void {
     this.leaving.onRegistered(targets);
   }
+
+  /** Notes which starts are registered, by looking up those of targets that are leaving. */
+  followRegistered(findStart: (targetId: string) => string | undefined): void {
+    this.leaving.followRegistered(findStart);
+  }
 }
--- a/packages/target/src/targetStart.ts
+++ b/packages/target/src/targetStart.ts
@@ -12,8 +12,17 @@
   readonly isStartKnown: boolean;
 }
 
+/** The starts of targets, since each call asks for that of each target of its service. */
+const starts = new WeakMap<RegisteredTarget, TargetStart>();
+
 /** The start that a registered target describes. */
 export function toTargetStart(target: RegisteredTarget): TargetStart {
+  const known = starts.get(target);
+  if (known) {
+    return known;
+  }
   const { id: targetId, address, startedWallMs } = target;
-  return { targetId, start: getStartKey(target), address, isStartKnown: startedWallMs > 0 };
+  const start = { targetId, start: getStartKey(target), address, isStartKnown: startedWallMs > 0 };
+  starts.set(target, start);
+  return start;
 }
