Apply entries that arrive together once

Each change in a response of the store caused its own computation of members, shards and owners. Handlers of a mirror now learn when all changes of a response, or of one time limit after a restore, are applied, and compute once. The number of nodes is no longer counted over all members for each target of each call. A router that relays the store visits only the changes that a reader lacks, and does not decode entries whose bytes are unchanged.

--- a/packages/router/src/createMirrors.ts
+++ b/packages/router/src/createMirrors.ts
@@ -76,8 +76,14 @@
       ...common,
       ...createTargetHandlers(opts),
       // Each target writes its entry again at every heartbeat, mostly unchanged.
-      observer: observe(targetEntries.prefix, (before, after) =>
-        isDeepStrictEqual(targetEntries.decode(before).target, targetEntries.decode(after).target),
+      observer: observe(
+        targetEntries.prefix,
+        (before, after) =>
+          before.value.equals(after.value) ||
+          isDeepStrictEqual(
+            targetEntries.decode(before).target,
+            targetEntries.decode(after).target,
+          ),
       ),
       minIntervalMs: MIN_TARGETS_INTERVAL_MS,
       onEvent: (event) => {
--- a/packages/router/src/createOperatorHandlers.ts
+++ b/packages/router/src/createOperatorHandlers.ts
@@ -18,13 +18,14 @@
   readonly routes: RouteTable;
   readonly targets: TargetDirectory;
   readonly rollouts: Rollouts;
+  /** Called after all entries or changes that have arrived together. */
   readonly onChanged: () => void;
 }
 
 /** Creates the mirror handlers that apply the entries of operators. */
 export function createOperatorHandlers(
   opts: OperatorHandlersOptions,
-): Pick<PrefixMirrorOptions, 'prefix' | 'onEntries' | 'onChange'> {
+): Pick<PrefixMirrorOptions, 'prefix' | 'onEntries' | 'onChange' | 'onApplied'> {
   const { timer, operatorEntries, targets } = opts;
   const restored = RestoredEntries.create({
     timer,
@@ -39,7 +40,6 @@
           .filter((zone) => !zonesOut.has(zone))
           .forEach((zone) => targets.setZoneOut({ zone, isOut: false, storeRevision: 0 }));
         entries.forEach((entry) => applyEntry(opts, entry));
-        opts.onChanged();
       },
       onChange: (change) => {
         if (change.kind === 'put') {
@@ -50,8 +50,8 @@
             targets.setZoneOut({ zone, isOut: false, storeRevision: change.revision });
           }
         }
-        opts.onChanged();
       },
+      onApplied: opts.onChanged,
     },
   });
   return { prefix: operatorEntries.prefix, ...restored.handlers() };
--- a/packages/router/src/createTargetHandlers.ts
+++ b/packages/router/src/createTargetHandlers.ts
@@ -22,13 +22,14 @@
   readonly log: EventLog;
   readonly targetEntries: TargetEntryDecoder;
   readonly targets: TargetDirectory;
+  /** Called after all entries or changes that have arrived together. */
   readonly onChanged: () => void;
 }
 
 /** Creates the mirror handlers that keep the target directory equal to the entries of targets. */
 export function createTargetHandlers(
   opts: TargetHandlersOptions,
-): Pick<PrefixMirrorOptions, 'prefix' | 'onEntries' | 'onChange'> {
+): Pick<PrefixMirrorOptions, 'prefix' | 'onEntries' | 'onChange' | 'onApplied'> {
   const { timer, targetEntries, targets } = opts;
   const restored = RestoredEntries.create({
     timer,
@@ -38,7 +39,6 @@
     handlers: {
       onEntries: (entries) => {
         targets.replaceAll(entries.map((entry) => decode(opts, entry)));
-        opts.onChanged();
       },
       onChange: (change) => {
         if (change.kind === 'put') {
@@ -47,8 +47,8 @@
           const id = targetEntries.idOfKey(change.key);
           targets.remove({ id, storeRevision: change.revision });
         }
-        opts.onChanged();
       },
+      onApplied: opts.onChanged,
     },
   });
   return { prefix: targetEntries.prefix, ...restored.handlers() };
--- a/packages/store/src/membership.ts
+++ b/packages/store/src/membership.ts
@@ -117,7 +117,13 @@
 export class Membership {
   private readonly members = new Map<string, Member>();
 
-  private readonly lastSeenMs = new Map<string, number>();
+  /** When nodes that are no longer members were seen last. */
+  private readonly departedSeenMs = new Map<string, number>();
+
+  /** Time of the last change; all nodes that were members after it were seen then. */
+  private changedAtMs = 0;
+
+  private isChanged = false;
 
   private readonly mirror: PrefixMirror;
 
@@ -164,10 +170,8 @@
       return ASSUMED_NODE_COUNT;
     }
     const sinceMs = this.opts.timer.nowMs() - DEPARTED_RETENTION_MS;
-    const recent = [...this.lastSeenMs].filter(
-      ([name, seenMs]) => this.members.has(name) || seenMs > sinceMs,
-    );
-    return Math.max(1, recent.length);
+    const departed = [...this.departedSeenMs.values()].filter((seenMs) => seenMs > sinceMs);
+    return Math.max(1, this.members.size + departed.length);
   }
 
   /** The lease of this node; undefined while it has none, or has lost it. */
@@ -205,18 +209,22 @@
         isDeleted || (isLeavingEntry(known) && !isLeavingEntry(read)),
       handlers: {
         onEntries: (entries) => {
+          const kept = new Set(entries.map(({ key }) => getMemberName(key)));
+          const departed = [...this.members.keys()].filter((name) => !kept.has(name));
+          departed.forEach((name) => this.departedSeenMs.set(name, this.changedAtMs));
           this.members.clear();
           entries.forEach((entry) => this.add(entry));
-          this.notifyChange();
+          this.noteChange();
         },
         onChange: (change) => {
           if (change.kind === 'put') {
             this.add(change.entry);
           } else {
-            this.members.delete(getMemberName(change.key));
+            this.remove(getMemberName(change.key));
           }
-          this.notifyChange();
+          this.noteChange();
         },
+        onApplied: () => this.notifyChange(),
       },
     });
     return restored.handlers();
@@ -331,11 +339,32 @@
   private add(entry: PrefixEntry): void {
     const member = decodeMember(entry);
     this.members.set(member.name, member);
+    this.departedSeenMs.delete(member.name);
+  }
+
+  private remove(name: string): void {
+    if (this.members.delete(name)) {
+      this.departedSeenMs.set(name, this.changedAtMs);
+    }
   }
 
+  private noteChange(): void {
+    this.changedAtMs = this.opts.timer.nowMs();
+    this.isChanged = true;
+  }
+
+  /** Reports changes that have arrived together once. */
   private notifyChange(): void {
-    const nowMs = this.opts.timer.nowMs();
-    this.members.forEach((_, name) => this.lastSeenMs.set(name, nowMs));
+    if (!this.isChanged) {
+      return;
+    }
+    this.isChanged = false;
+    const sinceMs = this.changedAtMs - DEPARTED_RETENTION_MS;
+    this.departedSeenMs.forEach((seenMs, name) => {
+      if (seenMs <= sinceMs) {
+        this.departedSeenMs.delete(name);
+      }
+    });
     this.opts.onChange(this.liveMembers());
   }
 
--- a/packages/store/src/prefixMirror.ts
+++ b/packages/store/src/prefixMirror.ts
@@ -183,6 +183,7 @@
       deliver: () => {
         this.opts.observer?.onEntries(entries, readRevision);
         this.opts.onEntries(entries, { isRestored });
+        this.opts.onApplied?.();
       },
     });
     const { prefix } = this.opts;
@@ -231,10 +232,12 @@
     this.apply({
       ...createConfirmation(sentAt, received.relayed),
       storeRevision: Math.max(this.storeRevision, received.storeRevision),
-      deliver: () =>
+      deliver: () => {
         received.changes
           .filter((change) => observer?.onChange(change) ?? true)
-          .forEach((change) => this.opts.onChange(change)),
+          .forEach((change) => this.opts.onChange(change));
+        this.opts.onApplied?.();
+      },
     });
   }
 
--- a/packages/store/src/relay/prefixHistory.ts
+++ b/packages/store/src/relay/prefixHistory.ts
@@ -3,6 +3,12 @@
 /** Changes that are kept; a reader that misses more of them reads all entries again. */
 const MAX_CHANGES = 2_000;
 
+interface KeptChange {
+  readonly change: PrefixChange;
+  /** The highest revision of this change and those before it. */
+  readonly maxRevision: number;
+}
+
 /** The entries under a prefix, and their recent changes. */
 export class PrefixHistory {
   private readonly entries = new Map<string, PrefixEntry>();
@@ -10,7 +16,7 @@
   /** Keys that were written since all entries were read. */
   private readonly writtenKeys = new Set<string>();
 
-  private changes: PrefixChange[] = [];
+  private changes: KeptChange[] = [];
 
   /** All changes after this revision are kept. */
   private completeAfter = 0;
@@ -54,13 +60,11 @@
     if (!opts.hasEffect) {
       return;
     }
-    this.changes.push(change);
+    const maxRevision = Math.max(revisionOf(change), this.changes.at(-1)?.maxRevision ?? 0);
+    this.changes.push({ change, maxRevision });
     if (this.changes.length > 2 * MAX_CHANGES) {
       const dropped = this.changes.splice(0, MAX_CHANGES);
-      this.completeAfter = dropped.reduce(
-        (max, early) => Math.max(max, revisionOf(early)),
-        this.completeAfter,
-      );
+      this.completeAfter = Math.max(this.completeAfter, dropped.at(-1)?.maxRevision ?? 0);
     }
   }
 
@@ -71,9 +75,15 @@
 
   /** Changes after a revision; undefined if not all of them are kept. */
   changesAfter(revision: number): readonly PrefixChange[] | undefined {
-    return revision < this.completeAfter
-      ? undefined
-      : this.changes.filter((change) => revisionOf(change) > revision);
+    if (revision < this.completeAfter) {
+      return undefined;
+    }
+    // Visits only the changes that the reader lacks, since nearly all readers lack few.
+    const lastKnown = this.changes.findLastIndex(({ maxRevision }) => maxRevision <= revision);
+    return this.changes
+      .slice(lastKnown + 1)
+      .map(({ change }) => change)
+      .filter((change) => revisionOf(change) > revision);
   }
 }
 
--- a/packages/store/src/restoredEntries.ts
+++ b/packages/store/src/restoredEntries.ts
@@ -12,6 +12,8 @@
   /** Receives all entries under the prefix, which replace those received before. */
   readonly onEntries: (entries: readonly PrefixEntry[], read: EntriesRead) => void;
   readonly onChange: (change: PrefixChange) => void;
+  /** Called after all entries or changes that have arrived together. */
+  readonly onApplied?: () => void;
 }
 
 /** The last known entry of a key, and what the copy has. */
@@ -70,6 +72,7 @@
     return {
       onEntries: (entries, read) => this.applyRead(entries, read),
       onChange: (change) => this.applyChange(change),
+      onApplied: () => this.opts.handlers.onApplied?.(),
     };
   }
 
@@ -92,15 +95,20 @@
     const holdForMs = this.restoredAtMs + this.opts.holdStaleMs - nowMs;
     const read = new Map(entries.map((entry) => [entry.key, entry]));
     const missing = [...this.known.values()].filter(({ key }) => keepForMs > 0 && !read.has(key));
-    missing.forEach(({ key }) => this.applyLater({ kind: 'delete', key, revision: 0 }, keepForMs));
+    this.applyLater(
+      missing.map(({ key }) => ({ kind: 'delete', key, revision: 0 })),
+      keepForMs,
+    );
+    const stale: PrefixChange[] = [];
     const taken = entries.flatMap((entry) => {
       if (holdForMs <= 0 || !this.isStale(entry)) {
         return [entry];
       }
-      this.applyLater({ kind: 'put', entry }, holdForMs);
+      stale.push({ kind: 'put', entry });
       const known = this.known.get(entry.key);
       return known ? [known] : [];
     });
+    this.applyLater(stale, holdForMs);
     return [...taken, ...missing];
   }
 
@@ -114,15 +122,18 @@
     return deleted !== undefined && isStale({ known: deleted.entry, isDeleted: true, read });
   }
 
-  private applyLater(change: PrefixChange, delayMs: number): void {
-    const key = keyOf(change);
-    this.pending.set(key, change);
+  private applyLater(changes: readonly PrefixChange[], delayMs: number): void {
+    if (changes.length === 0) {
+      return;
+    }
+    changes.forEach((change) => this.pending.set(keyOf(change), change));
     this.opts.timer.after({
       delayMs,
       notify: () => {
-        if (this.pending.get(key) === change) {
-          this.applyChange(change);
-        }
+        changes
+          .filter((change) => this.pending.get(keyOf(change)) === change)
+          .forEach((change) => this.applyChange(change));
+        this.opts.handlers.onApplied?.();
       },
     });
   }
