Compute shards and owners only from what has changed

Each change of a target described and sorted all stage workers, ranked all routers for all shards, and went through the tasks of all workers. Rankings of shards are kept and corrected when routers come and go.

--- a/packages/router/src/ownership/serviceOwners.ts
+++ b/packages/router/src/ownership/serviceOwners.ts
@@ -1,5 +1,6 @@
 import type { Member } from '@galenatiller/store';
 
+import { MemberRanking } from './memberRanking.js';
 import { OWNER_CPU_SHARE, type Shard } from './serviceShards.js';
 
 /** Options of {@link ServiceOwners.create}. */
@@ -18,8 +19,6 @@
 /** How far the load of an owner may exceed what an even spread over all routers would give it. */
 const MAX_UNEVENNESS = 1.25;
 
-const HASH_RANGE = 4_294_967_296;
-
 /**
  * Assigns each service and shard to one live router, and a few deputies to it, the same on every
  * node: by rendezvous hashing, weighted by capacity, over routers whose capacity isn't used up by
@@ -28,15 +27,22 @@
 export class ServiceOwners {
   private members: readonly Member[] = [];
 
+  /** The routers that may own shards. */
+  private eligible: readonly Member[] = [];
+
+  private readonly ranking: MemberRanking;
+
   private shards: readonly Shard[] = [];
 
-  /** Names of the candidates for each service and shard, until the members or shards change. */
+  /** Names of the candidates for each service and shard, the owner first, until the members change. */
   private readonly candidates = new Map<string, readonly string[]>();
 
   /** Names of the routers that share a task, until the members change. */
   private readonly sharers = new Map<string, readonly string[]>();
 
-  private constructor(private readonly opts: ServiceOwnersOptions) {}
+  private constructor(private readonly opts: ServiceOwnersOptions) {
+    this.ranking = MemberRanking.create(opts);
+  }
 
   /** Creates an instance that knows only this node. */
   static create(opts: ServiceOwnersOptions): ServiceOwners {
@@ -46,12 +52,23 @@
   /** Sets the live routers. */
   setMembers(members: readonly Member[]): void {
     this.members = members;
+    this.eligible = findEligible(members);
+    if (!this.ranking.setMembers(this.eligible)) {
+      return;
+    }
+    this.candidates.clear();
+    this.sharers.clear();
     this.assignShards();
   }
 
   /** Sets the shards that have to be owned. */
   setShards(shards: readonly Shard[]): void {
+    const keys = new Set(shards.map(({ key }) => key));
+    this.shards
+      .filter(({ key }) => !keys.has(key))
+      .forEach(({ key }) => this.candidates.delete(key));
     this.shards = shards;
+    this.ranking.keepOnly(keys);
     this.assignShards();
   }
 
@@ -71,7 +88,7 @@
     if (known) {
       return known;
     }
-    const ranked = this.rank(name);
+    const ranked = this.ranking.rank(name);
     const [first] = ranked;
     const found = first ? chooseCandidates(first, ranked, MAX_CANDIDATES) : [this.opts.selfName];
     this.candidates.set(name, found);
@@ -84,8 +101,8 @@
     if (known) {
       return known;
     }
-    const ranked = this.rank(task);
-    const [first] = ranked;
+    const first = this.ranking.findFirst(task);
+    const ranked = count > 1 ? this.ranking.rank(task) : [];
     const found = first ? chooseCandidates(first, ranked, count) : [];
     this.sharers.set(task, found);
     return found;
@@ -97,10 +114,7 @@
   }
 
   private assignShards(): void {
-    this.candidates.clear();
-    this.sharers.clear();
-    const eligible = findEligible(this.members);
-    const totalCores = eligible.reduce((sum, { cpuCores }) => sum + cpuCores, 0);
+    const totalCores = this.eligible.reduce((sum, { cpuCores }) => sum + cpuCores, 0);
     const totalLoad = this.shards.reduce((sum, { loadCores }) => sum + loadCores, 0);
     const maxUse = Math.max(OWNER_CPU_SHARE, (MAX_UNEVENNESS * totalLoad) / totalCores);
     const owned = new Map<string, number>();
@@ -108,7 +122,7 @@
       (left, right) => right.loadCores - left.loadCores || (left.key < right.key ? -1 : 1),
     );
     ordered.forEach(({ key, loadCores }) => {
-      const ranked = this.rank(key);
+      const ranked = this.ranking.rank(key);
       const owner =
         ranked.find(
           ({ name, cpuCores }) => (owned.get(name) ?? 0) + loadCores <= cpuCores * maxUse,
@@ -117,21 +131,11 @@
         return;
       }
       owned.set(owner.name, (owned.get(owner.name) ?? 0) + loadCores);
-      this.candidates.set(key, chooseCandidates(owner, ranked, MAX_CANDIDATES));
+      if (this.candidates.get(key)?.[0] !== owner.name) {
+        this.candidates.set(key, chooseCandidates(owner, ranked, MAX_CANDIDATES));
+      }
     });
   }
-
-  /** The eligible routers, from the one with the highest weighted rendezvous score down. */
-  private rank(name: string): readonly Member[] {
-    const { hash } = this.opts;
-    return findEligible(this.members)
-      .map((member) => {
-        const uniform = (hash(`${name} ${member.name}`) + 1) / (HASH_RANGE + 1);
-        return { member, score: member.cpuCores / -Math.log(uniform) };
-      })
-      .sort((left, right) => right.score - left.score)
-      .map(({ member }) => member);
-  }
 }
 
 /**
@@ -143,15 +147,38 @@
   ranked: readonly Member[],
   count: number,
 ): readonly string[] {
-  const chosen = [first];
-  while (chosen.length < Math.min(count, ranked.length)) {
-    const inZone = ({ availabilityZone: zone }: Member): number =>
-      chosen.filter(({ availabilityZone }) => availabilityZone === zone).length;
-    const others = ranked.filter((member) => !chosen.includes(member));
-    const fewest = Math.min(...others.map(inZone));
-    chosen.push(...others.filter((member) => inZone(member) === fewest).slice(0, 1));
+  const chosen = new Set([first]);
+  const inZone = new Map([[first.availabilityZone, 1]]);
+  while (chosen.size < Math.min(count, ranked.length)) {
+    const next = findInFewestZone(ranked, chosen, inZone);
+    if (!next) {
+      break;
+    }
+    chosen.add(next);
+    inZone.set(next.availabilityZone, (inZone.get(next.availabilityZone) ?? 0) + 1);
+  }
+  return [...chosen].map(({ name }) => name);
+}
+
+/** The first router that isn't chosen yet, in a zone of which the fewest are chosen. */
+function findInFewestZone(
+  ranked: readonly Member[],
+  chosen: ReadonlySet<Member>,
+  inZone: ReadonlyMap<string, number>,
+): Member | undefined {
+  let found: Member | undefined;
+  let fewest = Infinity;
+  for (const member of ranked) {
+    const count = inZone.get(member.availabilityZone) ?? 0;
+    if (count < fewest && !chosen.has(member)) {
+      found = member;
+      fewest = count;
+    }
+    if (fewest === 0) {
+      return found;
+    }
   }
-  return chosen.map(({ name }) => name);
+  return found;
 }
 
 function findLeastUsed(
--- a/packages/router/src/ownership/serviceShards.ts
+++ b/packages/router/src/ownership/serviceShards.ts
@@ -33,19 +33,28 @@
 type Worker = Pick<RegisteredTarget, 'id' | 'service' | 'availabilityZone'>;
 
 interface ServiceSplit {
+  /** What the split was computed from. */
+  readonly inputs: SplitInputs;
   readonly shards: readonly Shard[];
   readonly shardOfWorker: (worker: Worker) => Shard | undefined;
 }
 
+interface SplitInputs {
+  readonly maxCores: number;
+  readonly piecesPerMs: number;
+  /** Zones of the workers, by their ids. */
+  readonly zones: ReadonlyMap<string, string>;
+}
+
 /**
  * Splits the workers of each stage service into shards, the same on every node that knows the same
  * targets and routers: one shard if a router can fill all workers, and else one for each zone or
  * more.
  */
 export class ServiceShards {
-  private splits = new Map<string, ServiceSplit>();
+  private readonly splits = new Map<string, ServiceSplit>();
 
-  private signature = '';
+  private maxCores = 0;
 
   private constructor(private readonly opts: ServiceShardsOptions) {}
 
@@ -59,19 +68,28 @@
     readonly workers: readonly Worker[];
     readonly members: readonly Pick<Member, 'cpuCores'>[];
   }): boolean {
-    const { workers, members } = opts;
+    const byService = groupBy(opts.workers, ({ service }) => service);
+    const changed = this.follow({
+      ...opts,
+      services: new Set([...this.splits.keys(), ...byService.keys()]),
+      findWorkers: (service) => byService.get(service) ?? [],
+    });
+    return changed.size > 0;
+  }
+
+  /** Splits those services again whose workers or limits have changed; returns them. */
+  follow(opts: {
+    /** Services whose workers or limits may have changed. */
+    readonly services: ReadonlySet<string>;
+    readonly findWorkers: (service: string) => readonly Worker[];
+    readonly members: readonly Pick<Member, 'cpuCores'>[];
+  }): ReadonlySet<string> {
+    const { services, findWorkers, members } = opts;
     const maxCores = members.reduce((max, { cpuCores }) => Math.max(max, cpuCores), 0);
-    const stageWorkers = workers.filter(({ service }) => this.opts.findLimits(service));
-    const signature = this.describe(stageWorkers, maxCores);
-    if (signature === this.signature) {
-      return false;
-    }
-    this.signature = signature;
-    const byService = groupBy(stageWorkers, ({ service }) => service);
-    this.splits = new Map(
-      [...byService].map(([service, own]) => [service, this.split({ service, own, maxCores })]),
-    );
-    return true;
+    const changed = maxCores === this.maxCores ? services : [...services, ...this.splits.keys()];
+    this.maxCores = maxCores;
+    const candidates = [...new Set(changed)];
+    return new Set(candidates.filter((service) => this.splitAgain(service, findWorkers, maxCores)));
   }
 
   /** All shards of all services. */
@@ -98,22 +116,35 @@
     );
   }
 
-  private describe(workers: readonly Worker[], maxCores: number): string {
-    const names = workers.map(({ id, service, availabilityZone }) => {
-      const limits = this.opts.findLimits(service);
-      return `${id} ${service} ${availabilityZone} ${limits ? computePiecesPerMs(limits) : 0}`;
-    });
-    return [maxCores, ...names.sort()].join('\n');
+  /** Splits a service again; false if nothing has changed. */
+  private splitAgain(
+    service: string,
+    findWorkers: (service: string) => readonly Worker[],
+    maxCores: number,
+  ): boolean {
+    const before = this.splits.get(service);
+    const limits = this.opts.findLimits(service);
+    const own = limits ? findWorkers(service) : [];
+    if (!limits || own.length === 0) {
+      return this.splits.delete(service);
+    }
+    const zones = new Map(own.map(({ id, availabilityZone }) => [id, availabilityZone]));
+    const inputs = { maxCores, piecesPerMs: computePiecesPerMs(limits), zones };
+    if (before && areSameInputs(before.inputs, inputs)) {
+      return false;
+    }
+    this.splits.set(service, { inputs, ...this.split({ service, own, inputs }) });
+    return true;
   }
 
   private split(opts: {
     readonly service: string;
     readonly own: readonly Worker[];
-    readonly maxCores: number;
-  }): ServiceSplit {
-    const { service, own, maxCores } = opts;
-    const limits = this.opts.findLimits(service);
-    const loadCores = limits ? own.length * computePiecesPerMs(limits) * PIECE_CPU_MS : 0;
+    readonly inputs: SplitInputs;
+  }): Omit<ServiceSplit, 'inputs'> {
+    const { service, own } = opts;
+    const { maxCores, piecesPerMs } = opts.inputs;
+    const loadCores = own.length * piecesPerMs * PIECE_CPU_MS;
     const zones = [...groupBy(own, ({ availabilityZone }) => availabilityZone).keys()].sort();
     const needed = maxCores > 0 ? Math.ceil(loadCores / (OWNER_CPU_SHARE * maxCores)) : 1;
     const byZone = own.length >= MIN_WORKERS_PER_ZONE * zones.length ? zones.length : 1;
@@ -149,6 +180,15 @@
   return { key: `${service}/0`, service, zones: [], loadCores: 0 };
 }
 
+function areSameInputs(before: SplitInputs, after: SplitInputs): boolean {
+  return (
+    before.maxCores === after.maxCores &&
+    before.piecesPerMs === after.piecesPerMs &&
+    before.zones.size === after.zones.size &&
+    [...after.zones].every(([id, zone]) => before.zones.get(id) === zone)
+  );
+}
+
 function computePiecesPerMs(limits: BatchLimits): number {
   const callMs = limits.callOverheadMs + limits.pieceMs * limits.maxPieces;
   return limits.maxPieces / Math.max(1, callMs);
--- a/packages/router/src/peerRouters.ts
+++ b/packages/router/src/peerRouters.ts
@@ -37,8 +37,9 @@
     const others = members.filter(
       ({ name, address }) => name !== this.opts.selfName && parseAddress(address),
     );
+    const addresses = new Map(others.map(({ name, address }) => [name, address]));
     this.peers.forEach(({ address, stop }, name) => {
-      if (!others.some((other) => other.name === name && other.address === address)) {
+      if (addresses.get(name) !== address) {
         this.peers.delete(name);
         stop.abort();
       }
--- a/packages/router/src/stageWorkers.ts
+++ b/packages/router/src/stageWorkers.ts
@@ -60,7 +60,8 @@
 export class StageWorkers {
   private readonly queues = new Map<string, StageQueue>();
 
-  private readonly workerTasks = new Map<string, WorkerTask>();
+  /** The tasks of workers by service, and by the start of the worker. */
+  private readonly workerTasks = new Map<string, Map<string, WorkerTask>>();
 
   private readonly workerSpeed = WorkerSpeed.create();
 
@@ -142,32 +143,49 @@
 
   /**
    * Starts a task for each registered stage worker, and stops the tasks of those that are gone or
-   * belong to another shard now.
+   * belong to another shard now; of some services only, if these are given.
    */
-  refresh(): void {
+  refresh(services?: ReadonlySet<string>): void {
+    const { targets } = this.opts;
+    const affected =
+      services ??
+      new Set([...this.workerTasks.keys(), ...targets.all().map(({ service }) => service)]);
+    affected.forEach((service) => this.refreshService(service));
+  }
+
+  private refreshService(service: string): void {
     const { targets, routes, shards } = this.opts;
-    const registered = targets
-      .all()
-      .filter(({ service }) => routes.findService(service)?.batch !== undefined);
-    const shardKeys = new Map(
-      registered.map((target) => [getStartKey(target), shards.findShardOf(target).key]),
+    const isStageService = routes.findService(service)?.batch !== undefined;
+    const registered = new Map(
+      (isStageService ? targets.findRegistered(service) : []).map((target) => [
+        getStartKey(target),
+        target,
+      ]),
     );
-    this.workerTasks.forEach(({ stop, shard }, key) => {
-      if (shardKeys.get(key) !== shard.key) {
-        this.workerTasks.delete(key);
+    const tasks = this.workerTasks.get(service) ?? new Map<string, WorkerTask>();
+    this.workerTasks.set(service, tasks);
+    tasks.forEach(({ stop, shard }, key) => {
+      const target = registered.get(key);
+      if (!target || shards.findShardOf(target).key !== shard.key) {
+        tasks.delete(key);
         stop.abort();
       }
     });
-    registered
-      .filter((target) => !this.workerTasks.has(getStartKey(target)))
-      .forEach((target) => this.startWorker(target));
+    registered.forEach((target, key) => {
+      if (!tasks.has(key)) {
+        this.startWorker(target, tasks);
+      }
+    });
+    if (tasks.size === 0) {
+      this.workerTasks.delete(service);
+    }
   }
 
-  private startWorker(target: RegisteredTarget): void {
+  private startWorker(target: RegisteredTarget, known: Map<string, WorkerTask>): void {
     const { timer, routes, notices, resultMemory, runPieces, onBatch, tasks } = this.opts;
     const stop = new AbortController();
     const shard = this.opts.shards.findShardOf(target);
-    this.workerTasks.set(getStartKey(target), { target, shard, stop });
+    known.set(getStartKey(target), { target, shard, stop });
     tasks.start(() =>
       dispatchBatches({
         timer,
@@ -227,8 +245,8 @@
   }
 
   /** The workers of a shard that get pieces, now or once their pauses end. */
-  private accepting({ key }: Shard): readonly RegisteredTarget[] {
-    return [...this.workerTasks.values()]
+  private accepting({ service, key }: Shard): readonly RegisteredTarget[] {
+    return [...(this.workerTasks.get(service)?.values() ?? [])]
       .filter(({ shard, target }) => shard.key === key && this.isAccepting(target))
       .map(({ target }) => target);
   }
