--- a/bench/src/scale/scaledRouter.ts
+++ b/bench/src/scale/scaledRouter.ts
@@ -21,7 +21,8 @@
 
 const CALL_SERVICES = 7;
 const STAGE_SERVICES = 3;
-const SERVICES = CALL_SERVICES + STAGE_SERVICES;
+/** Services over which the targets are spread. */
+export const SERVICES = CALL_SERVICES + STAGE_SERVICES;
 const ZONES = 3;
 const MEMBERS = 'galenatiller/members/';
 const TARGETS = 'servers/';
