Check the links to all routers by one timer

Each link had a timer of its own for pings, which woke a router with 339 links 1,700 times a second, although pings are sent only while orders wait. The links of a router now share one timer.

All scenarios of @router, @routerLink and @duty pass.

--- a/packages/router/src/peerRouters.ts
+++ b/packages/router/src/peerRouters.ts
@@ -1,5 +1,5 @@
 import { parseAddress } from '@galenatiller/http';
-import { type PeerEvent, PeerRouter } from '@galenatiller/routerLink';
+import { type PeerEvent, PeerRouter, PingTicker } from '@galenatiller/routerLink';
 import type { Member } from '@galenatiller/store';
 import type { TaskGroup } from '@galenatiller/tasks';
 import type { TimerService } from '@galenatiller/timer';
@@ -25,7 +25,11 @@
 export class PeerRouters {
   private readonly peers = new Map<string, Peer>();
 
-  private constructor(private readonly opts: PeerRoutersOptions) {}
+  private readonly pings: PingTicker;
+
+  private constructor(private readonly opts: PeerRoutersOptions) {
+    this.pings = PingTicker.create(opts);
+  }
 
   /** Creates an instance without links. */
   static create(opts: PeerRoutersOptions): PeerRouters {
@@ -72,7 +76,14 @@
         onOpened(router);
       }
     };
-    const router = PeerRouter.create({ timer, selfName, peerName, address, onEvent });
+    const router = PeerRouter.create({
+      timer,
+      selfName,
+      peerName,
+      address,
+      onEvent,
+      startPings: (check) => this.pings.start(check),
+    });
     const stop = new AbortController();
     this.peers.set(peerName, { router, address, stop });
     tasks.start(() => router.run({ signal: stop.signal }));
--- a/packages/routerLink/src/followRouter.ts
+++ b/packages/routerLink/src/followRouter.ts
@@ -1,5 +1,5 @@
 import type { RelayRequest, RelayResponse } from '@galenatiller/store';
-import type { TimerService } from '@galenatiller/timer';
+import type { Cancel, TimerService } from '@galenatiller/timer';
 import type {
   CrashEvidence,
   LeavingEvidence,
@@ -13,6 +13,7 @@
 
 import { openSocket } from './openSocket.js';
 import { PieceOrders, type ShardPiece } from './pieceOrders.js';
+import { PingTicker } from './pingTicker.js';
 import type { RouterFrame } from './routerFrames.js';
 import { RouterSocket } from './routerSocket.js';
 
@@ -32,14 +33,13 @@
   /** IP:PORT. */
   readonly address: string;
   readonly onEvent: (event: PeerEvent) => void;
+  /** Calls a function whenever a ping may be due; by a timer of the link itself if omitted. */
+  readonly startPings?: (check: () => void) => Cancel;
 }
 
 /** Version of the frames; a router closes links from routers of another version. */
 export const LINK_VERSION = 6;
 
-/** Interval of pings, which are sent only while orders wait for a result. */
-const PING_INTERVAL_MS = 200;
-
 /**
  * Pings without any frame from the peer after which it gets no further pieces for now: it has more
  * work than CPU time, or is gone.
@@ -80,8 +80,12 @@
 
   private lastPongAtMs = -Infinity;
 
+  private readonly startPings: (check: () => void) => Cancel;
+
   private constructor(private readonly opts: PeerRouterOptions) {
     const { timer } = opts;
+    const ticker = PingTicker.create(opts);
+    this.startPings = opts.startPings ?? ((check) => ticker.start(check));
     this.orders = PieceOrders.create({ timer, send: (frame) => this.send(frame) });
   }
 
@@ -223,7 +227,7 @@
   }
 
   private async serveSocket(socket: RouterSocket, signal: AbortSignal): Promise<void> {
-    const { timer, selfName: nodeName } = this.opts;
+    const { selfName: nodeName } = this.opts;
     const close = (): void => socket.close();
     signal.addEventListener('abort', close, { once: true });
     socket.send({ kind: 'hello', nodeName, linkVersion: LINK_VERSION });
@@ -231,10 +235,8 @@
     this.unansweredPings = 0;
     this.lastPongAtMs = -Infinity;
     this.notify('opened', 'connected');
-    const cancelPing = timer.every({
-      intervalMs: PING_INTERVAL_MS,
-      notify: () => this.checkSilence(socket),
-    });
+    const { startPings } = this;
+    const cancelPing = startPings(() => this.checkSilence(socket));
     for await (const frame of socket.read()) {
       this.unansweredPings = 0;
       this.isSilent = false;
