--- a/bench/src/scale/measureScale.ts
+++ b/bench/src/scale/measureScale.ts
@@ -74,6 +74,8 @@
   };
   await measure('call', indexes, (index) => router.serveCall(index));
   await measure('heartbeat', indexes, (index) => router.heartbeat([index % size.targets]));
+  const few = indexes.slice(0, Math.min(OPERATIONS, size.targets));
+  await measure('changed slots', few, (index) => router.changeSlots(index));
   await measure('new target', added, (index) => router.addTargets([index]));
   await measure('removed target', added, (index) => router.removeTargets([index]));
   await measure('new target of many', [0], () => router.addTargets(added), OPERATIONS);
--- a/bench/src/scale/scaledRouter.ts
+++ b/bench/src/scale/scaledRouter.ts
@@ -24,6 +24,8 @@
 /** Services over which the targets are spread. */
 export const SERVICES = CALL_SERVICES + STAGE_SERVICES;
 const ZONES = 3;
+const SLOTS = 4;
+const CHANGED_SLOTS = 5;
 const MEMBERS = 'galenatiller/members/';
 const TARGETS = 'servers/';
 /** The router listens for links, but nobody opens one. */
@@ -130,6 +132,11 @@
     await this.write(TARGETS, new Map(indexes.map((index) => createTargetEntry(index))));
   }
 
+  /** Lets a target write its entry with another number of slots. */
+  async changeSlots(index: number): Promise<void> {
+    await this.write(TARGETS, new Map([createTargetEntry(index, CHANGED_SLOTS)]));
+  }
+
   /** Registers new targets, all at once. */
   async addTargets(indexes: readonly number[]): Promise<void> {
     await this.heartbeat(indexes);
@@ -256,7 +263,7 @@
   }
 }
 
-function createTargetEntry(index: number): readonly [string, string] {
+function createTargetEntry(index: number, slots = SLOTS): readonly [string, string] {
   const target: RegisteredTarget = {
     id: `worker-${index}`,
     startedWallMs: 1,
@@ -264,7 +271,7 @@
     address: `10.${Math.floor(index / 250)}.0.${index % 250}:8000`,
     availabilityZone: `zone-${Math.floor(index / SERVICES) % ZONES}`,
     version: 'v1',
-    slots: 4,
+    slots,
     state: 'ready',
   };
   return [`${TARGETS}${target.id}`, JSON.stringify(target)];
