--- a/packages/router/src/chooseTargetForCall.ts
+++ b/packages/router/src/chooseTargetForCall.ts
@@ -73,6 +73,8 @@
       id === opts.permitted ||
       context.coldRateLimiter.canSend({ address, maxColdRequestsPerSecond }),
     hash: context.hash,
+    rank: (key) =>
+      context.targets.rankUsable({ service: admitted.service, key, hash: context.hash }),
     uneven: context.loads.hasAny
       ? {
           findLoad: (target) => context.loads.find({ target: toTargetStart(target), workMs }),
--- a/packages/router/src/createStages.ts
+++ b/packages/router/src/createStages.ts
@@ -7,6 +7,7 @@
 import {
   type ColdRateLimiter,
   type CrashSuspects,
+  getStartKey,
   type TargetDirectory,
   type TargetLoads,
   type TargetNotices,
@@ -137,7 +138,10 @@
       permits.setMembers(members);
     },
     onTargetsChanged: () => {
-      opts.notices.onRegistered(opts.targets.all().map(toTargetStart));
+      opts.notices.followRegistered((id) => {
+        const target = opts.targets.find(id);
+        return target && getStartKey(target);
+      });
       assignment.onTargetsChanged();
     },
   };
@@ -233,7 +237,7 @@
   freed: { readonly address: string; readonly handles: readonly string[] },
 ): Promise<void> {
   // Another target may have the address by the time of the answer.
-  const target = targets.all().find(({ address }) => address === freed.address);
+  const target = targets.findAtAddress(freed.address);
   const notice = await targetClient.freeResults({ ...freed, targetId: target?.id ?? '' });
   if (target) {
     const start = toTargetStart(target);
--- a/packages/router/src/peerRouters.ts
+++ b/packages/router/src/peerRouters.ts
@@ -1,5 +1,5 @@
 import { parseAddress } from '@galenatiller/http';
-import { type PeerEvent, PeerRouter } from '@galenatiller/routerLink';
+import { type PeerEvent, PeerRouter, PingTicker } from '@galenatiller/routerLink';
 import type { Member } from '@galenatiller/store';
 import type { TaskGroup } from '@galenatiller/tasks';
 import type { TimerService } from '@galenatiller/timer';
@@ -25,9 +25,13 @@
 export class PeerRouters {
   private readonly peers = new Map<string, Peer>();
 
+  private readonly pings: PingTicker;
+
   private isClosed = false;
 
-  private constructor(private readonly opts: PeerRoutersOptions) {}
+  private constructor(private readonly opts: PeerRoutersOptions) {
+    this.pings = PingTicker.create(opts);
+  }
 
   /** Creates an instance without links. */
   static create(opts: PeerRoutersOptions): PeerRouters {
@@ -42,8 +46,9 @@
     const others = members.filter(
       ({ name, address }) => name !== this.opts.selfName && parseAddress(address),
     );
+    const addresses = new Map(others.map(({ name, address }) => [name, address]));
     this.peers.forEach(({ address, stop }, name) => {
-      if (!others.some((other) => other.name === name && other.address === address)) {
+      if (addresses.get(name) !== address) {
         this.peers.delete(name);
         stop.abort();
       }
@@ -82,7 +87,14 @@
         onOpened(router);
       }
     };
-    const router = PeerRouter.create({ timer, selfName, peerName, address, onEvent });
+    const router = PeerRouter.create({
+      timer,
+      selfName,
+      peerName,
+      address,
+      onEvent,
+      startPings: (check) => this.pings.start(check),
+    });
     const stop = new AbortController();
     this.peers.set(peerName, { router, address, stop });
     tasks.start(() => router.run({ signal: stop.signal }));
