Judge versions in the native front by lost callers and first tokens

Cause: a run whose caller disconnected was no evidence on its version, and the time to the first token only counted in the duration of the whole run, which is slow from 2.5 times the usual duration on. A version that lost its callers, or started its streams five times as late, was taken for good.

Change: the tallies of runs and the comparison of lost runs and starts are in packages/target (judgeWaits) and called by the router and the entry. The entry judges after every run without an end, so its margins are wider. Older runs count half. runStage.ts lost observeVersion to its own module.

--- a/packages/entry/src/runAttempt.ts
+++ b/packages/entry/src/runAttempt.ts
@@ -18,6 +18,8 @@
 export interface AttemptEnd {
   readonly end: StageEnd;
   readonly delivered: DeliveredOutput;
+  /** Time from the sending of the request to the first part of its stream; undefined before it. */
+  readonly firstPartMs?: number | undefined;
 }
 
 /** Sends one stage request to a gate and forwards the streamed parts to the caller. */
@@ -39,11 +41,14 @@
     cancel();
   }
   let { delivered } = opts;
+  const sentAtMs = context.timer.nowMs();
+  let firstPartMs: number | undefined;
   try {
     for await (const event of events.read()) {
       if (event.kind === 'end') {
-        return { end: checkComplete(event.end, delivered), delivered };
+        return { end: checkComplete(event.end, delivered), delivered, firstPartMs };
       }
+      firstPartMs ??= context.timer.nowMs() - sentAtMs;
       if (event.part.offsetTokens !== delivered.tokens) {
         gate.cancelAttempt(
           request,
--- a/packages/entry/src/runStage.ts
+++ b/packages/entry/src/runStage.ts
@@ -9,6 +9,7 @@
 
 import { type CallContext, findAbortCause, getRemainingMs } from './callContext.js';
 import { estimateStage } from './estimateStage.js';
+import { observeVersion } from './observeVersion.js';
 import type { TargetView } from './policy.js';
 import { runAttempt } from './runAttempt.js';
 import { buildStageInput, type DeliveredOutput, type StageData } from './stageInput.js';
@@ -27,13 +28,6 @@
   readonly delivered: DeliveredOutput;
 }
 
-/** Result codes of attempts that show nothing about the version that ran them. */
-const ENDS_WITHOUT_EVIDENCE: ReadonlySet<string> = new Set([
-  'cancelled',
-  'link-lost',
-  'stop-limit-exceeded',
-]);
-
 /** Runs one stage, trying one target after another until an attempt succeeds or retries end. */
 export async function runStage(
   opts: RunStageOptions,
@@ -72,7 +66,7 @@
     delivered = attempt.delivered;
     const { end } = attempt;
     recordEnd(context, request, end);
-    observeVersion(opts, target, request, end);
+    observeVersion({ context, stage, targetVersion: target.report.version, request, attempt });
     if (end.code === 0 && end.result) {
       const { runMs } = end;
       context.stageDurations.observe({ name: stage.name, durationMs: runMs, nowMs: timer.nowMs() });
@@ -149,30 +143,6 @@
   return move ? context.versions.selectTargets(move, context.route.name, views) : views;
 }
 
-function observeVersion(
-  { context, stage }: RunStageOptions,
-  target: TargetView,
-  request: StageRequest,
-  end: StageEnd,
-): void {
-  const move = context.configuration.moves.get(stage.targetGroup);
-  const { name } = findResultCodeByNumber(end.code);
-  if (!move || end.outcome === 'not-run' || ENDS_WITHOUT_EVIDENCE.has(name)) {
-    return;
-  }
-  context.versions.observe({
-    move,
-    route: context.route.name,
-    targetVersion: target.report.version,
-    failed: end.code !== 0,
-    runMs: end.runMs / Math.max(1, countTokensToGenerate(request)),
-  });
-}
-
-function countTokensToGenerate({ input }: StageRequest): number {
-  return input.kind === 'generate' ? input.maxTokens - input.deliveredTokens : 1;
-}
-
 function recordAttempt(context: CallContext, request: StageRequest, target: TargetView): void {
   const { report } = target;
   context.record({
--- a/packages/entry/src/versionMoves.ts
+++ b/packages/entry/src/versionMoves.ts
@@ -2,7 +2,7 @@
 import type { MoveRule } from '@galenatiller/types';
 
 import type { TargetView } from './policy.js';
-import { VersionTrial } from './versionTrial.js';
+import { type TrialRun, VersionTrial } from './versionTrial.js';
 
 /** Options of {@link VersionMoves.create}. */
 export interface VersionMovesOptions {
@@ -15,12 +15,10 @@
 }
 
 /** A run on a target group that is moving to a new version. */
-export interface MoveRun {
+export interface MoveRun extends Omit<TrialRun, 'version'> {
   readonly move: MoveRule;
   readonly route: string;
   readonly targetVersion: string;
-  readonly failed: boolean;
-  readonly runMs: number;
 }
 
 /** Progress of a version move as seen by this entry. */
@@ -87,11 +85,11 @@
 
   /** Records the result of a run and stops the version if the trial finds it bad. */
   observe(run: MoveRun): void {
-    const { move, route } = run;
+    const { move, route, targetVersion, ...observed } = run;
     const key = `${move.targetGroup}/${move.toVersion}/${route}`;
     const routeTrial = this.trials.get(key) ?? this.startTrial(key);
-    const version = run.targetVersion === move.toVersion ? 'new' : 'old';
-    const verdict = routeTrial.trial.observe({ version, failed: run.failed, runMs: run.runMs });
+    const version = targetVersion === move.toVersion ? 'new' : 'old';
+    const verdict = routeTrial.trial.observe({ version, ...observed });
     if (verdict === 'proved' && routeTrial.provedAtWallMs === undefined) {
       this.trials.set(key, { ...routeTrial, provedAtWallMs: this.opts.wallMs() });
     }
--- a/packages/entry/src/versionTrial.ts
+++ b/packages/entry/src/versionTrial.ts
@@ -1,3 +1,14 @@
+import {
+  addComparisons,
+  halveRuns,
+  type JudgementCaution,
+  judgeWaits,
+  NO_COMPARISON,
+  toVersionRuns,
+  type VersionRun,
+} from '@galenatiller/target';
+import type { VersionComparison } from '@galenatiller/types';
+
 /** Failure rates of a good version and of one that the test must detect as bad. */
 const GOOD_FAILURE_SHARE = 0.02;
 const BAD_FAILURE_SHARE = 0.2;
@@ -20,16 +31,24 @@
 /** Weight of a new sample in the moving average of the old version's run time. */
 const SMOOTHING = 0.05;
 
-/** Runs of the old version needed before new runs are compared with its run time. */
+/** Runs of the old version needed before new runs are compared with it. */
 const MIN_OLD_RUNS = 20;
 
+/** A trial judges after each run for as long as the version runs, so chance must explain far less. */
+const WAIT_CAUTION: JudgementCaution = { minLost: 4, lostDeviations: 4, startDeviations: 3 };
+
+/** Runs of a version after which the older ones count half, so that a version that turns bad is found. */
+const FORGET_AFTER_RUNS = 100;
+
+/** More runs of the old version are kept, since it gets most of the traffic of an unproven one. */
+const OLD_RUNS_FACTOR = 10;
+
 /** Result of a trial of a version on a route. */
 export type TrialVerdict = 'unproven' | 'proved' | 'bad';
 
 /** One run observed by a trial. */
-export interface TrialRun {
+export interface TrialRun extends Pick<VersionRun, 'ending' | 'start'> {
   readonly version: 'old' | 'new';
-  readonly failed: boolean;
   /** Run time measured at the gate; per token for generations. */
   readonly runMs: number;
 }
@@ -51,6 +70,9 @@
 
   private meanOldRunMs = 0;
 
+  /** Runs of both versions, for the lost ones and the times to the first token. */
+  private waits = NO_COMPARISON;
+
   private constructor() {}
 
   /** Creates a trial without evidence. */
@@ -65,11 +87,12 @@
 
   /** Describes the evidence for people to read. */
   get summary(): string {
-    return `${this.newFailures} of ${this.newRuns} runs failed or took over ${SLOW_FACTOR} times as long`;
+    return `${this.newFailures} of ${this.newRuns} runs failed or took over ${SLOW_FACTOR} times as long, ${describeWaits(this.waits)}`;
   }
 
   /** Adds a run and returns the updated verdict. */
   observe(run: TrialRun): TrialVerdict {
+    this.observeWait(run);
     if (run.version === 'old') {
       this.observeOldRun(run);
       return this.currentVerdict;
@@ -77,27 +100,42 @@
     if (this.currentVerdict === 'bad') {
       return this.currentVerdict;
     }
-    const failed = run.failed || this.isSlow(run);
-    this.newRuns += 1;
-    this.newFailures += failed ? 1 : 0;
-    this.evidence += failed ? FAILURE_EVIDENCE : SUCCESS_EVIDENCE;
+    if (run.ending !== 'lost') {
+      const failed = run.ending === 'failed' || this.isSlow(run);
+      this.newRuns += 1;
+      this.newFailures += failed ? 1 : 0;
+      this.evidence += failed ? FAILURE_EVIDENCE : SUCCESS_EVIDENCE;
+    }
     this.updateVerdict();
     return this.currentVerdict;
   }
 
   private updateVerdict(): void {
-    if (this.evidence >= BAD_BOUND) {
+    const waits =
+      this.waits.oldRuns.runs >= MIN_OLD_RUNS ? judgeWaits(this.waits, WAIT_CAUTION) : 'good';
+    if (this.evidence >= BAD_BOUND || waits === 'bad') {
       this.currentVerdict = 'bad';
     } else if (this.currentVerdict === 'proved') {
       this.evidence = Math.max(0, this.evidence);
     } else if (this.evidence <= GOOD_BOUND) {
-      this.currentVerdict = 'proved';
-      this.evidence = 0;
+      this.currentVerdict = waits === 'good' ? 'proved' : 'unproven';
+      this.evidence = waits === 'good' ? 0 : GOOD_BOUND;
     }
   }
 
+  private observeWait({ version, ending, start }: TrialRun): void {
+    const runs = toVersionRuns({ ending, start, paceMs: undefined });
+    const isNew = version === 'new';
+    const added = isNew ? { newRuns: runs } : { oldRuns: runs };
+    const { newRuns, oldRuns } = addComparisons(this.waits, { ...NO_COMPARISON, ...added });
+    this.waits = {
+      newRuns: newRuns.runs > FORGET_AFTER_RUNS ? halveRuns(newRuns) : newRuns,
+      oldRuns: oldRuns.runs > FORGET_AFTER_RUNS * OLD_RUNS_FACTOR ? halveRuns(oldRuns) : oldRuns,
+    };
+  }
+
   private observeOldRun(run: TrialRun): void {
-    if (run.failed) {
+    if (run.ending !== 'good') {
       return;
     }
     this.oldRuns += 1;
@@ -109,3 +147,11 @@
     return this.oldRuns >= MIN_OLD_RUNS && run.runMs > this.meanOldRunMs * SLOW_FACTOR;
   }
 }
+
+function describeWaits({ newRuns, oldRuns }: VersionComparison): string {
+  const [newText, oldText] = [newRuns, oldRuns].map(({ runs, lost = 0, starts }) => {
+    const startMs = Math.round((starts?.sumMs ?? 0) / Math.max(1, starts?.count ?? 0));
+    return `${Math.round((100 * lost) / Math.max(1, runs))} % lost, start ${startMs} ms`;
+  });
+  return `${newText} against ${oldText}`;
+}
--- a/packages/entry/test/versions.feature
+++ b/packages/entry/test/versions.feature
@@ -30,3 +30,24 @@
   Scenario: Entries notify each other of bad versions
     When one entry finds a version bad and notifies another
     Then the other sends it no traffic
+
+  # Guards against a version that is judged to be good because the runs that speak against it aren't counted.
+  Scenario Outline: A version whose callers wait for nothing is stopped
+    When stages run while the new version <how>
+    Then it is stopped after at most <runs> bad runs
+
+    Examples:
+      | how                                       | runs |
+      | loses every caller                        | 20   |
+      | loses every third caller                  | 100  |
+      | sends its first token five times as late  | 40   |
+
+  # Guards against a good version that is stopped because of callers who would have left anyway.
+  Scenario Outline: A new version that loses as many callers as the old one is not stopped
+    Then in 100 seeded runs of 5000 requests no version is stopped when <percent> percent of all callers leave
+
+    Examples:
+      | percent |
+      | 1       |
+      | 10      |
+      | 30      |
--- a/packages/entry/test/versions.steps.ts
+++ b/packages/entry/test/versions.steps.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict';
 
 import { Then, When } from '@cucumber/cucumber';
-import { type TargetView, VersionMoves } from '@galenatiller/entry';
+import { type TargetView, type TrialRun, VersionMoves } from '@galenatiller/entry';
 import type { StoppedVersionNotice } from '@galenatiller/node';
 import type { MoveRule } from '@galenatiller/types';
 import { uniformFloat64 } from 'pure-rand/distribution/uniformFloat64';
@@ -18,12 +18,12 @@
 
 /** Returns the result of a run of the new version, given its index and route. */
 type Quality = (run: { readonly index: number; readonly route: string }) => {
-  readonly failed: boolean;
+  readonly ending: TrialRun['ending'];
   readonly runMs: number;
   readonly bad: boolean;
 };
 
-const MOVE: MoveRule = {
+export const MOVE: MoveRule = {
   kind: 'move',
   targetGroup: 'drafter',
   fromVersion: 'v1',
@@ -33,13 +33,14 @@
   askedBy: 'test',
 };
 const ROUTES = ['draft', 'question', 'list'];
-const GOOD = { failed: false, runMs: 10, bad: false };
-const VIEWS = ['v1', 'v2'].map(createView);
+const GOOD = { ending: 'good', runMs: 10, bad: false } as const;
+export const VIEWS = ['v1', 'v2'].map(createView);
 
 When(
   /^a new version whose runs (fail|are slow) gets 5 percent of the traffic$/,
   function when(this: VersionsWorld, how: string) {
-    const bad = { failed: how === 'fail', runMs: how === 'fail' ? 10 : 40, bad: true };
+    const hasFailed = how === 'fail';
+    const bad = { ending: toEnding(hasFailed), runMs: hasFailed ? 10 : 40, bad: true };
     start(this, 1);
     sendRequests(this, {
       requests: 20_000,
@@ -55,7 +56,7 @@
   function when(this: VersionsWorld, good: number) {
     start(this, 2);
     const quality: Quality = ({ index }) =>
-      index < good ? GOOD : { failed: index % 2 === 0, runMs: 10, bad: true };
+      index < good ? GOOD : { ending: toEnding(index % 2 === 0), runMs: 10, bad: true };
     sendRequests(this, { requests: 40_000, stepMs: 50, random: createRandom(2), quality });
   },
 );
@@ -66,7 +67,7 @@
     assert.equal(routes, ROUTES.length);
     start(this, 3);
     const quality: Quality = ({ route }) =>
-      route === 'list' ? { failed: true, runMs: 10, bad: true } : GOOD;
+      route === 'list' ? { ending: 'failed', runMs: 10, bad: true } : GOOD;
     sendRequests(this, { requests: 20_000, stepMs: 1, random: createRandom(3), quality });
   },
 );
@@ -87,7 +88,7 @@
     requests: 20_000,
     stepMs: 1,
     random: createRandom(5),
-    quality: () => ({ ...GOOD, failed: true, bad: true }),
+    quality: () => ({ ...GOOD, ending: 'failed', bad: true }),
   });
   const received = this.notices;
   start(this, 6);
@@ -134,13 +135,33 @@
     for (let seed = 100; seed < 100 + runs; seed += 1) {
       const random = createRandom(seed);
       start(this, seed);
-      const quality: Quality = () => ({ ...GOOD, failed: random() < percent / 100 });
+      const quality: Quality = () => ({ ...GOOD, ending: toEnding(random() < percent / 100) });
       sendRequests(this, { requests, stepMs: 200, random, quality });
       assert.deepEqual(this.notices, [], `seed ${seed}`);
     }
   },
 );
 
+Then(
+  'in {int} seeded runs of {int} requests no version is stopped when {int} percent of all callers leave',
+  function then(this: VersionsWorld, runs: number, requests: number, percent: number) {
+    for (let seed = 300; seed < 300 + runs; seed += 1) {
+      const random = createRandom(seed);
+      start(this, seed);
+      const quality: Quality = () => ({
+        ...GOOD,
+        ending: random() < percent / 100 ? 'lost' : 'good',
+      });
+      sendRequests(this, { requests, stepMs: 200, random, quality, old: quality });
+      assert.deepEqual(this.notices, [], `seed ${seed}`);
+    }
+  },
+);
+
+function toEnding(hasFailed: boolean): TrialRun['ending'] {
+  return hasFailed ? 'failed' : 'good';
+}
+
 function start(world: VersionsWorld, seed: number): void {
   world.notices = [];
   world.nowMs = 0;
@@ -159,6 +180,8 @@
   readonly stepMs: number;
   readonly random: () => number;
   readonly quality: Quality;
+  /** Quality of the old version; good if omitted. */
+  readonly old?: Quality;
 }
 
 /** Sends requests on random routes until all are sent or the version is stopped. */
@@ -168,7 +191,8 @@
     const route = ROUTES[Math.floor(opts.random() * ROUTES.length)] ?? '';
     const targetVersion = world.moves.selectTargets(MOVE, route, VIEWS)[0]?.report.version ?? '';
     const isNew = targetVersion === 'v2';
-    const { bad, ...run } = isNew ? opts.quality({ index: world.newRuns, route }) : GOOD;
+    const quality = isNew ? opts.quality : (opts.old ?? (() => GOOD));
+    const { bad, ...run } = quality({ index: world.newRuns, route });
     world.allRuns += 1;
     world.newRuns += isNew ? 1 : 0;
     world.badRuns += bad ? 1 : 0;
@@ -184,7 +208,7 @@
   assert.deepEqual(new Set(versions.map((view) => view?.report.version)), new Set(['v1']));
 }
 
-function createRandom(seed: number): () => number {
+export function createRandom(seed: number): () => number {
   const generator = xoroshiro128plus(seed);
   return () => uniformFloat64(generator);
 }
--- a/packages/router/src/observeRun.ts
+++ b/packages/router/src/observeRun.ts
@@ -1,4 +1,5 @@
 /** Observes the runs of a call for the rollout of its service. */
+import { computeStartAllowanceMs } from '@galenatiller/target';
 import type { RegisteredTarget } from '@galenatiller/types';
 
 import type { AdmittedCall } from './admitCall.js';
@@ -17,10 +18,6 @@
   readonly signal: AbortSignal;
 }
 
-/** A prompt that a target has not cached delays its first event by this at most, and this share of the objective. */
-const MAX_START_ALLOWANCE_MS = 300;
-const START_ALLOWANCE_SHARE = 0.25;
-
 /** Creates the observation of a run on a target that is about to be sent. */
 export function createObservation(
   opts: ObserveRunOptions,
@@ -32,7 +29,7 @@
     target,
     route,
     isStream: callKind === 'stream',
-    startAllowanceMs: computeStartAllowanceMs(opts),
+    startAllowanceMs: findStartAllowanceMs(opts),
   });
 }
 
@@ -49,10 +46,9 @@
   }
 }
 
-/** Time by which the first event may come later on a target of a version that has nothing cached. */
-function computeStartAllowanceMs({ exchange, admitted }: ObserveRunOptions): number {
-  const { latencyObjectiveMs } = admitted.route;
+/** Calls without prompt parts have no allowance, as nothing of them can be cached. */
+function findStartAllowanceMs({ exchange, admitted }: ObserveRunOptions): number {
   return exchange.call.promptParts.length === 0
     ? 0
-    : Math.min(MAX_START_ALLOWANCE_MS, latencyObjectiveMs * START_ALLOWANCE_SHARE);
+    : computeStartAllowanceMs(admitted.route.latencyObjectiveMs);
 }
--- a/packages/router/src/rollouts.ts
+++ b/packages/router/src/rollouts.ts
@@ -1,4 +1,10 @@
-import { judgeVersion } from '@galenatiller/target';
+import {
+  addToRoute,
+  judgeVersion,
+  type RunsByRoute,
+  sumRoutes,
+  toVersionRuns,
+} from '@galenatiller/target';
 import type { TimerService } from '@galenatiller/timer';
 import type {
   RegisteredTarget,
@@ -11,7 +17,6 @@
 } from '@galenatiller/types';
 
 import type { ObservedRun } from './observedRun.js';
-import { addToRoute, type RunsByRoute, sumRoutes, toVersionRuns } from './versionRuns.js';
 
 /** Options of {@link Rollouts.create}. */
 export interface RolloutsOptions {
--- a/packages/target/src/index.ts
+++ b/packages/target/src/index.ts
@@ -6,7 +6,13 @@
 export { ColdRateLimiter, type ColdRateLimiterOptions } from './coldRateLimiter.js';
 export { CrashSuspects, type CrashSuspectsOptions } from './crashSuspects.js';
 export { getStartKey } from './getStartKey.js';
-export { judgeVersion, type JudgeVersionOptions, type VersionJudgement } from './judgeVersion.js';
+export {
+  type JudgementCaution,
+  judgeVersion,
+  type JudgeVersionOptions,
+  judgeWaits,
+  type VersionJudgement,
+} from './judgeVersion.js';
 export { RetryBudget, type RetryBudgetOptions } from './retryBudget.js';
 export { SlidingWindowCounter, type SlidingWindowCounterOptions } from './slidingWindowCounter.js';
 export {
@@ -29,3 +35,13 @@
 } from './targetNotices.js';
 export { SparePermits, type SparePermitsOptions } from './sparePermits.js';
 export { type TargetStart, toTargetStart } from './targetStart.js';
+export { computeStartAllowanceMs, type RunStart, type VersionRun } from './versionRun.js';
+export {
+  addComparisons,
+  addToRoute,
+  halveRuns,
+  NO_COMPARISON,
+  type RunsByRoute,
+  sumRoutes,
+  toVersionRuns,
+} from './versionRuns.js';
--- a/packages/target/src/judgeVersion.ts
+++ b/packages/target/src/judgeVersion.ts
@@ -37,12 +37,26 @@
 /** Runs with a start that are needed to keep a new version from being called good. */
 const MIN_STARTS_TO_DOUBT = 4;
 
-/** Standard errors by which a mean time to the first event may exceed the usual one by chance. */
-const START_DEVIATIONS = 1;
+/** How much more than chance has to speak against a version before its waits are called bad. */
+export interface JudgementCaution {
+  /** Lost runs of the new version that are needed. */
+  readonly minLost: number;
+  /** Standard deviations by which the lost runs may exceed the usual share. */
+  readonly lostDeviations: number;
+  /** Standard errors by which a mean time to the first event may exceed the usual one. */
+  readonly startDeviations: number;
+}
 
 /** Standard deviations by which the failures of a few runs may exceed the usual share. */
 const FAILURE_DEVIATIONS = 1.5;
 
+/** Caution of a judgement on a version that is on trial for a limited time. */
+const DEFAULT_CAUTION: JudgementCaution = {
+  minLost: 0,
+  lostDeviations: FAILURE_DEVIATIONS,
+  startDeviations: 1,
+};
+
 /**
  * Compares a new version with the old one by the pace, the failures and the lost runs, and by the times
  * to the first event of streams.
@@ -50,7 +64,10 @@
 export function judgeVersion(opts: JudgeVersionOptions): VersionJudgement {
   const { total, routes } = opts;
   // Routes differ in their prompts, so the starts of their streams are only compared by route.
-  if ([total, ...routes].some(isBad) || routes.some(startsFarLater)) {
+  if (
+    [total, ...routes].some(isBad) ||
+    routes.some((runs) => startsFarLater(runs, DEFAULT_CAUTION))
+  ) {
     return 'bad';
   }
   const isProved =
@@ -65,36 +82,58 @@
   return isProved && !isSuspect ? 'good' : 'unproved';
 }
 
+/**
+ * Compares two versions on one route only by what their callers wait for: the runs that were lost, and
+ * the times to the first event of streams.
+ */
+export function judgeWaits(runs: VersionComparison, caution = DEFAULT_CAUTION): VersionJudgement {
+  if (losesOften(runs, caution) || startsFarLater(runs, caution)) {
+    return 'bad';
+  }
+  return startsLater(runs) || !isShareAccepted(runs, getLostShare) ? 'unproved' : 'good';
+}
+
 function isBad(runs: VersionComparison): boolean {
   const { newRuns } = runs;
   const failsOften =
     newRuns.runs >= MIN_RUNS_TO_REJECT &&
     newRuns.failures >= MIN_FAILURES_TO_REJECT &&
     getMore(runs, getFailureShare) >= REJECTED_FAILURE_SHARE + getMargin(runs, getFailureShare);
-  const losesOften =
-    newRuns.runs >= MIN_LOST_RUNS_TO_REJECT &&
-    getMore(runs, getLostShare) >= REJECTED_FAILURE_SHARE + getMargin(runs, getLostShare);
   return (
-    failsOften || losesOften || (hasPaces(runs) && getPaceFactor(runs) >= REJECTED_PACE_FACTOR)
+    failsOften ||
+    losesOften(runs, DEFAULT_CAUTION) ||
+    (hasPaces(runs) && getPaceFactor(runs) >= REJECTED_PACE_FACTOR)
+  );
+}
+
+function losesOften(runs: VersionComparison, caution: JudgementCaution): boolean {
+  const { newRuns } = runs;
+  const marginShare = getMargin(runs, getLostShare, caution.lostDeviations);
+  return (
+    newRuns.runs >= MIN_LOST_RUNS_TO_REJECT &&
+    (newRuns.lost ?? 0) >= caution.minLost &&
+    getMore(runs, getLostShare) >= REJECTED_FAILURE_SHARE + marginShare
   );
 }
 
 function isWithinAccepted(runs: VersionComparison): boolean {
   return (
     (!hasPaces(runs) || getPaceFactor(runs) <= ACCEPTED_PACE_FACTOR) &&
-    [getFailureShare, getLostShare].every(
-      (getShare) => getMore(runs, getShare) <= ACCEPTED_FAILURE_SHARE + getMargin(runs, getShare),
-    )
+    [getFailureShare, getLostShare].every((getShare) => isShareAccepted(runs, getShare))
   );
 }
 
+function isShareAccepted(runs: VersionComparison, getShare: GetShare): boolean {
+  return getMore(runs, getShare) <= ACCEPTED_FAILURE_SHARE + getMargin(runs, getShare);
+}
+
 /** Whether the streams of the new version provably start several times later. */
-function startsFarLater(runs: VersionComparison): boolean {
+function startsFarLater(runs: VersionComparison, caution: JudgementCaution): boolean {
   const { starts } = runs.newRuns;
   if (!starts || countStarts(runs) < MIN_RUNS_TO_REJECT || starts.count < MIN_STARTS_TO_REJECT) {
     return false;
   }
-  const leastMs = getStartMs(starts) - START_DEVIATIONS * getStartErrorMs(starts);
+  const leastMs = getStartMs(starts) - caution.startDeviations * getStartErrorMs(starts);
   return (
     leastMs >= REJECTED_PACE_FACTOR * getStartMs(runs.oldRuns.starts) && exceedsAllowance(runs)
   );
@@ -146,9 +185,13 @@
 }
 
 /** Share by which a few runs of a version exceed the old one's share by chance. */
-function getMargin({ newRuns, oldRuns }: VersionComparison, getShare: GetShare): number {
+function getMargin(
+  { newRuns, oldRuns }: VersionComparison,
+  getShare: GetShare,
+  deviations = FAILURE_DEVIATIONS,
+): number {
   const share = getShare(oldRuns);
-  return FAILURE_DEVIATIONS * Math.sqrt((share * (1 - share)) / Math.max(1, newRuns.runs));
+  return deviations * Math.sqrt((share * (1 - share)) / Math.max(1, newRuns.runs));
 }
 
 function getFailureShare({ runs, failures }: VersionRuns): number {
--- a/packages/router/src/versionRuns.ts
+++ b/packages/target/src/versionRuns.ts
@@ -1,6 +1,6 @@
 import type { StartTimes, VersionComparison, VersionRuns } from '@galenatiller/types';
 
-import type { ObservedRun } from './observedRun.js';
+import type { VersionRun } from './versionRun.js';
 
 const NO_STARTS: StartTimes = { count: 0, sumMs: 0, squareSumMs2: 0, allowanceSumMs: 0 };
 
@@ -13,13 +13,14 @@
   starts: NO_STARTS,
 };
 
-const NO_COMPARISON: VersionComparison = { newRuns: NO_RUNS, oldRuns: NO_RUNS };
+/** The comparison of two versions before any run. */
+export const NO_COMPARISON: VersionComparison = { newRuns: NO_RUNS, oldRuns: NO_RUNS };
 
 /** What was seen of both versions of a rollout, by the name of the route. */
 export type RunsByRoute = ReadonlyMap<string, VersionComparison>;
 
 /** One run in the form in which runs are added up. */
-export function toVersionRuns(run: ObservedRun): VersionRuns {
+export function toVersionRuns(run: VersionRun): VersionRuns {
   const { ending, paceMs, start } = run;
   return {
     runs: 1,
@@ -53,7 +54,11 @@
   return [...byRoute.values()].reduce(addComparisons, NO_COMPARISON);
 }
 
-function addComparisons(left: VersionComparison, right: VersionComparison): VersionComparison {
+/** Adds the runs of two comparisons. */
+export function addComparisons(
+  left: VersionComparison,
+  right: VersionComparison,
+): VersionComparison {
   return {
     newRuns: addRuns(left.newRuns, right.newRuns),
     oldRuns: addRuns(left.oldRuns, right.oldRuns),
@@ -79,3 +84,27 @@
     allowanceSumMs: left.allowanceSumMs + right.allowanceSumMs,
   };
 }
+
+/** Halves what is known of a version, so that older runs count less than those to come. */
+export function halveRuns({
+  runs,
+  failures,
+  measured,
+  paceSumMs,
+  lost = 0,
+  starts = NO_STARTS,
+}: VersionRuns): VersionRuns {
+  return {
+    runs: runs / 2,
+    failures: failures / 2,
+    measured: measured / 2,
+    paceSumMs: paceSumMs / 2,
+    lost: lost / 2,
+    starts: {
+      count: starts.count / 2,
+      sumMs: starts.sumMs / 2,
+      squareSumMs2: starts.squareSumMs2 / 2,
+      allowanceSumMs: starts.allowanceSumMs / 2,
+    },
+  };
+}
