Stop calls whose pieces crash stage workers

Cause: a batch call without a response was a failed attempt of its pieces, and nothing asked whether the worker had crashed. A piece that crashes its workers ran on four of them, with all pieces that shared its batches, and again each time that its call was sent.

Change: pieces carry a fingerprint of their stage and the content of their call, also between routers. The owner of a batch that broke asks the crash detector and records the crash for each piece, with the evidence that routers share already. A suspect runs in a batch call of its own, so that the others complete. After three crashes no worker gets the piece, and the call is refused before its stages at all routers.

--- a/packages/pool/src/dispatchBatches.ts
+++ b/packages/pool/src/dispatchBatches.ts
@@ -11,6 +11,7 @@
 import type { BatchOutcome } from './beginsAtOnce.js';
 import { computeRefusedPauseMs } from './computeRefusedPauseMs.js';
 import { isRefused, recordFullWorker } from './recordFullWorker.js';
+import { failStopped, NO_SUSPECTS, type PieceSuspects } from './pieceSuspects.js';
 import type { ResultMemory } from './resultMemory.js';
 import type { SeenHandles } from './seenHandles.js';
 import type { StageQueue, TakenPiece } from './stageQueue.js';
@@ -76,6 +77,8 @@
   readonly random: () => number;
   readonly workerSpeed: WorkerSpeed;
   readonly seenHandles: SeenHandles;
+  /** Pieces that may crash their workers; none are known if omitted. */
+  readonly suspects?: PieceSuspects;
   readonly runPieces: RunPieces;
   readonly onBatch: (event: BatchEvent) => void;
   /** Called when a batch call is sent to the worker. */
@@ -107,6 +110,7 @@
  */
 export async function dispatchBatches(opts: DispatchBatchesOptions): Promise<void> {
   const { timer, queue, target, resultMemory, workerSpeed, signal } = opts;
+  const { suspects = NO_SUSPECTS } = opts;
   let failures = 0;
   let refusals = 0;
   let lastOutcome: BatchOutcome = 'none';
@@ -116,7 +120,7 @@
       await timer.sleep({ delayMs: FAILED_PAUSE_MS, signal });
       continue;
     }
-    const taken = await queue.take({
+    const chosen = await queue.take({
       target,
       limits,
       availableBytes: () =>
@@ -124,6 +128,7 @@
       minWaitMs: workerSpeed.minWaitMs(target.address),
       signal,
     });
+    const taken = failStopped(suspects, chosen);
     if (taken.length === 0) {
       continue;
     }
@@ -132,7 +137,7 @@
       continue;
     }
     opts.onSent(target);
-    const outcome = await runBatch({ ...opts, limits, taken, lastOutcome });
+    const outcome = await runBatch({ ...opts, suspects, limits, taken, lastOutcome });
     lastOutcome = outcome;
     failures = outcome === 'failed' ? failures + 1 : 0;
     refusals = outcome === 'refused' ? refusals + 1 : 0;
@@ -150,6 +155,7 @@
 
 async function runBatch(
   opts: Omit<DispatchBatchesOptions, 'limits'> & {
+    readonly suspects: PieceSuspects;
     readonly limits: BatchLimits;
     readonly taken: readonly TakenPiece[];
     readonly lastOutcome: BatchOutcome;
@@ -192,6 +198,9 @@
   );
   if (response.kind !== 'answered') {
     const isCancelled = cancellation.signal.aborted;
+    if (response.kind === 'broken' && !isCancelled) {
+      await opts.suspects.recordBroken({ target, pieces });
+    }
     return endUnanswered({ ...opts, kind: response.kind, bytes, isCancelled, start });
   }
   workerSpeed.recordSuccess({ address: target.address, tookMs, expectedMs });
@@ -214,6 +223,7 @@
     readonly bytes: number;
     readonly isCancelled: boolean;
     readonly start: { readonly isBegun: () => boolean };
+    readonly suspects: PieceSuspects;
   },
 ): BatchOutcome {
   const { target, kind, bytes, limits } = opts;
@@ -223,7 +233,9 @@
   }
   const countsAsAttempt = kind !== 'refused';
   const areInputsFreed = opts.start.isBegun();
-  opts.taken.forEach((piece) => retryOrFail({ piece, countsAsAttempt, areInputsFreed }));
+  failStopped(opts.suspects, opts.taken).forEach((piece) =>
+    retryOrFail({ piece, countsAsAttempt, areInputsFreed }),
+  );
   if (!opts.isCancelled && countsAsAttempt) {
     opts.workerSpeed.recordFailure(address);
   }
@@ -297,9 +309,11 @@
   readonly piece: TakenPiece;
   readonly result: PieceResult;
   readonly areInputsFreed: boolean;
+  readonly suspects: PieceSuspects;
 }): void {
   const { piece, result, resultMemory } = opts;
   if (result.kind === 'made') {
+    opts.suspects.recordMade(piece.queued.piece);
     const { resultBytes } = piece.queued.piece;
     resultMemory.add({ handle: result.handle, bytes: resultBytes, limits: opts.limits });
     if (piece.signal.aborted) {
--- a/packages/pool/src/index.ts
+++ b/packages/pool/src/index.ts
@@ -1,5 +1,6 @@
 /** Client of encoder, retriever and reranker pools, with the queue that batches their work. */
 export { computeRefusedPauseMs, type RefusedPauseOptions } from './computeRefusedPauseMs.js';
+export { NO_SUSPECTS, type PieceSuspects } from './pieceSuspects.js';
 export { orderPieces } from './orderPieces.js';
 export type { StageThroughput } from './stageThroughput.js';
 export { SeenHandles } from './seenHandles.js';
--- a/packages/pool/src/stageQueue.ts
+++ b/packages/pool/src/stageQueue.ts
@@ -12,6 +12,7 @@
 import { findIdleZones } from './findIdleZones.js';
 import { findInfeasible } from './findInfeasible.js';
 import { PieceWaits } from './pieceWaits.js';
+import { isolateSuspects, NO_SUSPECTS, type PieceSuspects } from './pieceSuspects.js';
 import type { OrderPieces, QueuedPiece } from './queuedPiece.js';
 import type { StageThroughput } from './stageThroughput.js';
 
@@ -24,6 +25,8 @@
   /** Zones that have a usable worker of normal speed. */
   readonly workerZones: () => ReadonlySet<string>;
   readonly onStageAbandoned: (event: AbandonedStageEvent) => void;
+  /** Whether a piece may crash the worker that runs it, so that it gets a batch call of its own. */
+  readonly isSuspect?: PieceSuspects['isSuspect'];
   /** Called when a worker takes a piece of a call that can't be on time. */
   readonly onDelayedTaken?: (piece: StagePiece) => void;
 }
@@ -187,11 +190,10 @@
     const { usage } = this;
     const throughput = this.opts.throughput();
     const { ordered, onTimeCount } = order({ pieces, nowMs, throughput, usage });
-    const chosen = choosePieces({
-      ordered,
-      limits: opts.limits,
-      availableBytes,
-    });
+    const chosen = isolateSuspects(
+      choosePieces({ ordered, limits: opts.limits, availableBytes }),
+      this.opts.isSuspect ?? NO_SUSPECTS.isSuspect,
+    );
     this.recordUsage(chosen, nowMs, throughput);
     const delayed = new Set(ordered.slice(onTimeCount));
     this.pieceWaits.recordTaken(
--- a/packages/router/src/createStages.ts
+++ b/packages/router/src/createStages.ts
@@ -15,6 +15,7 @@
 import type { TimerService } from '@galenatiller/timer';
 import type { BatchLimits, PriorityWait } from '@galenatiller/types';
 
+import type { CrashDetector } from './crashDetector.js';
 import type { ProviderDuties } from './createProviderDuties.js';
 import { createPeerService } from './createPeerService.js';
 import { logAbandonedStage, logLinkEvent, logStageCall } from './logEvents.js';
@@ -28,6 +29,7 @@
   StageSubmitter,
 } from './ownership/index.js';
 import { PeerRouters } from './peerRouters.js';
+import { createPieceSuspects } from './pieceSuspects.js';
 import { Permits } from './permits.js';
 import type { TargetClient } from './ports.js';
 import { toPriorityTag } from './priorityTag.js';
@@ -54,6 +56,7 @@
   readonly nodeCount: () => number;
   readonly tasks: TaskGroup;
   readonly crashSuspects: CrashSuspects;
+  readonly crashDetector: CrashDetector;
   readonly rollouts: Rollouts;
   /** Passes what this node has read from the store on to other routers. */
   readonly relay: PrefixRelay;
@@ -111,6 +114,7 @@
     resultMemory,
     shards,
     countSenders: (shard) => countSenders({ owners, selfName, nodeCount, shard }),
+    suspects: createPieceSuspects(opts),
     runPieces: opts.targetClient.runPieces,
     onBatch: (event) => {
       logStageCall(log, event);
--- a/packages/router/src/runStages.ts
+++ b/packages/router/src/runStages.ts
@@ -12,6 +12,7 @@
 } from '@galenatiller/types';
 
 import { getPieceCount } from './computeStageDeadlines.js';
+import { createStageFingerprint } from './pieceSuspects.js';
 import { StageStart } from './stageStart.js';
 
 /** Submits a piece to the workers of a service. */
@@ -27,6 +28,8 @@
 export interface RunStagesOptions {
   readonly route: RouteConfig;
   readonly call: RoutedCall;
+  /** Fingerprint of the content of the call. */
+  readonly content: string;
   readonly priority: number;
   /** Zone in which the call is likely to run; empty when that is not known. */
   readonly zoneHint: string;
@@ -179,6 +182,12 @@
     zoneWaitUntilMs: opts.zoneWaitsUntilMs[position] ?? 0,
     priority: opts.priority,
     urgency: opts.urgencies[position],
+    fingerprint: createStageFingerprint({
+      content: opts.content,
+      pieceKey: call.pieceKey,
+      service: stage.service,
+      position,
+    }),
   };
 }
 
--- a/packages/router/src/serveCall.ts
+++ b/packages/router/src/serveCall.ts
@@ -25,6 +25,7 @@
   settleEnding,
 } from './endAttempts.js';
 import { runAttempts } from './runAttempts.js';
+import { findStoppedPiece } from './pieceSuspects.js';
 import { runStages, type StagesDone, type StagesFailed } from './runStages.js';
 import { StageProgress } from './stageProgress.js';
 import {
@@ -120,7 +121,11 @@
     return;
   }
   const fingerprints = computeFingerprints({ ...context, ...admitted, call, body: body.value });
-  const stopped = context.crashSuspects.findStopped(fingerprints);
+  const [content = ''] = fingerprints;
+  const { crashSuspects } = context;
+  const stopped =
+    crashSuspects.findStopped(fingerprints) ??
+    findStoppedPiece({ crashSuspects, ...admitted, call, content });
   if (stopped !== undefined) {
     refuse(opts, createStoppedError(stopped), admitted);
     return;
@@ -207,6 +212,7 @@
   return runStages({
     route,
     call: exchange.call,
+    content: opts.fingerprints[0] ?? '',
     priority: admitted.priority,
     deadlinesAtMs: computeStageDeadlines({
       ...deadlineOptions,
@@ -246,6 +252,12 @@
   if (opts.tracked.signal.aborted) {
     return { kind: 'refused', error: createStoppingError() };
   }
+  const { crashSuspects } = context;
+  const [content = ''] = opts.fingerprints;
+  const stopped = findStoppedPiece({ crashSuspects, ...admitted, ...opts.exchange, content });
+  if (stopped !== undefined) {
+    return { kind: 'refused', error: createStoppedError(stopped) };
+  }
   const service = admitted.route.stages[failure.stage]?.service ?? '';
   const leftMs = Math.max(0, admitted.firstByteDeadlineAtMs - context.timer.nowMs());
   const error = GalenatillerError.create({
--- a/packages/router/src/stageWorkers.ts
+++ b/packages/router/src/stageWorkers.ts
@@ -3,6 +3,7 @@
   type BatchEvent,
   dispatchBatches,
   orderPieces,
+  type PieceSuspects,
   type ResultMemory,
   type RunPieces,
   SeenHandles,
@@ -41,6 +42,7 @@
   readonly countSenders: (shard: string) => number;
   /** Uniformly distributed number from 0 to 1. */
   readonly random: () => number;
+  readonly suspects?: PieceSuspects;
   readonly runPieces: RunPieces;
   readonly onBatch: (event: BatchEvent) => void;
   readonly onStageAbandoned: (event: AbandonedStageEvent & { readonly service: string }) => void;
@@ -164,7 +166,7 @@
   }
 
   private startWorker(target: RegisteredTarget): void {
-    const { timer, routes, notices, resultMemory, runPieces, onBatch, tasks } = this.opts;
+    const { timer, routes, notices, resultMemory, runPieces, onBatch, tasks, suspects } = this.opts;
     const stop = new AbortController();
     const shard = this.opts.shards.findShardOf(target);
     this.workerTasks.set(getStartKey(target), { target, shard, stop });
@@ -180,6 +182,7 @@
         random: this.opts.random,
         workerSpeed: this.workerSpeed,
         seenHandles: this.seenHandles,
+        ...(suspects && { suspects }),
         runPieces: (batch) => this.countBatch(runPieces(batch)),
         onBatch,
         onSent: (worker) => notices.recordSent(toTargetStart(worker)),
@@ -246,7 +249,7 @@
     if (known) {
       return known;
     }
-    const { timer } = this.opts;
+    const { timer, suspects } = this.opts;
     const queue = StageQueue.create({
       timer,
       order: orderPieces,
@@ -255,6 +258,7 @@
       workerZones: () => this.workerZones(shard),
       onStageAbandoned: (event) => this.opts.onStageAbandoned({ ...event, service: shard.service }),
       onDelayedTaken: this.opts.onDelayedTaken,
+      ...(suspects && { isSuspect: suspects.isSuspect }),
     });
     this.queues.set(shard.key, queue);
     return queue;
--- a/packages/router/test/burstSimulation.ts
+++ b/packages/router/test/burstSimulation.ts
@@ -212,6 +212,7 @@
     const stages = await runStages({
       route,
       call,
+      content: call.requestId,
       priority: route.priority,
       zoneHint: '',
       deadlinesAtMs: computeStageDeadlines({ ...shared, respondByMs }),
--- a/packages/router/test/freeNotices.steps.ts
+++ b/packages/router/test/freeNotices.steps.ts
@@ -12,6 +12,7 @@
 import { TaskGroup } from '@galenatiller/tasks';
 import type { ManualClock, TimerService } from '@galenatiller/timer';
 
+import { CrashDetector } from '../src/crashDetector.js';
 import { createStages, type Stages } from '../src/createStages.js';
 import { Rollouts } from '../src/rollouts.js';
 import { RouteTable } from '../src/routeTable.js';
@@ -84,6 +85,7 @@
     notices,
     nodeCount: () => 1,
     tasks: TaskGroup.create({ onFailure: () => {} }),
+    crashDetector: CrashDetector.create({ probe: notUsed, mayProbe: () => false }),
     crashSuspects: CrashSuspects.create({ timer, share: () => {}, onStopped: () => {} }),
     provider: {
       countRequest: () => {},
--- a/packages/router/test/roomSimulation.ts
+++ b/packages/router/test/roomSimulation.ts
@@ -253,6 +253,7 @@
       const stages = await runStages({
         route,
         call,
+        content: call.requestId,
         priority: kind.priority,
         zoneHint: '',
         deadlinesAtMs: computeStageDeadlines({ ...deadlineOptions, respondByMs }),
--- a/packages/routerLink/src/acceptRouters.ts
+++ b/packages/routerLink/src/acceptRouters.ts
@@ -267,6 +267,7 @@
     zoneWaitUntilMs: nowMs + frame.zoneWaitInMs,
     inputsExpireAtMs: nowMs + frame.inputsExpireInMs,
     urgency: frame.urgency && decodeUrgency(frame.urgency, nowMs),
+    fingerprint: frame.fingerprint,
   };
 }
 
--- a/packages/routerLink/src/pieceOrders.ts
+++ b/packages/routerLink/src/pieceOrders.ts
@@ -192,6 +192,7 @@
       zoneWaitInMs: first.zoneWaitUntilMs - nowMs,
       inputsExpireInMs: first.inputsExpireAtMs - nowMs,
       ...(reportsBegun ? { reportsBegun } : {}),
+      ...(first.fingerprint !== undefined && { fingerprint: first.fingerprint }),
       ...(first.urgency && { urgency: encodeUrgency(first.urgency, nowMs) }),
     });
     if (!isSent) {
--- a/packages/routerLink/src/routerFrames.ts
+++ b/packages/routerLink/src/routerFrames.ts
@@ -58,6 +58,8 @@
   readonly reportsBegun?: boolean;
   /** Routers of earlier versions send and expect none. */
   readonly urgency?: OrderedUrgency | undefined;
+  /** Routers of earlier versions send and expect none. */
+  readonly fingerprint?: string | undefined;
 }
 
 /** Says that workers have fetched the inputs of pieces whose order asked for that. */
--- a/packages/routerLink/src/wireRouterFrame.ts
+++ b/packages/routerLink/src/wireRouterFrame.ts
@@ -132,6 +132,7 @@
     areStrings(fields, ['service', 'shard', 'requestId', 'key', 'zoneHint']) &&
     isStringList(fields.inputs) &&
     (fields.reportsBegun === undefined || typeof fields.reportsBegun === 'boolean') &&
+    (fields.fingerprint === undefined || typeof fields.fingerprint === 'string') &&
     (fields.urgency === undefined || isUrgency(fields.urgency)) &&
     Array.isArray(fields.pieces) &&
     fields.pieces.every((ordered) => areNumbers(asFields(ordered), ['orderId', 'piece']))
--- a/packages/routerLink/test/linkWorld.ts
+++ b/packages/routerLink/test/linkWorld.ts
@@ -111,6 +111,7 @@
       deadlineAtMs: world.orderedAtMs + changes.deadlineInMs,
       dueAtMs: world.orderedAtMs + changes.dueInMs,
       priority: 1,
+      fingerprint: 'stage 0 content',
       ...(changes.startInMs !== undefined && {
         urgency: {
           latestStartAtMs: world.orderedAtMs + changes.startInMs,
--- a/packages/routerLink/test/routerLink.steps.ts
+++ b/packages/routerLink/test/routerLink.steps.ts
@@ -192,6 +192,7 @@
     assert.ok(lateMs >= 0 && lateMs < TOLERANCE_MS, String(lateMs));
     assert.ok(Math.abs(piece.dueAtMs - this.orderedAtMs - dueInMs) < TOLERANCE_MS);
     assert.equal(piece.inputsExpireAtMs, Infinity);
+    assert.equal(piece.fingerprint, 'stage 0 content');
     assert.deepEqual(piece.inputs, ['10.0.0.9:1/x']);
   },
 );
--- a/packages/target/src/crashSuspects.ts
+++ b/packages/target/src/crashSuspects.ts
@@ -60,6 +60,16 @@
     );
   }
 
+  /** Whether a target crashed during a call with a fingerprint, and none has completed one since. */
+  isSuspect(fingerprint: string): boolean {
+    return this.countCrashes(fingerprint) > 0;
+  }
+
+  /** Whether any crash is known. */
+  get hasCrashes(): boolean {
+    return this.crashes.size > 0;
+  }
+
   /** Records that a target crashed while a call ran on it; each call that ran there is a suspect. */
   recordCrash(opts: {
     readonly targetStart: string;
--- a/packages/types/src/routedCall.ts
+++ b/packages/types/src/routedCall.ts
@@ -78,6 +78,8 @@
   readonly priority: number;
   /** Unset when a router of an earlier version ordered the piece. */
   readonly urgency?: PieceUrgency | undefined;
+  /** Equal for the pieces of a stage of calls with the same content; unset like the urgency. */
+  readonly fingerprint?: string | undefined;
 }
 
 /** How long a new piece of a priority has to expect to wait for a worker, and still be on time. */
