Keep the lease of an entry whose write was not answered

Cause: a node whose write of its member entry was not answered took a new lease and wrote the entry again. The first write was done seconds later, tied the entry to the lease that nobody renewed, and the entry was removed with it. The node renewed its second lease and never looked at its entry.

Change: the node keeps the lease and writes the entry again with it. At each renewal it compares what was read since its last write with its own entry, and writes it again if it is missing or its mark was replaced: by a late write of the process before a restart, or one that says that a leaving node stays. Its lease counts as a new one then. This is ownRegistration.ts, taken out of membership.ts.

--- a/packages/store/src/index.ts
+++ b/packages/store/src/index.ts
@@ -24,10 +24,6 @@
 export { RestoredEntries, type RestoredEntriesOptions } from './restoredEntries.js';
 export { StatedEra, type StatedEraEvent, type StatedEraOptions } from './statedEra.js';
 export { type Member, readMember } from './member.js';
-export {
-  type LeaseClient,
-  MEMBER_LEASE_MS,
-  Membership,
-  type MembershipOptions,
-  type OwnLease,
-} from './membership.js';
+export type { LeaseClient, OwnLease } from './leaseClient.js';
+export { Membership, type MembershipOptions } from './membership.js';
+export { MEMBER_LEASE_MS } from './ownRegistration.js';
--- a/packages/store/test/membership.feature
+++ b/packages/store/test/membership.feature
@@ -29,3 +29,23 @@
   Scenario: The entry of a node that does not know of leaving is one of a node that stays
     When an older node writes the entry "10.0.0.9:1 0.5" as "old"
     Then node "b" sees "a,b,old"
+
+  # Guards against a node that vanishes for good because a late write ties its entry to a lease that has ended.
+  Scenario: A node whose entry is written late stays a member
+    Given the answer to the next write is lost, and it is done 2400 ms later
+    When the node "c" joins
+    And 8000 ms pass at the store of the members
+    Then node "b" sees "a,b,c"
+
+  Scenario: A node whose entry is replaced by one that ends registers again
+    When a process that was killed writes the entry of "a" late, as one that stays
+    And 8000 ms pass at the store of the members
+    Then node "b" sees "a,b"
+    And node "a" has a lease of a later generation
+
+  # Guards against work for a node that leaves, whose late write says that it stays.
+  Scenario: A node that leaves says so again after a late write
+    When node "a" begins to leave
+    And a process that was killed writes the entry of "a" late, as one that stays
+    And 2000 ms pass at the store of the members
+    Then node "b" sees "a leaving,b"
--- a/packages/store/test/membership.steps.ts
+++ b/packages/store/test/membership.steps.ts
@@ -4,6 +4,7 @@
 import {
   type LeaseClient,
   type Member,
+  MEMBER_LEASE_MS,
   Membership,
   PrefixRelay,
   type PrefixEntry,
@@ -19,6 +20,7 @@
   memberStore: MemberStore;
   memberships: Map<string, Membership>;
   stopMembers: AbortController;
+  generationBefore: number;
 }
 
 const AWAY: ReadFailure = { kind: 'unanswered', detail: 'scripted' };
@@ -29,6 +31,11 @@
 class MemberStore {
   isAway = false;
 
+  /** The answer to the next write is lost, and the write is done this much later. */
+  nextWriteLateMs: number | undefined;
+
+  private readonly leaseEndsAtMs = new Map<string, number>();
+
   private readonly entries = new Map<string, PrefixEntry & { readonly leaseId: string }>();
 
   private revision = 1;
@@ -41,9 +48,34 @@
     return new MemberStore(timer);
   }
 
-  put(key: string, value: Buffer, leaseId: string): void {
+  /** Writes an entry, unless its lease has ended; it is removed when its lease ends. */
+  put(key: string, value: Buffer, leaseId: string): 'written' | 'ended' {
+    if (this.timer.nowMs() >= (this.leaseEndsAtMs.get(leaseId) ?? Infinity)) {
+      return 'ended';
+    }
     this.revision += 1;
     this.entries.set(key, { key, value, revision: this.revision, leaseId });
+    return 'written';
+  }
+
+  /** Starts or renews a lease. */
+  keep(leaseId: string): void {
+    const endsAtMs = this.timer.nowMs() + MEMBER_LEASE_MS;
+    this.leaseEndsAtMs.set(leaseId, endsAtMs);
+    this.timer.after({
+      delayMs: MEMBER_LEASE_MS,
+      notify: () => {
+        if (this.leaseEndsAtMs.get(leaseId) === endsAtMs) {
+          this.removeEntries(leaseId);
+        }
+      },
+    });
+  }
+
+  private removeEntries(leaseId: string): void {
+    const owned = [...this.entries.values()].filter((entry) => entry.leaseId === leaseId);
+    owned.forEach(({ key }) => this.entries.delete(key));
+    this.revision += 1;
   }
 
   readonly source: PrefixSource = {
@@ -70,19 +102,33 @@
     return {
       grant: ({ ttlMs }) => {
         granted += 1;
-        return this.call(() => ({ leaseId: `${prefix}-${granted}`, ttlMs }));
+        const leaseId = `${prefix}-${granted}`;
+        return this.call(() => {
+          this.keep(leaseId);
+          return { leaseId, ttlMs };
+        });
       },
-      keepAlive: () => this.call(() => 'kept' as const),
-      put: ({ key, value, leaseId }) =>
+      keepAlive: ({ leaseId }) =>
         this.call(() => {
-          this.put(key, value, leaseId);
-          return 'written' as const;
+          const isOver = this.timer.nowMs() >= (this.leaseEndsAtMs.get(leaseId) ?? 0);
+          if (!isOver) {
+            this.keep(leaseId);
+          }
+          return isOver ? 'ended' : 'kept';
         }),
+      put: ({ key, value, leaseId }) => {
+        const delayMs = this.nextWriteLateMs;
+        this.nextWriteLateMs = undefined;
+        if (delayMs === undefined) {
+          return this.call(() => this.put(key, value, leaseId));
+        }
+        this.timer.after({ delayMs, notify: () => this.put(key, value, leaseId) });
+        return Promise.resolve(Result.err(AWAY));
+      },
       revoke: async ({ leaseId }) => {
         await this.call(() => {
-          const owned = [...this.entries.values()].filter((entry) => entry.leaseId === leaseId);
-          owned.forEach(({ key }) => this.entries.delete(key));
-          this.revision += 1;
+          this.leaseEndsAtMs.set(leaseId, 0);
+          this.removeEntries(leaseId);
         });
       },
     };
@@ -109,27 +155,29 @@
     this.memberStore = MemberStore.create(timer);
     this.stopMembers = new AbortController();
     this.memberships = new Map();
-    [first, second].forEach((name) => {
-      const storeEra = StatedEra.create({ onEvent: () => {} });
-      const relay = PrefixRelay.create({ timer, storeEra });
-      const membership = Membership.create({
-        observe: (observed) => relay.observe(observed),
-        source: this.memberStore.source,
-        leases: this.memberStore.createLeases(),
-        storeEra,
-        timer,
-        self: { name, address: '10.0.0.1:1', cpuCores: 1, availabilityZone: 'zone' },
-        random: () => 0.5,
-        onChange: () => {},
-        onEvent: () => {},
-      });
-      this.memberships.set(name, membership);
-      membership.run({ signal: this.stopMembers.signal }).catch(() => {});
-    });
+    [first, second].forEach((name) => startMember(this, name, timer));
     await this.membersClock.advance({ byMs: SETTLE_MS });
   },
 );
 
+function startMember(world: MembersWorld, name: string, timer: TimerService): void {
+  const storeEra = StatedEra.create({ onEvent: () => {} });
+  const relay = PrefixRelay.create({ timer, storeEra });
+  const membership = Membership.create({
+    observe: (observed) => relay.observe(observed),
+    source: world.memberStore.source,
+    leases: world.memberStore.createLeases(),
+    storeEra,
+    timer,
+    self: { name, address: '10.0.0.1:1', cpuCores: 1, availabilityZone: 'zone' },
+    random: () => 0.5,
+    onChange: () => {},
+    onEvent: () => {},
+  });
+  world.memberships.set(name, membership);
+  membership.run({ signal: world.stopMembers.signal }).catch(() => {});
+}
+
 After({ tags: '@membership' }, function after(this: Partial<MembersWorld>) {
   this.stopMembers?.abort();
 });
@@ -162,6 +210,42 @@
   },
 );
 
+Given(
+  'the answer to the next write is lost, and it is done {int} ms later',
+  function given(this: MembersWorld, lateMs: number) {
+    this.memberStore.nextWriteLateMs = lateMs;
+  },
+);
+
+When('the node {string} joins', function when(this: MembersWorld, name: string) {
+  startMember(this, name, TimerService.create({ clock: this.membersClock }));
+});
+
+When(
+  'a process that was killed writes the entry of {string} late, as one that stays',
+  function when(this: MembersWorld, name: string) {
+    this.generationBefore = this.memberships.get(name)?.ownLease()?.generation ?? 0;
+    this.memberStore.keep('killed');
+    const value = Buffer.from('10.0.0.1:1 1 staying zone');
+    this.memberStore.put(`galenatiller/members/${name}`, value, 'killed');
+  },
+);
+
+When(
+  '{int} ms pass at the store of the members',
+  async function when(this: MembersWorld, byMs: number) {
+    await this.membersClock.advance({ byMs });
+  },
+);
+
+Then(
+  'node {string} has a lease of a later generation',
+  function then(this: MembersWorld, name: string) {
+    const lease = this.memberships.get(name)?.ownLease();
+    assert.equal(lease?.generation, this.generationBefore + 1);
+  },
+);
+
 Then('node {string} sees {string}', function then(this: MembersWorld, name: string, seen: string) {
   const shown = liveMembers(this, name).map((member) =>
     member.leavingSince > 0 ? `${member.name} leaving` : member.name,
