Keep missing targets only after outages in which entries can expire

Cause: each failed read of the store, also a watch that was cut and read again 0.15 s later, started the grace period of 2.2 s in which targets without an entry are kept. A worker whose entry was removed about then got calls for that time.

Change: the event `regained` of a mirror states the age of its evidence, and the grace period starts from 2 s on. Entries end after several missed heartbeats, over a second apart, so a shorter outage ends none.

After an outage of 2 s or more, an entry that was removed still cannot be told from one that expired.

--- a/packages/router/src/createMirrors.ts
+++ b/packages/router/src/createMirrors.ts
@@ -82,7 +82,7 @@
       minIntervalMs: MIN_TARGETS_INTERVAL_MS,
       onEvent: (event) => {
         if (event.kind === 'regained') {
-          targets.onStoreReconnected();
+          targets.onStoreReconnected({ awayMs: event.evidenceAgeMs });
         }
         logStoreEvent(log, event);
       },
--- a/packages/store/src/prefixMirror.ts
+++ b/packages/store/src/prefixMirror.ts
@@ -31,7 +31,13 @@
       readonly detail: string;
       readonly evidenceAgeMs: number;
     }
-  | { readonly kind: 'regained'; readonly prefix: string; readonly storeRevision: number }
+  | {
+      readonly kind: 'regained';
+      readonly prefix: string;
+      readonly storeRevision: number;
+      /** Age of the newest evidence until then: how long the store may have been unreachable. */
+      readonly evidenceAgeMs: number;
+    }
   | { readonly kind: 'history-lost'; readonly prefix: string; readonly storeRevision: number }
   | { readonly kind: 'restored'; readonly prefix: string; readonly storeRevision: number };
 
@@ -269,15 +275,17 @@
   private confirm(opts: Confirmation & { readonly storeRevision: number }): void {
     const { evidenceAt, storeRevision } = opts;
     const { timer } = this.opts;
+    const evidenceAgeMs = this.evidenceAgeMs();
     // A relayed read may be older than the last one.
-    if (!this.confirmedAt || elapsedSinceMs(timer, evidenceAt) < this.evidenceAgeMs()) {
+    if (!this.confirmedAt || elapsedSinceMs(timer, evidenceAt) < evidenceAgeMs) {
       this.confirmedAt = evidenceAt;
     }
     this.storeRevision = storeRevision;
     this.failures = 0;
     if (this.isStoreLost) {
       this.isStoreLost = false;
-      this.opts.onEvent({ kind: 'regained', prefix: this.opts.prefix, storeRevision });
+      const { prefix } = this.opts;
+      this.opts.onEvent({ kind: 'regained', prefix, storeRevision, evidenceAgeMs });
     }
   }
 
--- a/packages/store/test/prefixMirror.feature
+++ b/packages/store/test/prefixMirror.feature
@@ -28,6 +28,15 @@
     When 1000 ms pass for the mirror
     Then its evidence is at most 1000 ms old
     And the recovery was reported once
+    And it said that the evidence was 4000 to 5700 ms old
+
+  # Guards against a cut watch that is taken for an outage in which entries expired.
+  Scenario: The end of a short outage says how short it was
+    When 1100 ms pass for the mirror
+    And the store is down for 100 ms
+    And 1000 ms pass for the mirror
+    Then the recovery was reported once
+    And it said that the evidence was 100 to 1800 ms old
 
   Scenario: A read from a store that hangs times out
     When 100 ms pass for the mirror
--- a/packages/store/test/prefixMirror.steps.ts
+++ b/packages/store/test/prefixMirror.steps.ts
@@ -33,6 +33,7 @@
   /** Whether "a" was still in the mirror when the recovery was reported. */
   hadKeyAtRecovery: boolean;
   isMirrorCurrent: boolean;
+  ageAtRecoveryMs: number;
 }
 
 function createEntry(key: string, revision: number): PrefixEntry {
@@ -139,9 +140,10 @@
         this.mirroredKeys.delete(change.key);
       }
     },
-    onEvent: ({ kind }) => {
-      this.reportedKinds.push(kind);
-      if (kind === 'regained') {
+    onEvent: (event) => {
+      this.reportedKinds.push(event.kind);
+      if (event.kind === 'regained') {
+        this.ageAtRecoveryMs = event.evidenceAgeMs;
         this.hadKeyAtRecovery = this.mirroredKeys.has('p/a');
       }
     },
@@ -316,3 +318,11 @@
     assert.equal(this.reportedKinds.filter((reportedKind) => reportedKind === kind).length, 1);
   },
 );
+
+Then(
+  'it said that the evidence was {int} to {int} ms old',
+  function then(this: MirrorWorld, minMs: number, maxMs: number) {
+    const ageMs = this.ageAtRecoveryMs;
+    assert.ok(ageMs >= minMs && ageMs <= maxMs, `${ageMs} ms`);
+  },
+);
--- a/packages/target/src/targetDirectory.ts
+++ b/packages/target/src/targetDirectory.ts
@@ -37,6 +37,12 @@
 /** Live targets write their entries again within two seconds after the store is back. */
 const REREGISTRATION_GRACE_MS = 2_200;
 
+/**
+ * An entry ends after several missed heartbeats, which are over a second apart. A shorter outage, such as
+ * a watch that is cut, ends no entry of a live target.
+ */
+const MIN_EXPIRING_OUTAGE_MS = 2_000;
+
 /** The targets that are registered in the store, and the zones that operators have taken out. */
 export class TargetDirectory {
   private entries = new Map<string, DirectoryEntry>();
@@ -138,10 +144,13 @@
   }
 
   /**
-   * Starts the grace period for missing entries, as the store is reachable again after an outage.
+   * Starts the grace period for missing entries, as the store is reachable again after an outage in which
+   * entries of live targets may have expired.
    */
-  onStoreReconnected(): void {
-    this.graceUntilMs = this.opts.timer.nowMs() + REREGISTRATION_GRACE_MS;
+  onStoreReconnected(opts: { readonly awayMs: number }): void {
+    if (opts.awayMs >= MIN_EXPIRING_OUTAGE_MS) {
+      this.graceUntilMs = this.opts.timer.nowMs() + REREGISTRATION_GRACE_MS;
+    }
   }
 
   /** Takes a zone out, so that its targets get no new work, or takes it in again. */
--- a/packages/target/test/target.feature
+++ b/packages/target/test/target.feature
@@ -19,6 +19,18 @@
     Then the usable targets are "a, b"
     And after 2300 ms the usable targets are "b"
 
+  # Guards against calls to a worker that is gone, whose entry was removed about when a watch was cut.
+  Scenario: A target that is removed while a watch is cut is dropped at once
+    Given the targets "a" and "b" are registered
+    When the store is reachable again after 1900 ms without target "a"
+    Then the usable targets are "b"
+
+  # Guards against live targets that get no calls because the store could not take their heartbeats.
+  Scenario: An outage that is long enough for entries to expire starts the grace period
+    Given the targets "a" and "b" are registered
+    When the store is reachable again after 2000 ms without target "a"
+    Then the usable targets are "a, b"
+
   Scenario: An entry that returns in time is kept
     Given the targets "a" and "b" are registered
     When the store is reachable again without target "a"
--- a/packages/target/test/target.steps.ts
+++ b/packages/target/test/target.steps.ts
@@ -74,9 +74,9 @@
 });
 
 When(
-  'the store is reachable again without target {string}',
-  function when(this: TargetWorld, id: string) {
-    this.directory.onStoreReconnected();
+  /^the store is reachable again (?:after (\d+) ms )?without target "([^"]*)"$/,
+  function when(this: TargetWorld, awayMs: string | null, id: string) {
+    this.directory.onStoreReconnected({ awayMs: Number(awayMs ?? 10_000) });
     const entries = this.directory
       .all()
       .filter((target) => target.id !== id)
