--- a/packages/pool/src/stageQueue.ts
+++ b/packages/pool/src/stageQueue.ts
@@ -8,6 +8,7 @@
 import { PieceWaits } from './pieceWaits.js';
 import type { WaitingPiece } from './leaveToFaster.js';
 import { limitCallSize } from './limitCallSize.js';
+import { isolateSuspects, NO_SUSPECTS, type PieceSuspects } from './pieceSuspects.js';
 import type { OrderPieces, QueuedPiece } from './queuedPiece.js';
 import type { StageThroughput } from './stageThroughput.js';
 import type { TakenPiece, TakeOptions } from './takeOptions.js';
@@ -22,6 +23,8 @@
   /** Zones that have a usable worker of normal speed. */
   readonly workerZones: () => ReadonlySet<string>;
   readonly onStageAbandoned: (event: AbandonedStageEvent) => void;
+  /** Whether a piece may crash the worker that runs it, so that it gets a batch call of its own. */
+  readonly isSuspect?: PieceSuspects['isSuspect'];
   /** Called when a worker takes a piece of a call that can't be on time. */
   readonly onDelayedTaken?: (piece: StagePiece) => void;
   /**
@@ -173,7 +176,10 @@
     const { ordered, onTimeCount } = order({ pieces, nowMs, throughput, usage });
     const left = this.roster.leaveToFaster(opts, ordered, nowMs);
     const limits = limitCallSize({ ...opts, ordered: left, nowMs });
-    const chosen = choosePieces({ ordered: left, limits, availableBytes });
+    const chosen = isolateSuspects(
+      choosePieces({ ordered: left, limits, availableBytes }),
+      this.opts.isSuspect ?? NO_SUSPECTS.isSuspect,
+    );
     if (left.length === 0 && ordered.length > 0) {
       this.opts.onUneven?.('deferred');
     }
--- a/packages/router/src/stageWorkers.ts
+++ b/packages/router/src/stageWorkers.ts
@@ -4,6 +4,7 @@
   dispatchBatches,
   isStatedSlow,
   orderPieces,
+  type PieceSuspects,
   type ResultMemory,
   type RunPieces,
   SeenHandles,
@@ -54,6 +55,7 @@
   readonly countSenders: (shard: string) => number;
   /** Uniformly distributed number from 0 to 1. */
   readonly random: () => number;
+  readonly suspects?: PieceSuspects;
   readonly runPieces: RunPieces;
   readonly onBatch: (event: BatchEvent) => void;
   readonly onStageAbandoned: (event: AbandonedStageEvent & { readonly service: string }) => void;
@@ -197,7 +199,7 @@
   }
 
   private startWorker(target: RegisteredTarget, known: Map<string, WorkerTask>): void {
-    const { timer, routes, notices, resultMemory, runPieces, onBatch, tasks } = this.opts;
+    const { timer, routes, notices, resultMemory, runPieces, onBatch, tasks, suspects } = this.opts;
     const stop = new AbortController();
     const shard = this.opts.shards.findShardOf(target);
     known.set(getStartKey(target), { target, shard, stop });
@@ -213,6 +215,7 @@
         random: this.opts.random,
         workerSpeed: this.workerSpeed,
         seenHandles: this.seenHandles,
+        ...(suspects && { suspects }),
         runPieces: (batch) => this.countBatch(runPieces(batch)),
         onBatch,
         onSent: (worker) => notices.recordSent(toTargetStart(worker)),
@@ -304,7 +307,7 @@
     if (known) {
       return known;
     }
-    const { timer } = this.opts;
+    const { timer, suspects } = this.opts;
     const queue = StageQueue.create({
       timer,
       order: orderPieces,
@@ -314,6 +317,7 @@
       onStageAbandoned: (event) => this.opts.onStageAbandoned({ ...event, service: shard.service }),
       onDelayedTaken: this.opts.onDelayedTaken,
       onUneven: this.opts.onUneven,
+      ...(suspects && { isSuspect: suspects.isSuspect }),
     });
     this.queues.set(shard.key, queue);
     return queue;
