--- a/fakes/src/index.ts
+++ b/fakes/src/index.ts
@@ -38,6 +38,7 @@
 export { createSampleStageRequest } from './createSampleStageRequest.js';
 export * from './store/index.js';
 export { FakePlatformStore, type PlatformStoreMode } from './platform/fakePlatformStore.js';
+export { FakeLoadWorker, type FakeLoadWorkerOptions } from './platform/fakeLoadWorker.js';
 export { FakeProvider, type ProviderCall, type ProviderMode } from './platform/fakeProvider.js';
 export {
   FakePlatformWorker,
--- a/fakes/src/platform/fakePlatformStore.ts
+++ b/fakes/src/platform/fakePlatformStore.ts
@@ -48,7 +48,8 @@
 
   private readonly history: StoredEvent[] = [];
 
-  private readonly waiters = new Set<() => void>();
+  /** Watches that wait for a change, each with its prefix. */
+  private readonly waiters = new Map<() => void, string>();
 
   private readonly calls: string[] = [];
 
@@ -119,7 +120,9 @@
 
   private recordEvent(event: StoredEvent): void {
     this.history.push(event);
-    [...this.waiters].forEach((wake) => wake());
+    [...this.waiters]
+      .filter(([, prefix]) => event.key.startsWith(prefix))
+      .forEach(([wake]) => wake());
   }
 
   private async handle(exchange: FakeExchange): Promise<void> {
@@ -181,7 +184,7 @@
         ({ key, revision }) => key.startsWith(prefix) && revision > afterRevision,
       );
     if (findEvents().length === 0) {
-      await this.waitForChange(waitMs, exchange.signal);
+      await this.waitForChange({ prefix, waitMs, signal: exchange.signal });
     }
     this.respond(exchange, 200, { events: findEvents(), store_revision: this.revision });
   }
@@ -192,7 +195,12 @@
     exchange.response.end(JSON.stringify(body));
   }
 
-  private waitForChange(waitMs: number, signal: AbortSignal): Promise<void> {
+  private waitForChange(opts: {
+    readonly prefix: string;
+    readonly waitMs: number;
+    readonly signal: AbortSignal;
+  }): Promise<void> {
+    const { prefix, waitMs, signal } = opts;
     return new Promise((resolve) => {
       const finish = (): void => {
         clearTimeout(timer);
@@ -200,7 +208,7 @@
         resolve();
       };
       const timer = setTimeout(finish, waitMs);
-      this.waiters.add(finish);
+      this.waiters.set(finish, prefix);
       signal.addEventListener('abort', finish, { once: true });
     });
   }
