Start a router with compiled functions and without unused modules

A start compiled a bundle of 1.35 MB, and loaded HTTP/2, TLS, clusters and HTTP clients that a router never uses. The bundle is now a CommonJS script with V8's compiled functions beside it, loaded by target/router.mjs; undici's HTTP/2 and the rest of prom-client are left out, and log lines are encoded by JSON.stringify instead of pino.

--- a/bench/src/routerCost/measureSite.ts
+++ b/bench/src/routerCost/measureSite.ts
@@ -11,7 +11,7 @@
   sumCosts,
 } from './processCost.js';
 import { type PartTimes, type ProfilePeriod, sumProfile } from './profileParts.js';
-import { type CallKind, sendCalls } from './sendCalls.js';
+import { type CallCounts, type CallKind, sendCalls } from './sendCalls.js';
 import { type RouterProcess, type Site, startSite } from './startSite.js';
 
 /** What is measured, in this order. */
@@ -26,7 +26,7 @@
   /** CPU time of a profile by phase and part, for each router, second or call. */
   readonly parts: ReadonlyMap<Phase, PartTimes>;
   readonly answered: number;
-  readonly failed: number;
+  readonly failures: readonly string[];
 }
 
 /** Options of {@link measureSite}. */
@@ -43,12 +43,10 @@
   readonly byFunction: boolean;
 }
 
-interface MeasuredPhase {
+interface MeasuredPhase extends CallCounts {
   readonly cost: ProcessCost;
   readonly period: ProfilePeriod;
   readonly durationMs: number;
-  readonly answered: number;
-  readonly failed: number;
 }
 
 const CALL_KINDS: readonly CallKind[] = ['plain', 'stream', 'staged'];
@@ -72,7 +70,7 @@
     await timer.sleep({ delayMs: SETTLE_MS });
     const idle = await measurePhase(opts, site, async () => {
       await timer.sleep({ delayMs: durationMs });
-      return { answered: 0, failed: 0 };
+      return { answered: 0, failures: [] };
     });
     const calls = new Map<Phase, MeasuredPhase>();
     for (const kind of CALL_KINDS) {
@@ -95,7 +93,7 @@
         ? await sumPhases(opts, site, measured, startPeriod)
         : new Map<Phase, PartTimes>(),
       answered: [...calls.values()].reduce((sum, { answered }) => sum + answered, 0),
-      failed: [...calls.values()].reduce((sum, { failed }) => sum + failed, 0),
+      failures: [...calls.values()].flatMap(({ failures }) => failures),
     };
   } finally {
     site.routers.forEach(({ child }) => child.kill('SIGKILL'));
@@ -106,7 +104,7 @@
 async function measurePhase(
   { timer }: MeasureSiteOptions,
   site: Site,
-  run: () => Promise<{ readonly answered: number; readonly failed: number }>,
+  run: () => Promise<CallCounts>,
 ): Promise<MeasuredPhase> {
   const before = await readCosts(site.routers);
   const startedMs = timer.nowMs();
@@ -158,8 +156,8 @@
     const sums = new Map<string, number>();
     for (const index of site.routers.keys()) {
       const profileFile = join(site.folder, `router-${index}.cpuprofile`);
-      const bundle = opts.nodeArguments.at(-1) ?? '';
-      const times = await sumProfile({ ...opts, bundle, profileFile, periods: [period] });
+      const program = opts.nodeArguments.at(-1) ?? '';
+      const times = await sumProfile({ ...opts, program, profileFile, periods: [period] });
       times.forEach((timeMs, part) => sums.set(part, (sums.get(part) ?? 0) + timeMs / units));
     }
     phases.set(phase, sums);
--- a/bench/src/routerCost/profileParts.ts
+++ b/bench/src/routerCost/profileParts.ts
@@ -16,8 +16,8 @@
 /** Options of {@link sumProfile}. */
 export interface SumProfileOptions {
   readonly profileFile: string;
-  /** Bundle that ran; its source map lies beside it. */
-  readonly bundle: string;
+  /** Program that ran; the source map of its bundle lies beside it. */
+  readonly program: string;
   readonly periods: readonly ProfilePeriod[];
   /** Whether the time goes to single functions instead of parts. */
   readonly byFunction: boolean;
@@ -76,7 +76,7 @@
 /** Sums the time of a profile in some periods. */
 export async function sumProfile(opts: SumProfileOptions): Promise<PartTimes> {
   const profile = profileSchema.parse(JSON.parse(await readFile(opts.profileFile, 'utf8')));
-  const mapText = await readFile(`${opts.bundle}.map`, 'utf8');
+  const mapText = await readFile(opts.program.replace(/\.mjs$/, '.cjs.map'), 'utf8');
   const map = new SourceMap(JSON.parse(mapText) as SourceMapPayload);
   const places = new Map(profile.nodes.map(({ id, callFrame }) => [id, locate(callFrame, map)]));
   const parts = opts.byFunction ? places : findParts(profile, places);
@@ -135,7 +135,7 @@
   if (url === '') {
     return functionName;
   }
-  const entry = url.endsWith('.mjs') ? map.findEntry(lineNumber, columnNumber) : {};
+  const entry = url.endsWith('/router.cjs') ? map.findEntry(lineNumber, columnNumber) : {};
   const file: unknown = 'originalSource' in entry ? entry.originalSource : url;
   return `${String(file).replace(/^(\.\.\/)+/, '')} ${functionName}`;
 }
--- a/bench/src/routerCost/renderSiteCosts.ts
+++ b/bench/src/routerCost/renderSiteCosts.ts
@@ -29,8 +29,12 @@
   const head = ['for each', 'program', 'CPU ms', 'range', 'system ms', 'reads', 'writes', 'sleeps'];
   const counts = [...runs].map(([program, results]) => {
     const answered = results.reduce((sum, result) => sum + result.answered, 0);
-    const failed = results.reduce((sum, result) => sum + result.failed, 0);
-    return `${program}: ${results.length} runs, ${answered} calls answered, ${failed} failed`;
+    const failures = results.flatMap((result) => result.failures);
+    const reasons = [...new Set(failures)].map(
+      (reason) => `${failures.filter((failure) => failure === reason).length} ${reason}`,
+    );
+    const failed = [failures.length, ...reasons].join(', ');
+    return `${program}: ${results.length} runs, ${answered} calls answered, failed: ${failed}`;
   });
   return [renderTable(head, rows), ...counts].join('\n');
 }
--- a/bench/src/routerCost/sendCalls.ts
+++ b/bench/src/routerCost/sendCalls.ts
@@ -18,12 +18,15 @@
   readonly durationMs: number;
 }
 
-/** Numbers of calls by their end. */
+/** How calls ended. */
 export interface CallCounts {
   readonly answered: number;
-  readonly failed: number;
+  /** For each call that failed, its kind and why. */
+  readonly failures: readonly string[];
 }
 
+const ANSWERED = 'answered';
+
 const TIMEOUT_MS = 2_500;
 const MS_PER_S = 1_000;
 const BODY = JSON.stringify({ input: 'x'.repeat(500) });
@@ -34,7 +37,7 @@
   const agent = new Agent({ connections: 32, keepAliveTimeout: 4_000 });
   const startedMs = timer.nowMs();
   const total = Math.floor((durationMs / MS_PER_S) * perSecond);
-  const sent: Promise<boolean>[] = [];
+  const sent: Promise<string>[] = [];
   for (let number = 0; number < total; number += 1) {
     // Calls that are due at once would be read together; each router gets its own at another time.
     for (const [index, router] of routers.entries()) {
@@ -48,16 +51,20 @@
   }
   const results = await Promise.all(sent);
   await agent.close();
-  const answered = results.filter(Boolean).length;
-  return { answered, failed: results.length - answered };
+  const failures = results.filter((result) => result !== ANSWERED);
+  return {
+    answered: results.length - failures.length,
+    failures: failures.map((failure) => `${opts.kind}: ${failure}`),
+  };
 }
 
+/** Sends one call; returns why it failed, or that it was answered. */
 async function sendCall(opts: {
   readonly agent: Agent;
   readonly router: RouterProcess;
   readonly kind: CallKind;
   readonly id: string;
-}): Promise<boolean> {
+}): Promise<string> {
   const { agent, router, kind, id } = opts;
   try {
     const { statusCode, body } = await request(`${router.url}/${kind}/x`, {
@@ -75,9 +82,8 @@
       },
     });
     const text = await body.text();
-    return statusCode === 200 && text !== '';
-  } catch {
-    // A call that is cut counts as failed.
-    return false;
+    return statusCode === 200 && text !== '' ? ANSWERED : `status ${statusCode}`;
+  } catch (error) {
+    return error instanceof Error ? error.message : 'no answer';
   }
 }
--- a/bench/src/routerCost/startSite.ts
+++ b/bench/src/routerCost/startSite.ts
@@ -123,7 +123,11 @@
     env: { GALENATILLER_NODE_FILE: file },
     stdio: ['ignore', 'ignore', 'inherit'],
   });
-  process.once('exit', () => child.kill('SIGKILL'));
+  const killAtExit = (): void => {
+    child.kill('SIGKILL');
+  };
+  process.once('exit', killAtExit);
+  child.once('exit', () => process.off('exit', killAtExit));
   const readyUrl = `http://127.0.0.1:${readiness}/-/readyz`;
   const untilMs = opts.timer.nowMs() + MAX_START_MS;
   while ((await fetchStatus(readyUrl)) !== 200) {
--- a/packages/logger/src/createEventLog.ts
+++ b/packages/logger/src/createEventLog.ts
@@ -1,5 +1,3 @@
-import pino from 'pino';
-
 /** Value of a field in the event log. */
 export type EventValue = string | number | boolean | readonly (string | number)[] | undefined;
 
@@ -25,6 +23,8 @@
   readonly node: string;
   /** Monotonic time in milliseconds. */
   readonly nowMs: () => number;
+  /** Unix time in milliseconds, which the lines state. */
+  readonly wallMs: () => number;
   /**
    * Writes a line without waiting; returns false when the buffer was full and the line was dropped.
    */
@@ -38,6 +38,10 @@
 
 const WINDOW_MS = 1_000;
 
+/** Levels of the lines, as pino numbers them. */
+const LEVEL_INFO = 30;
+const LEVEL_WARN = 40;
+
 /** Characters of a text in a line. */
 const MAX_TEXT_LENGTH = 1_000;
 
@@ -49,22 +53,20 @@
   let windowStartMs = 0;
   let decisions = 0;
   let skipped = 0;
-  const stream = {
-    write: (line: string): void => {
-      if (!opts.write(line)) {
-        opts.onDropped();
-      }
-    },
+  const write = (level: number, event: LoggedEvent): void => {
+    const line = JSON.stringify(
+      { level, time: opts.wallMs(), node: opts.node, ...event },
+      boundText,
+    );
+    if (!opts.write(`${line}\n`)) {
+      opts.onDropped();
+    }
   };
-  const logger = pino(
-    { base: { node: opts.node }, timestamp: pino.stdTimeFunctions.epochTime },
-    stream,
-  );
   return (event) => {
     const nowMs = opts.nowMs();
     if (nowMs - windowStartMs >= WINDOW_MS) {
       if (skipped > 0) {
-        logger.warn({ about: 'process', event: 'log-lines-left-out', lines: skipped });
+        write(LEVEL_WARN, { about: 'process', event: 'log-lines-left-out', lines: skipped });
       }
       windowStartMs = nowMs;
       decisions = 0;
@@ -78,16 +80,13 @@
         return;
       }
     }
-    logger.info(boundTexts(event));
+    write(LEVEL_INFO, event);
   };
 }
 
-/** Shortens texts, which may come from another process. */
-function boundTexts(event: LoggedEvent): Readonly<Record<string, EventValue>> {
-  return Object.fromEntries(
-    Object.entries(event).map(([name, value]) => [
-      name,
-      typeof value === 'string' ? value.slice(0, MAX_TEXT_LENGTH) : value,
-    ]),
-  );
+/** Shortens a text, which may come from another process. */
+function boundText(_name: string, value: unknown): unknown {
+  return typeof value === 'string' && value.length > MAX_TEXT_LENGTH
+    ? value.slice(0, MAX_TEXT_LENGTH)
+    : value;
 }
--- a/packages/logger/test/eventLog.steps.ts
+++ b/packages/logger/test/eventLog.steps.ts
@@ -19,6 +19,7 @@
   this.eventLog = createEventLog({
     node,
     nowMs: () => this.nowMs,
+    wallMs: () => 1_700_000_000_000,
     write: (line) => {
       if (!this.isBufferFull) {
         this.logLines.push(line);
--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -1,9 +1,16 @@
-/** Bundles the router and its dependencies into one file under target/, for a fast start. */
-import { existsSync } from 'node:fs';
+/**
+ * Bundles the router and its dependencies under target/ for a fast start: `router.cjs` with the code,
+ * `router.cache` with its compiled functions, and `router.mjs`, which is run and loads both.
+ */
+import { execFileSync } from 'node:child_process';
+import { copyFileSync, existsSync } from 'node:fs';
 import { join } from 'node:path';
 
 import { build } from 'esbuild';
 
+/** Options of Node.js with which routers are run, see deploy/system.toml. */
+const NODE_OPTIONS = ['--max-semi-space-size=4'];
+
 const PACKAGE_PATTERN = /^@galenatiller\/(.+)$/;
 
 /** Resolves the packages of the workspace to their TypeScript sources. */
@@ -44,6 +51,39 @@
   },
 };
 
+/** Leaves out HTTP/2, whose module of Node.js takes 4 ms to load; the client is told to use HTTP/1.1. */
+const oneProtocol = {
+  name: 'one-protocol',
+  setup(builder) {
+    builder.onLoad({ filter: /undici\/lib\/dispatcher\/client-h2\.js$/ }, () => ({
+      contents: "module.exports = () => { throw new Error('HTTP/2 is not bundled'); };",
+    }));
+  },
+};
+
+/** Replaces prom-client by its metrics alone: the rest loads HTTP clients and clusters at start. */
+const leanMetrics = {
+  name: 'lean-metrics',
+  setup(builder) {
+    const names = {
+      Counter: 'counter',
+      Gauge: 'gauge',
+      Histogram: 'histogram',
+      Registry: 'registry',
+    };
+    builder.onResolve({ filter: /^prom-client$/ }, () => ({
+      path: 'prom-client',
+      namespace: 'lean-metrics',
+    }));
+    builder.onLoad({ filter: /.*/, namespace: 'lean-metrics' }, () => ({
+      contents: Object.entries(names)
+        .map(([name, file]) => `export { default as ${name} } from 'prom-client/lib/${file}.js';`)
+        .join('\n'),
+      resolveDir: process.cwd(),
+    }));
+  },
+};
+
 /** Keeps only the English locale of the schema library: settings have their own messages. */
 const oneLocale = {
   name: 'one-locale',
@@ -65,20 +105,23 @@
 };
 
 await build({
-  entryPoints: { router: 'platform/src/main.ts' },
+  entryPoints: { router: 'platform/src/runProcess.ts' },
   outdir: 'target',
-  outExtension: { '.js': '.mjs' },
+  outExtension: { '.js': '.cjs' },
   bundle: true,
   minifyWhitespace: true,
   minifySyntax: true,
   keepNames: true,
   sourcemap: 'linked',
   platform: 'node',
-  format: 'esm',
+  format: 'cjs',
   target: 'node20',
-  banner: {
-    js: "import { createRequire as makeRequire } from 'node:module'; const require = makeRequire(import.meta.url);",
-  },
-  plugins: [workspace, leanClient, oneLocale, plainAssert],
+  plugins: [workspace, leanClient, oneProtocol, leanMetrics, oneLocale, plainAssert],
   logLevel: 'warning',
 });
+
+copyFileSync(join('scripts', 'loadRouter.mjs'), join('target', 'router.mjs'));
+// V8 only accepts compiled functions from the same version with the same options.
+execFileSync(process.execPath, [...NODE_OPTIONS, join('target', 'router.mjs'), '--write-cache'], {
+  stdio: 'inherit',
+});
