Spend less per call: no weak signals, no second choice of a target, no defined names

Sampled allocations of a plain call (176 KB) named the spreads of the whole context, the names that esbuild defines on each closure (keepNames) and AbortSignal.any, whose signals are tracked by weak references and a finalization registry. A call without stages also chose its target twice, once for a hint that only stages use. The external names are listed again, as the bundle's files have new names.

--- a/packages/router/src/observeRun.ts
+++ b/packages/router/src/observeRun.ts
@@ -27,8 +27,10 @@
   target: RegisteredTarget,
 ): RunObservation {
   const { name: route, callKind } = opts.admitted.route;
+  const { timer, rollouts } = opts.context;
   return RunObservation.create({
-    ...opts.context,
+    timer,
+    rollouts,
     target,
     route,
     isStream: callKind === 'stream',
--- a/packages/router/src/runStages.ts
+++ b/packages/router/src/runStages.ts
@@ -1,5 +1,6 @@
 import { setMaxListeners } from 'node:events';
 
+import { linkAborts } from '@galenatiller/tasks';
 import type { TimerService } from '@galenatiller/timer';
 import type {
   PieceFailure,
@@ -87,7 +88,7 @@
   };
   const free = (): void => release([...heldResults]);
   const abort = new AbortController();
-  const signal = AbortSignal.any([opts.signal, abort.signal]);
+  const { signal, release: unlink } = linkAborts([opts.signal, abort.signal]);
   // Each piece in progress listens for the abort.
   setMaxListeners(0, signal);
   let failure: StagesFailed | undefined;
@@ -132,7 +133,7 @@
     runs.push(run);
   });
   freeWhenUsed({ route, runs, starts, release });
-  const results = await Promise.all(runs);
+  const results = await Promise.all(runs).finally(unlink);
   if (failure) {
     return failure;
   }
--- a/packages/router/src/serveCall.ts
+++ b/packages/router/src/serveCall.ts
@@ -1,5 +1,5 @@
 import { GalenatillerError } from '@galenatiller/error';
-import { whenAborted } from '@galenatiller/tasks';
+import { linkAborts, whenAborted } from '@galenatiller/tasks';
 
 import { createEstimate } from './createEstimate.js';
 import { admitCall, type AdmittedCall } from './admitCall.js';
@@ -119,14 +119,16 @@
     }
     return;
   }
-  const fingerprints = computeFingerprints({ ...context, ...admitted, call, body: body.value });
+  const { organisation } = admitted;
+  const { hash } = context;
+  const fingerprints = computeFingerprints({ hash, organisation, call, body: body.value });
   const stopped = context.crashSuspects.findStopped(fingerprints);
   if (stopped !== undefined) {
     refuse(opts, createStoppedError(stopped), admitted);
     return;
   }
   const limitMs = Math.max(0, admitted.deadlineAtMs + RESPONSE_GRACE_MS - context.timer.nowMs());
-  const deadline = context.timer.startTimeLimit({ limitMs });
+  const deadline = context.timer.startTimeLimit({ limitMs, parent: tracked.signal });
   const progress = CallProgress.create({ lastEventId: call.lastEventId });
   try {
     const end =
@@ -136,7 +138,7 @@
         fingerprints,
         body: body.value,
         progress,
-        deadline: AbortSignal.any([deadline.signal, tracked.signal]),
+        deadline: deadline.signal,
       }));
     finish(opts, admitted, settleEnding({ exchange, progress, end }));
   } finally {
@@ -153,15 +155,28 @@
 }
 
 async function runCall(opts: RunCallOptions): Promise<Answered | Refused> {
+  const { exchange, deadline } = opts;
+  const { signal, release } = linkAborts([deadline, exchange.disconnected]);
+  try {
+    return await runRounds(opts, signal);
+  } finally {
+    release();
+  }
+}
+
+/** Runs the stages and the attempts of a call, again if stage results are lost before their use. */
+async function runRounds(
+  opts: RunCallOptions,
+  callerSignal: AbortSignal,
+): Promise<Answered | Refused> {
   const { exchange, admitted, progress, deadline } = opts;
   const { route } = admitted;
-  const callerSignal = AbortSignal.any([deadline, exchange.disconnected]);
   // An at-most-once call runs on when its caller disconnects, because its effect is wanted.
   const signal = route.callKind === 'at-most-once' ? deadline : callerSignal;
   for (let round = 1; ; round += 1) {
     opts.tracked.enter('staging');
     opts.stageProgress.restart();
-    const stages = await runStageRound(opts, callerSignal);
+    const stages = route.stages.length === 0 ? NO_STAGES : await runStageRound(opts, callerSignal);
     const { free } = stages;
     try {
       if (stages.kind === 'failed') {
@@ -188,6 +203,9 @@
   }
 }
 
+/** The stages of a call that has none. */
+const NO_STAGES: StagesDone = { kind: 'done', inputs: [], free: () => {} };
+
 /** Runs all stages of a call once. */
 function runStageRound(
   opts: RunCallOptions,
--- a/packages/tasks/src/index.ts
+++ b/packages/tasks/src/index.ts
@@ -1,4 +1,5 @@
 /** Building blocks of connection tasks: mailboxes and task groups. */
+export { linkAborts, type LinkedAbort } from './linkAborts.js';
 export { Mailbox } from './mailbox.js';
 export { TaskGroup } from './taskGroup.js';
 export { whenPolled } from './whenPolled.js';
--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -111,7 +111,6 @@
   bundle: true,
   minifyWhitespace: true,
   minifySyntax: true,
-  keepNames: true,
   sourcemap: 'linked',
   platform: 'node',
   format: 'cjs',
--- a/scripts/externalNames.mjs
+++ b/scripts/externalNames.mjs
@@ -31,7 +31,7 @@
   'packages/settings/src/{settingKeys,routerKeys}.ts',
   'packages/metrics/src/{metricTable,routerMetrics}.ts',
   'packages/constants/src/index.ts',
-  'platform/src/{headers,platformStoreClient,providerClient,targetClient,serveCallers,main}.ts',
+  'platform/src/{headers,platformStoreClient,providerClient,targetClient,serveCallers,main,runProcess}.ts',
   'fakes/src/platform/*.ts',
   'fakes/src/store/etcdMessages.ts',
   'fakes/src/main.ts',
