Refuse calls that are late when their head is read, and end calls in spite of a late event loop

A call's time limit began when its head was read, so one that had waited for seconds unread, while the event loop lagged or the process was paused, was served as a new call. A request is now dated from when it may have come in: by how late the check of the event loop was in this turn, or is overdue; what comes with a new connection is read one turn later and counts the same. The timer that ends a call is armed earlier by the mean lag of the event loop, and starts before the body is read.

--- a/packages/router/src/createRouter.ts
+++ b/packages/router/src/createRouter.ts
@@ -84,6 +84,8 @@
 export interface Router {
   /** Whether the load balancer should send callers to this router. */
   readonly isReady: () => boolean;
+  /** Time for which a request whose head is read now may have waited unread in this process. */
+  readonly unreadMs: () => number;
   /** Starts the task of one call. */
   readonly serve: (exchange: CallerExchange) => void;
   /** Number of calls whose task has not ended. */
@@ -138,6 +140,7 @@
     context,
     duties,
     isReady: () => isReady(context),
+    unreadMs: () => eventLoop.unreadMs,
     serve: (exchange) => callTasks.start(() => serveCall({ context, exchange })),
     callsInProgress: () => callTasks.size,
     stop: (end) => beginStop({ ...parts, context, ...end }),
--- /dev/null
+++ b/packages/router/src/endFailedStages.ts
@@ -0,0 +1,53 @@
+import { GalenatillerError } from '@galenatiller/error';
+
+import type { AdmittedCall } from './admitCall.js';
+import type { CallProgress } from './callProgress.js';
+import { createStoppingError, endDisconnected, endWithError, type Refused } from './endAttempts.js';
+import { findReturnMs } from './findPauseWait.js';
+import type { CallerExchange } from './ports.js';
+import type { RouterContext } from './routerContext.js';
+import type { TrackedCall } from './routerStop.js';
+import type { StagesFailed } from './runStages.js';
+
+/** Options of {@link endFailedStages}. */
+export interface FailedStagesOptions {
+  readonly context: RouterContext;
+  readonly exchange: Pick<CallerExchange, 'disconnected'>;
+  readonly admitted: AdmittedCall;
+  readonly tracked: Pick<TrackedCall, 'signal'>;
+  readonly progress: CallProgress;
+}
+
+/** Time to retry after the stages failed: about the duration of a batch call to a stage worker. */
+const STAGES_RETRY_AFTER_MS = 400;
+
+/**
+ * Time to retry when the queues are too long, as a share of the time left; callers wait for a third
+ * of it at most.
+ */
+const BUSY_RETRY_AFTER_SHARE = 0.3;
+
+/** Ends a call whose stages failed. */
+export function endFailedStages(opts: FailedStagesOptions, failure: StagesFailed): Refused {
+  const { context, admitted, progress } = opts;
+  if (progress.runs > 0) {
+    return endWithError(progress, 'target-failed', progress.lastFailure);
+  }
+  if (opts.exchange.disconnected.aborted) {
+    return endDisconnected();
+  }
+  if (opts.tracked.signal.aborted) {
+    return { kind: 'refused', error: createStoppingError() };
+  }
+  const service = admitted.route.stages[failure.stage]?.service ?? '';
+  const leftMs = Math.max(0, admitted.firstByteDeadlineAtMs - context.timer.nowMs());
+  const error = GalenatillerError.create({
+    name: 'deadline-unreachable',
+    detail: `stage ${failure.stage} on ${service} failed: ${failure.reason}`,
+    retryAfterMs: Math.max(
+      findReturnMs(context, service) ?? 0,
+      failure.reason === 'busy' ? leftMs * BUSY_RETRY_AFTER_SHARE : STAGES_RETRY_AFTER_MS,
+    ),
+  });
+  return { kind: 'refused', error };
+}
--- a/packages/router/src/eventLoopWatch.ts
+++ b/packages/router/src/eventLoopWatch.ts
@@ -16,6 +16,9 @@
 /** Callers notice a pause from about this length on. */
 const MIN_REPORTED_LAG_MS = 100;
 
+/** Shorter waits are within the time that callers allow for the network. */
+const MIN_UNREAD_MS = 20;
+
 /** Measures how late the timers of the process fire, which shows whether it has enough CPU time. */
 export class EventLoopWatch {
   private maxLagMs = 0;
@@ -24,6 +27,9 @@
 
   private reportAtMs: number;
 
+  /** How late the check of the present turn of the event loop was; 0 in a turn without one. */
+  private turnLagMs = 0;
+
   private constructor(private readonly opts: EventLoopWatchOptions) {
     const nowMs = opts.timer.nowMs();
     this.dueAtMs = nowMs + CHECK_INTERVAL_MS;
@@ -40,6 +46,16 @@
     return this.maxLagMs;
   }
 
+  /**
+   * Time for which data that is read now may have waited unread. The timers of a turn come before its
+   * reads: a check that was late in this turn, or is overdue because the process was paused while it waited for
+   * data, shows that nothing was read for as long.
+   */
+  get unreadMs(): number {
+    const overdueMs = this.opts.timer.nowMs() - this.dueAtMs;
+    return overdueMs >= MIN_UNREAD_MS ? overdueMs : this.turnLagMs;
+  }
+
   /** Starts measuring, until cancelled. */
   start(): Cancel {
     return this.opts.timer.every({ intervalMs: CHECK_INTERVAL_MS, notify: () => this.check() });
@@ -50,6 +66,13 @@
     const lagMs = Math.max(0, nowMs - this.dueAtMs);
     this.maxLagMs = Math.max(this.maxLagMs, lagMs);
     this.opts.onCheck({ lagMs });
+    if (lagMs >= MIN_UNREAD_MS) {
+      this.turnLagMs = lagMs;
+      // Immediates come after the reads of a turn.
+      setImmediate(() => {
+        this.turnLagMs = 0;
+      });
+    }
     this.dueAtMs = nowMs + CHECK_INTERVAL_MS;
     if (nowMs < this.reportAtMs) {
       return;
--- a/packages/router/src/routerContext.ts
+++ b/packages/router/src/routerContext.ts
@@ -11,7 +11,7 @@
 } from '@galenatiller/target';
 import type { SmoothedDurations, TimerService } from '@galenatiller/timer';
 
-import type { CallAdmission } from './admission/index.js';
+import type { CallAdmission, LoopLag } from './admission/index.js';
 import type { CallCounter } from './callCounter.js';
 import type { CrashDetector } from './crashDetector.js';
 import type { PermitTarget } from './permits.js';
@@ -27,6 +27,8 @@
   readonly timer: TimerService;
   readonly log: EventLog;
   readonly metrics: MetricSink;
+  /** How late timers of this process fire. */
+  readonly loopLag: Pick<LoopLag, 'meanMs'>;
   readonly ownZone: string;
   readonly routes: RouteTable;
   readonly targets: TargetDirectory;
--- a/packages/router/src/serveCall.ts
+++ b/packages/router/src/serveCall.ts
@@ -1,6 +1,7 @@
-import { GalenatillerError } from '@galenatiller/error';
+import type { GalenatillerError } from '@galenatiller/error';
 import { linkAborts, whenAborted } from '@galenatiller/tasks';
 
+import { computeTimeLimitMs } from './computeTimeLimitMs.js';
 import { createEstimate } from './createEstimate.js';
 import { admitCall, type AdmittedCall } from './admitCall.js';
 import { predictZone } from './chooseTargetForCall.js';
@@ -12,7 +13,6 @@
 import { computeFingerprints } from './computeFingerprints.js';
 import { CallProgress } from './callProgress.js';
 import { endForPause } from './endForPause.js';
-import { findReturnMs } from './findPauseWait.js';
 import {
   type Answered,
   type CallEnding,
@@ -24,6 +24,7 @@
   type Refused,
   settleEnding,
 } from './endAttempts.js';
+import { endFailedStages } from './endFailedStages.js';
 import { runAttempts } from './runAttempts.js';
 import { runStages, type StagesDone, type StagesFailed } from './runStages.js';
 import { StageProgress } from './stageProgress.js';
@@ -49,18 +50,6 @@
 /** How many times the stages of a call may run: again when a result is lost before its use. */
 const MAX_STAGE_ROUNDS = 2;
 
-/** Extra time for a response that is ready at the deadline; callers still count it as in time. */
-const RESPONSE_GRACE_MS = 60;
-
-/** Time to retry after the stages failed: about the duration of a batch call to a stage worker. */
-const STAGES_RETRY_AFTER_MS = 400;
-
-/**
- * Time to retry when the queues are too long, as a share of the time left; callers wait for a third
- * of it at most.
- */
-const BUSY_RETRY_AFTER_SHARE = 0.3;
-
 /** The task of one call: admits it, reads its body, runs its stages, sends it and responds. */
 export async function serveCall(opts: ServeCallOptions): Promise<void> {
   const { context, exchange } = opts;
@@ -99,6 +88,23 @@
 }
 
 async function serveAdmitted(opts: ServeAdmittedOptions): Promise<void> {
+  const { context, admitted, tracked } = opts;
+  const { timer, loopLag } = context;
+  const { deadlineAtMs } = admitted;
+  const limitMs = computeTimeLimitMs({
+    nowMs: timer.nowMs(),
+    deadlineAtMs,
+    loopLagMs: loopLag.meanMs,
+  });
+  const deadline = timer.startTimeLimit({ limitMs, parent: tracked.signal });
+  try {
+    await serveByDeadline(opts, deadline.signal);
+  } finally {
+    deadline.release();
+  }
+}
+
+async function serveByDeadline(opts: ServeAdmittedOptions, deadline: AbortSignal): Promise<void> {
   const { context, exchange, admitted, tracked } = opts;
   const { call } = exchange;
   const body = await Promise.race([
@@ -106,13 +112,17 @@
       maxBytes: admitted.maxBodyBytes,
       deadlineAtMs: admitted.deadlineAtMs,
     }),
-    whenAborted(tracked.signal),
+    whenAborted(deadline),
   ]);
   tracked.enter('staging');
-  if (!body || !tracked.check()) {
+  if (!tracked.check()) {
     refuse(opts, createStoppingError(), admitted);
     return;
   }
+  if (!body) {
+    refuse(opts, createBodyError('too-slow', admitted));
+    return;
+  }
   if (body.isErr) {
     if (body.error !== 'broken') {
       refuse(opts, createBodyError(body.error, admitted));
@@ -127,23 +137,11 @@
     refuse(opts, createStoppedError(stopped), admitted);
     return;
   }
-  const limitMs = Math.max(0, admitted.deadlineAtMs + RESPONSE_GRACE_MS - context.timer.nowMs());
-  const deadline = context.timer.startTimeLimit({ limitMs, parent: tracked.signal });
   const progress = CallProgress.create({ lastEventId: call.lastEventId });
-  try {
-    const end =
-      endForPause(opts, progress) ??
-      (await runCall({
-        ...opts,
-        fingerprints,
-        body: body.value,
-        progress,
-        deadline: deadline.signal,
-      }));
-    finish(opts, admitted, settleEnding({ exchange, progress, end }));
-  } finally {
-    deadline.release();
-  }
+  const end =
+    endForPause(opts, progress) ??
+    (await runCall({ ...opts, fingerprints, body: body.value, progress, deadline }));
+  finish(opts, admitted, settleEnding({ exchange, progress, end }));
 }
 
 interface RunCallOptions extends ServeAdmittedOptions {
@@ -253,30 +251,6 @@
   });
 }
 
-function endFailedStages(opts: RunCallOptions, failure: StagesFailed): Refused {
-  const { context, admitted, progress } = opts;
-  if (progress.runs > 0) {
-    return endWithError(progress, 'target-failed', progress.lastFailure);
-  }
-  if (opts.exchange.disconnected.aborted) {
-    return endDisconnected();
-  }
-  if (opts.tracked.signal.aborted) {
-    return { kind: 'refused', error: createStoppingError() };
-  }
-  const service = admitted.route.stages[failure.stage]?.service ?? '';
-  const leftMs = Math.max(0, admitted.firstByteDeadlineAtMs - context.timer.nowMs());
-  const error = GalenatillerError.create({
-    name: 'deadline-unreachable',
-    detail: `stage ${failure.stage} on ${service} failed: ${failure.reason}`,
-    retryAfterMs: Math.max(
-      findReturnMs(context, service) ?? 0,
-      failure.reason === 'busy' ? leftMs * BUSY_RETRY_AFTER_SHARE : STAGES_RETRY_AFTER_MS,
-    ),
-  });
-  return { kind: 'refused', error };
-}
-
 function finish(opts: ServeCallOptions, admitted: AdmittedCall, end: CallEnding): void {
   const { context, exchange } = opts;
   if (end.kind === 'refused') {
--- a/packages/router/test/eventLoopWatch.steps.ts
+++ b/packages/router/test/eventLoopWatch.steps.ts
@@ -3,6 +3,7 @@
 import { Given, Then, When } from '@cucumber/cucumber';
 import { type Clock, ManualClock, TimerService } from '@galenatiller/timer';
 
+import { computeTimeLimitMs } from '../src/computeTimeLimitMs.js';
 import { EventLoopWatch } from '../src/eventLoopWatch.js';
 
 interface WatchWorld {
@@ -10,6 +11,10 @@
   /** Time that the event loop was blocked in total. */
   blockedMs: number;
   reportedLagsMs: number[];
+  /** For how long what was read in the turn of the last check may have waited. */
+  unreadMs: number;
+  watch: EventLoopWatch;
+  limitMs: number;
 }
 
 Given('an event loop watch', function given(this: WatchWorld) {
@@ -21,11 +26,18 @@
     wallMs: () => this.watchClock.wallMs() + this.blockedMs,
     arm: (opts) => this.watchClock.arm(opts),
   };
-  EventLoopWatch.create({
+  const watch = EventLoopWatch.create({
     timer: TimerService.create({ clock }),
     onLag: ({ lagMs }) => this.reportedLagsMs.push(lagMs),
-    onCheck: () => {},
-  }).start();
+    onCheck: () => {
+      // Microtasks come before the reads of the turn.
+      queueMicrotask(() => {
+        this.unreadMs = watch.unreadMs;
+      });
+    },
+  });
+  watch.start();
+  this.watch = watch;
 });
 
 When('the event loop runs for {int} ms', function when(this: WatchWorld, byMs: number) {
@@ -51,3 +63,33 @@
     this.reportedLagsMs.forEach((lagMs) => assert.ok(lagMs >= minMs && lagMs <= maxMs));
   },
 );
+
+Then(
+  'what is read next has waited for {int} to {int} ms',
+  function then(this: WatchWorld, minMs: number, maxMs: number) {
+    assert.ok(this.unreadMs >= minMs && this.unreadMs <= maxMs, String(this.unreadMs));
+  },
+);
+
+When(
+  'a call with {int} ms left is limited while timers fire {int} ms late',
+  function when(this: WatchWorld, leftMs: number, loopLagMs: number) {
+    this.limitMs = computeTimeLimitMs({ nowMs: 5_000, deadlineAtMs: 5_000 + leftMs, loopLagMs });
+  },
+);
+
+Then('its timer is armed for {int} ms', function then(this: WatchWorld, limitMs: number) {
+  assert.equal(this.limitMs, limitMs);
+});
+
+When('the event loop is blocked for {int} ms', function when(this: WatchWorld, blockedMs: number) {
+  this.blockedMs += blockedMs;
+});
+
+Then(
+  'what is read now has waited for {int} to {int} ms',
+  function then(this: WatchWorld, minMs: number, maxMs: number) {
+    const { unreadMs } = this.watch;
+    assert.ok(unreadMs >= minMs && unreadMs <= maxMs, String(unreadMs));
+  },
+);
--- a/packages/router/test/stopWorld.ts
+++ b/packages/router/test/stopWorld.ts
@@ -95,6 +95,7 @@
       context,
       duties: undefined,
       isReady: () => true,
+      unreadMs: () => 0,
       serve: (exchange) => this.tasks.start(() => serveCall({ context, exchange })),
       callsInProgress: () => this.tasks.size,
       batchesInProgress:
--- a/packages/router/test/support.ts
+++ b/packages/router/test/support.ts
@@ -214,6 +214,7 @@
       world.logged.push(fields);
     },
     metrics: { count: () => {}, gauge: () => {}, timing: () => {} },
+    loopLag: { meanMs: 0 },
     ownZone: 'zone',
     routes: world.routes,
     targets,
