Bound what the router keeps for callers that do not read

Cause: bodies of pipelined responses were read from the worker and kept in the output of responses whose turn had not come, also after their connection had closed; a body was joined, which takes its memory twice; each event of a stream was an object; garbage was looked at every 200 ms, while buffers grew by 50 MB. Change: a body over 64 KB is read on only once the earlier responses of its connection have left, and is written in the parts in which it came; events that come together are one part; the memory is looked at after each 2 MB read, with young and full collections.

--- a/packages/caller/src/callerGuard.ts
+++ b/packages/caller/src/callerGuard.ts
@@ -32,6 +32,8 @@
   readonly pipeline?: PipelineLimits;
   /** Called for each connection that is closed, and for each body that is given up. */
   readonly onLimit: (limit: CallerLimit) => void;
+  /** Called with the number of bytes of each part of a body that is read. */
+  readonly onRead?: (bytes: number) => void;
 }
 
 interface Connection extends ConnectionState {
@@ -102,6 +104,9 @@
     return this.requestCount > this.opts.figures.maxRequests;
   }
 
+  /** Records that a part of a body was read. */
+  readonly recordRead = (bytes: number): void => this.opts.onRead?.(bytes);
+
   /** Watches the connections and requests of a server; call it before its requests are handled. */
   watch(server: Server): void {
     server.on('connection', (socket: Socket) => this.addConnection(socket));
--- a/packages/caller/src/index.ts
+++ b/packages/caller/src/index.ts
@@ -35,7 +35,8 @@
   OrganisationLimiter,
   type OrganisationLimiterOptions,
 } from './organisationLimiter.js';
-export { MemoryPressure, type MemoryUse, watchMemory } from './memoryPressure.js';
+export { type Collection, MemoryPressure, type MemoryUse } from './memoryPressure.js';
+export { MemoryWatch, type MemoryWatchOptions } from './memoryWatch.js';
 export { type BodyFailure, type ReadBody, readBody, type ReadBodyOptions } from './readBody.js';
 export { type CallerServer, serveCallers, type ServeCallersOptions } from './serveCallers.js';
 export { decodeRequest, type DecodedRequest, type DecodeRequestOptions } from './wire.js';
--- a/packages/caller/src/memoryPressure.ts
+++ b/packages/caller/src/memoryPressure.ts
@@ -1,31 +1,33 @@
-import { setFlagsFromString } from 'node:v8';
-import { runInNewContext } from 'node:vm';
-
-import type { Cancel, TimerService } from '@galenatiller/timer';
-
 /** Memory of a process. */
 export interface MemoryUse {
   readonly residentBytes: number;
-  /** Memory of buffers, in use or not collected yet. */
-  readonly bufferBytes: number;
+  /** Memory of buffers and objects, in use or not collected yet. */
+  readonly usedBytes: number;
 }
 
-/** Share of the machine's memory from which on buffers are collected early. */
+/** How garbage is collected: `young` looks at recent memory only, which takes about a millisecond. */
+export type Collection = 'none' | 'young' | 'full';
+
+/** Share of the machine's memory from which on garbage is collected early. */
 const PRESSURE_SHARE = 0.75;
 
-/** Growth of the buffers since the last collection that is worth another one. */
+/** Growth since the last full collection that is worth another one. */
 const MIN_GROWTH_BYTES = 8_388_608;
 
+/** Bytes read from callers and targets, which are garbage soon, after which the memory is looked at. */
+const READ_BYTES = 2_097_152;
+
 const BYTES_PER_MB = 1_048_576;
-const CHECK_INTERVAL_MS = 200;
 
 /**
- * Decides when garbage is collected. Left to itself, V8 lets buffers grow by 64 MB between two collections,
- * which is more than a small machine has left.
+ * Decides how garbage is collected early. Left to itself, V8 lets buffers grow by 64 MB between two
+ * collections, which is more than a small machine has left.
  */
 export class MemoryPressure {
   private collectedBytes = 0;
 
+  private readBytes = 0;
+
   private constructor(private readonly limitBytes: number) {}
 
   /** Creates the decision for a machine. */
@@ -33,54 +35,33 @@
     return new MemoryPressure(opts.memoryMb * BYTES_PER_MB * PRESSURE_SHARE);
   }
 
-  /** Whether the process takes so much of the machine that its buffers are looked at. */
+  /** Records bytes that were read; returns whether the memory must be looked at. */
+  recordRead(bytes: number): boolean {
+    this.readBytes += bytes;
+    return this.readBytes >= READ_BYTES;
+  }
+
+  /** Whether the process takes so much of the machine that garbage is collected early. */
   isShort(residentBytes: number): boolean {
     return residentBytes >= this.limitBytes;
   }
 
-  /** Whether to collect now; `recordCollected` must follow. */
-  mustCollect(use: MemoryUse): boolean {
-    this.collectedBytes = Math.min(this.collectedBytes, use.bufferBytes);
-    return (
-      this.isShort(use.residentBytes) && use.bufferBytes - this.collectedBytes >= MIN_GROWTH_BYTES
-    );
+  /** Chooses the collection to run now; `recordCollected` must follow a full one. */
+  choose(use: MemoryUse): Collection {
+    const hasRead = this.readBytes >= READ_BYTES;
+    this.readBytes = 0;
+    this.collectedBytes = Math.min(this.collectedBytes, use.usedBytes);
+    if (!this.isShort(use.residentBytes)) {
+      return 'none';
+    }
+    if (use.usedBytes - this.collectedBytes >= MIN_GROWTH_BYTES) {
+      return 'full';
+    }
+    return hasRead ? 'young' : 'none';
   }
 
-  /** Records what the buffers take after a collection. */
-  recordCollected(bufferBytes: number): void {
-    this.collectedBytes = bufferBytes;
+  /** Records what buffers and objects take after a full collection. */
+  recordCollected(usedBytes: number): void {
+    this.collectedBytes = usedBytes;
   }
 }
-
-/** Collects garbage of this process early while its memory is short, until cancelled. */
-export function watchMemory(opts: {
-  readonly memoryMb: number;
-  readonly timer: TimerService;
-}): Cancel {
-  const pressure = MemoryPressure.create(opts);
-  let collect: (() => void) | undefined;
-  return opts.timer.every({
-    intervalMs: CHECK_INTERVAL_MS,
-    notify: () => {
-      const residentBytes = process.memoryUsage.rss();
-      if (!pressure.isShort(residentBytes)) {
-        return;
-      }
-      const { arrayBuffers: bufferBytes } = process.memoryUsage();
-      if (pressure.mustCollect({ residentBytes, bufferBytes })) {
-        // Most processes never need it.
-        collect ??= loadCollector();
-        collect();
-        pressure.recordCollected(process.memoryUsage().arrayBuffers);
-      }
-    },
-  });
-}
-
-/** Loads the function of V8 that collects all garbage. */
-function loadCollector(): () => void {
-  setFlagsFromString('--expose-gc');
-  const collect = runInNewContext('gc') as () => void;
-  setFlagsFromString('--no-expose-gc');
-  return collect;
-}
--- a/packages/caller/src/readBody.ts
+++ b/packages/caller/src/readBody.ts
@@ -24,6 +24,8 @@
   readonly budget: BodyBudget;
   readonly blocks: BlockPool;
   readonly pacer: ChunkPacer;
+  /** Called with the number of bytes of each part that is read. */
+  readonly onRead: (bytes: number) => void;
   readonly maxBytes: number;
   /** Monotonic time until which the body must be complete. */
   readonly deadlineAtMs: number;
@@ -61,6 +63,7 @@
         return;
       }
       collector.push(chunk);
+      opts.onRead(chunk.length);
       const { chunks, bodyBytes, heldBytes } = collector;
       if (bodyBytes > maxBytes) {
         fail('too-large');
--- a/packages/caller/src/serveCall.ts
+++ b/packages/caller/src/serveCall.ts
@@ -179,10 +179,10 @@
   opts: ServeCallOptions,
 ): Promise<Result<ReadBody, GalenatillerError>> {
   const { request, guard, bodyDeadlineAtMs: deadlineAtMs } = opts;
-  const { bodies: budget, blocks, pacer } = guard;
+  const { bodies: budget, blocks, pacer, recordRead: onRead } = guard;
   return new Promise((resolve, reject) => {
     const cancel = opts.onWorkEnd(() => resolve(Result.err(createStoppingError())));
-    readBody({ request, budget, blocks, pacer, deadlineAtMs, maxBytes: MAX_BODY_BYTES })
+    readBody({ request, budget, blocks, pacer, onRead, deadlineAtMs, maxBytes: MAX_BODY_BYTES })
       .then((body) => resolve(body.mapErr(createBodyError)), reject)
       .finally(cancel);
   });
--- a/packages/daemon/src/runEntryRole.ts
+++ b/packages/daemon/src/runEntryRole.ts
@@ -1,4 +1,4 @@
-import { watchMemory } from '@galenatiller/caller';
+import { MemoryWatch } from '@galenatiller/caller';
 import {
   type Entry,
   type ListeningEntry,
@@ -19,7 +19,7 @@
   const { settings } = opts;
   const observability = NodeObservability.create(opts);
   const platform = connectPlatform(opts);
-  const cancelWatch = watchMemory({ ...settings, timer: opts.timer });
+  const cancelWatch = MemoryWatch.create({ ...settings, timer: opts.timer }).start();
   try {
     await runEntry({
       ...opts,
--- a/packages/http/src/index.ts
+++ b/packages/http/src/index.ts
@@ -2,7 +2,7 @@
 export { BodyMemory, type BodyMemoryOptions, createResponseMemory } from './bodyMemory.js';
 export { createAttemptHeaders } from './createAttemptHeaders.js';
 export { fetchText, type FetchTextOptions, type TextResponse } from './fetchText.js';
-export { readAll, type ReadAllOptions } from './readAll.js';
+export { readAll, type ReadAllOptions, readParts } from './readAll.js';
 export {
   type OnTargetNotice,
   sendRequest,
--- a/packages/http/src/readAll.ts
+++ b/packages/http/src/readAll.ts
@@ -1,22 +1,35 @@
+import { FREE_RESPONSE_BYTES } from '@galenatiller/constants';
+
 import type { BodyMemory } from './bodyMemory.js';
 
 /** Options of {@link readAll}. */
-export interface ReadAllOptions {
-  readonly body: AsyncIterable<Uint8Array>;
+export interface ReadAllOptions<Part extends Uint8Array = Uint8Array> {
+  readonly body: AsyncIterable<Part>;
   /** A longer body is not read to its end. */
   readonly maxBytes: number;
   /** Memory that the body shares with others while it is being read; unlimited by default. */
   readonly memory?: BodyMemory;
+  /** Awaited once, before more is read of a body that exceeds what each may always have. */
+  readonly mayExceed?: () => Promise<void>;
+}
+
+/** Reads a whole body; throws like {@link readParts}. */
+export async function readAll(opts: ReadAllOptions): Promise<Buffer> {
+  return Buffer.concat(await readParts(opts));
 }
 
 /**
- * Reads a whole body. Throws when it is interrupted, too long or finds no memory; leaving the loop closes
- * its connection.
+ * Reads a whole body, and leaves it in the parts in which it came: joining them would take their memory
+ * twice. Throws when the body is interrupted, too long or finds no memory; leaving the loop closes its
+ * connection.
  */
-export async function readAll(opts: ReadAllOptions): Promise<Buffer> {
+export async function readParts<Part extends Uint8Array>(
+  opts: ReadAllOptions<Part>,
+): Promise<readonly Part[]> {
   const { memory, maxBytes } = opts;
-  const chunks: Uint8Array[] = [];
+  const chunks: Part[] = [];
   let bytes = 0;
+  let { mayExceed } = opts;
   try {
     for await (const chunk of opts.body) {
       const toBytes = bytes + chunk.length;
@@ -28,8 +41,12 @@
       }
       bytes = toBytes;
       chunks.push(chunk);
+      if (mayExceed && bytes > FREE_RESPONSE_BYTES) {
+        await mayExceed();
+        mayExceed = undefined;
+      }
     }
-    return Buffer.concat(chunks);
+    return chunks;
   } finally {
     memory?.release(bytes);
   }
--- a/packages/http/src/targetConnectionPool.ts
+++ b/packages/http/src/targetConnectionPool.ts
@@ -53,6 +53,8 @@
   readonly connectLimitMs: number;
   /** Called for each new connection. */
   readonly onOpened: (address: string) => void;
+  /** Called with the number of bytes of each part of a body that is read. */
+  readonly onRead?: (bytes: number) => void;
 }
 
 /** What happened on one socket. */
@@ -187,6 +189,7 @@
     try {
       for await (const chunk of opts.body) {
         connection.history().recordProgress();
+        this.opts.onRead?.(chunk.length);
         yield chunk;
       }
       // undici treats a reset as the end of a body without length.
--- a/packages/http/test/bodyMemory.steps.ts
+++ b/packages/http/test/bodyMemory.steps.ts
@@ -1,14 +1,20 @@
 import assert from 'node:assert/strict';
+import { setImmediate } from 'node:timers/promises';
 
 import { Given, Then, When } from '@cucumber/cucumber';
-import { BodyMemory, readAll } from '@galenatiller/http';
+import { BodyMemory, readAll, readParts } from '@galenatiller/http';
 
 interface BodyMemoryWorld {
   bodyMemory: BodyMemory;
   wholeSizes: number[];
+  partsRead: number;
+  giveTurn: () => void;
+  whole: Promise<readonly Buffer[]>;
+  parts: number;
 }
 
 const MAX_BYTES = 2_000;
+const MAX_PARTS_BYTES = 1_000_000;
 
 Given(
   'a memory of {int} bytes for bodies, each of which may have {int} bytes besides',
@@ -79,3 +85,42 @@
     assert.equal(this.wholeSizes.at(-1), bytes);
   },
 );
+
+When(
+  'a body of {int} parts of {int} bytes is read before its turn',
+  async function when(this: BodyMemoryWorld, parts: number, bytes: number) {
+    this.parts = parts;
+    this.partsRead = 0;
+    const countPart = (): void => {
+      this.partsRead += 1;
+    };
+    async function* createBody(): AsyncGenerator<Buffer> {
+      for (let part = 0; part < parts; part += 1) {
+        countPart();
+        yield Buffer.alloc(bytes);
+      }
+    }
+    const turn = new Promise<void>((resolve) => {
+      this.giveTurn = resolve;
+    });
+    this.whole = readParts({
+      body: createBody(),
+      maxBytes: MAX_PARTS_BYTES,
+      mayExceed: () => turn,
+    });
+    await setImmediate();
+  },
+);
+
+Then('{int} of its parts have been read', function then(this: BodyMemoryWorld, parts: number) {
+  assert.equal(this.partsRead, parts);
+});
+
+Then('it is whole once its turn has come', async function then(this: BodyMemoryWorld) {
+  this.giveTurn();
+  assert.equal((await this.whole).length, this.parts);
+});
+
+Then('it is whole without its turn', async function then(this: BodyMemoryWorld) {
+  assert.equal((await this.whole).length, this.parts);
+});
--- a/packages/router/src/forwardResponse.ts
+++ b/packages/router/src/forwardResponse.ts
@@ -1,15 +1,18 @@
 import { MAX_RESPONSE_BYTES } from '@galenatiller/constants';
-import { type BodyMemory, readAll } from '@galenatiller/http';
+import { type BodyMemory, readParts } from '@galenatiller/http';
+import { whenAborted } from '@galenatiller/tasks';
 import type { BodyEnd } from '@galenatiller/types';
 
 import type { CallerExchange, SendResponse } from './ports.js';
-import { type CompleteEvent, EventSplitter } from './wireEventStream.js';
+import { type EventPart, EventSplitter } from './wireEventStream.js';
 
 /** Options of {@link forwardResponse}. */
 export interface ForwardResponseOptions {
   readonly exchange: CallerExchange;
   readonly response: SendResponse;
   readonly isStream: boolean;
+  /** Aborts at the deadline of the call, and with it the body of the response. */
+  readonly signal: AbortSignal;
   /** Memory for bodies that are no streams. */
   readonly bodyMemory: BodyMemory;
   /** Whether an earlier attempt has started the response to the caller. */
@@ -52,28 +55,39 @@
       `status ${response.status} instead of the rest of the stream`,
     );
   }
-  let body: Buffer;
+  let parts: readonly Buffer[];
   try {
-    body = await readAll({
+    parts = await readParts({
       body: response.body,
       maxBytes: MAX_RESPONSE_BYTES,
       memory: opts.bodyMemory,
+      mayExceed: () => waitForTurn(opts),
     });
   } catch (error) {
     return createInterrupted({ ...opts, lastEventId }, describeError(error));
   }
-  const bodyEnd = findBufferedEnd(response.bodyEnd, body.length);
+  const bodyBytes = parts.reduce((sum, { length }) => sum + length, 0);
+  const bodyEnd = findBufferedEnd(response.bodyEnd, bodyBytes);
   if (bodyEnd !== 'close' && (await isCutByCrash(opts))) {
     return createInterrupted({ ...opts, lastEventId }, CUT_BY_CRASH);
   }
   opts.onData(0);
   const { status, passedHeaders } = response;
-  exchange.writeHead({ status, passedHeaders, bodyEnd, bodyBytes: body.length });
-  await exchange.write(body);
+  exchange.writeHead({ status, passedHeaders, bodyEnd, bodyBytes });
+  await exchange.write(parts);
   exchange.end();
   return { kind: 'complete', hasStarted: true, lastEventId };
 }
 
+/**
+ * Waits until all earlier responses of the connection have left: a caller that sends many requests ahead
+ * would otherwise make the router keep all their bodies. A wait that the deadline ends is followed by an
+ * error of the body.
+ */
+async function waitForTurn({ exchange, signal }: ForwardResponseOptions): Promise<void> {
+  await Promise.race([exchange.whenNext(), whenAborted(signal)]);
+}
+
 async function forwardStream(opts: ForwardResponseOptions): Promise<ForwardResult> {
   const { exchange, response } = opts;
   let { hasStarted, resumeAfter: lastEventId } = opts;
@@ -93,7 +107,7 @@
       }
       opts.onData(part.events);
       lastEventId = part.lastEventId ?? lastEventId;
-      await exchange.write(part.bytes);
+      await exchange.write([part.bytes]);
     }
   } catch (error) {
     return createInterrupted({ hasStarted, lastEventId }, describeError(error));
@@ -141,27 +155,19 @@
   return hasStarted && !response.isEventStream ? 'no events instead of the rest' : undefined;
 }
 
-/**
- * Events that came together. The events themselves take ten times their bytes, which would be kept for each
- * caller that is slow to read.
- */
-interface StreamPart {
-  readonly events: number;
-  /** Id of the last event that has one. */
-  readonly lastEventId: string | undefined;
-  readonly bytes: Buffer;
-}
-
 /**
  * Yields the events of a response as they complete; throws when its body breaks off, or when it
  * isn't the rest of a stream that has started.
  */
-async function* readEvents(opts: ForwardResponseOptions): AsyncGenerator<StreamPart, void, void> {
+async function* readEvents(opts: ForwardResponseOptions): AsyncGenerator<EventPart, void, void> {
   const splitter = EventSplitter.create();
   let isRest = !opts.hasStarted;
   for await (const chunk of opts.response.body) {
-    const part = joinEvents(splitter.push(chunk), isRest ? undefined : opts.resumeAfter);
+    const part = splitter.push(chunk);
     if (part) {
+      if (!isRest && !isAfter(part, opts.resumeAfter)) {
+        throw new Error('events that the caller has instead of the rest');
+      }
       isRest = true;
       yield part;
     }
@@ -174,27 +180,9 @@
   }
 }
 
-/** Joins events; throws if they are not those after an id. */
-function joinEvents(
-  events: readonly CompleteEvent[],
-  after: string | undefined,
-): StreamPart | undefined {
-  if (events.length === 0) {
-    return undefined;
-  }
-  if (after !== undefined && !isAfter(events, after)) {
-    throw new Error('events that the caller has instead of the rest');
-  }
-  return {
-    events: events.length,
-    lastEventId: events.findLast(({ id }) => id !== '')?.id,
-    bytes: Buffer.concat(events.map(({ bytes }) => bytes)),
-  };
-}
-
 /** Whether events follow the last one that the caller has; ids that are no numbers prove nothing. */
-function isAfter(events: readonly CompleteEvent[], lastEventId: string): boolean {
-  const first = Number(events.find(({ id }) => id !== '')?.id ?? Number.NaN);
+function isAfter(part: EventPart, lastEventId: string): boolean {
+  const first = Number(part.findFirstId() ?? Number.NaN);
   return !(first <= Number(lastEventId === '' ? Number.NaN : lastEventId));
 }
 
--- a/packages/router/src/ports.ts
+++ b/packages/router/src/ports.ts
@@ -119,9 +119,11 @@
   readonly release: () => void;
   /** Responds with an error of the router itself. */
   readonly refuse: (error: GalenatillerError) => void;
+  /** Resolves when all earlier responses of the connection have left, or when the connection has closed. */
+  readonly whenNext: () => Promise<void>;
   readonly writeHead: (head: ResponseHead) => void;
-  /** Resolves when more may be written. */
-  readonly write: (bytes: Buffer) => Promise<void>;
+  /** Writes parts of the body together; resolves when more may be written. */
+  readonly write: (parts: readonly Buffer[]) => Promise<void>;
   readonly end: () => void;
   /** Closes the connection in a way that shows the response to be incomplete. */
   readonly abort: () => void;
--- a/packages/router/src/runAttempts.ts
+++ b/packages/router/src/runAttempts.ts
@@ -231,6 +231,7 @@
   const forwarded: ForwardResult = await forwardResponse({
     exchange,
     response,
+    signal: opts.signal,
     bodyMemory: context.bodyMemory,
     hasTargetCrashed: () => context.crashDetector.hasCrashed(target),
     isStream: isStream(opts, response),
--- a/packages/router/src/wireEventStream.ts
+++ b/packages/router/src/wireEventStream.ts
@@ -2,11 +2,17 @@
 
 import { MAX_EVENT_BYTES } from '@galenatiller/constants';
 
-/** One event with the blank line that ends it. */
-export interface CompleteEvent {
+/**
+ * Complete events that came together. An object for each event would take ten times its bytes, which adds up
+ * over many streams that nobody reads.
+ */
+export interface EventPart {
+  readonly events: number;
+  /** Id of the last event that has one. */
+  readonly lastEventId: string | undefined;
+  /** Id of the first event that has one. */
+  readonly findFirstId: () => string | undefined;
   readonly bytes: Buffer;
-  /** Empty when the event has none. */
-  readonly id: string;
 }
 
 const LINE_FEED = 0x0a;
@@ -29,26 +35,35 @@
     return this.buffered.length === 0;
   }
 
-  /** Adds bytes and returns the events that they complete; throws when an event is too long. */
-  push(chunk: Buffer): readonly CompleteEvent[] {
+  /** Adds bytes and returns the events that they complete, if any; throws when an event is too long. */
+  push(chunk: Buffer): EventPart | undefined {
     const bytes = this.buffered.length === 0 ? chunk : Buffer.concat([this.buffered, chunk]);
-    const events: CompleteEvent[] = [];
-    let start = 0;
-    let end = findEventEnd(bytes, start);
-    while (end > 0) {
-      const event = bytes.subarray(start, end);
-      events.push({ bytes: event, id: findEventId(event) });
-      start = end;
-      end = findEventEnd(bytes, start);
+    const ends: number[] = [];
+    for (let end = findEventEnd(bytes, 0); end > 0; end = findEventEnd(bytes, end)) {
+      ends.push(end);
     }
-    this.buffered = bytes.subarray(start);
+    const restAt = ends.at(-1) ?? 0;
+    // A part of the chunk would keep all of it in memory.
+    this.buffered = restAt === 0 ? bytes : Buffer.from(bytes.subarray(restAt));
     if (this.buffered.length > MAX_EVENT_BYTES) {
       throw new Error(`an event has over ${MAX_EVENT_BYTES} bytes`);
     }
-    return events;
+    return restAt === 0 ? undefined : createPart(bytes.subarray(0, restAt), ends);
   }
 }
 
+function createPart(bytes: Buffer, ends: readonly number[]): EventPart {
+  const findId = (index: number): string =>
+    findEventId(bytes.subarray(ends[index - 1] ?? 0, ends[index]));
+  const lastWithId = ends.findLastIndex((_end, index) => findId(index) !== '');
+  return {
+    events: ends.length,
+    lastEventId: lastWithId < 0 ? undefined : findId(lastWithId),
+    findFirstId: () => ends.map((_end, index) => findId(index)).find((id) => id !== ''),
+    bytes,
+  };
+}
+
 /** Position after the blank line that ends the event at `start`; 0 when it has not come yet. */
 function findEventEnd(bytes: Buffer, start: number): number {
   let lineStart = start;
--- a/packages/router/test/stopWorld.ts
+++ b/packages/router/test/stopWorld.ts
@@ -227,6 +227,7 @@
         Object.assign(seen, { status, isNotRun, retryAfterMs: error.retryAfterMs });
         finish('refused');
       },
+      whenNext: () => Promise.resolve(),
       writeHead: ({ status }) => Object.assign(seen, { status, hasStarted: true }),
       write: () => Promise.resolve(),
       end: () => finish('answered'),
--- a/packages/router/test/support.ts
+++ b/packages/router/test/support.ts
@@ -296,12 +296,13 @@
       received.refusal = error;
       received.refusedAfterMs = world.routerTimer.nowMs() - receivedAtMs;
     },
+    whenNext: () => Promise.resolve(),
     writeHead: (head) => {
       assert.equal(received.head, undefined, 'a second head');
       received.head = head;
     },
-    write: (bytes) => {
-      received.bytes += bytes.toString();
+    write: (parts) => {
+      received.bytes += Buffer.concat(parts).toString();
       return Promise.resolve();
     },
     end: () => {
