Close what a hostile-caller scenario opened, whichever step fails

Cause: a front that never became ready left its process, folder and servers behind; a clean-up that failed kept the later ones from running; a socket of a step that timed out and its timer stayed. Change: everything is added to one list when it is opened; the After hook closes the list in reverse order, waits for the process to be gone, and closes at once what a step that timed out opens later. The checks, the crowd and the bounds are unchanged.

--- a/features/hostileCallers.steps.ts
+++ b/features/hostileCallers.steps.ts
@@ -1,16 +1,19 @@
 import assert from 'node:assert/strict';
 import { once } from 'node:events';
 import { readdir, readFile } from 'node:fs/promises';
-import { connect } from 'node:net';
+import { connect, type Socket } from 'node:net';
 import { setTimeout as sleep } from 'node:timers/promises';
 
 import { After, Given, Then, When } from '@cucumber/cucumber';
 import { type HostileForm, HostileCallers } from '@galenatiller/fakes';
 import { request } from 'undici';
 
+import { CleanUps } from './support/cleanUps.js';
 import { type HostileFront, startEntryFront, startRouterFront } from './support/hostileFronts.js';
 
 interface HostileWorld {
+  /** What the scenario has opened. */
+  opened: CleanUps;
   front: HostileFront;
   crowd: HostileCallers;
   /** What the machine of the process has. */
@@ -37,7 +40,8 @@
     this.memoryMb = Number(memoryMb);
     this.maxDescriptors = Number(descriptors);
     const start = kind === 'a router' ? startRouterFront : startEntryFront;
-    this.front = await start(this);
+    this.opened = CleanUps.create();
+    this.front = await start(this, this.opened);
     this.openDescriptors = 0;
   },
 );
@@ -53,7 +57,10 @@
       callers: Number(callers),
       forms: forms.split(', ') as HostileForm[],
     });
-    const timeout = sleep(CROWD_MS);
+    this.opened.add(() => this.crowd.close());
+    const stopTimeout = new AbortController();
+    this.opened.add(() => stopTimeout.abort());
+    const timeout = sleep(CROWD_MS, undefined, stopTimeout);
     let isOver = false;
     Promise.race([this.crowd.sent, timeout]).then(
       () => {
@@ -115,17 +122,19 @@
   /^one caller sends (\d+) bytes (?:with a length|in chunks of (\d+))$/,
   STEP_OPTIONS,
   async function when(this: HostileWorld, bytes: string, chunkBytes: string | null) {
-    this.answer = await sendLargest(this.front, Number(bytes), Number(chunkBytes ?? 0));
+    const socket = connect(this.front.ports.callers ?? 0, '127.0.0.1');
+    this.opened.add(() => socket.destroy());
+    this.answer = await sendLargest(socket, this.front, Number(bytes), Number(chunkBytes ?? 0));
   },
 );
 
-/** Sends a body over a connection of its own, in chunks if their size isn't 0; returns the start of the answer. */
+/** Sends a body over a connection, in chunks if their size isn't 0; returns the start of the answer. */
 async function sendLargest(
+  socket: Socket,
   front: HostileFront,
   bytes: number,
   chunkBytes: number,
 ): Promise<string> {
-  const socket = connect(front.ports.callers ?? 0, '127.0.0.1');
   const named = Object.entries(front.headers).map(([name, value]) => `${name}: ${value}`);
   const framing = chunkBytes > 0 ? 'Transfer-Encoding: chunked' : `Content-Length: ${bytes}`;
   const { path, headers } = front.sending;
@@ -135,7 +144,6 @@
   const chunked = (): string => `${chunk.repeat(bytes / chunkBytes)}0\r\n\r\n`;
   socket.write(chunkBytes > 0 ? chunked() : 'a'.repeat(bytes));
   const [answer] = (await once(socket, 'data')) as [Buffer];
-  socket.destroy();
   return answer.toString('latin1');
 }
 
@@ -156,7 +164,6 @@
       const figures = `${peakMb} MB, ${this.openDescriptors} descriptors`;
       process.stderr.write(`${pickle.name}: ${figures}, ${result?.status}\n`);
     }
-    this.crowd?.close();
-    await this.front?.close();
+    await this.opened?.runAll();
   },
 );
--- a/features/support/hostileFronts.ts
+++ b/features/support/hostileFronts.ts
@@ -23,6 +23,7 @@
 import type { Host } from '@galenatiller/types';
 import { request } from 'undici';
 
+import type { CleanUps } from './cleanUps.js';
 import { type EndToEndDeployment, startGate, timer } from './endToEndDeployment.js';
 import { answerAsService, answerAsWorker } from './hostileAnswers.js';
 
@@ -35,7 +36,6 @@
   /** Headers of an ordinary request. */
   readonly headers: Readonly<Record<string, string>>;
   readonly readErrors: () => string;
-  readonly close: () => Promise<void>;
 }
 
 /** What the machine of the process has, as its settings state it. */
@@ -65,12 +65,15 @@
   'zone north-a in',
 ];
 
-type CleanUp = () => unknown;
-
 /** Starts a router with a store and a worker in this process. */
-export async function startRouterFront(machine: HostileMachine): Promise<HostileFront> {
+export async function startRouterFront(
+  machine: HostileMachine,
+  cleanUps: CleanUps,
+): Promise<HostileFront> {
   const store = await FakePlatformStore.listen();
+  cleanUps.add(() => store.close());
   const worker = await listen(answerAsWorker);
+  cleanUps.add(() => closeServer(worker));
   store.put({ key: 'op/config', value: createRouterConfiguration() });
   store.put({
     key: 'servers/worker-1',
@@ -114,13 +117,17 @@
       maxBodyBytes: 4_194_304,
     },
     headers: { 'x-request-id': 'other', 'x-timeout-ms': '1500' },
-    cleanUps: [() => store.close(), () => closeServer(worker)],
+    cleanUps,
   });
 }
 
 /** Starts an entry with a store, a host list, a gate and a service in this process. */
-export async function startEntryFront(machine: HostileMachine): Promise<HostileFront> {
+export async function startEntryFront(
+  machine: HostileMachine,
+  cleanUps: CleanUps,
+): Promise<HostileFront> {
   const service = await listen(answerAsService);
+  cleanUps.add(() => closeServer(service));
   const serviceUrl = `http://127.0.0.1:${portOf(service)}`;
   const { rules } = parseRules({
     text: `${RULES.map((rule) => `${rule} # asked by Mere Vakacegu`).join('\n')}\n`,
@@ -130,6 +137,7 @@
   });
   const storeServer = createFakeStoreServer({ store: FakeStore.create({ timer }) });
   await once(storeServer.listen(0, '127.0.0.1'), 'listening');
+  cleanUps.add(() => closeServer(storeServer));
   const storeUrl = `http://127.0.0.1:${portOf(storeServer)}`;
   await publish(storeUrl, rules);
   const gate = {
@@ -138,8 +146,11 @@
     floorService: { url: serviceUrl } as FakeTarget,
     stopGate: new AbortController(),
   } as unknown as EndToEndDeployment;
+  cleanUps.add(() => gate.gateEnd);
+  cleanUps.add(() => gate.stopGate.abort());
   const gatePort = await startGate(gate, indexRules({ revision: 1, rules }));
   const hostList = await createFakeHostList({ timer, port: 0, lagMs: 0 });
+  cleanUps.add(() => hostList.close());
   hostList.setHosts([createGateHost(gatePort)]);
   const [callers = 0, operator = 0, link = 0] = await findFreePorts(3);
   const settings = [
@@ -177,13 +188,7 @@
       maxBodyBytes: 262_144,
     },
     headers: { 'deadline-ms': '1500' },
-    cleanUps: [
-      () => gate.stopGate.abort(),
-      () => gate.gateEnd,
-      () => hostList.close(),
-      () => closeServer(service),
-      () => closeServer(storeServer),
-    ],
+    cleanUps,
   });
 }
 
@@ -238,8 +243,7 @@
     author: 'test',
     baseRevision: 0,
     rules,
-  });
-  await transport.close();
+  }).finally(() => transport.close());
   if (published.isErr) {
     throw new Error(published.error.error.detail);
   }
@@ -252,15 +256,17 @@
   readonly ports: HostileFront['ports'];
   readonly sending: HostileFront['sending'];
   readonly headers: Readonly<Record<string, string>>;
-  readonly cleanUps: readonly CleanUp[];
+  readonly cleanUps: CleanUps;
 }): Promise<HostileFront> {
   const folder = await mkdtemp(join(tmpdir(), 'hostile-'));
+  opts.cleanUps.add(() => rm(folder, { recursive: true }));
   const file = join(folder, 'settings.ini');
   await writeFile(file, opts.settings.join('\n'));
   const child = spawn(process.execPath, [...opts.createArguments(file)], {
     env: { GALENATILLER_NODE_FILE: file },
     stdio: ['ignore', 'ignore', 'pipe'],
   });
+  opts.cleanUps.add(() => killChild(child));
   let errors = '';
   child.stderr.on('data', (text) => {
     errors = `${errors}${String(text)}`.slice(-4_000);
@@ -272,16 +278,18 @@
     sending: opts.sending,
     headers: { authorization: `Bearer ${KEY}`, ...opts.headers },
     readErrors: () => errors,
-    close: async () => {
-      child.kill('SIGKILL');
-      await rm(folder, { recursive: true });
-      for (const cleanUp of opts.cleanUps) {
-        await cleanUp();
-      }
-    },
   };
 }
 
+/** Resolves once the process is gone. */
+async function killChild(child: ChildProcess): Promise<void> {
+  const isRunning = child.pid !== undefined && child.exitCode === null && child.signalCode === null;
+  if (isRunning) {
+    child.kill('SIGKILL');
+    await once(child, 'exit');
+  }
+}
+
 async function waitUntilReady(url: string, readErrors: () => string): Promise<void> {
   const untilMs = performance.now() + MAX_START_MS;
   while (!(await isReady(url))) {
