--- a/packages/router/src/serveCall.ts
+++ b/packages/router/src/serveCall.ts
@@ -119,7 +119,12 @@
     }
     return;
   }
-  const fingerprints = computeFingerprints({ ...context, ...admitted, call, body: body.value });
+  const fingerprints = computeFingerprints({
+    call,
+    organisation: admitted.organisation,
+    body: body.value,
+    hash: context.hash,
+  });
   const stopped = context.crashSuspects.findStopped(fingerprints);
   if (stopped !== undefined) {
     refuse(opts, createStoppedError(stopped), admitted);
