--- a/bench/src/scale/scaledRouter.ts
+++ b/bench/src/scale/scaledRouter.ts
@@ -162,6 +162,7 @@
         receivedAtMs: this.clock.nowMs(),
         disconnected: new AbortController().signal,
         readBody: () => Promise.resolve(Result.ok(Buffer.from('body'))),
+        whenNext: () => Promise.resolve(),
         release: () => resolve(),
         refuse: () => resolve(),
         writeHead: () => {},
--- a/packages/http/src/connection.ts
+++ b/packages/http/src/connection.ts
@@ -65,12 +65,15 @@
   readonly bodyEnd: BodyEnd;
   /** Called at the complete end of the body, in place of a close, if the connection may be reused. */
   readonly keep: (() => void) | undefined;
+  /** Called with the number of bytes of each part. */
+  readonly onRead?: ((bytes: number) => void) | undefined;
 }): AsyncGenerator<Buffer, void, void> {
   const { connection, keep } = opts;
   let isComplete = false;
   try {
     for await (const chunk of opts.body) {
       connection.history().recordProgress();
+      opts.onRead?.(chunk.length);
       yield chunk;
     }
     // undici treats a reset as the end of a body without length.
--- a/packages/http/src/targetConnectionPool.ts
+++ b/packages/http/src/targetConnectionPool.ts
@@ -62,6 +62,8 @@
   readonly connectLimitMs: number;
   /** Called for each new connection. */
   readonly onOpened: (address: string) => void;
+  /** Called with the number of bytes of each part of a body that is read. */
+  readonly onRead?: (bytes: number) => void;
 }
 
 /** Idle time after which a connection is not reused, unless the target sends a Keep-Alive timeout. */
@@ -151,6 +153,7 @@
           body,
           bodyEnd,
           keep: mayKeep ? () => this.idle.keep(request.address, connection) : undefined,
+          onRead: this.opts.onRead,
         }),
         discard: () => {
           body.on('error', ignoreError);
