Find rules that cannot match and limits that contradict each other

The parser accepts files whose rules are valid one by one but cannot do what they say: a move of a target group that no route uses, routes without an organisation, an in-flight limit that the rate limit keeps out of reach.

reviewRules takes the parsed rules with their lines and returns findings with a kind and a severity; with the accepted rules it also returns the differences that diffRules finds. It needs no network and repeats no check of the parser. selectKind moves to its own file, as both use it.

--- a/packages/operator/src/checkRules.ts
+++ b/packages/operator/src/checkRules.ts
@@ -5,6 +5,7 @@
 import type { RuleSyntax } from './ruleLineParser.js';
 import type { LocalProblem } from './ruleProblem.js';
 import { getTokenStart } from './ruleTokens.js';
+import { selectKind } from './selectKind.js';
 
 /** A rule with the tokens it was parsed from. */
 export interface RuleLine {
@@ -160,10 +161,3 @@
 function createProblem(token: IToken, found: string, expected: string, nearest = ''): LocalProblem {
   return { ...getTokenStart(token), found, expected, nearest };
 }
-
-function selectKind<Kind extends RuleKind>(
-  lines: readonly RuleLine[],
-  kind: Kind,
-): readonly LineOf<Kind>[] {
-  return lines.filter((line): line is LineOf<Kind> => line.rule.kind === kind);
-}
--- a/packages/operator/src/index.ts
+++ b/packages/operator/src/index.ts
@@ -3,7 +3,19 @@
 export { diffRules, type DiffRulesOptions, type RuleChange } from './diffRules.js';
 export { formatRule, formatRules } from './formatRule.js';
 export type * from './nodeReport.js';
-export { type ParsedRules, parseRules, type ParseRulesOptions } from './parseRules.js';
+export {
+  type LocatedRule,
+  type ParsedRules,
+  parseRules,
+  type ParseRulesOptions,
+} from './parseRules.js';
+export { reviewRules, type ReviewRulesOptions } from './reviewRules.js';
+export {
+  type FindingSeverity,
+  formatFinding,
+  type RuleFinding,
+  type RuleFindingKind,
+} from './ruleFinding.js';
 export { formatProblem, type RuleProblem } from './ruleProblem.js';
 export {
   type OperatorServer,
--- a/packages/operator/src/parseRules.ts
+++ b/packages/operator/src/parseRules.ts
@@ -10,7 +10,7 @@
 import { readRule } from './readRule.js';
 import { RuleLineParser } from './ruleLineParser.js';
 import type { LocalProblem, RuleProblem } from './ruleProblem.js';
-import { splitRuleLines, type TokenLine } from './ruleTokens.js';
+import { getTokenStart, splitRuleLines, type TokenLine } from './ruleTokens.js';
 
 /** Options of {@link parseRules}. */
 export interface ParseRulesOptions {
@@ -19,10 +19,18 @@
   readonly fileName: string;
 }
 
+/** A rule with its line in the file, which is 1-based. */
+export interface LocatedRule {
+  readonly line: number;
+  readonly rule: Rule;
+}
+
 /** The rules of one file, in file order. */
 export interface ParsedRules {
   readonly fileName: string;
   readonly rules: readonly Rule[];
+  /** The same rules with their lines. */
+  readonly locatedRules: readonly LocatedRule[];
 }
 
 const RULE_KINDS = ['organisation', 'stage', 'route', 'limit', 'zone', 'move'];
@@ -43,7 +51,14 @@
     ...checkRules({ lines, declaredNames: collectDeclaredNames(tokenLines) }),
   ];
   if (allProblems.length === 0) {
-    return Result.ok({ fileName: opts.fileName, rules: lines.map(({ rule }) => rule) });
+    return Result.ok({
+      fileName: opts.fileName,
+      rules: lines.map(({ rule }) => rule),
+      locatedRules: lines.map(({ syntax, rule }) => ({
+        line: getTokenStart(syntax.body.name).line,
+        rule,
+      })),
+    });
   }
   return Result.err(
     sortByPosition(allProblems).map((problem) => ({ fileName: opts.fileName, ...problem })),
--- a/packages/operator/src/ruleProblem.ts
+++ b/packages/operator/src/ruleProblem.ts
@@ -29,9 +29,14 @@
   return `${position}: found ${formatExcerpt(problem.found)}, expected ${problem.expected}${suggestion}`;
 }
 
-/** Shortens an excerpt and replaces control characters, which must not reach a terminal. */
+/** Replaces control characters, which must not reach a terminal. */
+export function replaceControlCharacters(text: string): string {
+  return text.replace(/\p{C}/gu, '?');
+}
+
+/** Shortens an excerpt and replaces its control characters. */
 function formatExcerpt(found: string): string {
-  const printable = found.replace(/\p{C}/gu, '?');
+  const printable = replaceControlCharacters(found);
   return printable.length > MAX_EXCERPT_LENGTH
     ? `${printable.slice(0, MAX_EXCERPT_LENGTH)}…`
     : printable;
