--- a/packages/cli/src/cliCommand.ts
+++ b/packages/cli/src/cliCommand.ts
@@ -1,6 +1,7 @@
 /** A parsed command with its arguments. */
 export type CliCommand =
   | { readonly kind: 'check'; readonly fileName: string }
+  | { readonly kind: 'check-against-active'; readonly fileName: string }
   | { readonly kind: 'diff'; readonly fileName: string }
   | { readonly kind: 'show' }
   | { readonly kind: 'status' }
--- a/packages/cli/src/commandReport.ts
+++ b/packages/cli/src/commandReport.ts
@@ -1,6 +1,6 @@
 /** Reports of commands, from which both text and JSON output are produced. */
 import type { GalenatillerError } from '@galenatiller/error';
-import type { MoveStatus, NodeStatus, RuleChange } from '@galenatiller/operator';
+import type { MoveStatus, NodeStatus, RuleChange, RuleFinding } from '@galenatiller/operator';
 import type { Host, MoveRule, Rule, TimelineEvent } from '@galenatiller/types';
 
 interface CommonReport {
@@ -13,6 +13,16 @@
   readonly command: 'check';
   readonly fileName: string;
   readonly rules: number;
+  readonly findings: readonly RuleFinding[];
+  /** The accepted change that the file was compared with; absent when it was not compared. */
+  readonly active?: AcceptedChange;
+}
+
+/** The newest accepted change of the rules. */
+export interface AcceptedChange {
+  /** 0 before the first change. */
+  readonly revision: number;
+  readonly author: string;
 }
 
 /** Report of `diff`: the changes that `apply` would publish. */
--- a/packages/cli/src/createProgram.ts
+++ b/packages/cli/src/createProgram.ts
@@ -55,9 +55,12 @@
 function addRulesCommands(program: Command, onCommand: OnCommand): void {
   program
     .command('check')
-    .description('report all problems in a rules file, without connecting to the platform')
+    .description('report all problems in a rules file, without changing anything')
     .argument('<file>', 'rules file')
-    .action((fileName: string) => onCommand({ kind: 'check', fileName }));
+    .option('--against-active', 'also report what differs from the accepted rules')
+    .action((fileName: string, { againstActive }: { againstActive?: true }) =>
+      onCommand({ kind: againstActive ? 'check-against-active' : 'check', fileName }),
+    );
   program
     .command('diff')
     .description('show what a rules file would change')
--- a/packages/cli/src/renderReport.ts
+++ b/packages/cli/src/renderReport.ts
@@ -1,9 +1,17 @@
-import { formatInstant, formatRules, formatShare, type NodeStatus } from '@galenatiller/operator';
+import {
+  formatFinding,
+  formatInstant,
+  formatRules,
+  formatShare,
+  type NodeStatus,
+} from '@galenatiller/operator';
 import { describeEvent } from '@galenatiller/timeline';
 import type { Host } from '@galenatiller/types';
 
 import type {
+  AcceptedChange,
   ApplyReport,
+  CheckReport,
   CommandReport,
   DiffReport,
   NodeReport,
@@ -22,7 +30,7 @@
     case 'apply':
       return renderApply(report, style);
     case 'check':
-      return [`${report.fileName}: ${report.rules} rules, no problem found.`];
+      return renderCheck(report, style);
     case 'completion':
       return [report.script];
     case 'diff':
@@ -57,9 +65,31 @@
   ];
 }
 
+function renderCheck(report: CheckReport, style: TextStyle): readonly string[] {
+  const { fileName, rules, findings, active } = report;
+  const problems = findings.filter(({ severity }) => severity === 'problem').length;
+  const notices = findings.length - problems;
+  const summary = [
+    `${fileName}: ${rules} rules`,
+    problems === 0 ? 'no problem found' : `problems: ${problems}`,
+    ...(notices === 0 ? [] : [`notices: ${notices}`]),
+    ...(active ? [`compared with ${describeAccepted(active)}`] : []),
+  ];
+  return [
+    ...findings.map((finding) =>
+      finding.severity === 'problem' ? style.error(formatFinding(finding)) : formatFinding(finding),
+    ),
+    `${summary.join(', ')}.`,
+  ];
+}
+
+function describeAccepted({ revision, author }: AcceptedChange): string {
+  return revision === 0 ? 'no accepted rules' : `revision ${revision} by ${author}`;
+}
+
 function renderDiff(report: DiffReport, style: TextStyle): readonly string[] {
   const { changes, revision, author } = report;
-  const base = revision === 0 ? 'no accepted rules' : `revision ${revision} by ${author}`;
+  const base = describeAccepted({ revision, author });
   return [
     ...renderChangeLines(formatChanges(changes), style),
     changes.length === 0
--- a/packages/cli/src/runCli.ts
+++ b/packages/cli/src/runCli.ts
@@ -3,13 +3,14 @@
 import { Result } from 'true-myth';
 import { Unit } from 'true-myth/unit';
 
+import { checkRulesFile } from './checkRulesFile.js';
 import type { CliCommand, Invocation } from './cliCommand.js';
 import { type CommandFailure, fail } from './commandFailure.js';
 import type { CommandReport } from './commandReport.js';
 import { renderCompletionScript } from './renderCompletionScript.js';
 import { createProgram } from './createProgram.js';
-import { EXIT_OK, getExitCode } from './exitCode.js';
-import { loadRules, type ReadText } from './loadRules.js';
+import { EXIT_OK, getExitCode, getReportExitCode } from './exitCode.js';
+import type { ReadText } from './loadRules.js';
 import { parseCommandLine, type ParseCommandLineOptions } from './parseCommandLine.js';
 import type { Platform } from './platform.js';
 import { renderReport } from './renderReport.js';
@@ -45,7 +46,7 @@
     const lines = json ? [encodeReport(report)] : renderReport(report, style);
     opts.writeOut(`${lines.join('\n')}\n`);
     report.unknown.forEach((error) => opts.writeError(`${style.error(error.message)}\n`));
-    exitCode ||= report.unknown[0] ? getExitCode(report.unknown[0]) : EXIT_OK;
+    exitCode ||= getReportExitCode(report);
   };
   const result = await runInvocation(opts, invocation.value, emit);
   if (result.isOk) {
@@ -93,14 +94,7 @@
     const script = renderCompletionScript(createProgram({ ...opts, onCommand: () => {} }));
     return Result.ok({ command: 'completion', unknown: [], script });
   }
-  const { fileName } = command;
-  const parsed = await loadRules({ fileName, readText: opts.readText });
-  return parsed.map(({ rules }) => ({
-    command: 'check',
-    unknown: [],
-    fileName,
-    rules: rules.length,
-  }));
+  return checkRulesFile({ fileName: command.fileName, readText: opts.readText });
 }
 
 async function loadSettings(
--- a/packages/cli/src/runCommand.ts
+++ b/packages/cli/src/runCommand.ts
@@ -3,6 +3,7 @@
 import { Unit } from 'true-myth/unit';
 
 import { applyRulesFile } from './applyRulesFile.js';
+import { checkAgainstActive } from './checkRulesFile.js';
 import { startRollout, revertRollout } from './changeRollout.js';
 import type { CliCommand, TopCommand } from './cliCommand.js';
 import { type CommandFailure, failOnStoreError } from './commandFailure.js';
@@ -61,6 +62,8 @@
   switch (command.kind) {
     case 'apply':
       return applyRulesFile({ ...opts, ...command });
+    case 'check-against-active':
+      return checkAgainstActive({ ...opts, ...command });
     case 'diff':
       return diffRulesFile({ ...opts, ...command });
     case 'explain':
--- a/packages/cli/test/cli.steps.ts
+++ b/packages/cli/test/cli.steps.ts
@@ -55,6 +55,23 @@
   this.files.set(name, text);
 });
 
+Given(
+  "an operators' file {string} with the accepted rules",
+  function given(this: CliWorld, name: string) {
+    this.files.set(name, formatStoredRules(this.platform));
+  },
+);
+
+Given(
+  "an operators' file {string} with the accepted rules except {string} and with {string}",
+  function given(this: CliWorld, name: string, dropped: string, added: string) {
+    const droppedKinds = dropped.split(', ');
+    const lines = formatStoredRules(this.platform).split('\n');
+    const kept = lines.filter((line) => !droppedKinds.includes(line.split(' ')[0] ?? ''));
+    this.files.set(name, [...kept, added.replace('{ESC}', '\u001b')].join('\n'));
+  },
+);
+
 Given(
   'node {string} does not update and node {string} fails with {string}',
   function given(this: CliWorld, outdated: string, failing: string, code: ResultCodeName) {
@@ -124,6 +141,17 @@
   assert.ok(this.output.includes(text), this.output);
 });
 
+Then('galenatiller prints exactly {string}', function then(this: CliWorld, text: string) {
+  assert.equal(this.output, `${text}\n`);
+});
+
+Then(
+  'galenatiller prints {string} with double quotes',
+  function then(this: CliWorld, text: string) {
+    assert.ok(this.output.includes(text.replaceAll("'", '"')), this.output);
+  },
+);
+
 Then(
   'galenatiller prints {string} {int} times',
   function then(this: CliWorld, text: string, times: number) {
--- a/scripts/externalNames.mjs
+++ b/scripts/externalNames.mjs
@@ -21,7 +21,7 @@
   'packages/types/src/{configuration,host,json,outcome,stage,target,timelineEvent,usage}.ts',
   'packages/configuration/src/{configurationKeys,headTypes}.ts',
   'packages/store/src/{runRecordTypes,storeTypes}.ts',
-  'packages/operator/src/{nodeReport,ruleLineParser,getRuleKey,ruleTokens,readRule,formatRule}.ts',
+  'packages/operator/src/{nodeReport,ruleFinding,ruleLineParser,getRuleKey,ruleTokens,readRule,formatRule}.ts',
   'packages/cli/src/{createProgram,commandReport,cliCommand,renderCompletionScript}.ts',
   'packages/daemon/src/{parseCommandLine,exitCodes}.ts',
   'packages/error/src/{createProblemDetails,galenatillerError}.ts',
