--- a/packages/http/src/targetConnectionPool.ts
+++ b/packages/http/src/targetConnectionPool.ts
@@ -128,11 +128,8 @@
         bodyTimeout: 0,
       });
       const definedHeaders = omitUndefined(headers);
-      const bodyEnd = findBodyEnd({
-        method: request.method,
-        status: statusCode,
-        headers: definedHeaders,
-      });
+      const { method } = request;
+      const bodyEnd = findBodyEnd({ method, status: statusCode, headers: definedHeaders });
       const history = connection.history();
       history.recordProgress();
       const isFirstOnConnection = history.responses === 0;
--- a/packages/pool/src/dispatchBatches.ts
+++ b/packages/pool/src/dispatchBatches.ts
@@ -1,65 +1,22 @@
 import type { TimerService } from '@galenatiller/timer';
-import type {
-  BatchLimits,
-  RegisteredTarget,
-  PieceResult,
-  StagePiece,
-  TargetNotice,
-} from '@galenatiller/types';
+import type { BatchLimits, RegisteredTarget, TargetNotice } from '@galenatiller/types';
 
 import { abortWhenAllCancelled } from './abortWhenAllCancelled.js';
+import type { BatchEvent, BatchResponse, RunPieces } from './batchCall.js';
 import type { BatchOutcome } from './beginsAtOnce.js';
 import { computeRefusedPauseMs } from './computeRefusedPauseMs.js';
+import { describeBatch } from './describeBatch.js';
 import { isRefused, recordFullWorker } from './recordFullWorker.js';
 import { failStopped, NO_SUSPECTS, type PieceSuspects } from './pieceSuspects.js';
 import type { ResultMemory } from './resultMemory.js';
 import type { SeenHandles } from './seenHandles.js';
+import { retryOrFail, settlePiece } from './settlePiece.js';
 import type { StageQueue } from './stageQueue.js';
 import type { TakenPiece } from './takeOptions.js';
 import { watchStart } from './watchStart.js';
 import { type FindWorkerLoad, toDurationFactor, type UnevenWorker } from './workerLoad.js';
 import type { WorkerSpeed } from './workerSpeed.js';
 
-/** Response to a batch call: one result for each piece, or why there is none. */
-export type BatchResponse = {
-  /** What the worker says about itself; unset when it says nothing. */
-  readonly notice?: TargetNotice;
-} & (
-  | {
-      readonly kind: 'answered';
-      readonly results: readonly PieceResult[];
-      /**
-       * Closes the connection. Responses to batch calls have no id: after one that is not provably
-       * that of its call, the next one on the same connection may be.
-       */
-      readonly discard: () => void;
-    }
-  /** `refused`: the worker was full. `moved`: another worker has taken over the address. */
-  | { readonly kind: 'refused' | 'moved' | 'unreachable' | 'broken'; readonly detail: string }
-);
-
-/** Sends pieces to a worker in one batch call. */
-export type RunPieces = (opts: {
-  readonly target: RegisteredTarget;
-  readonly pieces: readonly StagePiece[];
-  readonly signal: AbortSignal;
-}) => Promise<BatchResponse>;
-
-/** How a batch call to a worker ended, for logs and metrics. */
-export interface BatchEvent {
-  readonly target: RegisteredTarget;
-  readonly requestIds: readonly string[];
-  readonly stages: readonly number[];
-  readonly tookMs: number;
-  readonly waitedMs: number;
-  /** Whether the inputs of the call could be freed before its end. */
-  readonly isBegunEarly: boolean;
-  /** Results for which the worker had no memory. */
-  readonly withoutRoom: number;
-  readonly kind: BatchResponse['kind'];
-  readonly outcome: string;
-}
-
 /** Options of {@link dispatchBatches}. */
 export interface DispatchBatchesOptions {
   readonly timer: TimerService;
@@ -92,9 +49,6 @@
   readonly signal: AbortSignal;
 }
 
-/** Batch calls that one piece may be part of; three lost ones use up the configured deadlines. */
-const MAX_ATTEMPTS = 4;
-
 /**
  * A batch call times out after this multiple of its expected duration, so that a worker at a fifth
  * of its speed is abandoned.
@@ -175,11 +129,9 @@
   const startedAtMs = timer.nowMs();
   const expectedMs = limits.callOverheadMs + limits.pieceMs * taken.length;
   const factorBefore = toDurationFactor(opts.findLoad?.());
+  const slowdown = factorBefore * workerSpeed.slowdown(target.address);
   const timeout = timer.startTimeLimit({
-    limitMs: Math.max(
-      MIN_TIMEOUT_MS,
-      TIMEOUT_FACTOR * expectedMs * factorBefore * workerSpeed.slowdown(target.address),
-    ),
+    limitMs: Math.max(MIN_TIMEOUT_MS, TIMEOUT_FACTOR * expectedMs * slowdown),
   });
   const cancellation = abortWhenAllCancelled(taken);
   const pieces = taken.map(({ queued: queuedPiece }) => queuedPiece.piece);
@@ -216,11 +168,8 @@
   }
   // A worker that states that it is slow, before or after the call, is not taken for a failing one.
   const factor = Math.max(factorBefore, toDurationFactor(opts.findLoad?.()));
-  workerSpeed.recordSuccess({
-    address: target.address,
-    tookMs,
-    expectedMs: expectedMs * factor,
-  });
+  const { address } = target;
+  workerSpeed.recordSuccess({ address, tookMs, expectedMs: expectedMs * factor });
   recordFullWorker({ ...opts, results: response.results, knownBytes });
   response.results.forEach((result, position) => {
     const piece = taken[position];
@@ -228,7 +177,8 @@
       settlePiece({ ...opts, piece, result, areInputsFreed: start.isBegun() });
     }
   });
-  return 'done';
+  // A worker without room for any result responds at once, and would be sent pieces in a tight loop.
+  return response.results.every(isRefused) ? 'refused' : 'done';
 }
 
 /** Has the pieces of a batch call without results run again. */
@@ -259,32 +209,6 @@
   return countsAsAttempt ? 'failed' : 'refused';
 }
 
-function describeBatch(opts: {
-  readonly target: RegisteredTarget;
-  readonly taken: readonly TakenPiece[];
-  readonly response: BatchResponse;
-  readonly startedAtMs: number;
-  readonly tookMs: number;
-  readonly isBegunEarly: boolean;
-}): BatchEvent {
-  const { target, taken, response, startedAtMs, tookMs } = opts;
-  const queuedSinceMs = taken.map(({ queued }) => queued.queuedSinceMs);
-  return {
-    target,
-    requestIds: taken.map(({ queued }) => queued.piece.requestId),
-    stages: taken.map(({ queued }) => queued.piece.stage),
-    tookMs: Math.round(tookMs),
-    waitedMs: Math.round(startedAtMs - Math.min(...queuedSinceMs)),
-    isBegunEarly: opts.isBegunEarly,
-    withoutRoom: response.kind === 'answered' ? response.results.filter(isRefused).length : 0,
-    kind: response.kind,
-    outcome:
-      response.kind === 'answered'
-        ? describeResults(response.results)
-        : `${response.kind}: ${response.detail}`,
-  };
-}
-
 /**
  * Rejects a response that belongs to another batch call: it has the wrong number of results, or
  * results seen before. One without any result may repeat an earlier response, but does no harm.
@@ -318,57 +242,3 @@
     onNotice(target, notice);
   }
 }
-
-function settlePiece(opts: {
-  readonly target: RegisteredTarget;
-  readonly limits: BatchLimits;
-  readonly resultMemory: ResultMemory;
-  readonly piece: TakenPiece;
-  readonly result: PieceResult;
-  readonly areInputsFreed: boolean;
-  readonly suspects: PieceSuspects;
-}): void {
-  const { piece, result, resultMemory } = opts;
-  if (result.kind === 'made') {
-    opts.suspects.recordMade(piece.queued.piece);
-    const { resultBytes } = piece.queued.piece;
-    resultMemory.add({ handle: result.handle, bytes: resultBytes, limits: opts.limits });
-    if (piece.signal.aborted) {
-      resultMemory.free([result.handle]);
-    }
-    piece.settle(result);
-    return;
-  }
-  if (result.reason === 'no-room' || result.reason === 'failed') {
-    retryOrFail({ ...opts, countsAsAttempt: result.reason === 'failed' });
-    return;
-  }
-  piece.settle(result);
-}
-
-const INPUT_GONE: PieceResult = { kind: 'failed', reason: 'input-gone' };
-
-function retryOrFail(opts: {
-  readonly piece: TakenPiece;
-  readonly countsAsAttempt: boolean;
-  readonly areInputsFreed: boolean;
-}): void {
-  const { piece, countsAsAttempt } = opts;
-  if (opts.areInputsFreed && piece.onBegun) {
-    // A worker would only find out when the turn of the next call comes.
-    piece.settle(INPUT_GONE);
-    return;
-  }
-  if (countsAsAttempt && piece.queued.attempts + 1 >= MAX_ATTEMPTS) {
-    piece.settle({ kind: 'failed', reason: 'unreachable' });
-    return;
-  }
-  piece.requeue({ countsAsAttempt });
-}
-
-function describeResults(results: readonly PieceResult[]): string {
-  const failed = results.flatMap((result) => (result.kind === 'failed' ? [result.reason] : []));
-  return failed.length === 0
-    ? 'made'
-    : `made ${results.length - failed.length}, ${failed.join(' ')}`;
-}
--- a/packages/pool/src/index.ts
+++ b/packages/pool/src/index.ts
@@ -6,13 +6,8 @@
 export { SeenHandles } from './seenHandles.js';
 export { toWorkerAddress, ResultMemory, type ResultMemoryOptions } from './resultMemory.js';
 export { runPoolStage, type RunPoolStageOptions } from './runPoolStage.js';
-export {
-  type BatchResponse,
-  type BatchEvent,
-  type RunPieces,
-  dispatchBatches,
-  type DispatchBatchesOptions,
-} from './dispatchBatches.js';
+export type { BatchEvent, BatchResponse, RunPieces } from './batchCall.js';
+export { dispatchBatches, type DispatchBatchesOptions } from './dispatchBatches.js';
 export {
   type AbandonedStageEvent,
   type FindInputZone,
--- a/packages/pool/test/queueWorld.ts
+++ b/packages/pool/test/queueWorld.ts
@@ -45,6 +45,8 @@
   resultsLeft: number;
   /** Calls that found no memory for a result. */
   fullCalls: number;
+  /** Whether the worker has no room for any result, and says so at once. */
+  isWithoutRoom: boolean;
   closedCalls: number;
   losesResponses: boolean;
   freeMs: number;
@@ -74,6 +76,9 @@
 export const RESULT_BYTES = 100;
 export const CALL_MS = 300;
 
+/** Time in which a worker responds that does no work. */
+const AT_ONCE_MS = 3;
+
 export function startWorker(world: QueueWorld, zone: string): void {
   const target = createWorker(zone);
   dispatchBatches({
@@ -115,7 +120,7 @@
   if (world.blockedZones.has(target.availabilityZone)) {
     return response;
   }
-  await world.stageTimer.sleep({ delayMs: CALL_MS });
+  await world.stageTimer.sleep({ delayMs: world.isWithoutRoom ? AT_ONCE_MS : CALL_MS });
   if (world.losesResponses) {
     return { kind: 'broken', detail: 'the response was lost' };
   }
@@ -135,7 +140,7 @@
     if (scriptedFailure && scriptedFailure !== 'repeat') {
       return { kind: 'failed', reason: scriptedFailure };
     }
-    if (world.resultsLeft === 0) {
+    if (world.resultsLeft === 0 || world.isWithoutRoom) {
       return { kind: 'failed', reason: 'no-room' };
     }
     world.resultsLeft -= 1;
--- a/packages/pool/test/resultMemory.steps.ts
+++ b/packages/pool/test/resultMemory.steps.ts
@@ -2,7 +2,7 @@
 
 import { Given, Then, When } from '@cucumber/cucumber';
 
-import { LIMITS, type QueueWorld, RESULT_BYTES } from './queueWorld.js';
+import { LIMITS, type QueueWorld, RESULT_BYTES, submit } from './queueWorld.js';
 
 Given(
   'the worker takes {int} ms to free results',
@@ -37,6 +37,27 @@
   assert.equal(this.closedCalls, 0);
 });
 
+Given('a worker without room for any result', function given(this: QueueWorld) {
+  this.isWithoutRoom = true;
+});
+
+When(
+  'a piece with a result of {int} byte(s) is submitted every {int} ms for {int} ms',
+  async function when(this: QueueWorld, resultBytes: number, everyMs: number, forMs: number) {
+    for (let atMs = 0; atMs < forMs; atMs += everyMs) {
+      submit(this, { resultBytes });
+      await this.stageClock.advance({ byMs: everyMs });
+    }
+  },
+);
+
+Then(
+  'at most {int} calls found no memory for a result',
+  function then(this: QueueWorld, calls: number) {
+    assert.ok(this.fullCalls <= calls, `${this.fullCalls} calls`);
+  },
+);
+
 Then('{int} call(s) found no memory for a result', function then(this: QueueWorld, calls: number) {
   assert.equal(this.fullCalls, calls);
 });
--- a/packages/pool/test/stageQueue.feature
+++ b/packages/pool/test/stageQueue.feature
@@ -74,6 +74,12 @@
     When 1 request submits 1 piece
     Then the piece succeeds eventually
 
+  # Guards against a loop of calls to a worker without room, which responds at once and keeps pieces from others.
+  Scenario: A worker without room for any result is tried again after a growing pause
+    Given a worker without room for any result
+    When a piece with a result of 1 byte is submitted every 10 ms for 1000 ms
+    Then at most 8 calls found no memory for a result
+
   Scenario: Pieces run out of attempts on a worker that fails
     Given the worker responds with "failed" 10 times
     When 1 request submits 1 piece
--- a/packages/pool/test/stageQueue.steps.ts
+++ b/packages/pool/test/stageQueue.steps.ts
@@ -30,6 +30,7 @@
     this.discards = 0;
     this.resultsLeft = Infinity;
     this.fullCalls = 0;
+    this.isWithoutRoom = false;
     this.closedCalls = 0;
     this.losesResponses = false;
     this.freeMs = 0;
--- a/packages/router/src/createStages.ts
+++ b/packages/router/src/createStages.ts
@@ -142,15 +142,20 @@
       permits.setMembers(members);
     },
     onTargetsChanged: () => {
-      opts.notices.followRegistered((id) => {
-        const target = opts.targets.find(id);
-        return target && getStartKey(target);
-      });
+      followRegistered(opts);
       assignment.onTargetsChanged();
     },
   };
 }
 
+/** Forgets what targets said about themselves before they were started again or removed. */
+function followRegistered({ notices, targets }: CreateStagesOptions): void {
+  notices.followRegistered((id) => {
+    const target = targets.find(id);
+    return target && getStartKey(target);
+  });
+}
+
 function recordDelayed(metrics: MetricSink, priority: number): void {
   const callPriority = toPriorityTag(priority);
   metrics.count({ name: 'router.stage_pieces_delayed', tags: { callPriority } });
