Hold and give up calls by an estimate before each stage and the send

Nothing ended a call whose response could no longer start in time between its stages, and the burst simulation used results that had expired.

Change: decideStart is asked before each stage. A call that can't be served with the present waits is held before its first stage; a late call is held while its results would expire before the other stages have their turn; a call that can't be served without any wait ends as not-run with Retry-After, also before the send. Waits are estimated with a long response time, and calls are given up only if a short one is too late. A call that holds results counts as begun for its other stages. Held and given up calls are counted by priority and reason, and logged with the organisation.

Tests: the rows of callAdmission.feature on refusals as hopeless become rows on decideStart with the same limits.

--- a/packages/metrics/src/routerMetrics.ts
+++ b/packages/metrics/src/routerMetrics.ts
@@ -34,6 +34,24 @@
     role: 'router',
     meaning: 'Calls that were refused before any work for them began, by priority and reason.',
   },
+  {
+    name: 'router.calls_given_up',
+    type: 'count',
+    unit: 'calls',
+    tags: ['callPriority', 'givenUpBefore'],
+    role: 'router',
+    meaning:
+      'Calls with stages that ended before a stage or their send, since a response would be too late.',
+  },
+  {
+    name: 'router.stages_held',
+    type: 'count',
+    unit: 'stages',
+    tags: ['callPriority', 'hold'],
+    role: 'router',
+    meaning:
+      'Stages that did not start at once because of the work that waits, by priority and reason.',
+  },
   {
     name: 'router.sends',
     type: 'count',
@@ -66,6 +84,14 @@
     role: 'router',
     meaning: 'Pieces that workers took although their call could not be on time any more.',
   },
+  {
+    name: 'router.stage_pieces_given_up',
+    type: 'count',
+    unit: 'pieces',
+    tags: ['callPriority'],
+    role: 'router',
+    meaning: 'Pieces that left a queue because their call could not be served before its deadline.',
+  },
   {
     name: 'router.stage_call_time',
     type: 'timing',
--- a/packages/pool/src/stageQueue.ts
+++ b/packages/pool/src/stageQueue.ts
@@ -32,6 +32,9 @@
 export interface AbandonedStageEvent {
   readonly requestId: string;
   readonly stage: number;
+  readonly priority: number;
+  /** Organisation of the call; empty when that is not known. */
+  readonly organisation: string;
   readonly pieces: number;
   /** Pieces that are still in the queue. */
   readonly waiting: number;
@@ -304,9 +307,18 @@
       this.waiting = this.waiting.filter((pending) => !abandoned.has(pending));
       const [first] = pieces;
       if (first) {
-        const { requestId, stage } = first.piece;
+        const { requestId, stage, priority, urgency: { organisation = '' } = {} } = first.piece;
         const waiting = this.waiting.length;
-        onStageAbandoned({ requestId, stage, pieces: pieces.length, waiting, neededMs, leftMs });
+        onStageAbandoned({
+          requestId,
+          stage,
+          priority,
+          organisation,
+          pieces: pieces.length,
+          waiting,
+          neededMs,
+          leftMs,
+        });
       }
       pieces.forEach(({ settle }) => settle(BUSY));
     });
--- a/packages/router/src/admission/callAdmission.ts
+++ b/packages/router/src/admission/callAdmission.ts
@@ -3,11 +3,17 @@
 import type { SmoothedDurations, TimerService } from '@galenatiller/timer';
 import type { RouteConfig, RoutedCall } from '@galenatiller/types';
 
-import { estimateStageTimes } from '../computeStageDeadlines.js';
 import { toPriorityTag } from '../priorityTag.js';
 import type { RouteTable } from '../routeTable.js';
 import { decideAdmission } from './decideAdmission.js';
-import { estimateCall, type FindWaits } from './estimateCall.js';
+import {
+  decideStageStart,
+  type EstimateInputs,
+  estimateNewCall,
+  type StageStartOptions,
+} from './decideStageStart.js';
+import type { StageStartDecision } from './decideStart.js';
+import type { FindWaits } from './estimateCall.js';
 import type { LoopLag } from './loopLag.js';
 
 /** Options of {@link CallAdmission.create}. */
@@ -35,7 +41,21 @@
   readonly firstByteDeadlineAtMs: number;
 }
 
-/** Decides on arrival whether a call may begin. */
+/** Options of {@link CallAdmission.findRefusal}. */
+export interface AdmissionOptions {
+  readonly admitted: ArrivedCall;
+  readonly call: RoutedCall;
+}
+
+/** A stage whose dependencies are done. */
+export interface StartingStage extends AdmissionOptions {
+  readonly position: number;
+  readonly stageProgress: StageStartOptions['stageProgress'];
+  /** Latest monotonic time at which the stage can start for the call to be on time. */
+  readonly latestStartAtMs: number;
+}
+
+/** Decides on arrival whether a call may begin, and then whether it goes on. */
 export class CallAdmission {
   private constructor(private readonly opts: CallAdmissionOptions) {}
 
@@ -45,11 +65,8 @@
   }
 
   /** The error that refuses a call; undefined when it may begin. */
-  findRefusal(opts: {
-    readonly admitted: ArrivedCall;
-    readonly call: RoutedCall;
-  }): GalenatillerError | undefined {
-    const { admitted, call } = opts;
+  findRefusal(opts: AdmissionOptions): GalenatillerError | undefined {
+    const { admitted } = opts;
     const { route, priority } = admitted;
     const nowMs = this.opts.timer.nowMs();
     if (nowMs >= admitted.deadlineAtMs) {
@@ -58,16 +75,9 @@
     if (route.stages.length === 0) {
       return undefined;
     }
-    const { routes, responseTimes, findWaits, loopLag, random } = this.opts;
-    const findLimits = (name: string) => routes.findService(name)?.batch;
+    const { loopLag, random } = this.opts;
     const leftMs = admitted.firstByteDeadlineAtMs - nowMs;
-    const estimate = estimateCall({
-      route,
-      priority,
-      stagesMs: estimateStageTimes({ route, call, findLimits }),
-      responseMs: responseTimes.estimateMs({ name: admitted.service, nowMs }),
-      findWaits,
-    });
+    const estimate = estimateNewCall(this.collectInputs(opts));
     const decision = decideAdmission({
       estimate,
       leftMs,
@@ -80,12 +90,45 @@
       return undefined;
     }
     const numbers = [
-      `needs ${Math.round(estimate.neededMs)} of ${Math.round(leftMs)} ms`,
+      `needs ${Math.round(estimate.unloadedMs)} of ${Math.round(leftMs)} ms`,
       `event loop ${Math.round(loopLag.meanMs)} ms late`,
     ];
     return this.refuse({ ...decision, detail: `: ${numbers.join(', ')}`, priority });
   }
 
+  /** Decides whether a stage of a call starts now; the stages that it depends on are done. */
+  decideStart(opts: StartingStage): StageStartDecision {
+    const { admitted } = opts;
+    const nowMs = this.opts.timer.nowMs();
+    return decideStageStart({
+      ...opts,
+      ...this.collectInputs(opts),
+      leftMs: admitted.firstByteDeadlineAtMs - nowMs,
+      isLate: opts.latestStartAtMs < nowMs,
+    });
+  }
+
+  /** Whether even a fast response to a call with stages would start too late if the call was sent now. */
+  isTooLateToSend({ route, service, firstByteDeadlineAtMs }: ArrivedCall): boolean {
+    const nowMs = this.opts.timer.nowMs();
+    const fastResponseMs = this.opts.responseTimes.shortMs({ name: service, nowMs });
+    return route.stages.length > 0 && nowMs + fastResponseMs > firstByteDeadlineAtMs;
+  }
+
+  private collectInputs({ admitted, call }: AdmissionOptions): EstimateInputs {
+    const { timer, routes, responseTimes, findWaits } = this.opts;
+    const response = { name: admitted.service, nowMs: timer.nowMs() };
+    return {
+      route: admitted.route,
+      call,
+      priority: admitted.priority,
+      findLimits: (name) => routes.findService(name)?.batch,
+      findWaits,
+      responseMs: responseTimes.longMs(response),
+      fastResponseMs: responseTimes.shortMs(response),
+    };
+  }
+
   private listStagedPriorities(): readonly number[] {
     const routes = this.opts.routes.currentConfiguration()?.routes ?? [];
     return routes.filter(({ stages }) => stages.length > 0).map(({ priority }) => priority);
--- a/packages/router/src/admission/estimateCall.ts
+++ b/packages/router/src/admission/estimateCall.ts
@@ -7,17 +7,19 @@
 export interface EstimateCallOptions {
   readonly route: RouteConfig;
   readonly priority: number;
-  /** Time of each stage without any wait; 0 when it is skipped. */
+  /** Time of each stage without any wait; 0 when it is skipped or done. */
   readonly stagesMs: readonly number[];
-  /** Usual time from the send of the call to the start of its response. */
+  /** Time from the send of the call to the start of its response that few responses exceed. */
   readonly responseMs: number;
+  /** The same for few responses that are faster. */
+  readonly fastResponseMs: number;
   readonly findWaits: FindWaits;
 }
 
 /** Time from now until the start of the response to a new call. */
 export interface CallEstimate {
   readonly neededMs: number;
-  /** The same without any wait. */
+  /** The same without any wait, and with a fast response. */
   readonly unloadedMs: number;
   /** For how long the oldest work waits that goes first at one of the services. */
   readonly oldestMs: number;
@@ -27,7 +29,7 @@
 export function estimateCall(opts: EstimateCallOptions): CallEstimate {
   return {
     neededMs: sumPath(opts, (service) => findWait(opts, service).waitMs) + opts.responseMs,
-    unloadedMs: sumPath(opts, () => 0) + opts.responseMs,
+    unloadedMs: sumPath(opts, () => 0) + opts.fastResponseMs,
     oldestMs: Math.max(
       0,
       ...opts.route.stages.map(({ service }) => findWait(opts, service).oldestMs),
--- a/packages/router/src/createStages.ts
+++ b/packages/router/src/createStages.ts
@@ -1,6 +1,6 @@
 import type { EventLog } from '@galenatiller/logger';
 import type { MetricSink } from '@galenatiller/metrics';
-import { ResultMemory } from '@galenatiller/pool';
+import { type AbandonedStageEvent, ResultMemory } from '@galenatiller/pool';
 import type { PeerService } from '@galenatiller/routerLink';
 import type { RouterSettings } from '@galenatiller/settings';
 import type { Member, PrefixRelay } from '@galenatiller/store';
@@ -116,7 +116,10 @@
       logStageCall(log, event);
       recordBatchMetrics(opts.metrics, event);
     },
-    onStageAbandoned: (event) => logAbandonedStage(log, event),
+    onStageAbandoned: (event) => {
+      logAbandonedStage(log, event);
+      recordAbandoned(opts.metrics, event);
+    },
     onDelayedTaken: ({ priority }) => recordDelayed(opts.metrics, priority),
   });
   const credit = OwnerCredit.create({ piecesInProgress: () => workers.piecesInProgress });
@@ -140,6 +143,14 @@
   };
 }
 
+function recordAbandoned(
+  metrics: MetricSink,
+  { priority, pieces }: Pick<AbandonedStageEvent, 'priority' | 'pieces'>,
+): void {
+  const tags = { callPriority: toPriorityTag(priority) };
+  metrics.count({ name: 'router.stage_pieces_given_up', tags, amount: pieces });
+}
+
 function recordDelayed(metrics: MetricSink, priority: number): void {
   const callPriority = toPriorityTag(priority);
   metrics.count({ name: 'router.stage_pieces_delayed', tags: { callPriority } });
--- a/packages/router/src/logEvents.ts
+++ b/packages/router/src/logEvents.ts
@@ -13,7 +13,7 @@
 import type { ClockEvent, ScaleEvent, UsageReportEvent } from '@galenatiller/provider';
 import type { Result } from 'true-myth';
 
-import type { RolloutDecision } from '@galenatiller/types';
+import type { RolloutDecision, StageHold } from '@galenatiller/types';
 
 import type { ServiceOwners, Shard } from './ownership/index.js';
 import type { StoppedCallEvent } from './routerStop.js';
@@ -107,6 +107,22 @@
   });
 }
 
+/** Logs that a stage of a call doesn't start yet. */
+export function logHeldStage(
+  log: EventLog,
+  event: {
+    readonly requestId: string;
+    readonly route: string;
+    readonly stage: number;
+    readonly priority: number;
+    readonly organisation: string;
+    readonly hold: StageHold;
+  },
+): void {
+  const { hold, ...rest } = event;
+  log({ about: 'decision', event: 'stage-held', ...rest, outcome: hold });
+}
+
 /** Logs a call that the stop of the router ended. */
 export function logStoppedCall(log: EventLog, event: StoppedCallEvent): void {
   const { tookMs, neededMs, leftMs, phase, ...rest } = event;
--- a/packages/router/src/runAttempts.ts
+++ b/packages/router/src/runAttempts.ts
@@ -17,6 +17,7 @@
 import { chooseTargetWithPermit, type PermittedChoice } from './chooseTargetForCall.js';
 import { endForPause } from './endForPause.js';
 import { findPauseWait } from './findPauseWait.js';
+import { endTooLate } from './heldCalls.js';
 import {
   countBegunRequest,
   countBegunStream,
@@ -126,7 +127,7 @@
     return endByStop(progress);
   }
   const stopped = opts.context.crashSuspects.findStopped(opts.fingerprints);
-  return stopped === undefined ? undefined : endStopped(progress, stopped);
+  return stopped === undefined ? endTooLate(opts, progress) : endStopped(progress, stopped);
 }
 
 /** Ends a call that no target can be sent now; undefined when it waits for one. */
--- a/packages/router/src/runStages.ts
+++ b/packages/router/src/runStages.ts
@@ -1,6 +1,5 @@
 import { setMaxListeners } from 'node:events';
 
-import type { TimerService } from '@galenatiller/timer';
 import type {
   PieceFailure,
   PieceResult,
@@ -13,6 +12,7 @@
 
 import { getPieceCount } from './computeStageDeadlines.js';
 import { StageStart } from './stageStart.js';
+import { waitForStart, type WaitForStartOptions } from './waitForStart.js';
 
 /** Submits a piece to the workers of a service. */
 export type SubmitPiece = (opts: {
@@ -24,7 +24,7 @@
 }) => Promise<PieceResult>;
 
 /** Options of {@link runStages}. */
-export interface RunStagesOptions {
+export interface RunStagesOptions extends Omit<WaitForStartOptions, 'position' | 'signal'> {
   readonly route: RouteConfig;
   readonly call: RoutedCall;
   readonly priority: number;
@@ -36,13 +36,9 @@
   readonly urgencies: readonly PieceUrgency[];
   /** Monotonic times until which the pieces of a stage may wait for a worker in the hinted zone. */
   readonly zoneWaitsUntilMs: readonly number[];
-  readonly nowMs: () => number;
   /** How long the workers of a service keep results. */
   readonly resultTtlMs: (service: string) => number;
   readonly submit: SubmitPiece;
-  /** Time for which a stage whose dependencies are done should still wait, as far as is known now. */
-  readonly startDelayMs: (position: number) => number;
-  readonly sleep: TimerService['sleep'];
   /** Called when the pieces of a stage are submitted, with the time for which that was put off. */
   readonly onStageStarted: (position: number, delayedMs: number) => void;
   /** Called when all pieces of a stage have results. */
@@ -73,14 +69,15 @@
 export interface StagesFailed {
   readonly kind: 'failed';
   readonly stage: number;
-  readonly reason: PieceFailure;
+  /** `hopeless`: the stage did not start, since the response would come too late. */
+  readonly reason: PieceFailure | 'hopeless';
   /** Frees what has not been freed yet. */
   readonly free: () => void;
 }
 
 /** Runs the graph of stages: each starts once the stages that it depends on are done. */
 export async function runStages(opts: RunStagesOptions): Promise<StagesDone | StagesFailed> {
-  const { route, call } = opts;
+  const { route } = opts;
   const heldResults = new Set<StageResultHandle>();
   const release = (results: readonly StageResultHandle[]): void => {
     opts.free(results.filter((result) => heldResults.delete(result)));
@@ -91,6 +88,12 @@
   // Each piece in progress listens for the abort.
   setMaxListeners(0, signal);
   let failure: StagesFailed | undefined;
+  const fail = (stage: number, reason: StagesFailed['reason']): readonly [] => {
+    failure ??= { kind: 'failed', stage, reason, free };
+    // What the other stages make is no longer needed.
+    abort.abort();
+    return [];
+  };
   const runs: Promise<readonly StageResultHandle[]>[] = [];
   const starts = route.stages.map(() => StageStart.create());
   route.stages.forEach((stage, position) => {
@@ -99,29 +102,25 @@
     );
     const run = dependencies.then(async (earlier) => {
       const inputs = earlier.flat();
-      opts.onStageStarted(position, await waitForStart({ ...opts, position, signal }));
-      const pieces = Array.from({ length: getPieceCount(call, position) }, (_, piece) => piece);
-      const results = await Promise.all(
-        pieces.map((piece) => {
-          if (signal.aborted) {
-            return Promise.resolve(FAILED_LATE);
-          }
-          return opts.submit({
-            service: stage.service,
-            signal,
-            onBegun:
-              inputs.length > 0 ? () => starts[position]?.record(piece, pieces.length) : undefined,
-            piece: createPiece({ ...opts, stage, position, piece, inputs }),
-          });
-        }),
-      );
+      const start = await waitForStart({ ...opts, position, signal });
+      if (start.kind === 'given-up') {
+        return fail(position, 'hopeless');
+      }
+      opts.onStageStarted(position, start.waitedMs);
+      const results = await submitPieces({
+        ...opts,
+        stage,
+        position,
+        inputs,
+        hasResults: heldResults.size > 0,
+        start: starts[position],
+        signal,
+      });
       const made = findMade({ ...opts, stage, results });
       made.forEach((result) => heldResults.add(result));
       const failed = results.find((result) => result.kind === 'failed');
-      if (failed && !failure) {
-        failure = { kind: 'failed', stage: position, reason: failed.reason, free };
-        // The results of the other pieces are no longer needed.
-        abort.abort();
+      if (failed) {
+        fail(position, failed.reason);
       }
       if (!failure) {
         opts.onStageDone(position);
@@ -136,9 +135,44 @@
   if (failure) {
     return failure;
   }
-  const dependencyPositions = new Set(route.stages.flatMap(({ dependsOn }) => dependsOn));
-  const inputs = results.filter((_, position) => !dependencyPositions.has(position)).flat();
-  return { kind: 'done', inputs, free };
+  return { kind: 'done', inputs: findInputs(route, results), free };
+}
+
+interface SubmitOptions extends RunStagesOptions {
+  readonly stage: RouteStage;
+  readonly position: number;
+  readonly inputs: readonly StageResultHandle[];
+  /** Whether the call holds results of other stages, which expire if this one waits. */
+  readonly hasResults: boolean;
+  readonly start: StageStart | undefined;
+}
+
+function submitPieces(opts: SubmitOptions): Promise<readonly PieceResult[]> {
+  const { call, stage, position, inputs, start, signal } = opts;
+  const pieces = Array.from({ length: getPieceCount(call, position) }, (_, piece) => piece);
+  const onBegun = (piece: number): (() => void) | undefined =>
+    inputs.length > 0 ? () => start?.record(piece, pieces.length) : undefined;
+  return Promise.all(
+    pieces.map((piece) =>
+      signal.aborted
+        ? Promise.resolve(FAILED_LATE)
+        : opts.submit({
+            service: stage.service,
+            signal,
+            onBegun: onBegun(piece),
+            piece: createPiece(opts, piece),
+          }),
+    ),
+  );
+}
+
+/** Results of the stages that no other stage depends on. */
+function findInputs(
+  { stages }: RouteConfig,
+  results: readonly (readonly StageResultHandle[])[],
+): readonly StageResultHandle[] {
+  const used = new Set(stages.flatMap(({ dependsOn }) => dependsOn));
+  return results.filter((_, position) => !used.has(position)).flat();
 }
 
 function findMade(
@@ -156,15 +190,9 @@
   );
 }
 
-function createPiece(
-  opts: RunStagesOptions & {
-    readonly stage: RouteStage;
-    readonly position: number;
-    readonly piece: number;
-    readonly inputs: readonly StageResultHandle[];
-  },
-): StagePiece {
-  const { call, stage, position, piece, inputs } = opts;
+function createPiece(opts: SubmitOptions, piece: number): StagePiece {
+  const { call, stage, position, inputs, hasResults } = opts;
+  const urgency = opts.urgencies[position];
   return {
     requestId: call.requestId,
     stage: position,
@@ -178,31 +206,10 @@
     dueAtMs: opts.dueAtMs,
     zoneWaitUntilMs: opts.zoneWaitsUntilMs[position] ?? 0,
     priority: opts.priority,
-    urgency: opts.urgencies[position],
+    urgency: urgency && { ...urgency, hasBegun: urgency.hasBegun || hasResults },
   };
 }
 
-/** Other stages of a call may end earlier than was expected, which is noticed within this time. */
-const START_CHECK_INTERVAL_MS = 100;
-
-/** Waits until a stage should start, or until the signal aborts; resolves to the time that it took. */
-async function waitForStart(
-  opts: Pick<RunStagesOptions, 'startDelayMs' | 'sleep' | 'nowMs' | 'signal'> & {
-    readonly position: number;
-  },
-): Promise<number> {
-  const { signal, position } = opts;
-  const readyAtMs = opts.nowMs();
-  for (let waitMs = opts.startDelayMs(position); waitMs > 0; waitMs = opts.startDelayMs(position)) {
-    const delayMs = Math.min(Math.ceil(waitMs), START_CHECK_INTERVAL_MS);
-    await opts.sleep({ delayMs, signal });
-    if (signal.aborted) {
-      break;
-    }
-  }
-  return opts.nowMs() - readyAtMs;
-}
-
 /** Frees the results of each stage as soon as every piece that depends on it has begun or is done. */
 function freeWhenUsed(opts: {
   readonly route: RouteConfig;
--- a/packages/router/src/serveCall.ts
+++ b/packages/router/src/serveCall.ts
@@ -1,9 +1,8 @@
-import { GalenatillerError } from '@galenatiller/error';
+import type { GalenatillerError } from '@galenatiller/error';
 import { whenAborted } from '@galenatiller/tasks';
 
 import { createEstimate } from './createEstimate.js';
 import { admitCall, type AdmittedCall } from './admitCall.js';
-import { predictZone } from './chooseTargetForCall.js';
 import { classifyEnding, recordCallMetrics } from './recordMetrics.js';
 import { createBodyError } from './createBodyError.js';
 import type { CallerExchange } from './ports.js';
@@ -12,7 +11,6 @@
 import { computeFingerprints } from './computeFingerprints.js';
 import { CallProgress } from './callProgress.js';
 import { endForPause } from './endForPause.js';
-import { findReturnMs } from './findPauseWait.js';
 import {
   type Answered,
   type CallEnding,
@@ -25,20 +23,8 @@
   settleEnding,
 } from './endAttempts.js';
 import { runAttempts } from './runAttempts.js';
-import { runStages, type StagesDone, type StagesFailed } from './runStages.js';
+import { endFailedStages, runStageRound } from './runStageRound.js';
 import { StageProgress } from './stageProgress.js';
-import {
-  findStartDelayMs,
-  freeResults,
-  recordStageDone,
-  recordStageStart,
-  submitTimed,
-} from './stageTiming.js';
-import {
-  computeStageDeadlines,
-  computeStageUrgencies,
-  computeZoneWaitLimits,
-} from './computeStageDeadlines.js';
 
 /** Options of {@link serveCall}. */
 export interface ServeCallOptions {
@@ -52,15 +38,6 @@
 /** Extra time for a response that is ready at the deadline; callers still count it as in time. */
 const RESPONSE_GRACE_MS = 60;
 
-/** Time to retry after the stages failed: about the duration of a batch call to a stage worker. */
-const STAGES_RETRY_AFTER_MS = 400;
-
-/**
- * Time to retry when the queues are too long, as a share of the time left; callers wait for a third
- * of it at most.
- */
-const BUSY_RETRY_AFTER_SHARE = 0.3;
-
 /** The task of one call: admits it, reads its body, runs its stages, sends it and responds. */
 export async function serveCall(opts: ServeCallOptions): Promise<void> {
   const { context, exchange } = opts;
@@ -188,77 +165,6 @@
   }
 }
 
-/** Runs all stages of a call once. */
-function runStageRound(
-  opts: RunCallOptions,
-  signal: AbortSignal,
-): Promise<StagesDone | StagesFailed> {
-  const { context, exchange, admitted } = opts;
-  const { route } = admitted;
-  const deadlineOptions = {
-    route,
-    call: exchange.call,
-    responseMs: context.responseTimes.estimateMs({
-      name: admitted.service,
-      nowMs: context.timer.nowMs(),
-    }),
-    findLimits: (service: string) => context.routes.findService(service)?.batch,
-  };
-  return runStages({
-    route,
-    call: exchange.call,
-    priority: admitted.priority,
-    deadlinesAtMs: computeStageDeadlines({
-      ...deadlineOptions,
-      respondByMs: admitted.firstByteDeadlineAtMs,
-    }),
-    dueAtMs: admitted.dueAtMs,
-    urgencies: computeStageUrgencies({
-      ...deadlineOptions,
-      respondByMs: admitted.dueAtMs,
-      organisation: admitted.organisation,
-    }),
-    zoneWaitsUntilMs: computeZoneWaitLimits({
-      ...deadlineOptions,
-      respondByMs: admitted.dueAtMs,
-    }),
-    zoneHint: predictZone(opts),
-    nowMs: () => context.timer.nowMs(),
-    resultTtlMs: (service) => deadlineOptions.findLimits(service)?.resultTtlMs ?? 0,
-    submit: submitTimed(context),
-    startDelayMs: (position) => findStartDelayMs(opts, position),
-    sleep: (sleep) => context.timer.sleep(sleep),
-    onStageStarted: (position, delayedMs) => recordStageStart(opts, position, delayedMs),
-    onStageDone: (position) => recordStageDone(opts, position),
-    free: (results) => freeResults(context, results),
-    signal,
-  });
-}
-
-function endFailedStages(opts: RunCallOptions, failure: StagesFailed): Refused {
-  const { context, admitted, progress } = opts;
-  if (progress.runs > 0) {
-    return endWithError(progress, 'target-failed', progress.lastFailure);
-  }
-  if (opts.exchange.disconnected.aborted) {
-    return endDisconnected();
-  }
-  if (opts.tracked.signal.aborted) {
-    return { kind: 'refused', error: createStoppingError() };
-  }
-  const service = admitted.route.stages[failure.stage]?.service ?? '';
-  const leftMs = Math.max(0, admitted.firstByteDeadlineAtMs - context.timer.nowMs());
-  const error = GalenatillerError.create({
-    name: 'deadline-unreachable',
-    detail: `stage ${failure.stage} on ${service} failed: ${failure.reason}`,
-    retryAfterMs: Math.max(
-      findReturnMs(context, service) ?? 0,
-      failure.reason === 'busy' ? leftMs * BUSY_RETRY_AFTER_SHARE : STAGES_RETRY_AFTER_MS,
-    ),
-  });
-  return { kind: 'refused', error };
-}
-
 function finish(opts: ServeCallOptions, admitted: AdmittedCall, end: CallEnding): void {
   const { context, exchange } = opts;
   if (end.kind === 'refused') {
--- a/packages/router/src/stageTimes.ts
+++ b/packages/router/src/stageTimes.ts
@@ -3,9 +3,6 @@
 /** A call of a route with few calls still finds measured times. */
 const EXPIRE_AFTER_MS = 10_000;
 
-/** About one stage in twenty takes longer than its mean and this many mean deviations. */
-const LONG_DEVIATIONS = 2;
-
 /** A stage of the calls of a route. */
 export interface RouteStagePosition {
   readonly route: string;
@@ -14,9 +11,7 @@
 
 /** Measured times of stages, from the submission of their pieces to the last result. */
 export class StageTimes {
-  private readonly means = SmoothedDurations.create({ expireAfterMs: EXPIRE_AFTER_MS });
-
-  private readonly deviations = SmoothedDurations.create({ expireAfterMs: EXPIRE_AFTER_MS });
+  private readonly durations = SmoothedDurations.create({ expireAfterMs: EXPIRE_AFTER_MS });
 
   private constructor() {}
 
@@ -30,25 +25,17 @@
     opts: RouteStagePosition & { readonly durationMs: number; readonly nowMs: number },
   ): void {
     const { durationMs, nowMs } = opts;
-    const name = toName(opts);
-    this.means.observe({ name, durationMs, nowMs });
-    const deviationMs = Math.abs(durationMs - this.means.estimateMs({ name, nowMs }));
-    this.deviations.observe({ name, durationMs: deviationMs, nowMs });
+    this.durations.observe({ name: toName(opts), durationMs, nowMs });
   }
 
   /** Mean time of a stage; 0 when unknown. */
   usualMs(opts: RouteStagePosition & { readonly nowMs: number }): number {
-    return this.means.estimateMs({ name: toName(opts), nowMs: opts.nowMs });
+    return this.durations.estimateMs({ name: toName(opts), nowMs: opts.nowMs });
   }
 
   /** Time that few of the stages exceed; 0 when unknown. */
   longMs(opts: RouteStagePosition & { readonly nowMs: number }): number {
-    const { nowMs } = opts;
-    const name = toName(opts);
-    return (
-      this.means.estimateMs({ name, nowMs }) +
-      LONG_DEVIATIONS * this.deviations.estimateMs({ name, nowMs })
-    );
+    return this.durations.longMs({ name: toName(opts), nowMs: opts.nowMs });
   }
 }
 
--- a/packages/router/test/burstLoad.ts
+++ b/packages/router/test/burstLoad.ts
@@ -2,7 +2,8 @@
 import type { OrderPieces, QueuedPiece } from '@galenatiller/pool';
 import type { BatchLimits } from '@galenatiller/types';
 
-import { type BurstClass, type BurstOptions, createBurstRoute } from './burstSimulation.js';
+import { createBurstRoute } from './burstSimulation.js';
+import type { BurstClass, BurstOptions } from './burstTypes.js';
 
 const RESULT_TTL_MS = 4_000;
 
--- a/packages/timer/src/smoothedDurations.ts
+++ b/packages/timer/src/smoothedDurations.ts
@@ -7,6 +7,9 @@
  */
 const EXPIRE_AFTER_MS = 3_000;
 
+/** About one duration in twenty is farther from the mean on one side than this many mean deviations. */
+const EXTREME_DEVIATIONS = 2;
+
 /** Options of {@link SmoothedDurations.create}. */
 export interface SmoothedDurationsOptions {
   readonly expireAfterMs?: number;
@@ -21,8 +24,16 @@
   readonly nowMs: number;
 }
 
+/** Options of {@link SmoothedDurations.estimateMs}, `longMs` and `shortMs`. */
+export interface EstimateDurationOptions {
+  readonly name: string;
+  /** Monotonic time. */
+  readonly nowMs: number;
+}
+
 interface Average {
   readonly durationMs: number;
+  readonly deviationMs: number;
   readonly updatedAtMs: number;
 }
 
@@ -39,17 +50,35 @@
 
   /** Adds a sample to the average of its name. */
   observe({ name, durationMs, nowMs }: DurationSample): void {
-    const before = this.averages.get(name)?.durationMs ?? durationMs;
+    const before = this.averages.get(name) ?? { durationMs, deviationMs: 0 };
+    const averageMs = before.durationMs + SAMPLE_WEIGHT * (durationMs - before.durationMs);
+    const distanceMs = Math.abs(durationMs - averageMs);
     this.averages.set(name, {
-      durationMs: before + SAMPLE_WEIGHT * (durationMs - before),
+      durationMs: averageMs,
+      deviationMs: before.deviationMs + SAMPLE_WEIGHT * (distanceMs - before.deviationMs),
       updatedAtMs: nowMs,
     });
   }
 
   /** Expected duration in milliseconds; 0 without recent samples. */
-  estimateMs(opts: { readonly name: string; readonly nowMs: number }): number {
-    const average = this.averages.get(opts.name);
-    const isRecent = average && opts.nowMs - average.updatedAtMs <= this.expireAfterMs;
-    return isRecent ? average.durationMs : 0;
+  estimateMs(opts: EstimateDurationOptions): number {
+    return this.findRecent(opts)?.durationMs ?? 0;
+  }
+
+  /** Duration that few operations exceed; 0 without recent samples. */
+  longMs(opts: EstimateDurationOptions): number {
+    const { durationMs = 0, deviationMs = 0 } = this.findRecent(opts) ?? {};
+    return durationMs + EXTREME_DEVIATIONS * deviationMs;
+  }
+
+  /** Duration that few operations stay below; 0 without recent samples. */
+  shortMs(opts: EstimateDurationOptions): number {
+    const { durationMs = 0, deviationMs = 0 } = this.findRecent(opts) ?? {};
+    return Math.max(0, durationMs - EXTREME_DEVIATIONS * deviationMs);
+  }
+
+  private findRecent({ name, nowMs }: EstimateDurationOptions): Average | undefined {
+    const average = this.averages.get(name);
+    return average && nowMs - average.updatedAtMs <= this.expireAfterMs ? average : undefined;
   }
 }
