--- a/packages/router/test/callAdmission.feature
+++ b/packages/router/test/callAdmission.feature
@@ -71,3 +71,8 @@
     And at its stage service new pieces of priority 0 wait for 60000 ms, the oldest for 9000 ms
     And timers are 500 ms late in the mean
     Then it is admitted
+
+  # Guards against new calls that go before one whose results expire meanwhile.
+  Scenario: The stages of a call that holds results count as begun
+    When a stage without inputs starts after another one has its results
+    Then its pieces go before those of new calls
--- a/packages/router/test/heldCalls.steps.ts
+++ b/packages/router/test/heldCalls.steps.ts
@@ -3,7 +3,8 @@
 import { Given, Then, When } from '@cucumber/cucumber';
 import { SmoothedDurations } from '@galenatiller/timer';
 
-import { createContext, type RouterWorld } from './support.js';
+import { runStages } from '../src/runStages.js';
+import { BASE_ROUTE, CALL, createContext, type RouterWorld } from './support.js';
 
 Given(
   'new pieces wait for {int} ms at the stage workers',
@@ -56,3 +57,44 @@
   assert.deepEqual(this.pieceInputs, []);
   assert.equal(this.sends.length, 0);
 });
+
+When(
+  'a stage without inputs starts after another one has its results',
+  async function when(this: { begun: (boolean | undefined)[] }) {
+    const urgency = { latestStartAtMs: 0, remainingMs: 0, hasBegun: false, organisation: '' };
+    const stage = { service: 'stage', dependsOn: [], resultBytes: 1 };
+    const done: number[] = [];
+    this.begun = [];
+    await runStages({
+      route: { ...BASE_ROUTE, stages: [stage, stage] },
+      call: { ...CALL, stagePieces: [1, 1] },
+      priority: 0,
+      zoneHint: '',
+      deadlinesAtMs: [],
+      dueAtMs: 0,
+      urgencies: [urgency, urgency],
+      zoneWaitsUntilMs: [],
+      nowMs: () => 0,
+      resultTtlMs: () => 1,
+      submit: ({ piece }) => {
+        this.begun[piece.stage] = piece.urgency?.hasBegun;
+        return Promise.resolve({ kind: 'made', handle: 'a/1' });
+      },
+      decideStart: () => ({ kind: 'start' }),
+      startDelayMs: (position) => (position === 1 && done.length === 0 ? 1 : 0),
+      onStageHeld: () => {},
+      sleep: () => Promise.resolve(),
+      onStageStarted: () => {},
+      onStageDone: (position) => done.push(position),
+      free: () => {},
+      signal: new AbortController().signal,
+    });
+  },
+);
+
+Then(
+  'its pieces go before those of new calls',
+  function then(this: { begun: (boolean | undefined)[] }) {
+    assert.deepEqual(this.begun, [false, true]);
+  },
+);
