--- a/packages/pool/src/stageQueue.ts
+++ b/packages/pool/src/stageQueue.ts
@@ -38,6 +38,9 @@
 export interface AbandonedStageEvent {
   readonly requestId: string;
   readonly stage: number;
+  readonly priority: number;
+  /** Organisation of the call; empty when that is not known. */
+  readonly organisation: string;
   readonly pieces: number;
   /** Pieces that are still in the queue. */
   readonly waiting: number;
@@ -292,9 +295,18 @@
       this.waiting = this.waiting.filter((pending) => !abandoned.has(pending));
       const [first] = pieces;
       if (first) {
-        const { requestId, stage } = first.piece;
+        const { requestId, stage, priority, urgency: { organisation = '' } = {} } = first.piece;
         const waiting = this.waiting.length;
-        onStageAbandoned({ requestId, stage, pieces: pieces.length, waiting, neededMs, leftMs });
+        onStageAbandoned({
+          requestId,
+          stage,
+          priority,
+          organisation,
+          pieces: pieces.length,
+          waiting,
+          neededMs,
+          leftMs,
+        });
       }
       pieces.forEach(({ settle }) => settle(BUSY));
     });
