Refuse hopeless calls on arrival again, and hold only late calls

Cause: holding hopeless calls before their first stage made callers wait for most of their deadline before they were refused. A call that is known not to be servable is to be rejected at once, with a Retry-After.

Change: decideAdmission refuses hopeless calls as before the holds.

--- a/packages/metrics/src/metricDefinition.ts
+++ b/packages/metrics/src/metricDefinition.ts
@@ -6,7 +6,6 @@
   NodeRole,
   Outcome,
   Priority,
-  StageHold,
   StageKind,
   TargetState,
 } from '@galenatiller/types';
@@ -36,8 +35,6 @@
   readonly callPriority: '0' | '1' | '2' | '3' | 'lower';
   /** Why a call was turned away before any work for it began. */
   readonly refusal: AdmissionRefusal;
-  /** Why a stage of a call did not start yet. */
-  readonly hold: StageHold;
   /** What a call was given up before: a stage or its send. */
   readonly givenUpBefore: 'stage' | 'send';
   /** How one attempt to send a call to a target ended. */
--- a/packages/metrics/src/metricTable.ts
+++ b/packages/metrics/src/metricTable.ts
@@ -1,5 +1,6 @@
 import type { MetricDefinition, MetricTags, MetricType } from './metricDefinition.js';
 import { ROUTER_METRICS } from './routerMetrics.js';
+import { STAGE_METRICS } from './stageMetrics.js';
 
 /** Every metric; docs/METRICS.md is generated from this table. */
 export const METRICS = [
@@ -189,6 +190,7 @@
     meaning: 'Resident memory of the process.',
   },
   ...ROUTER_METRICS,
+  ...STAGE_METRICS,
 ] as const satisfies readonly MetricDefinition[];
 
 type Metric = (typeof METRICS)[number];
--- /dev/null
+++ b/packages/metrics/src/stageMetrics.ts
@@ -0,0 +1,86 @@
+import type { MetricDefinition } from './metricDefinition.js';
+
+/** Metrics of the router on stages and their pieces. */
+export const STAGE_METRICS = [
+  {
+    name: 'router.stages_held',
+    type: 'count',
+    unit: 'stages',
+    tags: ['callPriority'],
+    role: 'router',
+    meaning:
+      'Stages of late calls that did not start at once, since their results would expire, by priority.',
+  },
+  {
+    name: 'router.stage_calls',
+    type: 'count',
+    unit: 'calls',
+    tags: ['batch'],
+    role: 'router',
+    meaning: 'Calls to stage workers, by how they ended.',
+  },
+  {
+    name: 'router.stage_pieces',
+    type: 'count',
+    unit: 'pieces',
+    tags: [],
+    role: 'router',
+    meaning: 'Pieces in calls to stage workers.',
+  },
+  {
+    name: 'router.stage_pieces_delayed',
+    type: 'count',
+    unit: 'pieces',
+    tags: ['callPriority'],
+    role: 'router',
+    meaning: 'Pieces that workers took although their call could not be on time any more.',
+  },
+  {
+    name: 'router.stage_pieces_given_up',
+    type: 'count',
+    unit: 'pieces',
+    tags: ['callPriority'],
+    role: 'router',
+    meaning: 'Pieces that left a queue because their call could not be served before its deadline.',
+  },
+  {
+    name: 'router.stage_call_time',
+    type: 'timing',
+    unit: 'ms',
+    tags: [],
+    role: 'router',
+    meaning: 'Time of a call to a stage worker.',
+  },
+  {
+    name: 'router.stage_results_without_room',
+    type: 'count',
+    unit: 'results',
+    tags: [],
+    role: 'router',
+    meaning: 'Results for which a stage worker had no memory.',
+  },
+  {
+    name: 'router.stage_calls_begun',
+    type: 'count',
+    unit: 'calls',
+    tags: [],
+    role: 'router',
+    meaning: 'Calls to stage workers whose inputs could be freed before their end.',
+  },
+  {
+    name: 'router.stage_start_delay',
+    type: 'timing',
+    unit: 'ms',
+    tags: [],
+    role: 'router',
+    meaning: 'Time for which a stage beside a longer chain waited before it started.',
+  },
+  {
+    name: 'router.stage_wait_time',
+    type: 'timing',
+    unit: 'ms',
+    tags: [],
+    role: 'router',
+    meaning: 'Longest wait of a piece of a call in the queue of its service.',
+  },
+] as const satisfies readonly MetricDefinition[];
--- a/packages/router/src/admission/callAdmission.ts
+++ b/packages/router/src/admission/callAdmission.ts
@@ -90,7 +90,7 @@
       return undefined;
     }
     const numbers = [
-      `needs ${Math.round(estimate.unloadedMs)} of ${Math.round(leftMs)} ms`,
+      `needs ${Math.round(estimate.neededMs)} of ${Math.round(leftMs)} ms`,
       `event loop ${Math.round(loopLag.meanMs)} ms late`,
     ];
     return this.refuse({ ...decision, detail: `: ${numbers.join(', ')}`, priority });
--- a/packages/router/src/admission/decideAdmission.ts
+++ b/packages/router/src/admission/decideAdmission.ts
@@ -33,22 +33,35 @@
 /** Mean lag from which on all calls with stages are refused. */
 export const MAX_LAG_MS = 100;
 
+/**
+ * A long wait is believed once work has waited for this share of the time that a caller has left. Bursts
+ * of a few seconds end before that, and the calls that come in them are still served.
+ */
+const MIN_AGE_SHARE = 0.5;
+
 /** Time in which a router whose event loop lags has caught up, if no new work comes. */
 const LAG_RETRY_AFTER_MS = 500;
 
 /**
- * Decides whether a call may begin. It is refused if its response can't start in time even without any wait,
- * or if the router has no time for it. A refusal may cost a caller its request, so that a call that would only
- * have to wait is admitted; `decideStart` holds it until its stages are of use.
+ * Decides whether a call may begin. It is refused if its response can't start while the caller waits:
+ * a refusal may cost a caller its request, so that a call that would only be late is admitted. Under
+ * overload this comes to the least urgent calls first, since more urgent ones take all workers.
  */
 export function decideAdmission(opts: DecideAdmissionOptions): CallAdmissionDecision {
   const { estimate, leftMs, random } = opts;
+  const refuse = (reason: AdmissionRefusal, neededMs: number): CallAdmissionDecision => ({
+    kind: 'refuse',
+    reason,
+    retryAfterMs: computeRetryAfterMs({ neededMs, leftMs, random }),
+  });
   if (estimate.unloadedMs > leftMs) {
     return { kind: 'refuse', reason: 'past-deadline', retryAfterMs: 0 };
   }
   if (opts.loopLagMs >= findLagLimitMs(opts)) {
-    const retryAfterMs = computeRetryAfterMs({ neededMs: LAG_RETRY_AFTER_MS, leftMs, random });
-    return { kind: 'refuse', reason: 'event-loop', retryAfterMs };
+    return refuse('event-loop', LAG_RETRY_AFTER_MS);
+  }
+  if (estimate.neededMs > leftMs && estimate.oldestMs > MIN_AGE_SHARE * leftMs) {
+    return refuse('hopeless', estimate.neededMs - leftMs);
   }
   return { kind: 'admit' };
 }
--- a/packages/router/src/admission/decideStageStart.ts
+++ b/packages/router/src/admission/decideStageStart.ts
@@ -21,7 +21,7 @@
 /** Options of {@link decideStageStart}. */
 export interface StageStartOptions extends EstimateInputs {
   readonly position: number;
-  readonly stageProgress: Pick<StageProgress, 'hasBegun' | 'isDone' | 'runningMs'>;
+  readonly stageProgress: Pick<StageProgress, 'isDone' | 'runningMs'>;
   /** Time until the caller no longer waits for the start of a response. */
   readonly leftMs: number;
   /** Whether the call can no longer meet its latency objective. */
@@ -44,7 +44,6 @@
   return decideStart({
     estimate: estimateCall({ ...opts, stagesMs }),
     leftMs: opts.leftMs,
-    hasBegun: stageProgress.hasBegun,
     hasNoInputs: stage?.dependsOn.length === 0,
     isLate: opts.isLate,
     othersOldestMs: findOthersOldestMs({ ...opts, isDone }),
--- a/packages/router/src/admission/decideStart.ts
+++ b/packages/router/src/admission/decideStart.ts
@@ -1,12 +1,9 @@
-import type { PriorityWait, RouteConfig, StageHold } from '@galenatiller/types';
+import type { PriorityWait, RouteConfig } from '@galenatiller/types';
 
 import type { CallEstimate } from './estimateCall.js';
 
-/** Whether a stage whose dependencies are done starts now. */
-export type StageStartDecision =
-  | { readonly kind: 'start' }
-  | { readonly kind: 'hold'; readonly hold: StageHold }
-  | { readonly kind: 'give-up' };
+/** Whether a stage whose dependencies are done starts now. `hold`: it is decided on again a little later. */
+export type StageStartDecision = 'start' | 'hold' | 'give-up';
 
 /** Options of {@link decideStart}. */
 export interface DecideStartOptions {
@@ -14,8 +11,6 @@
   readonly estimate: CallEstimate;
   /** Time until the caller no longer waits for the start of a response. */
   readonly leftMs: number;
-  /** Whether a stage of the call has started. */
-  readonly hasBegun: boolean;
   /** Whether the stage has no inputs that expire while it is held. */
   readonly hasNoInputs: boolean;
   /** Whether the call can no longer meet its latency objective. */
@@ -26,36 +21,24 @@
   readonly resultTtlMs: number;
 }
 
-/**
- * A long wait is believed once work has waited for this share of the time that a caller has left. Bursts
- * of a few seconds end before that, and the calls that come in them are still served.
- */
-const MIN_AGE_SHARE = 0.5;
-
 /** Share of the time for which results are kept that they may wait for the other stages. */
 const MAX_RESULT_WAIT_SHARE = 0.5;
 
 /**
  * Decides whether a stage starts. A call is given up only if its response can't start in time even without
- * any wait. A call that can't be served with the present waits is held before its first stage, where it
- * takes up nothing. A late call is held while its results would wait for so long that they would
- * expire; the others start, since some of them are on time although the work of others waits.
+ * any wait. A late call is held while its results would wait for so long that they would expire; the others
+ * start, since some of them are on time although the work of others waits. A call that became hopeless after its
+ * arrival starts too: if it was held, its caller would wait for most of its time before it is refused.
  */
 export function decideStart(opts: DecideStartOptions): StageStartDecision {
   const { estimate, leftMs } = opts;
   if (estimate.unloadedMs > leftMs) {
-    return { kind: 'give-up' };
-  }
-  const isHopeless = estimate.neededMs > leftMs && estimate.oldestMs > MIN_AGE_SHARE * leftMs;
-  if (isHopeless && !opts.hasBegun) {
-    return { kind: 'hold', hold: 'hopeless' };
+    return 'give-up';
   }
   // Results that outlive the call can't expire before their use.
   const expires =
     leftMs > opts.resultTtlMs && opts.othersOldestMs > MAX_RESULT_WAIT_SHARE * opts.resultTtlMs;
-  return expires && opts.isLate && opts.hasNoInputs
-    ? { kind: 'hold', hold: 'late' }
-    : { kind: 'start' };
+  return expires && opts.isLate && opts.hasNoInputs ? 'hold' : 'start';
 }
 
 /** Options of {@link findOthersOldestMs}. */
--- a/packages/router/src/heldCalls.ts
+++ b/packages/router/src/heldCalls.ts
@@ -1,6 +1,5 @@
 /** Records the calls with stages that are held or given up because of the load. */
 import type { MetricTags } from '@galenatiller/metrics';
-import type { StageHold } from '@galenatiller/types';
 
 import type { AdmittedCall } from './admitCall.js';
 import type { CallProgress } from './callProgress.js';
@@ -17,13 +16,13 @@
 }
 
 /** Records that a stage of a call doesn't start yet. */
-export function recordHeldStage(opts: HeldCall, position: number, hold: StageHold): void {
+export function recordHeldStage(opts: HeldCall, position: number): void {
   const { context, exchange, admitted } = opts;
   const { route, priority, organisation } = admitted;
-  const tags = { callPriority: toPriorityTag(priority), hold };
+  const tags = { callPriority: toPriorityTag(priority) };
   context.metrics.count({ name: 'router.stages_held', tags });
   const { requestId } = exchange.call;
-  const held = { requestId, route: route.name, stage: position, priority, organisation, hold };
+  const held = { requestId, route: route.name, stage: position, priority, organisation };
   logHeldStage(context.log, held);
 }
 
--- a/packages/router/src/logEvents.ts
+++ b/packages/router/src/logEvents.ts
@@ -13,7 +13,7 @@
 import type { ClockEvent, ScaleEvent, UsageReportEvent } from '@galenatiller/provider';
 import type { Result } from 'true-myth';
 
-import type { RolloutDecision, StageHold } from '@galenatiller/types';
+import type { RolloutDecision } from '@galenatiller/types';
 
 import type { ServiceOwners, Shard } from './ownership/index.js';
 import type { StoppedCallEvent } from './routerStop.js';
@@ -122,11 +122,9 @@
     readonly stage: number;
     readonly priority: number;
     readonly organisation: string;
-    readonly hold: StageHold;
   },
 ): void {
-  const { hold, ...rest } = event;
-  log({ about: 'decision', event: 'stage-held', ...rest, outcome: hold });
+  log({ about: 'decision', event: 'stage-held', ...event });
 }
 
 /** Logs a call that the stop of the router ended. */
--- a/packages/router/src/runStageRound.ts
+++ b/packages/router/src/runStageRound.ts
@@ -90,7 +90,7 @@
     },
     startDelayMs: (position) => findStartDelayMs(opts, position),
     sleep: (sleep) => context.timer.sleep(sleep),
-    onStageHeld: (position, hold) => recordHeldStage(opts, position, hold),
+    onStageHeld: (position) => recordHeldStage(opts, position),
     onStageStarted: (position, delayedMs) => recordStageStart(opts, position, delayedMs),
     onStageDone: (position) => recordStageDone(opts, position),
     free: (results) => freeResults(context, results),
--- a/packages/router/src/stageProgress.ts
+++ b/packages/router/src/stageProgress.ts
@@ -39,11 +39,6 @@
     return this.done.has(position);
   }
 
-  /** Whether a stage has started. */
-  get hasBegun(): boolean {
-    return this.startedAtMs.size > 0;
-  }
-
   /** Time since the pieces of a stage were submitted; 0 before. */
   runningMs(position: number): number {
     const nowMs = this.opts.timer.nowMs();
--- a/packages/router/src/waitForStart.ts
+++ b/packages/router/src/waitForStart.ts
@@ -1,5 +1,4 @@
 import type { TimerService } from '@galenatiller/timer';
-import type { StageHold } from '@galenatiller/types';
 
 import type { StageStartDecision } from './admission/index.js';
 
@@ -10,8 +9,8 @@
   readonly decideStart: (position: number) => StageStartDecision;
   /** Time for which a stage that may start should still wait, as far as is known now. */
   readonly startDelayMs: (position: number) => number;
-  /** Called once for each reason for which a stage is held. */
-  readonly onStageHeld: (position: number, hold: StageHold) => void;
+  /** Called once for a stage that is held. */
+  readonly onStageHeld: (position: number) => void;
   readonly nowMs: () => number;
   readonly sleep: TimerService['sleep'];
   readonly signal: AbortSignal;
@@ -28,17 +27,17 @@
 export async function waitForStart(opts: WaitForStartOptions): Promise<StageStartEnd> {
   const { signal, position } = opts;
   const readyAtMs = opts.nowMs();
-  const holds = new Set<StageHold>();
+  let isHeld = false;
   while (!signal.aborted) {
     const decision = opts.decideStart(position);
-    if (decision.kind === 'give-up') {
+    if (decision === 'give-up') {
       return { kind: 'given-up' };
     }
-    if (decision.kind === 'hold' && !holds.has(decision.hold)) {
-      holds.add(decision.hold);
-      opts.onStageHeld(position, decision.hold);
+    if (decision === 'hold' && !isHeld) {
+      isHeld = true;
+      opts.onStageHeld(position);
     }
-    const waitMs = decision.kind === 'hold' ? CHECK_INTERVAL_MS : opts.startDelayMs(position);
+    const waitMs = decision === 'hold' ? CHECK_INTERVAL_MS : opts.startDelayMs(position);
     if (waitMs <= 0) {
       break;
     }
--- a/packages/types/src/routedCall.ts
+++ b/packages/types/src/routedCall.ts
@@ -89,13 +89,7 @@
 }
 
 /** Why a call was turned away before any work for it began. */
-export type AdmissionRefusal = 'past-deadline' | 'event-loop';
-
-/**
- * Why a stage doesn't start yet. `hopeless`: the call would fail with the present waits. `late`: it can no
- * longer be on time, and its results would expire before they are used.
- */
-export type StageHold = 'hopeless' | 'late';
+export type AdmissionRefusal = 'past-deadline' | 'hopeless' | 'event-loop';
 
 /**
  * The result of a piece is kept by the worker that ran it, under a handle of the form IP:PORT/NAME.
--- a/scripts/externalNames.mjs
+++ b/scripts/externalNames.mjs
@@ -29,7 +29,7 @@
   'packages/caller/src/{serveCallers,serveCall}.ts',
   'packages/weightStore/src/weightManifest.ts',
   'packages/settings/src/{settingKeys,routerKeys}.ts',
-  'packages/metrics/src/{metricTable,routerMetrics}.ts',
+  'packages/metrics/src/{metricTable,routerMetrics,stageMetrics}.ts',
   'packages/constants/src/index.ts',
   'platform/src/{headers,platformStoreClient,providerClient,targetClient,serveCallers,main}.ts',
   'fakes/src/platform/*.ts',
