--- a/packages/router/src/createStages.ts
+++ b/packages/router/src/createStages.ts
@@ -123,7 +123,7 @@
       logStageCall(log, event);
       recordBatchMetrics(opts.metrics, event);
     },
-    onStageAbandoned: (event) => logAbandonedStage(log, event),
+    onStageAbandoned: (event) => recordAbandoned(opts, event),
     onDelayedTaken: ({ priority }) => recordDelayed(opts.metrics, priority),
     onUneven: (event) => recordUneven(opts.metrics, event),
   });
@@ -156,6 +156,15 @@
   });
 }
 
+function recordAbandoned(
+  { log, metrics }: Pick<CreateStagesOptions, 'log' | 'metrics'>,
+  event: Parameters<typeof logAbandonedStage>[1],
+): void {
+  logAbandonedStage(log, event);
+  const tags = { callPriority: toPriorityTag(event.priority) };
+  metrics.count({ name: 'router.stage_pieces_given_up', tags, amount: event.pieces });
+}
+
 function recordDelayed(metrics: MetricSink, priority: number): void {
   const callPriority = toPriorityTag(priority);
   metrics.count({ name: 'router.stage_pieces_delayed', tags: { callPriority } });
--- a/packages/router/src/endFailedStages.ts
+++ b/packages/router/src/endFailedStages.ts
@@ -10,6 +10,7 @@
   type Refused,
 } from './endAttempts.js';
 import { findReturnMs } from './findPauseWait.js';
+import { recordGivenUp } from './heldCalls.js';
 import { findStoppedPiece } from './pieceSuspects.js';
 import type { CallerExchange } from './ports.js';
 import type { RouterContext } from './routerContext.js';
@@ -54,6 +55,9 @@
   if (stopped !== undefined) {
     return { kind: 'refused', error: createStoppedError(stopped) };
   }
+  if (failure.reason === 'hopeless') {
+    recordGivenUp(opts, 'stage');
+  }
   const service = admitted.route.stages[failure.stage]?.service ?? '';
   const leftMs = Math.max(0, admitted.firstByteDeadlineAtMs - context.timer.nowMs());
   const error = GalenatillerError.create({
@@ -61,7 +65,9 @@
     detail: `stage ${failure.stage} on ${service} failed: ${failure.reason}`,
     retryAfterMs: Math.max(
       findReturnMs(context, service) ?? 0,
-      failure.reason === 'busy' ? leftMs * BUSY_RETRY_AFTER_SHARE : STAGES_RETRY_AFTER_MS,
+      failure.reason === 'busy' || failure.reason === 'hopeless'
+        ? leftMs * BUSY_RETRY_AFTER_SHARE
+        : STAGES_RETRY_AFTER_MS,
     ),
   });
   return { kind: 'refused', error };
--- a/packages/router/src/logEvents.ts
+++ b/packages/router/src/logEvents.ts
@@ -113,6 +113,20 @@
   });
 }
 
+/** Logs that a stage of a call doesn't start yet. */
+export function logHeldStage(
+  log: EventLog,
+  event: {
+    readonly requestId: string;
+    readonly route: string;
+    readonly stage: number;
+    readonly priority: number;
+    readonly organisation: string;
+  },
+): void {
+  log({ about: 'decision', event: 'stage-held', ...event });
+}
+
 /** Logs a call that the stop of the router ended. */
 export function logStoppedCall(log: EventLog, event: StoppedCallEvent): void {
   const { tookMs, neededMs, leftMs, phase, ...rest } = event;
--- a/packages/router/src/serveCall.ts
+++ b/packages/router/src/serveCall.ts
@@ -4,7 +4,6 @@
 import { computeTimeLimitMs } from './computeTimeLimitMs.js';
 import { createEstimate } from './createEstimate.js';
 import { admitCall, type AdmittedCall } from './admitCall.js';
-import { predictZone } from './chooseTargetForCall.js';
 import { classifyEnding, recordCallMetrics } from './recordMetrics.js';
 import { createBodyError } from './createBodyError.js';
 import type { CallerExchange } from './ports.js';
@@ -27,20 +26,9 @@
 import { endFailedStages } from './endFailedStages.js';
 import { runAttempts } from './runAttempts.js';
 import { findStoppedPiece } from './pieceSuspects.js';
-import { runStages, type StagesDone, type StagesFailed } from './runStages.js';
+import { runStageRound } from './runStageRound.js';
+import type { StagesDone } from './runStages.js';
 import { StageProgress } from './stageProgress.js';
-import {
-  findStartDelayMs,
-  freeResults,
-  recordStageDone,
-  recordStageStart,
-  submitTimed,
-} from './stageTiming.js';
-import {
-  computeStageDeadlines,
-  computeStageUrgencies,
-  computeZoneWaitLimits,
-} from './computeStageDeadlines.js';
 
 /** Options of {@link serveCall}. */
 export interface ServeCallOptions {
@@ -208,54 +196,6 @@
 /** The stages of a call that has none. */
 const NO_STAGES: StagesDone = { kind: 'done', inputs: [], free: () => {} };
 
-/** Runs all stages of a call once. */
-function runStageRound(
-  opts: RunCallOptions,
-  signal: AbortSignal,
-): Promise<StagesDone | StagesFailed> {
-  const { context, exchange, admitted } = opts;
-  const { route } = admitted;
-  const deadlineOptions = {
-    route,
-    call: exchange.call,
-    responseMs: context.responseTimes.estimateMs({
-      name: admitted.service,
-      nowMs: context.timer.nowMs(),
-    }),
-    findLimits: (service: string) => context.routes.findService(service)?.batch,
-  };
-  return runStages({
-    route,
-    call: exchange.call,
-    content: opts.fingerprints[0] ?? '',
-    priority: admitted.priority,
-    deadlinesAtMs: computeStageDeadlines({
-      ...deadlineOptions,
-      respondByMs: admitted.firstByteDeadlineAtMs,
-    }),
-    dueAtMs: admitted.dueAtMs,
-    urgencies: computeStageUrgencies({
-      ...deadlineOptions,
-      respondByMs: admitted.dueAtMs,
-      organisation: admitted.organisation,
-    }),
-    zoneWaitsUntilMs: computeZoneWaitLimits({
-      ...deadlineOptions,
-      respondByMs: admitted.dueAtMs,
-    }),
-    zoneHint: predictZone(opts),
-    nowMs: () => context.timer.nowMs(),
-    resultTtlMs: (service) => deadlineOptions.findLimits(service)?.resultTtlMs ?? 0,
-    submit: submitTimed(context),
-    startDelayMs: (position) => findStartDelayMs(opts, position),
-    sleep: (sleep) => context.timer.sleep(sleep),
-    onStageStarted: (position, delayedMs) => recordStageStart(opts, position, delayedMs),
-    onStageDone: (position) => recordStageDone(opts, position),
-    free: (results) => freeResults(context, results),
-    signal,
-  });
-}
-
 function finish(opts: ServeCallOptions, admitted: AdmittedCall, end: CallEnding): void {
   const { context, exchange } = opts;
   if (end.kind === 'refused') {
--- a/packages/router/test/router.feature
+++ b/packages/router/test/router.feature
@@ -318,6 +318,22 @@
     Then the caller gets 503 with a time to retry
     And no stage of the call has begun
 
+  # Guards against a stage that runs although the response can't start while the caller waits.
+  Scenario: A call that can't be served any more ends before its next stage
+    Given responses of targets took 700 ms, and each stage takes 120 ms
+    When a "staged" call with 2 and 3 pieces is made
+    Then the caller gets 503 with a time to retry
+    And only the first stage of the call has begun
+    And every result is freed once
+
+  # Guards against a send whose response can't start while the caller waits.
+  Scenario: A call whose stages end too late is not sent, and its results are freed
+    Given responses of targets took 700 ms, and each stage takes 60 ms
+    When a "staged" call with 2 and 3 pieces is made
+    Then the caller gets 503 with a time to retry
+    And the targets got 0 sends
+    And every result is freed once
+
   Scenario: Stages run once more when their results are gone
     Given the first send ends as "inputs-gone"
     When a "staged" call with 1 and 1 pieces is made
