--- a/review/lib-2/case.mjs
+++ b/review/lib-2/case.mjs
@@ -22,3 +22,6 @@
     (error) => finish(2, `could not run: ${error.stack}`),
   );
 }
+
+/** A loopback address of this run alone, so that cases can run beside each other. */
+export const loopback = (group, index) => `127.${16 + (process.pid % 224)}.${group}.${index}`;
--- a/review/lib-2/path.mjs
+++ b/review/lib-2/path.mjs
@@ -26,7 +26,9 @@
     near.on('close', () => far.destroy());
     far.on('close', () => isCut || near.destroy());
   });
-  await new Promise((resolve) => server.listen(0, host, resolve));
+  await new Promise((resolve) => {
+    server.listen(0, host, resolve);
+  });
   return {
     address: `${host}:${server.address().port}`,
     /** Bytes that came from the target so far. */
--- a/review/lib-2/routers.mjs
+++ b/review/lib-2/routers.mjs
@@ -13,9 +13,21 @@
 
 /** The bounds of the small deployments. */
 const BOUNDS = {
-  drain_ms: 2000, grace_s: 8, contact_ms: 3000, config_apply_ms: 2000, revoke_ms: 5000, retry_budget_ratio: 0.2,
-  budget_window_s: 10, budget_slack: 58, expose_share: 0.1, expose_slack: 50, rollback_ms: 5000, cold_over: 1.5,
-  cold_slack: 5, evacuate_ms: 5000, recovery_s: 12,
+  drain_ms: 2000,
+  grace_s: 8,
+  contact_ms: 3000,
+  config_apply_ms: 2000,
+  revoke_ms: 5000,
+  retry_budget_ratio: 0.2,
+  budget_window_s: 10,
+  budget_slack: 58,
+  expose_share: 0.1,
+  expose_slack: 50,
+  rollback_ms: 5000,
+  cold_over: 1.5,
+  cold_slack: 5,
+  evacuate_ms: 5000,
+  recovery_s: 12,
 };
 
 export const folder = mkdtempSync(join(tmpdir(), 'review-'));
@@ -23,9 +35,13 @@
 
 export async function freePort(host) {
   const server = createServer();
-  await new Promise((resolve) => server.listen(0, host, resolve));
+  await new Promise((resolve) => {
+    server.listen(0, host, resolve);
+  });
   const { port } = server.address();
-  await new Promise((resolve) => server.close(resolve));
+  await new Promise((resolve) => {
+    server.close(resolve);
+  });
   return port;
 }
 
@@ -33,13 +49,24 @@
 export async function startRouter({ name, host, zone, storeAddress }) {
   const [front, ready, link] = [await freePort(host), await freePort(host), await freePort(host)];
   const fields = {
-    node_name: name, zone, ip: host, 'listen.front': `${host}:${front}`, 'listen.ready': `${host}:${ready}`,
-    'internal_ports.0': link, 'platform.address': storeAddress, 'limits.cpu_share': 0.513, 'limits.cores': 1,
-    'limits.memory_mb': 350, 'limits.max_fds': 4100,
+    node_name: name,
+    zone,
+    ip: host,
+    'listen.front': `${host}:${front}`,
+    'listen.ready': `${host}:${ready}`,
+    'internal_ports.0': link,
+    'platform.address': storeAddress,
+    'limits.cpu_share': 0.513,
+    'limits.cores': 1,
+    'limits.memory_mb': 350,
+    'limits.max_fds': 4100,
     ...Object.fromEntries(Object.entries(BOUNDS).map(([key, value]) => [`bounds.${key}`, value])),
   };
   const file = join(folder, `${name}.ini`);
-  writeFileSync(file, TEMPLATE.replace(/\{\{([\w.]+)\}\}/g, (_, key) => fields[key] ?? ''));
+  writeFileSync(
+    file,
+    TEMPLATE.replace(/\{\{([\w.]+)\}\}/g, (_, key) => fields[key] ?? ''),
+  );
   const { PATH, HOME, LANG } = process.env;
   const child = spawn(COMMAND[0], COMMAND.slice(1), {
     cwd: ROOT,
@@ -66,17 +93,23 @@
 
 export function isReady({ host, readyPort }) {
   return new Promise((resolve) => {
-    const sent = request({ host, port: readyPort, path: '/-/readyz', agent: false, timeout: 500 }, (response) => {
-      response.resume();
-      response.once('end', () => resolve(response.statusCode === 200));
-    });
+    const sent = request(
+      { host, port: readyPort, path: '/-/readyz', agent: false, timeout: 500 },
+      (response) => {
+        response.resume();
+        response.once('end', () => resolve(response.statusCode === 200));
+      },
+    );
     sent.on('timeout', () => sent.destroy());
     sent.on('error', () => resolve(false));
     sent.end();
   });
 }
 
-export const sleep = (ms) => new Promise((resolve) => setTimeout(resolve, ms));
+export const sleep = (ms) =>
+  new Promise((resolve) => {
+    setTimeout(resolve, ms);
+  });
 
 /** Kills what still runs and removes the temporary folder. */
 export function endAll({ keepFolder = false } = {}) {
--- a/review/lib-2/send.mjs
+++ b/review/lib-2/send.mjs
@@ -4,26 +4,31 @@
 
 export const newId = () => randomBytes(8).toString('hex');
 
-/** Resolves to how the request ended: its status and body, or why it has none. */
-export function send({ router, method = 'POST', path, host, id = newId(), key, timeoutMs, headers = {}, body = '', localAddress }) {
+const createHeaders = ({ host, id, timeoutMs, key, body, headers }) => ({
+  Host: host,
+  'X-Request-Id': id,
+  'X-Timeout-Ms': String(timeoutMs),
+  Authorization: `Bearer ${key}`,
+  'Content-Length': String(Buffer.byteLength(body)),
+  ...headers,
+});
+
+/** Resolves to how the request ended: its status and headers, or why it has none. */
+export function send({ router, path, id = newId(), timeoutMs, body = '', ...more }) {
   return new Promise((resolve) => {
     const sentAtMs = Date.now();
-    const chunks = [];
     let head;
     const end = (outcome) => {
       clearTimeout(timer);
       const status = head?.statusCode ?? 0;
-      resolve({ id, status, headers: head?.headers ?? {}, body: Buffer.concat(chunks).toString('utf8'), outcome, sentAtMs, endedAtMs: Date.now() });
+      resolve({ id, status, headers: head?.headers ?? {}, outcome, sentAtMs });
     };
-    const sent = request({
-      host: router.host, port: router.port, method, path, agent: false, localAddress,
-      headers: {
-        Host: host, 'X-Request-Id': id, 'X-Timeout-Ms': String(timeoutMs), Authorization: `Bearer ${key}`,
-        'Content-Length': String(Buffer.byteLength(body)), ...headers,
-      },
-    }, (response) => {
+    const headers = createHeaders({ ...more, id, timeoutMs, body });
+    const { host, port } = router;
+    const sent = request({ host, port, method: 'POST', path, agent: false, headers });
+    sent.once('response', (response) => {
       head = response;
-      response.on('data', (chunk) => chunks.push(chunk));
+      response.resume();
       response.once('end', () => end(response.complete ? 'whole' : 'cut'));
       response.once('error', () => end('cut'));
     });
--- a/review/lib-2/store.mjs
+++ b/review/lib-2/store.mjs
@@ -1,20 +1,33 @@
 // A stand-in of the platform's metadata store: items, watches, leases that end, and conditions.
 import { createServer } from 'node:http';
 
+/** Items of one page of a range. */
+const MAX_ITEMS = 500;
+
+const NOT_FOUND = { status: 404, value: {} };
+
 export class Store {
   revision = 100;
+
   items = new Map();
+
   history = [];
+
   waiting = new Set();
+
   leases = new Map();
+
   nextLease = 1000;
+
   calls = [];
 
   /** Listens on a loopback address; resolves to IP:PORT. */
   async listen(host) {
     this.server = createServer((request, response) => this.#receive(request, response));
     this.server.keepAliveTimeout = 60_000;
-    await new Promise((resolve) => this.server.listen(0, host, resolve));
+    await new Promise((resolve) => {
+      this.server.listen(0, host, resolve);
+    });
     return `${host}:${this.server.address().port}`;
   }
 
@@ -57,7 +70,9 @@
   #endLease(id) {
     clearTimeout(this.leases.get(id)?.timer);
     this.leases.delete(id);
-    [...this.items.values()].filter(({ lease }) => lease === id).forEach(({ key }) => this.remove(key));
+    [...this.items.values()]
+      .filter(({ lease }) => lease === id)
+      .forEach(({ key }) => this.remove(key));
   }
 
   #armLease(id, ttlMs) {
@@ -71,73 +86,112 @@
     const url = new URL(request.url, 'http://store');
     this.calls.push(url.pathname);
     const text = Buffer.concat(chunks).toString('utf8');
-    const [status, body] = await this.#answer(request.method, url, text ? JSON.parse(text) : {}, response);
+    const { status, value } = await this.#answer({
+      url,
+      body: text ? JSON.parse(text) : {},
+      response,
+    });
     if (!response.destroyed) {
       response.writeHead(status, { 'Content-Type': 'application/json' });
-      response.end(JSON.stringify(body));
+      response.end(JSON.stringify(value));
     }
   }
 
-  async #answer(method, url, body, response) {
+  #answer({ url, body, response }) {
     const path = url.pathname;
     const prefix = url.searchParams.get('prefix') ?? '';
-    if (path === '/-/kv-key') {
-      const item = this.items.get(url.searchParams.get('key'));
-      return item ? [200, { ...item, store_revision: this.revision }] : [404, {}];
-    }
-    if (path === '/-/kv-range') {
-      const after = url.searchParams.get('after') ?? '';
-      const found = [...this.items.values()]
-        .filter(({ key }) => key.startsWith(prefix) && key > after)
-        .sort((a, b) => (a.key < b.key ? -1 : 1));
-      return [200, { items: found.slice(0, 500), has_more: found.length > 500, store_revision: this.revision }];
+    switch (path.split('/')[2]) {
+      case 'kv-key':
+        return this.#readKey(url.searchParams.get('key'));
+      case 'kv-range':
+        return this.#readRange(prefix, url.searchParams.get('after') ?? '');
+      case 'kv-watch':
+        return this.#watch({ prefix, query: url.searchParams, response });
+      case 'kv-lease':
+        return this.#grantLease(body.ttl_ms);
+      case 'kv-keep':
+        return this.#keepLease(Number(path.split('/').at(-1)));
+      case 'kv-lease-end':
+        this.#endLease(Number(path.split('/').at(-1)));
+        return { status: 200, value: {} };
+      case 'kv-txn':
+        return this.#commit(body);
+      default:
+        return NOT_FOUND;
     }
-    if (path === '/-/kv-watch') {
-      const after = Number(url.searchParams.get('after'));
-      const waitMs = Math.min(30_000, Number(url.searchParams.get('wait_ms')));
-      const find = () => this.history.filter((event) => event.key.startsWith(prefix) && event.revision > after);
-      if (find().length === 0) {
-        await new Promise((resolve) => {
-          const end = () => {
-            clearTimeout(timer);
-            this.waiting.delete(check);
-            resolve();
-          };
-          const check = () => find().length > 0 && end();
-          const timer = setTimeout(end, waitMs);
-          this.waiting.add(check);
-          response.once('close', end);
-        });
-      }
-      return [200, { events: find(), store_revision: this.revision }];
-    }
-    if (path === '/-/kv-lease') {
-      const id = this.nextLease++;
-      this.#armLease(id, body.ttl_ms);
-      return [200, { lease: id, ttl_ms: body.ttl_ms }];
+  }
+
+  #readKey(key) {
+    const item = this.items.get(key);
+    return item ? { status: 200, value: { ...item, store_revision: this.revision } } : NOT_FOUND;
+  }
+
+  #readRange(prefix, after) {
+    const found = [...this.items.values()]
+      .filter(({ key }) => key.startsWith(prefix) && key > after)
+      .sort((left, right) => (left.key < right.key ? -1 : 1));
+    const value = {
+      items: found.slice(0, MAX_ITEMS),
+      has_more: found.length > MAX_ITEMS,
+      store_revision: this.revision,
+    };
+    return { status: 200, value };
+  }
+
+  async #watch({ prefix, query, response }) {
+    const after = Number(query.get('after'));
+    const waitMs = Math.min(30_000, Number(query.get('wait_ms')));
+    const find = () =>
+      this.history.filter((event) => event.key.startsWith(prefix) && event.revision > after);
+    if (find().length === 0) {
+      await this.#waitFor({ isDone: () => find().length > 0, waitMs, response });
     }
-    if (path.startsWith('/-/kv-keep/')) {
-      const id = Number(path.split('/').at(-1));
-      const lease = this.leases.get(id);
-      if (!lease) return [404, {}];
-      this.#armLease(id, lease.ttlMs);
-      return [200, { ttl_ms: lease.ttlMs }];
+    return { status: 200, value: { events: find(), store_revision: this.revision } };
+  }
+
+  #waitFor({ isDone, waitMs, response }) {
+    return new Promise((resolve) => {
+      const end = () => {
+        clearTimeout(timer);
+        this.waiting.delete(check);
+        resolve();
+      };
+      const check = () => isDone() && end();
+      const timer = setTimeout(end, waitMs);
+      this.waiting.add(check);
+      response.once('close', end);
+    });
+  }
+
+  #grantLease(ttlMs) {
+    const id = this.nextLease;
+    this.nextLease += 1;
+    this.#armLease(id, ttlMs);
+    return { status: 200, value: { lease: id, ttl_ms: ttlMs } };
+  }
+
+  #keepLease(id) {
+    const lease = this.leases.get(id);
+    if (!lease) {
+      return NOT_FOUND;
     }
-    if (path.startsWith('/-/kv-lease-end/')) {
-      this.#endLease(Number(path.split('/').at(-1)));
-      return [200, {}];
+    this.#armLease(id, lease.ttlMs);
+    return { status: 200, value: { ttl_ms: lease.ttlMs } };
+  }
+
+  #commit({ expected_rev: expected = [], puts = [], remove = [] }) {
+    if (puts.some(({ lease }) => lease && !this.leases.has(lease))) {
+      return NOT_FOUND;
     }
-    if (path === '/-/kv-txn') {
-      const { expected_rev: expected = [], puts = [], remove = [] } = body;
-      if (puts.some(({ lease }) => lease && !this.leases.has(lease))) return [404, {}];
-      const failed = expected.some(({ key, revision }) => (this.items.get(key)?.revision ?? 0) !== revision);
-      if (failed) {
-        return [412, { items: expected.flatMap(({ key }) => this.items.get(key) ?? []) }];
-      }
-      puts.forEach(({ key, value, lease }) => this.#write(key, value, lease ?? 0));
-      remove.forEach((key) => this.remove(key));
-      return [200, { revision: this.revision }];
+    const revisionOf = (key) => this.items.get(key)?.revision ?? 0;
+    if (expected.some(({ key, revision }) => revisionOf(key) !== revision)) {
+      return {
+        status: 412,
+        value: { items: expected.flatMap(({ key }) => this.items.get(key) ?? []) },
+      };
     }
-    return [404, {}];
+    puts.forEach(({ key, value, lease }) => this.#write(key, value, lease ?? 0));
+    remove.forEach((key) => this.remove(key));
+    return { status: 200, value: { revision: this.revision } };
   }
 }
--- a/review/lib-2/worker.mjs
+++ b/review/lib-2/worker.mjs
@@ -1,9 +1,12 @@
 // A stand-in of a model worker: registers itself, answers with events, and can crash and come back.
 import { createServer } from 'node:http';
 
+import { sleep } from './routers.mjs';
+
 export class Worker {
   /** Requests that have reached this worker, in order: id, atMs, by, and whether it ran. */
   arrivals = [];
+
   #open = new Set();
 
   constructor({ store, service, host, zone, name, onRequest, beatMs = 1200, keepsId = false }) {
@@ -23,7 +26,9 @@
       socket.on('error', () => {});
       socket.once('close', () => this.#open.delete(socket));
     });
-    await new Promise((resolve) => this.server.listen(this.port ?? 0, this.host, resolve));
+    await new Promise((resolve) => {
+      this.server.listen(this.port ?? 0, this.host, resolve);
+    });
     this.port = this.server.address().port;
     this.isUp = true;
     this.#register();
@@ -37,8 +42,16 @@
   #register(state = 'ready') {
     this.sequence += 1;
     this.store.put(`servers/${this.id}`, {
-      service: this.service, address: this.address, zone: this.zone, version: 'v1', slots: 96, state,
-      cold_left_ms: Math.max(0, (this.coldUntilMs ?? 0) - Date.now()), stage: 'both', models: [{ name: 'm', version: 1, adapters: [] }], sequence: this.sequence,
+      service: this.service,
+      address: this.address,
+      zone: this.zone,
+      version: 'v1',
+      slots: 96,
+      state,
+      cold_left_ms: Math.max(0, (this.coldUntilMs ?? 0) - Date.now()),
+      stage: 'both',
+      models: [{ name: 'm', version: 1, adapters: [] }],
+      sequence: this.sequence,
       born: this.born,
     });
   }
@@ -55,7 +68,10 @@
     this.isUp = false;
     clearInterval(this.beat);
     const { id, born } = this;
-    setTimeout(() => (this.id === id && this.born !== born) || this.store.remove(`servers/${id}`), 3 * this.beatMs);
+    setTimeout(
+      () => (this.id === id && this.born !== born) || this.store.remove(`servers/${id}`),
+      3 * this.beatMs,
+    );
     this.server.close();
     this.#open.forEach((socket) => socket.resetAndDestroy());
     if (backAfterMs !== undefined) setTimeout(() => this.isEnded || this.start(), backAfterMs);
@@ -82,10 +98,38 @@
       return;
     }
     const body = Buffer.concat(chunks).toString('utf8');
-    const arrival = { id, atMs: Date.now(), by: request.socket.remoteAddress, worker: this.name, start: this.id, born: this.born };
+    const arrival = {
+      id,
+      atMs: Date.now(),
+      by: request.socket.remoteAddress,
+      worker: this.name,
+      start: this.id,
+      born: this.born,
+    };
     this.arrivals.push(arrival);
     await this.onRequest({ worker: this, request, response, id, body, arrival });
   }
 }
 
-export const sealed = (id, more = {}) => ({ 'X-Request-Id': id, 'X-Server-Seal': '3e1b.07.5a2.600.0.c9f2a4d1', ...more });
+export const sealed = (id, more = {}) => ({
+  'X-Request-Id': id,
+  'X-Server-Seal': '3e1b.07.5a2.600.0.c9f2a4d1',
+  ...more,
+});
+
+/** Answers a call with a stream of events, unless its worker crashes or its caller leaves. */
+export async function stream({ worker, response, id, arrival, prefillMs, events, eventMs }) {
+  const isAlive = () => worker.isUp && worker.id === arrival.start && !response.destroyed;
+  await sleep(prefillMs);
+  if (!isAlive()) {
+    return;
+  }
+  response.writeHead(200, sealed(id, { 'Content-Type': 'text/event-stream' }));
+  for (let event = 1; event <= events && isAlive(); event += 1) {
+    response.write(`id: ${event}\ndata: token token token token\n\n`);
+    await sleep(eventMs);
+  }
+  if (isAlive()) {
+    response.end();
+  }
+}
