Show that a version that was rolled back returns with the next order

Cause: an order replaces the one before it, and every version but the new target counts as an older one, also one that was found bad. Change: a review case.

--- a/review/lib-2/worker.mjs
+++ b/review/lib-2/worker.mjs
@@ -7,16 +7,18 @@
   /** Requests that have reached this worker, in order: id, atMs, by, and whether it ran. */
   arrivals = [];
 
+  state = 'ready';
+
   #open = new Set();
 
-  constructor({ store, service, host, zone, name, onRequest, beatMs = 1200, keepsId = false }) {
-    Object.assign(this, { store, service, host, zone, name, onRequest, beatMs, keepsId });
+  constructor({ store, service, host, zone, name, onRequest, beatMs = 1200, version = 'v1' }) {
+    Object.assign(this, { store, service, host, zone, name, onRequest, beatMs, version });
   }
 
-  /** Starts a new incarnation on the same address, with a new id unless it keeps its own. */
+  /** Starts a new incarnation on the same address, with a new id. */
   async start() {
     this.starts = (this.starts ?? 0) + 1;
-    this.id = this.keepsId ? `i-${this.name}` : `i-${this.name}-${this.starts}`;
+    this.id = `i-${this.name}-${this.starts}`;
     this.born = Date.now();
     this.sequence = 0;
     this.server = createServer((request, response) => this.#receive(request, response));
@@ -39,15 +41,15 @@
     return `${this.host}:${this.port}`;
   }
 
-  #register(state = 'ready') {
+  #register() {
     this.sequence += 1;
     this.store.put(`servers/${this.id}`, {
       service: this.service,
       address: this.address,
       zone: this.zone,
-      version: 'v1',
+      version: this.version,
       slots: 96,
-      state,
+      state: this.state,
       cold_left_ms: Math.max(0, (this.coldUntilMs ?? 0) - Date.now()),
       stage: 'both',
       models: [{ name: 'm', version: 1, adapters: [] }],
@@ -56,6 +58,12 @@
     });
   }
 
+  /** Reports that it leaves; it goes on serving. */
+  drain() {
+    this.state = 'draining';
+    this.#register();
+  }
+
   /** Becomes cold, as a worker may at any moment, and says so in its entry. */
   turnCold(coldMs) {
     this.coldUntilMs = Date.now() + coldMs;
@@ -67,11 +75,8 @@
     if (!this.isUp) return;
     this.isUp = false;
     clearInterval(this.beat);
-    const { id, born } = this;
-    setTimeout(
-      () => (this.id === id && this.born !== born) || this.store.remove(`servers/${id}`),
-      3 * this.beatMs,
-    );
+    const { id } = this;
+    setTimeout(() => this.store.remove(`servers/${id}`), 3 * this.beatMs);
     this.server.close();
     this.#open.forEach((socket) => socket.resetAndDestroy());
     if (backAfterMs !== undefined) setTimeout(() => this.isEnded || this.start(), backAfterMs);
