End the processes of a review case also on an unexpected error

Cause: a case that threw outside its task left its routers running, and two cases side by side could have used the same addresses.

--- a/review/lib-2/case.mjs
+++ b/review/lib-2/case.mjs
@@ -16,6 +16,7 @@
     process.exit(code);
   };
   setTimeout(() => finish(2, 'could not run: the case took longer than 110 s'), 110_000);
+  process.on('uncaughtException', (error) => finish(2, `could not run: ${error.stack}`));
   process.on('SIGTERM', () => finish(2, 'could not run: it was stopped'));
   body({ note, startedAtMs }).then(
     ({ broken, text }) => finish(broken ? 1 : 0, `${broken ? 'BROKEN' : 'held'}: ${text}`),
@@ -24,4 +25,7 @@
 }
 
 /** A loopback address of this run alone, so that cases can run beside each other. */
-export const loopback = (group, index) => `127.${16 + (process.pid % 224)}.${group}.${index}`;
+export const loopback = (group, index) => {
+  const network = Math.floor(process.pid / 224) % 25;
+  return `127.${16 + (process.pid % 224)}.${network * 10 + group}.${index}`;
+};
