Run and estimate stages in the order of their dependencies

Cause: a lower number was taken for an earlier stage. `runStages` looked the run of a dependency up in a list that was still being filled and counted a missing one as no inputs; deadlines, the work that is left, the times until each stage ends and the estimate on arrival walked the stages by number.

Change: `orderStages` sorts the stages of a route by their dependencies, once for each list; all of these use it. A dependency without a run is an error.

--- a/packages/router/src/admission/estimateCall.ts
+++ b/packages/router/src/admission/estimateCall.ts
@@ -1,5 +1,7 @@
 import type { PriorityWait, RouteConfig } from '@galenatiller/types';
 
+import { orderStages } from '../stageGraph.js';
+
 /** Waits for the workers of each shard of a service, by priority. */
 export type FindWaits = (service: string) => readonly (readonly PriorityWait[])[];
 
@@ -42,11 +44,11 @@
   { route, stagesMs }: EstimateCallOptions,
   getWaitMs: (service: string) => number,
 ): number {
-  const endsInMs: number[] = [];
-  route.stages.forEach(({ service, dependsOn }, position) => {
-    const startsInMs = Math.max(0, ...dependsOn.map((earlier) => endsInMs[earlier] ?? 0));
+  const endsInMs = route.stages.map(() => 0);
+  orderStages(route.stages).forEach(({ position, stage: { service, dependsOn } }) => {
+    const startsInMs = Math.max(0, ...dependsOn.map((dependency) => endsInMs[dependency] ?? 0));
     const ownMs = stagesMs[position] ?? 0;
-    endsInMs.push(startsInMs + (ownMs > 0 ? getWaitMs(service) + ownMs : 0));
+    endsInMs[position] = startsInMs + (ownMs > 0 ? getWaitMs(service) + ownMs : 0);
   });
   return Math.max(0, ...endsInMs);
 }
--- a/packages/router/src/computeStageDeadlines.ts
+++ b/packages/router/src/computeStageDeadlines.ts
@@ -1,5 +1,7 @@
 import type { BatchLimits, PieceUrgency, RouteConfig, RoutedCall } from '@galenatiller/types';
 
+import { orderStages } from './stageGraph.js';
+
 interface EstimateStageOptions {
   readonly route: RouteConfig;
   readonly call: RoutedCall;
@@ -18,14 +20,15 @@
 export function computeStageDeadlines(opts: ComputeStageDeadlinesOptions): readonly number[] {
   const { stages } = opts.route;
   const deadlines: number[] = stages.map(() => opts.respondByMs - opts.responseMs);
-  // Stages are listed after those that they depend on, so deadlines are computed from last to first.
-  for (let position = stages.length - 1; position >= 0; position -= 1) {
-    const stage = stages[position];
-    const startByMs = (deadlines[position] ?? opts.respondByMs) - estimateStageMs(opts, position);
-    stage?.dependsOn.forEach((dependency) => {
-      deadlines[dependency] = Math.min(deadlines[dependency] ?? startByMs, startByMs);
+  // The deadline of a stage follows from those of the stages that depend on it.
+  orderStages(stages)
+    .toReversed()
+    .forEach(({ position, stage }) => {
+      const startByMs = (deadlines[position] ?? opts.respondByMs) - estimateStageMs(opts, position);
+      stage.dependsOn.forEach((dependency) => {
+        deadlines[dependency] = Math.min(deadlines[dependency] ?? startByMs, startByMs);
+      });
     });
-  }
   return deadlines;
 }
 
@@ -58,10 +61,12 @@
   );
   const fullBatches = { ...opts, call: { ...opts.call, stagePieces } };
   const doneBy = computeStageDeadlines(fullBatches);
-  const ownMs = route.stages.map((_, position) => estimateWorkMs(opts, position));
+  const order = orderStages(route.stages).map(({ position }) => position);
+  const sumWorkMs = (positions: readonly number[]): number =>
+    positions.reduce((sumMs, position) => sumMs + estimateWorkMs(opts, position), 0);
   return route.stages.map(({ dependsOn }, position) => ({
     latestStartAtMs: (doneBy[position] ?? 0) - estimateStageMs(fullBatches, position),
-    remainingMs: ownMs.slice(position).reduce((sum, workMs) => sum + workMs, 0),
+    remainingMs: sumWorkMs(order.slice(order.indexOf(position))),
     hasBegun: dependsOn.length > 0,
     organisation,
   }));
@@ -85,12 +90,16 @@
 
 /** Usual time until each stage has its results. */
 export function estimateStageEndsMs(opts: EstimateStageEndsOptions): readonly number[] {
-  const endsInMs: number[] = [];
-  opts.route.stages.forEach(({ dependsOn }, position) => {
-    const startsInMs = Math.max(0, ...dependsOn.map((dependency) => endsInMs[dependency] ?? 0));
+  const { stages } = opts.route;
+  const endsInMs = stages.map(() => 0);
+  orderStages(stages).forEach(({ position, stage }) => {
+    const startsInMs = Math.max(
+      0,
+      ...stage.dependsOn.map((dependency) => endsInMs[dependency] ?? 0),
+    );
     const hasWork = !opts.isDone(position) && getPieceCount(opts.call, position) > 0;
     const usualMs = hasWork ? Math.max(estimateStageMs(opts, position), opts.usualMs(position)) : 0;
-    endsInMs.push(startsInMs + Math.max(0, usualMs - opts.runningMs(position)));
+    endsInMs[position] = startsInMs + Math.max(0, usualMs - opts.runningMs(position));
   });
   return endsInMs;
 }
--- a/packages/router/src/computeStartDelay.ts
+++ b/packages/router/src/computeStartDelay.ts
@@ -1,6 +1,7 @@
 import type { BatchLimits, RouteConfig, RoutedCall } from '@galenatiller/types';
 
 import { estimateStageEndsMs, estimateStageMs, getPieceCount } from './computeStageDeadlines.js';
+import { findLastStages } from './stageGraph.js';
 import type { StageProgress } from './stageProgress.js';
 import type { StageTimes } from './stageTimes.js';
 
@@ -51,6 +52,5 @@
   if (uses.length > 0) {
     return uses.map(({ dependsOn }) => dependsOn);
   }
-  const dependencies = new Set(stages.flatMap(({ dependsOn }) => dependsOn));
-  return [stages.map((_, index) => index).filter((index) => !dependencies.has(index))];
+  return [findLastStages(stages)];
 }
--- a/packages/router/src/runStages.ts
+++ b/packages/router/src/runStages.ts
@@ -13,6 +13,7 @@
 
 import { getPieceCount } from './computeStageDeadlines.js';
 import { createStageFingerprint } from './pieceSuspects.js';
+import { findLastStages, orderStages } from './stageGraph.js';
 import { StageStart } from './stageStart.js';
 import { waitForStart, type WaitForStartOptions } from './waitForStart.js';
 
@@ -98,12 +99,10 @@
     abort.abort();
     return [];
   };
-  const runs: Promise<readonly StageResultHandle[]>[] = [];
+  const runs = new Map<number, StageRun>();
   const starts = route.stages.map(() => StageStart.create());
-  route.stages.forEach((stage, position) => {
-    const dependencies = Promise.all(
-      stage.dependsOn.map((earlier) => runs[earlier] ?? Promise.resolve([])),
-    );
+  orderStages(route.stages).forEach(({ position, stage }) => {
+    const dependencies = Promise.all(stage.dependsOn.map((other) => getRun(runs, other)));
     const run = dependencies.then(async (earlier) => {
       const inputs = earlier.flat();
       const start = await waitForStart({ ...opts, position, signal });
@@ -132,14 +131,29 @@
       }
       return made;
     });
-    runs.push(run);
+    runs.set(position, run);
   });
   freeWhenUsed({ route, runs, starts, release });
-  const results = await Promise.all(runs).finally(unlink);
+  await Promise.all(runs.values()).finally(unlink);
   if (failure) {
     return failure;
   }
-  return { kind: 'done', inputs: findInputs(route, results), free };
+  const inputs = await Promise.all(
+    findLastStages(route.stages).map((position) => getRun(runs, position)),
+  );
+  return { kind: 'done', inputs: inputs.flat(), free };
+}
+
+/** Results of a stage, once it has run. */
+type StageRun = Promise<readonly StageResultHandle[]>;
+
+/** The run of a stage. Throws if there is none, since its results would be missing without notice. */
+function getRun(runs: ReadonlyMap<number, StageRun>, position: number): StageRun {
+  const run = runs.get(position);
+  if (!run) {
+    throw new Error(`stage ${position} has not been started, although others depend on it`);
+  }
+  return run;
 }
 
 interface SubmitOptions extends RunStagesOptions {
@@ -170,15 +184,6 @@
   );
 }
 
-/** Results of the stages that no other stage depends on. */
-function findInputs(
-  { stages }: RouteConfig,
-  results: readonly (readonly StageResultHandle[])[],
-): readonly StageResultHandle[] {
-  const used = new Set(stages.flatMap(({ dependsOn }) => dependsOn));
-  return results.filter((_, position) => !used.has(position)).flat();
-}
-
 function findMade(
   opts: Pick<RunStagesOptions, 'nowMs' | 'resultTtlMs'> & {
     readonly stage: RouteStage;
@@ -223,7 +228,7 @@
 /** Frees the results of each stage as soon as every piece that depends on it has begun or is done. */
 function freeWhenUsed(opts: {
   readonly route: RouteConfig;
-  readonly runs: readonly Promise<readonly StageResultHandle[]>[];
+  readonly runs: ReadonlyMap<number, StageRun>;
   readonly starts: readonly StageStart[];
   readonly release: (results: readonly StageResultHandle[]) => void;
 }): void {
@@ -231,7 +236,7 @@
   const { stages } = opts.route;
   runs.forEach((run, position) => {
     const dependents = starts
-      .filter((_, later) => stages[later]?.dependsOn.includes(position))
+      .filter((_, other) => stages[other]?.dependsOn.includes(position))
       .map(({ allBegun }) => allBegun);
     if (dependents.length > 0) {
       Promise.all([run, ...dependents]).then(
