Refuse routes that can't be run as configured, and no others

What callers saw: the decoder dropped what it could not use and served the rest with 200. A dependency named twice was passed twice. A list of organisations that is no list made the configuration one without keys.

Cause: each decoder chose a default for what it could not read, without a line.

Change: the decoders keep every stage and dependency, each once, and report what they can't read. A route with such a field, or whose stages no order allows, is refused at once with 503, not run (code 5003), while its paths stay its own; the others are served, and a later version ends it. A configuration whose organisations are not a list is not adopted.

--- a/bench/src/scale/scaledRouter.ts
+++ b/bench/src/scale/scaledRouter.ts
@@ -77,6 +77,8 @@
             resultTtlMs: 4_000,
           },
   })),
+  invalidRoutes: [],
+  unreadable: [],
   organisations: undefined,
   callerLimits: {
     maxHeaderBytes: 8_192,
--- a/packages/constants/src/index.ts
+++ b/packages/constants/src/index.ts
@@ -38,3 +38,6 @@
 
 /** Maximum size of one event of a stream, in bytes. */
 export const MAX_EVENT_BYTES = 1_048_576;
+
+/** Time to retry on a route that can't be run as configured, whose operator has to correct it first. */
+export const INVALID_ROUTE_RETRY_AFTER_MS = 5_000;
--- a/packages/error/src/systemCodes.ts
+++ b/packages/error/src/systemCodes.ts
@@ -69,6 +69,14 @@
     'The change was accepted but is not yet active on every node.',
     'Use status to find the nodes that lack it.',
   ),
+  defineResultCode(
+    5003,
+    'route-invalid',
+    'not-run',
+    503,
+    'The route can not be run as it is configured.',
+    'Correct the route; the detail and the log say what is wrong.',
+  ),
   defineResultCode(
     6001,
     'settings-invalid',
--- a/packages/metrics/src/routerMetrics.ts
+++ b/packages/metrics/src/routerMetrics.ts
@@ -92,6 +92,22 @@
     meaning:
       'Connections closed and requests refused to keep memory and descriptors, by the limit.',
   },
+  {
+    name: 'router.calls_to_invalid_routes',
+    type: 'count',
+    unit: 'calls',
+    tags: [],
+    role: 'router',
+    meaning: 'Calls refused as their route can not be run as it is configured.',
+  },
+  {
+    name: 'router.invalid_routes',
+    type: 'gauge',
+    unit: 'routes',
+    tags: [],
+    role: 'router',
+    meaning: 'Routes of the active configuration that can not be run as they are configured.',
+  },
   {
     name: 'router.paused_refusals',
     type: 'count',
--- a/packages/router/src/admitCall.ts
+++ b/packages/router/src/admitCall.ts
@@ -1,5 +1,11 @@
+import { INVALID_ROUTE_RETRY_AFTER_MS } from '@galenatiller/constants';
 import { GalenatillerError, type ResultCodeName } from '@galenatiller/error';
-import type { OrganisationConfig, RouteConfig, RoutedCall } from '@galenatiller/types';
+import type {
+  InvalidRoute,
+  OrganisationConfig,
+  RouteConfig,
+  RoutedCall,
+} from '@galenatiller/types';
 import { Result } from 'true-myth';
 
 import type { RouterContext } from './routerContext.js';
@@ -43,8 +49,8 @@
     return refuseTemporarily('no configuration has been read yet');
   }
   const { version } = configuration;
-  const route = context.routes.findRoute(call);
-  if (!route) {
+  const match = context.routes.findRoute(call);
+  if (!match) {
     return isStale(context)
       ? refuseTemporarily('the route may be newer than the known configuration')
       : refuse(
@@ -52,8 +58,14 @@
           `configuration version ${version} has no route for this host and path`,
         );
   }
-  const needsNoKey = configuration.organisations === undefined || route.isPublic;
-  const organisation = needsNoKey ? Result.ok(undefined) : findOrganisation(opts, version);
+  const needsNoKey = configuration.organisations === undefined || match.route.isPublic;
+  const organisation: Result<OrganisationConfig | undefined, GalenatillerError> = needsNoKey
+    ? Result.ok(undefined)
+    : findOrganisation(opts, version);
+  if (match.kind === 'invalid') {
+    return organisation.andThen(() => refuseInvalidRoute(context, match.route));
+  }
+  const { route } = match;
   return organisation.map((found) => {
     const limitMs = Math.min(call.callerTimeoutMs || route.timeoutMs, route.timeoutMs);
     return {
@@ -104,6 +116,20 @@
   return (chosen ?? route.destinations[0])?.service ?? '';
 }
 
+function refuseInvalidRoute(
+  { metrics }: Pick<RouterContext, 'metrics'>,
+  { name, problems }: InvalidRoute,
+): Result<never, GalenatillerError> {
+  metrics.count({ name: 'router.calls_to_invalid_routes', tags: {} });
+  return Result.err(
+    GalenatillerError.create({
+      name: 'route-invalid',
+      detail: `route ${name}: ${problems[0] ?? ''}`,
+      retryAfterMs: INVALID_ROUTE_RETRY_AFTER_MS,
+    }),
+  );
+}
+
 function refuseTemporarily(detail: string): Result<never, GalenatillerError> {
   const retryAfterMs = NO_CONFIGURATION_RETRY_AFTER_MS;
   return Result.err(GalenatillerError.create({ name: 'no-configuration', detail, retryAfterMs }));
--- a/packages/router/src/createOperatorHandlers.ts
+++ b/packages/router/src/createOperatorHandlers.ts
@@ -81,4 +81,38 @@
   const before = routes.currentConfiguration()?.version;
   const outcome = routes.update(decoded.configuration);
   log({ about: 'belief', event: 'configuration', version, before, storeRevision, outcome });
+  if (outcome === 'adopted') {
+    logProblems(opts);
+  }
+}
+
+/** Lines on the problems of one configuration. */
+const MAX_PROBLEM_LINES = 20;
+
+/** Logs what of the active configuration is not in force. */
+function logProblems({ log, routes }: Pick<OperatorHandlersOptions, 'log' | 'routes'>): void {
+  const configuration = routes.currentConfiguration();
+  if (!configuration) {
+    return;
+  }
+  const { version, invalidRoutes, unreadable } = configuration;
+  const problems = [
+    ...invalidRoutes.map(({ name: route, problems: found }) => ({
+      event: 'route-invalid',
+      route,
+      outcome: `refused: ${found.join('; ')}`,
+    })),
+    ...unreadable.map((problem) => ({
+      event: 'configuration-unreadable',
+      outcome: `ignored: ${problem}`,
+    })),
+  ];
+  const left = problems.length - MAX_PROBLEM_LINES;
+  problems
+    .slice(0, MAX_PROBLEM_LINES)
+    .forEach((problem) => log({ about: 'belief', configuration: version, ...problem }));
+  if (left > 0) {
+    const outcome = `${left} more problems`;
+    log({ about: 'belief', event: 'configuration-unreadable', configuration: version, outcome });
+  }
 }
--- a/packages/router/src/index.ts
+++ b/packages/router/src/index.ts
@@ -1,6 +1,7 @@
 /** The router role: accepts calls, runs their stages and sends them directly to targets. */
 export { LimitedCallers, type LimitedCallersOptions } from './limitedCallers.js';
 export type { ProviderPorts } from './createProviderDuties.js';
+export { findConfigurationProblems } from './checkRoutes.js';
 export { createStoppingError } from './endAttempts.js';
 export { createRouter, type Router, type RouterOptions } from './createRouter.js';
 export type {
--- a/packages/router/src/routeTable.ts
+++ b/packages/router/src/routeTable.ts
@@ -1,20 +1,28 @@
 import type {
+  InvalidRoute,
   OrganisationConfig,
   RouteConfig,
   RouterConfig,
   ServiceConfig,
 } from '@galenatiller/types';
 
+import { checkRoutes } from './checkRoutes.js';
+
 /** Outcome of an update; only `adopted` changes the active configuration. */
 export type ConfigurationUpdate = 'adopted' | 'same' | 'older';
 
+/** The route of a call. */
+export type RouteMatch =
+  | { readonly kind: 'valid'; readonly route: RouteConfig }
+  | { readonly kind: 'invalid'; readonly route: InvalidRoute };
+
 /** The active configuration, indexed for routing. It never goes back to an older version. */
 export class RouteTable {
   private configuration: RouterConfig | undefined;
 
   private isBehind = false;
 
-  private routesByHost = new Map<string, RouteConfig[]>();
+  private routesByHost = new Map<string, RouteMatch[]>();
 
   private organisationsByKey = new Map<string, OrganisationConfig>();
 
@@ -27,7 +35,7 @@
     return new RouteTable();
   }
 
-  /** The active configuration; undefined before the first. */
+  /** The active configuration, with checked routes; undefined before the first. */
   currentConfiguration(): RouterConfig | undefined {
     return this.configuration;
   }
@@ -44,8 +52,8 @@
     if (version !== undefined && configuration.version <= version) {
       return configuration.version === version ? 'same' : 'older';
     }
-    this.configuration = configuration;
-    this.routesByHost = groupByHost(configuration.routes);
+    this.configuration = checkRoutes(configuration);
+    this.routesByHost = groupByHost(this.configuration);
     this.organisationsByKey = new Map(
       (configuration.organisations ?? []).flatMap((organisation) =>
         organisation.bearerKeys.map((key) => [key, organisation] as const),
@@ -56,10 +64,10 @@
   }
 
   /** Finds the route of a host with the longest path prefix that matches. */
-  findRoute(opts: { readonly host: string; readonly path: string }): RouteConfig | undefined {
+  findRoute(opts: { readonly host: string; readonly path: string }): RouteMatch | undefined {
     const host = opts.host.replace(/:\d+$/, '').toLowerCase();
     // Routes of a host are sorted by the length of their path prefix, longest first.
-    return this.routesByHost.get(host)?.find((route) => opts.path.startsWith(route.pathPrefix));
+    return this.routesByHost.get(host)?.find(({ route }) => opts.path.startsWith(route.pathPrefix));
   }
 
   /** Finds the organisation that a bearer key belongs to. */
@@ -73,13 +81,17 @@
   }
 }
 
-function groupByHost(routes: readonly RouteConfig[]): Map<string, RouteConfig[]> {
-  const groups = new Map<string, RouteConfig[]>();
-  [...routes]
-    .sort((left, right) => right.pathPrefix.length - left.pathPrefix.length)
-    .forEach((route) => {
-      const host = route.host.toLowerCase();
-      groups.set(host, [...(groups.get(host) ?? []), route]);
+function groupByHost({ routes, invalidRoutes }: RouterConfig): Map<string, RouteMatch[]> {
+  const groups = new Map<string, RouteMatch[]>();
+  const matches: readonly RouteMatch[] = [
+    ...routes.map((route) => ({ kind: 'valid' as const, route })),
+    ...invalidRoutes.map((route) => ({ kind: 'invalid' as const, route })),
+  ];
+  matches
+    .toSorted((left, right) => right.route.pathPrefix.length - left.route.pathPrefix.length)
+    .forEach((match) => {
+      const host = match.route.host.toLowerCase();
+      groups.set(host, [...(groups.get(host) ?? []), match]);
     });
   return groups;
 }
--- a/packages/router/src/stageGraph.ts
+++ b/packages/router/src/stageGraph.ts
@@ -67,5 +67,7 @@
   const stuck = stages.map((_, position) => position).filter((position) => !ordered.has(position));
   return stuck.length === 0
     ? []
-    : [`each of the stages ${stuck.join(', ')} depends on itself or on a stage that does`];
+    : [
+        `no order of the stages ${stuck.join(', ')} is possible: they depend on each other or on themselves`,
+      ];
 }
--- a/packages/router/test/restoredStore.steps.ts
+++ b/packages/router/test/restoredStore.steps.ts
@@ -11,6 +11,7 @@
 import type { OperatorEntryDecoder, TargetEntryDecoder } from '../src/entryDecoders.js';
 import { Rollouts } from '../src/rollouts.js';
 import { RouteTable } from '../src/routeTable.js';
+import { CALLER_LIMITS } from './callerLimits.js';
 
 interface RestoredWorld {
   restoredClock: ManualClock;
@@ -158,13 +159,15 @@
 );
 
 function createConfiguration(version: number): RouterConfig {
-  const callerLimits = {
-    maxHeaderBytes: 1,
-    maxBodyBytes: 1,
-    headerTimeoutMs: 1,
-    idleTimeoutMs: 1,
+  return {
+    version,
+    routes: [],
+    invalidRoutes: [],
+    unreadable: [],
+    services: [],
+    organisations: undefined,
+    callerLimits: CALLER_LIMITS,
   };
-  return { version, routes: [], services: [], organisations: undefined, callerLimits };
 }
 
 Given(
--- a/packages/router/test/router.feature
+++ b/packages/router/test/router.feature
@@ -350,3 +350,35 @@
     Then the path "/order/deep/x" goes to the route "deep"
     And the path "/order/x" goes to the route "order"
     And the path "/orders" goes to no route
+
+  # Guards against routes that are served although their stages can't run in any order.
+  Scenario Outline: A route whose stages can't run is refused at once, and no other route
+    Given a version with a route "added" whose stages depend on <stages>
+    When an "added" call is made
+    Then the caller gets 503 as not run, with the code 5003, after 0 ms
+    And the targets got 0 sends
+    When a "safe" call is made
+    Then the caller gets 200 from the target
+    Given a version with a route "added" whose stages depend on [[1], []]
+    When an "added" call is made
+    Then the caller gets 200 from the target
+
+    Examples:
+      | stages            |
+      | [[0]]             |
+      | [[1], [0]]        |
+      | [[], [2], [1]]    |
+      | [[], [0, 7]]      |
+      | [[0.5]]           |
+
+  # Guards against a call that another route with a shorter prefix serves in place of its own.
+  Scenario: A path whose longest prefix is that of an invalid route goes to no other route
+    Given a version whose route "deep" of the prefix "/order/deep/" is invalid
+    When an "order" call with the path "/order/deep/x" is made
+    Then the caller gets 503 as not run, with the code 5003, after 0 ms
+    And the targets got 0 sends
+
+  Scenario: A caller without a valid key learns nothing about an invalid route
+    Given a version whose route "deep" of the prefix "/order/deep/" is invalid
+    When an "order" call with the path "/order/deep/x" and no valid key is made
+    Then the caller gets 401
--- a/packages/router/test/router.steps.ts
+++ b/packages/router/test/router.steps.ts
@@ -286,7 +286,10 @@
 Then(
   /^the path "([^"]*)" goes to (?:the route "([^"]*)"|no route)$/,
   function then(this: RouterWorld, path: string, name: string | undefined) {
-    assert.equal(this.routes.findRoute({ host: 'shop.example', path })?.name, name ?? undefined);
+    assert.equal(
+      this.routes.findRoute({ host: 'shop.example', path })?.route.name,
+      name ?? undefined,
+    );
   },
 );
 
--- a/packages/router/test/support.ts
+++ b/packages/router/test/support.ts
@@ -33,6 +33,7 @@
 import type { RouterContext } from '../src/routerContext.js';
 import type { RouteTable } from '../src/routeTable.js';
 import { serveCall } from '../src/serveCall.js';
+import { CALLER_LIMITS } from './callerLimits.js';
 import { type AdmissionInputs, createTestAdmission } from './testAdmission.js';
 
 export type SendScript = (opts: SendCallOptions) => SendResult | Promise<SendResult>;
@@ -131,14 +132,11 @@
       ],
     }),
   ],
+  invalidRoutes: [],
+  unreadable: [],
   services: [],
   organisations: [{ name: 'shop', bearerKeys: ['key'], priority: undefined }],
-  callerLimits: {
-    maxHeaderBytes: 8_192,
-    maxBodyBytes: 1_000,
-    headerTimeoutMs: 1_000,
-    idleTimeoutMs: 1_000,
-  },
+  callerLimits: CALLER_LIMITS,
 };
 
 export function createTarget(id: string, startedWallMs = 1): RegisteredTarget {
--- a/packages/types/src/routerConfig.ts
+++ b/packages/types/src/routerConfig.ts
@@ -10,7 +10,10 @@
 /** A stage that must complete before the call itself is sent. */
 export interface RouteStage {
   readonly service: string;
-  /** Indexes of the stages whose results are the input of this one. */
+  /**
+   * Indexes of the stages whose results are the input of this one, each once; they may be higher or lower
+   * than that of the stage.
+   */
   readonly dependsOn: readonly number[];
   /** Approximate size of one result. */
   readonly resultBytes: number;
@@ -38,6 +41,16 @@
   readonly isResumable: boolean;
 }
 
+/** A route that can't be run as it was written; calls for its paths are refused. */
+export interface InvalidRoute {
+  readonly name: string;
+  readonly host: string;
+  readonly pathPrefix: string;
+  readonly isPublic: boolean;
+  /** What is wrong, one sentence each. */
+  readonly problems: readonly string[];
+}
+
 /** Limits of a stage worker, which runs pieces of stages in batches. */
 export interface BatchLimits {
   /** Maximum number of pieces in one batch call. */
@@ -94,10 +107,16 @@
 export interface RouterConfig {
   readonly version: number;
   readonly routes: readonly RouteConfig[];
+  readonly invalidRoutes: readonly InvalidRoute[];
   readonly services: readonly ServiceConfig[];
   /** Undefined when calls need no key. */
   readonly organisations: readonly OrganisationConfig[] | undefined;
   readonly callerLimits: CallerLimits;
+  /**
+   * What could not be read and is left out or replaced by a default, one sentence each; invalid routes
+   * are not among it.
+   */
+  readonly unreadable: readonly string[];
 }
 
 /** A target, as it registered itself in the store. */
