Answer 503 for a native route with a stage that does not exist

What callers saw: 404, which says that there is no such route and is not retried. Cause: the entry used the code of an unknown route for one that is invalid. Change: the code 5003 that the router uses, with a time to retry; the time has one definition.

--- a/packages/entry/src/runCall.ts
+++ b/packages/entry/src/runCall.ts
@@ -1,5 +1,6 @@
+import { INVALID_ROUTE_RETRY_AFTER_MS } from '@galenatiller/constants';
 import type { Call, CallResponse, OrganisationLimiter, WritePart } from '@galenatiller/caller';
-import { GalenatillerError } from '@galenatiller/error';
+import { GalenatillerError, type ResultCodeName } from '@galenatiller/error';
 import type { CrashHistory } from '@galenatiller/engine';
 import type { Shutdown } from '@galenatiller/node';
 import type { RecordOptions } from '@galenatiller/timeline';
@@ -91,7 +92,8 @@
   }
   const stages = route.stages.map((name) => configuration.stages.get(name));
   if (!stages.every((stage) => stage !== undefined)) {
-    return refuse('unknown-route', `route ${route.name} names an unknown stage`);
+    const detail = `route ${route.name} names an unknown stage`;
+    return refuse('route-invalid', detail, INVALID_ROUTE_RETRY_AFTER_MS);
   }
   if (call.runKey === '' && stages.some((stage) => !stage.idempotent)) {
     return refuse('key-required', `route ${route.name} may run at most once`);
@@ -182,7 +184,14 @@
 }
 
 function refuse(
-  name: 'deadline-unreachable' | 'key-required' | 'organisation-limit' | 'unknown-route',
+  name: Extract<
+    ResultCodeName,
+    | 'deadline-unreachable'
+    | 'key-required'
+    | 'organisation-limit'
+    | 'route-invalid'
+    | 'unknown-route'
+  >,
   detail: string,
   retryAfterMs = 0,
 ): Result<never, GalenatillerError> {
--- a/packages/entry/test/decisions.feature
+++ b/packages/entry/test/decisions.feature
@@ -32,3 +32,8 @@
     When the entry chooses between an idle target that is paused for 500 ms and a full one
     Then it chooses the full target
     And of two paused targets it chooses the one that returns first
+
+  # Guards against a 404 for a route that the operators have configured.
+  Scenario: A call of a route with a stage that does not exist is refused for a while
+    When a call of a route with an unknown stage is made
+    Then it is refused as not run, with the code 5003 and a time to retry
