--- a/packages/router/test/heldCalls.steps.ts
+++ b/packages/router/test/heldCalls.steps.ts
@@ -7,6 +7,7 @@
 import { runStages } from '../src/runStages.js';
 import { type StageStartEnd, waitForStart } from '../src/waitForStart.js';
 import { BASE_ROUTE, CALL, createContext, type RouterWorld } from './support.js';
+import { createStageService } from './testLimits.js';
 
 interface HeldStageWorld {
   heldPositions: number[];
@@ -20,17 +21,10 @@
     this.stageWaits = [{ priority: 0, waitMs, oldestMs: waitMs }];
     const { routes } = this;
     const configuration = routes.currentConfiguration() ?? assert.fail('no configuration');
-    const batch = {
-      maxPieces: 8,
-      callOverheadMs: 100,
-      pieceMs: 10,
-      resultMemoryBytes: 1_000,
-      resultTtlMs: 4_000,
-    };
     routes.update({
       ...configuration,
       version: configuration.version + 1,
-      services: [{ name: 'stage', maxColdRequestsPerSecond: 0, batch }],
+      services: [createStageService(100)],
     });
   },
 );
--- a/packages/router/test/invalidRoutes.steps.ts
+++ b/packages/router/test/invalidRoutes.steps.ts
@@ -19,15 +19,19 @@
 }
 
 Given(
-  /^a version with a route "added" whose stages depend on (\[.*\])$/,
-  function given(this: RouterWorld, dependsOn: string) {
+  /^a version (without services and )?with a route "added" whose stages depend on (\[.*\])$/,
+  function given(this: RouterWorld, withoutServices: string | null, dependsOn: string) {
     const stages = (JSON.parse(dependsOn) as number[][]).map((stage) => ({
       service: 'stage',
       dependsOn: stage,
       resultBytes: 1,
     }));
     const added = { ...BASE_ROUTE, name: 'added', pathPrefix: '/added/', stages };
-    updateRoutes(this, ({ routes }) => ({ routes: [...routes, added], invalidRoutes: [] }));
+    updateRoutes(this, ({ routes, services }) => ({
+      routes: [...routes, added],
+      services: withoutServices === null ? services : [],
+      invalidRoutes: [],
+    }));
   },
 );
 
--- a/packages/router/test/restoredStore.steps.ts
+++ b/packages/router/test/restoredStore.steps.ts
@@ -11,7 +11,7 @@
 import type { OperatorEntryDecoder, TargetEntryDecoder } from '../src/entryDecoders.js';
 import { Rollouts } from '../src/rollouts.js';
 import { RouteTable } from '../src/routeTable.js';
-import { CALLER_LIMITS } from './callerLimits.js';
+import { CALLER_LIMITS } from './testLimits.js';
 
 interface RestoredWorld {
   restoredClock: ManualClock;
--- a/packages/router/test/router.feature
+++ b/packages/router/test/router.feature
@@ -371,6 +371,12 @@
       | [[], [0, 7]]      |
       | [[0.5]]           |
 
+  # Guards against calls that wait until their deadline for workers that get no pieces.
+  Scenario: A route whose stage runs on a service without pieces is refused at once
+    Given a version without services and with a route "added" whose stages depend on [[]]
+    When an "added" call is made
+    Then the caller gets 503 as not run, with the code 5003, after 0 ms
+
   # Guards against a call that another route with a shorter prefix serves in place of its own.
   Scenario: A path whose longest prefix is that of an invalid route goes to no other route
     Given a version whose route "deep" of the prefix "/order/deep/" is invalid
--- a/packages/router/test/support.ts
+++ b/packages/router/test/support.ts
@@ -33,7 +33,7 @@
 import type { RouterContext } from '../src/routerContext.js';
 import type { RouteTable } from '../src/routeTable.js';
 import { serveCall } from '../src/serveCall.js';
-import { CALLER_LIMITS } from './callerLimits.js';
+import { CALLER_LIMITS, createStageService } from './testLimits.js';
 import { type AdmissionInputs, createTestAdmission } from './testAdmission.js';
 
 export type SendScript = (opts: SendCallOptions) => SendResult | Promise<SendResult>;
@@ -134,7 +134,7 @@
   ],
   invalidRoutes: [],
   unreadable: [],
-  services: [],
+  services: [createStageService(0)],
   organisations: [{ name: 'shop', bearerKeys: ['key'], priority: undefined }],
   callerLimits: CALLER_LIMITS,
 };
