Refuse calls whose numbers of pieces can't be read or are too large

What callers saw: an entry of the header that can't be read was taken for a stage to skip, and an empty one gave all behind it to other stages, so that the call was made from wrong inputs. One request with `X-Pieces:` ended the router process, and all calls of its other callers with it. Cause: numbers were parsed leniently and empty entries left out, and a list of that many pieces was made without a bound. Change: such a call, and one with over 1,000 pieces in all, is refused with 400, not run (code 1011).

--- a/packages/error/src/requestCodes.ts
+++ b/packages/error/src/requestCodes.ts
@@ -90,6 +90,14 @@
     'The request was not received completely in time.',
     'Send the request faster.',
   ),
+  defineResultCode(
+    1011,
+    'malformed-header',
+    'not-run',
+    400,
+    'A header that the route needs can not be read or is out of range.',
+    'Correct the header; the detail says what is wrong.',
+  ),
   defineResultCode(
     2001,
     'deadline-unreachable',
--- a/packages/router/src/admitCall.ts
+++ b/packages/router/src/admitCall.ts
@@ -8,6 +8,7 @@
 } from '@galenatiller/types';
 import { Result } from 'true-myth';
 
+import { checkPieceCounts } from './checkPieceCounts.js';
 import type { RouterContext } from './routerContext.js';
 
 /** A call that was admitted, and what the configuration says about it. */
@@ -66,6 +67,10 @@
     return organisation.andThen(() => refuseInvalidRoute(context, match.route));
   }
   const { route } = match;
+  const malformed = checkPieceCounts(call, route);
+  if (malformed && organisation.isOk) {
+    return Result.err(malformed);
+  }
   return organisation.map((found) => {
     const limitMs = Math.min(call.callerTimeoutMs || route.timeoutMs, route.timeoutMs);
     return {
--- a/packages/router/test/invalidRoutes.steps.ts
+++ b/packages/router/test/invalidRoutes.steps.ts
@@ -1,4 +1,4 @@
-/** Steps on routes that can't be run as they are configured. */
+/** Steps on routes and calls that can't be run as they are. */
 import assert from 'node:assert/strict';
 
 import { Given, Then, When } from '@cucumber/cucumber';
@@ -64,3 +64,14 @@
     assert.equal(refusedAfterMs, afterMs);
   },
 );
+
+When(
+  /^a "staged" call with the numbers of pieces (.*) is made$/,
+  async function when(this: RouterWorld, pieces: string) {
+    await makeCall(this, { path: '/staged/x', stagePieces: pieces.split(', ').map(Number) });
+  },
+);
+
+Then('{int} pieces were submitted', function then(this: RouterWorld, pieces: number) {
+  assert.equal(this.resultHandles.length, pieces);
+});
--- a/packages/router/test/router.feature
+++ b/packages/router/test/router.feature
@@ -388,3 +388,20 @@
     Given a version whose route "deep" of the prefix "/order/deep/" is invalid
     When an "order" call with the path "/order/deep/x" and no valid key is made
     Then the caller gets 401
+
+  # Guards against stages that are skipped or renumbered, and against memory taken for any number of pieces.
+  Scenario Outline: A call whose numbers of pieces can't be read or are too large is refused
+    When a "staged" call with the numbers of pieces <pieces> is made
+    Then the caller gets 400
+    And 0 pieces were submitted
+
+    Examples:
+      | pieces      |
+      | 500, 501    |
+      | NaN, 1      |
+      | 1, NaN      |
+
+  Scenario: A call may have many pieces, and numbers for no stage do no harm
+    When a "staged" call with the numbers of pieces 500, 500, NaN is made
+    Then the caller gets 200 from the target
+    And 1000 pieces were submitted
--- a/packages/router/test/router.steps.ts
+++ b/packages/router/test/router.steps.ts
@@ -188,6 +188,7 @@
   const statuses: Readonly<Record<string, number>> = {
     'unknown-route': 404,
     unauthorized: 401,
+    'malformed-header': 400,
     'target-failed': 502,
     'deadline-exceeded': 504,
     'fingerprint-stopped': 422,
--- a/packages/types/src/routedCall.ts
+++ b/packages/types/src/routedCall.ts
@@ -22,7 +22,7 @@
   readonly promptParts: readonly PromptPart[];
   readonly promptTokens: number;
   readonly outputTokens: number;
-  /** Number of pieces of each stage; a stage with 0 pieces is skipped. */
+  /** Number of pieces of each stage, NaN for one that can't be read; a stage with 0 pieces is skipped. */
   readonly stagePieces: readonly number[];
   /** Identifies the input of the stages that depend on no other stage. */
   readonly pieceKey: string;
