Take the end of a socket for that of a body only if no reset came

Cause: Node.js reports an ordinary end for a reset that is polled together with the data before it, and when a write has taken the error of the reset. The end was the only proof of a complete body.

Change: in both clients an end counts only after an empty write, behind all earlier ones, has succeeded; it sends nothing and fails after a reset. After a request of over 64 KB it has to stand for 300 ms, since such a request may be unread in part.

--- a/fakes/src/platform/fakePlatformWorker.ts
+++ b/fakes/src/platform/fakePlatformWorker.ts
@@ -15,10 +15,10 @@
 export const WORKER_EVENT = 'id: 1\ndata: done by the worker\n\n';
 
 /**
- * How a response ends: by length, by closing the connection, by a reset before its end, or never. Only
- * the first kind has a length.
+ * How a response ends: by length, by closing the connection, by a reset before its end, some time after its
+ * bytes or at once with them, or never. Only the first kind has a length.
  */
-export type WorkerResponseEnd = 'length' | 'close' | 'reset' | 'never';
+export type WorkerResponseEnd = 'length' | 'close' | 'reset' | 'reset-at-once' | 'never';
 
 /** Delay before a reset, which would otherwise drop the bytes written before it. */
 const RESET_AFTER_MS = 30;
@@ -113,12 +113,16 @@
       'X-Server-Seal': 'seal',
       'X-Server-Load': '1,0,4',
     });
-    response.write(path.startsWith('/stream/') ? WORKER_EVENT : WORKER_BODY);
+    response.write(path.startsWith('/stream/') ? WORKER_EVENT : WORKER_BODY, () => {
+      if (this.responseEnd === 'reset-at-once') {
+        response.socket?.resetAndDestroy();
+      }
+    });
     if (this.responseEnd === 'reset') {
       setTimeout(() => response.socket?.resetAndDestroy(), RESET_AFTER_MS);
       return;
     }
-    if (this.responseEnd !== 'never') {
+    if (this.responseEnd !== 'never' && this.responseEnd !== 'reset-at-once') {
       response.end();
     }
   }
--- a/packages/http/src/connection.ts
+++ b/packages/http/src/connection.ts
@@ -1,13 +1,18 @@
 /** A connection that notices responses that are cut off, or that never end; both clients use it. */
 import type { Socket } from 'node:net';
 
+import type { TimerService } from '@galenatiller/timer';
 import type { BodyEnd } from '@galenatiller/types';
 import { type buildConnector, Client } from 'undici';
 
+import { confirmEnd } from './confirmEnd.js';
+
 /** What happened on one socket. */
 export interface SocketHistory {
-  /** Whether the peer has closed its side cleanly (FIN), after all of its bytes were read. */
+  /** Whether the peer has closed its side cleanly (FIN), after all of its bytes were read, and sent no reset. */
   isEnded: boolean;
+  /** For how long the connection has to stand after its end before the end counts. */
+  endHoldMs: number;
   responses: number;
   /** Records that a request is sent, or that data of a body has come. */
   recordProgress: () => void;
@@ -25,6 +30,7 @@
 /** Options of {@link createConnection}. */
 export interface CreateConnectionOptions {
   readonly origin: string;
+  readonly timer: TimerService;
   /** Opens a socket to the origin. */
   readonly openSocket: buildConnector.connector;
   readonly keepAlive?: Pick<Client.Options, 'keepAliveTimeout' | 'keepAliveTimeoutThreshold'>;
@@ -35,7 +41,7 @@
 
 /** Creates a connection, whose socket is opened by the first request. */
 export function createConnection(opts: CreateConnectionOptions): Connection {
-  const { origin, openSocket, keepAlive } = opts;
+  const { origin, timer, openSocket, keepAlive } = opts;
   let history = createHistory();
   const client = new Client(origin, {
     pipelining: 1,
@@ -46,6 +52,11 @@
       openSocket(options, (...result) => {
         const [, socket] = result;
         if (socket) {
+          confirmEnd({
+            socket,
+            holdMs: () => opened.endHoldMs,
+            sleep: (sleep) => timer.sleep(sleep),
+          });
           socket.once('end', () => {
             opened.isEnded = true;
           });
@@ -58,6 +69,26 @@
   return { client, history: () => history };
 }
 
+/** A peer reads a request up to this size at once, and leaves no part of it unread. */
+const MAX_BYTES_READ_AT_ONCE = 65_536;
+
+/** A peer that closes its side although it leaves a part of the request unread resets the connection within this time. */
+const UNREAD_RESET_MS = 300;
+
+/**
+ * Records how the response to the present request ends. Where the end of the connection is that of a body, and the
+ * request is large, the connection has to stand for a time after it: the peer may break off with a part of the
+ * request unread, in which case a reset follows.
+ */
+export function recordBodyEnd(
+  connection: Connection,
+  { bodyEnd, requestBytes }: { readonly bodyEnd: BodyEnd; readonly requestBytes: number },
+): void {
+  const mayBeUnread = bodyEnd === 'close' && requestBytes > MAX_BYTES_READ_AT_ONCE;
+  const history = connection.history();
+  history.endHoldMs = mayBeUnread ? UNREAD_RESET_MS : 0;
+}
+
 /** Reads a body to its end. Throws when it is interrupted; leaving the loop closes the connection. */
 export async function* readBody(opts: {
   readonly connection: Connection;
@@ -76,7 +107,7 @@
       opts.onRead?.(chunk.length);
       yield chunk;
     }
-    // undici treats a reset as the end of a body without length.
+    // undici takes a reset for the end of a body without length.
     if (opts.bodyEnd === 'close' && !connection.history().isEnded) {
       throw new Error('the connection was reset within a body without length');
     }
@@ -104,7 +135,7 @@
 export function ignoreError(): void {}
 
 function createHistory(): SocketHistory {
-  return { isEnded: false, responses: 0, recordProgress: () => {}, ids: new Set() };
+  return { isEnded: false, endHoldMs: 0, responses: 0, recordProgress: () => {}, ids: new Set() };
 }
 
 /**
--- a/packages/http/src/sendRequest.ts
+++ b/packages/http/src/sendRequest.ts
@@ -1,4 +1,5 @@
 import { GalenatillerError } from '@galenatiller/error';
+import { systemClock, TimerService } from '@galenatiller/timer';
 import type { TargetNotice } from '@galenatiller/types';
 import { Result } from 'true-myth';
 import { buildConnector, type Dispatcher } from 'undici';
@@ -9,6 +10,7 @@
   createConnection,
   isReusable,
   readBody,
+  recordBodyEnd,
 } from './connection.js';
 import { decodeTargetNotice } from './decodeTargetNotice.js';
 import { createTransportError } from './createTransportError.js';
@@ -59,6 +61,8 @@
 
 const openSocket = buildConnector({});
 
+const timer = TimerService.create({ clock: systemClock });
+
 /** Sends a request and waits for the status and headers of the response. */
 export async function sendRequest(
   opts: SendRequestOptions,
@@ -105,6 +109,7 @@
     const { statusCode, headers } = response;
     const bodyEnd = findBodyEnd({ method: opts.method, status: statusCode, headers });
     connection.history().recordProgress();
+    recordBodyEnd(connection, { bodyEnd, requestBytes: opts.body.length });
     const mayKeep = !opts.isConnectionNew && isReusable(bodyEnd, headers.connection);
     const keep = mayKeep ? () => idleConnections.keep(origin, connection) : undefined;
     const body = readBody({ connection, body: response.body, bodyEnd, keep });
@@ -117,7 +122,7 @@
 
 /** Opens a connection that is forgotten once its socket is closed. */
 function openConnection(origin: string): Connection {
-  const connection = createConnection({ origin, openSocket });
+  const connection = createConnection({ origin, timer, openSocket });
   connection.client.once('disconnect', () => idleConnections.remove(origin, connection));
   return connection;
 }
--- a/packages/http/src/targetConnectionPool.ts
+++ b/packages/http/src/targetConnectionPool.ts
@@ -11,6 +11,7 @@
   ignoreError,
   isReusable,
   readBody,
+  recordBodyEnd,
 } from './connection.js';
 import { ConnectError } from './connectError.js';
 import { findBodyEnd } from './findBodyEnd.js';
@@ -117,7 +118,7 @@
     const connection = this.takeConnection(request, address);
     connection.history().recordProgress();
     try {
-      const { statusCode, headers, body } = await connection.client.request({
+      const response = await connection.client.request({
         method: request.method,
         path: request.path,
         headers: [...request.headers],
@@ -127,11 +128,13 @@
         headersTimeout: 0,
         bodyTimeout: 0,
       });
+      const { statusCode, headers, body } = response;
       const definedHeaders = omitUndefined(headers);
       const { method } = request;
       const bodyEnd = findBodyEnd({ method, status: statusCode, headers: definedHeaders });
       const history = connection.history();
       history.recordProgress();
+      recordBodyEnd(connection, { bodyEnd, requestBytes: request.body?.length ?? 0 });
       const isFirstOnConnection = history.responses === 0;
       history.responses += 1;
       if (request.id !== '') {
@@ -179,6 +182,7 @@
       idle ??
       createConnection({
         origin: `http://${address.host}:${address.port}`,
+        timer: this.opts.timer,
         keepAlive: {
           keepAliveTimeout: DEFAULT_IDLE_TIMEOUT_MS,
           keepAliveTimeoutThreshold: IDLE_TIMEOUT_MARGIN_MS,
--- a/packages/http/test/targetConnectionPool.steps.ts
+++ b/packages/http/test/targetConnectionPool.steps.ts
@@ -38,10 +38,7 @@
   world.address = `127.0.0.1:${typeof bound === 'object' && bound ? bound.port : 0}`;
 }
 
-/**
- * A reset right after a write is sent as an ordinary end, so the reset waits until the bytes were
- * sent.
- */
+/** Delay of a reset after the bytes before it; `earlyAnswers.feature` has those that come at once. */
 const RESET_DELAY_MS = 30;
 
 /** Time limit of a plain request. */
