Treat a response whose status is none of HTTP as a failure

Cause: any status that the parser takes was passed on; it rejects those below 100 only. Change: both clients fail such a request as one that may have run, and close its connection, before they look at its headers.

--- a/packages/http/src/sendRequest.ts
+++ b/packages/http/src/sendRequest.ts
@@ -16,6 +16,7 @@
 import { createTransportError } from './createTransportError.js';
 import { findBodyEnd } from './findBodyEnd.js';
 import { IdleConnections } from './idleConnections.js';
+import { requireValidStatus } from './requireValidStatus.js';
 
 /** Header in which a target says that it is leaving. */
 const LEAVING_HEADER = 'x-target-leaving';
@@ -106,7 +107,7 @@
   try {
     const path = `${pathname}${search}`;
     const response = await connection.client.request({ ...createRequestOptions(opts), path });
-    const { statusCode, headers } = response;
+    const { statusCode, headers } = requireValidStatus(response);
     const bodyEnd = findBodyEnd({ method: opts.method, status: statusCode, headers });
     connection.history().recordProgress();
     recordBodyEnd(connection, { bodyEnd, requestBytes: opts.body.length });
--- a/packages/http/src/targetConnectionPool.ts
+++ b/packages/http/src/targetConnectionPool.ts
@@ -17,6 +17,7 @@
 import { findBodyEnd } from './findBodyEnd.js';
 import { IdleConnections } from './idleConnections.js';
 import { parseAddress, type SocketAddress } from './parseAddress.js';
+import { requireValidStatus } from './requireValidStatus.js';
 
 /** A request to a target. */
 export interface TargetRequest {
@@ -128,7 +129,7 @@
         headersTimeout: 0,
         bodyTimeout: 0,
       });
-      const { statusCode, headers, body } = response;
+      const { statusCode, headers, body } = requireValidStatus(response);
       const definedHeaders = omitUndefined(headers);
       const { method } = request;
       const bodyEnd = findBodyEnd({ method, status: statusCode, headers: definedHeaders });
--- a/packages/http/test/earlyAnswers.feature
+++ b/packages/http/test/earlyAnswers.feature
@@ -34,6 +34,25 @@
       | 3500000 | after reading it, and closes                                  | plain request   |
       | 3500000 | before reading it, closes its side, and reads on              | plain request   |
 
+  # Guards against an answer with a status that no caller can understand.
+  Scenario Outline: A response whose status is none of HTTP is a failure that may have run
+    Given a target that responds with the status <status>
+    When a <client> sends 1 request to it
+    Then <result>
+
+    Examples:
+      | status | client          | result                          |
+      | 000    | connection pool | the request is broken           |
+      | 099    | connection pool | the request is broken           |
+      | 600    | connection pool | the request is broken           |
+      | 999    | connection pool | the request is broken           |
+      | 599    | connection pool | each of the responses is complete with the status 599 |
+      | 200    | connection pool | each of the responses is complete with the status 200 |
+      | 000    | plain request   | the request is broken           |
+      | 600    | plain request   | the request is broken           |
+      | 999    | plain request   | the request is broken           |
+      | 599    | plain request   | each of the responses is complete with the status 599 |
+
   # Guards against an end that is passed on although a write shows the reset, without the luck of a real socket.
   Scenario Outline: The end of a socket counts only if an empty write after it succeeds
     Given a socket whose writes <writes>, and that is to stand for <hold> ms after its end
