Send nothing to a version that was rolled back or given up before

What callers saw: late answers.

Cause: an order replaced the one before it with all that was known of its version, and every version but the new target counted as an old one, also for stage workers and for the comparison with the new version.

Change: routers remember the versions of a service that were stopped, until an order names them again. The owner of a rollout writes them beside its state, as `stopped`, if there are any, so that routers which start late or were cut off have them. An order in the copy of a restored store that differs from the known one waits for the time in which operators write the newer one again. The native entry sends to the two versions that a move names.

--- a/packages/entry/src/versionMoves.ts
+++ b/packages/entry/src/versionMoves.ts
@@ -70,7 +70,7 @@
     views: readonly TargetView[],
   ): readonly TargetView[] {
     const newer = views.filter(({ report }) => report.version === move.toVersion);
-    const older = views.filter(({ report }) => report.version !== move.toVersion);
+    const older = this.findOlder(move, views);
     const { state, share } = this.getProgress(move, route);
     if (state === 'stopped') {
       return older;
@@ -86,6 +86,9 @@
   /** Records the result of a run and stops the version if the trial finds it bad. */
   observe(run: MoveRun): void {
     const { move, route, targetVersion, ...observed } = run;
+    if (targetVersion !== move.toVersion && targetVersion !== move.fromVersion) {
+      return;
+    }
     const key = `${move.targetGroup}/${move.toVersion}/${route}`;
     const routeTrial = this.trials.get(key) ?? this.startTrial(key);
     const version = targetVersion === move.toVersion ? 'new' : 'old';
@@ -115,6 +118,17 @@
     return { state: share >= 1 ? 'done' : 'moving', share, reason: trial.trial.summary };
   }
 
+  /** The targets of the old version; where it has none, those of others that were not found to be bad. */
+  private findOlder(move: MoveRule, views: readonly TargetView[]): readonly TargetView[] {
+    const { targetGroup, fromVersion, toVersion } = move;
+    const others = views.filter(
+      ({ report: { version } }) =>
+        version !== toVersion && !this.stopped.has(`${targetGroup}/${version}`),
+    );
+    const old = others.filter(({ report }) => report.version === fromVersion);
+    return old.length > 0 ? old : others;
+  }
+
   private startTrial(key: string): RouteTrial {
     const trial: RouteTrial = { trial: VersionTrial.create(), provedAtWallMs: undefined };
     this.trials.set(key, trial);
--- a/packages/entry/test/versions.feature
+++ b/packages/entry/test/versions.feature
@@ -27,6 +27,17 @@
     When a good version runs until 95 percent of the time has passed
     Then its share is 100 percent
 
+  # Guards against a bad or unproved version that counts as the old one, once the next one is rolled out.
+  Scenario Outline: A version that an earlier move left gets no traffic from the next move
+    When a move to "v2" <ended>, and the next one is from "v1" to "v3"
+    Then the next one sends nothing to "v2", and runs on "v1" and "v3"
+    And "v3" is stopped after at most 40 bad runs, although "v2" fails too
+
+    Examples:
+      | ended                             |
+      | was stopped for failing           |
+      | was replaced before it was proved |
+
   Scenario: Entries notify each other of bad versions
     When one entry finds a version bad and notifies another
     Then the other sends it no traffic
--- a/packages/entry/test/versions.steps.ts
+++ b/packages/entry/test/versions.steps.ts
@@ -213,7 +213,7 @@
   return () => uniformFloat64(generator);
 }
 
-function createView(version: string): TargetView {
+export function createView(version: string): TargetView {
   return {
     report: {
       name: `engine-${version}`,
--- a/packages/metrics/src/routerMetrics.ts
+++ b/packages/metrics/src/routerMetrics.ts
@@ -108,6 +108,15 @@
     role: 'router',
     meaning: 'Routes of the active configuration that can not be run as they are configured.',
   },
+  {
+    name: 'router.versions_stopped',
+    type: 'gauge',
+    unit: 'versions',
+    tags: [],
+    role: 'router',
+    meaning:
+      'Versions of services that get no calls, as they were rolled back or given up for another order.',
+  },
   {
     name: 'router.paused_refusals',
     type: 'count',
--- a/packages/router/src/createOperatorHandlers.ts
+++ b/packages/router/src/createOperatorHandlers.ts
@@ -30,8 +30,11 @@
   const restored = RestoredEntries.create({
     timer,
     keepMissingMs: REWRITE_TIME_MS,
-    holdStaleMs: 0,
-    isStale: () => false,
+    holdStaleMs: REWRITE_TIME_MS,
+    // An older order would name a version anew that has been stopped since.
+    isStale: ({ known, isDeleted, read }) =>
+      operatorEntries.decode(read).kind === 'rollout' &&
+      (isDeleted || !known.value.equals(read.value)),
     handlers: {
       onEntries: (entries) => {
         const zonesOut = new Set(entries.map(({ key }) => operatorEntries.zoneOfKey(key)));
--- a/packages/router/src/createRollouts.ts
+++ b/packages/router/src/createRollouts.ts
@@ -3,7 +3,7 @@
 import type { TimerService } from '@galenatiller/timer';
 
 import type { RolloutStatusEntries } from './entryDecoders.js';
-import { logRollout, logRolloutWrite } from './logEvents.js';
+import { logRollout, logRolloutWrite, logStoppedVersions } from './logEvents.js';
 import { Rollouts } from './rollouts.js';
 import { RolloutStatuses } from './rolloutStatuses.js';
 import type { RunRolloutsOptions } from './runRollouts.js';
@@ -28,6 +28,7 @@
     random,
     unprovedShare: settings.unprovedShare,
     onEnded: (decision) => logRollout(log, decision),
+    onStoppedChanged: (service, versions) => logStoppedVersions(log, service, versions),
   });
   const statuses = RolloutStatuses.create({
     entries,
--- a/packages/router/src/logEvents.ts
+++ b/packages/router/src/logEvents.ts
@@ -161,6 +161,16 @@
   log({ about: 'belief', event: 'rollout', ...rest, outcome: state });
 }
 
+/** Logs the versions of a service that get no calls beside the one that is rolled out. */
+export function logStoppedVersions(
+  log: EventLog,
+  service: string,
+  versions: readonly string[],
+): void {
+  const outcome = versions.length === 0 ? 'none' : 'stopped';
+  log({ about: 'belief', event: 'versions-stopped', service, versions, outcome });
+}
+
 /** Logs a change of the holder of a duty, or of how sure this router is that it holds it. */
 export function logDuty(log: EventLog, event: DutyEvent): void {
   const { kind, ...rest } = event;
--- a/packages/router/src/recordMetrics.ts
+++ b/packages/router/src/recordMetrics.ts
@@ -76,6 +76,8 @@
   sink.gauge({ name: 'router.targets', tags: {}, value: context.targets.size });
   const invalidRoutes = context.routes.currentConfiguration()?.invalidRoutes.length ?? 0;
   sink.gauge({ name: 'router.invalid_routes', tags: {}, value: invalidRoutes });
+  const versionsStopped = context.rollouts.stoppedCount;
+  sink.gauge({ name: 'router.versions_stopped', tags: {}, value: versionsStopped });
   const { paused, leaving } = context.notices.counts();
   sink.gauge({ name: 'router.targets_paused', tags: {}, value: paused });
   sink.gauge({ name: 'router.targets_leaving', tags: {}, value: leaving });
--- a/packages/router/src/rolloutStatuses.ts
+++ b/packages/router/src/rolloutStatuses.ts
@@ -51,7 +51,11 @@
     const isOfOrder =
       stored?.status?.targetVersion === decision.targetVersion &&
       stored.revision > decision.orderRevision;
-    return isOfOrder && ['completed', 'rolled-back', decision.state].includes(stored.status.state);
+    return (
+      isOfOrder &&
+      ['completed', 'rolled-back', decision.state].includes(stored.status.state) &&
+      isSameSet(stored.status.stoppedVersions, decision.stoppedVersions)
+    );
   }
 
   /** Revision of the entry of a service; 0 when there is none. */
@@ -69,3 +73,7 @@
     }
   }
 }
+
+function isSameSet(left: readonly string[] = [], right: readonly string[] = []): boolean {
+  return left.length === right.length && left.every((version) => right.includes(version));
+}
--- a/packages/router/src/rollouts.ts
+++ b/packages/router/src/rollouts.ts
@@ -17,6 +17,7 @@
 } from '@galenatiller/types';
 
 import type { ObservedRun } from './observedRun.js';
+import { StoppedVersions } from './stoppedVersions.js';
 
 /** Options of {@link Rollouts.create}. */
 export interface RolloutsOptions {
@@ -27,6 +28,8 @@
   readonly unprovedShare: number;
   /** Called when a rollout has ended. */
   readonly onEnded: (decision: RolloutDecision) => void;
+  /** Called when the versions of a service that get no calls have changed. */
+  readonly onStoppedChanged: (service: string, versions: readonly string[]) => void;
 }
 
 /** A state in the store, and the revision at which it was written. */
@@ -64,15 +67,24 @@
   /** The last state of each service in the store. */
   private readonly stored = new Map<string, StoredStatus>();
 
+  private readonly stopped: StoppedVersions;
+
   private restoredAtMs = -Infinity;
 
-  private constructor(private readonly opts: RolloutsOptions) {}
+  private constructor(private readonly opts: RolloutsOptions) {
+    this.stopped = StoppedVersions.create({ onChange: opts.onStoppedChanged });
+  }
 
   /** Creates an instance without rollouts. */
   static create(opts: RolloutsOptions): Rollouts {
     return new Rollouts(opts);
   }
 
+  /** Number of versions that get no calls beside those that are rolled out. */
+  get stoppedCount(): number {
+    return this.stopped.size;
+  }
+
   /** Applies an order; the same one again changes nothing. */
   setOrder(order: RolloutOrder): void {
     const { service } = order;
@@ -81,6 +93,10 @@
       this.rollouts.set(service, { ...known, order });
       return;
     }
+    if (known && known.state !== 'completed') {
+      this.stopped.stop({ service, version: known.order.targetVersion });
+    }
+    this.stopped.allow({ service, version: order.targetVersion });
     this.rollouts.set(service, {
       order,
       deadlineAtMs: this.opts.timer.nowMs() + order.durationMs,
@@ -129,33 +145,41 @@
     }
     const { targetVersion } = rollout.order;
     const newer = targets.filter(({ version }) => version === targetVersion);
-    const older = targets.filter(({ version }) => version !== targetVersion);
+    const others = targets.filter(({ version }) => version !== targetVersion);
+    const older = others.filter((target) => !this.stopped.has(target));
     switch (rollout.state) {
       case 'rolled-back':
         return older;
       case 'completed':
         return newer.length > 0 ? newer : older;
       case 'running': {
+        if (older.length === 0 && others.length > 0) {
+          // An unproved version is better than one that was stopped.
+          return newer;
+        }
         const share = this.opts.unprovedShare * USED_SHARE;
         return newer.length > 0 && this.opts.random() < share ? newer : older;
       }
     }
   }
 
-  /** Whether a target belongs to a version that is not proved good. */
+  /** Whether a target belongs to a version that is not proved good, or was stopped. */
   isUnproved({ service, version }: RegisteredTarget): boolean {
     const rollout = this.rollouts.get(service);
-    return rollout?.order.targetVersion === version && rollout.state !== 'completed';
+    return rollout?.order.targetVersion === version
+      ? rollout.state !== 'completed'
+      : this.stopped.has({ service, version });
   }
 
   /** Records a run of this node. */
   observe(run: ObservedRun): void {
     const rollout = this.rollouts.get(run.target.service);
-    if (rollout?.state !== 'running') {
+    const isNew = run.target.version === rollout?.order.targetVersion;
+    // A version that was stopped says nothing about the one that the new one is compared with.
+    if (rollout?.state !== 'running' || (!isNew && this.stopped.has(run.target))) {
       return;
     }
     const runs = toVersionRuns(run);
-    const isNew = run.target.version === rollout.order.targetVersion;
     const added = isNew ? { newRuns: runs } : { oldRuns: runs };
     rollout.unsent = addToRoute(rollout.unsent, run.route, added);
   }
@@ -191,7 +215,8 @@
       const { service, targetVersion, orderRevision } = rollout.order;
       const state = this.findNextState(rollout);
       const detail = describeRuns(rollout);
-      const decision = { service, targetVersion, orderRevision, state, detail };
+      const stoppedVersions = this.stopped.list(service);
+      const decision = { service, targetVersion, orderRevision, state, detail, stoppedVersions };
       if (state === 'rolled-back') {
         this.end(decision);
       }
@@ -217,8 +242,18 @@
       return;
     }
     const { targetVersion, orderRevision } = rollout.order;
-    if (stored.revision > orderRevision && stored.status.targetVersion === targetVersion) {
-      this.end({ ...stored.status, orderRevision, detail: 'read from the store' });
+    const { status, revision } = stored;
+    const others = (status.stoppedVersions ?? []).filter((version) => version !== targetVersion);
+    if (revision <= orderRevision) {
+      const left = status.state === 'completed' ? [] : [status.targetVersion];
+      [...others, ...left]
+        .filter((version) => version !== targetVersion)
+        .forEach((version) => this.stopped.stop({ service, version }));
+      return;
+    }
+    if (status.targetVersion === targetVersion) {
+      this.stopped.set(service, others);
+      this.end({ ...status, orderRevision, detail: 'read from the store' });
     }
   }
 
--- a/packages/router/test/freeNotices.steps.ts
+++ b/packages/router/test/freeNotices.steps.ts
@@ -105,6 +105,7 @@
       random: () => 0.5,
       unprovedShare: 0.1,
       onEnded: () => {},
+      onStoppedChanged: () => {},
     }),
   });
 }
--- a/packages/router/test/restoredStore.steps.ts
+++ b/packages/router/test/restoredStore.steps.ts
@@ -74,6 +74,7 @@
         random: () => 0.5,
         unprovedShare: 0.1,
         onEnded: () => {},
+        onStoppedChanged: () => {},
       }),
     });
     const entries = ['a', 'b', 'c'].map((id) => createEntry(id));
--- a/packages/router/test/rolloutWorld.ts
+++ b/packages/router/test/rolloutWorld.ts
@@ -63,6 +63,7 @@
       return drawn % 1;
     },
     unprovedShare: 0.1,
+    onStoppedChanged: () => {},
     onEnded: ({ state }) => {
       if (state === 'rolled-back') {
         world.rolledBackAtMs = world.rolloutClock.nowMs();
--- a/packages/router/test/support.ts
+++ b/packages/router/test/support.ts
@@ -250,7 +250,13 @@
       freeResults: async () => undefined,
       probe: async () => 'connected',
     },
-    rollouts: Rollouts.create({ timer, random: () => 0.5, unprovedShare: 0.1, onEnded: () => {} }),
+    rollouts: Rollouts.create({
+      timer,
+      random: () => 0.5,
+      unprovedShare: 0.1,
+      onEnded: () => {},
+      onStoppedChanged: () => {},
+    }),
     crashDetector: CrashDetector.create({
       probe: () => {
         world.probes += 1;
--- a/packages/types/src/rollout.ts
+++ b/packages/types/src/rollout.ts
@@ -16,6 +16,8 @@
   readonly service: string;
   readonly targetVersion: string;
   readonly state: RolloutState;
+  /** Other versions that get no calls, as they were rolled back or given up; none if omitted. */
+  readonly stoppedVersions?: readonly string[] | undefined;
 }
 
 /** What was seen of calls that ran on targets of one version. */
