Leave the decision by the time to an owner that hears of the store

What callers saw: nothing; a good version was rolled back. Cause: at the deadline, an owner counts a version as not proved whatever it could see. Change: only an owner whose evidence of the store is at most 2.5 s old decides by the time; a version that is found bad is rolled back by any owner, as before.

--- a/packages/router/src/createRollouts.ts
+++ b/packages/router/src/createRollouts.ts
@@ -15,11 +15,16 @@
   readonly log: EventLog;
   readonly random: () => number;
   readonly rolloutStatusEntries: RolloutStatusEntries;
+  /** Time since the store last proved what this node knows. */
+  readonly evidenceAgeMs: () => number;
 }
 
 /** The rollouts, their states in the store, and the log of writes to it. */
 export type RolloutParts = Pick<RunRolloutsOptions, 'rollouts' | 'statuses' | 'onWritten'>;
 
+/** A watch of the store returns every second; older evidence means that the store is unreachable. */
+const MAX_EVIDENCE_AGE_MS = 2_500;
+
 /** Creates the parts of a router that handle rollouts. */
 export function createRollouts(opts: CreateRolloutsOptions): RolloutParts {
   const { settings, timer, log, random, rolloutStatusEntries: entries } = opts;
@@ -27,6 +32,7 @@
     timer,
     random,
     unprovedShare: settings.unprovedShare,
+    isInTouch: () => opts.evidenceAgeMs() <= MAX_EVIDENCE_AGE_MS,
     onEnded: (decision) => logRollout(log, decision),
     onStoppedChanged: (service, versions) => logStoppedVersions(log, service, versions),
   });
--- a/packages/router/src/createRouter.ts
+++ b/packages/router/src/createRouter.ts
@@ -123,8 +123,8 @@
   const nodeCount = (): number => members.countNodes();
   const calls = { inFlight: CallCounter.create(), waiting: CallCounter.create() };
   const limits = createLimits({ ...opts, nodeCount, peers: () => stages.peers.all() });
-  const rolloutParts = createRollouts(opts);
   const evidenceAgeMs = (): number => mirrors.operator.evidenceAgeMs();
+  const rolloutParts = createRollouts({ ...opts, evidenceAgeMs });
   const duties = createDuties({ ...opts, relay, source, directSource: opts.source, members });
   const provider = createProviderDuties({
     ...opts,
--- a/packages/router/src/rollouts.ts
+++ b/packages/router/src/rollouts.ts
@@ -26,6 +26,8 @@
   readonly random: () => number;
   /** Share of the calls that a version may get before it is proved good. */
   readonly unprovedShare: number;
+  /** Whether this node hears of the store, and so knows whether it still owns its rollouts. */
+  readonly isInTouch: () => boolean;
   /** Called when a rollout has ended. */
   readonly onEnded: (decision: RolloutDecision) => void;
   /** Called when the versions of a service that get no calls have changed. */
@@ -269,7 +271,9 @@
     if (judgement === 'bad') {
       return 'rolled-back';
     }
-    if (this.opts.timer.nowMs() < rollout.deadlineAtMs - DECISION_MARGIN_MS) {
+    const isDue = this.opts.timer.nowMs() >= rollout.deadlineAtMs - DECISION_MARGIN_MS;
+    // An owner that is cut off has only its own evidence, which proves too little too late.
+    if (!isDue || !this.opts.isInTouch()) {
       return 'running';
     }
     return judgement === 'good' ? 'completed' : 'rolled-back';
--- a/packages/router/test/freeNotices.steps.ts
+++ b/packages/router/test/freeNotices.steps.ts
@@ -15,9 +15,9 @@
 
 import { CrashDetector } from '../src/crashDetector.js';
 import { createStages, type Stages } from '../src/createStages.js';
-import { Rollouts } from '../src/rollouts.js';
 import { RouteTable } from '../src/routeTable.js';
 import { createTarget } from './support.js';
+import { createTestRollouts } from './testRollouts.js';
 
 interface FreeWorld {
   stageClock: ManualClock;
@@ -100,13 +100,7 @@
       reportGauges: () => {},
       run: () => Promise.resolve(),
     },
-    rollouts: Rollouts.create({
-      timer,
-      random: () => 0.5,
-      unprovedShare: 0.1,
-      onEnded: () => {},
-      onStoppedChanged: () => {},
-    }),
+    rollouts: createTestRollouts(timer),
   });
 }
 
--- a/packages/router/test/restoredStore.steps.ts
+++ b/packages/router/test/restoredStore.steps.ts
@@ -9,9 +9,9 @@
 import { createOperatorHandlers } from '../src/createOperatorHandlers.js';
 import { createTargetHandlers } from '../src/createTargetHandlers.js';
 import type { OperatorEntryDecoder, TargetEntryDecoder } from '../src/entryDecoders.js';
-import { Rollouts } from '../src/rollouts.js';
 import { RouteTable } from '../src/routeTable.js';
 import { CALLER_LIMITS } from './testLimits.js';
+import { createTestRollouts } from './testRollouts.js';
 
 interface RestoredWorld {
   restoredClock: ManualClock;
@@ -69,13 +69,7 @@
       ...common,
       operatorEntries,
       routes: RouteTable.create(),
-      rollouts: Rollouts.create({
-        timer,
-        random: () => 0.5,
-        unprovedShare: 0.1,
-        onEnded: () => {},
-        onStoppedChanged: () => {},
-      }),
+      rollouts: createTestRollouts(timer),
     });
     const entries = ['a', 'b', 'c'].map((id) => createEntry(id));
     this.targetHandlers.onEntries(entries, { isRestored: false });
--- a/packages/router/test/rolloutWorld.ts
+++ b/packages/router/test/rolloutWorld.ts
@@ -13,6 +13,8 @@
   slowRunsAtMs: number[];
   /** Number of rollouts that were rolled back, of several in a row. */
   rolledBack: number;
+  /** Whether the router hears nothing of the store. */
+  isCutOff?: boolean;
   rolloutClock: ManualClock;
   rollouts: Rollouts;
   order: RolloutOrder;
@@ -63,6 +65,7 @@
       return drawn % 1;
     },
     unprovedShare: 0.1,
+    isInTouch: () => !world.isCutOff,
     onStoppedChanged: () => {},
     onEnded: ({ state }) => {
       if (state === 'rolled-back') {
--- a/packages/router/test/rollouts.feature
+++ b/packages/router/test/rollouts.feature
@@ -86,6 +86,20 @@
     Then the owner wants the rollout to be "rolled-back"
     And calls only go to "v1"
 
+  # Guards against an owner that is cut off, rolls a good version back by its own few calls, and tells all others.
+  Scenario: An owner that is cut off from the store does not decide by the time
+    Given the router is cut off from the store
+    When 20 calls come in 16 s, and runs take 100 ms on "v1" and 100 ms on "v2"
+    Then the rollout still runs
+    When the router reaches the store again
+    And 20 calls come in 1 s, and runs take 100 ms on "v1" and 100 ms on "v2"
+    Then the owner wants the rollout to be "rolled-back"
+
+  Scenario: An owner that is cut off from the store rolls a bad version back
+    Given the router is cut off from the store
+    When 2600 calls come in 13 s, and runs take 100 ms on "v1" and 400 ms on "v2"
+    Then the owner wants the rollout to be "rolled-back"
+
   Scenario: A rollout that was rolled back does not start again with the same order
     When 2600 calls come in 13 s, and runs take 100 ms on "v1" and 400 ms on "v2"
     And the same rollout is ordered again
--- a/packages/router/test/stoppedVersions.steps.ts
+++ b/packages/router/test/stoppedVersions.steps.ts
@@ -210,3 +210,11 @@
     this.operatorHandlers.onChange({ kind: 'put', entry });
   },
 );
+
+Given('the router is cut off from the store', function given(this: StoppedWorld) {
+  this.isCutOff = true;
+});
+
+When('the router reaches the store again', function when(this: StoppedWorld) {
+  this.isCutOff = false;
+});
--- a/packages/router/test/support.ts
+++ b/packages/router/test/support.ts
@@ -29,12 +29,12 @@
 import { CrashDetector } from '../src/crashDetector.js';
 import { createDurations } from '../src/createDurations.js';
 import type { CallerExchange, ResponseHead, SendCallOptions, SendResult } from '../src/ports.js';
-import { Rollouts } from '../src/rollouts.js';
 import type { RouterContext } from '../src/routerContext.js';
 import type { RouteTable } from '../src/routeTable.js';
 import { serveCall } from '../src/serveCall.js';
 import { CALLER_LIMITS, createStageService } from './testLimits.js';
 import { type AdmissionInputs, createTestAdmission } from './testAdmission.js';
+import { createTestRollouts } from './testRollouts.js';
 
 export type SendScript = (opts: SendCallOptions) => SendResult | Promise<SendResult>;
 
@@ -250,13 +250,7 @@
       freeResults: async () => undefined,
       probe: async () => 'connected',
     },
-    rollouts: Rollouts.create({
-      timer,
-      random: () => 0.5,
-      unprovedShare: 0.1,
-      onEnded: () => {},
-      onStoppedChanged: () => {},
-    }),
+    rollouts: createTestRollouts(timer),
     crashDetector: CrashDetector.create({
       probe: () => {
         world.probes += 1;
