Allow a version whose completion is read after the next order

What callers saw: nothing in a run; by reading, a router that learns of an order before the completion of the one before would send nothing to the version in force until the owner has written the state of the new order. Cause: an order stops the version of the order before unless that is known as completed. Change: a completion that is read later allows its version. Measured: the new scenario failed before and passes.

--- a/packages/router/src/rollouts.ts
+++ b/packages/router/src/rollouts.ts
@@ -247,10 +247,8 @@
     const { status, revision } = stored;
     const others = (status.stoppedVersions ?? []).filter((version) => version !== targetVersion);
     if (revision <= orderRevision) {
-      const left = status.state === 'completed' ? [] : [status.targetVersion];
-      [...others, ...left]
-        .filter((version) => version !== targetVersion)
-        .forEach((version) => this.stopped.stop({ service, version }));
+      others.forEach((version) => this.stopped.stop({ service, version }));
+      this.learnFormer(status, targetVersion);
       return;
     }
     if (status.targetVersion === targetVersion) {
@@ -259,6 +257,18 @@
     }
   }
 
+  /** Applies the state of an earlier order, which may be read after the one that replaced it. */
+  private learnFormer(
+    { service, targetVersion: version, state }: RolloutStatus,
+    current: string,
+  ): void {
+    if (state === 'completed') {
+      this.stopped.allow({ service, version });
+    } else if (version !== current) {
+      this.stopped.stop({ service, version });
+    }
+  }
+
   private findNextState(rollout: Rollout): RolloutStatus['state'] {
     if (rollout.state !== 'running') {
       return rollout.state;
--- a/packages/router/test/stoppedVersions.feature
+++ b/packages/router/test/stoppedVersions.feature
@@ -67,6 +67,13 @@
     When the store has the order as "running", with nothing stopped
     Then calls go to "v1, v2, v3"
 
+  # Guards against a version in force that is stopped, since the next order is read before its completion.
+  Scenario: A completion that is read after the next order allows its version
+    When "v3" is ordered
+    Then calls go to "v1, v3"
+    When the store turns out to have had the order of "v2" as "completed"
+    Then calls go to "v1, v2, v3"
+
   Scenario: The owner writes what is stopped with each state
     When "v3" is ordered
     Then the owner writes "v2" as stopped
--- a/packages/router/test/stoppedVersions.steps.ts
+++ b/packages/router/test/stoppedVersions.steps.ts
@@ -67,6 +67,14 @@
   },
 );
 
+When(
+  'the store turns out to have had the order of {string} as {string}',
+  function when(this: StoppedWorld, targetVersion: string, state: RolloutState) {
+    const status = { service: 'shop', targetVersion, state };
+    this.rollouts.setStored({ status, revision: this.order.orderRevision - 1 });
+  },
+);
+
 Then('calls go to {string}', function then(this: StoppedWorld, versions: string) {
   // Versions that have never been ordered run from the start; they count only where a step names them.
   const named = new Set([...versions.split(', '), 'v2']);
