Count a node for 6 s from the moment at which it is missed

What callers saw: streams that were cut.

Cause: nodes that are missed count for 6 s in shares of a limit, but from the last change of the members on; in a quiet fleet that was over already. The node that was cut off did not count itself either.

Change: the time runs from the moment at which a node is missed, and a node always counts itself.

--- a/packages/store/src/membership.ts
+++ b/packages/store/src/membership.ts
@@ -40,7 +40,7 @@
 /** Live nodes register again at once when the store was restored; leases of others end within this. */
 const RESTORED_LIMIT_MS = MEMBER_LEASE_MS + MEMBER_CALL_TIMEOUT_MS;
 
-/** Nodes that left are still counted for this time, since they may only be disconnected. */
+/** Nodes that are missed are still counted for this time, since they may only be disconnected. */
 const DEPARTED_RETENTION_MS = 6_000;
 
 /** Node count assumed for shared limits before the members are known; more than any site has. */
@@ -50,11 +50,8 @@
 export class Membership {
   private readonly members = new Map<string, Member>();
 
-  /** When nodes that are no longer members were seen last. */
-  private readonly departedSeenMs = new Map<string, number>();
-
-  /** Time of the last change; all nodes that were members after it were seen then. */
-  private changedAtMs = 0;
+  /** When nodes were found to be no longer members. */
+  private readonly missedAtMs = new Map<string, number>();
 
   private isChanged = false;
 
@@ -101,9 +98,9 @@
     if (this.members.size === 0) {
       return ASSUMED_NODE_COUNT;
     }
-    const sinceMs = this.opts.timer.nowMs() - DEPARTED_RETENTION_MS;
-    const departed = [...this.departedSeenMs.values()].filter((seenMs) => seenMs > sinceMs);
-    return Math.max(1, this.members.size + departed.length);
+    // This node may send as well if the store does not have it, or does not have it any more.
+    const names = new Set([this.opts.self.name, ...this.members.keys(), ...this.listMissed()]);
+    return names.size;
   }
 
   /** The lease of this node; undefined while it has none, or has lost it. */
@@ -138,7 +135,7 @@
         onEntries: (entries) => {
           const kept = new Set(entries.map(({ key }) => getMemberName(key)));
           const departed = [...this.members.keys()].filter((name) => !kept.has(name));
-          departed.forEach((name) => this.departedSeenMs.set(name, this.changedAtMs));
+          departed.forEach((name) => this.missedAtMs.set(name, this.opts.timer.nowMs()));
           this.members.clear();
           entries.forEach((entry) => this.add(entry));
           this.noteChange();
@@ -160,32 +157,35 @@
   private add(entry: PrefixEntry): void {
     const member = decodeMember(entry);
     this.members.set(member.name, member);
-    this.departedSeenMs.delete(member.name);
+    this.missedAtMs.delete(member.name);
   }
 
   private remove(name: string): void {
     if (this.members.delete(name)) {
-      this.departedSeenMs.set(name, this.changedAtMs);
+      this.missedAtMs.set(name, this.opts.timer.nowMs());
     }
   }
 
   private noteChange(): void {
-    this.changedAtMs = this.opts.timer.nowMs();
     this.isChanged = true;
   }
 
+  /** Nodes that have been missed for less than the time for which they are counted. */
+  private listMissed(): readonly string[] {
+    const sinceMs = this.opts.timer.nowMs() - DEPARTED_RETENTION_MS;
+    return [...this.missedAtMs].filter(([, atMs]) => atMs > sinceMs).map(([name]) => name);
+  }
+
   /** Reports changes that have arrived together once. */
   private notifyChange(): void {
     if (!this.isChanged) {
       return;
     }
     this.isChanged = false;
-    const sinceMs = this.changedAtMs - DEPARTED_RETENTION_MS;
-    this.departedSeenMs.forEach((seenMs, name) => {
-      if (seenMs <= sinceMs) {
-        this.departedSeenMs.delete(name);
-      }
-    });
+    const missed = new Set(this.listMissed());
+    [...this.missedAtMs.keys()]
+      .filter((name) => !missed.has(name))
+      .forEach((name) => this.missedAtMs.delete(name));
     this.opts.onChange(this.liveMembers());
   }
 }
--- a/packages/store/test/membership.feature
+++ b/packages/store/test/membership.feature
@@ -49,3 +49,32 @@
     And a process that was killed writes the entry of "a" late, as one that stays
     And 2000 ms pass at the store of the members
     Then node "b" sees "a leaving,b"
+
+  # Guards against shares that grow at once, although a node that is cut off goes on with its own.
+  Scenario: A node that is missed in a quiet fleet is still counted for a time
+    When 20000 ms pass at the store of the members
+    And node "b" is cut off from renewing its lease
+    And 3500 ms pass at the store of the members
+    Then node "a" sees "a"
+    And node "a" counts 2 nodes
+    When 5000 ms pass at the store of the members
+    Then node "a" counts 2 nodes
+    When 1500 ms pass at the store of the members
+    Then node "a" counts 1 nodes
+
+  Scenario: A node that sees itself missing counts itself
+    When 20000 ms pass at the store of the members
+    And node "b" is cut off from renewing its lease
+    And 20000 ms pass at the store of the members
+    Then node "b" sees "a"
+    And node "b" counts 2 nodes
+
+  # Guards against shares of all nodes that sum to more than the whole while one of them is cut off for a few seconds.
+  Scenario: The shares of all nodes sum to no more than the whole while one is cut off from the store
+    Given the nodes "c" and "d" have joined
+    When 20000 ms pass at the store of the members
+    And node "b" is cut off from renewing its lease
+    Then the shares of the nodes sum to at most 1 at each moment of 5500 ms
+    When node "b" renews its lease again
+    Then the shares of the nodes sum to at most 1 at each moment of 10000 ms
+    And node "a" counts 4 nodes
--- a/packages/store/test/membership.steps.ts
+++ b/packages/store/test/membership.steps.ts
@@ -31,6 +31,9 @@
 class MemberStore {
   isAway = false;
 
+  /** Clients whose calls about leases get no answer; they still read. */
+  readonly cutOff = new Set<string>();
+
   /** The answer to the next write is lost, and the write is done this much later. */
   nextWriteLateMs: number | undefined;
 
@@ -95,7 +98,7 @@
     },
   };
 
-  createLeases(): LeaseClient {
+  createLeases(name: string): LeaseClient {
     let granted = 0;
     this.clients += 1;
     const prefix = this.clients;
@@ -103,13 +106,13 @@
       grant: ({ ttlMs }) => {
         granted += 1;
         const leaseId = `${prefix}-${granted}`;
-        return this.call(() => {
+        return this.call(name, () => {
           this.keep(leaseId);
           return { leaseId, ttlMs };
         });
       },
       keepAlive: ({ leaseId }) =>
-        this.call(() => {
+        this.call(name, () => {
           const isOver = this.timer.nowMs() >= (this.leaseEndsAtMs.get(leaseId) ?? 0);
           if (!isOver) {
             this.keep(leaseId);
@@ -120,13 +123,13 @@
         const delayMs = this.nextWriteLateMs;
         this.nextWriteLateMs = undefined;
         if (delayMs === undefined) {
-          return this.call(() => this.put(key, value, leaseId));
+          return this.call(name, () => this.put(key, value, leaseId));
         }
         this.timer.after({ delayMs, notify: () => this.put(key, value, leaseId) });
         return Promise.resolve(Result.err(AWAY));
       },
       revoke: async ({ leaseId }) => {
-        await this.call(() => {
+        await this.call(name, () => {
           this.leaseEndsAtMs.set(leaseId, 0);
           this.removeEntries(leaseId);
         });
@@ -142,8 +145,9 @@
     return { entries: [...this.entries.values()], hasMore: false, storeRevision: this.revision };
   }
 
-  private call<Value>(run: () => Value): Promise<Result<Value, ReadFailure>> {
-    return Promise.resolve(this.isAway ? Result.err(AWAY) : Result.ok(run()));
+  private call<Value>(name: string, run: () => Value): Promise<Result<Value, ReadFailure>> {
+    const isUnanswered = this.isAway || this.cutOff.has(name);
+    return Promise.resolve(isUnanswered ? Result.err(AWAY) : Result.ok(run()));
   }
 }
 
@@ -166,7 +170,7 @@
   const membership = Membership.create({
     observe: (observed) => relay.observe(observed),
     source: world.memberStore.source,
-    leases: world.memberStore.createLeases(),
+    leases: world.memberStore.createLeases(name),
     storeEra,
     timer,
     self: { name, address: '10.0.0.1:1', cpuCores: 1, availabilityZone: 'zone' },
@@ -210,6 +214,46 @@
   },
 );
 
+Given(
+  'the nodes {string} and {string} have joined',
+  async function given(this: MembersWorld, first: string, second: string) {
+    const timer = TimerService.create({ clock: this.membersClock });
+    [first, second].forEach((name) => startMember(this, name, timer));
+    await this.membersClock.advance({ byMs: SETTLE_MS });
+  },
+);
+
+When(
+  'node {string} is cut off from renewing its lease',
+  function when(this: MembersWorld, name: string) {
+    this.memberStore.cutOff.add(name);
+  },
+);
+
+When('node {string} renews its lease again', function when(this: MembersWorld, name: string) {
+  this.memberStore.cutOff.delete(name);
+});
+
+Then(
+  'node {string} counts {int} nodes',
+  function then(this: MembersWorld, name: string, nodes: number) {
+    assert.equal(this.memberships.get(name)?.countNodes(), nodes);
+  },
+);
+
+Then(
+  'the shares of the nodes sum to at most 1 at each moment of {int} ms',
+  async function then(this: MembersWorld, forMs: number) {
+    for (let atMs = 0; atMs < forMs; atMs += POLL_MS) {
+      const counts = [...this.memberships.values()].map((node) => node.countNodes());
+      const sum = counts.reduce((total, nodes) => total + 1 / nodes, 0);
+      // The shares of four nodes are not exact in floating point.
+      assert.ok(sum < 1.000_001, `${counts.join(', ')} after ${atMs} ms`);
+      await this.membersClock.advance({ byMs: POLL_MS });
+    }
+  },
+);
+
 Given(
   'the answer to the next write is lost, and it is done {int} ms later',
   function given(this: MembersWorld, lateMs: number) {
