Count nodes without a set of their names

Cause: the count is asked for each target that a call may go to, and made a set of the names of all members each time. Change: it adds the members, those that are missed and this node; nothing is listed while no node is missed.

--- a/packages/store/src/membership.ts
+++ b/packages/store/src/membership.ts
@@ -98,9 +98,11 @@
     if (this.members.size === 0) {
       return ASSUMED_NODE_COUNT;
     }
-    // This node may send as well if the store does not have it, or does not have it any more.
-    const names = new Set([this.opts.self.name, ...this.members.keys(), ...this.listMissed()]);
-    return names.size;
+    const { name } = this.opts.self;
+    const missed = this.listMissed();
+    // This node may send as well if the store does not have it yet, or not any more.
+    const isSelfCounted = this.members.has(name) || missed.includes(name);
+    return this.members.size + missed.length + (isSelfCounted ? 0 : 1);
   }
 
   /** The lease of this node; undefined while it has none, or has lost it. */
@@ -172,6 +174,9 @@
 
   /** Nodes that have been missed for less than the time for which they are counted. */
   private listMissed(): readonly string[] {
+    if (this.missedAtMs.size === 0) {
+      return [];
+    }
     const sinceMs = this.opts.timer.nowMs() - DEPARTED_RETENTION_MS;
     return [...this.missedAtMs].filter(([, atMs]) => atMs > sinceMs).map(([name]) => name);
   }
