--- a/packages/entry/src/runCall.ts
+++ b/packages/entry/src/runCall.ts
@@ -1,6 +1,6 @@
 import { INVALID_ROUTE_RETRY_AFTER_MS } from '@galenatiller/constants';
 import type { Call, CallResponse, OrganisationLimiter, WritePart } from '@galenatiller/caller';
-import { GalenatillerError, type ResultCodeName } from '@galenatiller/error';
+import { GalenatillerError } from '@galenatiller/error';
 import type { CrashHistory } from '@galenatiller/engine';
 import type { Shutdown } from '@galenatiller/node';
 import type { RecordOptions } from '@galenatiller/timeline';
@@ -184,14 +184,12 @@
 }
 
 function refuse(
-  name: Extract<
-    ResultCodeName,
+  name:
     | 'deadline-unreachable'
     | 'key-required'
     | 'organisation-limit'
     | 'route-invalid'
-    | 'unknown-route'
-  >,
+    | 'unknown-route',
   detail: string,
   retryAfterMs = 0,
 ): Result<never, GalenatillerError> {
--- a/packages/router/src/admitCall.ts
+++ b/packages/router/src/admitCall.ts
@@ -9,6 +9,7 @@
 import { Result } from 'true-myth';
 
 import { checkPieceCounts } from './checkPieceCounts.js';
+import { STALE_EVIDENCE_MS } from './evidenceAge.js';
 import type { RouterContext } from './routerContext.js';
 
 /** A call that was admitted, and what the configuration says about it. */
@@ -39,9 +40,6 @@
 /** Once the store responds, a node without a configuration has read it within this time. */
 const NO_CONFIGURATION_RETRY_AFTER_MS = 300;
 
-/** A watch of the store returns every second; older evidence means that the store is unreachable. */
-const STALE_AFTER_MS = 2_500;
-
 /** Finds the route and the organisation of a call, or the error that refuses it. */
 export function admitCall(opts: AdmitCallOptions): Result<AdmittedCall, GalenatillerError> {
   const { context, call, receivedAtMs } = opts;
@@ -108,7 +106,7 @@
 }
 
 function isStale(context: RouterContext): boolean {
-  return context.evidenceAgeMs() > STALE_AFTER_MS;
+  return context.evidenceAgeMs() > STALE_EVIDENCE_MS;
 }
 
 function pickDestination(route: RouteConfig, random: () => number): string {
--- a/packages/router/src/createRollouts.ts
+++ b/packages/router/src/createRollouts.ts
@@ -3,6 +3,7 @@
 import type { TimerService } from '@galenatiller/timer';
 
 import type { RolloutStatusEntries } from './entryDecoders.js';
+import { STALE_EVIDENCE_MS } from './evidenceAge.js';
 import { logRollout, logRolloutWrite, logStoppedVersions } from './logEvents.js';
 import { Rollouts } from './rollouts.js';
 import { RolloutStatuses } from './rolloutStatuses.js';
@@ -22,9 +23,6 @@
 /** The rollouts, their states in the store, and the log of writes to it. */
 export type RolloutParts = Pick<RunRolloutsOptions, 'rollouts' | 'statuses' | 'onWritten'>;
 
-/** A watch of the store returns every second; older evidence means that the store is unreachable. */
-const MAX_EVIDENCE_AGE_MS = 2_500;
-
 /** Creates the parts of a router that handle rollouts. */
 export function createRollouts(opts: CreateRolloutsOptions): RolloutParts {
   const { settings, timer, log, random, rolloutStatusEntries: entries } = opts;
@@ -32,7 +30,7 @@
     timer,
     random,
     unprovedShare: settings.unprovedShare,
-    isInTouch: () => opts.evidenceAgeMs() <= MAX_EVIDENCE_AGE_MS,
+    isInTouch: () => opts.evidenceAgeMs() <= STALE_EVIDENCE_MS,
     onEnded: (decision) => logRollout(log, decision),
     onStoppedChanged: (service, versions) => logStoppedVersions(log, service, versions),
   });
--- a/packages/router/src/permits.ts
+++ b/packages/router/src/permits.ts
@@ -3,6 +3,7 @@
 import { type ColdRateLimiter, SparePermits } from '@galenatiller/target';
 import type { TimerService } from '@galenatiller/timer';
 
+import { STALE_EVIDENCE_MS } from './evidenceAge.js';
 import type { ServiceOwners } from './ownership/index.js';
 import type { PeerRouters } from './peerRouters.js';
 
@@ -29,9 +30,6 @@
 /** A response over a link takes a few milliseconds; reading a prompt anew takes tens of them. */
 const REQUEST_TIMEOUT_MS = 25;
 
-/** With older evidence, other nodes may have replaced this one without its knowledge. */
-const MAX_EVIDENCE_AGE_MS = 2_500;
-
 /**
  * Permits for sends beyond the equal share of this node, which the router responsible for the target grants from
  * what the shares leave over. So calls with the same prompt parts reach the target that has them cached
@@ -46,7 +44,7 @@
     this.spare = SparePermits.create({
       ...opts,
       isGranter: (address) =>
-        this.findGranter(address) === opts.selfName && opts.evidenceAgeMs() < MAX_EVIDENCE_AGE_MS,
+        this.findGranter(address) === opts.selfName && opts.evidenceAgeMs() < STALE_EVIDENCE_MS,
     });
   }
 
