Log how answers without framing end

The attempt line now has the framing of the answer, and an answer-ended line each body that its framing does not complete: bytes, events, whether it ended in order, between or within events, and what was learnt of the process that sent it. No decision changes.

--- a/packages/router/src/forwardResponse.ts
+++ b/packages/router/src/forwardResponse.ts
@@ -3,6 +3,7 @@
 import { whenAborted } from '@galenatiller/tasks';
 import type { BodyEnd } from '@galenatiller/types';
 
+import { type BodyReport, BodyTally } from './bodyTally.js';
 import type { CallerExchange, SendResponse } from './ports.js';
 import { type EventPart, EventSplitter } from './wireEventStream.js';
 
@@ -32,14 +33,24 @@
 export type ForwardResult = {
   readonly hasStarted: boolean;
   readonly lastEventId: string;
+  /** What was seen of the body. */
+  readonly body: BodyReport;
 } & ({ readonly kind: 'complete' } | { readonly kind: 'interrupted'; readonly detail: string });
 
 /** Forwards a response to the caller: a stream event by event, anything else once it is complete. */
-export function forwardResponse(opts: ForwardResponseOptions): Promise<ForwardResult> {
-  return opts.isStream ? forwardStream(opts) : forwardBuffered(opts);
+export async function forwardResponse(opts: ForwardResponseOptions): Promise<ForwardResult> {
+  const tally = BodyTally.create(opts);
+  const forward = opts.isStream ? forwardStream : forwardBuffered;
+  const forwarded = await forward({ ...opts, tally });
+  return { ...forwarded, body: tally.report };
 }
 
-async function forwardBuffered(opts: ForwardResponseOptions): Promise<ForwardResult> {
+type Forwarding = ForwardResponseOptions & { readonly tally: BodyTally };
+
+type Forwarded = Omit<ForwardResult, 'body'> &
+  ({ readonly kind: 'complete' } | { readonly kind: 'interrupted'; readonly detail: string });
+
+async function forwardBuffered(opts: Forwarding): Promise<Forwarded> {
   const { exchange, response, resumeAfter: lastEventId } = opts;
   if (response.status < 300 && !response.isSealed) {
     response.discard();
@@ -67,6 +78,8 @@
     return createInterrupted({ ...opts, lastEventId }, describeError(error));
   }
   const bodyBytes = parts.reduce((sum, { length }) => sum + length, 0);
+  opts.tally.recordChunk({ bytes: bodyBytes, events: 0, isWithinEvent: false });
+  opts.tally.recordEnd();
   const bodyEnd = findBufferedEnd(response.bodyEnd, bodyBytes);
   if (bodyEnd !== 'close' && (await isCutByCrash(opts))) {
     return createInterrupted({ ...opts, lastEventId }, CUT_BY_CRASH);
@@ -88,7 +101,7 @@
   await Promise.race([exchange.whenNext(), whenAborted(signal)]);
 }
 
-async function forwardStream(opts: ForwardResponseOptions): Promise<ForwardResult> {
+async function forwardStream(opts: Forwarding): Promise<Forwarded> {
   const { exchange, response } = opts;
   let { hasStarted, resumeAfter: lastEventId } = opts;
   const unusable = findStreamFault(opts);
@@ -142,8 +155,13 @@
  * Whether a body may have been cut by a crash of its target: the kernel closes the connections of a
  * process that crashed in an orderly way, which looks like the end of a body without a length.
  */
-async function isCutByCrash(opts: ForwardResponseOptions): Promise<boolean> {
-  return opts.response.bodyEnd === 'close' && (await opts.hasTargetCrashed());
+async function isCutByCrash(opts: Forwarding): Promise<boolean> {
+  if (opts.response.bodyEnd !== 'close') {
+    return false;
+  }
+  const isGone = await opts.hasTargetCrashed();
+  opts.tally.recordSender(isGone ? 'gone' : 'unknown');
+  return isGone;
 }
 
 /** Why the head of a response shows that its body must not reach the caller; undefined if it may. */
@@ -159,11 +177,16 @@
  * Yields the events of a response as they complete; throws when its body breaks off, or when it
  * isn't the rest of a stream that has started.
  */
-async function* readEvents(opts: ForwardResponseOptions): AsyncGenerator<EventPart, void, void> {
+async function* readEvents(opts: Forwarding): AsyncGenerator<EventPart, void, void> {
   const splitter = EventSplitter.create();
   let isRest = !opts.hasStarted;
   for await (const chunk of opts.response.body) {
     const part = splitter.push(chunk);
+    opts.tally.recordChunk({
+      bytes: chunk.length,
+      events: part?.events ?? 0,
+      isWithinEvent: !splitter.isBetweenEvents,
+    });
     if (part) {
       if (!isRest && !isAfter(part, opts.resumeAfter)) {
         throw new Error('events that the caller has instead of the rest');
@@ -172,6 +195,7 @@
       yield part;
     }
   }
+  opts.tally.recordEnd();
   if (!splitter.isBetweenEvents) {
     throw new Error('the stream ended in the middle of an event');
   }
@@ -189,7 +213,7 @@
 function createInterrupted(
   state: { readonly hasStarted: boolean; readonly lastEventId: string },
   detail: string,
-): ForwardResult {
+): Forwarded {
   const { hasStarted, lastEventId } = state;
   return { kind: 'interrupted', hasStarted, lastEventId, detail };
 }
--- a/packages/router/src/observeAttempt.ts
+++ b/packages/router/src/observeAttempt.ts
@@ -4,6 +4,7 @@
 
 import type { AdmittedCall } from './admitCall.js';
 import type { CallProgress } from './callProgress.js';
+import type { ForwardResult } from './forwardResponse.js';
 import type { CallerExchange, SendResponse, SendResult } from './ports.js';
 import type { RouterContext } from './routerContext.js';
 
@@ -37,6 +38,7 @@
     tookMs: Math.round(context.timer.nowMs() - sentAtMs),
     configuration: admitted.configurationVersion,
     callerGone: exchange.disconnected.aborted,
+    framing: response.kind === 'answered' ? response.bodyEnd : undefined,
     outcome:
       response.kind === 'answered'
         ? String(response.status)
@@ -93,6 +95,32 @@
   return admitted.route.callKind === 'stream' && response.status === 200;
 }
 
+/** Logs how a body ended that was not completed by its framing. */
+export function logAnswerEnd(
+  opts: Pick<ObservedAttempt, 'context' | 'exchange' | 'target'> & {
+    readonly response: SendResponse;
+    readonly forwarded: ForwardResult;
+    /** Time at which the head of the response had come. */
+    readonly headAtMs: number;
+  },
+): void {
+  const { context, exchange, target, response, forwarded } = opts;
+  const { bodyEnd: framing } = response;
+  if (framing !== 'close' && forwarded.kind === 'complete') {
+    return;
+  }
+  context.log({
+    about: 'decision',
+    event: 'answer-ended',
+    requestId: exchange.call.requestId,
+    target: target.id,
+    framing,
+    ...forwarded.body,
+    tookMs: Math.round(context.timer.nowMs() - opts.headAtMs),
+    outcome: forwarded.kind === 'complete' ? 'complete' : `broken off: ${forwarded.detail}`,
+  });
+}
+
 /** Logs a response that broke off, before the call is sent to another target. */
 export function logBrokenResponse(opts: ObservedAttempt): void {
   const { context, exchange, progress, target } = opts;
--- a/packages/router/src/runAttempts.ts
+++ b/packages/router/src/runAttempts.ts
@@ -1,57 +1,25 @@
-import { getStartKey, type TargetChoice, toTargetStart } from '@galenatiller/target';
+import { type TargetChoice, toTargetStart } from '@galenatiller/target';
 import type { RegisteredTarget } from '@galenatiller/types';
 
-import type { AdmittedCall } from './admitCall.js';
-import { forwardResponse, type ForwardResult } from './forwardResponse.js';
+import { canRunAgain, endBySignal, recordIfCrashed } from './attemptOutcome.js';
+import { forwardAttempt } from './forwardAttempt.js';
 import type { CallProgress } from './callProgress.js';
 import {
   type AttemptsResult,
-  endAborted,
   endByStop,
   endDisconnected,
   endStopped,
   endWithError,
-  type Refused,
 } from './endAttempts.js';
-import { getSharedFingerprints } from './computeFingerprints.js';
 import { chooseTargetWithPermit, type PermittedChoice } from './chooseTargetForCall.js';
 import { endForPause } from './endForPause.js';
 import { findPauseWait } from './findPauseWait.js';
 import { endTooLate } from './heldCalls.js';
-import {
-  countBegunRequest,
-  countBegunStream,
-  isStream,
-  logAttempt,
-  logBrokenResponse,
-  mayHaveBegun,
-  recordNotice,
-  recordWholeResponse,
-} from './observeAttempt.js';
-import type { CallerExchange, SendResponse, SendResult } from './ports.js';
+import { countBegunRequest, logAttempt, mayHaveBegun, recordNotice } from './observeAttempt.js';
+import type { SendResponse, SendResult } from './ports.js';
 import type { RouterContext } from './routerContext.js';
-import type { TrackedCall } from './routerStop.js';
+import type { RunAttemptsOptions } from './runAttemptsOptions.js';
 import { createObservation, observeBroken } from './observeRun.js';
-import type { RunObservation } from './runObservation.js';
-import type { StageResultHandle } from './runStages.js';
-
-/** Options of {@link runAttempts}. */
-export interface RunAttemptsOptions {
-  readonly context: RouterContext;
-  readonly exchange: CallerExchange;
-  readonly admitted: AdmittedCall;
-  readonly tracked: TrackedCall;
-  /** Fingerprints of the call and of the parts of its prompt. */
-  readonly fingerprints: readonly string[];
-  readonly body: Buffer;
-  readonly inputs: readonly StageResultHandle[];
-  /** Progress of the call, which goes on when its stages are run again. */
-  readonly progress: CallProgress;
-  /** Aborts at the deadline, and when the caller disconnects from a call that may be cancelled. */
-  readonly signal: AbortSignal;
-  /** Called, possibly more than once, when response data shows that the inputs have been fetched. */
-  readonly onInputsConsumed: () => void;
-}
 
 /** Limit of sends for a call, even if earlier ones provably did not run. */
 const MAX_SENDS = 6;
@@ -65,12 +33,6 @@
 /** Share of the time left that a call waits for a target; then it is refused with a time to retry. */
 const NO_TARGET_WAIT_SHARE = 0.25;
 
-/**
- * A stream that goes on for this long shows that the parts of its prompt crash no target; streams of
- * calls that share a part may take longer than targets live that another call crashes.
- */
-const PROOF_INTERVAL_MS = 2_000;
-
 /** Sends a call to one target after another until one responds or no further attempt is allowed. */
 export async function runAttempts(opts: RunAttemptsOptions): Promise<AttemptsResult> {
   const { context, admitted, progress, signal } = opts;
@@ -109,12 +71,6 @@
   return endBySignal(opts, progress);
 }
 
-/** Ends a call whose signal has aborted. */
-function endBySignal(opts: RunAttemptsOptions, progress: CallProgress): Refused {
-  const end = opts.tracked.signal.aborted ? endByStop : endAborted;
-  return end(progress);
-}
-
 /** Ends a call that must not be sent to a target any more; undefined for others. */
 function endBeforeSend(
   opts: RunAttemptsOptions,
@@ -213,75 +169,12 @@
       progress.recordFailure(`the target responded with status ${response.status}`);
       return undefined;
     }
-    return await forward({ ...opts, observation, sentAtMs }, progress, target, response);
+    return await forwardAttempt({ ...opts, target, response, observation, sentAtMs });
   } finally {
     decrement();
   }
 }
 
-async function forward(
-  opts: RunAttemptsOptions & {
-    readonly observation: RunObservation;
-    readonly sentAtMs: number;
-  },
-  progress: CallProgress,
-  target: RegisteredTarget,
-  response: SendResponse,
-): Promise<AttemptsResult | undefined> {
-  const { exchange, context, observation } = opts;
-  let provedAtMs: number | undefined;
-  const forwarded: ForwardResult = await forwardResponse({
-    exchange,
-    response,
-    signal: opts.signal,
-    bodyMemory: context.bodyMemory,
-    hasTargetCrashed: () => context.crashDetector.hasCrashed(target),
-    isStream: isStream(opts, response),
-    hasStarted: progress.hasStarted,
-    resumeAfter: progress.resumeAfter,
-    onData: (events) => {
-      opts.onInputsConsumed();
-      opts.tracked.enter('streaming');
-      observation.addEvents(events);
-      countBegunStream(opts, response);
-      const nowMs = context.timer.nowMs();
-      provedAtMs ??= nowMs;
-      if (nowMs - provedAtMs >= PROOF_INTERVAL_MS) {
-        provedAtMs = nowMs;
-        context.crashSuspects.recordSound(getSharedFingerprints(opts.fingerprints));
-      }
-    },
-  });
-  progress.recordForwarded(forwarded);
-  // A stream that ended before its first event may have begun.
-  countBegunStream(opts, response);
-  if (forwarded.kind === 'interrupted') {
-    observeBroken(opts, observation);
-  } else {
-    observation.end({ isFailed: response.status >= 500 });
-  }
-  if (forwarded.kind === 'complete') {
-    recordWholeResponse(opts);
-    if (response.status < 500) {
-      // A target may crash after the first data of its response, so only a whole one shows that it won't.
-      context.crashSuspects.recordSound(opts.fingerprints);
-    }
-    return { kind: 'answered', status: response.status, target: target.id };
-  }
-  progress.recordFailure(forwarded.detail);
-  if (!opts.signal.aborted && !exchange.disconnected.aborted) {
-    context.health.record({ targetId: target.id, result: 'failed' });
-    await recordIfCrashed(opts, target);
-    if (canRunAgain(opts, progress)) {
-      logBrokenResponse({ ...opts, target });
-      return undefined;
-    }
-  }
-  return opts.signal.aborted
-    ? endBySignal(opts, progress)
-    : endWithError(progress, 'target-failed', forwarded.detail);
-}
-
 async function handleFailure(
   opts: RunAttemptsOptions,
   progress: CallProgress,
@@ -317,26 +210,9 @@
   }
 }
 
-/** Records that a target crashed while it ran a call, if its process is gone. */
-async function recordIfCrashed(opts: RunAttemptsOptions, target: RegisteredTarget): Promise<void> {
-  const { crashDetector, crashSuspects } = opts.context;
-  if (await crashDetector.hasCrashed(target)) {
-    const { fingerprints } = opts;
-    crashSuspects.recordCrash({ targetStart: getStartKey(target), fingerprints });
-  }
-}
-
 /** Delay after a refusal; 0 while there is a target that was not tried yet. */
 function computeRefusalDelayMs(opts: RunAttemptsOptions, progress: CallProgress): number {
   const { context, admitted } = opts;
   const usable = context.targets.findUsable(admitted.service);
   return usable.every(({ id }) => progress.tried.has(id)) ? REFUSED_DELAY_MS : 0;
 }
-
-/** Whether a call that may have run already may be sent to another target. */
-function canRunAgain(opts: RunAttemptsOptions, progress: CallProgress): boolean {
-  const { route } = opts.admitted;
-  const isRetryable =
-    route.callKind === 'idempotent' || (route.callKind === 'stream' && route.isResumable);
-  return isRetryable && progress.runs < route.maxAttempts;
-}
