--- a/fakes/src/platform/fakePlatformWorker.ts
+++ b/fakes/src/platform/fakePlatformWorker.ts
@@ -1,3 +1,5 @@
+import type { ServerResponse } from 'node:http';
+
 import { FakeServer } from '../fakeServer.js';
 import type { FakeExchange } from '../fakeServer.js';
 
@@ -16,9 +18,12 @@
 
 /**
  * How a response ends: by length, by closing the connection, by a reset before its end, some time after its
- * bytes or at once with them, or never. Only the first kind has a length.
+ * bytes or at once with them, or never. `restart` closes the connection like a process that crashed, and another
+ * start has the address at once; `silence` closes it, and the address accepts connections without answering.
+ * Only the first kind has a length.
  */
-export type WorkerResponseEnd = 'length' | 'close' | 'reset' | 'reset-at-once' | 'never';
+export type WorkerResponseEnd =
+  'length' | 'close' | 'reset' | 'reset-at-once' | 'never' | 'restart' | 'silence';
 
 /** Delay before a reset, which would otherwise drop the bytes written before it. */
 const RESET_AFTER_MS = 30;
@@ -39,11 +44,19 @@
   /** Status of responses. */
   status = 200;
 
+  /** Body of a stream. */
+  streamText = WORKER_EVENT;
+
+  /** Body of each response that is not a stream. */
+  bodyText = WORKER_BODY;
+
+  private isSilent = false;
+
   private readonly acceptedRuns: WorkerRun[] = [];
 
   private server: FakeServer | undefined;
 
-  private constructor(private readonly id: string) {}
+  private constructor(private id: string) {}
 
   /** Starts a worker on the loopback address. */
   static async listen(opts: { readonly id: string }): Promise<FakePlatformWorker> {
@@ -90,11 +103,18 @@
     if (this.isLeaving) {
       response.setHeader('Server-Leaving', '1');
     }
+    if (this.isSilent) {
+      return;
+    }
     const isFree = path === '/-/stage-free';
     if (header('x-expect-instance') !== this.id && !isFree) {
       response.writeHead(421, { 'X-Instance-Id': this.id }).end();
       return;
     }
+    if (path === '/healthz') {
+      response.writeHead(200, { 'X-Instance-Id': this.id, 'Content-Length': '0' }).end();
+      return;
+    }
     this.acceptedRuns.push({ path, text, header });
     if (this.retryAfter !== '') {
       const headers = { 'X-Not-Executed': '1', 'Retry-After': this.retryAfter };
@@ -113,7 +133,7 @@
       'X-Server-Seal': 'seal',
       'X-Server-Load': '1,0,4',
     });
-    response.write(path.startsWith('/stream/') ? WORKER_EVENT : WORKER_BODY, () => {
+    response.write(path.startsWith('/stream/') ? this.streamText : this.bodyText, () => {
       if (this.responseEnd === 'reset-at-once') {
         response.socket?.resetAndDestroy();
       }
@@ -122,8 +142,17 @@
       setTimeout(() => response.socket?.resetAndDestroy(), RESET_AFTER_MS);
       return;
     }
-    if (this.responseEnd !== 'never' && this.responseEnd !== 'reset-at-once') {
+    this.end(response);
+  }
+
+  private end(response: ServerResponse): void {
+    const { responseEnd } = this;
+    if (responseEnd !== 'never' && responseEnd !== 'reset-at-once') {
       response.end();
     }
+    if (responseEnd === 'restart') {
+      this.id += '-again';
+    }
+    this.isSilent = responseEnd === 'silence';
   }
 }
