End an answer without framing as complete only if its sender runs on

What callers saw: an answer that its worker had broken off was framed as complete: by a last chunk, by a length, or by an orderly end of the connection.

Cause: no proof of a crash was taken for a proof of life. A body that ended with its connection counted as complete unless a connection to the worker's address was refused then. A new process at the address, a silent path, a pause that forbids the probe and a probe that was sent before the end all hid the crash. A stream without framing that ended before its first event was complete and empty. To a caller of HTTP/1.0, a killed router ended a sound stream between events.

Change, one rule for streams and answers in findEndFault.ts, for both versions of HTTP: the end of a body without framing counts only if the start of the worker that sent it answers a question that was sent after the end. The worker is asked by its id, on a new connection: at its report, which waits for no slot, or at its health path; another id, 421 or another born is another start. Without an answer the question is repeated, for 1.2 s or half of the time that is left. Otherwise the body is broken off: the call is retried or resumed where it may be, else the caller gets 502 or a cut stream. An event stream must also end between events, on routes that read it as a whole too, and needs an event. For a caller without chunks the last byte of the events is withheld until the next ones, so that a killed router leaves an event that is broken off, which by the users' pages shows the cut.

A test is replaced by a stricter one: a short answer of a crashed worker was passed on with the end as it came, and is now a failure like a long one. Of an interrupted stream a caller of HTTP/1.0 gets all but the last byte.

--- a/bench/src/scale/scaledRouter.ts
+++ b/bench/src/scale/scaledRouter.ts
@@ -164,6 +164,7 @@
         receivedAtMs: this.clock.nowMs(),
         disconnected: new AbortController().signal,
         readBody: () => Promise.resolve(Result.ok(Buffer.from('body'))),
+        hasChunks: true,
         whenNext: () => Promise.resolve(),
         release: () => resolve(),
         refuse: () => resolve(),
@@ -240,6 +241,7 @@
         runPieces: () => Promise.reject(new Error('not used')),
         freeResults: () => Promise.resolve(undefined),
         probe: () => Promise.resolve('connected'),
+        identify: async () => ({ state: 'same-start' }),
       },
       hash: (text) => {
         work.hashes += 1;
--- a/packages/http/src/targetConnectionPool.ts
+++ b/packages/http/src/targetConnectionPool.ts
@@ -55,6 +55,8 @@
 export interface TargetFailure {
   readonly kind: 'unsent' | 'broken';
   readonly detail: string;
+  /** Set if nothing listens at the address. */
+  readonly isRefused?: boolean;
 }
 
 /** Options of {@link TargetConnectionPool.create}. */
@@ -165,8 +167,7 @@
       };
     } catch (cause) {
       closeConnection(connection);
-      const detail = cause instanceof Error ? cause.message : 'the request failed';
-      return { kind: cause instanceof ConnectError ? 'unsent' : 'broken', detail };
+      return toFailure(cause);
     }
   }
 
@@ -207,9 +208,9 @@
         socket.destroy(new Error(`no connection within ${connectLimitMs} ms`));
       },
     });
-    const onConnectError = (error: Error): void => {
+    const onConnectError = (error: NodeJS.ErrnoException): void => {
       cancelTimeout();
-      callback(new ConnectError(error.message), null);
+      callback(new ConnectError(error), null);
     };
     socket.once('error', onConnectError);
     socket.once('connect', () => {
@@ -221,6 +222,13 @@
   }
 }
 
+function toFailure(cause: unknown): TargetFailure {
+  const detail = cause instanceof Error ? cause.message : 'the request failed';
+  return cause instanceof ConnectError
+    ? { kind: 'unsent', detail, isRefused: cause.isRefused }
+    : { kind: 'broken', detail };
+}
+
 function omitUndefined(
   headers: Readonly<Record<string, string | string[] | undefined>>,
 ): Record<string, string | readonly string[]> {
--- a/packages/router/src/bodyTally.ts
+++ b/packages/router/src/bodyTally.ts
@@ -1,9 +1,8 @@
+import type { SenderState } from './ports.js';
+
 /** Where a body ended: a stream that is whole ends between events, or has none. */
 export type EndPosition = 'no-event' | 'between-events' | 'within-event' | 'no-stream';
 
-/** What is known, after the end of a body, of the process that sent it. */
-export type SenderState = 'same-start' | 'other-start' | 'gone' | 'unknown';
-
 /** What was seen of a body. */
 export interface BodyReport {
   /** `read-failed` includes resets, deadlines and callers that left. */
--- a/packages/router/src/callProgress.ts
+++ b/packages/router/src/callProgress.ts
@@ -1,3 +1,13 @@
+import { HeldTail } from './heldTail.js';
+
+/** Options of {@link CallProgress.create}. */
+export interface CallProgressOptions {
+  /** Id of the last event that the caller has. */
+  readonly lastEventId: string;
+  /** Whether the caller's protocol has chunks. */
+  readonly hasChunks: boolean;
+}
+
 /** Progress of a call over its attempts so far. */
 export class CallProgress {
   private readonly triedIds = new Set<string>();
@@ -14,12 +24,16 @@
 
   private failure = '';
 
-  private constructor(opts: { readonly lastEventId: string }) {
+  /** End of the events that the caller has been sent. */
+  readonly tail: HeldTail;
+
+  private constructor(opts: CallProgressOptions) {
     this.lastEventId = opts.lastEventId;
+    this.tail = HeldTail.create({ isHolding: !opts.hasChunks });
   }
 
-  /** Creates the progress before the first send; `lastEventId` is the last event that the caller has. */
-  static create(opts: { readonly lastEventId: string }): CallProgress {
+  /** Creates the progress before the first send. */
+  static create(opts: CallProgressOptions): CallProgress {
     return new CallProgress(opts);
   }
 
--- a/packages/router/src/createRouter.ts
+++ b/packages/router/src/createRouter.ts
@@ -58,6 +58,7 @@
   logTargetLoad,
   logTargetNotice,
 } from './logEvents.js';
+import { SenderChecks } from './senderChecks.js';
 import { serveCall } from './serveCall.js';
 
 /** Options of {@link createRouter}. */
@@ -122,7 +123,7 @@
   });
   const nodeCount = (): number => members.countNodes();
   const calls = { inFlight: CallCounter.create(), waiting: CallCounter.create() };
-  const limits = createLimits({ ...opts, nodeCount, peers: () => stages.peers.all() });
+  const limits = createLimits({ ...opts, routes, nodeCount, peers: () => stages.peers.all() });
   const evidenceAgeMs = (): number => mirrors.operator.evidenceAgeMs();
   const rolloutParts = createRollouts({ ...opts, evidenceAgeMs });
   const duties = createDuties({ ...opts, relay, source, directSource: opts.source, members });
@@ -243,12 +244,17 @@
   | 'bodyMemory'
   | 'crashDetector'
   | 'crashSuspects'
+  | 'senderChecks'
 >;
 
+/** For targets of a service without such a path; any answer shows who they are. */
+const DEFAULT_STATUS_PATH = '/';
+
 /** Creates the limits that all nodes share, and the tracking of target health and crashes. */
 function createLimits(
   opts: RouterOptions & {
     readonly nodeCount: () => number;
+    readonly routes: RouteTable;
     /** The links to all other routers. */
     readonly peers: () => readonly PeerRouter[];
   },
@@ -284,6 +290,16 @@
       ...opts.targetClient,
       mayProbe: (target) => notices.tryProbe(toTargetStart(target)),
     }),
+    senderChecks: SenderChecks.create({
+      timer,
+      ask: async (target) => {
+        const path = opts.routes.findService(target.service)?.statusPath ?? DEFAULT_STATUS_PATH;
+        const { state, notice } = await opts.targetClient.identify({ target, path });
+        notices.record({ target: toTargetStart(target), notice, source: 'health' });
+        return state;
+      },
+      mayAsk: (target) => notices.tryProbe(toTargetStart(target)),
+    }),
     bodyMemory: createResponseMemory(opts.maxResponseBytes),
     crashSuspects: CrashSuspects.create({
       timer,
--- a/packages/router/src/forwardAttempt.ts
+++ b/packages/router/src/forwardAttempt.ts
@@ -35,17 +35,18 @@
 export async function forwardAttempt(
   opts: ForwardAttemptOptions,
 ): Promise<AttemptsResult | undefined> {
-  const { context, exchange, progress, response, observation, target } = opts;
+  const { context, exchange, progress, response, observation, target, signal } = opts;
   const headAtMs = context.timer.nowMs();
   const forwarded = await forwardResponse({
     exchange,
     response,
-    signal: opts.signal,
+    signal,
     bodyMemory: context.bodyMemory,
-    hasTargetCrashed: () => context.crashDetector.hasCrashed(target),
+    findSender: () => context.senderChecks.check({ target, signal, limitMs: computeCheckMs(opts) }),
     isStream: isStream(opts, response),
     hasStarted: progress.hasStarted,
     resumeAfter: progress.resumeAfter,
+    tail: progress.tail,
     onData: createDataObserver(opts),
   });
   logAnswerEnd({ ...opts, forwarded, headAtMs });
@@ -65,6 +66,11 @@
   return { kind: 'answered', status: response.status, target: target.id };
 }
 
+/** Time to find out whether a sender runs; enough is left to go on at another target. */
+function computeCheckMs({ context, admitted }: ForwardAttemptOptions): number {
+  return (admitted.deadlineAtMs - context.timer.nowMs()) / 2;
+}
+
 /** Creates the observer of the data of a response, which is called with the number of new events. */
 function createDataObserver(opts: ForwardAttemptOptions): (events: number) => void {
   const { context } = opts;
--- a/packages/router/src/forwardResponse.ts
+++ b/packages/router/src/forwardResponse.ts
@@ -4,7 +4,9 @@
 import type { BodyEnd } from '@galenatiller/types';
 
 import { type BodyReport, BodyTally } from './bodyTally.js';
-import type { CallerExchange, SendResponse } from './ports.js';
+import { findEndFault } from './findEndFault.js';
+import type { HeldTail } from './heldTail.js';
+import type { CallerExchange, SenderState, SendResponse } from './ports.js';
 import { type EventPart, EventSplitter } from './wireEventStream.js';
 
 /** Options of {@link forwardResponse}. */
@@ -20,8 +22,9 @@
   readonly hasStarted: boolean;
   /** Id of the last event that the caller has; empty when it has none. */
   readonly resumeAfter: string;
-  /** Whether the process of the target is gone. */
-  readonly hasTargetCrashed: () => Promise<boolean>;
+  readonly tail: HeldTail;
+  /** Finds out whether the process that sent the response still runs. */
+  readonly findSender: () => Promise<SenderState>;
   /**
    * Called, possibly more than once, when data of the response has come in, with the number of its
    * events.
@@ -39,7 +42,8 @@
 
 /** Forwards a response to the caller: a stream event by event, anything else once it is complete. */
 export async function forwardResponse(opts: ForwardResponseOptions): Promise<ForwardResult> {
-  const tally = BodyTally.create(opts);
+  const isStream = opts.isStream || opts.response.isEventStream;
+  const tally = BodyTally.create({ isStream });
   const forward = opts.isStream ? forwardStream : forwardBuffered;
   const forwarded = await forward({ ...opts, tally });
   return { ...forwarded, body: tally.report };
@@ -74,16 +78,16 @@
       memory: opts.bodyMemory,
       mayExceed: () => waitForTurn(opts),
     });
+    tallyParts(opts, parts);
   } catch (error) {
     return createInterrupted({ ...opts, lastEventId }, describeError(error));
   }
   const bodyBytes = parts.reduce((sum, { length }) => sum + length, 0);
-  opts.tally.recordChunk({ bytes: bodyBytes, events: 0, isWithinEvent: false });
-  opts.tally.recordEnd();
-  const bodyEnd = findBufferedEnd(response.bodyEnd, bodyBytes);
-  if (bodyEnd !== 'close' && (await isCutByCrash(opts))) {
-    return createInterrupted({ ...opts, lastEventId }, CUT_BY_CRASH);
+  const fault = await findFault(opts);
+  if (fault !== undefined) {
+    return createInterrupted({ ...opts, lastEventId }, fault);
   }
+  const bodyEnd = findBufferedEnd(response.bodyEnd, bodyBytes);
   opts.onData(0);
   const { status, passedHeaders } = response;
   exchange.writeHead({ status, passedHeaders, bodyEnd, bodyBytes });
@@ -102,7 +106,7 @@
 }
 
 async function forwardStream(opts: Forwarding): Promise<Forwarded> {
-  const { exchange, response } = opts;
+  const { exchange, response, tail } = opts;
   let { hasStarted, resumeAfter: lastEventId } = opts;
   const unusable = findStreamFault(opts);
   if (unusable !== undefined) {
@@ -120,17 +124,19 @@
       }
       opts.onData(part.events);
       lastEventId = part.lastEventId ?? lastEventId;
-      await exchange.write([part.bytes]);
+      await exchange.write(tail.push(part.bytes));
     }
   } catch (error) {
     return createInterrupted({ hasStarted, lastEventId }, describeError(error));
   }
-  if (await isCutByCrash(opts)) {
-    return createInterrupted({ hasStarted, lastEventId }, CUT_BY_CRASH);
+  const fault = await findFault(opts);
+  if (fault !== undefined) {
+    return createInterrupted({ hasStarted, lastEventId }, fault);
   }
   if (!hasStarted) {
     exchange.writeHead(head);
   }
+  await exchange.write(tail.release());
   exchange.end();
   return { kind: 'complete', hasStarted: true, lastEventId };
 }
@@ -149,19 +155,28 @@
   return targetEnd === 'none' ? 'none' : 'length';
 }
 
-const CUT_BY_CRASH = 'the target crashed, so the end of a body without length proves nothing';
+function findFault(opts: Forwarding): Promise<string | undefined> {
+  const { response, tally } = opts;
+  return findEndFault({
+    bodyEnd: response.bodyEnd,
+    position: tally.position,
+    findSender: async () => {
+      const sender = await opts.findSender();
+      tally.recordSender(sender);
+      return sender;
+    },
+  });
+}
 
-/**
- * Whether a body may have been cut by a crash of its target: the kernel closes the connections of a
- * process that crashed in an orderly way, which looks like the end of a body without a length.
- */
-async function isCutByCrash(opts: Forwarding): Promise<boolean> {
-  if (opts.response.bodyEnd !== 'close') {
-    return false;
-  }
-  const isGone = await opts.hasTargetCrashed();
-  opts.tally.recordSender(isGone ? 'gone' : 'unknown');
-  return isGone;
+/** Tallies a body that was read as a whole; events are counted only where the last one has to be complete. */
+function tallyParts({ response, tally }: Forwarding, parts: readonly Buffer[]): void {
+  const splitter = EventSplitter.create();
+  const hasEvents = response.isEventStream && response.bodyEnd === 'close';
+  parts.forEach((part) => {
+    const events = hasEvents ? (splitter.push(part)?.events ?? 0) : 0;
+    tally.recordChunk({ bytes: part.length, events, isWithinEvent: !splitter.isBetweenEvents });
+  });
+  tally.recordEnd();
 }
 
 /** Why the head of a response shows that its body must not reach the caller; undefined if it may. */
--- a/packages/router/src/index.ts
+++ b/packages/router/src/index.ts
@@ -15,12 +15,14 @@
   BodyFailure,
   CallerExchange,
   FreeResults,
+  IdentifyTarget,
   ProbeTarget,
   ResponseHead,
   SendCall,
   SendCallOptions,
   SendResponse,
   SendResult,
+  SenderState,
   TargetClient,
 } from './ports.js';
 export { type FrontEnd, runRouter, type RunRouterOptions } from './runRouter.js';
--- a/packages/router/src/ports.ts
+++ b/packages/router/src/ports.ts
@@ -75,12 +75,30 @@
   readonly address: string;
 }) => Promise<'connected' | 'refused' | 'silent'>;
 
+/**
+ * What is known of the process that a target was. `same-start`: it answered. `other-start`: another one has its
+ * address. `gone`: nothing listens there. `unknown`: no answer, or one that does not tell.
+ */
+export type SenderState = 'same-start' | 'other-start' | 'gone' | 'unknown';
+
+/** Asks the process at the address of a target who it is, on a connection of its own. */
+export type IdentifyTarget = (opts: {
+  readonly target: RegisteredTarget;
+  /** Path at which targets of its service say who they are. */
+  readonly path: string;
+}) => Promise<{
+  readonly state: SenderState;
+  /** What the target says about itself, if it has answered. */
+  readonly notice?: TargetNotice | undefined;
+}>;
+
 /** Functions that call targets; implemented by an adapter. */
 export interface TargetClient {
   readonly sendCall: SendCall;
   readonly runPieces: RunPieces;
   readonly freeResults: FreeResults;
   readonly probe: ProbeTarget;
+  readonly identify: IdentifyTarget;
 }
 
 /**
@@ -121,6 +139,8 @@
   readonly refuse: (error: GalenatillerError) => void;
   /** Resolves when all earlier responses of the connection have left, or when the connection has closed. */
   readonly whenNext: () => Promise<void>;
+  /** Whether the protocol of the caller shows where a body of unknown length ends; else its connection does. */
+  readonly hasChunks: boolean;
   readonly writeHead: (head: ResponseHead) => void;
   /** Writes parts of the body together; resolves when more may be written. */
   readonly write: (parts: readonly Buffer[]) => Promise<void>;
--- a/packages/router/src/routerContext.ts
+++ b/packages/router/src/routerContext.ts
@@ -21,6 +21,7 @@
 import type { RouterStop } from './routerStop.js';
 import type { RouteTable } from './routeTable.js';
 import type { SubmitPiece } from './runStages.js';
+import type { SenderChecks } from './senderChecks.js';
 import type { StageTimes } from './stageTimes.js';
 
 /** State and functions that the task of a call uses. */
@@ -52,6 +53,7 @@
   /** Memory for responses of targets that are no streams. */
   readonly bodyMemory: BodyMemory;
   readonly crashDetector: CrashDetector;
+  readonly senderChecks: SenderChecks;
   readonly crashSuspects: CrashSuspects;
   readonly rollouts: Rollouts;
   readonly stop: RouterStop;
--- a/packages/router/src/serveCall.ts
+++ b/packages/router/src/serveCall.ts
@@ -129,7 +129,7 @@
     refuse(opts, createStoppedError(stopped), admitted);
     return;
   }
-  const progress = CallProgress.create({ lastEventId: call.lastEventId });
+  const progress = CallProgress.create({ ...exchange, lastEventId: call.lastEventId });
   const end =
     endForPause(opts, progress) ??
     (await runCall({ ...opts, fingerprints, body: body.value, progress, deadline }));
--- a/packages/router/test/answerEnds.steps.ts
+++ b/packages/router/test/answerEnds.steps.ts
@@ -1,9 +1,20 @@
 /** Steps on answers with neither a length nor chunks. */
 import assert from 'node:assert/strict';
 
-import { Given, Then } from '@cucumber/cucumber';
+import { Given, Then, When } from '@cucumber/cucumber';
 
-import { createChunks, createContext, createEvents, respond, type RouterWorld } from './support.js';
+import type { SenderState } from '../src/ports.js';
+import { SenderChecks } from '../src/senderChecks.js';
+import {
+  createChunks,
+  createContext,
+  createEvents,
+  createTarget,
+  respond,
+  type RouterWorld,
+  startCall,
+  streamEvents,
+} from './support.js';
 
 /** What comes of an answer before it ends. */
 const BODIES: Readonly<Record<string, readonly string[]>> = {
@@ -21,7 +32,8 @@
     this.targetIds = ['a'];
     this.isTargetGone = sender === 'crashes';
     this.context = createContext(this);
-    this.fallback = () => respond({ bodyEnd: 'close', body: createChunks(texts) });
+    const isEventStream = answer === 'stream';
+    this.fallback = () => respond({ bodyEnd: 'close', body: createChunks(texts), isEventStream });
   },
 );
 
@@ -35,3 +47,118 @@
     );
   },
 );
+
+interface AnswerEndsWorld extends RouterWorld {
+  questions: ((state: SenderState) => void)[];
+  learnt: Promise<SenderState>[];
+}
+
+Given(
+  /^a target whose (stream|plain body) ends (.+), and whose process then shows itself as "([^"]*)"$/,
+  function given(this: RouterWorld, answer: string, where: string, sender: SenderState) {
+    answerFirst(this, { texts: BODIES[`${answer} ${where}`], isStream: answer === 'stream' });
+    this.fallback = this.scripts[0] ?? this.fallback;
+    this.senderState = sender;
+  },
+);
+
+Given(
+  'a first target whose stream ends between events, and whose process then shows itself as {string}',
+  function given(this: RouterWorld, sender: SenderState) {
+    answerFirst(this, { texts: BODIES['stream between events'], isStream: true });
+    this.fallback = streamEvents;
+    this.senderState = sender;
+  },
+);
+
+Given(
+  'a target whose stream ends between events, and whose process shows itself at the {int}th question',
+  function given(this: RouterWorld, question: number) {
+    answerFirst(this, { texts: BODIES['stream between events'], isStream: true });
+    Object.defineProperty(this, 'senderState', {
+      get: () => (this.probes < question ? 'unknown' : 'same-start'),
+    });
+  },
+);
+
+/** Makes the first send end with a body without framing. */
+function answerFirst(
+  world: RouterWorld,
+  opts: { readonly texts: readonly string[] | undefined; readonly isStream: boolean },
+): void {
+  const { texts, isStream: isEventStream } = opts;
+  assert.ok(texts);
+  world.scripts = [() => respond({ bodyEnd: 'close', body: createChunks(texts), isEventStream })];
+}
+
+Given("the caller's protocol has no chunks", function given(this: RouterWorld) {
+  this.hasChunks = false;
+});
+
+When(
+  'a {string} call is made and {int} ms pass',
+  async function when(this: RouterWorld, name: string, byMs: number) {
+    const callerTimeoutMs = 5_000;
+    startCall(this, { path: `/${name}/x`, callerTimeoutMs });
+    await this.routerClock.advance({ byMs });
+  },
+);
+
+Then(
+  'no write before the end completed an event that was the last one',
+  function then(this: RouterWorld) {
+    const { writes } = this.received;
+    assert.ok(writes.length > 2);
+    assert.equal(writes.at(-1), '\n');
+    const partial = writes.slice(0, -1).map((_write, index) => writes.slice(0, index + 1).join(''));
+    assert.deepEqual(
+      partial.filter((text) => text.endsWith('\n\n')),
+      [],
+    );
+  },
+);
+
+Then(
+  'the caller gets the events {int} to {int} without the last byte, and an aborted response',
+  function then(this: RouterWorld, from: number, to: number) {
+    assert.equal(this.received.bytes, createEvents(from, to).join('').slice(0, -1));
+    assert.deepEqual([this.received.isEnded, this.received.isAborted], [false, true]);
+  },
+);
+
+Given(
+  'a question to a target is in progress when two bodies end',
+  function given(this: AnswerEndsWorld) {
+    this.questions = [];
+    const checks = SenderChecks.create({
+      timer: this.routerTimer,
+      mayAsk: () => true,
+      ask: () =>
+        new Promise((resolve) => {
+          this.questions.push(resolve);
+        }),
+    });
+    const { signal } = new AbortController();
+    this.learnt = [1, 2, 3].map(() =>
+      checks.check({ target: createTarget('a'), limitMs: 1_000, signal }),
+    );
+  },
+);
+
+When(
+  'the target answers that it runs, and is gone at the next question',
+  async function when(this: AnswerEndsWorld) {
+    this.questions[0]?.('same-start');
+    await this.learnt[0];
+    await this.routerClock.advance({ byMs: 1 });
+    this.questions[1]?.('gone');
+  },
+);
+
+Then(
+  'the first asker learns {string} and the other two {string}, by {int} questions',
+  async function then(this: AnswerEndsWorld, first: string, others: string, questions: number) {
+    assert.deepEqual(await Promise.all(this.learnt), [first, others, others]);
+    assert.equal(this.questions.length, questions);
+  },
+);
--- a/packages/router/test/freeNotices.steps.ts
+++ b/packages/router/test/freeNotices.steps.ts
@@ -73,6 +73,7 @@
       sendCall: notUsed,
       runPieces: notUsed,
       probe: notUsed,
+      identify: notUsed,
       freeResults: async ({ targetId }) => {
         assert.equal(targetId, 'a');
         await timer.sleep({ delayMs: ANSWER_MS });
--- a/packages/router/test/router.feature
+++ b/packages/router/test/router.feature
@@ -194,7 +194,7 @@
       | state   | bytes | outcome                                            |
       | crashes | 16385 | the caller gets 502                                |
       | lives   | 16385 | the caller gets a response that ends by its length |
-      | crashes | 800   | the caller gets a response that ends by its close  |
+      | crashes | 800   | the caller gets 502                                |
       | lives   | 800   | the caller gets a response that ends by its close  |
 
   Scenario Outline: A stream without a length is only forwarded as complete if its target lives
--- a/packages/router/test/routerEvidence.steps.ts
+++ b/packages/router/test/routerEvidence.steps.ts
@@ -63,10 +63,9 @@
     this.isTargetGone = state === 'crashes';
     this.context = createContext(this);
     this.fallback = (opts) => {
-      const texts = opts.call.path.includes('stream')
-        ? createEvents(1, 2)
-        : ['x'.repeat(Number(bytes))];
-      return respond({ bodyEnd: 'close', body: createChunks(texts) });
+      const isEventStream = opts.call.path.includes('stream');
+      const texts = isEventStream ? createEvents(1, 2) : ['x'.repeat(Number(bytes))];
+      return respond({ bodyEnd: 'close', body: createChunks(texts), isEventStream });
     };
   },
 );
--- a/packages/router/test/stopWorld.ts
+++ b/packages/router/test/stopWorld.ts
@@ -228,6 +228,7 @@
         Object.assign(seen, { status, isNotRun, retryAfterMs: error.retryAfterMs });
         finish('refused');
       },
+      hasChunks: true,
       whenNext: () => Promise.resolve(),
       writeHead: ({ status }) => Object.assign(seen, { status, hasStarted: true }),
       write: () => Promise.resolve(),
--- a/packages/router/test/support.ts
+++ b/packages/router/test/support.ts
@@ -28,14 +28,23 @@
 import { CallCounter } from '../src/callCounter.js';
 import { CrashDetector } from '../src/crashDetector.js';
 import { createDurations } from '../src/createDurations.js';
-import type { CallerExchange, ResponseHead, SendCallOptions, SendResult } from '../src/ports.js';
+import type {
+  CallerExchange,
+  ResponseHead,
+  SendCallOptions,
+  SenderState,
+  SendResult,
+} from '../src/ports.js';
 import type { RouterContext } from '../src/routerContext.js';
 import type { RouteTable } from '../src/routeTable.js';
+import { SenderChecks } from '../src/senderChecks.js';
 import { serveCall } from '../src/serveCall.js';
 import { CALLER_LIMITS, createStageService } from './testLimits.js';
 import { type AdmissionInputs, createTestAdmission } from './testAdmission.js';
 import { createTestRollouts } from './testRollouts.js';
 
+export { createChunks, createEvents, respond, streamEvents } from './scriptedResponses.js';
+
 export type SendScript = (opts: SendCallOptions) => SendResult | Promise<SendResult>;
 
 interface ReceivedResponse {
@@ -44,6 +53,8 @@
   /** Time from the call to its refusal. */
   refusedAfterMs?: number;
   bytes: string;
+  /** What was written, write by write. */
+  readonly writes: string[];
   isEnded: boolean;
   isAborted: boolean;
   readonly disconnect: AbortController;
@@ -60,6 +71,10 @@
   targetIds: readonly string[] | undefined;
   /** Whether probes find no process at the address of a target. */
   isTargetGone: boolean;
+  /** Answer to the question who a target is; by default, that it runs unless it is gone. */
+  senderState?: SenderState;
+  /** Whether the caller's protocol has chunks; unset if it has. */
+  hasChunks?: boolean;
   /** Number of checks whether the process of a target still runs. */
   probes: number;
   noticeEvents: TargetNoticeEvent[];
@@ -152,44 +167,6 @@
   };
 }
 
-export function respond(
-  changes: Partial<Extract<SendResult, { kind: 'answered' }>> = {},
-): SendResult {
-  return {
-    kind: 'answered',
-    status: 200,
-    isSealed: true,
-    isEventStream: true,
-    passedHeaders: ['X-From', 'target'],
-    bodyEnd: 'length',
-    body: createChunks(['whole']),
-    discard: () => {},
-    ...changes,
-  };
-}
-
-export async function* createChunks(
-  texts: readonly string[],
-  failure?: string,
-): AsyncGenerator<Buffer> {
-  for (const text of texts) {
-    yield Buffer.from(text);
-  }
-  if (failure !== undefined) {
-    throw new Error(failure);
-  }
-}
-
-export function createEvents(from: number, to: number): string[] {
-  return Array.from({ length: to - from + 1 }, (_, index) => `id: ${from + index}\ndata: x\n\n`);
-}
-
-export function streamEvents(opts: SendCallOptions): SendResult {
-  return respond({
-    body: createChunks(createEvents(Number(opts.lastEventId || '0') + 1, 4)),
-  });
-}
-
 /** Creates notices that tell nobody about what targets say. */
 export function createSilentNotices(timer: TimerService): TargetNotices {
   return TargetNotices.create({ timer, random: () => 0.5, share: () => {}, onEvent: () => {} });
@@ -249,6 +226,7 @@
       runPieces: () => Promise.reject(new Error('not used')),
       freeResults: async () => undefined,
       probe: async () => 'connected',
+      identify: () => Promise.reject(new Error('not used')),
     },
     rollouts: createTestRollouts(timer),
     crashDetector: CrashDetector.create({
@@ -258,6 +236,14 @@
       },
       mayProbe: (target) => notices.tryProbe(toTargetStart(target)),
     }),
+    senderChecks: SenderChecks.create({
+      timer,
+      ask: () => {
+        world.probes += 1;
+        return Promise.resolve(world.senderState ?? (world.isTargetGone ? 'gone' : 'same-start'));
+      },
+      mayAsk: (target) => notices.tryProbe(toTargetStart(target)),
+    }),
     bodyMemory: createResponseMemory(),
     crashSuspects: CrashSuspects.create({ timer, share: () => {}, onStopped: () => {} }),
     submitPiece: ({ piece }) => {
@@ -280,6 +266,7 @@
 function createExchange(world: RouterWorld, changes: Partial<RoutedCall>): CallerExchange {
   const received: ReceivedResponse = {
     bytes: '',
+    writes: [],
     isEnded: false,
     isAborted: false,
     disconnect: new AbortController(),
@@ -297,13 +284,16 @@
       received.refusal = error;
       received.refusedAfterMs = world.routerTimer.nowMs() - receivedAtMs;
     },
+    hasChunks: world.hasChunks ?? true,
     whenNext: () => Promise.resolve(),
     writeHead: (head) => {
       assert.equal(received.head, undefined, 'a second head');
       received.head = head;
     },
     write: (parts) => {
-      received.bytes += Buffer.concat(parts).toString();
+      const text = Buffer.concat(parts).toString();
+      received.bytes += text;
+      received.writes.push(text);
       return Promise.resolve();
     },
     end: () => {
--- a/packages/types/src/routerConfig.ts
+++ b/packages/types/src/routerConfig.ts
@@ -81,6 +81,8 @@
    * one.
    */
   readonly maxColdRequestsPerSecond: number;
+  /** Path at which a target of the service says who it is; unset if it has none of its own. */
+  readonly statusPath?: string | undefined;
   /** Set only for services that run pieces of stages. */
   readonly batch: BatchLimits | undefined;
   /** Set only for services whose number of workers is set by the routers. */
