--- a/packages/gate/src/policy.ts
+++ b/packages/gate/src/policy.ts
@@ -48,7 +48,7 @@
 }
 
 /** Checks after a broken run whether the target's process has ended. */
-export type ProbeTarget = (opts: ProbeTargetOptions) => Promise<'alive' | 'crashed'>;
+export type ProbeTarget = (opts: ProbeTargetOptions) => Promise<'alive' | 'crashed' | 'unknown'>;
 
 /** Options of {@link GatePolicy.createConcurrencyLimit}. */
 export interface CreateConcurrencyLimitOptions {
--- a/packages/http/src/fetchText.ts
+++ b/packages/http/src/fetchText.ts
@@ -13,6 +13,7 @@
 export interface TextResponse {
   readonly status: number;
   readonly header: StreamedResponse['header'];
+  readonly bodyEnd: StreamedResponse['bodyEnd'];
   readonly text: string;
 }
 
@@ -24,10 +25,10 @@
   if (response.isErr) {
     return Result.err(response.error);
   }
-  const { status, header, body } = response.value;
+  const { status, header, bodyEnd, body } = response.value;
   try {
     const bytes = await readAll({ body, maxBytes: MAX_RESPONSE_BYTES });
-    return Result.ok({ status, header, text: bytes.toString('utf8') });
+    return Result.ok({ status, header, bodyEnd, text: bytes.toString('utf8') });
   } catch (cause) {
     return Result.err(createTransportError({ cause, signal: opts.signal }));
   }
--- a/packages/http/src/index.ts
+++ b/packages/http/src/index.ts
@@ -9,7 +9,11 @@
   type SendRequestOptions,
   type StreamedResponse,
 } from './sendRequest.js';
-export { probeTargetProcess, type ProbeTargetProcessOptions } from './probeTargetProcess.js';
+export {
+  probeTargetProcess,
+  type ProbeTargetProcessOptions,
+  type TargetProcessState,
+} from './probeTargetProcess.js';
 export { decodeTargetNotice, type DecodeTargetNoticeOptions } from './decodeTargetNotice.js';
 export { isOwnResponse, type IsOwnResponseOptions } from './isOwnResponse.js';
 export { parseAddress, type SocketAddress } from './parseAddress.js';
--- a/packages/http/src/sendRequest.ts
+++ b/packages/http/src/sendRequest.ts
@@ -1,6 +1,6 @@
 import { GalenatillerError } from '@galenatiller/error';
 import { systemClock, TimerService } from '@galenatiller/timer';
-import type { TargetNotice } from '@galenatiller/types';
+import type { BodyEnd, TargetNotice } from '@galenatiller/types';
 import { Result } from 'true-myth';
 import { buildConnector, type Dispatcher } from 'undici';
 
@@ -52,6 +52,7 @@
   readonly status: number;
   /** Returns the value of a response header, or an empty string. */
   readonly header: (name: string) => string;
+  readonly bodyEnd: BodyEnd;
   readonly body: AsyncIterable<Buffer>;
 }
 
@@ -79,7 +80,7 @@
     );
   }
   try {
-    const { statusCode, headers, body } = await exchange(opts);
+    const { statusCode, headers, bodyEnd, body } = await exchange(opts);
     const header = (name: string): string => joinValues(headers[name]);
     const notice = decodeTargetNotice({
       status: statusCode,
@@ -89,7 +90,7 @@
     if (notice) {
       opts.onNotice?.(notice, header('x-engine-start-id'));
     }
-    return Result.ok({ status: statusCode, header, body });
+    return Result.ok({ status: statusCode, header, bodyEnd, body });
   } catch (cause) {
     return Result.err(createTransportError({ cause, signal }));
   }
@@ -98,7 +99,8 @@
 async function exchange(
   opts: SendRequestOptions,
 ): Promise<
-  Pick<Dispatcher.ResponseData, 'headers' | 'statusCode'> & Pick<StreamedResponse, 'body'>
+  Pick<Dispatcher.ResponseData, 'headers' | 'statusCode'> &
+    Pick<StreamedResponse, 'body' | 'bodyEnd'>
 > {
   const { origin, pathname, search } = new URL(`${opts.url}${opts.path}`);
   const connection =
@@ -114,7 +116,7 @@
     const mayKeep = !opts.isConnectionNew && isReusable(bodyEnd, headers.connection);
     const keep = mayKeep ? () => idleConnections.keep(origin, connection) : undefined;
     const body = readBody({ connection, body: response.body, bodyEnd, keep });
-    return { statusCode, headers, body };
+    return { statusCode, headers, bodyEnd, body };
   } catch (cause) {
     closeConnection(connection);
     throw cause;
--- a/packages/service/src/runServiceCall.ts
+++ b/packages/service/src/runServiceCall.ts
@@ -4,8 +4,10 @@
   fetchText,
   findStatusError,
   type OnTargetNotice,
+  probeTargetProcess,
   type TextResponse,
 } from '@galenatiller/http';
+import { systemClock, TimerService } from '@galenatiller/timer';
 import type { StageRequest, StageResult } from '@galenatiller/types';
 import { Result } from 'true-myth';
 
@@ -48,7 +50,42 @@
     body: encodeCall(input.body),
     isConnectionNew: true,
   });
-  return response.andThen(readResponse);
+  const read = response.andThen(readResponse);
+  if (response.isErr || read.isErr || (await isComplete(opts, response.value, read.value))) {
+    return read;
+  }
+  const detail = 'the service does not run on, so a number without framing may be cut';
+  return Result.err(GalenatillerError.create({ name: 'stream-broken', detail }));
+}
+
+/** Time for the service to say that it still runs. */
+const PROBE_TIMEOUT_MS = 400;
+
+const timer = TimerService.create({ clock: systemClock });
+
+/**
+ * Whether a result is complete. Of all JSON values only a number is still one when it is cut; without framing
+ * it is complete only if the process that sent it still runs.
+ */
+async function isComplete(
+  { url, signal }: RunServiceCallOptions,
+  response: TextResponse,
+  result: StageResult,
+): Promise<boolean> {
+  const isCertain = response.bodyEnd !== 'close' || result.kind !== 'call';
+  if (isCertain || typeof result.body !== 'number') {
+    return true;
+  }
+  const knownStartId = response.header('x-engine-start-id');
+  const limit = timer.startTimeLimit({ limitMs: PROBE_TIMEOUT_MS, parent: signal });
+  const state = await probeTargetProcess({
+    url,
+    knownStartId,
+    isConnectionNew: true,
+    signal: limit.signal,
+  });
+  limit.release();
+  return state === 'alive';
 }
 
 function readResponse({ status, text }: TextResponse): Result<StageResult, GalenatillerError> {
--- a/packages/service/test/service.feature
+++ b/packages/service/test/service.feature
@@ -29,3 +29,21 @@
     And the service is called with key "k2" and body '{"reorder":"cerium"}'
     And the service is called with key "k3" and body '{"reorder":"cerium"}'
     Then the service call succeeds
+
+  # Guards against a number that is cut by the crash of its service and taken for the whole result.
+  Scenario Outline: A number without framing is a result only if its service still runs
+    Given a service that answers a number without framing, and then <after>
+    When the service is called with key "k1" and body '{"reorder":"cerium"}'
+    Then the service call <result>
+
+    Examples:
+      | after              | result                                                      |
+      | runs on            | succeeds                                                    |
+      | is gone            | fails as "stream-broken" with outcome "may-have-run"        |
+      | is another process | fails as "stream-broken" with outcome "may-have-run"        |
+      | falls silent       | fails as "stream-broken" with outcome "may-have-run"        |
+
+  Scenario: A value that shows its own end needs no framing and no service that runs on
+    Given a service that answers an object without framing, and then is gone
+    When the service is called with key "k1" and body '{"reorder":"cerium"}'
+    Then the service call succeeds
--- a/packages/service/test/service.steps.ts
+++ b/packages/service/test/service.steps.ts
@@ -63,6 +63,35 @@
   },
 );
 
+/** What a service without framing does once it has answered. */
+type AfterAnswer = 'runs on' | 'is gone' | 'is another process' | 'falls silent';
+
+Given(
+  /^a service that answers (a number|an object) without framing, and then (.+)$/,
+  async function given(this: ServiceWorld, value: string, after: AfterAnswer) {
+    const body = value === 'a number' ? '12' : '{"count":12}';
+    this.rawService = createServer((socket) => {
+      socket.on('error', () => {});
+      socket.on('data', (bytes) => {
+        if (bytes.includes('POST /v1/call')) {
+          socket.end(`HTTP/1.1 200 OK\r\nX-Engine-Start-Id: start-1\r\n\r\n${body}`);
+          if (after === 'is gone') {
+            this.rawService?.close();
+          }
+        } else if (bytes.includes('GET /load') && after !== 'falls silent') {
+          const startId = after === 'runs on' ? 'start-1' : 'start-2';
+          socket.write(
+            `HTTP/1.1 200 OK\r\nX-Engine-Start-Id: ${startId}\r\nContent-Length: 2\r\n\r\n{}`,
+          );
+        }
+      });
+    });
+    await once(this.rawService.listen(0, '127.0.0.1'), 'listening');
+    const bound = this.rawService.address();
+    this.serviceUrl = `http://127.0.0.1:${typeof bound === 'object' && bound ? bound.port : 0}`;
+  },
+);
+
 Then('the service call succeeds', function then(this: ServiceWorld) {
   assert.ok(
     this.serviceResult.isOk,
