--- a/packages/metrics/src/routerMetrics.ts
+++ b/packages/metrics/src/routerMetrics.ts
@@ -51,6 +51,14 @@
     role: 'router',
     meaning: 'Sends of calls to targets, by how they ended.',
   },
+  {
+    name: 'router.answers_without_framing',
+    type: 'count',
+    unit: 'answers',
+    tags: ['sender'],
+    role: 'router',
+    meaning: 'Answers with neither a length nor chunks, by what their sender showed at the end.',
+  },
   {
     name: 'router.store_calls',
     type: 'count',
--- a/packages/router/src/observeAttempt.ts
+++ b/packages/router/src/observeAttempt.ts
@@ -10,7 +10,10 @@
 
 /** An attempt to send a call to a target. */
 export interface ObservedAttempt {
-  readonly context: Pick<RouterContext, 'timer' | 'log' | 'inFlight' | 'wholeResponseTimes'>;
+  readonly context: Pick<
+    RouterContext,
+    'timer' | 'log' | 'metrics' | 'inFlight' | 'wholeResponseTimes'
+  >;
   readonly exchange: Pick<CallerExchange, 'call' | 'disconnected'>;
   readonly admitted: AdmittedCall;
   readonly progress: CallProgress;
@@ -106,6 +109,10 @@
 ): void {
   const { context, exchange, target, response, forwarded } = opts;
   const { bodyEnd: framing } = response;
+  if (framing === 'close') {
+    const tags = { sender: forwarded.body.sender };
+    context.metrics.count({ name: 'router.answers_without_framing', tags });
+  }
   if (framing !== 'close' && forwarded.kind === 'complete') {
     return;
   }
