--- a/packages/router/test/answerEnds.feature
+++ b/packages/router/test/answerEnds.feature
@@ -75,3 +75,15 @@
     And a target whose stream ends between events, and whose process then shows itself as "gone"
     When a "stream" call is made and 1500 ms pass
     Then the caller gets the events 1 to 2 without the last byte, and an aborted response
+
+  # Guards against an answer that counts as complete because a pause forbids the question whether its target still runs.
+  Scenario: A target that may not be asked is not known to run
+    Given a target that may not be asked when a body ends
+    When the router runs for 600 ms
+    Then nobody asked the target, and the asker with 500 ms learns "unknown"
+
+  # Guards against a call that goes on for the time of a question although its deadline is over or its caller has left.
+  Scenario: A question ends with its call
+    Given a question to a target is in progress when two bodies end
+    When their calls are aborted
+    Then the askers learn "unknown" at once
--- a/packages/router/test/answerEnds.steps.ts
+++ b/packages/router/test/answerEnds.steps.ts
@@ -51,6 +51,23 @@
 interface AnswerEndsWorld extends RouterWorld {
   questions: ((state: SenderState) => void)[];
   learnt: Promise<SenderState>[];
+  /** Aborts the calls of those who ask. */
+  calls: AbortController;
+}
+
+/** Creates checks whose questions wait for a step to answer them. */
+function createChecks(
+  world: AnswerEndsWorld,
+  { mayAsk }: { readonly mayAsk: boolean },
+): SenderChecks {
+  return SenderChecks.create({
+    timer: world.routerTimer,
+    mayAsk: () => mayAsk,
+    ask: () =>
+      new Promise((resolve) => {
+        world.questions.push(resolve);
+      }),
+  });
 }
 
 Given(
@@ -130,15 +147,9 @@
   'a question to a target is in progress when two bodies end',
   function given(this: AnswerEndsWorld) {
     this.questions = [];
-    const checks = SenderChecks.create({
-      timer: this.routerTimer,
-      mayAsk: () => true,
-      ask: () =>
-        new Promise((resolve) => {
-          this.questions.push(resolve);
-        }),
-    });
-    const { signal } = new AbortController();
+    this.calls = new AbortController();
+    const { signal } = this.calls;
+    const checks = createChecks(this, { mayAsk: true });
     this.learnt = [1, 2, 3].map(() =>
       checks.check({ target: createTarget('a'), limitMs: 1_000, signal }),
     );
@@ -162,3 +173,33 @@
     assert.equal(this.questions.length, questions);
   },
 );
+
+Given('a target that may not be asked when a body ends', function given(this: AnswerEndsWorld) {
+  this.questions = [];
+  const { signal } = new AbortController();
+  const checks = createChecks(this, { mayAsk: false });
+  this.learnt = [checks.check({ target: createTarget('a'), limitMs: 500, signal })];
+});
+
+When('the router runs for {int} ms', function when(this: RouterWorld, byMs: number) {
+  return this.routerClock.advance({ byMs });
+});
+
+Then(
+  'nobody asked the target, and the asker with 500 ms learns {string}',
+  async function then(this: AnswerEndsWorld, state: string) {
+    assert.deepEqual(await Promise.all(this.learnt), [state]);
+    assert.equal(this.questions.length, 0);
+  },
+);
+
+When('their calls are aborted', function when(this: AnswerEndsWorld) {
+  this.calls.abort();
+});
+
+Then(
+  'the askers learn {string} at once',
+  async function then(this: AnswerEndsWorld, state: string) {
+    assert.deepEqual(await Promise.all(this.learnt), [state, state, state]);
+  },
+);
