--- a/packages/router/src/forwardResponse.ts
+++ b/packages/router/src/forwardResponse.ts
@@ -32,14 +32,14 @@
   readonly onData: (events: number) => void;
 }
 
-/** How forwarding a response ended. */
-export type ForwardResult = {
+type Forwarded = {
   readonly hasStarted: boolean;
   readonly lastEventId: string;
-  /** What was seen of the body. */
-  readonly body: BodyReport;
 } & ({ readonly kind: 'complete' } | { readonly kind: 'interrupted'; readonly detail: string });
 
+/** How forwarding a response ended, and what was seen of its body. */
+export type ForwardResult = Forwarded & { readonly body: BodyReport };
+
 /** Forwards a response to the caller: a stream event by event, anything else once it is complete. */
 export async function forwardResponse(opts: ForwardResponseOptions): Promise<ForwardResult> {
   const isStream = opts.isStream || opts.response.isEventStream;
@@ -51,9 +51,6 @@
 
 type Forwarding = ForwardResponseOptions & { readonly tally: BodyTally };
 
-type Forwarded = Omit<ForwardResult, 'body'> &
-  ({ readonly kind: 'complete' } | { readonly kind: 'interrupted'; readonly detail: string });
-
 async function forwardBuffered(opts: Forwarding): Promise<Forwarded> {
   const { exchange, response, resumeAfter: lastEventId } = opts;
   if (response.status < 300 && !response.isSealed) {
@@ -155,6 +152,7 @@
   return targetEnd === 'none' ? 'none' : 'length';
 }
 
+/** Why a body that has ended must not reach the caller as complete; undefined if it may. */
 function findFault(opts: Forwarding): Promise<string | undefined> {
   const { response, tally } = opts;
   return findEndFault({
