--- a/packages/router/src/createOperatorHandlers.ts
+++ b/packages/router/src/createOperatorHandlers.ts
@@ -61,8 +61,9 @@
 }
 
 function applyEntry(opts: OperatorHandlersOptions, entry: PrefixEntry): void {
-  const { log, routes, targets } = opts;
+  const { timer, log, routes, targets } = opts;
   const { key, revision: storeRevision } = entry;
+  const startedAtMs = timer.nowMs();
   const decoded = opts.operatorEntries.decode(entry);
   if (decoded.kind === 'zone-out') {
     targets.setZoneOut({ zone: decoded.zone, isOut: true, storeRevision });
@@ -83,7 +84,10 @@
   const { version } = decoded.configuration;
   const before = routes.currentConfiguration()?.version;
   const outcome = routes.update(decoded.configuration);
-  log({ about: 'belief', event: 'configuration', version, before, storeRevision, outcome });
+  const size = { bytes: entry.value.length, routes: decoded.configuration.routes.length };
+  const tookMs = Math.round(timer.nowMs() - startedAtMs);
+  const line = { version, before, storeRevision, ...size, tookMs };
+  log({ about: 'belief', event: 'configuration', ...line, outcome });
   if (outcome === 'adopted') {
     logProblems(opts);
   }
