--- a/fakes/src/platform/fakePlatformStore.ts
+++ b/fakes/src/platform/fakePlatformStore.ts
@@ -26,9 +26,16 @@
 /**
  * How the store treats calls of routers. `busy` responds with 503, `silent` never responds, and
  * `reset` closes the connection without a response. `forgets` responds to the next watch with 410,
- * because the history is lost, and then changes back to `up`.
+ * because the history is lost, and then changes back to `up`. `breaks-off` and `stalls` send half of the next
+ * response and then reset the connection, or nothing more; both change back to `up`.
  */
-export type PlatformStoreMode = 'up' | 'busy' | 'silent' | 'reset' | 'forgets';
+export type PlatformStoreMode =
+  'up' | 'busy' | 'silent' | 'reset' | 'forgets' | 'breaks-off' | 'stalls';
+
+/** How often a limited link carries a part of a response. */
+const LINK_INTERVAL_MS = 20;
+
+const MS_PER_S = 1_000;
 
 const MAX_WAIT_MS = 30_000;
 
@@ -40,6 +47,9 @@
   /** Era that the store states in all responses. */
   era = 1;
 
+  /** Rate at which the body of a response is sent. */
+  linkBytesPerSecond = Infinity;
+
   private revision = 1;
 
   private nextLease = 1;
@@ -192,7 +202,36 @@
   private respond(exchange: FakeExchange, status: number, body: object): void {
     const headers = { 'Content-Type': 'application/json', 'Store-Era': String(this.era) };
     exchange.response.writeHead(status, headers);
-    exchange.response.end(JSON.stringify(body));
+    const bytes = Buffer.from(JSON.stringify(body));
+    const { mode } = this;
+    if (mode === 'breaks-off' || mode === 'stalls') {
+      this.mode = 'up';
+      exchange.response.write(bytes.subarray(0, bytes.length / 2), () => {
+        if (mode === 'breaks-off') {
+          exchange.response.destroy();
+        }
+      });
+      return;
+    }
+    if (this.linkBytesPerSecond === Infinity) {
+      exchange.response.end(bytes);
+      return;
+    }
+    this.sendSlowly(exchange, bytes);
+  }
+
+  private sendSlowly({ response, signal }: FakeExchange, bytes: Buffer): void {
+    const partBytes = Math.ceil((this.linkBytesPerSecond * LINK_INTERVAL_MS) / MS_PER_S);
+    let sentBytes = 0;
+    const timer = setInterval(() => {
+      response.write(bytes.subarray(sentBytes, sentBytes + partBytes));
+      sentBytes += partBytes;
+      if (sentBytes >= bytes.length) {
+        clearInterval(timer);
+        response.end();
+      }
+    }, LINK_INTERVAL_MS);
+    signal.addEventListener('abort', () => clearInterval(timer), { once: true });
   }
 
   private waitForChange(opts: {
--- a/packages/store/test/relay.feature
+++ b/packages/store/test/relay.feature
@@ -64,3 +64,43 @@
     And 1500 ms pass at the follower
     Then the follower knows "a, b, large"
     And it has read the store itself
+
+  # Guards against a fleet that reads a large value from the store all at once, since no reader passes it on.
+  Scenario: A large entry comes through the reader
+    When an entry of 700000 bytes is added to the store
+    And 1500 ms pass at the follower
+    Then the follower knows "a, b, large"
+    And it has read the store 0 times since it found the reader
+
+  # Guards against a link that is full for each version of a large value, however little of it changes.
+  Scenario: A small change of a large entry moves only the part that changed
+    When an entry of 700000 bytes is added to the store
+    And 1500 ms pass at the follower
+    And 100 bytes in the middle of the large entry are replaced by 90 others
+    And 1500 ms pass at the follower
+    Then the follower has the large entry as it is in the store
+    And under 20000 bytes went over the link for the last change
+    And it has read the store 0 times since it found the reader
+
+  # Guards against a link that is full for each version which a follower has missed.
+  Scenario: A follower that has missed versions of a large entry gets only the newest one
+    When an entry of 700000 bytes is added to the store
+    And 1500 ms pass at the follower
+    And the reader is silent while the large entry is replaced as a whole 5 times
+    Then the follower has the large entry as it is in the store
+    And under 900000 bytes went over the link for the last change
+
+  # Guards against many small entries that no reader passes on, since together they are large.
+  Scenario: Many entries come through the reader
+    When 3000 entries are added to the store at once
+    And 1500 ms pass at the follower
+    Then the follower knows all entries of the store
+    And it has read the store 0 times since it found the reader
+
+  # Guards against a first read of many entries for which every starting node asks the store.
+  Scenario: A node that starts reads many entries through the reader
+    Given 3000 entries are added to the store at once
+    And 1500 ms pass at the follower
+    When a second follower starts
+    And 1500 ms pass at the follower
+    Then the second follower knows all entries of the store without reading it
--- a/packages/store/test/relay.steps.ts
+++ b/packages/store/test/relay.steps.ts
@@ -1,45 +1,20 @@
 import assert from 'node:assert/strict';
 
 import { After, Given, Then, When } from '@cucumber/cucumber';
-import {
-  createRelayedSource,
-  type PrefixChange,
-  type PrefixEntry,
-  PrefixMirror,
-  PrefixRelay,
-  type PrefixSource,
-  type RelayLink,
-  StatedEra,
-} from '@galenatiller/store';
+import { PrefixRelay, StatedEra } from '@galenatiller/store';
 import { ManualClock, TimerService } from '@galenatiller/timer';
 
 import { RelayStore } from './relayStore.js';
-
-type ReaderMode = 'up' | 'killed' | 'silent' | 'late' | 'stale';
-
-interface RelayWorld {
-  clock: ManualClock;
-  timer: TimerService;
-  store: RelayStore;
-  relay: PrefixRelay;
-  reader: PrefixMirror;
-  readerEra: StatedEra;
-  follower: PrefixMirror;
-  followerEra: StatedEra;
-  followerKeys: Set<string>;
-  toldChanges: number;
-  /** Changes that the reader itself was told of. */
-  readerChanges: number;
-  directReads: number;
-  mode: ReaderMode;
-  /** Whether the follower's responses were younger than the evidence behind them. */
-  wasTooYoung: boolean;
-  maxAgeMs: number;
-  stopRelay: AbortController;
-}
-
-const PREFIX = 'p/';
-const STEP_MS = 20;
+import {
+  applyChange,
+  createFollowerSource,
+  createMirror,
+  isEquivalent,
+  LARGE_KEY,
+  passTime,
+  PREFIX,
+  type RelayWorld,
+} from './relayWorld.js';
 
 Given(
   'a reader of a store that contains "a" and "b", and a follower that reads through it',
@@ -71,10 +46,14 @@
     this.follower = createMirror(this, createFollowerSource(this), this.followerEra, {
       onEntries: (entries) => {
         this.followerKeys = new Set(entries.map(({ key }) => key.slice(PREFIX.length)));
+        this.followerValue = entries.find(({ key }) => key === LARGE_KEY)?.value;
       },
       onChange: (change) => {
         this.toldChanges += 1;
         applyChange(this.followerKeys, change);
+        if (change.kind === 'put' && change.entry.key === LARGE_KEY) {
+          this.followerValue = change.entry.value;
+        }
       },
     });
     this.reader.run({ signal }).catch(assert.ifError);
@@ -82,6 +61,7 @@
     this.follower.run({ signal }).catch(assert.ifError);
     await this.clock.advance({ byMs: 50 });
     this.directReads = 0;
+    this.linkBytes = 0;
     this.toldChanges = 0;
   },
 );
@@ -194,13 +174,6 @@
   },
 );
 
-When(
-  'an entry of {int} bytes is added to the store',
-  function when(this: RelayWorld, bytes: number) {
-    this.store.put('large', Buffer.alloc(bytes));
-  },
-);
-
 Then('the follower knows {string}', function then(this: RelayWorld, keys: string) {
   assert.deepEqual([...this.followerKeys].sort(), keys.split(', '));
 });
@@ -242,102 +215,3 @@
     assert.equal(actualMs >= ageMs, true, `it is ${actualMs} ms old`);
   },
 );
-
-function createMirror(
-  world: RelayWorld,
-  source: PrefixSource,
-  storeEra: StatedEra,
-  handlers: Pick<Parameters<typeof PrefixMirror.create>[0], 'onEntries' | 'onChange'> &
-    Partial<Pick<Parameters<typeof PrefixMirror.create>[0], 'observer'>>,
-): PrefixMirror {
-  return PrefixMirror.create({
-    source,
-    storeEra,
-    timer: world.timer,
-    prefix: PREFIX,
-    waitMs: 1_000,
-    responseMarginMs: 800,
-    random: () => 0.5,
-    onEvent: () => {},
-    ...handlers,
-  });
-}
-
-function createFollowerSource(world: RelayWorld): PrefixSource {
-  return createRelayedSource({
-    direct: countReads(world, world.store.createSource(world.followerEra, 'follower')),
-    storeEra: world.followerEra,
-    timer: world.timer,
-    findRelays: () => (world.mode === 'killed' ? [] : [createLink(world)]),
-    onEvent: () => {},
-  });
-}
-
-function createLink(world: RelayWorld): RelayLink {
-  const { timer, relay } = world;
-  return {
-    name: 'reader',
-    read: async ({ request, signal }) => {
-      if (world.mode === 'silent') {
-        await timer.sleep({ delayMs: 60_000, signal });
-        return undefined;
-      }
-      const response = await relay.respond({ request, signal });
-      if (world.mode === 'late') {
-        await timer.sleep({ delayMs: 3_000, signal });
-        return signal.aborted ? undefined : response;
-      }
-      const isStale = world.mode === 'stale' && response.kind === 'unavailable';
-      return isStale ? createStaleResponse(request.afterRevision) : response;
-    },
-  };
-}
-
-/** What a reader that is behind had read before: "a" and "b", 900 ms ago. */
-function createStaleResponse(
-  afterRevision: number | undefined,
-): Awaited<ReturnType<RelayLink['read']>> {
-  const common = { storeRevision: 2, era: 1, ageMs: 900, heldMs: 0 };
-  return afterRevision === undefined
-    ? { kind: 'entries', entries: [createEntry('a', 1), createEntry('b', 2)], ...common }
-    : { kind: 'unavailable', detail: 'behind' };
-}
-
-function createEntry(key: string, revision: number): PrefixEntry {
-  return { key: `${PREFIX}${key}`, value: Buffer.from(key), revision };
-}
-
-function isEquivalent(before: PrefixEntry, after: PrefixEntry): boolean {
-  return before.value.equals(after.value);
-}
-
-function countReads(world: RelayWorld, source: PrefixSource): PrefixSource {
-  return {
-    readPage: (page) => {
-      world.directReads += 1;
-      return source.readPage(page);
-    },
-    waitForChanges: (wait) => {
-      world.directReads += 1;
-      return source.waitForChanges(wait);
-    },
-  };
-}
-
-function applyChange(keys: Set<string>, change: PrefixChange): void {
-  if (change.kind === 'put') {
-    keys.add(change.entry.key.slice(PREFIX.length));
-  } else {
-    keys.delete(change.key.slice(PREFIX.length));
-  }
-}
-
-/** Lets time pass, and compares the evidence on the way. */
-async function passTime(world: RelayWorld, byMs: number): Promise<void> {
-  for (let passedMs = 0; passedMs < byMs; passedMs += STEP_MS) {
-    await world.clock.advance({ byMs: STEP_MS });
-    const ageMs = world.follower.evidenceAgeMs();
-    world.maxAgeMs = Math.max(world.maxAgeMs, ageMs);
-    world.wasTooYoung ||= ageMs < world.reader.evidenceAgeMs();
-  }
-}
--- a/packages/store/test/relayStore.ts
+++ b/packages/store/test/relayStore.ts
@@ -27,7 +27,7 @@
     return new RelayStore(timer);
   }
 
-  put(name: string, value = Buffer.from(name)): void {
+  put(name: string, value: Buffer = Buffer.from(name)): void {
     this.revision += 1;
     const { revision } = this;
     const change = { kind: 'put', entry: { key: `${PREFIX}${name}`, value, revision } } as const;
@@ -35,6 +35,11 @@
     this.add(change);
   }
 
+  /** Names of all entries, sorted. */
+  names(): readonly string[] {
+    return [...this.entries.keys()].sort();
+  }
+
   remove(name: string): void {
     this.revision += 1;
     this.entries.delete(name);
--- a/packages/target/test/target.feature
+++ b/packages/target/test/target.feature
@@ -98,3 +98,18 @@
   Scenario: A suspended target is used when no other is left
     When the only target is suspended
     Then it is chosen as a last resort
+
+  # Guards against repeats that pile up, as each start had the share that the process before it had used already.
+  Scenario Outline: Nodes that are restarted keep within the retry budget
+    When 31 nodes serve <rate> requests a second, each of which wants a repeat, and <share> of them are restarted at <times> s
+    Then in no window are there more than 0.2 retries per request and 102 more
+
+    Examples:
+      | rate | share | times          |
+      | 30   | 0     | 4              |
+      | 30   | 1     | 4              |
+      | 30   | 0.55  | 3, 6           |
+      | 100  | 0.55  | 3, 6           |
+      | 30   | 1     | 3, 6           |
+      | 100  | 1     | 3, 6           |
+      | 100  | 0.95  | 1.5, 4, 6.5, 9 |
