Pass large values between routers in parts, and many entries in pages

What callers saw: with more than about 370 routes each router read every version from the store itself, all at the same moment, over the links that also carry calls, heartbeats and permits. Cause: a router that reads the store for others refused responses of over 64 KB. Change: a value from 16 KB on is passed on as an outline, the digests of its parts, which are bounded by content. Pages and lists of changes are cut at 64 KB, and a cut list is no evidence. The history keeps only the newest write of a large entry, so that its memory does not grow with versions. Links speak version 7. The scenario that a response which would be too large is read from the store contradicts this; three rows replace it, in which the reader gives no parts, or wrong ones, and the store is read.

--- a/packages/routerLink/src/followRouter.ts
+++ b/packages/routerLink/src/followRouter.ts
@@ -38,7 +38,7 @@
 }
 
 /** Version of the frames; a router closes links from routers of another version. */
-export const LINK_VERSION = 6;
+export const LINK_VERSION = 7;
 
 /**
  * Pings without any frame from the peer after which it gets no further pieces for now: it has more
--- a/packages/routerLink/src/wireRouterFrame.ts
+++ b/packages/routerLink/src/wireRouterFrame.ts
@@ -1,6 +1,6 @@
 /** Encodes frames between routers as CBOR. */
 import { addLengthPrefix, FrameSplitter } from '@galenatiller/framing';
-import type { PrefixChange, PrefixEntry, RelayRequest, RelayResponse } from '@galenatiller/store';
+import type { RelayedChange, RelayedEntry, RelayRequest, RelayResponse } from '@galenatiller/store';
 import type {
   CrashEvidence,
   LeavingEvidence,
@@ -164,39 +164,52 @@
 
 function isRelayRequest(value: unknown): value is RelayRequest {
   const fields = asFields(value);
-  const { afterRevision } = fields;
-  return (
-    areStrings(fields, ['prefix']) &&
-    areNumbers(fields, ['waitMs']) &&
-    (afterRevision === undefined || typeof afterRevision === 'number')
-  );
+  if (!areStrings(fields, ['prefix'])) {
+    return false;
+  }
+  switch (fields.kind) {
+    case 'entries':
+      return areStrings(fields, ['afterKey']);
+    case 'changes':
+      return areNumbers(fields, ['afterRevision', 'waitMs']);
+    default:
+      return fields.kind === 'parts' && isStringList(fields.digests);
+  }
 }
 
 function isRelayResponse(value: unknown): value is RelayResponse {
   const fields = asFields(value);
+  const { entries, changes, parts } = fields;
   if (fields.kind === 'unavailable') {
     return areStrings(fields, ['detail']);
   }
-  const { entries, changes } = fields;
+  if (fields.kind === 'parts') {
+    return Array.isArray(parts) && parts.every((part) => Buffer.isBuffer(part));
+  }
   return (
     areNumbers(fields, ['storeRevision', 'era', 'ageMs', 'heldMs']) &&
+    typeof fields.hasMore === 'boolean' &&
     (fields.kind === 'entries'
-      ? Array.isArray(entries) && entries.every(isPrefixEntry)
-      : fields.kind === 'changes' && Array.isArray(changes) && changes.every(isPrefixChange))
+      ? Array.isArray(entries) && entries.every(isRelayedEntry)
+      : fields.kind === 'changes' && Array.isArray(changes) && changes.every(isRelayedChange))
   );
 }
 
-function isPrefixEntry(value: unknown): value is PrefixEntry {
+function isRelayedEntry(value: unknown): value is RelayedEntry {
   const fields = asFields(value);
+  const outline = asFields(fields.outline);
   return (
-    areStrings(fields, ['key']) && areNumbers(fields, ['revision']) && Buffer.isBuffer(fields.value)
+    areStrings(fields, ['key']) &&
+    areNumbers(fields, ['revision']) &&
+    (Buffer.isBuffer(fields.value) ||
+      [outline.digest, outline.parts].every((field) => Buffer.isBuffer(field)))
   );
 }
 
-function isPrefixChange(value: unknown): value is PrefixChange {
+function isRelayedChange(value: unknown): value is RelayedChange {
   const fields = asFields(value);
   return fields.kind === 'put'
-    ? isPrefixEntry(fields.entry)
+    ? isRelayedEntry(fields.entry)
     : fields.kind === 'delete' && areStrings(fields, ['key']) && areNumbers(fields, ['revision']);
 }
 
--- a/packages/routerLink/test/busyOwner.steps.ts
+++ b/packages/routerLink/test/busyOwner.steps.ts
@@ -4,18 +4,26 @@
 
 import { Then, When } from '@cucumber/cucumber';
 
-import { type LinkWorld, orderPiece, RELAYED, waitUntil } from './linkWorld.js';
+import type { RelayRequest } from '@galenatiller/store';
 
-When('the peer reads changes of the store through the owner', async function when(this: LinkWorld) {
-  const { signal } = new AbortController();
-  const request = { prefix: 'p/', afterRevision: 7, waitMs: 1_000 };
-  this.relayed = await this.peer.read({ request, signal });
-  assert.deepEqual(this.requestAtOwner, request);
-});
+import { type LinkWorld, orderPiece, RELAY_REQUESTS, RELAYED, waitUntil } from './linkWorld.js';
 
-Then('it gets what the owner has read', function then(this: LinkWorld) {
-  assert.deepEqual(this.relayed, RELAYED);
-});
+When(
+  /^the peer reads (entries|changes|parts) of the store through the owner$/,
+  async function when(this: LinkWorld, kind: RelayRequest['kind']) {
+    const { signal } = new AbortController();
+    const request = RELAY_REQUESTS[kind];
+    this.relayed = await this.peer.read({ request, signal });
+    assert.deepEqual(this.requestAtOwner, request);
+  },
+);
+
+Then(
+  /^it gets the (entries|changes|parts) that the owner has read$/,
+  function then(this: LinkWorld, kind: RelayRequest['kind']) {
+    assert.deepEqual(this.relayed, RELAYED[kind]);
+  },
+);
 
 When('the owner accepts {int} piece(s) at once', function when(this: LinkWorld, pieces: number) {
   this.maxPiecesAtOwner = pieces;
--- a/packages/routerLink/test/linkWorld.ts
+++ b/packages/routerLink/test/linkWorld.ts
@@ -18,16 +18,38 @@
   PriorityWait,
 } from '@galenatiller/types';
 
-export const RELAYED: RelayResponse = {
-  kind: 'changes',
-  changes: [
-    { kind: 'put', entry: { key: 'p/a', value: Buffer.from('a'), revision: 8 } },
-    { kind: 'delete', key: 'p/b', revision: 9 },
-  ],
-  storeRevision: 9,
-  era: 3,
-  ageMs: 40.5,
-  heldMs: 7,
+const OUTLINE = { digest: Buffer.alloc(32, 1), parts: Buffer.alloc(48, 2) };
+
+const READ = { storeRevision: 9, era: 3, ageMs: 40.5, heldMs: 7, hasMore: false };
+
+/** A response to each kind of read. */
+export const RELAYED: Readonly<Record<RelayRequest['kind'], RelayResponse>> = {
+  entries: {
+    kind: 'entries',
+    entries: [
+      { key: 'p/a', value: Buffer.from('a'), revision: 8 },
+      { key: 'p/large', outline: OUTLINE, revision: 9 },
+    ],
+    ...READ,
+    hasMore: true,
+  },
+  changes: {
+    kind: 'changes',
+    changes: [
+      { kind: 'put', entry: { key: 'p/a', value: Buffer.from('a'), revision: 8 } },
+      { kind: 'put', entry: { key: 'p/large', outline: OUTLINE, revision: 8 } },
+      { kind: 'delete', key: 'p/b', revision: 9 },
+    ],
+    ...READ,
+  },
+  parts: { kind: 'parts', parts: [Buffer.from('part'), Buffer.alloc(9)] },
+};
+
+/** A request for each kind of read. */
+export const RELAY_REQUESTS: Readonly<Record<RelayRequest['kind'], RelayRequest>> = {
+  entries: { kind: 'entries', prefix: 'p/', afterKey: 'p/a' },
+  changes: { kind: 'changes', prefix: 'p/', afterRevision: 7, waitMs: 1_000 },
+  parts: { kind: 'parts', prefix: 'p/', digests: ['00', 'ff'] },
 };
 
 interface OrderAtOwner {
--- a/packages/routerLink/test/routerLink.feature
+++ b/packages/routerLink/test/routerLink.feature
@@ -74,9 +74,15 @@
     When the peer shares that a target was leaving 40 ms ago
     Then the owner gets that evidence
 
-  Scenario: What the owner has read from the store is passed on, with its age
-    When the peer reads changes of the store through the owner
-    Then it gets what the owner has read
+  Scenario Outline: What the owner has read from the store is passed on, with its age
+    When the peer reads <what> of the store through the owner
+    Then it gets the <what> that the owner has read
+
+    Examples:
+      | what    |
+      | entries |
+      | changes |
+      | parts   |
 
   # Guards against a router that gets ever more pieces while it has more work than CPU time.
   Scenario: A router that says how much it accepts gets no more
--- a/packages/routerLink/test/routerLink.steps.ts
+++ b/packages/routerLink/test/routerLink.steps.ts
@@ -53,7 +53,7 @@
         tryGrantPermit: () => true,
         readRelayed: ({ request }) => {
           this.requestAtOwner = request;
-          return Promise.resolve(RELAYED);
+          return Promise.resolve(RELAYED[request.kind]);
         },
         free: (handles) => {
           this.freedAtOwner.push(...handles);
--- a/packages/store/src/index.ts
+++ b/packages/store/src/index.ts
@@ -13,13 +13,9 @@
 export { type MirrorEvent, PrefixMirror, type PrefixMirrorOptions } from './prefixMirror.js';
 export type * from './prefixSource.js';
 export { type MirrorObserver, PrefixRelay, type PrefixRelayOptions } from './relay/prefixRelay.js';
-export {
-  createRelayedSource,
-  type RelayedSourceOptions,
-  type RelayEvent,
-  type RelayLink,
-} from './relay/relayedSource.js';
-export type { RelayRequest, RelayResponse } from './relay/relayTypes.js';
+export { createRelayedSource, type RelayedSourceOptions } from './relay/relayedSource.js';
+export type { RelayEvent, RelayLink } from './relay/relayChoice.js';
+export type * from './relay/relayTypes.js';
 export type { EntryHandlers, KnownAndRead, EntriesRead } from './restoredEntries.js';
 export { RestoredEntries, type RestoredEntriesOptions } from './restoredEntries.js';
 export { StatedEra, type StatedEraEvent, type StatedEraOptions } from './statedEra.js';
--- a/packages/store/src/relay/prefixHistory.ts
+++ b/packages/store/src/relay/prefixHistory.ts
@@ -1,4 +1,5 @@
 import type { PrefixChange, PrefixEntry } from '../prefixSource.js';
+import { MIN_SPLIT_BYTES } from './splitValue.js';
 
 /** Changes that are kept; a reader that misses more of them reads all entries again. */
 const MAX_CHANGES = 2_000;
@@ -50,6 +51,7 @@
 
   /** Applies a change; one that has no effect for readers is not listed among the changes. */
   apply(change: PrefixChange, opts: { readonly hasEffect: boolean }): void {
+    this.forgetLarge(change);
     if (change.kind === 'put') {
       this.entries.set(change.entry.key, change.entry);
       this.writtenKeys.add(change.entry.key);
@@ -68,9 +70,21 @@
     }
   }
 
-  /** All entries. */
-  all(): readonly PrefixEntry[] {
-    return [...this.entries.values()];
+  /** The entries after a key, sorted by key; all if it is empty. */
+  listAfterKey(afterKey: string): readonly PrefixEntry[] {
+    return [...this.entries.values()]
+      .filter(({ key }) => key > afterKey)
+      .sort((left, right) => (left.key < right.key ? -1 : 1));
+  }
+
+  /** Drops earlier writes of a large entry, which would fill the memory; only the newest one counts. */
+  private forgetLarge(change: PrefixChange): void {
+    const before = this.entries.get(keyOf(change));
+    if (before && before.value.length >= MIN_SPLIT_BYTES) {
+      this.changes = this.changes.filter(
+        (kept) => kept.change.kind === 'delete' || kept.change.entry.key !== before.key,
+      );
+    }
   }
 
   /** Changes after a revision; undefined if not all of them are kept. */
@@ -87,6 +101,10 @@
   }
 }
 
+function keyOf(change: PrefixChange): string {
+  return change.kind === 'put' ? change.entry.key : change.key;
+}
+
 function revisionOf(change: PrefixChange): number {
   return change.kind === 'put' ? change.entry.revision : change.revision;
 }
--- a/packages/store/src/relay/prefixRelay.ts
+++ b/packages/store/src/relay/prefixRelay.ts
@@ -7,8 +7,10 @@
 
 import type { PrefixChange, PrefixEntry } from '../prefixSource.js';
 import type { StatedEra } from '../statedEra.js';
+import { LargeValues } from './largeValues.js';
 import { PrefixHistory } from './prefixHistory.js';
-import type { RelayRequest, RelayResponse } from './relayTypes.js';
+import type { RelayedChange, RelayedEntry, RelayRequest, RelayResponse } from './relayTypes.js';
+import { takeFitting } from './takeFitting.js';
 
 /** Receives what a mirror reads, before its own handlers do. */
 export interface MirrorObserver {
@@ -34,6 +36,7 @@
 
 interface RelayedPrefix {
   readonly history: PrefixHistory;
+  readonly largeValues: LargeValues;
   readonly waiting: Set<() => void>;
   evidenceAt: ClockReading | undefined;
   storeRevision: number;
@@ -44,9 +47,6 @@
 /** Time beyond the wait of a request in which a read of the store that is in progress ends. */
 const HOLD_MARGIN_MS = 200;
 
-/** Larger responses would keep the link from its other frames; their readers ask the store. */
-const MAX_RESPONSE_BYTES = 65_536;
-
 const UNAVAILABLE: RelayResponse = { kind: 'unavailable', detail: 'no recent read of its own' };
 
 /**
@@ -71,6 +71,7 @@
   }): MirrorObserver {
     const relayed: RelayedPrefix = {
       history: PrefixHistory.create(),
+      largeValues: LargeValues.create(),
       waiting: new Set(),
       evidenceAt: undefined,
       storeRevision: 0,
@@ -81,6 +82,8 @@
     return {
       onEntries: (entries, storeRevision) => {
         relayed.history.replace({ entries, storeRevision });
+        const keys = new Set(entries.map(({ key }) => key));
+        relayed.largeValues.retain((key) => keys.has(key));
         relayed.era = this.opts.storeEra.current;
       },
       onChange: (change) => {
@@ -89,6 +92,9 @@
         const hasEffect =
           change.kind === 'delete' || !before || !opts.isEquivalent(before, change.entry);
         relayed.history.apply(change, { hasEffect });
+        if (change.kind === 'delete') {
+          relayed.largeValues.retain((key) => key !== change.key);
+        }
         return hasEffect;
       },
       onConfirmed: ({ evidenceAt, storeRevision, isDirect }) => {
@@ -116,7 +122,11 @@
     if (!relayed) {
       return UNAVAILABLE;
     }
-    if (this.isCurrent(relayed) && request.afterRevision !== undefined) {
+    if (request.kind === 'parts') {
+      const parts = relayed.largeValues.findParts(request.digests);
+      return parts.length === 0 ? PARTS_GONE : { kind: 'parts', parts };
+    }
+    if (this.isCurrent(relayed) && request.kind === 'changes') {
       const changes = relayed.history.changesAfter(request.afterRevision);
       if (changes?.length === 0) {
         await this.waitForRead(relayed, request.waitMs + HOLD_MARGIN_MS, signal);
@@ -134,25 +144,37 @@
 
   private createResponse(
     relayed: RelayedPrefix,
-    request: RelayRequest,
+    request: Exclude<RelayRequest, { kind: 'parts' }>,
     heldMs: number,
   ): RelayResponse {
     const { history, evidenceAt, storeRevision, era } = relayed;
     if (!evidenceAt) {
       return UNAVAILABLE;
     }
+    const outline = (entry: PrefixEntry): RelayedEntry => relayed.largeValues.outline(entry);
     const ageMs = elapsedSinceMs(this.opts.timer, evidenceAt);
-    const common = { storeRevision, era, ageMs, heldMs };
-    if (request.afterRevision === undefined) {
-      const entries = history.all();
-      return isTooLarge(entries) ? TOO_LARGE : { kind: 'entries', entries, ...common };
+    const common = { era, ageMs, heldMs };
+    if (request.kind === 'entries') {
+      const entries = history.listAfterKey(request.afterKey).map(outline);
+      const { fitting, hasMore } = takeFitting(entries, (entry) => entry);
+      return { kind: 'entries', entries: fitting, hasMore, storeRevision, ...common };
     }
     const changes = history.changesAfter(request.afterRevision);
     if (!changes) {
       return { kind: 'unavailable', detail: 'the changes are no longer kept' };
     }
-    const entries = changes.flatMap((change) => (change.kind === 'put' ? [change.entry] : []));
-    return isTooLarge(entries) ? TOO_LARGE : { kind: 'changes', changes, ...common };
+    const { fitting, hasMore } = takeFitting(
+      changes.map((change) => outlineChange(change, outline)),
+      (change) => (change.kind === 'put' ? change.entry : undefined),
+    );
+    const passedRevision = hasMore ? findMaxRevision(fitting) : storeRevision;
+    return {
+      kind: 'changes',
+      changes: fitting,
+      hasMore,
+      storeRevision: passedRevision,
+      ...common,
+    };
   }
 
   private waitForRead(relayed: RelayedPrefix, limitMs: number, signal: AbortSignal): Promise<void> {
@@ -171,10 +193,20 @@
   }
 }
 
-const TOO_LARGE: RelayResponse = { kind: 'unavailable', detail: 'the response would be too large' };
+const PARTS_GONE: RelayResponse = { kind: 'unavailable', detail: 'the parts are no longer kept' };
+
+function outlineChange(
+  change: PrefixChange,
+  outline: (entry: PrefixEntry) => RelayedEntry,
+): RelayedChange {
+  return change.kind === 'put' ? { kind: 'put', entry: outline(change.entry) } : change;
+}
 
-function isTooLarge(entries: readonly PrefixEntry[]): boolean {
-  return entries.reduce((bytes, { value }) => bytes + value.length, 0) > MAX_RESPONSE_BYTES;
+function findMaxRevision(changes: readonly RelayedChange[]): number {
+  return changes.reduce(
+    (max, change) => Math.max(max, change.kind === 'put' ? change.entry.revision : change.revision),
+    0,
+  );
 }
 
 function wake({ waiting }: RelayedPrefix): void {
--- a/packages/store/test/largeEntries.steps.ts
+++ b/packages/store/test/largeEntries.steps.ts
@@ -1,5 +1,5 @@
 import assert from 'node:assert/strict';
-import { randomBytes } from 'node:crypto';
+import { createCipheriv } from 'node:crypto';
 
 import { Then, When } from '@cucumber/cucumber';
 
@@ -15,7 +15,7 @@
 When(
   'an entry of {int} bytes is added to the store',
   function when(this: RelayWorld, bytes: number) {
-    this.largeValue = randomBytes(bytes);
+    this.largeValue = createNoise(bytes, 0);
     this.store.put('large', this.largeValue);
   },
 );
@@ -28,7 +28,7 @@
       this.largeValue.subarray(0, middle),
       this.largeValue.subarray(middle + removed),
     ];
-    this.largeValue = Buffer.concat([before, randomBytes(added), after]);
+    this.largeValue = Buffer.concat([before, createNoise(added, 1), after]);
     this.linkBytes = 0;
     this.store.put('large', this.largeValue);
   },
@@ -40,7 +40,7 @@
     this.mode = 'silent';
     this.store.cutOff.add('follower');
     for (let replaced = 0; replaced < times; replaced += 1) {
-      this.largeValue = randomBytes(this.largeValue.length);
+      this.largeValue = createNoise(this.largeValue.length, replaced + 2);
       this.store.put('large', this.largeValue);
       await passTime(this, 1_000);
     }
@@ -54,7 +54,7 @@
   '{int} entries are added to the store at once',
   function when(this: RelayWorld, count: number) {
     Array.from({ length: count }).forEach((_, index) =>
-      this.store.put(`entry-${index}`, randomBytes(100)),
+      this.store.put(`entry-${index}`, createNoise(100, index)),
     );
   },
 );
@@ -94,3 +94,9 @@
     assert.equal(this.linkBytes > 0, true);
   },
 );
+
+/** Bytes without a pattern, the same for the same seed. */
+function createNoise(bytes: number, seed: number): Buffer {
+  const key = Buffer.alloc(32, `seed ${seed}`);
+  return createCipheriv('aes-256-ctr', key, Buffer.alloc(16)).update(Buffer.alloc(bytes));
+}
--- a/packages/store/test/relay.feature
+++ b/packages/store/test/relay.feature
@@ -59,12 +59,20 @@
     When "a" is written again 1 time in 100 ms
     Then both the reader and the follower were told of a change
 
-  Scenario: A response that would be too large is read from the store
-    When an entry of 100000 bytes is added to the store
+  # Guards against a large entry that is wrong or missing at a follower, since its parts are.
+  Scenario Outline: A large entry is read from the store if the reader does not give its parts
+    When the reader <gives>
+    And an entry of 100000 bytes is added to the store
     And 1500 ms pass at the follower
-    Then the follower knows "a, b, large"
+    Then the follower has the large entry as it is in the store
     And it has read the store itself
 
+    Examples:
+      | gives                        |
+      | gives no parts               |
+      | gives parts of another value |
+      | gives parts in another order |
+
   # Guards against a fleet that reads a large value from the store all at once, since no reader passes it on.
   Scenario: A large entry comes through the reader
     When an entry of 700000 bytes is added to the store
--- a/packages/store/test/relay.steps.ts
+++ b/packages/store/test/relay.steps.ts
@@ -104,6 +104,18 @@
   this.mode = 'silent';
 });
 
+When('the reader gives no parts', function when(this: RelayWorld) {
+  this.mode = 'without-parts';
+});
+
+When('the reader gives parts of another value', function when(this: RelayWorld) {
+  this.mode = 'other-parts';
+});
+
+When('the reader gives parts in another order', function when(this: RelayWorld) {
+  this.mode = 'shuffled-parts';
+});
+
 When('the reader answers 3000 ms late', function when(this: RelayWorld) {
   this.mode = 'late';
 });
--- a/packages/store/test/relayWorld.ts
+++ b/packages/store/test/relayWorld.ts
@@ -7,13 +7,22 @@
   type PrefixRelay,
   type PrefixSource,
   type RelayLink,
+  type RelayResponse,
   type StatedEra,
 } from '@galenatiller/store';
 import type { ManualClock, TimerService } from '@galenatiller/timer';
 
 import type { RelayStore } from './relayStore.js';
 
-type ReaderMode = 'up' | 'killed' | 'silent' | 'late' | 'stale';
+type ReaderMode =
+  | 'up'
+  | 'killed'
+  | 'silent'
+  | 'late'
+  | 'stale'
+  | 'without-parts'
+  | 'other-parts'
+  | 'shuffled-parts';
 
 export interface RelayWorld {
   clock: ManualClock;
@@ -88,16 +97,36 @@
       }
       const response = await relay.respond({ request, signal });
       world.linkBytes += countBytes(response);
+      if (response.kind === 'parts') {
+        return spoilParts(world.mode, response);
+      }
       if (world.mode === 'late') {
         await timer.sleep({ delayMs: 3_000, signal });
         return signal.aborted ? undefined : response;
       }
       const isStale = world.mode === 'stale' && response.kind === 'unavailable';
-      return isStale ? createStaleResponse(request.afterRevision) : response;
+      return isStale ? createStaleResponse(request.kind) : response;
     },
   };
 }
 
+/** The parts that a reader gives by its mode. */
+function spoilParts(
+  mode: ReaderMode,
+  response: Extract<RelayResponse, { kind: 'parts' }>,
+): RelayResponse {
+  switch (mode) {
+    case 'without-parts':
+      return { kind: 'unavailable', detail: 'gone' };
+    case 'other-parts':
+      return { ...response, parts: response.parts.map((part) => part.subarray(1)) };
+    case 'shuffled-parts':
+      return { ...response, parts: response.parts.toReversed() };
+    default:
+      return response;
+  }
+}
+
 /** Bytes in the binary fields of a response, wherever they are. */
 function countBytes(value: unknown): number {
   if (Buffer.isBuffer(value)) {
@@ -110,11 +139,11 @@
 
 /** What a reader that is behind had read before: "a" and "b", 900 ms ago. */
 function createStaleResponse(
-  afterRevision: number | undefined,
+  kind: 'entries' | 'changes' | 'parts',
 ): Awaited<ReturnType<RelayLink['read']>> {
-  const common = { storeRevision: 2, era: 1, ageMs: 900, heldMs: 0 };
-  return afterRevision === undefined
-    ? { kind: 'entries', entries: [createEntry('a', 1), createEntry('b', 2)], ...common }
+  const common = { storeRevision: 2, era: 1, ageMs: 900, heldMs: 0, hasMore: false };
+  return kind === 'entries'
+    ? { kind, entries: [createEntry('a', 1), createEntry('b', 2)], ...common }
     : { kind: 'unavailable', detail: 'behind' };
 }
 
