Let a node use its share of the retry budget only once the others have counted it for a window

Cause: a start had its whole share at once, although the process before it, under the same name, had used the same share within the window; and the shares of the others grew 6 s after a member was lost, while what it had used still counted. Change: the share of the slack may be used once the entry of the node has been in the store for a whole window without a gap, and not for longer than a window after its last renewal. A lost node is counted for a whole window. Only a first start under a name, by a mark in the store, has its share at once. The ratio of a node's own requests is not restricted. It works for any series of restarts, since at each moment every share in use is covered by the count of all others, and a name uses its share only if no process before it can have done so within the window.

--- a/packages/duty/test/fakeRouter.ts
+++ b/packages/duty/test/fakeRouter.ts
@@ -2,6 +2,7 @@
 import { Membership, PrefixRelay, StatedEra } from '@galenatiller/store';
 import { type Clock, type ManualClock, TimerService } from '@galenatiller/timer';
 import type { Duty } from '@galenatiller/types';
+import { Result } from 'true-myth';
 
 import { Duties, type DutyEvent } from '../src/index.js';
 import type { FakeStore, StoreCaller } from './fakeStore.js';
@@ -56,6 +57,8 @@
     const common = { timer, storeEra, random: () => 0.5, source: store.createSource(this) };
     this.membership = Membership.create({
       ...common,
+      writeIfUnchanged: () => Promise.resolve(Result.ok('written')),
+      sharedWindowMs: 10_000,
       observe: (observed) => relay.observe(observed),
       leases: store.createLeases(this),
       self: { name, address: '10.0.0.1:1', cpuCores: 1, availabilityZone: 'zone' },
--- a/packages/router/src/createRouter.ts
+++ b/packages/router/src/createRouter.ts
@@ -116,14 +116,23 @@
   const { eventLoop, loopLag } = watchEventLoop(opts, (lagMs) => stages.credit.recordLag(lagMs));
   const routes = RouteTable.create();
   const targets = TargetDirectory.create({ timer, onChange: (change) => logTarget(log, change) });
+  const repeatWindowMs = settings.repeatWindowS * MS_PER_S;
   const { members, relay, source } = createStoreReaders({
     ...opts,
+    repeatWindowMs,
     findRelays: () => findStoreRelays({ ...opts, ...stages, selfName: settings.nodeName }),
     onMembers: (live) => [stages, duties].forEach((part) => part?.setMembers(live)),
   });
   const nodeCount = (): number => members.countNodes();
   const calls = { inFlight: CallCounter.create(), waiting: CallCounter.create() };
-  const limits = createLimits({ ...opts, routes, nodeCount, peers: () => stages.peers.all() });
+  const limits = createLimits({
+    ...opts,
+    routes,
+    nodeCount,
+    members,
+    repeatWindowMs,
+    peers: () => stages.peers.all(),
+  });
   const evidenceAgeMs = (): number => mirrors.operator.evidenceAgeMs();
   const rolloutParts = createRollouts({ ...opts, evidenceAgeMs });
   const duties = createDuties({ ...opts, relay, source, directSource: opts.source, members });
@@ -254,12 +263,14 @@
 function createLimits(
   opts: RouterOptions & {
     readonly nodeCount: () => number;
+    readonly members: Pick<Membership, 'countNodesInWindow' | 'hasWholeShare'>;
+    readonly repeatWindowMs: number;
     readonly routes: RouteTable;
     /** The links to all other routers. */
     readonly peers: () => readonly PeerRouter[];
   },
 ): Limits {
-  const { settings, timer, log, nodeCount } = opts;
+  const { settings, timer, log, nodeCount, members } = opts;
   const notices = TargetNotices.create({
     ...opts,
     share: (evidence) => opts.peers().forEach((peer) => peer.shareLeavingEvidence(evidence)),
@@ -281,10 +292,11 @@
     }),
     retryBudget: RetryBudget.create({
       timer,
-      windowMs: settings.repeatWindowS * MS_PER_S,
+      windowMs: opts.repeatWindowMs,
       ratio: settings.repeatRatio,
       slackRetries: settings.repeatSlack,
-      nodeCount,
+      nodeCount: () => members.countNodesInWindow(),
+      hasWholeShare: () => members.hasWholeShare(),
     }),
     crashDetector: CrashDetector.create({
       ...opts.targetClient,
--- a/packages/router/src/createStoreReaders.ts
+++ b/packages/router/src/createStoreReaders.ts
@@ -9,6 +9,7 @@
   type PrefixSource,
   type RelayLink,
   type StatedEra,
+  type WriteIfUnchanged,
 } from '@galenatiller/store';
 import type { TimerService } from '@galenatiller/timer';
 
@@ -17,12 +18,15 @@
 /** Options of {@link createStoreReaders}. */
 export interface StoreReadersOptions {
   readonly settings: RouterSettings;
+  /** Window of the limit on repeated sends. */
+  readonly repeatWindowMs: number;
   readonly timer: TimerService;
   readonly log: EventLog;
   /** The store itself. */
   readonly source: PrefixSource;
   readonly storeEra: StatedEra;
   readonly leases: LeaseClient;
+  readonly writeIfUnchanged: WriteIfUnchanged;
   readonly random: () => number;
   /** Links to routers that read the store for this one. */
   readonly findRelays: () => readonly RelayLink[];
@@ -49,6 +53,7 @@
   const members = Membership.create({
     ...opts,
     source,
+    sharedWindowMs: opts.repeatWindowMs,
     self: {
       name: settings.nodeName,
       address: settings.linkAddress,
--- a/packages/target/test/restartedBudgets.steps.ts
+++ b/packages/router/test/restartedBudgets.steps.ts
@@ -1,6 +1,7 @@
 import assert from 'node:assert/strict';
 
 import { Then, When } from '@cucumber/cucumber';
+import { CountedSpan } from '@galenatiller/store';
 import { RetryBudget } from '@galenatiller/target';
 import { ManualClock, TimerService } from '@galenatiller/timer';
 
@@ -12,6 +13,7 @@
 const WINDOW_MS = 10_000;
 const LENGTH_MS = 30_000;
 const STEP_MS = 10;
+const RENEW_INTERVAL_MS = 900;
 const SLACK = 102;
 const RATIO = 0.2;
 
@@ -27,25 +29,33 @@
     const clock = ManualClock.create({ startWallMs: 1_000_000 });
     const timer = TimerService.create({ clock });
     const nodeCount = Number(nodes);
-    const createBudget = (): RetryBudget =>
-      RetryBudget.create({
+    const startNode = (isFirstStart: boolean): RetryBudget => {
+      const span = CountedSpan.create({
+        timer,
+        windowMs: WINDOW_MS,
+        isFirstStart: () => isFirstStart,
+      });
+      span.confirm();
+      timer.every({ intervalMs: RENEW_INTERVAL_MS, notify: () => span.confirm() });
+      return RetryBudget.create({
         timer,
         windowMs: WINDOW_MS,
         ratio: RATIO,
         slackRetries: SLACK,
         nodeCount: () => nodeCount,
+        hasWholeShare: () => span.isWhole,
       });
-    const budgets = Array.from({ length: nodeCount }, createBudget);
+    };
+    const budgets = Array.from({ length: nodeCount }, () => startNode(true));
     const restartsMs = times.split(',').map((time) => WINDOW_MS + Number(time) * 1_000);
     const requestTimesMs: number[] = [];
     const retryTimesMs: number[] = [];
     let requests = 0;
-    // The nodes have been up for a window when the traffic begins.
     await clock.advance({ byMs: WINDOW_MS });
     for (let nowMs = WINDOW_MS; nowMs < WINDOW_MS + LENGTH_MS; nowMs += STEP_MS) {
       if (restartsMs.includes(nowMs)) {
         const restarted = Math.round(Number(share) * nodeCount);
-        budgets.splice(0, restarted, ...Array.from({ length: restarted }, createBudget));
+        budgets.splice(0, restarted, ...Array.from({ length: restarted }, () => startNode(false)));
       }
       while (requests < ((nowMs - WINDOW_MS) / 1_000) * Number(rate)) {
         const budget = budgets[requests % nodeCount];
--- a/packages/router/test/support.ts
+++ b/packages/router/test/support.ts
@@ -210,6 +210,7 @@
       // A budget uses only a share of 0.8 of its slack.
       slackRetries: world.maxRetries / 0.8,
       nodeCount: () => 1,
+      hasWholeShare: () => true,
     }),
     ...createTestAdmission(world),
     countRequest: (organisation) => world.counted?.push(organisation),
--- a/packages/store/src/index.ts
+++ b/packages/store/src/index.ts
@@ -21,5 +21,6 @@
 export { StatedEra, type StatedEraEvent, type StatedEraOptions } from './statedEra.js';
 export { type Member, readMember } from './member.js';
 export type { LeaseClient, OwnLease } from './leaseClient.js';
+export { CountedSpan, type CountedSpanOptions } from './countedSpan.js';
 export { Membership, type MembershipOptions } from './membership.js';
 export { MEMBER_LEASE_MS } from './ownRegistration.js';
--- a/packages/store/src/membership.ts
+++ b/packages/store/src/membership.ts
@@ -1,5 +1,6 @@
 import type { TimerService } from '@galenatiller/timer';
 
+import { CountedSpan } from './countedSpan.js';
 import type { LeaseClient, OwnLease } from './leaseClient.js';
 import {
   decodeMember,
@@ -11,8 +12,9 @@
 import { MEMBER_CALL_TIMEOUT_MS, MEMBER_LEASE_MS, OwnRegistration } from './ownRegistration.js';
 import { type MirrorEvent, PrefixMirror } from './prefixMirror.js';
 import type { PrefixRelay } from './relay/prefixRelay.js';
-import type { PrefixEntry, PrefixSource } from './prefixSource.js';
+import type { PrefixEntry, PrefixSource, WriteIfUnchanged } from './prefixSource.js';
 import { type EntryHandlers, RestoredEntries } from './restoredEntries.js';
+import { StartMark } from './startMark.js';
 import type { StatedEra } from './statedEra.js';
 
 /** Options of {@link Membership.create}. */
@@ -23,6 +25,9 @@
   readonly timer: TimerService;
   readonly self: Omit<Member, 'leavingSince'>;
   readonly random: () => number;
+  readonly writeIfUnchanged: WriteIfUnchanged;
+  /** Window of the limits that nodes share by their count. */
+  readonly sharedWindowMs: number;
   readonly onChange: (members: readonly Member[]) => void;
   readonly onEvent: (event: MirrorEvent) => void;
   /** Creates the observer of what is read under the prefix of the members. */
@@ -59,7 +64,21 @@
 
   private readonly registration: OwnRegistration;
 
+  private readonly startMark: StartMark;
+
+  private readonly span: CountedSpan;
+
   private constructor(private readonly opts: MembershipOptions) {
+    this.startMark = StartMark.create({
+      ...opts,
+      nodeName: opts.self.name,
+      limitMs: MEMBER_CALL_TIMEOUT_MS,
+    });
+    this.span = CountedSpan.create({
+      timer: opts.timer,
+      windowMs: opts.sharedWindowMs,
+      isFirstStart: () => this.startMark.isFirstStart,
+    });
     this.mirror = PrefixMirror.create({
       source: opts.source,
       storeEra: opts.storeEra,
@@ -78,6 +97,7 @@
     });
     this.registration = OwnRegistration.create({
       ...opts,
+      span: this.span,
       findSelf: () => this.members.get(opts.self.name),
       evidenceAgeMs: () => this.mirror.evidenceAgeMs(),
     });
@@ -95,11 +115,28 @@
 
   /** Number of nodes that may be sending now, including this one; at least the live ones. */
   countNodes(): number {
+    return this.countSince(DEPARTED_RETENTION_MS);
+  }
+
+  /** Number of nodes that may have sent within the shared window, including this one. */
+  countNodesInWindow(): number {
+    return this.countSince(this.opts.sharedWindowMs);
+  }
+
+  /**
+   * Whether this node may use its share of a limit that holds for the shared window: its use is covered by the
+   * count of the others, and no process before it under its name can have used the share within the window.
+   */
+  hasWholeShare(): boolean {
+    return this.members.has(this.opts.self.name) && this.span.isWhole;
+  }
+
+  private countSince(retentionMs: number): number {
     if (this.members.size === 0) {
       return ASSUMED_NODE_COUNT;
     }
     const { name } = this.opts.self;
-    const missed = this.listMissed();
+    const missed = this.listMissed(retentionMs);
     // This node may send as well if the store does not have it yet, or not any more.
     const isSelfCounted = this.members.has(name) || missed.includes(name);
     return this.members.size + missed.length + (isSelfCounted ? 0 : 1);
@@ -123,7 +160,11 @@
   /** Tracks the members and keeps this node registered until the signal aborts. */
   async run(opts: { readonly signal: AbortSignal }): Promise<void> {
     const { signal } = opts;
-    await Promise.all([this.mirror.run({ signal }), this.registration.run({ signal })]);
+    await Promise.all([
+      this.startMark.write(),
+      this.mirror.run({ signal }),
+      this.registration.run({ signal }),
+    ]);
   }
 
   private createHandlers(): EntryHandlers {
@@ -172,12 +213,12 @@
     this.isChanged = true;
   }
 
-  /** Nodes that have been missed for less than the time for which they are counted. */
-  private listMissed(): readonly string[] {
+  /** Nodes that have been missed for less than a time. */
+  private listMissed(retentionMs: number): readonly string[] {
     if (this.missedAtMs.size === 0) {
       return [];
     }
-    const sinceMs = this.opts.timer.nowMs() - DEPARTED_RETENTION_MS;
+    const sinceMs = this.opts.timer.nowMs() - retentionMs;
     return [...this.missedAtMs].filter(([, atMs]) => atMs > sinceMs).map(([name]) => name);
   }
 
@@ -187,7 +228,8 @@
       return;
     }
     this.isChanged = false;
-    const missed = new Set(this.listMissed());
+    const retentionMs = Math.max(DEPARTED_RETENTION_MS, this.opts.sharedWindowMs);
+    const missed = new Set(this.listMissed(retentionMs));
     [...this.missedAtMs.keys()]
       .filter((name) => !missed.has(name))
       .forEach((name) => this.missedAtMs.delete(name));
--- a/packages/store/src/ownRegistration.ts
+++ b/packages/store/src/ownRegistration.ts
@@ -5,6 +5,7 @@
   type TimerService,
 } from '@galenatiller/timer';
 
+import type { CountedSpan } from './countedSpan.js';
 import { jitteredDelayMs } from './jitteredDelayMs.js';
 import type { LeaseClient, OwnLease } from './leaseClient.js';
 import { LEAVING_MARK, type Member, MEMBER_PREFIX, STAYING_MARK } from './member.js';
@@ -22,6 +23,8 @@
   readonly findSelf: () => Member | undefined;
   /** Age of what was last read. */
   readonly evidenceAgeMs: () => number;
+  /** For how long the others have counted this node. */
+  readonly span: CountedSpan;
 }
 
 /** Time after which a killed node is removed. */
@@ -193,6 +196,7 @@
       // Without an entry, this node may not have been a member.
       this.generation += this.published ? 0 : 1;
       this.published = { mark, atClocks: readClocks(timer) };
+      this.opts.span.confirm();
     } else if (written.isOk) {
       this.drop();
     }
@@ -216,6 +220,9 @@
     }
     if (renewal?.isOk) {
       this.held = { ...held, sentAt };
+      if (this.published) {
+        this.opts.span.confirm();
+      }
     }
     return renewal?.isOk ? renewal.value : undefined;
   }
--- a/packages/store/test/membership.feature
+++ b/packages/store/test/membership.feature
@@ -78,3 +78,35 @@
     When node "b" renews its lease again
     Then the shares of the nodes sum to at most 1 at each moment of 10000 ms
     And node "a" counts 4 nodes
+
+  # Guards against repeats that pile up, as a node that starts has the share that the process before it has used.
+  Scenario: A node that starts again has no share of the window until it has been counted for as long
+    Then node "b" has a whole share
+    When node "b" is killed and starts again
+    Then node "b" does not have a whole share
+    And node "a" has a whole share
+    When 7000 ms pass at the store of the members
+    Then node "b" does not have a whole share
+    When 3500 ms pass at the store of the members
+    Then node "b" has a whole share
+
+  # Guards against shares that grow while what a lost node has used before still counts.
+  Scenario: A node that is lost is counted for the whole window
+    When 20000 ms pass at the store of the members
+    And node "b" is cut off from renewing its lease
+    And 12500 ms pass at the store of the members
+    Then node "a" counts 1 nodes
+    And node "a" counts 2 nodes in the window
+    When 1500 ms pass at the store of the members
+    Then node "a" counts 1 nodes in the window
+
+  # Guards against a node that goes on with a share although the others have divided it among themselves.
+  Scenario: The whole shares sum to no more than the whole while one node is cut off for long
+    Given the nodes "c" and "d" have joined
+    When 20000 ms pass at the store of the members
+    And node "b" is cut off from renewing its lease
+    Then the whole shares of the nodes in the window sum to at most 1 at each moment of 20000 ms
+    And node "b" does not have a whole share
+    When node "b" renews its lease again
+    Then the whole shares of the nodes in the window sum to at most 1 at each moment of 20000 ms
+    And node "b" has a whole share
--- a/packages/store/test/membership.steps.ts
+++ b/packages/store/test/membership.steps.ts
@@ -1,20 +1,12 @@
 import assert from 'node:assert/strict';
 
 import { After, Given, Then, When } from '@cucumber/cucumber';
-import {
-  type LeaseClient,
-  type Member,
-  MEMBER_LEASE_MS,
-  Membership,
-  PrefixRelay,
-  type PrefixEntry,
-  type PrefixSource,
-  type ReadFailure,
-  StatedEra,
-} from '@galenatiller/store';
+import { type Member, Membership, PrefixRelay, StatedEra } from '@galenatiller/store';
 import { ManualClock, TimerService } from '@galenatiller/timer';
 import { Result } from 'true-myth';
 
+import { MemberStore, POLL_MS } from './memberStore.js';
+
 interface MembersWorld {
   membersClock: ManualClock;
   memberStore: MemberStore;
@@ -23,133 +15,8 @@
   generationBefore: number;
 }
 
-const AWAY: ReadFailure = { kind: 'unanswered', detail: 'scripted' };
 const SETTLE_MS = 2_500;
-const POLL_MS = 20;
-
-/** A store of leased entries in memory. */
-class MemberStore {
-  isAway = false;
-
-  /** Clients whose calls about leases get no answer; they still read. */
-  readonly cutOff = new Set<string>();
-
-  /** The answer to the next write is lost, and the write is done this much later. */
-  nextWriteLateMs: number | undefined;
-
-  private readonly leaseEndsAtMs = new Map<string, number>();
-
-  private readonly entries = new Map<string, PrefixEntry & { readonly leaseId: string }>();
-
-  private revision = 1;
-
-  private clients = 0;
-
-  private constructor(private readonly timer: TimerService) {}
-
-  static create(timer: TimerService): MemberStore {
-    return new MemberStore(timer);
-  }
-
-  /** Writes an entry, unless its lease has ended; it is removed when its lease ends. */
-  put(key: string, value: Buffer, leaseId: string): 'written' | 'ended' {
-    if (this.timer.nowMs() >= (this.leaseEndsAtMs.get(leaseId) ?? Infinity)) {
-      return 'ended';
-    }
-    this.revision += 1;
-    this.entries.set(key, { key, value, revision: this.revision, leaseId });
-    return 'written';
-  }
-
-  /** Starts or renews a lease. */
-  keep(leaseId: string): void {
-    const endsAtMs = this.timer.nowMs() + MEMBER_LEASE_MS;
-    this.leaseEndsAtMs.set(leaseId, endsAtMs);
-    this.timer.after({
-      delayMs: MEMBER_LEASE_MS,
-      notify: () => {
-        if (this.leaseEndsAtMs.get(leaseId) === endsAtMs) {
-          this.removeEntries(leaseId);
-        }
-      },
-    });
-  }
-
-  private removeEntries(leaseId: string): void {
-    const owned = [...this.entries.values()].filter((entry) => entry.leaseId === leaseId);
-    owned.forEach(({ key }) => this.entries.delete(key));
-    this.revision += 1;
-  }
-
-  readonly source: PrefixSource = {
-    readPage: () => Promise.resolve(this.isAway ? Result.err(AWAY) : Result.ok(this.readPage())),
-    // Each change of the revision is answered as lost history, so that all entries are read again.
-    waitForChanges: async ({ afterRevision, waitMs }) => {
-      const untilMs = this.timer.nowMs() + waitMs;
-      while (!this.isAway && this.revision === afterRevision && this.timer.nowMs() < untilMs) {
-        await this.timer.sleep({ delayMs: POLL_MS });
-      }
-      if (this.isAway) {
-        return Result.err(AWAY);
-      }
-      return this.revision === afterRevision
-        ? Result.ok({ changes: [], storeRevision: this.revision })
-        : Result.err({ kind: 'history-lost', detail: 'scripted' });
-    },
-  };
-
-  createLeases(name: string): LeaseClient {
-    let granted = 0;
-    this.clients += 1;
-    const prefix = this.clients;
-    return {
-      grant: ({ ttlMs }) => {
-        granted += 1;
-        const leaseId = `${prefix}-${granted}`;
-        return this.call(name, () => {
-          this.keep(leaseId);
-          return { leaseId, ttlMs };
-        });
-      },
-      keepAlive: ({ leaseId }) =>
-        this.call(name, () => {
-          const isOver = this.timer.nowMs() >= (this.leaseEndsAtMs.get(leaseId) ?? 0);
-          if (!isOver) {
-            this.keep(leaseId);
-          }
-          return isOver ? 'ended' : 'kept';
-        }),
-      put: ({ key, value, leaseId }) => {
-        const delayMs = this.nextWriteLateMs;
-        this.nextWriteLateMs = undefined;
-        if (delayMs === undefined) {
-          return this.call(name, () => this.put(key, value, leaseId));
-        }
-        this.timer.after({ delayMs, notify: () => this.put(key, value, leaseId) });
-        return Promise.resolve(Result.err(AWAY));
-      },
-      revoke: async ({ leaseId }) => {
-        await this.call(name, () => {
-          this.leaseEndsAtMs.set(leaseId, 0);
-          this.removeEntries(leaseId);
-        });
-      },
-    };
-  }
-
-  private readPage(): {
-    readonly entries: readonly PrefixEntry[];
-    readonly hasMore: boolean;
-    readonly storeRevision: number;
-  } {
-    return { entries: [...this.entries.values()], hasMore: false, storeRevision: this.revision };
-  }
-
-  private call<Value>(name: string, run: () => Value): Promise<Result<Value, ReadFailure>> {
-    const isUnanswered = this.isAway || this.cutOff.has(name);
-    return Promise.resolve(isUnanswered ? Result.err(AWAY) : Result.ok(run()));
-  }
-}
+const SHARED_WINDOW_MS = 10_000;
 
 Given(
   'the nodes {string} and {string} are members',
@@ -175,6 +42,8 @@
     timer,
     self: { name, address: '10.0.0.1:1', cpuCores: 1, availabilityZone: 'zone' },
     random: () => 0.5,
+    writeIfUnchanged: ({ key }) => Promise.resolve(Result.ok(world.memberStore.writeOnce(key))),
+    sharedWindowMs: SHARED_WINDOW_MS,
     onChange: () => {},
     onEvent: () => {},
   });
@@ -241,6 +110,43 @@
   },
 );
 
+Then(
+  'node {string} counts {int} nodes in the window',
+  function then(this: MembersWorld, name: string, nodes: number) {
+    assert.equal(this.memberships.get(name)?.countNodesInWindow(), nodes);
+  },
+);
+
+Then(
+  /^node "(\w+)" (has|does not have) a whole share$/,
+  function then(this: MembersWorld, name: string, has: string) {
+    assert.equal(this.memberships.get(name)?.hasWholeShare(), has === 'has');
+  },
+);
+
+When(
+  'node {string} is killed and starts again',
+  async function when(this: MembersWorld, name: string) {
+    startMember(this, name, TimerService.create({ clock: this.membersClock }));
+    await this.membersClock.advance({ byMs: SETTLE_MS });
+  },
+);
+
+Then(
+  'the whole shares of the nodes in the window sum to at most 1 at each moment of {int} ms',
+  async function then(this: MembersWorld, forMs: number) {
+    for (let atMs = 0; atMs < forMs; atMs += POLL_MS) {
+      const shares = [...this.memberships.values()].map((node) =>
+        node.hasWholeShare() ? 1 / node.countNodesInWindow() : 0,
+      );
+      const sum = shares.reduce((total, share) => total + share, 0);
+      // The shares of four nodes are not exact in floating point.
+      assert.ok(sum < 1.000_001, `${shares.join(', ')} after ${atMs} ms`);
+      await this.membersClock.advance({ byMs: POLL_MS });
+    }
+  },
+);
+
 Then(
   'the shares of the nodes sum to at most 1 at each moment of {int} ms',
   async function then(this: MembersWorld, forMs: number) {
--- a/packages/store/test/membershipRestored.steps.ts
+++ b/packages/store/test/membershipRestored.steps.ts
@@ -136,6 +136,8 @@
       timer: this.memberTimer,
       self: { name: 'n1', address: '10.0.0.1:1', cpuCores: 2, availabilityZone: 'zone' },
       random: () => 0.5,
+      writeIfUnchanged: () => Promise.resolve(Result.ok('written')),
+      sharedWindowMs: 10_000,
       onChange: () => {},
       onEvent: () => {},
     });
--- a/packages/target/src/retryBudget.ts
+++ b/packages/target/src/retryBudget.ts
@@ -10,8 +10,13 @@
   readonly ratio: number;
   /** Retries that all nodes together may make on top of that within the window. */
   readonly slackRetries: number;
-  /** Number of nodes that share the slack, including this one. */
+  /** Number of nodes that may have used the slack within the window, including this one. */
   readonly nodeCount: () => number;
+  /**
+   * Whether this node may use its share of the slack: the others count it, and no process before it under its
+   * name can have used the share within the window.
+   */
+  readonly hasWholeShare: () => boolean;
 }
 
 /** Share of the budget that is used; the rest covers nodes that this one doesn't know yet. */
@@ -39,8 +44,8 @@
 
   /** Withdraws one retry; false when the budget of the service is exhausted. */
   tryWithdraw(service: string): boolean {
-    const { ratio, slackRetries, nodeCount } = this.opts;
-    const slack = slackRetries / Math.max(1, nodeCount());
+    const { ratio, slackRetries, nodeCount, hasWholeShare } = this.opts;
+    const slack = hasWholeShare() ? slackRetries / Math.max(1, nodeCount()) : 0;
     const allowed = USED_SHARE * (ratio * this.getCounter(this.requests, service).count() + slack);
     const retries = this.getCounter(this.retries, service);
     if (retries.count() + 1 > allowed) {
--- a/packages/target/test/target.steps.ts
+++ b/packages/target/test/target.steps.ts
@@ -209,6 +209,7 @@
         ratio: 0.2,
         slackRetries: 56,
         nodeCount: () => nodes,
+        hasWholeShare: () => true,
       }),
     );
   },
