Limit native reads of the store by their progress as well

What callers would see: entries and gates behind a slow link that never get a page of rule shards, or a change of a large value, and go on with older rules; the same class as the read of the platform's store. Change: calls without a limit of their own, and watches, are limited by the time between parts of the response.

--- a/packages/store/src/callStore.ts
+++ b/packages/store/src/callStore.ts
@@ -10,6 +10,8 @@
   StoreTransport,
   TransportFailure,
 } from './storeTypes.js';
+import type { ReadControl } from './prefixSource.js';
+import { callWithReadLimit } from './readLimit.js';
 import type { RestoreDetector } from './restoreDetector.js';
 import { decodeHeader, isLeaseNotFound } from './wire.js';
 
@@ -41,20 +43,35 @@
 const HTTP_BAD_REQUEST = 400;
 const HTTP_SERVER_ERROR = 500;
 
-/** Makes one call and reads the complete response within the time limit. */
-export async function callStore<Decoded>(
+/**
+ * Makes one call and reads the complete response. The response must begin within the time limit; if the call has
+ * none of its own, each part of the response has as long again, as its size depends on what is stored.
+ */
+export function callStore<Decoded>(
   opts: CallStoreOptions<Decoded>,
+): Promise<Result<Decoded, CallFailure>> {
+  const { context, timeoutMs = Infinity } = opts;
+  const { timer, callTimeoutMs } = context;
+  return callWithReadLimit({
+    timer,
+    limitMs: Math.min(timeoutMs, callTimeoutMs),
+    partLimitMs: timeoutMs === Infinity ? callTimeoutMs : 0,
+    call: (control) => callWithControl(opts, control),
+  });
+}
+
+async function callWithControl<Decoded>(
+  opts: CallStoreOptions<Decoded>,
+  { signal, onProgress }: ReadControl,
 ): Promise<Result<Decoded, CallFailure>> {
   const { context } = opts;
-  const timeoutMs = Math.min(opts.timeoutMs ?? Infinity, context.callTimeoutMs);
-  const timeLimit = context.timer.startTimeLimit({ limitMs: timeoutMs });
   const sentAt = context.era.mark();
   try {
-    const response = await openCall({ ...opts, signal: timeLimit.signal });
+    const response = await openCall({ ...opts, signal });
     if (response.isErr) {
       return Result.err(response.error);
     }
-    const body: unknown = JSON.parse(await readAll(response.value.chunks));
+    const body: unknown = JSON.parse(await readAll(response.value.chunks, onProgress));
     if (!context.era.observe(decodeHeader(body), sentAt)) {
       const detail = 'the response is from before the store was restored';
       return Result.err(toCallFailure({ kind: 'broken', detail }));
@@ -62,8 +79,6 @@
     return Result.ok(opts.decode(body));
   } catch (error) {
     return Result.err(toCallFailure({ kind: 'broken', detail: String(error) }));
-  } finally {
-    timeLimit.release();
   }
 }
 
@@ -98,9 +113,10 @@
   return Result.err(toCallFailure({ kind: isRejected ? 'not-sent' : 'broken', detail }));
 }
 
-async function readAll(chunks: AsyncIterable<string>): Promise<string> {
+async function readAll(chunks: AsyncIterable<string>, onProgress?: () => void): Promise<string> {
   let text = '';
   for await (const chunk of chunks) {
+    onProgress?.();
     text += chunk;
   }
   return text;
--- a/packages/store/src/readLimit.ts
+++ b/packages/store/src/readLimit.ts
@@ -9,7 +9,7 @@
   readonly limitMs: number;
   /** Time allowed for each part of the response. */
   readonly partLimitMs: number;
-  readonly parent: AbortSignal;
+  readonly parent?: AbortSignal;
   readonly call: (control: ReadControl) => Promise<Value>;
 }
 
@@ -20,7 +20,7 @@
 export async function callWithReadLimit<Value>(opts: ReadLimitOptions<Value>): Promise<Value> {
   const { timer, limitMs, partLimitMs, parent } = opts;
   const endsAtMs = timer.nowMs() + MAX_READ_MS;
-  const timeLimit = timer.startTimeLimit({ limitMs, parent });
+  const timeLimit = timer.startTimeLimit({ limitMs, ...(parent && { parent }) });
   const onProgress = (): void =>
     timeLimit.extend({ leftMs: Math.min(partLimitMs, endsAtMs - timer.nowMs()) });
   try {
--- a/packages/store/src/watchPrefix.ts
+++ b/packages/store/src/watchPrefix.ts
@@ -102,7 +102,8 @@
     if (response.isErr) {
       return;
     }
-    for await (const line of readLines(response.value)) {
+    const onPart = (): void => idleLimit.extend({ leftMs: idleTimeoutMs });
+    for await (const line of readLines(response.value, onPart)) {
       idleLimit.release();
       messageCount += 1;
       yield decodeWatch(line);
@@ -120,9 +121,13 @@
   }
 }
 
-async function* readLines(response: StoreResponse): AsyncGenerator<string, void, void> {
+async function* readLines(
+  response: StoreResponse,
+  onPart: () => void,
+): AsyncGenerator<string, void, void> {
   let incompleteLine = '';
   for await (const chunk of response.chunks) {
+    onPart();
     const lines = (incompleteLine + chunk).split('\n');
     incompleteLine = lines.pop() ?? '';
     yield* lines.filter((line) => line !== '');
