Grant an entry its free retries one a second

What callers would see: after each start of an entry, ten retries more for each group of targets, whatever the process before it had used, so that a crash loop adds load to targets that are overloaded. Cause: a new budget began with ten retries at once. Change: the ten are granted one a second, beside what first attempts pay for. An entry that is restarted each 2 s for 20 s had 100 retries (ten starts of ten), and has ten.

--- a/packages/entry/src/createEntry.ts
+++ b/packages/entry/src/createEntry.ts
@@ -119,7 +119,7 @@
     directory,
     crashes,
     versions,
-    retryBudget: RetryBudget.create(),
+    retryBudget: RetryBudget.create(opts),
     stageDurations: SmoothedDurations.create(),
     limiter: createLimiter(opts, readConfiguration, () => entryCount),
     ownAvailabilityZone: opts.identity.availabilityZone,
--- a/packages/entry/test/decisions.feature
+++ b/packages/entry/test/decisions.feature
@@ -18,6 +18,11 @@
     When a retry budget sees 1000 first attempts that all fail and request a retry
     Then the budget allowed at least 100 and at most 120 retries
 
+  # Guards against repeats that pile up, as each start had ten of them at once.
+  Scenario: An entry that is restarted again and again has no more retries than one that runs on
+    When an entry that is restarted each 2000 ms for 20000 ms requests as many retries as it may
+    Then the budget allowed at least 5 and at most 20 retries
+
   Scenario: A target is never tried twice for one stage, nor used in a zone that is out
     Then for random targets the chosen one is ready or cold, untried and not in a zone that is out
 
--- a/packages/entry/test/decisions.steps.ts
+++ b/packages/entry/test/decisions.steps.ts
@@ -11,6 +11,7 @@
   type RetryDecision,
   type TargetView,
 } from '@galenatiller/entry';
+import { ManualClock, TimerService } from '@galenatiller/timer';
 import type { Outcome, StageRule, TargetReport } from '@galenatiller/types';
 import fc from 'fast-check';
 
@@ -62,7 +63,8 @@
 When(
   'a retry budget sees {int} first attempts that all fail and request a retry',
   function when(this: DecisionsWorld, attempts: number) {
-    const budget = RetryBudget.create();
+    const timer = TimerService.create({ clock: ManualClock.create({ startWallMs: 1_000_000 }) });
+    const budget = RetryBudget.create({ timer });
     const allowed = Array.from({ length: attempts }, () => {
       budget.deposit('drafter');
       return budget.tryWithdraw('drafter');
@@ -71,6 +73,23 @@
   },
 );
 
+When(
+  'an entry that is restarted each {int} ms for {int} ms requests as many retries as it may',
+  async function when(this: DecisionsWorld, intervalMs: number, forMs: number) {
+    const clock = ManualClock.create({ startWallMs: 1_000_000 });
+    const timer = TimerService.create({ clock });
+    this.allowed = 0;
+    for (let atMs = 0; atMs < forMs; atMs += intervalMs) {
+      const budget = RetryBudget.create({ timer });
+      budget.deposit('drafter');
+      while (budget.tryWithdraw('drafter')) {
+        this.allowed += 1;
+      }
+      await clock.advance({ byMs: intervalMs });
+    }
+  },
+);
+
 When(
   'the entry chooses between a full target in its own zone and an idle one in another zone',
   function when(this: DecisionsWorld) {
--- a/packages/entry/test/versionRuns.steps.ts
+++ b/packages/entry/test/versionRuns.steps.ts
@@ -75,7 +75,7 @@
         timer: { nowMs: () => nowMs },
         record: () => {},
         crashes: { isStopped: () => false },
-        retryBudget: RetryBudget.create(),
+        retryBudget: RetryBudget.create({ timer: { nowMs: () => nowMs } }),
         stageDurations: { observe: () => {} },
         versions,
         writePart: () => Promise.resolve(),
