Say in a refusal what of the retry budget is used, and whether the node has its share

The outcome of a refused call only said that the budget is exhausted; whether the node had no share yet, or had used it, was not to be seen in the logs (BUDGET).

--- a/packages/router/src/runAttempts.ts
+++ b/packages/router/src/runAttempts.ts
@@ -58,7 +58,8 @@
       continue;
     }
     if (progress.sends > 0 && !context.retryBudget.tryWithdraw(admitted.service)) {
-      return endWithError(progress, 'overloaded', 'the retry budget is exhausted');
+      const used = context.retryBudget.describe(admitted.service);
+      return endWithError(progress, 'overloaded', `the retry budget is exhausted: ${used}`);
     }
     const result = await runAttempt(opts, progress, choice);
     if (result) {
--- a/packages/target/src/retryBudget.ts
+++ b/packages/target/src/retryBudget.ts
@@ -44,17 +44,28 @@
 
   /** Withdraws one retry; false when the budget of the service is exhausted. */
   tryWithdraw(service: string): boolean {
-    const { ratio, slackRetries, nodeCount, hasWholeShare } = this.opts;
-    const slack = hasWholeShare() ? slackRetries / Math.max(1, nodeCount()) : 0;
-    const allowed = USED_SHARE * (ratio * this.getCounter(this.requests, service).count() + slack);
     const retries = this.getCounter(this.retries, service);
-    if (retries.count() + 1 > allowed) {
+    if (retries.count() + 1 > this.countAllowed(service)) {
       return false;
     }
     retries.add();
     return true;
   }
 
+  /** What of the budget of a service is used, for a log line. */
+  describe(service: string): string {
+    const { nodeCount, hasWholeShare } = this.opts;
+    const used = this.getCounter(this.retries, service).count();
+    const share = hasWholeShare() ? `a share of 1/${nodeCount()}` : 'no share';
+    return `${used} of ${this.countAllowed(service).toFixed(1)} used, with ${share} of the slack`;
+  }
+
+  private countAllowed(service: string): number {
+    const { ratio, slackRetries, nodeCount, hasWholeShare } = this.opts;
+    const slack = hasWholeShare() ? slackRetries / Math.max(1, nodeCount()) : 0;
+    return USED_SHARE * (ratio * this.getCounter(this.requests, service).count() + slack);
+  }
+
   private getCounter(
     counters: Map<string, SlidingWindowCounter>,
     service: string,
