Show that calls which end a stage together exceed the limit of a cold worker

Cause: a router checks the rate of sends to a target and counts the send after a further await, so that calls whose stage ends with the same batch call all pass the check.

--- a/review/lib-3/worker.mjs
+++ b/review/lib-3/worker.mjs
@@ -1,13 +1,14 @@
 /**
  * A stand-in for workers (PROTOCOL.md), as a process of its own, so that a signal crashes it. Its argument is JSON:
  * `store`, and `workers` with `id`, `address`, `service`, `zone`, `slots`, `kind`. It prints one JSON line
- * for each request that it begins to run.
+ * for each request that it begins to run. SIGUSR2 makes all its workers cold for `coldMs`.
  */
 import { createServer, request } from 'node:http';
 
 const { store, workers } = JSON.parse(process.argv[2]);
 const HEARTBEAT_MS = 1_200;
 const bornMs = Date.now();
+let coldUntilMs = 0;
 
 const sleep = (delayMs) =>
   new Promise((resolve) => {
@@ -28,7 +29,7 @@
     version: 'v1',
     slots,
     state: 'ready',
-    cold_left_ms: 0,
+    cold_left_ms: Math.max(0, coldUntilMs - Date.now()),
     sequence,
     born: bornMs,
   };
@@ -38,6 +39,52 @@
   sent.end(JSON.stringify({ id, entry }));
 }
 
+/** Runs one call of pieces at a time; a few more wait. */
+class StageRunner {
+  load = 0;
+
+  made = 0;
+
+  turn = Promise.resolve();
+
+  constructor(worker) {
+    this.worker = worker;
+  }
+
+  /** Status and body of the answer to a call of pieces. */
+  async run({ items }) {
+    const { address, queue = 2, callMs = 200, itemMs = 5 } = this.worker;
+    if (this.load > queue) {
+      return [503, {}];
+    }
+    this.load += 1;
+    const before = this.turn;
+    this.turn = before.then(() => sleep(callMs + itemMs * items.length));
+    await this.turn;
+    this.load -= 1;
+    const handles = items.map(() => {
+      this.made += 1;
+      return { handle: `${address}/r${this.made}` };
+    });
+    return [200, { items: handles }];
+  }
+}
+
+const stages = new Map();
+
+async function serveStage(worker, { path, text, response }) {
+  if (path === '/-/stage-free') {
+    response.writeHead(200, { 'Content-Type': 'application/json' }).end('{}');
+    return;
+  }
+  const runner = stages.get(worker.id) ?? new StageRunner(worker);
+  stages.set(worker.id, runner);
+  const [status, body] = await runner.run(JSON.parse(text));
+  const notRun = status === 503 ? { 'X-Not-Executed': '1' } : {};
+  response.writeHead(status, { 'Content-Type': 'application/json', ...notRun });
+  response.end(JSON.stringify(body));
+}
+
 /** How each kind of worker runs a request that it has accepted. */
 const KINDS = {
   /** A model worker: reads the prompt for a while, then streams events. */
@@ -92,7 +139,14 @@
       return;
     }
     if (incoming.url === '/healthz' || incoming.url === '/-/report') {
-      response.writeHead(200, { 'X-Instance-Id': worker.id, 'Content-Length': '0' }).end();
+      const coldMs = String(Math.max(0, coldUntilMs - Date.now()));
+      const state = { 'X-Instance-Id': worker.id, 'X-Cold-Ms': coldMs, 'Content-Length': '0' };
+      response.writeHead(200, state).end();
+      return;
+    }
+    const text = Buffer.concat(chunks).toString('utf8');
+    if (worker.kind === 'stage') {
+      serveStage(worker, { path: incoming.url, text, response });
       return;
     }
     if (requestId === '') {
@@ -100,8 +154,7 @@
       return;
     }
     const path = incoming.url;
-    const text = Buffer.concat(chunks).toString('utf8');
-    say({ event: 'begins', worker: worker.id, requestId, path });
+    say({ event: 'begins', worker: worker.id, requestId, path, atMs: Date.now() });
     const head = { ...echoed, 'X-Server-Seal': `${worker.id}.${requestId}` };
     KINDS[worker.kind](worker, { response, head, path, text, isGone: () => isGone });
   });
@@ -120,5 +173,9 @@
     };
     next();
     setInterval(next, HEARTBEAT_MS);
+    process.on('SIGUSR2', () => {
+      coldUntilMs = Date.now() + (worker.coldMs ?? 0);
+      next();
+    });
   });
 });
