Show that half an answer passes for a whole one when its worker has started again

Cause: after an answer without a length, a router asks whether the process that sent it still runs, and takes an answer under the same id for that process; a second start under the id gives it too. Stand-ins: a proxy that cuts a path, and workers whose answers have no length.

--- a/review/lib-3/worker.mjs
+++ b/review/lib-3/worker.mjs
@@ -109,6 +109,17 @@
     response.writeHead(status, head);
     response.end(isFailed ? 'the order was entered, but the printer did not answer' : 'done');
   },
+  /** An application whose answers have no length and end with their connection; they leave in two parts. */
+  async unframed(worker, { response, head }) {
+    await sleep(worker.workMs ?? 30);
+    response.removeHeader('Transfer-Encoding');
+    response.shouldKeepAlive = false;
+    response.writeHead(200, head);
+    response.write(worker.parts[0]);
+    say({ event: 'half', worker: worker.id, requestId: head['X-Request-Id'] });
+    await sleep(worker.pauseMs);
+    response.end(worker.parts[1]);
+  },
   /** An application whose process crashes when it begins to run a request with a certain body. */
   async fragile(worker, { response, head, path, text }) {
     if (text.includes(worker.crashOn)) {
@@ -162,10 +173,11 @@
 }
 
 workers.forEach((worker) => {
-  const [host, port] = worker.address.split(':');
   const server = createServer((incoming, response) => serve(worker, incoming, response));
   server.keepAliveTimeout = 5_000;
-  server.listen(Number(port), host, () => {
+  // Behind a proxy, the address that others know is not the one that the worker listens at.
+  const [ownHost, ownPort] = (worker.listen ?? worker.address).split(':');
+  server.listen(Number(ownPort), ownHost, () => {
     let sequence = 0;
     const next = () => {
       sequence += 1;
