--- a/review/lib-3/run.mjs
+++ b/review/lib-3/run.mjs
@@ -98,7 +98,7 @@
   startRouter(router) {
     const { name, onLine = () => {} } = router;
     const file = join(this.folder, `${name}.ini`);
-    writeFileSync(file, renderSettings({ ...router, storeAddress: this.store.address }));
+    writeFileSync(file, renderSettings({ storeAddress: this.store.address, ...router }));
     const env = { GALENATILLER_NODE_FILE: file };
     return this.spawn(name, readCommand(), { env, onLine });
   }
