--- a/review/lib-3/run.mjs
+++ b/review/lib-3/run.mjs
@@ -42,6 +42,7 @@
   static async start(caseUrl, main) {
     const run = new Run(fileURLToPath(new URL('record.txt', caseUrl)));
     let code = 2;
+    ['SIGTERM', 'SIGINT', 'SIGHUP'].forEach((signal) => process.once(signal, () => run.end(2)));
     const limit = setTimeout(() => {
       run.note('the run took too long');
       run.end(2);
--- a/review/lib-3/worker.mjs
+++ b/review/lib-3/worker.mjs
@@ -8,6 +8,7 @@
 const { store, workers } = JSON.parse(process.argv[2]);
 const HEARTBEAT_MS = 1_200;
 const bornMs = Date.now();
+const parentId = process.ppid;
 let coldUntilMs = 0;
 
 const sleep = (delayMs) =>
@@ -191,3 +192,10 @@
     });
   });
 });
+
+// Ends with the script that started it, also where that was killed.
+setInterval(() => {
+  if (process.ppid !== parentId) {
+    process.exit();
+  }
+}, HEARTBEAT_MS);
