Answer 502 where a target's status would promise that a call which ran has not

Callers saw: a booking that a worker had run was answered with the worker's 503, which promises not-run. Cause: the status of a target was forwarded for calls that may not run again, also where it is 408, 421, 429 or 503 and the target did not state that it has not run the call. The client of targets knew the difference (such an answer is no refusal), but nothing asked for it when the answer was forwarded. The logs tell it apart from a refusal of the router's own: the attempt ends as `503`, not as `refused`. Change: replacedStatus.ts decides; promisesNotRun is the only list of these statuses, and createProblemDetails uses it, too. The caller gets 502 of the router's own, without seal, Retry-After and body of the target, since these may repeat the promise. Log lines keep the status, and router.statuses_replaced counts it. Such an answer is a failure of its target for its health and for rollouts. Calls that may run again keep the target's status: repeating them does no harm, and PROTOCOL asks for the status unchanged. Why it works: of what a target answers, only the statement makes a send `refused` or `moved`; every other answer passes handleResponse, for plain calls and streams, first and later attempts. Ruled out: a refusal of the router's own with a wrong outcome (the answers bore the worker's seal).

--- a/fakes/src/platform/fakePlatformWorker.ts
+++ b/fakes/src/platform/fakePlatformWorker.ts
@@ -44,6 +44,9 @@
   /** Status of responses. */
   status = 200;
 
+  /** Headers of responses to requests that have run, in addition to the usual ones. */
+  responseHeaders: Readonly<Record<string, string>> = {};
+
   /** Body of a stream. */
   streamText = WORKER_EVENT;
 
@@ -132,6 +135,7 @@
       'X-Request-Id': header('x-request-id'),
       'X-Server-Seal': 'seal',
       'X-Server-Load': '1,0,4',
+      ...this.responseHeaders,
     });
     response.write(path.startsWith('/stream/') ? this.streamText : this.bodyText, () => {
       if (this.responseEnd === 'reset-at-once') {
--- a/packages/error/src/createProblemDetails.ts
+++ b/packages/error/src/createProblemDetails.ts
@@ -2,6 +2,7 @@
 
 import { findResultCode } from './findResultCode.js';
 import type { GalenatillerError } from './galenatillerError.js';
+import { promisesNotRun } from './promisesNotRun.js';
 
 /** Members of the problem details document (RFC 9457) for any error. */
 export interface ProblemDetails {
@@ -16,9 +17,6 @@
   readonly hint: string;
 }
 
-/** Statuses that promise that the request has not run. */
-const NOT_RUN_STATUSES: readonly number[] = [408, 421, 429, 503];
-
 const STATUS_BAD_GATEWAY = 502;
 
 /** Converts an error to a problem details document; the wire modules encode it. */
@@ -38,6 +36,6 @@
 
 /** The status of the result code, unless it promises more than what is known in this case. */
 function findStatus({ outcome }: GalenatillerError, usualStatus: number): number {
-  const isFalse = NOT_RUN_STATUSES.includes(usualStatus) && outcome !== 'not-run';
+  const isFalse = promisesNotRun(usualStatus) && outcome !== 'not-run';
   return isFalse ? STATUS_BAD_GATEWAY : usualStatus;
 }
--- a/packages/error/src/index.ts
+++ b/packages/error/src/index.ts
@@ -4,4 +4,5 @@
 export type { ResultCodeDefinition } from './resultCodeDefinition.js';
 export { RESULT_CODES, type ResultCodeName } from './resultCodes.js';
 export { findNearestName, type FindNearestNameOptions } from './findNearestName.js';
+export { promisesNotRun } from './promisesNotRun.js';
 export { type ProblemDetails, createProblemDetails } from './createProblemDetails.js';
--- a/packages/metrics/src/metricDefinition.ts
+++ b/packages/metrics/src/metricDefinition.ts
@@ -39,6 +39,8 @@
   readonly givenUpBefore: 'stage' | 'send';
   /** How one attempt to send a call to a target ended. */
   readonly send: 'answered' | 'refused' | 'moved' | 'inputs-gone' | 'unsent' | 'broken' | 'foreign';
+  /** HTTP status of a target's response. */
+  readonly targetStatus: number;
   /** What was learnt, after the end of an answer, of the process that sent it. */
   readonly sender: 'same-start' | 'other-start' | 'gone' | 'unknown' | 'not-asked';
   /** How a call to a stage worker ended. */
--- a/packages/metrics/src/routerMetrics.ts
+++ b/packages/metrics/src/routerMetrics.ts
@@ -51,6 +51,15 @@
     role: 'router',
     meaning: 'Sends of calls to targets, by how they ended.',
   },
+  {
+    name: 'router.statuses_replaced',
+    type: 'count',
+    unit: 'answers',
+    tags: ['targetStatus'],
+    role: 'router',
+    meaning:
+      "Targets' answers replaced by 502, as their status would promise that a call which may have run has not.",
+  },
   {
     name: 'router.answers_without_framing',
     type: 'count',
--- a/packages/router/src/attemptOutcome.ts
+++ b/packages/router/src/attemptOutcome.ts
@@ -1,5 +1,5 @@
 import { getStartKey } from '@galenatiller/target';
-import type { RegisteredTarget } from '@galenatiller/types';
+import type { RegisteredTarget, RouteConfig } from '@galenatiller/types';
 
 import type { CallProgress } from './callProgress.js';
 import { endAborted, endByStop, type Refused } from './endAttempts.js';
@@ -23,10 +23,16 @@
   }
 }
 
+/** Whether a route allows its calls to run more than once. */
+export function allowsRepeatedRuns({
+  callKind,
+  isResumable,
+}: Pick<RouteConfig, 'callKind' | 'isResumable'>): boolean {
+  return callKind === 'idempotent' || (callKind === 'stream' && isResumable);
+}
+
 /** Whether a call that may have run already may be sent to another target. */
 export function canRunAgain(opts: RunAttemptsOptions, progress: CallProgress): boolean {
   const { route } = opts.admitted;
-  const isRetryable =
-    route.callKind === 'idempotent' || (route.callKind === 'stream' && route.isResumable);
-  return isRetryable && progress.runs < route.maxAttempts;
+  return allowsRepeatedRuns(route) && progress.runs < route.maxAttempts;
 }
--- a/packages/router/src/runAttempts.ts
+++ b/packages/router/src/runAttempts.ts
@@ -2,7 +2,7 @@
 import type { RegisteredTarget } from '@galenatiller/types';
 
 import { canRunAgain, endBySignal, recordIfCrashed } from './attemptOutcome.js';
-import { forwardAttempt } from './forwardAttempt.js';
+import { forwardAttempt, type ForwardAttemptOptions } from './forwardAttempt.js';
 import type { CallProgress } from './callProgress.js';
 import {
   type AttemptsResult,
@@ -17,6 +17,7 @@
 import { endTooLate } from './heldCalls.js';
 import { countBegunRequest, logAttempt, mayHaveBegun, recordNotice } from './observeAttempt.js';
 import type { SendResponse, SendResult } from './ports.js';
+import { endWithReplacedStatus, mustReplaceStatus } from './replacedStatus.js';
 import type { RouterContext } from './routerContext.js';
 import type { RunAttemptsOptions } from './runAttemptsOptions.js';
 import { createObservation, observeBroken } from './observeRun.js';
@@ -123,9 +124,8 @@
   choice: Extract<PermittedChoice, { kind: 'chosen' }>,
 ): Promise<AttemptsResult | undefined> {
   const { context, exchange, admitted, signal } = opts;
-  const { timer, health } = context;
   const { target } = choice;
-  const sentAtMs = timer.nowMs();
+  const sentAtMs = context.timer.nowMs();
   progress.recordSend(target.id);
   opts.tracked.enter('sent');
   recordSent(context, choice);
@@ -157,25 +157,37 @@
       }
       return await handleFailure(opts, progress, target, response);
     }
-    const nowMs = timer.nowMs();
-    context.responseTimes.observe({ name: admitted.service, durationMs: nowMs - sentAtMs, nowMs });
-    const isServerError = response.status >= 500;
-    if (!notice?.pause) {
-      health.record({ targetId: target.id, result: isServerError ? 'failed' : 'good' });
-    }
-    progress.recordRun();
-    if (isServerError && canRunAgain(opts, progress)) {
-      response.discard();
-      observation.end({ isFailed: true });
-      progress.recordFailure(`the target responded with status ${response.status}`);
-      return undefined;
-    }
-    return await forwardAttempt({ ...opts, target, response, observation, sentAtMs });
+    return await handleResponse({ ...opts, target, response, observation, sentAtMs });
   } finally {
     decrement();
   }
 }
 
+/** Forwards a response, unless the call is sent to another target or its status must not reach the caller. */
+async function handleResponse(opts: ForwardAttemptOptions): Promise<AttemptsResult | undefined> {
+  const { context, admitted, progress, target, response, observation, sentAtMs } = opts;
+  const nowMs = context.timer.nowMs();
+  const durationMs = nowMs - sentAtMs;
+  context.responseTimes.observe({ name: admitted.service, durationMs, nowMs });
+  const isReplaced = mustReplaceStatus(opts, response);
+  const isFailed = isReplaced || response.status >= 500;
+  if (!response.notice?.pause) {
+    context.health.record({ targetId: target.id, result: isFailed ? 'failed' : 'good' });
+  }
+  progress.recordRun();
+  if (isReplaced) {
+    observation.end({ isFailed });
+    return endWithReplacedStatus(opts, progress, response);
+  }
+  if (isFailed && canRunAgain(opts, progress)) {
+    response.discard();
+    observation.end({ isFailed });
+    progress.recordFailure(`the target responded with status ${response.status}`);
+    return undefined;
+  }
+  return forwardAttempt(opts);
+}
+
 async function handleFailure(
   opts: RunAttemptsOptions,
   progress: CallProgress,
--- a/packages/router/test/router.feature
+++ b/packages/router/test/router.feature
@@ -60,6 +60,51 @@
     When an "order" call is made
     Then the caller gets 500 from the target
 
+  # Guards against a call that has run and is entered twice, as the status of its target told the caller that it had not.
+  Scenario Outline: A status that promises not-run is no answer to a call that may not run again
+    Given the targets respond to each call with status <status>
+    When a "<kind>" call is made
+    Then the caller gets 502 without a time to retry
+    And the targets got 1 send
+    And the log names the status <status> of the target
+
+    Examples:
+      | kind   | status |
+      | order  | 408    |
+      | order  | 421    |
+      | order  | 429    |
+      | order  | 503    |
+      | stream | 408    |
+      | stream | 421    |
+      | stream | 429    |
+      | stream | 503    |
+
+  # Guards against a call that a second target has run, and whose caller is told what only holds for the first one.
+  Scenario: A status that promises not-run proves nothing after a target that did not run the call
+    Given the first send ends as "refused"
+    And the targets respond to each call with status 503
+    When an "order" call is made
+    Then the caller gets 502 without a time to retry
+    And the targets got 2 sends to different targets
+
+  Scenario Outline: A status that promises not-run is forwarded for a call that may run again
+    Given the targets respond to each call with status <status>
+    When a "<kind>" call is made
+    Then the caller gets <status> from the target
+
+    Examples:
+      | kind      | status |
+      | safe      | 429    |
+      | safe      | 503    |
+      | resumable | 408    |
+      | resumable | 503    |
+
+  # Guards against a target that keeps its share of calls though all of them fail.
+  Scenario: A target whose status is replaced is avoided like one that fails
+    Given the targets respond to each call with status 429
+    When 3 "order" calls are made
+    Then each target that was sent a call has a share of failures
+
   Scenario: An interrupted body is not forwarded
     Given each response body is interrupted
     When an "order" call is made
