Count a request that its target answered with 408, 421, 429 or 503 and may have run

Callers saw nothing; the usage reports lacked requests that had run and were failed with one of these statuses. Cause: mayHaveBegun took these statuses for a promise that the call has not run. Only the target's own statement is one, and the client of targets reports such an answer as `refused` or `moved`. Change: findSendOutcome says what the end of a send proves; mayHaveBegun and the end of an aborted call ask it.

--- a/packages/router/src/observeAttempt.ts
+++ b/packages/router/src/observeAttempt.ts
@@ -4,6 +4,7 @@
 
 import type { AdmittedCall } from './admitCall.js';
 import type { CallProgress } from './callProgress.js';
+import { findSendOutcome } from './findSendOutcome.js';
 import type { ForwardResult } from './forwardResponse.js';
 import type { CallerExchange, SendResponse, SendResult } from './ports.js';
 import type { RouterContext } from './routerContext.js';
@@ -49,9 +50,6 @@
   });
 }
 
-/** Statuses that promise that the request has not run. */
-const NOT_RUN_STATUSES: readonly number[] = [408, 421, 429, 503];
-
 /**
  * Counts the request of an organisation when an attempt shows for the first time that a target began to
  * run it, or may have begun: at the answer, at the first event of a stream, or when the answer was lost.
@@ -84,10 +82,8 @@
   opts: { readonly admitted: Pick<AdmittedCall, 'route'> },
   response: SendResult,
 ): boolean {
-  if (response.kind === 'answered') {
-    return !isStream(opts, response) && !NOT_RUN_STATUSES.includes(response.status);
-  }
-  return response.kind === 'broken' || response.kind === 'foreign';
+  const isBegunLater = response.kind === 'answered' && isStream(opts, response);
+  return !isBegunLater && findSendOutcome(response) === 'may-have-run';
 }
 
 /** Whether a response is the stream that its route asks for. */
--- a/packages/router/src/runAttempts.ts
+++ b/packages/router/src/runAttempts.ts
@@ -14,6 +14,7 @@
 import { chooseTargetWithPermit, type PermittedChoice } from './chooseTargetForCall.js';
 import { endForPause } from './endForPause.js';
 import { findPauseWait } from './findPauseWait.js';
+import { findSendOutcome } from './findSendOutcome.js';
 import { endTooLate } from './heldCalls.js';
 import { countBegunRequest, logAttempt, mayHaveBegun, recordNotice } from './observeAttempt.js';
 import type { SendResponse, SendResult } from './ports.js';
@@ -197,7 +198,7 @@
   const { context, signal } = opts;
   progress.recordFailure(`${response.kind}: ${response.detail}`);
   if (signal.aborted && response.kind !== 'inputs-gone') {
-    if (response.kind === 'broken' || response.kind === 'foreign') {
+    if (findSendOutcome(response) === 'may-have-run') {
       progress.recordRun();
     }
     return endBySignal(opts, progress);
