Answer callers of the entry with 502 where a refusal's code promises not-run and its outcome does not

Callers saw: HTTP 503 or 429 for calls of which a stage may have run (overloaded after an earlier stage, the retry budget, an unknown claim in the store), while the problem details in the body said 502 and `may-have-run`. Cause: the entry took the status of the result code; createProblemDetails, which looks at the outcome of the refusal, was only asked for the body. Change: the entry takes the status from the problem details, too. The operators' port is left: its requests run nothing, and its errors have none of these statuses.

--- a/packages/caller/src/serveCall.ts
+++ b/packages/caller/src/serveCall.ts
@@ -1,7 +1,7 @@
 import type { OutgoingHttpHeaders, ServerResponse } from 'node:http';
 
 import { MAX_BODY_BYTES, STOP_RETRY_AFTER_MS } from '@galenatiller/constants';
-import { findResultCode, GalenatillerError } from '@galenatiller/error';
+import { createProblemDetails, GalenatillerError } from '@galenatiller/error';
 import type { Logger } from '@galenatiller/logger';
 import { whenPolled } from '@galenatiller/tasks';
 import type { Cancel } from '@galenatiller/timer';
@@ -253,7 +253,7 @@
   // Otherwise the rest of an unread body would be parsed as the next request.
   const connection = request.complete ? {} : { connection: 'close' };
   sendWhole(response, {
-    status: findResultCode(error.codeName).httpStatus,
+    status: createProblemDetails(error).status,
     headers: { ...headers, ...connection, 'x-request-id': requestId },
     text: encodeProblem(requestId, error),
   });
--- a/packages/caller/test/badInput.feature
+++ b/packages/caller/test/badInput.feature
@@ -57,6 +57,20 @@
       | a valid call   |
       | malformed JSON |
 
+  # Guards against a caller that repeats a call which may have run, since the status of the answer promises that it has not.
+  Scenario Outline: The status of a refusal promises not-run only if the call has not run
+    When a call is refused as "<name>" and <run>
+    Then the caller is refused with <status>, code <code> and outcome "<outcome>"
+
+    Examples:
+      | name               | run          | status | code | outcome      |
+      | overloaded         | may have run | 502    | 2004 | may-have-run |
+      | retry-budget-spent | may have run | 502    | 2010 | may-have-run |
+      | store-ambiguous    | may have run | 502    | 4002 | may-have-run |
+      | organisation-limit | may have run | 502    | 2003 | may-have-run |
+      | overloaded         | has not run  | 503    | 2004 | not-run      |
+      | deadline-exceeded  | may have run | 504    | 2002 | may-have-run |
+
   # Guards against a call whose run throws and whose connection then stays open without an answer.
   Scenario: A call whose run throws is answered
     When a caller sends a call whose run throws
--- a/packages/caller/test/badInput.steps.ts
+++ b/packages/caller/test/badInput.steps.ts
@@ -12,7 +12,7 @@
   computeCallerFigures,
   serveCallers,
 } from '@galenatiller/caller';
-import { GalenatillerError } from '@galenatiller/error';
+import { GalenatillerError, type ResultCodeName } from '@galenatiller/error';
 import { TaskGroup } from '@galenatiller/tasks';
 import { systemClock, TimerService } from '@galenatiller/timer';
 import { Result } from 'true-myth';
@@ -28,6 +28,8 @@
   reader: Socket;
   receivedBytes: number;
   receivedText: string;
+  /** Error with which calls are refused; undefined if they are answered. */
+  refusal: GalenatillerError | undefined;
 }
 
 const KEY = 'secret-key';
@@ -66,6 +68,9 @@
         await once(call.signal, 'abort');
         markCancelled();
       }
+      if (this.refusal) {
+        return Result.err(this.refusal);
+      }
       if (call.prompt === 'throw') {
         throw new Error('unexpected');
       }
@@ -106,6 +111,15 @@
   },
 );
 
+When(
+  /^a call is refused as "([^"]*)" and (may have|has not) run$/,
+  async function when(this: CallerWorld, name: ResultCodeName, run: string) {
+    const outcome = run === 'may have' ? 'may-have-run' : 'not-run';
+    this.refusal = GalenatillerError.create({ name, detail: 'scripted', outcome });
+    this.response = await send(this, {});
+  },
+);
+
 When('a caller sends half a request and closes its side', async function when(this: CallerWorld) {
   const socket = connect({ host: '127.0.0.1', port: this.server?.port ?? 0 });
   await once(socket, 'connect');
@@ -209,11 +223,15 @@
 Then(
   'the caller is refused with {int}, code {int} and outcome {string}',
   async function then(this: CallerWorld, status: number, code: number, outcome: string) {
-    const problem = (await this.response.body.json()) as { code: number; outcome: string };
+    const problem = (await this.response.body.json()) as {
+      readonly status: number;
+      readonly code: number;
+      readonly outcome: string;
+    };
     assert.equal(this.response.headers['content-type'], 'application/problem+json');
     assert.deepEqual(
-      [this.response.statusCode, problem.code, problem.outcome],
-      [status, code, outcome],
+      [this.response.statusCode, problem.status, problem.code, problem.outcome],
+      [status, status, code, outcome],
     );
   },
 );
