Choose a call's target and count the call as sent in one turn of the event loop

Cause: runAttempts awaited the choice of the target, and counted the send after that. Calls that become ready in one turn of the event loop (a batch call ends the last stage of all of them, a permit is refused to several) were all chosen a target before any of them was counted: by the share of the cold limit, and by the calls in flight, so that all of them went to the same target also where nothing is cold. Change: only the permit is awaited; the choice after it, the checks and the count run without a wait in between. The share of the node, the calls in flight and the pause of a target are looked at by each call after the one before it was counted.

--- a/packages/router/src/chooseTargetForCall.ts
+++ b/packages/router/src/chooseTargetForCall.ts
@@ -1,5 +1,6 @@
 import { toWorkerAddress } from '@galenatiller/pool';
 import { chooseTarget, type TargetChoice, toTargetStart } from '@galenatiller/target';
+import type { RegisteredTarget } from '@galenatiller/types';
 
 import type { AdmittedCall } from './admitCall.js';
 import type { CallProgress } from './callProgress.js';
@@ -24,25 +25,23 @@
 /** A choice, and whether it was made under a permit, which doesn't use up the share of this node. */
 export type PermittedChoice = TargetChoice & { readonly hasPermit?: boolean };
 
-/**
- * Chooses the target that a call is sent to next. If only the share of this node rules out the target that has
- * the prompt cached, it asks for a permit.
- */
-export async function chooseTargetWithPermit(
+/** Target that has the prompt of a call cached, if only the share of this node rules it out. */
+export function findLimitedTarget(choice: TargetChoice): RegisteredTarget | undefined {
+  return choice.kind === 'chosen' ? choice.limited : undefined;
+}
+
+/** Chooses the target that a call is sent to next, after a permit for one was granted or refused. */
+export function chooseTargetAfterPermit(
   opts: ChoiceOptions,
   progress: Pick<CallProgress, 'tried'>,
-): Promise<PermittedChoice> {
-  const choice = chooseTargetForCall(opts, progress);
-  if (choice.kind !== 'chosen' || !choice.limited) {
-    return choice;
-  }
-  const { id, address, service } = choice.limited;
-  if (!(await opts.context.obtainPermit({ service, address }))) {
+  permit: { readonly targetId: string; readonly isGranted: boolean },
+): PermittedChoice {
+  const { targetId, isGranted } = permit;
+  if (!isGranted) {
     return chooseTargetForCall(opts, progress);
   }
-  const permitted = chooseTargetForCall({ ...opts, permitted: id }, progress);
-  const hasPermit = permitted.kind === 'chosen' && permitted.target.id === id;
-  return { ...permitted, hasPermit };
+  const choice = chooseTargetForCall({ ...opts, permitted: targetId }, progress);
+  return { ...choice, hasPermit: choice.kind === 'chosen' && choice.target.id === targetId };
 }
 
 /** Chooses the target that a call is sent to next within the share of this node. */
--- a/packages/router/src/runAttempts.ts
+++ b/packages/router/src/runAttempts.ts
@@ -11,7 +11,12 @@
   endStopped,
   endWithError,
 } from './endAttempts.js';
-import { chooseTargetWithPermit, type PermittedChoice } from './chooseTargetForCall.js';
+import {
+  chooseTargetAfterPermit,
+  chooseTargetForCall,
+  findLimitedTarget,
+  type PermittedChoice,
+} from './chooseTargetForCall.js';
 import { endForPause } from './endForPause.js';
 import { findPauseWait } from './findPauseWait.js';
 import { findSendOutcome } from './findSendOutcome.js';
@@ -44,7 +49,14 @@
     startedAtMs + (admitted.deadlineAtMs - startedAtMs) * NO_TARGET_WAIT_SHARE;
   context.retryBudget.recordRequest(admitted.service);
   while (!signal.aborted) {
-    const choice = await chooseTargetWithPermit(opts, progress);
+    let choice: PermittedChoice = chooseTargetForCall(opts, progress);
+    const limited = findLimitedTarget(choice);
+    if (limited) {
+      const { id: targetId, service, address } = limited;
+      const isGranted = await context.obtainPermit({ service, address });
+      choice = chooseTargetAfterPermit(opts, progress, { targetId, isGranted });
+    }
+    // Nothing may wait between the choice and the send: other calls would be chosen a target by the same counts.
     const end = endBeforeSend(opts, progress);
     if (end) {
       return end;
--- a/packages/router/test/router.feature
+++ b/packages/router/test/router.feature
@@ -337,6 +337,27 @@
     When 10 "order" calls are made
     Then the targets got at most 13 sends
 
+  # Guards against a cold target that gets more requests than it can handle, as calls that are ready in the same turn of
+  # the event loop are all sent before any of them is counted.
+  Scenario Outline: Calls that are ready together stay within the limit of a cold target
+    Given a target that handles <limit> requests a second while it is cold
+    When <calls> "<kind>" calls come at the same time
+    Then the target got <limit> sends within a second
+
+    Examples:
+      | limit | calls | kind   |
+      | 3     | 12    | order  |
+      | 3     | 12    | staged |
+      | 1     | 2     | safe   |
+      | 5     | 64    | stream |
+
+  # Guards against calls that wait for a permit together, and are then sent together beyond the share of the router.
+  Scenario: Calls whose permits are refused together stay within the limit of a cold target
+    Given a target that handles 3 requests a second while it is cold
+    And another target, and permits that are refused after 5 ms
+    When 12 "order" calls come at the same time
+    Then each target got at most 3 sends within a second
+
   Scenario: Stages run in order, and their results go with the call
     When a "staged" call with 2 and 3 pieces is made
     Then the caller gets 200 from the target
