Show that an order for the version that already runs alone leaves its service without targets

Not fixed: giving such a version all calls would also do so where the old version's targets are only away for a while, and the version that is ordered may be bad; what was running when the order came has to be known to routers that start later, too.

--- a/packages/router/test/rollouts.feature
+++ b/packages/router/test/rollouts.feature
@@ -76,6 +76,18 @@
     When the store has it as "completed"
     Then calls only go to "v2"
 
+  # Guards against a service that refuses its calls though all its targets are sound, as an order names the only version
+  # that runs.
+  Scenario Outline: An order for the version that already runs alone takes no target from its calls
+    Given all targets of "shop" run "v2"
+    When 200 calls come in <s> s to sound targets
+    Then each of them had a target
+
+    Examples:
+      | s  |
+      | 5  |
+      | 30 |
+
   Scenario: Stage workers of a version get pieces once it is proved
     Then stage workers of "v2" get no pieces, and those of "v1" do
     When the store has it as "completed"
